--- /dev/null
+++ b/baobabwing/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, scenarios and figures, all on processes of the own host."""
--- /dev/null
+++ b/baobabwing/brands/__init__.py
@@ -0,0 +1,1 @@
+"""Brands, organisations, tiers and their limits."""
--- /dev/null
+++ b/baobabwing/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/baobabwing/entry/__init__.py
@@ -0,0 +1,1 @@
+"""What callers meet: HTTP, address answers, dispatch and relay."""
--- /dev/null
+++ b/baobabwing/exceptions.py
@@ -0,0 +1,103 @@
+"""Every error that baobabwing raises, under one root."""
+
+__all__ = [
+    "BaobabwingError",
+    "ConfigurationError",
+    "ConflictError",
+    "NotAdmittedError",
+    "PeerError",
+    "PlatformError",
+    "PlatformUncertainError",
+    "PlatformUnavailableError",
+    "RequestError",
+    "SettingsError",
+    "UpstreamError",
+    "WireError",
+]
+
+
+class BaobabwingError(Exception):
+    """Root of all errors of the package.
+
+    :param message: what went wrong, in one sentence without secrets.
+    :param step: the step at which it arose, such as ``"permit"``.
+    :param peer: the process that was spoken to, or an empty string.
+    """
+
+    def __init__(self, message: str, *, step: str = "", peer: str = "") -> None:
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        where = "".join(
+            f" [{name}={value}]"
+            for name, value in (("step", self.step), ("peer", self.peer))
+            if value
+        )
+        return f"{self.message}{where}"
+
+
+class SettingsError(BaobabwingError):
+    """A settings file or configuration document cannot be taken."""
+
+
+class ConfigurationError(BaobabwingError):
+    """No configuration is to be had, or it would go back to a lower version."""
+
+
+class ConflictError(BaobabwingError):
+    """Somebody else changed the same thing first."""
+
+
+class RequestError(BaobabwingError):
+    """A caller's request is refused before anything was dispatched.
+
+    :param status: HTTP status of the answer.
+    :param code: stable, documented word for programs.
+    :param field: the field of the request that is at fault, if one is.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int,
+        code: str,
+        field: str = "",
+        step: str = "request",
+        peer: str = "",
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.status = status
+        self.code = code
+        self.field = field
+
+
+class UpstreamError(BaobabwingError):
+    """An upstream failed after a request may have reached it."""
+
+
+class NotAdmittedError(UpstreamError):
+    """An upstream refused a request explicitly, before running any of it."""
+
+
+class PeerError(BaobabwingError):
+    """Another node could not be reached or did not answer in time."""
+
+
+class WireError(BaobabwingError):
+    """A message between nodes is malformed, too large or not authentic."""
+
+
+class PlatformError(BaobabwingError):
+    """The platform refused an operation."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform did not take the operation; it had no effect."""
+
+
+class PlatformUncertainError(PlatformError):
+    """The answer of the platform was lost; the operation may have had effect."""
--- /dev/null
+++ b/baobabwing/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts of the fleet: membership, homes of resources, leaving."""
--- /dev/null
+++ b/baobabwing/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Pools of upstreams: cells, queues, permits, learned speeds and policies."""
--- /dev/null
+++ b/baobabwing/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, numbered log events and the report on service-level burn."""
--- /dev/null
+++ b/baobabwing/reports/events.py
@@ -0,0 +1,75 @@
+"""Numbered log events and the logger that writes them."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from dataclasses import dataclass
+
+import structlog
+
+__all__ = ["Event", "catalogue", "configure_logging", "define", "log"]
+
+_EVENTS: dict[int, Event] = {}
+_LOGGER = structlog.get_logger("baobabwing")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Event:
+    """One kind of log line.
+
+    :param number: stable number; the thousands name the package.
+    :param name: stable short name.
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    :param meaning: what happened and what an operator does about it.
+    """
+
+    number: int
+    name: str
+    level: str
+    meaning: str
+
+
+def define(number: int, name: str, meaning: str, *, level: str = "info") -> Event:
+    """Add an event to the catalogue.
+
+    Thousands by package: 1 entry and requests, 2 pools and brands, 3 fleet,
+    4 settings and orders, 5 platform, 6 wire, 7 bench and stand-ins, 8 node.
+
+    :raises ValueError: if the number is taken by another event.
+    :returns: the event, to be passed to :func:`log`.
+    """
+    event = Event(number=number, name=name, level=level, meaning=meaning)
+    if _EVENTS.setdefault(number, event) != event:
+        raise ValueError(f"event number {number} is defined twice")
+    return event
+
+
+def catalogue() -> tuple[Event, ...]:
+    """Return all events that loaded modules defined, by number."""
+    return tuple(_EVENTS[number] for number in sorted(_EVENTS))
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one event; fields must hold no secrets and no caller's text."""
+    write = getattr(_LOGGER, event.level)
+    write(event.name, number=event.number, **fields)
+
+
+def configure_logging(*, level: str = "info", node: str = "") -> None:
+    """Send events as JSON lines to standard error."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelName(level.upper())
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    if node:
+        structlog.contextvars.bind_contextvars(node=node)
--- /dev/null
+++ b/baobabwing/requests/__init__.py
@@ -0,0 +1,1 @@
+"""A request from its arrival to its one final outcome."""
--- /dev/null
+++ b/baobabwing/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a host and the shared, versioned configuration."""
--- /dev/null
+++ b/baobabwing/settings/configuration.py
@@ -0,0 +1,32 @@
+"""The shared, versioned configuration that every node holds in memory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from baobabwing.brands.catalogue import Brand, Credential, Organisation, Tier
+from baobabwing.pools.catalogue import Pool, Upstream
+
+__all__ = ["Configuration"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Configuration:
+    """One accepted version of everything that operators create.
+
+    :param version: grows by one with each accepted change; never goes back.
+    :param attempt: id of the operator's attempt that wrote this version.
+    :param author: name of the operator who wrote it.
+    :param summary: one line on what changed.
+    """
+
+    version: int
+    attempt: str = ""
+    author: str = ""
+    summary: str = ""
+    tiers: tuple[Tier, ...] = ()
+    brands: tuple[Brand, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
+    credentials: tuple[Credential, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    upstreams: tuple[Upstream, ...] = ()
--- /dev/null
+++ b/baobabwing/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for engines, services and the platform."""
--- /dev/null
+++ b/baobabwing/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the nodes: schema, framing, authentication, peers."""
