Relay a streamed answer from socket to socket

Only whole events go to the caller, in the order of their numbers; the end of a stream is held until the upstream's body has ended too.

--- /dev/null
+++ b/baobabwing/entry/chunks.py
@@ -0,0 +1,145 @@
+"""Chunked transfer coding, decoded from blocks of bytes as they arrive."""
+
+from __future__ import annotations
+
+import re
+
+from baobabwing.exceptions import UpstreamError
+
+__all__ = ["LAST_CHUNK", "ChunkDecoder", "ChunkError", "encode_chunk", "whole_chunk"]
+
+LAST_CHUNK = b"0\r\n\r\n"
+CHUNK_LIMIT_BYTES = 16 * 1024 * 1024
+SIZE_LINE_LIMIT_BYTES = 256
+TRAILER_LIMIT_BYTES = 8_192
+
+_CRLF = b"\r\n"
+_PLAIN_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,7})\r\n")
+_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
+
+
+class ChunkError(UpstreamError):
+    """A body in chunked transfer coding is malformed or oversized."""
+
+
+def encode_chunk(payload: bytes) -> bytes:
+    """Return one chunk; an empty payload has none and gives no bytes."""
+    if not payload:
+        return b""
+    return b"%x\r\n%b\r\n" % (len(payload), payload)
+
+
+def whole_chunk(block: bytes | bytearray, length: int) -> int:
+    """Return where the payload starts if a block is exactly one chunk, else 0.
+
+    The common case of a stream: the upstream wrote one chunk and it arrived in
+    one piece. A chunk with extensions and the last chunk are not taken here.
+
+    :param length: bytes of the block that count.
+    """
+    line = _PLAIN_SIZE_LINE.match(block, 0, length)
+    if line is None:
+        return 0
+    start = line.end()
+    size = int(line[1], 16)
+    if size == 0 or start + size + len(_CRLF) != length:
+        return 0
+    return start if block.endswith(_CRLF, start, length) else 0
+
+
+class ChunkDecoder:
+    """Decoder of one body; blocks may be cut anywhere.
+
+    Holds no payload back, and never more than one unfinished line. It takes time
+    in proportion to the bytes given and the chunks in them.
+
+    :param peer: the sender, for errors.
+    :ivar done: whether the last chunk and its trailer were read.
+    :ivar spare: bytes that came after the end of the body.
+    """
+
+    __slots__ = ("_between", "_left", "_line", "_peer", "_trailer", "done", "spare")
+
+    def __init__(self, *, peer: str = "") -> None:
+        self.done = False
+        self.spare = b""
+        self._peer = peer
+        self._line = b""
+        self._left = 0
+        self._between = False
+        self._trailer = -1
+
+    @property
+    def at_chunk_start(self) -> bool:
+        """Whether the next byte is the first of a chunk's size line."""
+        return not (
+            self._left or self._line or self._between or self.done or self._trailer >= 0
+        )
+
+    def feed(self, block: bytes) -> bytes:
+        """Decode a block and return the payload in it.
+
+        :raises ChunkError: if the block cannot be part of a chunked body.
+        """
+        parts = []
+        at = 0
+        while at < len(block) and not self.done:
+            if self._left:
+                part = block[at : at + self._left]
+                parts.append(part)
+                at += len(part)
+                self._left -= len(part)
+                self._between = not self._left
+            else:
+                at = self._take_line(block, at)
+        self.spare += block[at:]
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    def _take_line(self, block: bytes, at: int) -> int:
+        """Read on in a line and return where the block goes on after it."""
+        end = block.find(b"\n", at)
+        stop = len(block) if end < 0 else end + 1
+        self._line += block[at:stop]
+        if len(self._line) > self._line_limit():
+            raise self._error("a line is too long")
+        if end >= 0:
+            line, self._line = self._line, b""
+            self._end_line(line)
+        return stop
+
+    def _line_limit(self) -> int:
+        if self._between:
+            return len(_CRLF)
+        return SIZE_LINE_LIMIT_BYTES if self._trailer < 0 else TRAILER_LIMIT_BYTES
+
+    def _end_line(self, line: bytes) -> None:
+        if not line.endswith(_CRLF):
+            raise self._error("a line does not end with CRLF")
+        text = line[: -len(_CRLF)]
+        if self._between:
+            self._between = False
+        elif self._trailer >= 0:
+            self._end_trailer_line(text)
+        else:
+            self._start_chunk(text)
+
+    def _start_chunk(self, text: bytes) -> None:
+        size_line = _SIZE_LINE.fullmatch(text)
+        if size_line is None:
+            raise self._error("a chunk has no size")
+        size = int(size_line[1], 16)
+        if size > CHUNK_LIMIT_BYTES:
+            raise self._error("a chunk is too large")
+        if size == 0:
+            self._trailer = 0
+        self._left = size
+
+    def _end_trailer_line(self, text: bytes) -> None:
+        if not text:
+            self.done = True
+        self._trailer += len(text)
+        if self._trailer > TRAILER_LIMIT_BYTES:
+            raise self._error("the trailer is too long")
+
+    def _error(self, message: str) -> ChunkError:
+        return ChunkError(message, step="decode chunks", peer=self._peer)
--- /dev/null
+++ b/baobabwing/entry/relay.py
@@ -0,0 +1,653 @@
+"""Moves an answer from an upstream's socket to a caller's, whole or not at all.
+
+A stream is moved block by block, straight from socket to socket, since the
+per-chunk layers of the HTTP libraries cost more than the relay itself; see
+``docs/design/0002-relay.md``. Both sockets are plain TCP.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import select
+import socket
+import struct
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from cheroot.server import HTTPRequest
+
+from baobabwing.entry.chunks import (
+    LAST_CHUNK,
+    ChunkDecoder,
+    ChunkError,
+    encode_chunk,
+    whole_chunk,
+)
+from baobabwing.entry.upstream import CallerGoneError, UpstreamAnswer
+from baobabwing.exceptions import BaobabwingError, RequestError, UpstreamError
+
+__all__ = [
+    "CallerSlowError",
+    "ForeignAnswerError",
+    "RelayReport",
+    "StreamMalformedError",
+    "StreamTruncatedError",
+    "check_attempt",
+    "finish_stream",
+    "read_body",
+    "relay_body",
+    "relay_events",
+    "start_stream",
+]
+
+BLOCK_BYTES = 16_384
+EVENT_LIMIT_BYTES = 1024 * 1024
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+# What a slow caller can leave waiting in the kernel before its relay blocks.
+SEND_BUFFER_BYTES = 256 * 1024
+FIRST_EVENT_TIMEOUT_S = 60.0
+IDLE_TIMEOUT_S = 10.0
+CALLER_TIMEOUT_S = 5.0
+# How often a wait for the upstream is interrupted to see whether the caller left.
+CALLER_CHECK_S = 0.5
+GAP_OBJECTIVE_S = 0.055
+
+EVENT_END = b"\n\n"
+DONE_EVENT = b"data: [DONE]"
+COMMENT = b":"
+END_OF_STREAM = encode_chunk(DONE_EVENT + EVENT_END) + LAST_CHUNK
+
+_GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+@dataclass(frozen=True, kw_only=True)
+class RelayReport:
+    """What the caller of a stream has got, and when.
+
+    :param next_id: number of the event that is to follow; also the tokens given.
+    :param whole: whether the caller has the whole answer, its end included.
+    :param sent_bytes: bytes of the body written to the caller.
+    :param first_event_at: by the clock of the relay; none before it.
+    :param last_event_at: by the clock of the relay; none before the first.
+    :param gap_max_s: longest time between two blocks of events.
+    :param gaps_over: gaps longer than :data:`GAP_OBJECTIVE_S`.
+    """
+
+    next_id: int = 0
+    whole: bool = False
+    sent_bytes: int = 0
+    first_event_at: float | None = None
+    last_event_at: float | None = None
+    gap_max_s: float = 0.0
+    gaps_over: int = 0
+
+    @property
+    def last_event_id(self) -> int | None:
+        """Number of the last event the caller has, for resuming after it."""
+        return self.next_id - 1 if self.next_id else None
+
+    @property
+    def gap_sum_s(self) -> float:
+        """Sum of all gaps between events."""
+        if self.first_event_at is None or self.last_event_at is None:
+            return 0.0
+        return self.last_event_at - self.first_event_at
+
+
+class _StreamError(UpstreamError):
+    """A stream failed; ``report`` says what the caller has got of it."""
+
+    report: RelayReport = RelayReport()
+
+
+class StreamTruncatedError(_StreamError):
+    """The upstream's stream ended, broke or stalled before its whole end."""
+
+
+class StreamMalformedError(_StreamError):
+    """The upstream's stream is not what an engine may send."""
+
+
+class ForeignAnswerError(_StreamError):
+    """The answer belongs to another attempt; nothing of it was relayed."""
+
+
+class CallerSlowError(BaobabwingError):
+    """The caller did not take a block of its answer in time."""
+
+    report: RelayReport = RelayReport()
+
+
+def check_attempt(answer: UpstreamAnswer, expect_id: str) -> None:
+    """Refuse an answer whose head names another attempt.
+
+    A head that names none is let through; the first event tells then.
+
+    :raises ForeignAnswerError: if the head names another attempt.
+    """
+    if answer.request_id not in ("", expect_id):
+        raise ForeignAnswerError(
+            "the head names another attempt", step="relay", peer=answer.peer
+        )
+
+
+def relay_events(
+    *,
+    answer: UpstreamAnswer,
+    caller_socket: socket.socket,
+    expect_id: str,
+    resumed: RelayReport | None = None,
+    before_first: Callable[[], None] | None = None,
+    first_event_timeout_s: float = FIRST_EVENT_TIMEOUT_S,
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
+    caller_timeout_s: float = CALLER_TIMEOUT_S,
+    clock: Callable[[], float] = time.monotonic,
+) -> RelayReport:
+    """Move a stream of server-sent events to its caller, as one chunked body.
+
+    Only whole events are given to the caller, in order of their numbers. The end
+    of the stream is given only once the upstream's body has ended as well. The
+    answer is released or discarded here, whatever happens. A caller that blocks
+    holds up the upstream, at most ``caller_timeout_s`` for one block.
+
+    Takes time in proportion to the bytes moved, and memory for one block and one
+    unfinished event.
+
+    :param expect_id: the attempt that the answer must belong to.
+    :param resumed: report of the broken relay that this one goes on from.
+    :param before_first: called once, before the first byte goes to the caller,
+        when the answer is known to belong to this attempt: sends the head.
+    :param first_event_timeout_s: longest wait for the first event.
+    :param idle_timeout_s: longest wait between two blocks of the upstream.
+    :param caller_timeout_s: longest time for the caller to take one block.
+    :returns: the report of a whole answer.
+    :raises StreamTruncatedError: the caller may be served on by resuming after
+        ``report.last_event_id`` and relaying with ``resumed=report``.
+    :raises StreamMalformedError: if the upstream breaks the form of a stream.
+    :raises ForeignAnswerError: if the answer belongs to another attempt.
+    :raises CallerGoneError: if the caller closed its connection.
+    :raises CallerSlowError: if the caller did not take its answer in time.
+    """
+    stream = _EventStream(
+        answer=answer,
+        caller=caller_socket,
+        expect_id=expect_id,
+        start=resumed or RelayReport(),
+        before_first=before_first,
+        timeouts=(first_event_timeout_s, idle_timeout_s, caller_timeout_s),
+        clock=clock,
+    )
+    try:
+        check_attempt(answer, expect_id)
+        caller_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        with (
+            _blocking(answer.sock, receive_s=CALLER_CHECK_S),
+            _blocking(caller_socket, send_s=caller_timeout_s),
+        ):
+            stream.run()
+    except (_StreamError, CallerSlowError, CallerGoneError) as exc:
+        exc.report = stream.report()
+        raise
+    finally:
+        stream.close()
+    return stream.report()
+
+
+def read_body(
+    *,
+    answer: UpstreamAnswer,
+    expect_id: str = "",
+    limit_bytes: int = BODY_LIMIT_BYTES,
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
+) -> bytes:
+    """Read a whole body of bounded size, and release or discard the answer.
+
+    :param expect_id: the attempt that the head must name, unless empty.
+    :raises ForeignAnswerError: if the answer belongs to another attempt.
+    :raises StreamTruncatedError: if the body broke off or stalled.
+    :raises StreamMalformedError: if it is too large or has no end that tells.
+    :raises ChunkError: if its chunked coding is malformed.
+    """
+    whole = False
+    try:
+        if expect_id and answer.request_id != expect_id:
+            raise ForeignAnswerError(
+                "the head does not name this attempt", step="relay", peer=answer.peer
+            )
+        answer.sock.settimeout(idle_timeout_s)
+        body = _read_whole(answer, limit_bytes)
+        whole = True
+    finally:
+        if whole:
+            answer.release()
+        else:
+            answer.discard()
+    return body
+
+
+def relay_body(
+    *,
+    answer: UpstreamAnswer,
+    caller_socket: socket.socket,
+    send_head: Callable[[int], None],
+    expect_id: str = "",
+    limit_bytes: int = BODY_LIMIT_BYTES,
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
+    caller_timeout_s: float = CALLER_TIMEOUT_S,
+) -> int:
+    """Give the caller a whole answer; nothing is sent before all of it is here.
+
+    :param send_head: called with the length of the body before it is sent.
+    :returns: the length of the body.
+    :raises CallerGoneError: if the caller closed its connection.
+    :raises CallerSlowError: if the caller did not take the answer in time.
+    """
+    body = read_body(
+        answer=answer,
+        expect_id=expect_id,
+        limit_bytes=limit_bytes,
+        idle_timeout_s=idle_timeout_s,
+    )
+    send_head(len(body))
+    with _waiting(caller_socket, caller_timeout_s):
+        _send_whole(caller_socket, body)
+    return len(body)
+
+
+def start_stream(req: HTTPRequest, headers: Iterable[tuple[bytes, bytes]]) -> None:
+    """Send the head of a stream and leave the body to :func:`relay_events`.
+
+    cheroot would end a chunked body by itself, also one that was cut off, and
+    would then take the next request on the connection. Both are turned off here,
+    so that whatever fails the caller sees a body without an end and a closed
+    connection; :func:`finish_stream` turns keeping the connection on again.
+
+    :raises RequestError: if the caller does not speak HTTP/1.1, which has chunks.
+    """
+    if req.response_protocol != "HTTP/1.1":
+        raise RequestError(
+            "streams need HTTP/1.1",
+            status=HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
+            code="http_version",
+        )
+    req.status = b"200 OK"
+    req.outheaders.extend(headers)
+    req.sent_headers = True
+    req.send_headers()
+    req.chunked_write = False
+    req.close_connection = True
+
+
+def finish_stream(req: HTTPRequest) -> None:
+    """Keep the caller's connection after a whole stream, unless the head said no."""
+    req.close_connection = (b"Connection", b"close") in req.outheaders
+
+
+class _EventStream:
+    """One stream on its way from an upstream to a caller."""
+
+    __slots__ = (
+        "_answer",
+        "_before_first",
+        "_block_at",
+        "_buffer",
+        "_caller",
+        "_caller_timeout_s",
+        "_clock",
+        "_decoder",
+        "_done",
+        "_expect_id",
+        "_first_event_timeout_s",
+        "_first_at",
+        "_gap_max_s",
+        "_gaps_over",
+        "_idle_timeout_s",
+        "_last_at",
+        "_next_id",
+        "_partial",
+        "_sent_bytes",
+        "_verified",
+        "_view",
+        "_whole",
+    )
+
+    def __init__(
+        self,
+        *,
+        answer: UpstreamAnswer,
+        caller: socket.socket,
+        expect_id: str,
+        start: RelayReport,
+        before_first: Callable[[], None] | None,
+        timeouts: tuple[float, float, float],
+        clock: Callable[[], float],
+    ) -> None:
+        self._answer = answer
+        self._caller = caller
+        self._expect_id = expect_id
+        self._before_first = before_first
+        self._first_event_timeout_s, self._idle_timeout_s, _ = timeouts
+        self._caller_timeout_s = timeouts[2]
+        self._clock = clock
+        self._next_id = start.next_id
+        self._sent_bytes = start.sent_bytes
+        self._first_at = start.first_event_at
+        self._last_at = start.last_event_at
+        self._gap_max_s = start.gap_max_s
+        self._gaps_over = start.gaps_over
+        self._block_at = 0.0
+        self._buffer = bytearray(BLOCK_BYTES)
+        self._view = memoryview(self._buffer)
+        self._decoder = ChunkDecoder(peer=answer.peer)
+        self._partial = b""
+        self._verified = False
+        self._done = False
+        self._whole = False
+
+    def report(self) -> RelayReport:
+        return RelayReport(
+            next_id=self._next_id,
+            whole=self._whole,
+            sent_bytes=self._sent_bytes,
+            first_event_at=self._first_at,
+            last_event_at=self._last_at,
+            gap_max_s=self._gap_max_s,
+            gaps_over=self._gaps_over,
+        )
+
+    def close(self) -> None:
+        if self._whole and not self._decoder.spare:
+            self._answer.release()
+        else:
+            self._answer.discard()
+
+    def run(self) -> None:
+        if not self._answer.chunked:
+            raise self._malformed("the stream is not in chunked coding")
+        if self._answer.leftover:
+            self._block_at = self._clock()
+            self._take_block(self._answer.leftover)
+        while not (self._verified or self._whole):
+            self._take_block(bytes(self._view[: self._receive()]))
+        while not self._whole:
+            length = self._receive()
+            if self._is_next_event(length):
+                self._note_gap()
+                self._send(self._view[:length])
+                self._next_id += 1
+            else:
+                self._take_block(bytes(self._view[:length]))
+
+    def _is_next_event(self, length: int) -> bool:
+        """Tell whether the buffer holds just the next event in a chunk of its own.
+
+        Such a block goes to the caller as it is, chunk framing included; this is
+        what nearly all blocks are, and all the work that is done for them.
+        """
+        start = whole_chunk(self._buffer, length)
+        return (
+            start > 0
+            and self._buffer.startswith(b"id: %d\n" % self._next_id, start)
+            and self._buffer.find(EVENT_END, start) == length - 4
+            and not self._partial
+            and not self._done
+            and self._decoder.at_chunk_start
+        )
+
+    def _receive(self) -> int:
+        try:
+            length = self._answer.sock.recv_into(self._buffer)
+        except BlockingIOError:
+            length = self._receive_late()
+        except OSError as exc:
+            raise self._truncated(f"broken: {type(exc).__name__}") from exc
+        if not length:
+            raise self._truncated("closed before its end")
+        self._block_at = self._clock()
+        return length
+
+    def _receive_late(self) -> int:
+        """Wait on in slices, and look after each whether the caller has left."""
+        limit_s = (
+            self._idle_timeout_s if self._verified else self._first_event_timeout_s
+        )
+        end = self._clock() + limit_s - CALLER_CHECK_S
+        while self._clock() < end:
+            if _has_left(self._caller):
+                raise CallerGoneError("the caller left", step="relay")
+            try:
+                return self._answer.sock.recv_into(self._buffer)
+            except BlockingIOError:
+                continue
+            except OSError as exc:
+                raise self._truncated(f"broken: {type(exc).__name__}") from exc
+        raise self._truncated(f"stalled for {limit_s:g} s")
+
+    def _take_block(self, block: bytes) -> None:
+        """Pass on the whole events of any block, and keep what is cut."""
+        try:
+            payload = self._partial + self._decoder.feed(block)
+        except ChunkError as exc:
+            raise self._malformed(exc.message) from exc
+        stop = payload.rfind(EVENT_END) + len(EVENT_END)
+        events = payload[:stop] if stop >= len(EVENT_END) else b""
+        self._partial = payload[len(events) :]
+        if len(self._partial) > EVENT_LIMIT_BYTES:
+            raise self._malformed("an event is too large")
+        self._pass_on(events)
+
+    def _pass_on(self, events: bytes) -> None:
+        given, next_id = self._check(events)
+        whole = self._decoder.done and self._done and not self._partial
+        out = encode_chunk(given)
+        if whole:
+            out += END_OF_STREAM
+        if next_id > self._next_id:
+            self._note_gap()
+        if out:
+            self._send(out)
+        # Only now: what was not given must be asked for again when resuming.
+        self._next_id = next_id
+        self._whole = whole
+        if self._decoder.done and not whole:
+            raise self._truncated("ended before its last event")
+
+    def _check(self, events: bytes) -> tuple[bytes, int]:
+        """Return the events that go on now and the number of the one to follow.
+
+        The last event, which ends the stream, is kept back until the upstream's
+        body has ended too: were it given and the body then cut, resuming would
+        give it a second time.
+        """
+        given = []
+        next_id = self._next_id
+        for event in events[: -len(EVENT_END)].split(EVENT_END) if events else ():
+            if self._done:
+                raise self._malformed("an event follows the end")
+            if event == DONE_EVENT:
+                self._done = True
+                continue
+            if event.startswith(b"id: %d\n" % next_id):
+                self._verify(event)
+                next_id += 1
+            elif not event.startswith(COMMENT):
+                raise self._malformed(f"event {next_id} is not there")
+            given.append(event + EVENT_END)
+        return b"".join(given), next_id
+
+    def _verify(self, event: bytes) -> None:
+        """Refuse the first event if it belongs to another attempt."""
+        if self._verified:
+            return
+        if _object_id(event) != self._expect_id:
+            raise ForeignAnswerError(
+                "the first event names another attempt",
+                step="relay",
+                peer=self._answer.peer,
+            )
+        self._verified = True
+
+    def _note_gap(self) -> None:
+        now = self._block_at
+        if self._last_at is None:
+            self._first_at = now
+        else:
+            gap = now - self._last_at
+            if gap > self._gap_max_s:
+                self._gap_max_s = gap
+            if gap > GAP_OBJECTIVE_S:
+                self._gaps_over += 1
+        self._last_at = now
+
+    def _send(self, block: bytes | memoryview) -> None:
+        if self._before_first is not None:
+            self._send_head()
+        try:
+            sent = self._caller.send(block)
+            if sent != len(block):
+                self._send_rest(block[sent:])
+        except BlockingIOError as exc:
+            raise self._caller_slow() from exc
+        except OSError as exc:
+            raise CallerGoneError("the caller left", step="relay") from exc
+        self._sent_bytes += len(block)
+
+    def _send_rest(self, rest: bytes | memoryview) -> None:
+        """Go on after a send that a signal or the timeout cut short."""
+        end = self._block_at + self._caller_timeout_s
+        while rest:
+            if self._clock() >= end:
+                raise self._caller_slow()
+            rest = rest[self._caller.send(rest) :]
+
+    def _send_head(self) -> None:
+        before_first, self._before_first = self._before_first, None
+        before_first()
+
+    def _caller_slow(self) -> CallerSlowError:
+        return CallerSlowError(
+            f"the caller took no block within {self._caller_timeout_s:g} s",
+            step="relay",
+        )
+
+    def _truncated(self, message: str) -> StreamTruncatedError:
+        return StreamTruncatedError(message, step="relay", peer=self._answer.peer)
+
+    def _malformed(self, message: str) -> StreamMalformedError:
+        return StreamMalformedError(message, step="relay", peer=self._answer.peer)
+
+
+def _object_id(event: bytes) -> str:
+    """Return the id of an event's chunk object, or an empty string."""
+    _, _, text = event.partition(b"\ndata: ")
+    try:
+        return str(json.loads(text)["id"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
+def _has_left(caller: socket.socket) -> bool:
+    poll = select.poll()
+    poll.register(caller, select.POLLRDHUP)
+    return any(mask & _GONE for _, mask in poll.poll(0))
+
+
+def _read_whole(answer: UpstreamAnswer, limit_bytes: int) -> bytes:
+    if answer.chunked:
+        return _read_chunked(answer, limit_bytes)
+    length = answer.content_length
+    if length is None:
+        raise _bad_body(answer, "the body has no length")
+    if length > limit_bytes:
+        raise _bad_body(answer, "the body is too large")
+    body = bytearray(answer.leftover)
+    while len(body) < length:
+        body += _read_block(answer)
+    if len(body) > length:
+        raise _bad_body(answer, "the body is longer than it says")
+    return bytes(body)
+
+
+def _read_chunked(answer: UpstreamAnswer, limit_bytes: int) -> bytes:
+    decoder = ChunkDecoder(peer=answer.peer)
+    body = bytearray(decoder.feed(answer.leftover))
+    while not decoder.done:
+        body += decoder.feed(_read_block(answer))
+        if len(body) > limit_bytes:
+            raise _bad_body(answer, "the body is too large")
+    if decoder.spare:
+        raise _bad_body(answer, "bytes follow the body")
+    return bytes(body)
+
+
+def _read_block(answer: UpstreamAnswer) -> bytes:
+    try:
+        block = answer.sock.recv(BLOCK_BYTES)
+    except OSError as exc:
+        raise StreamTruncatedError(
+            f"broken: {type(exc).__name__}", step="read body", peer=answer.peer
+        ) from exc
+    if not block:
+        raise StreamTruncatedError(
+            "closed before its end", step="read body", peer=answer.peer
+        )
+    return block
+
+
+def _bad_body(answer: UpstreamAnswer, message: str) -> StreamMalformedError:
+    return StreamMalformedError(message, step="read body", peer=answer.peer)
+
+
+def _send_whole(caller: socket.socket, body: bytes) -> None:
+    try:
+        caller.sendall(body)
+    except TimeoutError as exc:
+        raise CallerSlowError(
+            "the caller did not take its answer", step="relay"
+        ) from exc
+    except OSError as exc:
+        raise CallerGoneError("the caller left", step="relay") from exc
+
+
+@contextlib.contextmanager
+def _waiting(sock: socket.socket, timeout_s: float) -> Iterator[None]:
+    before = sock.gettimeout()
+    sock.settimeout(timeout_s)
+    try:
+        yield
+    finally:
+        _restore(sock, before)
+
+
+@contextlib.contextmanager
+def _blocking(
+    sock: socket.socket, *, receive_s: float = 0.0, send_s: float = 0.0
+) -> Iterator[None]:
+    """Let the kernel keep the time of a socket's calls.
+
+    With a timeout of its own the interpreter calls ``poll`` before each ``recv``
+    and ``send``; with the kernel's there is one call a block. A call that timed
+    out shows as ``BlockingIOError``.
+    """
+    before = sock.gettimeout()
+    sock.settimeout(None)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _timeval(receive_s))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _timeval(send_s))
+    try:
+        yield
+    finally:
+        _restore(sock, before)
+
+
+def _restore(sock: socket.socket, timeout_s: float | None) -> None:
+    # The socket may have been closed meanwhile; then there is nothing to restore.
+    with contextlib.suppress(OSError):
+        sock.settimeout(timeout_s)
+
+
+def _timeval(seconds: float) -> bytes:
+    whole = int(seconds)
+    return struct.pack("@ll", whole, int((seconds - whole) * 1_000_000))
