Add settings, the shared configuration and clients of the platform

Cause: nodes need checked settings, and operators need a configuration that once accepted never reverts, over a table service whose answers get lost.

Change: JSON with comments is blanked and not cut, so errors name the line; one checker builds node settings and configuration documents from data class fields and rules. Publishing is a compare-and-set on the base version; an uncertain write is settled by reading back its attempt id, and by repeating the same compare-and-set, of which only one can win. Each version is kept in the history before it is replaced, so an attempt can be found after others built on it.

Ruled out: writing the history first (an attempt that lost would stand there), and calling a lost answer a failure (the change may be in force).

Conclusion: lost request, lost answer, store down after the effect and two racing operators each end as one version or none, and are told apart.

--- /dev/null
+++ b/baobabwing/cli/config.py
@@ -0,0 +1,159 @@
+"""Commands on node settings and on the shared configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from baobabwing.exceptions import (
+    BaobabwingError,
+    ConflictError,
+    PlatformError,
+    PlatformUncertainError,
+    SettingsError,
+)
+from baobabwing.platform.tables import TableClient
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.documents import dump_configuration
+from baobabwing.settings.fetch import fetch_configuration
+from baobabwing.settings.loader import load_configuration, load_file
+from baobabwing.settings.publish import publish as publish_configuration
+
+__all__ = [
+    "EXIT_CONFLICT",
+    "EXIT_INVALID",
+    "EXIT_UNAVAILABLE",
+    "EXIT_UNCERTAIN",
+    "app",
+    "exit_code",
+    "exit_on_error",
+    "table_client",
+]
+
+EXIT_INVALID = 1
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+EXIT_UNCERTAIN = 5
+DEFAULT_TIMEOUT_MS = 2000
+_HIDDEN = "not shown"
+_EPILOG = (
+    "Exit codes: 0 done, 1 file or document invalid, 2 wrong usage, "
+    "3 conflict with another change, 4 platform unavailable and nothing changed, "
+    "5 platform's answer lost and effect unknown."
+)
+
+app = typer.Typer(
+    help="Check, show and publish settings and configuration.",
+    epilog=_EPILOG,
+    no_args_is_help=True,
+)
+
+PlatformOption = Annotated[
+    str, typer.Option("--platform", help="Base URL of the platform.")
+]
+TimeoutOption = Annotated[
+    int, typer.Option("--timeout-ms", min=10, help="Wait for the platform.")
+]
+
+
+@app.command(epilog=_EPILOG)
+def check(file: Annotated[Path, typer.Argument(help="Settings file.")]) -> None:
+    """Check node settings or a configuration, told apart by content."""
+    with exit_on_error():
+        cfg = load_file(file)
+    kind = "configuration" if isinstance(cfg, Configuration) else "node settings"
+    typer.echo(f"{file}: valid {kind}")
+
+
+@app.command(epilog=_EPILOG)
+def show(
+    file: Annotated[Path | None, typer.Argument(help="Settings file.")] = None,
+    platform: PlatformOption = "",
+    timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
+) -> None:
+    """Show a file with its defaults, or the published configuration."""
+    if (file is None) == (not platform):
+        raise typer.BadParameter("give either a file or --platform")
+    with exit_on_error():
+        cfg = load_file(file) if file is not None else _fetch(platform, timeout_ms)
+    typer.echo(json.dumps(_document(cfg), indent=2))
+
+
+@app.command(epilog=_EPILOG)
+def publish(
+    file: Annotated[Path, typer.Argument(help="Configuration file.")],
+    platform: PlatformOption,
+    author: Annotated[str, typer.Option(help="Who makes the change.")],
+    summary: Annotated[str, typer.Option(help="One line on what changed.")] = "",
+    attempt: Annotated[
+        str, typer.Option(help="Id of an earlier attempt whose effect is unknown.")
+    ] = "",
+    timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
+) -> None:
+    """Publish a configuration.
+
+    The version in the file is the one that the change was made from; a file
+    without a version is the first configuration of all.
+    """
+    with exit_on_error():
+        cfg = load_configuration(file)
+        done = publish_configuration(
+            table_client(platform, timeout_ms),
+            base=cfg.version,
+            cfg=dataclasses.replace(
+                cfg,
+                author=author,
+                summary=summary or f"published {file.name}",
+                attempt=attempt,
+            ),
+        )
+    typer.echo(f"version {done.version} published")
+
+
+def table_client(url: str, timeout_ms: int) -> TableClient:
+    """Make a client of the table service from command line options."""
+    return TableClient(url=url, timeout_s=timeout_ms / 1000)
+
+
+@contextmanager
+def exit_on_error() -> Iterator[None]:
+    """Turn errors of the package into a message and an exit code."""
+    try:
+        yield
+    except BaobabwingError as exc:
+        typer.echo(f"error: {exc}", err=True)
+        raise typer.Exit(exit_code(exc)) from exc
+
+
+def exit_code(exc: BaobabwingError) -> int:
+    """Return the documented exit code for an error."""
+    if isinstance(exc, SettingsError):
+        return EXIT_INVALID
+    if isinstance(exc, ConflictError):
+        return EXIT_CONFLICT
+    if isinstance(exc, PlatformUncertainError):
+        return EXIT_UNCERTAIN
+    if isinstance(exc, PlatformError):
+        return EXIT_UNAVAILABLE
+    return EXIT_INVALID
+
+
+def _fetch(platform: str, timeout_ms: int) -> Configuration:
+    cfg = fetch_configuration(table_client(platform, timeout_ms))
+    if cfg is None:
+        raise SettingsError("no configuration was published yet", step="show")
+    return cfg
+
+
+def _document(cfg: object) -> dict:
+    if isinstance(cfg, Configuration):
+        return dump_configuration(cfg)
+    document = dataclasses.asdict(cfg)
+    document["peer_secrets"] = [_HIDDEN for _ in document["peer_secrets"]]
+    return document
--- /dev/null
+++ b/baobabwing/platform/hosts.py
@@ -0,0 +1,83 @@
+"""The platform's lagging list of hosts."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+
+from baobabwing.platform.http import PlatformHttp, quote
+
+__all__ = ["HostState", "ListedHost", "list_hosts", "register_host"]
+
+_OK = 200
+_TAKEN = (200, 201, 204)
+_JSON = {"Content-Type": "application/json"}
+
+
+class HostState(StrEnum):
+    """State of a host in the list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, kw_only=True)
+class ListedHost:
+    """A host as the platform lists it, which may be some time ago.
+
+    :param peer: address for other nodes.
+    :param http: address for callers.
+    """
+
+    name: str
+    zone: str
+    region: str
+    peer: str
+    http: str
+    state: HostState = HostState.LIVE
+
+
+def list_hosts(*, url: str, timeout_s: float) -> tuple[ListedHost, ...]:
+    """Read the list of hosts; entries that are not understood are left out.
+
+    :raises PlatformUnavailableError: if the platform did not answer.
+    """
+    http = PlatformHttp(url=url, timeout_s=timeout_s)
+    answer = http.send("GET", "/hosts", step="host list")
+    if answer.status != _OK:
+        raise http.refuse(f"status {answer.status}", step="host list")
+    items = answer.decoded(step="host list", peer=url).get("hosts", [])
+    read = [_listed_host(item) for item in items]
+    return tuple(host for host in read if host is not None)
+
+
+def register_host(host: ListedHost, *, url: str, timeout_s: float) -> None:
+    """Write this host's entry; repeating it has no further effect.
+
+    :raises PlatformUnavailableError: if the write had no effect.
+    :raises PlatformUncertainError: if the write may have had effect.
+    """
+    http = PlatformHttp(url=url, timeout_s=timeout_s)
+    answer = http.send(
+        "PUT",
+        f"/hosts/{quote(host.name)}",
+        step="host registration",
+        body=json.dumps(dataclasses.asdict(host)).encode(),
+        headers=_JSON,
+    )
+    if answer.status not in _TAKEN:
+        raise http.refuse(f"status {answer.status}", step="host registration")
+
+
+def _listed_host(item: object) -> ListedHost | None:
+    if not isinstance(item, dict):
+        return None
+    names = [field.name for field in dataclasses.fields(ListedHost)]
+    values = {name: item[name] for name in names if isinstance(item.get(name), str)}
+    try:
+        state = HostState(values.pop("state", HostState.LIVE))
+        return ListedHost(state=state, **values)
+    except (ValueError, TypeError):
+        return None
--- /dev/null
+++ b/baobabwing/platform/http.py
@@ -0,0 +1,141 @@
+"""One HTTP exchange with the platform, its failures told apart by effect."""
+
+from __future__ import annotations
+
+import json
+import urllib.parse
+from dataclasses import dataclass, field
+
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from baobabwing.exceptions import (
+    PlatformError,
+    PlatformUnavailableError,
+    PlatformUncertainError,
+)
+
+__all__ = ["Exchange", "PlatformHttp", "quote"]
+
+_CONNECTIONS = 8
+_REFUSED_WITHOUT_EFFECT = (429, 503)
+_SERVER_ERRORS = 500
+
+
+@dataclass(frozen=True, kw_only=True)
+class Exchange:
+    """Answer of the platform.
+
+    :param retry_after_s: when to come back, if the platform said so.
+    """
+
+    status: int
+    body: bytes = field(repr=False)
+    retry_after_s: float = 0.0
+
+    def decoded(self, *, step: str, peer: str) -> dict:
+        """Return the body as a JSON object.
+
+        :raises PlatformError: if it is none.
+        """
+        try:
+            value = json.loads(self.body)
+        except ValueError as exc:
+            raise PlatformError("answer is no JSON", step=step, peer=peer) from exc
+        if not isinstance(value, dict):
+            raise PlatformError("answer is no object", step=step, peer=peer)
+        return value
+
+
+class PlatformHttp:
+    """Requests to one platform address over kept connections.
+
+    :param url: base of the platform's HTTP interface.
+    :param timeout_s: wait for the connection and for the answer.
+    :param passed: statuses that are handed back although they are refusals.
+    """
+
+    def __init__(
+        self, *, url: str, timeout_s: float, passed: tuple[int, ...] = ()
+    ) -> None:
+        self.url = url.rstrip("/")
+        self._passed = passed
+        self._pool = urllib3.PoolManager(
+            maxsize=_CONNECTIONS,
+            retries=False,
+            timeout=urllib3.Timeout(connect=timeout_s, read=timeout_s),
+        )
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        step: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Exchange:
+        """Make one exchange; nothing is retried.
+
+        :raises PlatformUnavailableError: if the request had no effect.
+        :raises PlatformUncertainError: if a write may have had effect.
+        """
+        reads = method == "GET"
+        try:
+            answer = self._pool.request(
+                method,
+                f"{self.url}{path}",
+                body=body,
+                headers=headers,
+                redirect=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as exc:
+            raise self._unavailable("no connection", step) from exc
+        except (HTTPError, OSError) as exc:
+            if reads:
+                raise self._unavailable("no answer", step) from exc
+            # The request went out and the answer did not come in: the write may
+            # have taken effect, now or later. Only reading back can tell.
+            raise self._uncertain("answer lost", step) from exc
+        return self._judge(answer, reads=reads, step=step)
+
+    def _judge(
+        self, answer: urllib3.BaseHTTPResponse, *, reads: bool, step: str
+    ) -> Exchange:
+        status = answer.status
+        exchange = Exchange(
+            status=status,
+            body=answer.data,
+            retry_after_s=_seconds(answer.headers.get("Retry-After", "")),
+        )
+        if status in self._passed:
+            return exchange
+        if status in _REFUSED_WITHOUT_EFFECT:
+            raise self._unavailable(f"status {status}", step)
+        if status >= _SERVER_ERRORS:
+            if reads:
+                raise self._unavailable(f"status {status}", step)
+            raise self._uncertain(f"status {status}", step)
+        return exchange
+
+    def refuse(self, message: str, *, step: str) -> PlatformError:
+        """Make the error for an answer that the caller did not expect."""
+        return PlatformError(message, step=step, peer=self.url)
+
+    def _unavailable(self, message: str, step: str) -> PlatformUnavailableError:
+        return PlatformUnavailableError(message, step=step, peer=self.url)
+
+    def _uncertain(self, message: str, step: str) -> PlatformUncertainError:
+        return PlatformUncertainError(message, step=step, peer=self.url)
+
+
+def quote(part: str) -> str:
+    """Quote a key for use in a path; slashes stay."""
+    return urllib.parse.quote(part, safe="/")
+
+
+def _seconds(text: str) -> float:
+    try:
+        return max(float(text), 0.0)
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/baobabwing/platform/memory.py
@@ -0,0 +1,129 @@
+"""A table service in memory, with faults, for dry runs and tests."""
+
+from __future__ import annotations
+
+import copy
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from baobabwing.exceptions import (
+    ConflictError,
+    PlatformUnavailableError,
+    PlatformUncertainError,
+)
+from baobabwing.platform.tables import Insert, InsertResult, Row
+
+__all__ = ["Call", "Fault", "MemoryTables"]
+
+
+class Fault(StrEnum):
+    """What goes wrong with a call."""
+
+    REFUSE = "refuse"
+    LOSE_REQUEST = "lose_request"
+    LOSE_ANSWER = "lose_answer"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Call:
+    """A call of the table service; ``key`` is empty for calls on many rows."""
+
+    operation: str
+    table: str
+    key: str = ""
+
+
+class MemoryTables:
+    """Rows in a dictionary, with the failures of the real service.
+
+    :param on_call: asked before each call for the fault that befalls it; it may
+        itself use the tables, as a rival would.
+    """
+
+    def __init__(self, *, on_call: Callable[[Call], Fault | None] | None = None):
+        self.on_call = on_call
+        self._lock = threading.Lock()
+        self._rows: dict[tuple[str, str], Row] = {}
+        self._written = 0
+
+    def read(self, table: str, key: str) -> Row | None:
+        """Read a row."""
+
+        def work() -> Row | None:
+            return copy.deepcopy(self._rows.get((table, key)))
+
+        return self._run(Call(operation="read", table=table, key=key), work)
+
+    def put(self, table: str, key: str, value: Any, *, expected: int | None) -> int:
+        """Write a row by compare-and-set."""
+
+        def work() -> int:
+            self._compare(table, key, expected)
+            return self._write(table, key, value)
+
+        return self._run(Call(operation="put", table=table, key=key), work)
+
+    def delete(self, table: str, key: str, *, expected: int) -> None:
+        """Delete a row by compare-and-set."""
+
+        def work() -> None:
+            self._compare(table, key, expected)
+            del self._rows[table, key]
+
+        self._run(Call(operation="delete", table=table, key=key), work)
+
+    def insert_many(
+        self, table: str, inserts: Iterable[Insert]
+    ) -> tuple[InsertResult, ...]:
+        """Insert rows whose keys are free."""
+        rows = tuple(inserts)
+
+        def work() -> tuple[InsertResult, ...]:
+            return tuple(self._insert(table, row) for row in rows)
+
+        return self._run(Call(operation="insert", table=table), work)
+
+    def list_items(self, table: str, prefix: str = "") -> tuple[Row, ...]:
+        """List rows by the start of their keys."""
+
+        def work() -> tuple[Row, ...]:
+            return tuple(
+                copy.deepcopy(row)
+                for (owner, key), row in sorted(self._rows.items())
+                if owner == table and key.startswith(prefix)
+            )
+
+        return self._run(Call(operation="list", table=table), work)
+
+    def _run(self, call: Call, work: Callable[[], Any]) -> Any:
+        fault = self.on_call(call) if self.on_call else None
+        if fault is Fault.REFUSE:
+            raise PlatformUnavailableError("refused", step=call.operation)
+        if fault is Fault.LOSE_REQUEST:
+            raise PlatformUncertainError("request lost", step=call.operation)
+        with self._lock:
+            result = work()
+        if fault is Fault.LOSE_ANSWER:
+            raise PlatformUncertainError("answer lost", step=call.operation)
+        return result
+
+    def _compare(self, table: str, key: str, expected: int | None) -> None:
+        row = self._rows.get((table, key))
+        if (row.version if row else None) != expected:
+            raise ConflictError(f"{table}/{key} is not as expected", step="table")
+
+    def _write(self, table: str, key: str, value: Any) -> int:
+        self._written += 1
+        row = Row(key=key, version=self._written, value=copy.deepcopy(value))
+        self._rows[table, key] = row
+        return row.version
+
+    def _insert(self, table: str, insert: Insert) -> InsertResult:
+        row = self._rows.get((table, insert.key))
+        if row is None:
+            self._write(table, insert.key, insert.value)
+        value = copy.deepcopy(row.value if row else insert.value)
+        return InsertResult(key=insert.key, inserted=row is None, value=value)
--- /dev/null
+++ b/baobabwing/platform/tables.py
@@ -0,0 +1,221 @@
+"""Client of the table service."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any, Protocol
+from urllib.parse import urlencode
+
+from baobabwing.exceptions import ConflictError, PlatformError
+from baobabwing.platform.http import Exchange, PlatformHttp, quote
+
+__all__ = ["Insert", "InsertResult", "Row", "TableClient", "Tables"]
+
+_OK = 200
+_NO_CONTENT = 204
+_NOT_FOUND = 404
+_PRECONDITION_FAILED = 412
+_JSON = {"Content-Type": "application/json"}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Row:
+    """A row as it was read.
+
+    :param version: number that compare-and-set refers to.
+    """
+
+    key: str
+    version: int
+    value: Any
+
+
+@dataclass(frozen=True, kw_only=True)
+class Insert:
+    """A row to be written if its key is free."""
+
+    key: str
+    value: Any
+
+
+@dataclass(frozen=True, kw_only=True)
+class InsertResult:
+    """What became of an :class:`Insert`.
+
+    :param inserted: whether the key was free.
+    :param value: what the row holds now.
+    """
+
+    key: str
+    inserted: bool
+    value: Any
+
+
+class Tables(Protocol):
+    """What the rest of the package needs of the table service."""
+
+    def read(self, table: str, key: str) -> Row | None:
+        """Read a row."""
+
+    def put(self, table: str, key: str, value: Any, *, expected: int | None) -> int:
+        """Write a row by compare-and-set."""
+
+    def delete(self, table: str, key: str, *, expected: int) -> None:
+        """Delete a row by compare-and-set."""
+
+    def insert_many(
+        self, table: str, inserts: Iterable[Insert]
+    ) -> tuple[InsertResult, ...]:
+        """Insert rows whose keys are free."""
+
+    def list_items(self, table: str, prefix: str = "") -> tuple[Row, ...]:
+        """List rows by the start of their keys."""
+
+
+class TableClient:
+    """Client of the platform's table service; safe to share between threads.
+
+    Nothing is retried here, since only the caller knows what a repeated write
+    would mean.
+
+    :param url: base of the platform's HTTP interface.
+    :param timeout_s: wait for an answer.
+    """
+
+    def __init__(self, *, url: str, timeout_s: float) -> None:
+        self._http = PlatformHttp(url=url, timeout_s=timeout_s)
+
+    def read(self, table: str, key: str) -> Row | None:
+        """Read a row.
+
+        :returns: the row, or nothing if there is none.
+        :raises PlatformUnavailableError: if the service did not answer.
+        """
+        answer = self._http.send("GET", _path(table, key), step="table read")
+        if answer.status == _NOT_FOUND:
+            return None
+        found = self._decode(answer, "table read")
+        return self._row({"key": key, **found}, "table read")
+
+    def put(self, table: str, key: str, value: Any, *, expected: int | None) -> int:
+        """Write a row if it is still as expected.
+
+        :param expected: version of the row, or nothing if there must be none.
+        :returns: the new version of the row.
+        :raises ConflictError: if the row is not as expected.
+        :raises PlatformUnavailableError: if the write had no effect.
+        :raises PlatformUncertainError: if the write may have had effect.
+        """
+        answer = self._http.send(
+            "PUT",
+            _path(table, key),
+            step="table put",
+            body=_encode({"value": value}),
+            headers=_JSON | _condition(expected),
+        )
+        if answer.status == _PRECONDITION_FAILED:
+            raise self._conflict(table, key, "table put")
+        found = self._decode(answer, "table put")
+        return self._field(found, "version", int, "table put")
+
+    def delete(self, table: str, key: str, *, expected: int) -> None:
+        """Delete a row if it is still as expected.
+
+        :raises ConflictError: if the row is not as expected, or gone.
+        :raises PlatformUnavailableError: if the call had no effect.
+        :raises PlatformUncertainError: if the call may have had effect.
+        """
+        answer = self._http.send(
+            "DELETE",
+            _path(table, key),
+            step="table delete",
+            headers=_condition(expected),
+        )
+        if answer.status in (_PRECONDITION_FAILED, _NOT_FOUND):
+            raise self._conflict(table, key, "table delete")
+        if answer.status not in (_OK, _NO_CONTENT):
+            raise self._http.refuse(f"status {answer.status}", step="table delete")
+
+    def insert_many(
+        self, table: str, inserts: Iterable[Insert]
+    ) -> tuple[InsertResult, ...]:
+        """Insert each row whose key is free, in one write.
+
+        :returns: one result for each insert, in order.
+        :raises PlatformUnavailableError: if the write had no effect.
+        :raises PlatformUncertainError: if the write may have had effect.
+        """
+        rows = [{"key": insert.key, "value": insert.value} for insert in inserts]
+        answer = self._http.send(
+            "POST",
+            f"/tables/{quote(table)}",
+            step="table insert",
+            body=_encode({"inserts": rows}),
+            headers=_JSON,
+        )
+        found = self._decode(answer, "table insert")
+        results = self._field(found, "results", list, "table insert")
+        if len(results) != len(rows):
+            raise self._http.refuse("wrong number of results", step="table insert")
+        return tuple(
+            InsertResult(
+                key=self._field(result, "key", str, "table insert"),
+                inserted=self._field(result, "inserted", bool, "table insert"),
+                value=result.get("value"),
+            )
+            for result in results
+        )
+
+    def list_items(self, table: str, prefix: str = "") -> tuple[Row, ...]:
+        """List rows whose keys start with a prefix.
+
+        :raises PlatformUnavailableError: if the service did not answer.
+        """
+        query = urlencode({"prefix": prefix})
+        path = f"/tables/{quote(table)}?{query}"
+        answer = self._http.send("GET", path, step="table list")
+        found = self._decode(answer, "table list")
+        items = self._field(found, "items", list, "table list")
+        return tuple(self._row(item, "table list") for item in items)
+
+    def _decode(self, answer: Exchange, step: str) -> dict:
+        if answer.status != _OK:
+            raise self._http.refuse(f"status {answer.status}", step=step)
+        return answer.decoded(step=step, peer=self._http.url)
+
+    def _row(self, item: dict, step: str) -> Row:
+        return Row(
+            key=self._field(item, "key", str, step),
+            version=self._field(item, "version", int, step),
+            value=item.get("value"),
+        )
+
+    def _field(self, item: dict, name: str, kind: type, step: str) -> Any:
+        value = item.get(name) if isinstance(item, dict) else None
+        if not isinstance(value, kind):
+            raise self._http.refuse(f"answer without {name}", step=step)
+        return value
+
+    def _conflict(self, table: str, key: str, step: str) -> ConflictError:
+        return ConflictError(
+            f"{table}/{key} is not as expected", step=step, peer=self._http.url
+        )
+
+
+def _path(table: str, key: str) -> str:
+    return f"/tables/{quote(table)}/{quote(key)}"
+
+
+def _condition(expected: int | None) -> dict[str, str]:
+    if expected is None:
+        return {"If-None-Match": "*"}
+    return {"If-Match": f'"{expected}"'}
+
+
+def _encode(value: object) -> bytes:
+    try:
+        return json.dumps(value, allow_nan=False).encode()
+    except (TypeError, ValueError) as exc:
+        raise PlatformError(f"no JSON value: {exc}", step="table") from exc
--- /dev/null
+++ b/baobabwing/platform/weights.py
@@ -0,0 +1,41 @@
+"""Client of the rate-limited weight store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from baobabwing.platform.http import PlatformHttp, quote
+
+__all__ = ["WeightGrant", "request_weights"]
+
+_TAKEN = (200, 201, 202, 204)
+_TOO_MANY = 429
+_DEFAULT_RETRY_S = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class WeightGrant:
+    """Whether the store serves a load of weights now.
+
+    :param retry_after_s: when to ask again, if it does not.
+    """
+
+    granted: bool
+    retry_after_s: float = 0.0
+
+
+def request_weights(model: str, *, url: str, timeout_s: float) -> WeightGrant:
+    """Ask for one load of a model's weights.
+
+    :raises PlatformUnavailableError: if the store did not take the request.
+    :raises PlatformUncertainError: if the answer was lost; the load may count
+        against the limit.
+    """
+    http = PlatformHttp(url=url, timeout_s=timeout_s, passed=(_TOO_MANY,))
+    answer = http.send("POST", f"/weights/{quote(model)}", step="weights", body=b"")
+    if answer.status == _TOO_MANY:
+        wait_s = answer.retry_after_s or _DEFAULT_RETRY_S
+        return WeightGrant(granted=False, retry_after_s=wait_s)
+    if answer.status not in _TAKEN:
+        raise http.refuse(f"status {answer.status}", step="weights")
+    return WeightGrant(granted=True)
--- /dev/null
+++ b/baobabwing/settings/documents.py
@@ -0,0 +1,136 @@
+"""Configuration documents: check, write out, pack for the wire."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import zlib
+from collections.abc import Mapping
+
+import baobabwing.settings.rules  # noqa: F401  (gives the fields their rules)
+from baobabwing.exceptions import SettingsError
+from baobabwing.pools.catalogue import PoolKind
+from baobabwing.settings.checker import FieldError, build
+from baobabwing.settings.configuration import Configuration
+
+__all__ = [
+    "check_configuration",
+    "deflate",
+    "dump_configuration",
+    "inflate",
+    "parse_configuration",
+]
+
+_MAX_DOCUMENT_BYTES = 64 << 20
+_UNPUBLISHED = 0
+
+
+def parse_configuration(mapping: Mapping) -> Configuration:
+    """Make a configuration from a document.
+
+    A document without a version was not published yet and gets version 0.
+
+    :raises FieldError: for the first field that is wrong.
+    """
+    if isinstance(mapping, Mapping):
+        mapping = {"version": _UNPUBLISHED, **mapping}
+    cfg = build(Configuration, mapping)
+    check_configuration(cfg)
+    return cfg
+
+
+def dump_configuration(cfg: Configuration) -> dict:
+    """Return the document of a configuration, ready for JSON."""
+    return json.loads(json.dumps(dataclasses.asdict(cfg)))
+
+
+def deflate(cfg: Configuration) -> bytes:
+    """Pack a configuration for the wire."""
+    document = json.dumps(dump_configuration(cfg), separators=(",", ":"))
+    return zlib.compress(document.encode())
+
+
+def inflate(data: bytes) -> Configuration:
+    """Unpack what :func:`deflate` packed.
+
+    :raises SettingsError: if the bytes are no valid configuration.
+    """
+    # A few hostile kilobytes can unpack to gigabytes and exhaust the memory of
+    # a node; the bound stops the unpacking before that.
+    unpacker = zlib.decompressobj()
+    try:
+        text = unpacker.decompress(data, _MAX_DOCUMENT_BYTES)
+        if not unpacker.eof:
+            raise SettingsError("document too large or cut off", step="inflate")
+        return parse_configuration(json.loads(text))
+    except (zlib.error, ValueError, RecursionError) as exc:
+        raise SettingsError(f"no document: {exc}", step="inflate") from exc
+
+
+def check_configuration(cfg: Configuration) -> None:
+    """Check what concerns more than one field of a configuration.
+
+    :raises FieldError: if a name is there twice or one that is referred to is
+        missing, ranks or addresses repeat, or a model is in two pools.
+    """
+    for group in (
+        "tiers",
+        "brands",
+        "organisations",
+        "credentials",
+        "pools",
+        "upstreams",
+    ):
+        _check_unique(cfg, group, "name")
+    _check_unique(cfg, "tiers", "rank")
+    _check_unique(cfg, "credentials", "sha256")
+    _check_unique(cfg, "upstreams", "address")
+    _check_reference(cfg, "organisations", "brand", "brands")
+    _check_reference(cfg, "credentials", "organisation", "organisations")
+    _check_reference(cfg, "credentials", "tier", "tiers")
+    _check_reference(cfg, "upstreams", "pool", "pools")
+    _check_models(cfg)
+
+
+def _check_unique(cfg: Configuration, group: str, name: str) -> None:
+    seen = set()
+    for index, item in enumerate(getattr(cfg, group)):
+        value = getattr(item, name)
+        if value in seen:
+            raise FieldError(
+                path=f"{group}[{index}].{name}",
+                found=f"{value!r} a second time",
+                allowed="a value of its own",
+            )
+        seen.add(value)
+
+
+def _check_reference(cfg: Configuration, group: str, name: str, target: str) -> None:
+    known = [item.name for item in getattr(cfg, target)]
+    for index, item in enumerate(getattr(cfg, group)):
+        value = getattr(item, name)
+        if value not in known:
+            raise FieldError(
+                path=f"{group}[{index}].{name}",
+                found=repr(value),
+                allowed=f"a name in {target}: {', '.join(known) or 'none'}",
+            )
+
+
+def _check_models(cfg: Configuration) -> None:
+    owner: dict[str, str] = {}
+    for index, pool in enumerate(cfg.pools):
+        path = f"pools[{index}].models"
+        if (pool.kind is PoolKind.ENGINE) != bool(pool.models):
+            raise FieldError(
+                path=path,
+                found=f"{len(pool.models)} models in a pool of kind {pool.kind}",
+                allowed="at least one for engines, none for services",
+            )
+        for model in pool.models:
+            if owner.setdefault(model, pool.name) != pool.name:
+                raise FieldError(
+                    path=path,
+                    found=f"{model!r}, also in pool {owner[model]!r}",
+                    allowed="a model of no other pool",
+                )
--- /dev/null
+++ b/baobabwing/settings/loader.py
@@ -0,0 +1,81 @@
+"""Read settings files and configuration files, with errors that name the line."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import TypeVar
+
+from baobabwing.exceptions import SettingsError
+from baobabwing.settings.checker import FieldError, build
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.documents import parse_configuration
+from baobabwing.settings.jsonc import Document, read_document
+from baobabwing.settings.schema import NodeSettings, check_node
+
+__all__ = ["is_configuration", "load_configuration", "load_file", "load_settings"]
+
+_Made = TypeVar("_Made")
+_CONFIGURATION_FIELDS = {"tiers", "brands", "organisations", "pools", "upstreams"}
+
+
+def load_settings(path: str | Path) -> NodeSettings:
+    """Read the settings of a node.
+
+    Only the file counts; nothing is read from the environment.
+
+    :raises SettingsError: with file, line, path of the field, what was found
+        and what is allowed.
+    """
+    return _make(path, _read(path), _parse_settings)
+
+
+def load_configuration(path: str | Path) -> Configuration:
+    """Read a configuration document from a file.
+
+    :raises SettingsError: as :func:`load_settings` does.
+    """
+    return _make(path, _read(path), parse_configuration)
+
+
+def load_file(path: str | Path) -> NodeSettings | Configuration:
+    """Read a file of either kind, told by its content.
+
+    :raises SettingsError: as :func:`load_settings` does.
+    """
+    document = _read(path)
+    if is_configuration(document.value):
+        return _make(path, document, parse_configuration)
+    return _make(path, document, _parse_settings)
+
+
+def is_configuration(value: object) -> bool:
+    """Tell whether a document is a configuration rather than node settings."""
+    return isinstance(value, dict) and not _CONFIGURATION_FIELDS.isdisjoint(value)
+
+
+def _parse_settings(value: object) -> NodeSettings:
+    cfg = build(NodeSettings, value)
+    check_node(cfg)
+    return cfg
+
+
+def _read(path: str | Path) -> Document:
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"{path}: cannot be read: {exc}", step="settings") from exc
+    try:
+        return read_document(text)
+    except SettingsError as exc:
+        raise SettingsError(f"{path}: {exc.message}", step="settings") from exc
+
+
+def _make(
+    path: str | Path, document: Document, parse: Callable[[object], _Made]
+) -> _Made:
+    try:
+        return parse(document.value)
+    except FieldError as exc:
+        line = document.line_of(exc.path)
+        raise exc.at(source=str(path), line=line) from None
--- /dev/null
+++ b/baobabwing/settings/publish.py
@@ -0,0 +1,154 @@
+"""Publish a new version of the configuration by compare-and-set."""
+
+from __future__ import annotations
+
+import contextlib
+import uuid
+from dataclasses import replace
+
+from baobabwing.exceptions import (
+    ConflictError,
+    PlatformError,
+    PlatformUnavailableError,
+    PlatformUncertainError,
+)
+from baobabwing.platform.tables import Insert, Tables
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.documents import check_configuration, dump_configuration
+from baobabwing.settings.fetch import (
+    CONFIGURATION_TABLE,
+    CURRENT_KEY,
+    StoredConfiguration,
+    fetch_stored,
+    fetch_version,
+    history_key,
+)
+
+__all__ = ["find_attempt", "new_attempt", "publish"]
+
+_ATTEMPTS = 3
+_NAMED_CHANGES = 5
+
+
+def new_attempt() -> str:
+    """Return an id that no other attempt has."""
+    return uuid.uuid4().hex
+
+
+def publish(tables: Tables, *, base: int, cfg: Configuration) -> Configuration:
+    """Make a configuration the current one if the base still is.
+
+    A call with the ``attempt`` of an earlier one finds what that one wrote and
+    returns it; nothing is applied twice.
+
+    :param base: version that the change was made from; 0 if there is none yet.
+    :param cfg: what is to be in force; its version is not used.
+    :returns: the configuration as published, version ``base + 1``.
+    :raises ConflictError: naming who changed what since the base.
+    :raises PlatformUnavailableError: if nothing was changed.
+    :raises PlatformUncertainError: if it could not be found out whether the
+        change took effect; call again with the same attempt.
+    """
+    attempt = cfg.attempt or new_attempt()
+    cfg = replace(cfg, version=base + 1, attempt=attempt)
+    check_configuration(cfg)
+    uncertain: PlatformUncertainError | None = None
+    for _ in range(_ATTEMPTS):
+        try:
+            return _publish_once(tables, cfg)
+        except PlatformUncertainError as exc:
+            # The write may have taken effect although its answer was lost, or
+            # may still take effect. The next round reads back by attempt id and
+            # else repeats the same compare-and-set, of which only one can win.
+            uncertain = exc
+        except PlatformUnavailableError:
+            if uncertain is None:
+                raise
+    raise PlatformUncertainError(
+        f"attempt {attempt} may have taken effect; repeat it with the same id",
+        step="publish",
+        peer=uncertain.peer,
+    ) from uncertain
+
+
+def find_attempt(tables: Tables, *, version: int, attempt: str) -> bool:
+    """Tell whether an attempt wrote a version, by reading back.
+
+    :raises PlatformUnavailableError: if the service did not answer.
+    """
+    stored = fetch_stored(tables)
+    if stored is None or stored.cfg.version < version:
+        return False
+    if stored.cfg.version == version:
+        return stored.cfg.attempt == attempt
+    past = fetch_version(tables, version)
+    return past is not None and past.attempt == attempt
+
+
+def _publish_once(tables: Tables, cfg: Configuration) -> Configuration:
+    base = cfg.version - 1
+    stored = fetch_stored(tables)
+    current = stored.cfg.version if stored else 0
+    if current != base:
+        return _settle(tables, cfg)
+    _keep_history(tables, stored)
+    document = dump_configuration(cfg)
+    expected = stored.row_version if stored else None
+    try:
+        tables.put(CONFIGURATION_TABLE, CURRENT_KEY, document, expected=expected)
+    except ConflictError:
+        return _settle(tables, cfg)
+    _try_keep_history(tables, cfg)
+    return cfg
+
+
+def _settle(tables: Tables, cfg: Configuration) -> Configuration:
+    if find_attempt(tables, version=cfg.version, attempt=cfg.attempt):
+        _try_keep_history(tables, cfg)
+        return cfg
+    raise ConflictError(
+        f"version {cfg.version - 1} is no longer current: "
+        f"{_changes_since(tables, cfg.version - 1)}",
+        step="publish",
+    )
+
+
+def _keep_history(tables: Tables, stored: StoredConfiguration | None) -> None:
+    # The process that published the current version may have died before it
+    # wrote the history. Replacing that version now would lose who made it and
+    # whether an attempt took effect, so it is kept before it is replaced.
+    if stored is None:
+        return
+    try:
+        _insert_history(tables, stored.cfg)
+    except PlatformUncertainError as exc:
+        # This write touches the history only: the change itself was not sent.
+        raise PlatformUnavailableError(
+            exc.message, step="publish", peer=exc.peer
+        ) from exc
+
+
+def _try_keep_history(tables: Tables, cfg: Configuration) -> None:
+    # The change is in force by now; whoever replaces it writes this again.
+    with contextlib.suppress(PlatformError):
+        _insert_history(tables, cfg)
+
+
+def _insert_history(tables: Tables, cfg: Configuration) -> None:
+    row = Insert(key=history_key(cfg.version), value=dump_configuration(cfg))
+    tables.insert_many(CONFIGURATION_TABLE, [row])
+
+
+def _changes_since(tables: Tables, base: int) -> str:
+    stored = fetch_stored(tables)
+    if stored is None:
+        return "there is no current version"
+    newest = stored.cfg
+    first = max(base + 1, newest.version - _NAMED_CHANGES + 1)
+    past = [fetch_version(tables, number) for number in range(first, newest.version)]
+    known = [cfg for cfg in past if cfg] + [newest]
+    return "; ".join(
+        f"version {cfg.version} by {cfg.author or 'unknown'}: "
+        f"{cfg.summary or 'no summary'}"
+        for cfg in known
+    )
--- /dev/null
+++ b/baobabwing/settings/schema.py
@@ -0,0 +1,122 @@
+"""Settings of one node, each field with its type, range and unit."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+from baobabwing.settings.checker import FieldError, is_address, rule
+
+__all__ = ["MembershipSettings", "NodeLimits", "NodeSettings", "check_node"]
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9-]*")
+_URL = re.compile(r"http://[^/\s]+/?")
+_ADDRESS_WORDS = "an IP number and a port, such as 127.0.0.1:8001"
+_MINUTE_MS = 60_000
+_HOUR_MS = 60 * _MINUTE_MS
+_MEGABYTE_BYTES = 1 << 20
+
+
+def _is_name(text: str) -> bool:
+    return _NAME.fullmatch(text) is not None
+
+
+def _is_url(text: str) -> bool:
+    return _URL.fullmatch(text) is not None and is_address(
+        text.removeprefix("http://").removesuffix("/")
+    )
+
+
+@dataclass(frozen=True, kw_only=True)
+class NodeLimits:
+    """Bounds on what callers may send and on how much runs at one time.
+
+    :param body_bytes: longest body of a request.
+    :param header_bytes: longest head of a request.
+    :param connections: connections of callers open at one time.
+    :param worker_threads: threads that serve callers, one each connection.
+    :param output_tokens: most tokens that one request may ask for.
+    :param request_ms: longest time a request may be open.
+    """
+
+    body_bytes: int = rule(4 * _MEGABYTE_BYTES, least=1024, most=64 * _MEGABYTE_BYTES)
+    header_bytes: int = rule(16_384, least=1024, most=_MEGABYTE_BYTES)
+    connections: int = rule(2048, least=1, most=65_536)
+    worker_threads: int = rule(640, least=1, most=4096)
+    output_tokens: int = rule(32_768, least=1, most=1_000_000)
+    request_ms: int = rule(600_000, least=100, most=24 * _HOUR_MS)
+
+
+@dataclass(frozen=True, kw_only=True)
+class MembershipSettings:
+    """Pace of the membership protocol.
+
+    :param probe_interval_ms: time between two probes by one node.
+    :param probe_timeout_ms: wait for an answer before others are asked to probe.
+    :param suspicion_ms: time in which a suspected node can object.
+    :param fan_out: nodes asked to probe, and nodes told of a change at once.
+    :param updates_per_datagram: most changes that ride on one datagram.
+    :param seeds: addresses of peers to ask besides the platform's host list.
+    """
+
+    probe_interval_ms: int = rule(500, least=20, most=_MINUTE_MS)
+    probe_timeout_ms: int = rule(200, least=10, most=_MINUTE_MS)
+    suspicion_ms: int = rule(1500, least=50, most=10 * _MINUTE_MS)
+    fan_out: int = rule(3, least=1, most=16)
+    updates_per_datagram: int = rule(8, least=1, most=64)
+    seeds: tuple[str, ...] = rule((), check=is_address, words=_ADDRESS_WORDS)
+
+
+@dataclass(frozen=True, kw_only=True)
+class NodeSettings:
+    """Everything a node reads from its own settings file.
+
+    :param name: name of the node, unique in the fleet.
+    :param http: address where callers connect.
+    :param peer: address where other nodes connect, over TCP and UDP.
+    :param platform_url: base of the platform's HTTP interface.
+    :param platform_timeout_ms: wait for an answer of the platform.
+    :param peer_secrets: shared by all nodes; the first signs, all verify.
+    :param address_keep_ms: how long callers keep an address answer.
+    :param stop_deadline_ms: longest graceful shutdown.
+    """
+
+    name: str = rule(least=1, most=63, check=_is_name, words="of a-z, 0-9 and -")
+    region: str = rule(least=1, most=63, check=_is_name, words="of a-z, 0-9 and -")
+    zone: str = rule(least=1, most=63, check=_is_name, words="of a-z, 0-9 and -")
+    http: str = rule(check=is_address, words=_ADDRESS_WORDS)
+    peer: str = rule(check=is_address, words=_ADDRESS_WORDS)
+    platform_url: str = rule(
+        check=_is_url, words="http:// with an IP number and a port"
+    )
+    platform_timeout_ms: int = rule(300, least=10, most=_MINUTE_MS)
+    peer_secrets: tuple[str, ...] = rule(
+        least=16, most=1024, least_items=1, secret=True
+    )
+    log_level: str = rule("info", choices=("debug", "info", "warning", "error"))
+    address_keep_ms: int = rule(5000, least=100, most=_HOUR_MS)
+    stop_deadline_ms: int = rule(30_000, least=100, most=_HOUR_MS)
+    limits: NodeLimits = field(default_factory=NodeLimits)
+    membership: MembershipSettings = field(default_factory=MembershipSettings)
+
+
+def check_node(cfg: NodeSettings) -> None:
+    """Check what concerns more than one field.
+
+    :raises FieldError: if two fields contradict each other.
+    """
+    pace = cfg.membership
+    if cfg.http == cfg.peer:
+        raise FieldError(path="peer", found=cfg.peer, allowed="another one than http")
+    if pace.probe_timeout_ms >= pace.probe_interval_ms:
+        raise FieldError(
+            path="membership.probe_timeout_ms",
+            found=str(pace.probe_timeout_ms),
+            allowed=f"less than probe_interval_ms, {pace.probe_interval_ms}",
+        )
+    if cfg.stop_deadline_ms <= cfg.address_keep_ms:
+        raise FieldError(
+            path="stop_deadline_ms",
+            found=str(cfg.stop_deadline_ms),
+            allowed=f"more than address_keep_ms, {cfg.address_keep_ms}",
+        )
--- /dev/null
+++ b/tests/settings/test_publish.py
@@ -0,0 +1,136 @@
+"""Publishing by compare-and-set, through lost answers and races."""
+
+from dataclasses import replace
+
+import pytest
+
+from baobabwing.exceptions import (
+    ConflictError,
+    PlatformUnavailableError,
+    PlatformUncertainError,
+)
+from baobabwing.platform.memory import Fault, MemoryTables
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.fetch import fetch_configuration, fetch_version
+from baobabwing.settings.publish import publish
+
+FIRST = Configuration(version=0, author="ana", summary="first")
+
+
+class Script:
+    """Faults for the next calls of one operation, and a rival's move."""
+
+    def __init__(self, operation, *faults, rival=None):
+        self.operation = operation
+        self.faults = list(faults)
+        self.rival = rival
+
+    def __call__(self, call):
+        if call.operation != self.operation or not self.faults:
+            return None
+        fault = self.faults.pop(0)
+        if self.rival:
+            self.rival()
+        return fault
+
+
+@pytest.fixture
+def tables():
+    return MemoryTables()
+
+
+def test_first_and_next(tables):
+    assert publish(tables, base=0, cfg=FIRST).version == 1
+    assert publish(tables, base=1, cfg=replace(FIRST, summary="next")).version == 2
+    assert fetch_configuration(tables).summary == "next"
+    assert fetch_version(tables, 1).summary == "first"
+    assert fetch_version(tables, 2).summary == "next"
+
+
+def test_two_operators_race(tables):
+    """Two operators change the same configuration at the same time.
+
+    Both started from version 1. Ana's write lands between Eva's reading and
+    Eva's writing. Eva must be told what Ana changed, and Ana's change must stay.
+    """
+    publish(tables, base=0, cfg=FIRST)
+    ana = replace(FIRST, author="ana", summary="drained engine 3")
+
+    def rival():
+        publish(tables, base=1, cfg=ana)
+
+    tables.on_call = Script("put", None, rival=rival)
+    with pytest.raises(ConflictError, match="version 2 by ana: drained engine 3"):
+        publish(tables, base=1, cfg=replace(FIRST, author="eva", summary="limits"))
+    assert fetch_configuration(tables).author == "ana"
+
+
+@pytest.mark.parametrize("fault", [Fault.LOSE_ANSWER, Fault.LOSE_REQUEST])
+def test_answer_lost_once(tables, fault):
+    """An operator's change is accepted, but the answer is lost on the way.
+
+    Only reading back tells whether it took effect. Either way the operator sees
+    one success, and the configuration grew by one version.
+    """
+    tables.on_call = Script("put", fault)
+    done = publish(tables, base=0, cfg=FIRST)
+    assert done.version == 1
+    assert fetch_configuration(tables) == done
+
+
+def test_answer_lost_and_version_replaced_meanwhile(tables):
+    """An answer is lost after the effect, and another operator builds on it.
+
+    Reading back shows version 2 by somebody else. That is no conflict: version
+    1 is ours, as the history tells, though its writer never wrote the history.
+    """
+    lost = replace(FIRST, attempt="a1")
+    tables.on_call = Script("put", Fault.LOSE_ANSWER)
+    publish(tables, base=0, cfg=lost)
+    tables.on_call = None
+    row = tables.read("configuration", "history/1")
+    tables.delete("configuration", "history/1", expected=row.version)
+    publish(tables, base=1, cfg=replace(FIRST, author="eva"))
+    assert publish(tables, base=0, cfg=lost).version == 1
+    assert fetch_configuration(tables).author == "eva"
+
+
+def test_store_goes_down_after_the_effect(tables):
+    """The store takes the change, loses the answer and goes down.
+
+    The operator is told that the effect is unknown, and repeats the attempt
+    when the store is back: it is found, and not applied a second time.
+    """
+    down = False
+
+    def on_call(call):
+        nonlocal down
+        if down:
+            return Fault.REFUSE
+        down = call.operation == "put"
+        return Fault.LOSE_ANSWER if down else None
+
+    tables.on_call = on_call
+    cfg = replace(FIRST, attempt="a1")
+    with pytest.raises(PlatformUncertainError, match="a1"):
+        publish(tables, base=0, cfg=cfg)
+    tables.on_call = None
+    assert publish(tables, base=0, cfg=cfg).version == 1
+    assert fetch_configuration(tables).version == 1
+
+
+@pytest.mark.parametrize("operation", ["read", "put"])
+def test_store_down(tables, operation):
+    tables.on_call = Script(operation, Fault.REFUSE)
+    with pytest.raises(PlatformUnavailableError):
+        publish(tables, base=0, cfg=FIRST)
+    tables.on_call = None
+    assert fetch_configuration(tables) is None
+
+
+def test_uncertain_history_of_the_old_version_changes_nothing(tables):
+    publish(tables, base=0, cfg=FIRST)
+    tables.on_call = Script("insert", Fault.LOSE_ANSWER)
+    with pytest.raises(PlatformUnavailableError):
+        publish(tables, base=1, cfg=FIRST)
+    assert fetch_configuration(tables).version == 1
