Add stand-ins of engine, service and platform

Cause: the parts between callers and upstreams need something real to speak to over HTTP that keeps a record of what it really executed.

Each takes faults from a registry over its control address.

--- /dev/null
+++ b/baobabwing/standins/application.py
@@ -0,0 +1,108 @@
+"""What all stand-ins have in common: faults, the record and their control calls."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import asdict
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any, ClassVar
+
+from baobabwing.exceptions import RequestError
+from baobabwing.standins.faults import FaultBoard, FaultOrder, fault_kinds
+from baobabwing.standins.record import Record
+from baobabwing.standins.server import Answer, Exchange, Routes, json_answer
+
+__all__ = ["StandinApplication", "not_admitted"]
+
+_CONTROL = Routes()
+
+
+def not_admitted(message: str, *, code: str, retry_after_s: int = 1) -> Answer:
+    """Return the refusal that is defined to mean that nothing was run."""
+    return json_answer(
+        {"error": {"message": message, "code": code, "type": "not_admitted"}},
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        X_Not_Admitted="1",
+        Retry_After=str(retry_after_s),
+    )
+
+
+class StandinApplication(ABC):
+    """Answers control calls itself and passes others to the routes of its kind.
+
+    :param name: what the stand-in is called.
+    :param record_path: file that keeps the record beyond the process.
+    """
+
+    kind: ClassVar[str]
+    routes: ClassVar[Routes]
+
+    def __init__(self, *, name: str, record_path: Path | None = None) -> None:
+        self.name = name
+        self.faults = FaultBoard(kind=self.kind)
+        self.record = Record(path=record_path)
+
+    @abstractmethod
+    def parameters(self) -> dict[str, Any]:
+        """Return speeds and sizes, for computing capacity."""
+
+    def record_document(self, after: int) -> dict[str, Any]:
+        """Return what the stand-in executed."""
+        return {"executions": self.record.executions(after)}
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        control = _CONTROL.find(exchange)
+        if control is not None:
+            control(self, exchange)
+            return
+        self._refuse_cut_peers(exchange)
+        self.faults.wait_while_frozen()
+        handler = self.routes.find(exchange)
+        if handler is None:
+            raise RequestError(
+                f"no {exchange.method} {exchange.path}",
+                status=HTTPStatus.NOT_FOUND,
+                code="not_found",
+            )
+        handler(self, exchange)
+
+    def _refuse_cut_peers(self, exchange: Exchange) -> None:
+        order = self.faults.look("cut_peer")
+        if order is not None and exchange.peer in order.names:
+            exchange.cut()
+
+
+@_CONTROL.add("GET", "/control/record")
+def _get_record(app: StandinApplication, exchange: Exchange) -> None:
+    after = int(exchange.query.get("after", "0"))
+    exchange.send(json_answer(app.record_document(after)))
+
+
+@_CONTROL.add("GET", "/control/parameters")
+def _get_parameters(app: StandinApplication, exchange: Exchange) -> None:
+    document = {"kind": app.kind, "name": app.name, **app.parameters()}
+    exchange.send(json_answer(document))
+
+
+@_CONTROL.add("GET", "/control/faults")
+def _get_faults(app: StandinApplication, exchange: Exchange) -> None:
+    known = {
+        each.name: each.meaning for each in fault_kinds() if each.concerns(app.kind)
+    }
+    active = [asdict(each) for each in app.faults.active()]
+    exchange.send(json_answer({"active": active, "known": known}))
+
+
+@_CONTROL.add("POST", "/control/faults")
+def _post_faults(app: StandinApplication, exchange: Exchange) -> None:
+    order = FaultOrder.parse(exchange.json())
+    app.faults.set(order)
+    exchange.send(Answer(status=HTTPStatus.NO_CONTENT))
+
+
+@_CONTROL.add("DELETE", "/control/faults")
+def _delete_faults(app: StandinApplication, exchange: Exchange) -> None:
+    app.faults.clear()
+    exchange.send(Answer(status=HTTPStatus.NO_CONTENT))
--- /dev/null
+++ b/baobabwing/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in engine with continuous batching and a bounded prefix cache."""
--- /dev/null
+++ b/baobabwing/standins/faults.py
@@ -0,0 +1,281 @@
+"""Faults that a stand-in can be told to show, and which are in force."""
+
+from __future__ import annotations
+
+import math
+import os
+import threading
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from http import HTTPStatus
+from typing import Any
+
+from baobabwing.exceptions import RequestError
+from baobabwing.reports.events import log
+from baobabwing.standins.events import DIED, FAULT_SET
+from baobabwing.standins.server import Answer, Exchange
+
+__all__ = [
+    "ALL_KINDS",
+    "FaultBoard",
+    "FaultKind",
+    "FaultOrder",
+    "deliver",
+    "fault",
+    "fault_kinds",
+]
+
+ALL_KINDS = frozenset({"engine", "service", "platform"})
+UPSTREAM_KINDS = frozenset({"engine", "service"})
+ENGINE_KIND = frozenset({"engine"})
+PLATFORM_KIND = frozenset({"platform"})
+EXIT_STATUS_DIED = 1
+ANSWER_S = 0.005
+_MS = 1000.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class FaultOrder:
+    """A fault as it was asked for.
+
+    :param value: what it means depends on the fault.
+    :param count: how often it shows; none for until it is cleared.
+    :param for_ms: how long it is in force; none for until it is cleared.
+    :param names: hosts, peers or parts that it concerns.
+    """
+
+    name: str
+    value: Any = None
+    count: int | None = None
+    for_ms: float | None = None
+    names: tuple[str, ...] = ()
+
+    @classmethod
+    def parse(cls, document: Mapping[str, Any]) -> FaultOrder:
+        """Read a fault from the body of a control call.
+
+        :raises RequestError: if the body has another form.
+        """
+        name = document.get("fault")
+        count = document.get("count")
+        names = document.get("names", ())
+        if not isinstance(name, str):
+            raise _bad_fault("fault must be a name")
+        if count is not None and (not isinstance(count, int) or count < 0):
+            raise _bad_fault("count must be a number from 0")
+        if not all(isinstance(each, str) for each in names):
+            raise _bad_fault("names must be texts")
+        return cls(
+            name=name,
+            value=document.get("value"),
+            count=count,
+            for_ms=document.get("for_ms"),
+            names=tuple(names),
+        )
+
+    def number(self, default: float) -> float:
+        """Return the value as a number."""
+        return default if self.value is None else float(self.value)
+
+
+@dataclass(frozen=True, kw_only=True)
+class FaultKind:
+    """A fault that stand-ins know.
+
+    :param kinds: which stand-ins know it.
+    :param meaning: one line for the documentation.
+    """
+
+    name: str
+    kinds: frozenset[str]
+    meaning: str
+    apply: Callable[[FaultBoard, FaultOrder], None]
+
+    def concerns(self, kind: str) -> bool:
+        """Return whether a kind of stand-in knows the fault."""
+        return kind in self.kinds
+
+
+_KINDS: dict[str, FaultKind] = {}
+
+Apply = Callable[["FaultBoard", FaultOrder], None]
+
+
+def fault(name: str, kinds: frozenset[str], meaning: str) -> Callable[[Apply], Apply]:
+    """Register what a fault does when it is asked for."""
+
+    def register(apply: Apply) -> Apply:
+        _KINDS[name] = FaultKind(name=name, kinds=kinds, meaning=meaning, apply=apply)
+        return apply
+
+    return register
+
+
+def fault_kinds() -> tuple[FaultKind, ...]:
+    """Return all registered faults by name."""
+    return tuple(_KINDS[name] for name in sorted(_KINDS))
+
+
+class FaultBoard:
+    """The faults in force in one stand-in.
+
+    :param kind: ``engine``, ``service`` or ``platform``.
+    """
+
+    def __init__(self, *, kind: str) -> None:
+        self.kind = kind
+        self._active: dict[str, FaultOrder] = {}
+        self._ends: dict[str, float] = {}
+        self._changed = threading.Condition()
+        self._frozen_until = 0.0
+
+    def set(self, order: FaultOrder) -> None:
+        """Put a fault into force.
+
+        :raises RequestError: if this stand-in has no such fault.
+        """
+        kind = _KINDS.get(order.name)
+        if kind is None or not kind.concerns(self.kind):
+            raise _bad_fault(f"a stand-in {self.kind} has no fault {order.name}")
+        log(FAULT_SET, fault=order.name, value=order.value, count=order.count)
+        kind.apply(self, order)
+
+    def keep(self, order: FaultOrder) -> None:
+        """Hold a fault until its count is used up or it is cleared."""
+        with self._changed:
+            self._active[order.name] = order
+            self._ends[order.name] = math.inf
+            if order.for_ms is not None:
+                self._ends[order.name] = time.monotonic() + order.for_ms / _MS
+
+    def clear(self) -> None:
+        """Take all faults out of force."""
+        with self._changed:
+            self._active.clear()
+            self._frozen_until = 0.0
+            self._changed.notify_all()
+
+    def freeze(self, duration_s: float) -> None:
+        """Stop answering and stepping for a time."""
+        with self._changed:
+            self._frozen_until = time.monotonic() + duration_s
+
+    def look(self, name: str) -> FaultOrder | None:
+        """Return a fault in force without using up its count."""
+        if name not in self._active:
+            return None
+        with self._changed:
+            if self._ends[name] <= time.monotonic():
+                self._active.pop(name, None)
+            return self._active.get(name)
+
+    def number(self, name: str, default: float) -> float:
+        """Return the value of a fault in force, or the default."""
+        order = self.look(name)
+        return default if order is None else order.number(default)
+
+    def take(self, name: str) -> FaultOrder | None:
+        """Return a fault in force and use up one of its count."""
+        if self.look(name) is None:
+            return None
+        with self._changed:
+            order = self._active.get(name)
+            if order is None or order.count is None:
+                return order
+            if order.count > 1:
+                self._active[name] = replace(order, count=order.count - 1)
+            else:
+                del self._active[name]
+            return order if order.count > 0 else None
+
+    def active(self) -> list[FaultOrder]:
+        """Return the faults in force."""
+        with self._changed:
+            names = sorted(self._active)
+        return [order for order in map(self.look, names) if order is not None]
+
+    def wait_while_frozen(self) -> float:
+        """Block until the freeze is over.
+
+        :returns: the seconds that it lasted.
+        """
+        if not self._frozen_until:
+            return 0.0
+        began = time.monotonic()
+        with self._changed:
+            while (left := self._frozen_until - time.monotonic()) > 0:
+                self._changed.wait(left)
+            self._frozen_until = 0.0
+        return time.monotonic() - began
+
+
+def deliver(board: FaultBoard, exchange: Exchange, answer: Answer) -> None:
+    """Send the answer to a call that took effect, as the faults in force have it."""
+    if board.take("drop_after_effect"):
+        exchange.cut()
+    late = board.take("answer_late")
+    if late:
+        time.sleep(late.number(0.0) / _MS)
+    board.wait_while_frozen()
+    exchange.send(answer)
+    if board.take("answer_twice"):
+        exchange.repeat(answer)
+
+
+def _bad_fault(message: str) -> RequestError:
+    return RequestError(
+        message, status=HTTPStatus.BAD_REQUEST, code="bad_fault", step="fault"
+    )
+
+
+@fault("die", ALL_KINDS, "end at once, after `value` ms if given")
+def _die(board: FaultBoard, order: FaultOrder) -> None:
+    # Whoever asked gets an answer first, and so knows that the fault was taken.
+    delay_s = max(order.number(0.0) / _MS, ANSWER_S)
+    timer = threading.Timer(delay_s, _exit_now)
+    timer.daemon = True
+    timer.start()
+
+
+def _exit_now() -> None:
+    log(DIED)
+    os._exit(EXIT_STATUS_DIED)
+
+
+@fault("freeze", ALL_KINDS, "neither answer nor step for `value` ms")
+def _freeze(board: FaultBoard, order: FaultOrder) -> None:
+    board.freeze(order.number(0.0) / _MS)
+
+
+def _keep(board: FaultBoard, order: FaultOrder) -> None:
+    board.keep(order)
+
+
+_KEPT = (
+    ("refuse", UPSTREAM_KINDS, "refuse `count` requests as not admitted"),
+    ("fail", UPSTREAM_KINDS, "answer `count` requests with 500, after the effect"),
+    ("drop_after_effect", UPSTREAM_KINDS, "run `count` requests, then cut"),
+    ("answer_late", ALL_KINDS, "hold `count` answers for `value` ms"),
+    ("answer_twice", ALL_KINDS, "send `count` answers twice on the connection"),
+    (
+        "cut_stream_after",
+        frozenset({"engine"}),
+        "cut `count` streams at `value` tokens",
+    ),
+    ("cut_peer", ALL_KINDS, "cut whatever comes from the IP numbers `names`"),
+    ("lag", ALL_KINDS, "reports or lists are `value` ms old"),
+    ("slow", ALL_KINDS, "upstreams: `value` times slower; platform: `value` ms more"),
+    ("down", PLATFORM_KIND, "answer 503 without effect"),
+    ("drop_before_effect", PLATFORM_KIND, "cut `count` calls, no effect"),
+    ("lose_answer", PLATFORM_KIND, "cut `count` writes after the effect"),
+    ("stale", PLATFORM_KIND, "reads are as of `value` ms ago"),
+    ("throttle", PLATFORM_KIND, "only `value` writes a second"),
+    (
+        "list_error",
+        frozenset({"platform"}),
+        "`names` have state `value`, or are missing",
+    ),
+)
+for _name, _kinds, _meaning in _KEPT:
+    fault(_name, _kinds, _meaning)(_keep)
--- /dev/null
+++ b/baobabwing/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in of the platform: tables, objects, weights and the list of hosts."""
--- /dev/null
+++ b/baobabwing/standins/platform/history.py
@@ -0,0 +1,70 @@
+"""Values together with what they were a while ago, for lagging and stale reads."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = ["History", "Row"]
+
+VERSIONS_KEPT = 64
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Row:
+    """One state of a key.
+
+    :param version: grows with every change of the key, deletions too.
+    :param value: any JSON value; of a deleted key none.
+    :param at: monotonic time of the change, in seconds.
+    """
+
+    version: int
+    value: Any
+    deleted: bool
+    at: float
+
+
+class History:
+    """Keys with their latest states; the versions of a key only grow."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, deque[Row]] = {}
+        self.lock = threading.RLock()
+
+    def read(self, key: str, age_s: float = 0.0) -> Row | None:
+        """Return a key's state of some seconds ago, or none if it had none."""
+        with self.lock:
+            rows = self._rows.get(key, ())
+            horizon = time.monotonic() - age_s
+            for row in reversed(rows):
+                if row.at <= horizon:
+                    return None if row.deleted else row
+            return None
+
+    def version(self, key: str) -> int:
+        """Return a key's last version, also of a deleted one; 0 if it is new."""
+        with self.lock:
+            rows = self._rows.get(key)
+            return rows[-1].version if rows else 0
+
+    def write(self, key: str, value: Any, *, deleted: bool = False) -> Row:
+        """Give a key a new state."""
+        with self.lock:
+            rows = self._rows.setdefault(key, deque(maxlen=VERSIONS_KEPT))
+            version = rows[-1].version + 1 if rows else 1
+            row = Row(
+                version=version, value=value, deleted=deleted, at=time.monotonic()
+            )
+            rows.append(row)
+            return row
+
+    def items(self, prefix: str = "", age_s: float = 0.0) -> list[tuple[str, Row]]:
+        """Return the keys with a prefix in order, as of some seconds ago."""
+        with self.lock:
+            keys = sorted(key for key in self._rows if key.startswith(prefix))
+            found = [(key, self.read(key, age_s)) for key in keys]
+        return [(key, row) for key, row in found if row is not None]
--- /dev/null
+++ b/baobabwing/standins/record.py
@@ -0,0 +1,71 @@
+"""What a stand-in really executed, for proofs to compare with."""
+
+from __future__ import annotations
+
+import json
+import os
+import threading
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+__all__ = ["Execution", "Record"]
+
+
+@dataclass(kw_only=True)
+class Execution:
+    """One run of a request, by an engine or a service.
+
+    :param attempt: the request id that the caller sent.
+    :param key: the idempotency key, if one was sent.
+    :param state: ``waiting``, ``running``, ``finished``, ``cancelled``.
+    :param started_at: when it was admitted, in seconds since 1970.
+    """
+
+    attempt: str
+    key: str = ""
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    prefilled_tokens: int = 0
+    output_tokens: int = 0
+    state: str = "waiting"
+    started_at: float = 0.0
+    finished_at: float = 0.0
+
+
+class Record:
+    """All executions of one stand-in, in the order of their admission.
+
+    :param path: a file that also gets each execution when it starts and when
+        it ends, one JSON object a line; it outlives the process.
+    """
+
+    def __init__(self, *, path: Path | None = None) -> None:
+        self._executions: list[Execution] = []
+        self._lock = threading.Lock()
+        self._file = None
+        if path is not None:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._file = os.open(path, flags, 0o644)
+
+    def add(self, execution: Execution) -> None:
+        """Note the start of an execution."""
+        with self._lock:
+            self._executions.append(execution)
+        self.note(execution)
+
+    def note(self, execution: Execution) -> None:
+        """Write an execution's present state to the file, if there is one."""
+        if self._file is not None:
+            # One unbuffered write, so that a death right after loses nothing.
+            os.write(self._file, json.dumps(asdict(execution)).encode() + b"\n")
+
+    def count(self, key: str) -> int:
+        """Return how often a key was executed."""
+        with self._lock:
+            return sum(1 for each in self._executions if each.key == key)
+
+    def executions(self, after: int = 0) -> list[dict[str, Any]]:
+        """Return the executions from a position on."""
+        with self._lock:
+            return [asdict(each) for each in self._executions[after:]]
--- /dev/null
+++ b/baobabwing/standins/server.py
@@ -0,0 +1,263 @@
+"""The HTTP server that all stand-ins share, one thread for each connection."""
+
+from __future__ import annotations
+
+import errno
+import json
+import re
+import socket
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from functools import cached_property
+from http import HTTPStatus
+from typing import Any, Protocol
+from urllib.parse import parse_qsl, unquote
+
+from cheroot.server import Gateway, HTTPServer
+
+from baobabwing.exceptions import RequestError
+
+__all__ = [
+    "Answer",
+    "Application",
+    "Exchange",
+    "Routes",
+    "StandinServer",
+    "json_answer",
+]
+
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+BACKLOG = 512
+SOCKET_TIMEOUT_S = 60.0
+_NO_BODY = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """A whole answer of known length."""
+
+    status: int = HTTPStatus.OK
+    body: bytes = b""
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+def json_answer(
+    document: object, *, status: int = HTTPStatus.OK, **headers: str
+) -> Answer:
+    """Return an answer with a JSON body.
+
+    :param headers: further headers, with ``_`` for ``-`` in their names.
+    """
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return Answer(
+        status=status,
+        body=json.dumps(document, separators=(",", ":")).encode(),
+        headers={"Content-Type": "application/json", **named},
+    )
+
+
+class Exchange:
+    """One request and the means of answering it.
+
+    :param req: the request as cheroot parsed it.
+    """
+
+    def __init__(self, *, req: Any) -> None:
+        self._req = req
+        self.method: str = req.method.decode("ascii")
+        self.path: str = unquote(req.path.decode("latin-1"))
+        self.parameters: dict[str, str] = {}
+
+    @property
+    def peer(self) -> str:
+        """The IP number of the other side."""
+        return self._req.conn.remote_addr or ""
+
+    @property
+    def sock(self) -> socket.socket:
+        """The connection itself, for streams."""
+        return self._req.conn.socket
+
+    @cached_property
+    def query(self) -> dict[str, str]:
+        """The query's parameters; of a repeated name the last."""
+        return dict(parse_qsl(self._req.qs.decode("latin-1"), keep_blank_values=True))
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return a header's value."""
+        value = self._req.inheaders.get(name.title().encode("ascii"))
+        return default if value is None else value.decode("latin-1")
+
+    @cached_property
+    def body(self) -> bytes:
+        """The whole body."""
+        return self._req.rfile.read()
+
+    def json(self) -> dict[str, Any]:
+        """Return the body as a JSON object.
+
+        :raises RequestError: if it is not one.
+        """
+        try:
+            document = json.loads(self.body or b"{}")
+        except ValueError as exc:
+            raise RequestError(
+                "the body is not JSON", status=HTTPStatus.BAD_REQUEST, code="bad_json"
+            ) from exc
+        if not isinstance(document, dict):
+            raise RequestError(
+                "the body is not an object",
+                status=HTTPStatus.BAD_REQUEST,
+                code="bad_json",
+            )
+        return document
+
+    def send(self, answer: Answer) -> None:
+        """Send a whole answer."""
+        self._start(answer.status, answer.headers)
+        if answer.status not in _NO_BODY:
+            length = str(len(answer.body)).encode("ascii")
+            self._req.outheaders.append((b"Content-Length", length))
+        self._req.ensure_headers_sent()
+        if answer.body:
+            self._req.write(answer.body)
+
+    def repeat(self, answer: Answer) -> None:
+        """Send a second copy of an answer on the same connection."""
+        self._req.sent_headers = False
+        self._req.outheaders.clear()
+        self.send(answer)
+
+    def start_stream(self, headers: Mapping[str, str]) -> socket.socket:
+        """Send the head of a chunked answer.
+
+        The chunks are written to the returned socket, framed by the caller;
+        the last, empty chunk is written when the handler returns.
+        """
+        self._start(HTTPStatus.OK, headers)
+        self._req.ensure_headers_sent()
+        return self.sock
+
+    def restart(self, headers: Mapping[str, str]) -> None:
+        """Send the head of a chunked answer once more."""
+        self._req.sent_headers = False
+        self._req.outheaders.clear()
+        self.start_stream(headers)
+
+    def cut(self) -> None:
+        """Break the connection where it is.
+
+        :raises ConnectionResetError: always, to leave the handler.
+        """
+        self._req.sent_headers = True
+        self._req.close_connection = True
+        raise ConnectionResetError(errno.ECONNRESET, "cut by a fault")
+
+    def _start(self, status: int, headers: Mapping[str, str]) -> None:
+        # A body left unread would be taken for the next request's head.
+        _ = self.body
+        phrase = HTTPStatus(status).phrase
+        self._req.status = f"{int(status)} {phrase}".encode("ascii")
+        self._req.outheaders.extend(
+            (name.encode("ascii"), value.encode("latin-1"))
+            for name, value in headers.items()
+        )
+
+
+Handler = Callable[[Any, Exchange], None]
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Route:
+    method: str
+    pattern: re.Pattern[str]
+    handler: Handler
+
+
+class Routes:
+    """A registry of handlers, filled by a decorator."""
+
+    def __init__(self) -> None:
+        self._routes: list[_Route] = []
+
+    def add(self, method: str, path: str) -> Callable[[Handler], Handler]:
+        """Register a handler for a method and path.
+
+        :param method: HTTP method, or ``*`` for any.
+        :param path: with ``{name}`` for one segment, ``{name*}`` for the rest.
+        """
+        pattern = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", path)
+        pattern = re.sub(r"\{(\w+)\*\}", r"(?P<\1>.+)", pattern)
+
+        def register(handler: Handler) -> Handler:
+            route = _Route(method=method, pattern=re.compile(pattern), handler=handler)
+            self._routes.append(route)
+            return handler
+
+        return register
+
+    def find(self, exchange: Exchange) -> Handler | None:
+        """Return the handler and note the path's parameters on the exchange."""
+        for route in self._routes:
+            if route.method not in ("*", exchange.method):
+                continue
+            match = route.pattern.fullmatch(exchange.path)
+            if match:
+                exchange.parameters = match.groupdict()
+                return route.handler
+        return None
+
+
+class Application(Protocol):
+    """What a stand-in offers to its server."""
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+
+
+class _Gateway(Gateway):
+    def respond(self) -> None:
+        exchange = Exchange(req=self.req)
+        try:
+            self.req.server.application.handle(exchange)
+        except RequestError as exc:
+            exchange.send(_error_answer(exc))
+
+
+def _error_answer(exc: RequestError) -> Answer:
+    error = {"message": exc.message, "code": exc.code, "type": "invalid_request_error"}
+    return json_answer({"error": error}, status=exc.status)
+
+
+class StandinServer(HTTPServer):
+    """A cheroot server that hands each request to an application.
+
+    :param listen: host and port; port 0 takes a free one.
+    :param application: what answers.
+    :param threads: most requests that are answered at one time.
+    """
+
+    max_request_body_size = BODY_LIMIT_BYTES
+    request_queue_size = BACKLOG
+    timeout = SOCKET_TIMEOUT_S
+    keep_alive_conn_limit = None
+    shutdown_timeout = 1
+
+    def __init__(
+        self, *, listen: tuple[str, int], application: Application, threads: int
+    ) -> None:
+        super().__init__(listen, _Gateway, minthreads=threads, maxthreads=threads)
+        self.application = application
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as ``host:port``; known once it is prepared."""
+        host, port = self.bind_addr
+        return f"{host}:{port}"
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Write only real errors; broken connections are part of the trials."""
+        if level >= 40:
+            super().error_log(msg, level, traceback)
--- /dev/null
+++ b/tests/standins/conftest.py
@@ -0,0 +1,84 @@
+"""Stand-ins as real processes, and the few calls that tests make to them."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+
+import pytest
+import urllib3
+
+WAIT_S = 20.0
+
+
+def until(condition, wait_s=WAIT_S):
+    """Wait for a condition and return its first true value."""
+    end = time.monotonic() + wait_s
+    while not (found := condition()):
+        assert time.monotonic() < end, "the condition never held"
+        time.sleep(0.005)
+    return found
+
+
+@dataclass(frozen=True, kw_only=True)
+class Standin:
+    address: str
+    process: subprocess.Popen
+    http: urllib3.PoolManager
+
+    def call(self, method, path, document=None, **headers):
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        body = None if document is None else json.dumps(document)
+        url = f"http://{self.address}{path}"
+        return self.http.request(method, url, body=body, headers=named)
+
+    def json(self, method, path, document=None, **headers):
+        return self.call(method, path, document, **headers).json()
+
+    def open(self, path, document=None, *, method="POST", **headers):
+        """Start a call and return its answer with the body still to be read."""
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        body = None if document is None else json.dumps(document)
+        url = f"http://{self.address}{path}"
+        return self.http.request(
+            method, url, body=body, headers=named, preload_content=False
+        )
+
+    def fault(self, name, **order):
+        answer = self.call("POST", "/control/faults", {"fault": name, **order})
+        assert answer.status == 204
+
+    def executions(self):
+        return self.json("GET", "/control/record")["executions"]
+
+    def states(self):
+        return [each["state"] for each in self.executions()]
+
+
+@pytest.fixture
+def start():
+    """Start stand-ins; they have to end with status 0 unless they died before."""
+    started = []
+
+    def start_one(kind, *options):
+        command = [sys.executable, "-m", "baobabwing.cli.standin", kind, *options]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE)
+        started.append(process)
+        address = json.loads(process.stdout.readline())["listening"]
+        http = urllib3.PoolManager(retries=False, timeout=WAIT_S, maxsize=32)
+        return Standin(address=address, process=process, http=http)
+
+    yield start_one
+    for process in started:
+        died = process.poll() is not None
+        process.send_signal(signal.SIGTERM)
+        status = process.wait(WAIT_S)
+        process.stdout.close()
+        assert died or status == 0
+
+
+@pytest.fixture(name="until")
+def until_fixture():
+    return until
