Order the requests of a cell and give permits

Cause: engines know no priorities and admit as they arrive, so that the queue has to be in front of them and in-flight has to be counted here.

--- /dev/null
+++ b/baobabwing/pools/partition.py
@@ -0,0 +1,58 @@
+"""Division of a pool into cells, each ordered by one home."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Sequence
+
+from baobabwing.pools.catalogue import Pool, Upstream
+
+__all__ = ["cell_for", "cell_names", "cell_resource", "upstreams_of_cell"]
+
+
+def cell_names(pool: Pool, upstreams: Sequence[Upstream]) -> tuple[str, ...]:
+    """Return the names of a pool's cells.
+
+    :param upstreams: the upstreams of the pool, in any order.
+    :returns: ``pool/0``, ``pool/1`` and so on; at least one name.
+    """
+    count = max(1, math.ceil(len(upstreams) / pool.cell_size))
+    return tuple(f"{pool.name}/{number}" for number in range(count))
+
+
+def upstreams_of_cell(
+    cell: str, pool: Pool, upstreams: Sequence[Upstream]
+) -> tuple[Upstream, ...]:
+    """Return the upstreams that belong to a cell.
+
+    An upstream goes to the cell for which its hash is highest, so that adding
+    one moves no other while the number of cells stays the same.
+
+    :complexity: O(upstreams x cells).
+    """
+    names = cell_names(pool, upstreams)
+    if len(names) == 1:
+        return tuple(upstreams)
+    return tuple(one for one in upstreams if _highest(one.name, names) == cell)
+
+
+def cell_for(cells: Sequence[str], affinity: str) -> str:
+    """Return the cell that requests with this affinity go to first.
+
+    :param affinity: what requests that share a prompt prefix have in common.
+    """
+    return cells[0] if len(cells) == 1 else _highest(affinity, cells)
+
+
+def cell_resource(cell: str) -> str:
+    """Return the name under which a cell's home is looked up."""
+    return f"cell:{cell}"
+
+
+def _highest(item: str, names: Sequence[str]) -> str:
+    return max(names, key=lambda name: _hash(f"{name}\0{item}"))
+
+
+def _hash(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/baobabwing/pools/policies/__init__.py
+++ b/baobabwing/pools/policies/__init__.py
@@ -1,1 +1,20 @@
 """Policies that choose an upstream, in a registry that a decorator fills."""
+
+from baobabwing.pools.policies import baselines, tiered
+from baobabwing.pools.policies.registry import (
+    Hindrance,
+    Policy,
+    make_policy,
+    policy,
+    policy_names,
+)
+
+__all__ = [
+    "Hindrance",
+    "Policy",
+    "baselines",
+    "make_policy",
+    "policy",
+    "policy_names",
+    "tiered",
+]
--- /dev/null
+++ b/baobabwing/pools/policies/registry.py
@@ -0,0 +1,95 @@
+"""The registry of scheduling policies and what a policy decides."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from random import Random
+from typing import Protocol
+
+from baobabwing.exceptions import ConfigurationError
+from baobabwing.pools.fairness import Queued
+from baobabwing.pools.permits import Ask, RefusalCode
+from baobabwing.pools.queues import WaitingQueue
+from baobabwing.pools.state import CellState, Choice
+
+__all__ = ["Hindrance", "Policy", "make_policy", "policy", "policy_names"]
+
+
+class Hindrance(Enum):
+    """Why an ask cannot be placed now.
+
+    ``LOAD``: nothing is free. ``PREFILL``: only its long prompt is in the way.
+    ``UNUSABLE``: what is free is excluded or too slow for it, so that others
+    may go first without taking anything from it.
+    """
+
+    LOAD = 1
+    PREFILL = 2
+    UNUSABLE = 3
+
+
+class Policy(Protocol):
+    """What may differ between ways to schedule a cell.
+
+    :cvar relieves: whether stragglers are taken out of the choice.
+    """
+
+    relieves: bool
+
+    def order(self) -> WaitingQueue:
+        """Return an empty queue that hands out asks in the policy's order."""
+
+    def admit(self, item: Queued, now: float) -> RefusalCode | None:
+        """Return why an ask must be refused at once, if it must."""
+
+    def choose(self, ask: Ask, now: float) -> Choice | Hindrance:
+        """Return the upstream for an ask, or why it has to wait."""
+
+    def refused(self, item: Queued, code: RefusalCode, now: float) -> None:
+        """Take note that a queued or new ask was refused."""
+
+    def wait_s(self, item: Queued, now: float) -> float:
+        """Return how long an ask would probably wait for a permit."""
+
+    def lowest_admitted(self, now: float) -> int | None:
+        """Return the lowest tier rank that it admits; ``None`` for all."""
+
+
+PolicyMaker = Callable[..., Policy]
+
+_MAKERS: dict[str, PolicyMaker] = {}
+
+
+def policy(name: str) -> Callable[[PolicyMaker], PolicyMaker]:
+    """Register a policy class under a name of the configuration.
+
+    :raises ValueError: if the name is taken.
+    """
+
+    def register(maker: PolicyMaker) -> PolicyMaker:
+        if name in _MAKERS:
+            raise ValueError(f"policy {name!r} is registered twice")
+        _MAKERS[name] = maker
+        return maker
+
+    return register
+
+
+def policy_names() -> tuple[str, ...]:
+    """Return the names of all policies, sorted."""
+    return tuple(sorted(_MAKERS))
+
+
+def make_policy(name: str, *, state: CellState, rng: Random) -> Policy:
+    """Return a new policy for a cell.
+
+    :raises ConfigurationError: if no policy has the name.
+    """
+    maker = _MAKERS.get(name)
+    if maker is None:
+        known = ", ".join(policy_names())
+        raise ConfigurationError(
+            f"no policy is named {name!r}; known are {known}", step="configure"
+        )
+    return maker(state=state, rng=rng)
--- /dev/null
+++ b/baobabwing/pools/prefix_index.py
@@ -0,0 +1,121 @@
+"""Which upstream probably holds which block of prompts in its cache."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+__all__ = ["PrefixIndex"]
+
+_DEFAULT_LIMIT = 65536
+_GAPS_FOLLOWED = 2
+_MOST_BITS = 256
+
+
+class PrefixIndex:
+    """A bounded guess at the prompt caches of a cell's upstreams.
+
+    The guess is fed by what was sent where, and corrected by cache events and
+    by the cached tokens that answers report. Events come late and with gaps,
+    so nothing here is relied on for more than a cheaper choice.
+
+    Each upstream owns one bit while it runs; a restart gives it a new bit,
+    which makes all its blocks vanish at once without a walk over the index.
+
+    :param limit: most digests kept; those unused longest go first.
+    """
+
+    def __init__(self, *, limit: int = _DEFAULT_LIMIT) -> None:
+        self._limit = limit
+        self._holders: OrderedDict[int, int] = OrderedDict()
+        self._bits: dict[str, int] = {}
+        self._names: dict[int, str] = {}
+        self._live = 0
+        self._next_bit = 0
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def add(self, upstream: str, digests: Iterable[int]) -> None:
+        """Note that the upstream holds, or soon will hold, these blocks."""
+        bit = self._bit(upstream)
+        holders = self._holders
+        for digest in digests:
+            holders[digest] = holders.get(digest, 0) | bit
+            holders.move_to_end(digest)
+        while len(holders) > self._limit:
+            holders.popitem(last=False)
+
+    def discard(self, upstream: str, digests: Iterable[int]) -> None:
+        """Note that the upstream evicted these blocks."""
+        bit = self._bits.get(upstream, 0)
+        for digest in digests:
+            holding = self._holders.get(digest, 0)
+            if not holding & bit:
+                continue
+            self._holders[digest] = holding & ~bit
+            if not holding & ~bit & self._live:
+                del self._holders[digest]
+
+    def clear(self, upstream: str) -> None:
+        """Forget all blocks of an upstream that restarted, left or emptied."""
+        bit = self._bits.pop(upstream, 0)
+        self._names.pop(bit, None)
+        self._live &= ~bit
+
+    def cached_blocks(self, prefix: Sequence[int]) -> dict[str, int]:
+        """Return how many leading blocks each upstream probably holds.
+
+        A digest is chained over all blocks before it, so a block further on
+        vouches for those before; a few missing ones are taken for lost events.
+
+        Notes: linear in the blocks up to the first unknown ones.
+        """
+        levels = []
+        missed = 0
+        for depth, digest in enumerate(prefix, start=1):
+            mask = self._holders.get(digest, 0) & self._live
+            if mask:
+                levels.append((depth, mask))
+                continue
+            missed += 1
+            if missed > _GAPS_FOLLOWED:
+                break
+        return self._deepest(levels)
+
+    def _deepest(self, levels: list[tuple[int, int]]) -> dict[str, int]:
+        found: dict[str, int] = {}
+        seen = 0
+        for depth, mask in reversed(levels):
+            fresh = mask & ~seen
+            seen |= mask
+            while fresh:
+                bit = fresh & -fresh
+                found[self._names[bit]] = depth
+                fresh ^= bit
+            if seen == self._live:
+                break
+        return found
+
+    def _bit(self, upstream: str) -> int:
+        bit = self._bits.get(upstream)
+        if bit is not None:
+            return bit
+        if self._next_bit >= _MOST_BITS:
+            self._start_over()
+        bit = 1 << self._next_bit
+        self._next_bit += 1
+        self._bits[upstream] = bit
+        self._names[bit] = upstream
+        self._live |= bit
+        return bit
+
+    def _start_over(self) -> None:
+        # Bits of upstreams that restarted stay set in old entries. Without a
+        # reset the masks would grow with each restart for as long as the home
+        # lives; the index is a guess and is soon filled again.
+        self._holders.clear()
+        self._bits.clear()
+        self._names.clear()
+        self._live = 0
+        self._next_bit = 0
--- /dev/null
+++ b/baobabwing/pools/speeds.py
@@ -0,0 +1,171 @@
+"""Speeds of upstreams, learned from the ends of our own requests.
+
+Averages are exponentially weighted and robust: a sample counts for no more
+than twice, and no less than half, of what was expected, so that one stalled
+stream cannot spoil an estimate while a lasting change still gets through in a
+few samples.
+"""
+
+from __future__ import annotations
+
+from baobabwing.pools.catalogue import Upstream
+
+__all__ = ["LearnedSpeed", "SpeedBook"]
+
+_UPSTREAM_WEIGHT = 0.15
+_GENERATION_WEIGHT = 0.02
+_CLIP_FACTOR = 2.0
+_LEAST_PREFILL_TOKENS = 256
+_LEAST_STEP_TOKENS = 4
+_LEAST_STEP_SHARE = 0.25
+_FIRST_SERVICE_S = 0.02
+_SHORTEST_S = 1e-6
+
+
+class LearnedSpeed:
+    """Prefill rate, step time against batch, and service time of one upstream.
+
+    :param prefill_tokens_per_s: estimate before anything is learned.
+    :param step_s: estimate of one decoding step, in seconds.
+    :param weight: weight of one sample once there are many.
+    """
+
+    __slots__ = (
+        "_batch_cov",
+        "_batch_mean",
+        "_batch_var",
+        "_step_mean",
+        "_weight",
+        "head_s",
+        "prefill_tokens_per_s",
+        "samples",
+        "service_s",
+        "slope_s",
+    )
+
+    def __init__(
+        self, *, prefill_tokens_per_s: float, step_s: float, weight: float
+    ) -> None:
+        self._weight = weight
+        self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.head_s = 0.0
+        self.service_s = _FIRST_SERVICE_S
+        self.slope_s = 0.0
+        self.samples = 0
+        self._step_mean = step_s
+        self._batch_mean = 1.0
+        self._batch_var = 0.0
+        self._batch_cov = 0.0
+
+    def copy(self, *, weight: float) -> LearnedSpeed:
+        """Return an independent copy that learns with another weight."""
+        other = LearnedSpeed(
+            prefill_tokens_per_s=self.prefill_tokens_per_s,
+            step_s=self._step_mean,
+            weight=weight,
+        )
+        other.head_s = self.head_s
+        other.service_s = self.service_s
+        other.slope_s = self.slope_s
+        other._batch_mean = self._batch_mean
+        return other
+
+    def step_s(self, batch: float) -> float:
+        """Return the expected time of one step with ``batch`` requests running."""
+        expected = self._step_mean + self.slope_s * (batch - self._batch_mean)
+        return max(expected, self._step_mean * _LEAST_STEP_SHARE)
+
+    def request_s(self, uncached: int, output: int, batch: float) -> float:
+        """Return the expected time of a request that starts at once.
+
+        :param uncached: prompt tokens that must be prefilled.
+        :param output: tokens to generate.
+        :param batch: requests running beside and including it.
+        """
+        prefill = uncached / self.prefill_tokens_per_s
+        return self.head_s + prefill + output * self.step_s(batch)
+
+    def observe_prefill(self, uncached: int, seconds: float) -> None:
+        """Learn from a first token that took ``seconds`` without waiting."""
+        seconds = max(seconds, _SHORTEST_S)
+        if uncached < _LEAST_PREFILL_TOKENS:
+            extra = seconds - uncached / self.prefill_tokens_per_s
+            self.head_s += self._share() * (max(extra, 0.0) - self.head_s)
+            return
+        seconds = max(seconds - self.head_s, seconds * 0.1)
+        known = uncached / self.prefill_tokens_per_s
+        known += self._share() * (_clipped(seconds, known) - known)
+        self.prefill_tokens_per_s = uncached / known
+
+    def observe_steps(self, tokens: int, seconds: float, batch: float) -> None:
+        """Learn from ``tokens`` steps with ``batch`` requests running.
+
+        The slope is an exponentially weighted linear regression of the step
+        time on the batch.
+        """
+        if tokens < _LEAST_STEP_TOKENS:
+            return
+        step = _clipped(seconds / tokens, self.step_s(batch))
+        share = self._share()
+        batch_off = batch - self._batch_mean
+        step_off = step - self._step_mean
+        self._batch_mean += share * batch_off
+        self._step_mean += share * step_off
+        rest = 1.0 - share
+        self._batch_var = rest * (self._batch_var + share * batch_off * batch_off)
+        self._batch_cov = rest * (self._batch_cov + share * batch_off * step_off)
+        if self._batch_var > 1.0:
+            steepest = self._step_mean / max(self._batch_mean, 1.0)
+            slope = self._batch_cov / self._batch_var
+            self.slope_s = min(max(slope, 0.0), steepest)
+
+    def observe_service(self, seconds: float) -> None:
+        """Learn from one call of a plain service."""
+        seconds = max(seconds, _SHORTEST_S)
+        seconds = _clipped(seconds, self.service_s)
+        self.service_s += self._share() * (seconds - self.service_s)
+
+    def counted(self) -> None:
+        """Count one request learned from; early ones weigh more."""
+        self.samples += 1
+
+    def _share(self) -> float:
+        return max(self._weight, 1.0 / (self.samples + 2))
+
+
+class SpeedBook:
+    """What is known of each hardware generation, as a start for new upstreams."""
+
+    def __init__(self) -> None:
+        self._generations: dict[str, LearnedSpeed] = {}
+
+    def generation(self, upstream: Upstream) -> LearnedSpeed:
+        """Return the pooled speed of the upstream's generation."""
+        speed = self._generations.get(upstream.generation)
+        if speed is None:
+            speed = LearnedSpeed(
+                prefill_tokens_per_s=upstream.prefill_tokens_per_s,
+                step_s=upstream.step_ms / 1000.0,
+                weight=_GENERATION_WEIGHT,
+            )
+            self._generations[upstream.generation] = speed
+        return speed
+
+    def start(self, upstream: Upstream) -> LearnedSpeed:
+        """Return the first estimate for an upstream that is new here.
+
+        Its generation's learned speed, or the configured one while nothing of
+        the generation was learned.
+        """
+        pooled = self.generation(upstream)
+        if pooled.samples:
+            return pooled.copy(weight=_UPSTREAM_WEIGHT)
+        return LearnedSpeed(
+            prefill_tokens_per_s=upstream.prefill_tokens_per_s,
+            step_s=upstream.step_ms / 1000.0,
+            weight=_UPSTREAM_WEIGHT,
+        )
+
+
+def _clipped(sample: float, expected: float) -> float:
+    return min(max(sample, expected / _CLIP_FACTOR), expected * _CLIP_FACTOR)
--- /dev/null
+++ b/baobabwing/pools/tracking.py
@@ -0,0 +1,164 @@
+"""What the home of a cell keeps about an upstream and about a permit in use."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import StrEnum
+
+from baobabwing.pools.catalogue import PoolKind, Upstream, UpstreamState
+from baobabwing.pools.speeds import LearnedSpeed
+
+__all__ = ["Permit", "Standing", "TrackedUpstream"]
+
+_WINDOW_SAMPLES = 16
+
+
+class Standing(StrEnum):
+    """How far an upstream is trusted with new work."""
+
+    NORMAL = "normal"
+    RELIEVED = "relieved"
+    RAMPING = "ramping"
+
+
+class Permit:
+    """One permit in use."""
+
+    __slots__ = (
+        "attempt",
+        "batch",
+        "entry",
+        "expected_s",
+        "freed_at",
+        "granted_at",
+        "key",
+        "low_prefill_s",
+        "organisation",
+        "prefill_s",
+        "prefix",
+        "probe",
+        "request_id",
+        "tier_rank",
+        "uncached",
+        "upstream",
+        "wait_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        entry: str,
+        upstream: TrackedUpstream,
+        attempt: int,
+        granted_at: float,
+        key: str = "",
+        organisation: str = "",
+        tier_rank: int = 0,
+        prefix: tuple[int, ...] = (),
+    ) -> None:
+        self.request_id = request_id
+        self.entry = entry
+        self.upstream = upstream
+        self.attempt = attempt
+        self.granted_at = granted_at
+        self.key = key
+        self.organisation = organisation
+        self.tier_rank = tier_rank
+        self.prefix = prefix
+        self.expected_s = 0.0
+        self.uncached = 0
+        self.wait_s = 0.0
+        self.prefill_s = 0.0
+        self.low_prefill_s = 0.0
+        self.batch = 1
+        self.probe = False
+        self.freed_at = 0.0
+
+
+class TrackedUpstream:
+    """The running account of one upstream.
+
+    :param upstream: its configuration.
+    :param kind: kind of its pool.
+    :param speed: what is learned of it.
+    :param pooled: what is learned of its generation.
+    """
+
+    __slots__ = (
+        "address",
+        "capacity",
+        "failures",
+        "foreign",
+        "foreign_until",
+        "generation",
+        "kind",
+        "last_done_at",
+        "last_event_at",
+        "limit",
+        "low_prefill_free_at",
+        "name",
+        "open_to_work",
+        "permits",
+        "pooled",
+        "prefill_free_at",
+        "probe_after_s",
+        "probe_at",
+        "ramp_at",
+        "relieved_at",
+        "reported",
+        "reported_at",
+        "slowness",
+        "speed",
+        "standing",
+    )
+
+    def __init__(
+        self,
+        *,
+        upstream: Upstream,
+        kind: PoolKind,
+        speed: LearnedSpeed,
+        pooled: LearnedSpeed,
+    ) -> None:
+        self.name = upstream.name
+        self.speed = speed
+        self.pooled = pooled
+        self.permits: dict[str, Permit] = {}
+        self.standing = Standing.NORMAL
+        self.limit = upstream.capacity
+        self.prefill_free_at = 0.0
+        self.low_prefill_free_at = 0.0
+        self.last_done_at = 0.0
+        self.last_event_at = 0.0
+        self.failures = 0
+        self.foreign = 0
+        self.foreign_until = 0.0
+        self.reported = 0
+        self.reported_at = 0.0
+        self.relieved_at = 0.0
+        self.probe_at = 0.0
+        self.probe_after_s = 0.0
+        self.ramp_at = 0.0
+        self.slowness: deque[tuple[float, float]] = deque(maxlen=_WINDOW_SAMPLES)
+        self.reconfigure(upstream, kind)
+
+    def reconfigure(self, upstream: Upstream, kind: PoolKind) -> None:
+        """Take a changed configuration and keep all that was learned."""
+        if self.standing is Standing.NORMAL:
+            self.limit = upstream.capacity
+        self.address = upstream.address
+        self.capacity = upstream.capacity
+        self.generation = upstream.generation
+        self.kind = kind
+        self.open_to_work = upstream.state is UpstreamState.ACTIVE
+
+    def free(self) -> int:
+        """Return how many more requests it may be given."""
+        return self.limit - len(self.permits) - self.foreign
+
+    def request_s(self, uncached: int, output: int, batch: int) -> float:
+        """Return the expected time of a request that starts at once."""
+        if self.kind is PoolKind.SERVICE:
+            return self.speed.service_s
+        return self.speed.request_s(uncached, output, batch)
--- /dev/null
+++ b/tests/pools/test_cell.py
@@ -0,0 +1,282 @@
+"""Permits of one cell: who gets them, in which order, and who is told no."""
+
+import pytest
+
+from baobabwing.exceptions import ConfigurationError
+from baobabwing.pools.catalogue import Pool, PoolKind, Upstream, UpstreamState
+from baobabwing.pools.cell import ALL_ADMITTED, NONE_ADMITTED, Cell
+from baobabwing.pools.permits import (
+    Ask,
+    Done,
+    Grant,
+    Inflight,
+    Outcome,
+    Placement,
+    Refusal,
+    RefusalCode,
+)
+
+ENTRY = "n1#1"
+
+
+def make_cell(upstreams=1, capacity=1, queue_limit=8, policy="baobabwing"):
+    cell = Cell(name="cell", now=0.0)
+    pool = Pool(name="p", kind=PoolKind.ENGINE, queue_limit=queue_limit, policy=policy)
+    cell.configure(pool, make_upstreams(upstreams, capacity), 0.0)
+    return cell
+
+
+def make_upstreams(count, capacity=1, **changes):
+    return [
+        Upstream(
+            name=f"u{i}",
+            pool="p",
+            address=f"127.0.0.1:{9000 + i}",
+            capacity=capacity,
+            **changes,
+        )
+        for i in range(count)
+    ]
+
+
+def ask(request_id, rank=0, deadline=60.0, entry=ENTRY, **changes):
+    changes.setdefault("organisation", "salon")
+    changes.setdefault("prompt_tokens", 10)
+    changes.setdefault("output_tokens", 10)
+    return Ask(
+        request_id=request_id,
+        entry=entry,
+        pool="p",
+        tier_rank=rank,
+        deadline=deadline,
+        **changes,
+    )
+
+
+def done(grant, outcome=Outcome.ANSWERED, duration_s=0.1, **changes):
+    changes.setdefault("first_token_s", 0.01)
+    changes.setdefault("tokens", 10)
+    changes.setdefault("prompt_tokens", 10)
+    return Done(
+        request_id=grant.request_id,
+        upstream=grant.upstream,
+        outcome=outcome,
+        duration_s=duration_s,
+        **changes,
+    )
+
+
+def granted(decisions):
+    return [d.request_id for d in decisions if isinstance(d, Grant)]
+
+
+def refused(decisions):
+    return {d.request_id: d.code for d in decisions if isinstance(d, Refusal)}
+
+
+def test_idle_cell_grants_at_once():
+    cell = make_cell()
+    assert cell.submit(ask("a"), 0.0) == [
+        Grant(request_id="a", entry=ENTRY, upstream="u0", attempt=1)
+    ]
+
+
+def test_cell_without_configuration_refuses():
+    cell = Cell(name="cell", now=0.0)
+    assert refused(cell.submit(ask("a"), 0.0)) == {"a": RefusalCode.NO_UPSTREAM}
+    assert cell.floor() == NONE_ADMITTED
+
+
+def test_unknown_policy_is_named():
+    cell = Cell(name="cell", now=0.0)
+    pool = Pool(name="p", kind=PoolKind.ENGINE, policy="fastest")
+    with pytest.raises(ConfigurationError, match="fastest"):
+        cell.configure(pool, [], 0.0)
+
+
+def test_repeated_ask_gets_the_same_permit():
+    cell = make_cell()
+    first = cell.submit(ask("a"), 0.0)
+    assert cell.submit(ask("a"), 0.1) == first
+    assert cell.snapshot().in_flight == 1
+
+
+def test_repeated_ask_is_queued_once():
+    cell = make_cell()
+    cell.submit(ask("a"), 0.0)
+    assert cell.submit(ask("b"), 0.0) == []
+    assert cell.submit(ask("b"), 0.1) == []
+    assert cell.snapshot().queued[0].count == 1
+
+
+def test_repeated_ask_gets_the_same_refusal():
+    cell = make_cell()
+    first = cell.submit(ask("a", deadline=0.001), 0.0)
+    assert cell.submit(ask("a", deadline=0.001), 0.1) == first
+
+
+def test_request_of_another_entry_is_not_given_away():
+    cell = make_cell()
+    cell.submit(ask("a"), 0.0)
+    decisions = cell.submit(ask("a", entry="n2#1"), 0.1)
+    assert refused(decisions) == {"a": RefusalCode.DUPLICATE}
+
+
+def test_ended_request_is_never_permitted_again():
+    """A late copy of an ask arrives after its request was answered.
+
+    The entry asked twice over a broken connection; the second copy arrives
+    when the answer is complete. A permit for it would be a second dispatch.
+    """
+    cell = make_cell()
+    [grant] = cell.submit(ask("a"), 0.0)
+    cell.done(done(grant), 0.1)
+    assert refused(cell.submit(ask("a"), 0.2)) == {"a": RefusalCode.CLOSED}
+
+
+def test_refused_request_tries_another_upstream():
+    cell = make_cell(upstreams=2)
+    [first] = cell.submit(ask("a"), 0.0)
+    cell.done(done(first, Outcome.NOT_ADMITTED), 0.1)
+    [second] = cell.submit(ask("a", exclude=(first.upstream,)), 0.1)
+    assert (second.attempt, second.upstream != first.upstream) == (2, True)
+
+
+def test_refusal_of_upstream_overtaken_by_next_ask():
+    """An upstream refuses, and the entry's next ask overtakes its report.
+
+    The slot must not stay taken and the late report must not free the slot
+    of the second attempt.
+    """
+    cell = make_cell(upstreams=2)
+    [first] = cell.submit(ask("a"), 0.0)
+    [second] = cell.submit(ask("a", exclude=(first.upstream,)), 0.1)
+    cell.done(done(first, Outcome.NOT_ADMITTED), 0.2)
+    assert second.attempt == 2
+    assert cell.snapshot().in_flight == 1
+
+
+def test_all_upstreams_excluded_is_said_at_once():
+    cell = make_cell()
+    decisions = cell.submit(ask("a", exclude=("u0",)), 0.0)
+    assert refused(decisions) == {"a": RefusalCode.NO_UPSTREAM}
+
+
+def test_withdrawn_ask_gets_nothing():
+    cell = make_cell()
+    [grant] = cell.submit(ask("a"), 0.0)
+    cell.submit(ask("b"), 0.0)
+    cell.withdraw("b", ENTRY, 0.1)
+    assert cell.done(done(grant), 0.2) == []
+
+
+def test_withdrawn_permit_serves_the_next():
+    cell = make_cell()
+    cell.submit(ask("a"), 0.0)
+    cell.submit(ask("b"), 0.0)
+    assert granted(cell.withdraw("a", ENTRY, 0.1)) == ["b"]
+
+
+def test_leaving_upstream_gets_nothing_new():
+    cell = make_cell(upstreams=2, capacity=4)
+    upstreams = make_upstreams(2, 4)
+    leaving = make_upstreams(1, 4, state=UpstreamState.LEAVING)
+    cell.configure(Pool(name="p", kind=PoolKind.ENGINE), [*leaving, upstreams[1]], 0.1)
+    grants = [cell.submit(ask(f"r{i}"), 0.2)[0] for i in range(4)]
+    assert {grant.upstream for grant in grants} == {"u1"}
+
+
+def test_removed_upstream_keeps_its_account_until_idle():
+    """An upstream is removed and comes back while a request still runs on it.
+
+    Counted from nothing it would be given more than its capacity.
+    """
+    cell = make_cell()
+    [grant] = cell.submit(ask("a"), 0.0)
+    pool = Pool(name="p", kind=PoolKind.ENGINE)
+    cell.configure(pool, [], 0.1)
+    cell.configure(pool, make_upstreams(1), 0.2)
+    assert cell.submit(ask("b"), 0.3) == []
+    assert granted(cell.done(done(grant), 0.4)) == ["b"]
+
+
+def test_queue_is_answered_when_the_last_upstream_goes():
+    cell = make_cell()
+    cell.submit(ask("a"), 0.0)
+    cell.submit(ask("b"), 0.0)
+    decisions = cell.configure(Pool(name="p", kind=PoolKind.ENGINE), [], 0.1)
+    assert refused(decisions) == {"b": RefusalCode.NO_UPSTREAM}
+
+
+def test_where_tells_the_upstream_of_a_key():
+    cell = make_cell()
+    [grant] = cell.submit(ask("a", key="k"), 0.0)
+    cell.done(done(grant), 0.1)
+    assert cell.where("k") == Placement(upstream="u0", request_id="a")
+    assert cell.where("other") is None
+
+
+def test_new_home_counts_what_an_earlier_one_permitted():
+    """The home of a cell dies with a request in flight on the only slot.
+
+    The next home hears of it from the entry. Without that it would give the
+    slot a second time.
+    """
+    cell = make_cell()
+    cell.hold(5.0)
+    item = Inflight(request_id="a", entry=ENTRY, upstream="u0", key="k")
+    cell.adopt([item], 0.0)
+    cell.release()
+    assert cell.submit(ask("b"), 0.1) == []
+    assert cell.where("k") == Placement(upstream="u0", request_id="a")
+    grant = Grant(request_id="a", entry=ENTRY, upstream="u0", attempt=1)
+    assert granted(cell.done(done(grant), 0.2)) == ["b"]
+
+
+def test_adopted_permit_for_an_upstream_not_configured_yet():
+    cell = Cell(name="cell", now=0.0)
+    cell.adopt([Inflight(request_id="a", entry=ENTRY, upstream="u0")], 0.0)
+    cell.configure(Pool(name="p", kind=PoolKind.ENGINE), make_upstreams(1), 0.1)
+    assert cell.submit(ask("b"), 0.2) == []
+
+
+def test_held_home_admits_a_part_until_released():
+    cell = make_cell(capacity=8)
+    cell.hold(5.0)
+    grants = [d for i in range(8) for d in cell.submit(ask(f"r{i}"), 0.0)]
+    assert len(grants) == 2
+    assert len(granted(cell.release())) == 6
+
+
+def test_hold_ends_by_itself():
+    cell = make_cell(capacity=8)
+    cell.hold(5.0)
+    for i in range(8):
+        cell.submit(ask(f"r{i}"), 0.0)
+    assert len(granted(cell.tick(5.0))) == 6
+
+
+def test_dead_entry_frees_its_permits_after_a_bound():
+    """An entry dies with a request running and another one queued.
+
+    The engine may go on with the first for a while, so its slot is freed only
+    then; the queued one is never permitted.
+    """
+    cell = make_cell()
+    cell.submit(ask("a", entry="dead#1"), 0.0)
+    cell.submit(ask("b", entry="dead#1"), 0.0)
+    cell.submit(ask("c"), 0.0)
+    assert cell.forget_entry("dead#1", 0.1) == []
+    assert cell.tick(0.5) == []
+    assert granted(cell.tick(31.0)) == ["c"]
+
+
+def test_floor_of_an_idle_cell_admits_all():
+    assert make_cell().floor() == ALL_ADMITTED
+
+
+def test_full_queue_lowers_the_floor():
+    cell = make_cell(queue_limit=1)
+    cell.submit(ask("a", rank=2), 0.0)
+    cell.submit(ask("b", rank=2), 0.0)
+    assert cell.floor() == 1
