--- /dev/null
+++ b/baobabwing/bench/deployments.py
@@ -0,0 +1,195 @@
+"""A whole deployment as real processes: platform, upstreams and nodes."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from typing import Any
+
+from baobabwing.bench.control import answers_ok, get_json
+from baobabwing.bench.executions import Executed, merge_records, read_record_file
+from baobabwing.bench.processes import LOOPBACK, ProcessGroup, free_port, wait_until
+from baobabwing.bench.shapes import EngineSpec, ServiceSpec, Shape, build_configuration
+from baobabwing.bench.standin_arguments import (
+    engine_arguments,
+    platform_arguments,
+    service_arguments,
+)
+from baobabwing.platform.tables import TableClient
+from baobabwing.settings.publish import publish
+
+__all__ = ["Deployment"]
+
+PLATFORM = "platform"
+PLATFORM_TIMEOUT_S = 5.0
+READY_TIMEOUT_S = 60.0
+STOP_DEADLINE_MS = 20_000
+STOP_TIMEOUT_S = 40.0
+# Short, so that callers of a run of seconds hear of changes as they would in one
+# of hours.
+ADDRESS_KEEP_MS = 1_000
+SECRET_BYTES = 16
+
+
+class Deployment:
+    """Processes of one shape, started in the order in which they need each other.
+
+    :param group: which starts the processes, and ends them with its block.
+    :param nodes: number of node processes; the shape's own number if 0.
+    """
+
+    def __init__(
+        self, *, shape: Shape, group: ProcessGroup, policy: str, nodes: int = 0
+    ) -> None:
+        self.shape = shape
+        self.policy = policy
+        self.platform = f"{LOOPBACK}:{free_port()}"
+        self.upstreams: dict[str, str] = {
+            spec.name: f"{LOOPBACK}:{free_port()}"
+            for spec in (*shape.engines, *shape.services)
+        }
+        count = nodes or shape.nodes
+        self.nodes: dict[str, str] = {
+            f"node-{number}": f"{LOOPBACK}:{free_port()}"
+            for number in range(1, count + 1)
+        }
+        self._group = group
+        self._secret = secrets.token_hex(SECRET_BYTES)
+        self._last_records: dict[str, list[dict[str, Any]]] = {}
+
+    @property
+    def node_names(self) -> tuple[str, ...]:
+        """Names of all nodes, ended ones included."""
+        return tuple(self.nodes)
+
+    def start(self) -> None:
+        """Start everything and wait until every node is ready.
+
+        :raises ProcessError: if a process ends or is not ready in time.
+        """
+        self._start_standins()
+        self._publish()
+        for number, name in enumerate(self.nodes):
+            self._start_node(name, zone=self._zone(number))
+        for name, address in self.nodes.items():
+            self._wait_ready(name, address, "/readyz")
+
+    def stop(self) -> dict[str, int]:
+        """Stop all living nodes gracefully, all at once.
+
+        :returns: exit status by name.
+        :raises ProcessError: if a node does not stop in time.
+        """
+        return self._group.stop_all(self.living_nodes(), timeout_s=STOP_TIMEOUT_S)
+
+    def living_nodes(self) -> list[str]:
+        """Return the names of the nodes that run."""
+        return [name for name in self.nodes if self._group.get(name).alive()]
+
+    def kill_node(self, name: str) -> None:
+        """End a node at once."""
+        self._group.kill(name)
+
+    def kill_upstream(self, name: str) -> None:
+        """End an upstream at once, keeping what its record says till then."""
+        self._last_records[name] = self._record_over_http(name)
+        self._group.kill(name)
+
+    def node_cpu_seconds(self) -> float:
+        """Return the processor time that the living nodes have used so far."""
+        return sum(self._group.cpu_seconds(name) for name in self.living_nodes())
+
+    def wait_idle(self, *, timeout_s: float) -> bool:
+        """Wait until no upstream runs anything; tell whether that came about."""
+        return wait_until(self._idle, timeout_s=timeout_s, poll_s=0.2)
+
+    def executions(self, *, epoch_s: float) -> list[Executed]:
+        """Return what all upstreams executed, those that died included.
+
+        :param epoch_s: wall clock at the start of the run.
+        """
+        found: list[Executed] = []
+        for name in self.upstreams:
+            documents = self._last_records.get(name, [])
+            if self._group.get(name).alive():
+                documents = self._record_over_http(name)
+            else:
+                documents = [*documents, *read_record_file(self._record_path(name))]
+            found += merge_records(name, documents, epoch_s=epoch_s)
+        return found
+
+    def _start_standins(self) -> None:
+        self._group.start(PLATFORM, platform_arguments(self.platform))
+        for spec in self.shape.engines:
+            self._start_engine(spec)
+        for spec in self.shape.services:
+            self._start_service(spec)
+        for name, address in {PLATFORM: self.platform, **self.upstreams}.items():
+            self._wait_ready(name, address, "/control/parameters")
+
+    def _start_engine(self, spec: EngineSpec) -> None:
+        models = next(
+            pool.models for pool in self.shape.pools if pool.name == spec.pool
+        )
+        arguments = engine_arguments(
+            spec,
+            listen=self.upstreams[spec.name],
+            models=models,
+            platform=f"http://{self.platform}",
+            record=self._record_path(spec.name),
+        )
+        self._group.start(spec.name, arguments)
+
+    def _start_service(self, spec: ServiceSpec) -> None:
+        arguments = service_arguments(
+            spec,
+            listen=self.upstreams[spec.name],
+            record=self._record_path(spec.name),
+        )
+        self._group.start(spec.name, arguments)
+
+    def _publish(self) -> None:
+        cfg = build_configuration(self.shape, self.upstreams, policy=self.policy)
+        tables = TableClient(
+            url=f"http://{self.platform}", timeout_s=PLATFORM_TIMEOUT_S
+        )
+        publish(tables, base=0, cfg=cfg)
+
+    def _start_node(self, name: str, *, zone: str) -> None:
+        settings = {
+            "name": name,
+            "region": self.shape.region,
+            "zone": zone,
+            "http": self.nodes[name],
+            "peer": f"{LOOPBACK}:{free_port()}",
+            "platform_url": f"http://{self.platform}",
+            "peer_secrets": [self._secret],
+            "log_level": "info",
+            "address_keep_ms": ADDRESS_KEEP_MS,
+            "stop_deadline_ms": STOP_DEADLINE_MS,
+        }
+        path = self._group.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
+        self._group.start(name, ["node", "--settings", str(path)])
+
+    def _zone(self, number: int) -> str:
+        return self.shape.zones[number % len(self.shape.zones)]
+
+    def _wait_ready(self, name: str, address: str, path: str) -> None:
+        self._group.wait_ready(
+            name, lambda: answers_ok(address, path), timeout_s=READY_TIMEOUT_S
+        )
+
+    def _idle(self) -> bool:
+        return not any(
+            item["state"] in ("waiting", "running")
+            for name in self.upstreams
+            if self._group.get(name).alive()
+            for item in self._record_over_http(name)
+        )
+
+    def _record_over_http(self, name: str) -> list[dict[str, Any]]:
+        return get_json(self.upstreams[name], "/control/record")["executions"]
+
+    def _record_path(self, name: str) -> Any:
+        return self._group.folder / f"{name}.record.jsonl"
--- /dev/null
+++ b/baobabwing/bench/executions.py
@@ -0,0 +1,107 @@
+"""What the upstreams' own records say was executed."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from baobabwing.bench.answers import Answer
+
+__all__ = ["Executed", "by_request", "merge_records", "read_record_file"]
+
+FINISHED = "finished"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Executed:
+    """One execution of one upstream; times in seconds from the run's start.
+
+    :param state: ``waiting``, ``running``, ``finished`` or ``cancelled``.
+    """
+
+    upstream: str
+    attempt: str
+    key: str
+    prompt_tokens: int
+    cached_tokens: int
+    prefilled_tokens: int
+    output_tokens: int
+    state: str
+    started_s: float
+    finished_s: float
+
+    @property
+    def finished(self) -> bool:
+        """Whether the upstream ran it to its end."""
+        return self.state == FINISHED
+
+
+def merge_records(
+    upstream: str, documents: Iterable[Mapping[str, Any]], *, epoch_s: float
+) -> list[Executed]:
+    """Return executions with the last known state of each.
+
+    :param documents: executions in order of writing, several of one attempt too.
+    :param epoch_s: wall clock at the start of the run.
+    """
+    last: dict[str, Mapping[str, Any]] = {}
+    for document in documents:
+        known = last.get(document["attempt"])
+        # A record read over HTTP knows more of a running request than the file.
+        if known is None or document["finished_at"] or not known["prefilled_tokens"]:
+            last[document["attempt"]] = document
+    return [_executed(upstream, item, epoch_s) for item in last.values()]
+
+
+def read_record_file(path: Path) -> list[dict[str, Any]]:
+    """Read the file that a stand-in writes, which outlives its process."""
+    if not path.exists():
+        return []
+    lines = path.read_text(encoding="utf-8").splitlines()
+    return [json.loads(line) for line in lines if line.endswith("}")]
+
+
+def by_request(
+    answers: Iterable[Answer], executions: Iterable[Executed]
+) -> dict[int, list[Executed]]:
+    """Return the executions of each request by the index of its arrival.
+
+    They are matched by idempotency key or, where an upstream recorded none, by the
+    request id that attempts begin with. Executions that match no request are under
+    the index -1.
+    """
+    by_key: dict[str, int] = {}
+    by_id: dict[str, int] = {}
+    for answer in answers:
+        by_key[answer.key] = answer.index
+        if answer.request_id:
+            by_id[answer.request_id] = answer.index
+    found: dict[int, list[Executed]] = defaultdict(list)
+    for one in sorted(executions, key=lambda item: item.started_s):
+        request_id = re.sub(r"\.\d+$", "", one.attempt)
+        index = by_key.get(one.key) if one.key else None
+        if index is None:
+            index = by_id.get(request_id, by_id.get(one.attempt, -1))
+        found[index].append(one)
+    return found
+
+
+def _executed(upstream: str, item: Mapping[str, Any], epoch_s: float) -> Executed:
+    finished_at = item["finished_at"]
+    return Executed(
+        upstream=upstream,
+        attempt=item["attempt"],
+        key=item["key"],
+        prompt_tokens=item["prompt_tokens"],
+        cached_tokens=item["cached_tokens"],
+        prefilled_tokens=item["prefilled_tokens"],
+        output_tokens=item["output_tokens"],
+        state=item["state"],
+        started_s=item["started_at"] - epoch_s,
+        finished_s=finished_at - epoch_s if finished_at else 0.0,
+    )
--- /dev/null
+++ b/baobabwing/bench/faults.py
@@ -0,0 +1,94 @@
+"""Faults that a run of the bench can bring about."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from baobabwing.bench.control import clear_faults, set_fault
+from baobabwing.bench.deployments import Deployment
+
+__all__ = ["BenchFault", "bench_fault", "fault_names", "get_fault"]
+
+STRAGGLER_FACTOR = 5.0
+STALE_LOAD_MS = 10_000
+
+Action = Callable[[Deployment], None]
+
+
+@dataclass(frozen=True, kw_only=True)
+class BenchFault:
+    """A fault that begins at a third of the run.
+
+    :param begin: brings it about.
+    :param end: takes it back at two thirds, where that can be done.
+    """
+
+    name: str
+    begin: Action
+    end: Action | None = None
+
+
+_FAULTS: dict[str, BenchFault] = {}
+
+
+def bench_fault(name: str, *, end: Action | None = None) -> Callable[[Action], Action]:
+    """Add a fault to the registry."""
+
+    def _register(begin: Action) -> Action:
+        _FAULTS[name] = BenchFault(name=name, begin=begin, end=end)
+        return begin
+
+    return _register
+
+
+def get_fault(name: str) -> BenchFault:
+    """Return the fault of that name.
+
+    :raises KeyError: if there is none.
+    """
+    return _FAULTS[name]
+
+
+def fault_names() -> tuple[str, ...]:
+    """Return the names of all faults."""
+    return tuple(sorted(_FAULTS))
+
+
+@bench_fault("straggler")
+def _straggler(deployment: Deployment) -> None:
+    name = _some_engine(deployment)
+    set_fault(deployment.upstreams[name], "slow", value=STRAGGLER_FACTOR)
+
+
+@bench_fault("stale-load")
+def _stale_load(deployment: Deployment) -> None:
+    for spec in deployment.shape.engines:
+        set_fault(deployment.upstreams[spec.name], "lag", value=STALE_LOAD_MS)
+
+
+@bench_fault("kill-node")
+def _kill_node(deployment: Deployment) -> None:
+    deployment.kill_node(deployment.node_names[-1])
+
+
+@bench_fault("kill-engine")
+def _kill_engine(deployment: Deployment) -> None:
+    deployment.kill_upstream(_some_engine(deployment))
+
+
+def _platform_up(deployment: Deployment) -> None:
+    clear_faults(deployment.platform)
+
+
+@bench_fault("platform-down", end=_platform_up)
+def _platform_down(deployment: Deployment) -> None:
+    set_fault(deployment.platform, "down")
+
+
+def _some_engine(deployment: Deployment) -> str:
+    """Return the last engine of the fastest generation, which gets most work."""
+    fastest = max(
+        deployment.shape.engines, key=lambda spec: spec.engine.prefill_tokens_per_s
+    )
+    return fastest.name
--- /dev/null
+++ b/baobabwing/bench/figures.py
@@ -0,0 +1,385 @@
+"""Figures of a run, from callers' answers and the upstreams' own records."""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_left
+from collections import Counter, defaultdict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from baobabwing.bench.answers import Answer, Verdict
+from baobabwing.bench.arrivals import Arrival
+from baobabwing.bench.capacity import pool_seconds
+from baobabwing.bench.executions import Executed, by_request
+from baobabwing.bench.shapes import Shape
+
+__all__ = [
+    "INVERSION_WINDOW_S",
+    "LIMIT_CODES",
+    "CapacityFigures",
+    "Inversions",
+    "PrefillFigures",
+    "Quantiles",
+    "Run",
+    "RunFigures",
+    "SafetyFigures",
+    "TierFigures",
+    "capacity_figures",
+    "count_inversions",
+    "prefill_figures",
+    "quantiles",
+    "run_figures",
+    "safety_figures",
+    "tier_figures",
+]
+
+MS_PER_S = 1_000.0
+# An upstream that starts lower-tier work this soon after a caller of the same pool
+# was told "shed" shows that the lower tier was still admitted. See
+# docs/operators/bench.md for what it can miss and what it can count too much.
+INVERSION_WINDOW_S = 0.05
+# Refusals that follow from the caller itself, and not from a lack of capacity.
+LIMIT_CODES = frozenset({"organisation_limit", "rate_limited", "retry_budget"})
+
+
+@dataclass(frozen=True, kw_only=True)
+class Run:
+    """All that a run left behind.
+
+    :param answers: one for each arrival that was sent.
+    :param seconds: length of the offered load.
+    :param node_cpu_s: processor time of all nodes from first to last request.
+    """
+
+    shape: Shape
+    policy: str
+    fault: str
+    seconds: float
+    arrivals: Sequence[Arrival]
+    answers: Sequence[Answer]
+    executions: Sequence[Executed]
+    node_cpu_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Quantiles:
+    """Quantiles of times in milliseconds; zeros if there were none."""
+
+    count: int
+    p50: float
+    p95: float
+    p99: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class TierFigures:
+    """What callers of a tier met.
+
+    :param good: whole and in time.
+    :param late: whole, past the deadline.
+    :param unknown: broken off, or the system said that it does not know.
+    :param wrong: an answer with another text than the request's own.
+    :param error: any other answer or none.
+    :param first_token: from when the request was due to be sent, streams only.
+    :param between_tokens: streams only.
+    :param whole: from when the request was due to its end, whole answers only.
+    """
+
+    tier: str
+    rank: int
+    offered: int
+    good: int
+    late: int
+    shed: int
+    unknown: int
+    wrong: int
+    error: int
+    first_token: Quantiles
+    between_tokens: Quantiles
+    whole: Quantiles
+
+
+@dataclass(frozen=True, kw_only=True)
+class PrefillFigures:
+    """Prompt tokens that the engines prefilled, and those in vain.
+
+    :param dropped: for requests whose caller got no whole answer.
+    :param duplicated: for an execution beside one that ran to its end.
+    :param recomputed: for an execution that broke off and was done again.
+    :param late: for whole answers past their deadline; not counted as wasted.
+    """
+
+    total: int
+    dropped: int
+    duplicated: int
+    recomputed: int
+    late: int
+
+    @property
+    def wasted(self) -> int:
+        """Tokens wasted for any reason."""
+        return self.dropped + self.duplicated + self.recomputed
+
+
+@dataclass(frozen=True, kw_only=True)
+class Inversions:
+    """Higher tiers shed while lower tiers were admitted.
+
+    :param sheds: refusals for lack of capacity.
+    :param inverted: those soon after which lower-tier work of the pool started.
+    """
+
+    sheds: int
+    inverted: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class SafetyFigures:
+    """What must never be; each is a number of requests.
+
+    :param executed_twice: an upstream ran the request more than once.
+    :param not_run_but_ran: the caller was told "not run", and it ran.
+    :param wrong_text: the caller got an answer that is not the request's own.
+    :param unmatched: executions that belong to no request of the run.
+    """
+
+    executed_twice: int
+    not_run_but_ran: int
+    wrong_text: int
+    unmatched: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class CapacityFigures:
+    """Engine time of good answers against what the engines can do at most.
+
+    :param offered: pool-seconds of all requests to engines.
+    :param limit: the lesser of offered work and what the engines can do.
+    :param good: pool-seconds of requests answered whole and in time.
+    """
+
+    offered: float
+    limit: float
+    good: float
+
+    @property
+    def share(self) -> float:
+        """Good work as a share of the limit."""
+        return self.good / self.limit if self.limit else 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunFigures:
+    """All figures of one run.
+
+    :param node_ms_per_request: processor time of all nodes for one request.
+    :param sending_lag: how late the load client itself was.
+    """
+
+    policy: str
+    fault: str
+    seconds: float
+    tiers: tuple[TierFigures, ...]
+    prefill: PrefillFigures
+    inversions: Inversions
+    safety: SafetyFigures
+    capacity: CapacityFigures
+    node_ms_per_request: float
+    sending_lag: Quantiles
+    codes: dict[str, int]
+
+
+def run_figures(run: Run) -> RunFigures:
+    """Compute all figures of a run."""
+    executed = by_request(run.answers, run.executions)
+    lags_ms = [
+        (answer.sent_s - run.arrivals[answer.index].at_s) * MS_PER_S
+        for answer in run.answers
+    ]
+    codes = Counter(
+        f"{answer.verdict}:{answer.code}"
+        for answer in run.answers
+        if answer.verdict is not Verdict.WHOLE
+    )
+    return RunFigures(
+        policy=run.policy,
+        fault=run.fault,
+        seconds=run.seconds,
+        tiers=tier_figures(run),
+        prefill=prefill_figures(run, executed),
+        inversions=count_inversions(run, executed),
+        safety=safety_figures(run, executed),
+        capacity=capacity_figures(run),
+        node_ms_per_request=run.node_cpu_s * MS_PER_S / max(1, len(run.answers)),
+        sending_lag=quantiles(lags_ms),
+        codes=dict(sorted(codes.items())),
+    )
+
+
+def quantiles(values: Sequence[float]) -> Quantiles:
+    """Return quantiles by nearest rank."""
+    ordered = sorted(values)
+    if not ordered:
+        return Quantiles(count=0, p50=0.0, p95=0.0, p99=0.0)
+
+    def _at(share: float) -> float:
+        return round(ordered[max(0, math.ceil(share * len(ordered)) - 1)], 2)
+
+    return Quantiles(count=len(ordered), p50=_at(0.5), p95=_at(0.95), p99=_at(0.99))
+
+
+def tier_figures(run: Run) -> tuple[TierFigures, ...]:
+    """Return the figures of each tier, highest first."""
+    groups: dict[str, list[Answer]] = defaultdict(list)
+    for answer in run.answers:
+        groups[run.arrivals[answer.index].tier].append(answer)
+    tiers = sorted(run.shape.tiers, key=lambda tier: tier.rank)
+    return tuple(
+        _one_tier(run, tier.name, tier.rank, groups[tier.name]) for tier in tiers
+    )
+
+
+def prefill_figures(
+    run: Run, executed: Mapping[int, Sequence[Executed]]
+) -> PrefillFigures:
+    """Sort the prefilled tokens by what came of them."""
+    answers = {answer.index: answer for answer in run.answers}
+    tokens: Counter[str] = Counter()
+    for index, executions in executed.items():
+        answer = answers.get(index)
+        whole = answer is not None and answer.verdict is Verdict.WHOLE
+        useful = _useful(executions) if whole else None
+        for one in executions:
+            reason = _reason(run, answer, one, useful)
+            tokens[reason] += one.prefilled_tokens
+    return PrefillFigures(
+        total=sum(tokens.values()),
+        dropped=tokens["dropped"],
+        duplicated=tokens["duplicated"],
+        recomputed=tokens["recomputed"],
+        late=tokens["late"],
+    )
+
+
+def count_inversions(
+    run: Run, executed: Mapping[int, Sequence[Executed]]
+) -> Inversions:
+    """Count sheds soon after which lower-tier work of the same pool started."""
+    starts: dict[tuple[str, int], list[float]] = defaultdict(list)
+    for index, executions in executed.items():
+        if index < 0:
+            continue
+        arrival = run.arrivals[index]
+        starts[arrival.pool, arrival.rank] += [one.started_s for one in executions]
+    for times in starts.values():
+        times.sort()
+    sheds = [
+        answer
+        for answer in run.answers
+        if answer.verdict is Verdict.SHED and answer.code not in LIMIT_CODES
+    ]
+    inverted = sum(_is_inverted(run.arrivals[one.index], one, starts) for one in sheds)
+    return Inversions(sheds=len(sheds), inverted=inverted)
+
+
+def safety_figures(
+    run: Run, executed: Mapping[int, Sequence[Executed]]
+) -> SafetyFigures:
+    """Count what must never be."""
+    shed = {one.index for one in run.answers if one.verdict is Verdict.SHED}
+    return SafetyFigures(
+        executed_twice=sum(
+            len(executions) > 1 for index, executions in executed.items() if index >= 0
+        ),
+        not_run_but_ran=sum(index in shed for index in executed),
+        wrong_text=sum(one.verdict is Verdict.WRONG for one in run.answers),
+        unmatched=len(executed.get(-1, ())),
+    )
+
+
+def capacity_figures(run: Run) -> CapacityFigures:
+    """Weigh good answers by the engine time that they need at the least.
+
+    The limit assumes full batches, all shared prompt heads cached, and work that
+    can be shifted freely within the run; so it is an upper bound.
+    """
+    good = offered = 0.0
+    for answer in run.answers:
+        arrival = run.arrivals[answer.index]
+        if not arrival.to_engine:
+            continue
+        work = pool_seconds(
+            run.shape,
+            arrival.pool,
+            prefill_tokens=arrival.own_tokens,
+            output_tokens=arrival.output_tokens,
+        )
+        offered += work
+        if _is_good(arrival, answer):
+            good += work
+    return CapacityFigures(offered=offered, limit=min(offered, run.seconds), good=good)
+
+
+def _one_tier(run: Run, name: str, rank: int, answers: Sequence[Answer]) -> TierFigures:
+    verdicts = Counter(answer.verdict for answer in answers)
+    whole = [answer for answer in answers if answer.verdict is Verdict.WHOLE]
+    good = sum(_is_good(run.arrivals[one.index], one) for one in whole)
+    streams = [one for one in whole if run.arrivals[one.index].stream]
+    return TierFigures(
+        tier=name,
+        rank=rank,
+        offered=len(answers),
+        good=good,
+        late=len(whole) - good,
+        shed=verdicts[Verdict.SHED],
+        unknown=verdicts[Verdict.UNKNOWN],
+        wrong=verdicts[Verdict.WRONG],
+        error=verdicts[Verdict.ERROR],
+        first_token=quantiles(
+            [_since_due_ms(run, one, one.first_s) for one in streams]
+        ),
+        between_tokens=quantiles([gap for one in streams for gap in one.gaps_ms]),
+        whole=quantiles([_since_due_ms(run, one, one.end_s) for one in whole]),
+    )
+
+
+def _since_due_ms(run: Run, answer: Answer, at_s: float) -> float:
+    """Return the time since the request was due, so that a late client counts."""
+    return (at_s - run.arrivals[answer.index].at_s) * MS_PER_S
+
+
+def _is_good(arrival: Arrival, answer: Answer) -> bool:
+    in_time = (answer.end_s - arrival.at_s) * MS_PER_S <= arrival.deadline_ms
+    return answer.verdict is Verdict.WHOLE and in_time
+
+
+def _useful(executions: Sequence[Executed]) -> Executed | None:
+    finished = [one for one in executions if one.finished]
+    return finished[0] if finished else executions[-1]
+
+
+def _reason(
+    run: Run, answer: Answer | None, one: Executed, useful: Executed | None
+) -> str:
+    if useful is None or answer is None:
+        return "dropped"
+    if one is useful:
+        good = _is_good(run.arrivals[answer.index], answer)
+        return "good" if good else "late"
+    return "duplicated" if one.finished else "recomputed"
+
+
+def _is_inverted(
+    arrival: Arrival,
+    answer: Answer,
+    starts: Mapping[tuple[str, int], Sequence[float]],
+) -> bool:
+    shed_s = answer.end_s
+    for (pool, rank), times in starts.items():
+        if pool != arrival.pool or rank <= arrival.rank:
+            continue
+        position = bisect_left(times, shed_s)
+        if position < len(times) and times[position] <= shed_s + INVERSION_WINDOW_S:
+            return True
+    return False
--- /dev/null
+++ b/baobabwing/bench/processes.py
@@ -0,0 +1,259 @@
+"""Real processes on loopback, started by the bench and always cleaned up."""
+
+from __future__ import annotations
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+
+from baobabwing.exceptions import BaobabwingError
+
+__all__ = ["ProcessError", "ProcessGroup", "Started", "free_port", "wait_until"]
+
+LOOPBACK = "127.0.0.1"
+# Below the usual range of ephemeral ports, so that no outgoing connection of
+# another process takes a port between its choice here and its use.
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+PORT_ATTEMPTS = 200
+POLL_S = 0.02
+STOP_TIMEOUT_S = 15.0
+LOG_TAIL_BYTES = 2_000
+
+_given_ports: set[int] = set()
+
+
+class ProcessError(BaobabwingError):
+    """A process of the bench did not start, answer or stop as it should."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Started:
+    """A process that this group started.
+
+    :param log: where its standard output and error go.
+    """
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    log: Path
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.popen.pid
+
+    def alive(self) -> bool:
+        """Tell whether the process still runs, frozen or not."""
+        return self.popen.poll() is None
+
+
+class ProcessGroup:
+    """Processes that end together with a ``with`` block, whatever happens in it.
+
+    :param folder: where logs go; a new temporary folder when omitted.
+    """
+
+    def __init__(self, *, folder: Path | None = None) -> None:
+        self.folder = folder or Path(tempfile.mkdtemp(prefix="baobabwing-bench-"))
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._started: dict[str, Started] = {}
+
+    def __enter__(self) -> ProcessGroup:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def start(self, name: str, arguments: Sequence[str]) -> Started:
+        """Start ``python -m baobabwing`` with the given arguments.
+
+        :raises ProcessError: if a process of that name runs already.
+        """
+        return self.start_python(name, ["-m", "baobabwing", *arguments])
+
+    def start_python(self, name: str, arguments: Sequence[str]) -> Started:
+        """Start this interpreter with the given arguments.
+
+        :raises ProcessError: if a process of that name runs already.
+        """
+        if name in self._started and self._started[name].alive():
+            raise ProcessError("already running", step="start", peer=name)
+        log = self.folder / f"{name}.log"
+        with log.open("ab") as out:
+            popen = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
+        started = Started(name=name, popen=popen, log=log)
+        self._started[name] = started
+        return started
+
+    def get(self, name: str) -> Started:
+        """Return the process of that name.
+
+        :raises ProcessError: if none was started.
+        """
+        if name not in self._started:
+            raise ProcessError("not started", step="look up", peer=name)
+        return self._started[name]
+
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all processes, ended ones included."""
+        return tuple(self._started)
+
+    def kill(self, name: str) -> None:
+        """End a process at once, as a host that loses power does."""
+        started = self.get(name)
+        started.popen.kill()
+        started.popen.wait()
+
+    def freeze(self, name: str) -> None:
+        """Pause a process; it keeps its connections but answers nothing."""
+        self.get(name).popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.get(name).popen.send_signal(signal.SIGCONT)
+
+    def stop(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Ask a process to stop gracefully and return its exit status.
+
+        :raises ProcessError: if it still runs after ``timeout_s``; it is killed.
+        """
+        return self.stop_all([name], timeout_s=timeout_s)[name]
+
+    def stop_all(
+        self, names: Sequence[str], *, timeout_s: float = STOP_TIMEOUT_S
+    ) -> dict[str, int]:
+        """Stop several processes gracefully, all at the same time.
+
+        :returns: exit status by name.
+        :raises ProcessError: if any still runs after ``timeout_s``; it is killed.
+        """
+        chosen = [self.get(name) for name in names]
+        for started in chosen:
+            _ask_to_stop(started)
+        end = time.monotonic() + timeout_s
+        late = [one.name for one in chosen if not _wait_for_end(one, end)]
+        if late:
+            raise ProcessError(
+                f"no graceful stop within {timeout_s:g} s",
+                step="stop",
+                peer=", ".join(late),
+            )
+        return {one.name: one.popen.returncode for one in chosen}
+
+    def close(self) -> None:
+        """End everything that still runs, gracefully first."""
+        running = [one for one in self._started.values() if one.alive()]
+        for started in running:
+            _ask_to_stop(started)
+        end = time.monotonic() + STOP_TIMEOUT_S
+        for started in running:
+            _wait_for_end(started, end)
+
+    def wait_ready(
+        self, name: str, probe: Callable[[], bool], *, timeout_s: float = 30.0
+    ) -> None:
+        """Wait until ``probe`` holds, failing at once if the process ends.
+
+        :raises ProcessError: with the end of the log, if it ended or is too slow.
+        """
+        started = self.get(name)
+
+        def _ready_or_ended() -> bool:
+            return not started.alive() or probe()
+
+        ready = wait_until(_ready_or_ended, timeout_s=timeout_s)
+        if not ready or not started.alive():
+            raise ProcessError(
+                f"did not become ready; its log ends: {_tail(started.log)}",
+                step="start",
+                peer=name,
+            )
+
+    def cpu_seconds(self, name: str) -> float:
+        """Return the processor time, user and system, of a running process."""
+        stat = Path(f"/proc/{self.get(name).pid}/stat").read_text(encoding="ascii")
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def free_port() -> int:
+    """Return a port of the loopback address, free for TCP and UDP.
+
+    A port is given out only once in the life of this process.
+
+    :raises ProcessError: if none is found in a bounded number of attempts.
+    """
+    for _ in range(PORT_ATTEMPTS):
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
+            return port
+    raise ProcessError("no free port found", step="choose port", peer=LOOPBACK)
+
+
+def wait_until(
+    condition: Callable[[], bool], *, timeout_s: float, poll_s: float = POLL_S
+) -> bool:
+    """Wait until a condition holds and tell whether it did in time."""
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(poll_s)
+    return condition()
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
+
+
+def _ask_to_stop(started: Started) -> None:
+    if not started.alive():
+        return
+    # A frozen process would keep SIGTERM pending for ever.
+    started.popen.send_signal(signal.SIGCONT)
+    started.popen.terminate()
+
+
+def _wait_for_end(started: Started, end: float) -> bool:
+    """Wait until the given time, then kill; tell whether no kill was needed."""
+    try:
+        started.popen.wait(timeout=max(0.0, end - time.monotonic()))
+    except subprocess.TimeoutExpired:
+        started.popen.kill()
+        started.popen.wait()
+        return False
+    return True
+
+
+def _tail(log: Path) -> str:
+    raw = log.read_bytes()[-LOG_TAIL_BYTES:]
+    return raw.decode("utf-8", "replace").strip()
--- /dev/null
+++ b/baobabwing/bench/runs.py
@@ -0,0 +1,232 @@
+"""One run: a deployment, its load, an optional fault, and what was left behind."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Protocol
+
+from baobabwing.bench.answers import Answer
+from baobabwing.bench.arrivals import Arrival, draw_arrivals
+from baobabwing.bench.deployments import Deployment
+from baobabwing.bench.driver import Plan, Progress, read_answers, write_plan
+from baobabwing.bench.faults import BenchFault
+from baobabwing.bench.figures import Run
+from baobabwing.bench.processes import ProcessError, ProcessGroup
+from baobabwing.bench.scenarios import Scenario
+from baobabwing.bench.shapes import Shape, get_shape
+
+__all__ = ["Progress", "RunOptions", "RunResult", "run_scenario"]
+
+DRIVERS = 2
+LEAD_S = 1.5
+POLL_S = 0.25
+IDLE_TIMEOUT_S = 60.0
+# Past the longest deadline a driver listens for ten seconds and then judges.
+DRIVER_GRACE_S = 120.0
+FAULT_BEGINS = 1 / 3
+FAULT_ENDS = 2 / 3
+
+
+class Report(Protocol):
+    """Is given a line of text whenever there is something to tell."""
+
+    def __call__(self, line: str, *, progress: bool) -> None:
+        """Show a line; a line of progress may be passed over."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunOptions:
+    """What a run is made of, besides its scenario.
+
+    :param nodes: node processes; 0 for the number of the shape.
+    :param folder: where logs and records go; a temporary folder when omitted.
+    """
+
+    policy: str
+    seed: int
+    seconds: float
+    nodes: int = 0
+    fault: BenchFault | None = None
+    folder: Path | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunResult:
+    """What a run left behind.
+
+    :param exits: exit status of each node that was stopped gracefully.
+    :param folder: where logs and records are.
+    """
+
+    run: Run
+    exits: dict[str, int]
+    folder: Path
+
+
+def run_scenario(
+    scenario: Scenario, options: RunOptions, *, report: Report
+) -> RunResult:
+    """Start a deployment, put the load on it, stop it, and collect.
+
+    :param report: is told how the run goes.
+    :raises ProcessError: if a process does not start, answer or stop in time.
+    """
+    shape = get_shape(scenario.shape)
+    arrivals = draw_arrivals(
+        shape, scenario.streams, seed=options.seed, seconds=options.seconds
+    )
+    with ProcessGroup(folder=options.folder) as group:
+        deployment = Deployment(
+            shape=shape, group=group, policy=options.policy, nodes=options.nodes
+        )
+        deployment.start()
+        report(
+            f"{len(deployment.nodes)} nodes and {len(deployment.upstreams)} upstreams"
+            f" are ready; {len(arrivals)} requests over {options.seconds:g} s",
+            progress=False,
+        )
+        load = _Load(group=group, deployment=deployment, arrivals=arrivals)
+        load.start(options)
+        load.follow(options, report)
+        deployment.wait_idle(timeout_s=IDLE_TIMEOUT_S)
+        executions = deployment.executions(epoch_s=load.epoch_s)
+        exits = deployment.stop()
+        run = Run(
+            shape=shape,
+            policy=options.policy,
+            fault=options.fault.name if options.fault else "",
+            seconds=options.seconds,
+            arrivals=arrivals,
+            answers=load.answers(),
+            executions=executions,
+            node_cpu_s=load.node_cpu_s,
+        )
+        return RunResult(run=run, exits=exits, folder=group.folder)
+
+
+class _Load:
+    """The driver processes of a run."""
+
+    def __init__(
+        self,
+        *,
+        group: ProcessGroup,
+        deployment: Deployment,
+        arrivals: Sequence[Arrival],
+    ) -> None:
+        self._group = group
+        self._deployment = deployment
+        self._arrivals = arrivals
+        self._names = [f"driver-{number}" for number in range(1, DRIVERS + 1)]
+        self._start_at = 0.0
+        self.epoch_s = 0.0
+        self.node_cpu_s = 0.0
+
+    def start(self, options: RunOptions) -> None:
+        """Start the drivers; the load begins a little later."""
+        self._start_at = time.monotonic() + LEAD_S
+        self.epoch_s = time.time() + LEAD_S
+        for number, name in enumerate(self._names):
+            plan = self._plan(number, options.seed)
+            write_plan(self._plan_path(name), plan)
+            arguments = [
+                "-m",
+                "baobabwing.bench.driver",
+                str(self._plan_path(name)),
+                str(self._answers_path(name)),
+            ]
+            self._group.start_python(name, arguments)
+
+    def follow(self, options: RunOptions, report: Report) -> None:
+        """Wait until all drivers are done, bringing about the fault on the way.
+
+        :raises ProcessError: if a driver fails or takes far too long.
+        """
+        longest_s = max(arrival.deadline_ms for arrival in self._arrivals) / 1_000
+        end = self._start_at + options.seconds + longest_s + DRIVER_GRACE_S
+        steps = self._fault_steps(options)
+        cpu_before = self._deployment.node_cpu_seconds()
+        while any(self._group.get(name).alive() for name in self._names):
+            while steps and time.monotonic() >= steps[0][0]:
+                _, label, action = steps.pop(0)
+                action(self._deployment)
+                report(label, progress=False)
+            if time.monotonic() > end:
+                raise ProcessError("driver takes too long", step="load")
+            report(self._progress(), progress=True)
+            time.sleep(POLL_S)
+        self.node_cpu_s = self._deployment.node_cpu_seconds() - cpu_before
+        for name in self._names:
+            if self._group.get(name).popen.returncode != 0:
+                log = self._group.get(name).log
+                raise ProcessError(f"driver failed, see {log}", step="load", peer=name)
+
+    def answers(self) -> list[Answer]:
+        """Return the answers of all drivers."""
+        found = [
+            answer
+            for name in self._names
+            for answer in read_answers(self._answers_path(name))
+        ]
+        return sorted(found, key=lambda answer: answer.index)
+
+    def _plan(self, number: int, seed: int) -> Plan:
+        shape = self._deployment.shape
+        return Plan(
+            run=f"s{seed}",
+            nodes=tuple(self._deployment.nodes.values()),
+            start_at=self._start_at,
+            seed=seed * DRIVERS + number,
+            keys=_credential_keys(shape),
+            arrivals=tuple(
+                arrival
+                for arrival in self._arrivals
+                if arrival.index % DRIVERS == number
+            ),
+        )
+
+    def _fault_steps(
+        self, options: RunOptions
+    ) -> list[tuple[float, str, Callable[[Deployment], None]]]:
+        fault = options.fault
+        if fault is None:
+            return []
+        begin_at = self._start_at + options.seconds * FAULT_BEGINS
+        steps = [(begin_at, f"fault {fault.name} begins", fault.begin)]
+        if fault.end is not None:
+            end_at = self._start_at + options.seconds * FAULT_ENDS
+            steps.append((end_at, f"fault {fault.name} ends", fault.end))
+        return steps
+
+    def _progress(self) -> str:
+        progress = [_last_progress(self._group.get(name).log) for name in self._names]
+        sent = sum(one.sent for one in progress)
+        done = sum(one.done for one in progress)
+        return f"{sent}/{len(self._arrivals)} sent, {done} answered"
+
+    def _plan_path(self, name: str) -> Path:
+        return self._group.folder / f"{name}.plan.json"
+
+    def _answers_path(self, name: str) -> Path:
+        return self._group.folder / f"{name}.answers.json"
+
+
+def _credential_keys(shape: Shape) -> dict[str, str]:
+    return {
+        f"{organisation.name}/{tier.name}": shape.credential_key(
+            organisation.name, tier.name
+        )
+        for organisation in shape.organisations
+        for tier in shape.tiers
+    }
+
+
+def _last_progress(log: Path) -> Progress:
+    for line in reversed(log.read_text(encoding="utf-8").splitlines()):
+        if line.startswith('{"sent"') and line.endswith("}"):
+            return Progress(**json.loads(line))
+    return Progress(sent=0, done=0)
--- /dev/null
+++ b/baobabwing/bench/standin_arguments.py
@@ -0,0 +1,72 @@
+"""Command lines of stand-ins."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import asdict
+from pathlib import Path
+
+from baobabwing.bench.shapes import EngineSpec, ServiceSpec
+
+__all__ = ["engine_arguments", "platform_arguments", "service_arguments"]
+
+# Parameters that are no options of the command line.
+NO_OPTIONS = frozenset({"max_prompt_tokens", "max_output_tokens"})
+
+
+def engine_arguments(
+    spec: EngineSpec,
+    *,
+    listen: str,
+    models: Sequence[str],
+    platform: str = "",
+    record: Path | None = None,
+) -> list[str]:
+    """Return the arguments that start an engine.
+
+    :param platform: URL of the platform whose weight store it asks, if any.
+    :param record: file that keeps its record beyond the process, if any.
+    """
+    chosen = [part for model in models for part in ("--model", model)]
+    if platform:
+        chosen += ["--platform", platform]
+    return [
+        *_common("engine", spec.name, listen, record),
+        *_options(asdict(spec.engine)),
+        *chosen,
+    ]
+
+
+def service_arguments(
+    spec: ServiceSpec, *, listen: str, record: Path | None = None
+) -> list[str]:
+    """Return the arguments that start a plain service."""
+    return [
+        *_common("service", spec.name, listen, record),
+        *_options(asdict(spec.service)),
+    ]
+
+
+def platform_arguments(listen: str) -> list[str]:
+    """Return the arguments that start a platform."""
+    return _common("platform", "platform", listen, None)
+
+
+def _common(kind: str, name: str, listen: str, record: Path | None) -> list[str]:
+    arguments = ["standin", kind, "--listen", listen, "--name", name]
+    if record is not None:
+        arguments += ["--record", str(record)]
+    return arguments
+
+
+def _options(parameters: dict[str, object]) -> list[str]:
+    arguments = []
+    for name, value in parameters.items():
+        if name in NO_OPTIONS:
+            continue
+        option = name.replace("_", "-")
+        if isinstance(value, bool):
+            arguments.append(f"--{option}" if value else f"--no-{option}")
+        else:
+            arguments += [f"--{option}", str(value)]
+    return arguments
--- /dev/null
+++ b/baobabwing/bench/tables.py
@@ -0,0 +1,112 @@
+"""Figures as tables for a terminal."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from baobabwing.bench.figures import RunFigures, TierFigures
+
+__all__ = ["figures_text", "format_table"]
+
+GAP = "  "
+
+
+def format_table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    """Return rows under a head, the first column to the left, others to the right."""
+    columns = list(zip(head, *rows, strict=True))
+    widths = [max(len(cell) for cell in column) for column in columns]
+    lines = [_line(row, widths) for row in (head, *rows)]
+    lines.insert(1, GAP.join("-" * width for width in widths))
+    return "\n".join(lines)
+
+
+def figures_text(figures: RunFigures) -> str:
+    """Return all figures of a run as text."""
+    fault = f", fault {figures.fault}" if figures.fault else ""
+    parts = [
+        f"policy {figures.policy}{fault}, {figures.seconds:g} s of load",
+        _tier_table(figures.tiers),
+        _time_table(figures.tiers),
+        *_summary(figures),
+    ]
+    return "\n\n".join(parts)
+
+
+def _line(cells: Sequence[str], widths: Sequence[int]) -> str:
+    first = cells[0].ljust(widths[0])
+    rest = [
+        cell.rjust(width) for cell, width in zip(cells[1:], widths[1:], strict=True)
+    ]
+    return GAP.join([first, *rest]).rstrip()
+
+
+def _tier_table(tiers: Sequence[TierFigures]) -> str:
+    head = (
+        "tier",
+        "offered",
+        "whole, in time",
+        "share",
+        "late",
+        "shed",
+        "unknown",
+        "wrong",
+        "error",
+    )
+    rows = [
+        (
+            tier.tier,
+            str(tier.offered),
+            str(tier.good),
+            _share(tier.good, tier.offered),
+            str(tier.late),
+            str(tier.shed),
+            str(tier.unknown),
+            str(tier.wrong),
+            str(tier.error),
+        )
+        for tier in tiers
+    ]
+    return format_table(head, rows)
+
+
+def _time_table(tiers: Sequence[TierFigures]) -> str:
+    head = ["times in ms: p50/p95/p99", "first token", "between tokens", "whole answer"]
+    rows = [
+        [
+            tier.tier,
+            *(
+                f"{one.p50:.0f}/{one.p95:.0f}/{one.p99:.0f}" if one.count else "-"
+                for one in (tier.first_token, tier.between_tokens, tier.whole)
+            ),
+        ]
+        for tier in tiers
+    ]
+    return format_table(head, rows)
+
+
+def _summary(figures: RunFigures) -> list[str]:
+    prefill = figures.prefill
+    safety = figures.safety
+    inversions = figures.inversions
+    capacity = figures.capacity
+    codes = ", ".join(f"{code} {count}" for code, count in figures.codes.items())
+    return [
+        f"wasted prefill: {prefill.wasted} of {prefill.total} tokens"
+        f" ({_share(prefill.wasted, prefill.total)}):"
+        f" dropped {prefill.dropped}, duplicated {prefill.duplicated},"
+        f" recomputed {prefill.recomputed}; for late answers {prefill.late}",
+        f"good work {capacity.good:.2f} of at most {capacity.limit:.2f} pool-seconds"
+        f" ({capacity.share:.1%}); offered {capacity.offered:.2f}",
+        f"tier inversions: {inversions.inverted} of {inversions.sheds} sheds;"
+        f" executed twice: {safety.executed_twice};"
+        f' "not run" but ran: {safety.not_run_but_ran};'
+        f" wrong text: {safety.wrong_text};"
+        f" executions of no request: {safety.unmatched}",
+        f"processor time of nodes a request: {figures.node_ms_per_request:.2f} ms;"
+        f" load client late by p99 {figures.sending_lag.p99:.1f} ms",
+        f"not whole: {codes or 'none'}",
+    ]
+
+
+def _share(part: int, whole: int) -> str:
+    return f"{part / whole:.1%}" if whole else "-"
--- /dev/null
+++ b/baobabwing/bench/transcripts.py
@@ -0,0 +1,157 @@
+"""Checks the bytes of an answer against what the request must give."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from baobabwing.bench.answers import Verdict
+from baobabwing.bench.arrivals import Arrival, Form, prompt_text
+from baobabwing.requests.outcome import Outcome
+from baobabwing.standins.output import text
+
+__all__ = ["Judgement", "Piece", "judge_stream", "judge_whole", "service_body"]
+
+EVENT_END = b"\n\n"
+DATA_PREFIX = b"data:"
+DONE = b"[DONE]"
+OK_STATUS = 200
+FIRST_ERROR_STATUS = 400
+MS_PER_S = 1_000.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Piece:
+    """Bytes that were read at one time, in seconds from the run's start."""
+
+    at_s: float
+    data: bytes
+
+
+@dataclass(frozen=True, kw_only=True)
+class Judgement:
+    """How the bytes of an answer are judged.
+
+    :param code: what is wrong with it, if anything is.
+    :param token_times: when each token of a stream came.
+    """
+
+    verdict: Verdict
+    code: str = ""
+    token_times: tuple[float, ...] = ()
+
+
+def service_body(arrival: Arrival) -> dict[str, object]:
+    """Return the body that a call of a plain service carries."""
+    return {"request": arrival.index, "work": arrival.work}
+
+
+def judge_whole(arrival: Arrival, status: int, body: bytes) -> Judgement:
+    """Judge an answer that came in one piece, or an error."""
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return Judgement(verdict=_not_whole(status), code="not_json")
+    if status >= FIRST_ERROR_STATUS:
+        return _judge_error(document)
+    if arrival.form is Form.SERVICE:
+        right = _echo_of(document) == service_body(arrival)
+    else:
+        right = _text_of(document) == _expected(arrival)
+    if right:
+        return Judgement(verdict=Verdict.WHOLE)
+    return Judgement(verdict=Verdict.WRONG, code="other_text")
+
+
+def judge_stream(arrival: Arrival, pieces: Sequence[Piece]) -> Judgement:
+    """Judge a stream of server-sent events.
+
+    A stream that stops early with the right words so far is unknown, not wrong.
+    """
+    words: list[str] = []
+    times: list[float] = []
+    for at_s, data in _events(pieces):
+        if data == DONE:
+            return _judge_text(arrival, "".join(words), times)
+        document = json.loads(data)
+        if "error" in document:
+            return _with_times(_judge_error(document), times)
+        piece = _text_of(document)
+        if piece:
+            words.append(piece)
+            times.append(at_s)
+    return _judge_part(arrival, "".join(words), times)
+
+
+def _judge_text(arrival: Arrival, found: str, times: list[float]) -> Judgement:
+    if found.split() == _expected(arrival).split():
+        return Judgement(verdict=Verdict.WHOLE, token_times=tuple(times))
+    return Judgement(verdict=Verdict.WRONG, code="other_text", token_times=tuple(times))
+
+
+def _judge_part(arrival: Arrival, found: str, times: list[float]) -> Judgement:
+    words = found.split()
+    if words == _expected(arrival).split()[: len(words)]:
+        code, verdict = "broken_stream", Verdict.UNKNOWN
+    else:
+        code, verdict = "other_text", Verdict.WRONG
+    return Judgement(verdict=verdict, code=code, token_times=tuple(times))
+
+
+def _judge_error(document: object) -> Judgement:
+    error = document.get("error") if isinstance(document, dict) else None
+    if not isinstance(error, dict):
+        return Judgement(verdict=Verdict.ERROR, code="no_error_object")
+    code = str(error.get("code", ""))
+    outcome = error.get("outcome")
+    if outcome == Outcome.NOT_RUN:
+        return Judgement(verdict=Verdict.SHED, code=code)
+    if outcome in (Outcome.UNKNOWN, Outcome.PARTIAL):
+        return Judgement(verdict=Verdict.UNKNOWN, code=code)
+    return Judgement(verdict=Verdict.ERROR, code=code)
+
+
+def _with_times(judgement: Judgement, times: list[float]) -> Judgement:
+    return Judgement(
+        verdict=judgement.verdict, code=judgement.code, token_times=tuple(times)
+    )
+
+
+def _not_whole(status: int) -> Verdict:
+    return Verdict.UNKNOWN if status == OK_STATUS else Verdict.ERROR
+
+
+def _expected(arrival: Arrival) -> str:
+    return text(prompt_text(arrival), arrival.output_tokens)
+
+
+def _text_of(document: dict) -> str:
+    choices = document.get("choices") or [{}]
+    choice = choices[0]
+    part = choice.get("delta") or choice.get("message") or {}
+    return part.get("content") or choice.get("text") or ""
+
+
+def _echo_of(document: dict) -> object:
+    echo = document.get("echo")
+    if not isinstance(echo, str):
+        return echo
+    try:
+        return json.loads(echo)
+    except ValueError:
+        return echo
+
+
+def _events(pieces: Sequence[Piece]) -> list[tuple[float, bytes]]:
+    """Return the data of each whole event with the time when its end came."""
+    events = []
+    rest = b""
+    for piece in pieces:
+        *whole, rest = (rest + piece.data).split(EVENT_END)
+        for event in whole:
+            for line in event.split(b"\n"):
+                if line.startswith(DATA_PREFIX):
+                    data = line.removeprefix(DATA_PREFIX).strip()
+                    events.append((piece.at_s, data))
+    return events
--- /dev/null
+++ b/tests/bench/test_figures.py
@@ -0,0 +1,222 @@
+"""Figures count what callers met and what the upstreams' records show."""
+
+from dataclasses import replace
+
+import pytest
+
+from baobabwing.bench.answers import Answer, Verdict
+from baobabwing.bench.arrivals import draw_arrivals
+from baobabwing.bench.demo import demo_faults
+from baobabwing.bench.executions import Executed, by_request, merge_records
+from baobabwing.bench.figures import (
+    INVERSION_WINDOW_S,
+    Run,
+    count_inversions,
+    prefill_figures,
+    quantiles,
+    run_figures,
+    safety_figures,
+)
+from baobabwing.bench.scenarios import get_scenario
+from baobabwing.bench.shapes import tijera
+from baobabwing.bench.tables import figures_text
+
+SECONDS = 3.0
+PREFILLED = 100
+
+
+def _executed(index, *, started_s=1.0, state="finished", attempt=1):
+    return Executed(
+        upstream="engine-1",
+        attempt=f"r{index}.{attempt}",
+        key=f"k{index}",
+        prompt_tokens=PREFILLED,
+        cached_tokens=0,
+        prefilled_tokens=PREFILLED,
+        output_tokens=10,
+        state=state,
+        started_s=started_s,
+        finished_s=started_s + 0.1,
+    )
+
+
+def _answer(arrival, *, verdict=Verdict.WHOLE, took_s=0.5, code=""):
+    end_s = arrival.at_s + took_s
+    return Answer(
+        index=arrival.index,
+        verdict=verdict,
+        key=f"k{arrival.index}",
+        request_id=f"r{arrival.index}",
+        status=200,
+        code=code,
+        sent_s=arrival.at_s,
+        first_s=end_s,
+        end_s=end_s,
+    )
+
+
+@pytest.fixture
+def calm():
+    """A run in which every request was answered by one execution."""
+    shape = tijera()
+    streams = get_scenario("tijera-day").streams
+    arrivals = draw_arrivals(shape, streams, seed=1, seconds=SECONDS)
+    return Run(
+        shape=shape,
+        policy="baobabwing",
+        fault="",
+        seconds=SECONDS,
+        arrivals=arrivals,
+        answers=[_answer(arrival) for arrival in arrivals],
+        executions=[
+            _executed(arrival.index, started_s=arrival.at_s) for arrival in arrivals
+        ],
+        node_cpu_s=1.0,
+    )
+
+
+def _with_answer(run, index, **changes):
+    answers = list(run.answers)
+    answers[index] = replace(answers[index], **changes)
+    return replace(run, answers=answers)
+
+
+def _first(run, work):
+    return next(one for one in run.arrivals if one.work == work)
+
+
+def _inversions(run):
+    return count_inversions(run, by_request(run.answers, run.executions))
+
+
+def _prefill(run):
+    return prefill_figures(run, by_request(run.answers, run.executions))
+
+
+def _safety(run):
+    return safety_figures(run, by_request(run.answers, run.executions))
+
+
+def test_calm_run_is_all_good(calm):
+    figures = run_figures(calm)
+    assert sum(tier.good for tier in figures.tiers) == len(calm.arrivals)
+    assert figures.prefill.wasted == 0
+    assert figures.capacity.share == pytest.approx(1.0)
+    assert demo_faults(calm, {"node-1": 0}) == []
+    assert "wasted prefill: 0 of" in figures_text(figures)
+
+
+def test_whole_answer_past_its_deadline_is_late(calm):
+    arrival = _first(calm, "chat-turn")
+    end_s = arrival.at_s + arrival.deadline_ms / 1_000 + 0.01
+    run = _with_answer(calm, arrival.index, end_s=end_s)
+    chat = next(tier for tier in run_figures(run).tiers if tier.tier == "chat")
+    assert (chat.late, chat.good) == (1, chat.offered - 1)
+    assert _prefill(run).late == PREFILLED
+    assert _prefill(run).wasted == 0
+
+
+def test_prefill_is_wasted_by_reason(calm):
+    chat = _first(calm, "chat-turn").index
+    rota = _first(calm, "colour-history").index
+    run = _with_answer(calm, rota, verdict=Verdict.UNKNOWN)
+    again = [
+        _executed(chat, started_s=9.0, attempt=2),
+        _executed(chat, started_s=0.0, attempt=3, state="cancelled"),
+    ]
+    figures = _prefill(replace(run, executions=[*run.executions, *again]))
+    assert figures.dropped == PREFILLED
+    assert figures.duplicated == PREFILLED
+    assert figures.recomputed == PREFILLED
+
+
+@pytest.mark.parametrize(
+    ("lower_after_s", "code", "sheds", "inverted"),
+    [
+        (INVERSION_WINDOW_S / 2, "overload", 1, 1),
+        (INVERSION_WINDOW_S * 2, "overload", 1, 0),
+        (-0.01, "overload", 1, 0),
+        (INVERSION_WINDOW_S / 2, "rate_limited", 0, 0),
+    ],
+)
+def test_inversion_is_lower_tier_work_started_soon_after_a_shed(
+    calm, lower_after_s, code, sheds, inverted
+):
+    """A waiting customer is turned away while overnight work is still let in.
+
+    The chat is told "shed"; a moment later an engine of its pool starts a request
+    of a lower tier, which therefore was admitted when the chat was not.
+    """
+    chat = _first(calm, "chat-turn")
+    lower = _first(calm, "colour-history")
+    shed = _answer(chat, verdict=Verdict.SHED, code=code)
+    run = replace(
+        calm,
+        answers=[shed if one.index == chat.index else one for one in calm.answers],
+        executions=[_executed(lower.index, started_s=shed.end_s + lower_after_s)],
+    )
+    found = _inversions(run)
+    assert (found.sheds, found.inverted) == (sheds, inverted)
+
+
+def test_refused_request_that_ran_is_found(calm):
+    run = _with_answer(calm, 0, verdict=Verdict.SHED)
+    assert _safety(run).not_run_but_ran == 1
+
+
+def test_demo_names_what_is_wrong(calm):
+    """The demonstration must fail on each promise that the records refute.
+
+    One request has no execution, one has two, one answer is another's, and one
+    node did not stop gracefully.
+    """
+    executions = [*calm.executions[1:], _executed(2, attempt=2)]
+    run = _with_answer(
+        replace(calm, executions=executions), 1, verdict=Verdict.WRONG, code="x"
+    )
+    faults = "\n".join(demo_faults(run, {"node-1": 0, "node-2": -9}))
+    assert "request 1: wrong x" in faults
+    assert "request 0: no execution" in faults
+    assert "request 2: ['finished', 'finished']" in faults
+    assert "node-2: exit status -9" in faults
+    assert "node-1" not in faults
+
+
+def test_executions_without_a_key_are_matched_by_attempt(calm):
+    unkeyed = [replace(one, key="") for one in calm.executions]
+    found = by_request(calm.answers, unkeyed)
+    assert set(found) == {one.index for one in calm.arrivals}
+    stranger = replace(unkeyed[0], attempt="other.1")
+    assert list(by_request(calm.answers, [stranger])) == [-1]
+
+
+def test_record_of_a_killed_upstream_keeps_what_was_prefilled():
+    """A killed engine writes no end of what it ran, and its file has no counts.
+
+    The record read just before the kill shows what it had prefilled; the line that
+    the file got at the start of the request must not hide that.
+    """
+    item = {
+        "attempt": "r1.1",
+        "key": "k1",
+        "prompt_tokens": 50,
+        "cached_tokens": 0,
+        "prefilled_tokens": 50,
+        "output_tokens": 3,
+        "state": "running",
+        "started_at": 11.0,
+        "finished_at": 0.0,
+    }
+    started = {**item, "prefilled_tokens": 0, "output_tokens": 0, "state": "waiting"}
+    (found,) = merge_records("engine-1", [item, started], epoch_s=10.0)
+    assert found.prefilled_tokens == 50
+    assert found.started_s == 1.0
+    ended = {**item, "state": "finished", "finished_at": 12.0}
+    (found,) = merge_records("engine-1", [started, ended], epoch_s=10.0)
+    assert found.finished
+
+
+def test_quantiles_are_nearest_rank():
+    found = quantiles([float(value) for value in range(1, 101)])
+    assert (found.p50, found.p95, found.p99) == (50.0, 95.0, 99.0)
+    assert quantiles([]).count == 0
--- /dev/null
+++ b/tests/bench/test_processes.py
@@ -0,0 +1,91 @@
+"""Processes of the bench start, freeze and always end."""
+
+import time
+
+import pytest
+
+from baobabwing.bench.processes import (
+    ProcessError,
+    ProcessGroup,
+    free_port,
+    wait_until,
+)
+
+WAIT = "import time; print('up', flush=True); time.sleep(600)"
+DEAF = (
+    "import signal, time; signal.signal(signal.SIGTERM, signal.SIG_IGN);"
+    "print('up', flush=True); time.sleep(600)"
+)
+
+
+def _start(group, name, code):
+    started = group.start_python(name, ["-c", code])
+    group.wait_ready(name, lambda: b"up" in started.log.read_bytes())
+    return started
+
+
+def test_group_ends_what_it_started_when_the_block_fails(tmp_path):
+    """A bench that fails half way must leave no process behind.
+
+    The block raises while one process runs and one is frozen; a frozen process
+    does not see SIGTERM until it goes on.
+    """
+    with (
+        pytest.raises(RuntimeError, match="half way"),
+        ProcessGroup(folder=tmp_path) as group,
+    ):
+        running = _start(group, "running", WAIT)
+        frozen = _start(group, "frozen", WAIT)
+        group.freeze("frozen")
+        raise RuntimeError("half way")
+    assert not running.alive()
+    assert not frozen.alive()
+
+
+def test_stop_kills_and_reports_a_process_that_ignores_it(tmp_path):
+    """A node that hangs in its graceful stop must fail the run, and not stay."""
+    with ProcessGroup(folder=tmp_path) as group:
+        deaf = _start(group, "deaf", DEAF)
+        with pytest.raises(ProcessError, match="no graceful stop") as caught:
+            group.stop("deaf", timeout_s=0.2)
+        assert caught.value.peer == "deaf"
+        assert not deaf.alive()
+
+
+def test_ended_process_is_reported_with_the_end_of_its_log(tmp_path):
+    with ProcessGroup(folder=tmp_path) as group:
+        group.start_python("broken", ["-c", "raise SystemExit('bad settings')"])
+        with pytest.raises(ProcessError, match="bad settings"):
+            group.wait_ready("broken", lambda: False)
+
+
+def test_frozen_process_uses_no_processor_time_until_thawed(tmp_path):
+    spin = "print('up', flush=True)\nwhile True: pass"
+    with ProcessGroup(folder=tmp_path) as group:
+        _start(group, "spin", spin)
+        assert wait_until(lambda: group.cpu_seconds("spin") > 0.02, timeout_s=10)
+        group.freeze("spin")
+        assert wait_until(lambda: _is_still(group, "spin"), timeout_s=10)
+        before = group.cpu_seconds("spin")
+        group.thaw("spin")
+        assert wait_until(lambda: group.cpu_seconds("spin") > before, timeout_s=10)
+        group.kill("spin")
+        assert not group.get("spin").alive()
+
+
+def test_names_are_not_started_twice(tmp_path):
+    with ProcessGroup(folder=tmp_path) as group:
+        _start(group, "one", WAIT)
+        with pytest.raises(ProcessError, match="already running"):
+            group.start_python("one", ["-c", WAIT])
+
+
+def test_ports_are_given_once():
+    ports = [free_port() for _ in range(50)]
+    assert len(set(ports)) == len(ports)
+
+
+def _is_still(group, name):
+    before = group.cpu_seconds(name)
+    time.sleep(0.05)
+    return group.cpu_seconds(name) == before
