Answer intents with plans that operators confirm

Cause: operators state what they want; nothing may change before they have seen and confirmed what it touches, and two of them can race.

Change: intents are data classes in a registry filled by a decorator (move-brand, roll-version, drain-host, drain-upstream, change-limits, undo). A plan holds its base version, steps, touched items, capacity before and after, and risks; it is stored by insert. Confirming is a compare-and-set on the base with the plan's id as the attempt id, so that a confirmation whose answer was lost is found and not applied again; a conflict names who changed what since. The history shows each version's author and changes. Model routes and leaving hosts join the configuration, since moving a brand and draining a host had no place in it.

Ruled out: storing the whole resulting document in a plan (undo needs the items that changed, and they say what was touched), and re-running the intent when it is confirmed (the list of hosts may have changed since the operator looked).

--- a/baobabwing/cli/config.py
+++ b/baobabwing/cli/config.py
@@ -52,6 +52,7 @@
     help="Check, show and publish settings and configuration.",
     epilog=_EPILOG,
     no_args_is_help=True,
+    add_completion=False,
 )
 
 PlatformOption = Annotated[
--- /dev/null
+++ b/baobabwing/cli/plan.py
@@ -0,0 +1,187 @@
+"""Commands that make plans, confirm them and show who changed what.
+
+They talk to the platform's table service and not to a node, since a plan and
+its confirmation must hold when every node is replaced in between.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import inspect
+from collections.abc import Callable
+from typing import Annotated, Any
+
+import typer
+
+from baobabwing.cli.config import (
+    DEFAULT_TIMEOUT_MS,
+    PlatformOption,
+    TimeoutOption,
+    exit_on_error,
+    table_client,
+)
+from baobabwing.platform.hosts import list_hosts
+from baobabwing.settings.changes import describe
+from baobabwing.settings.history import read_history
+from baobabwing.settings.plans import (
+    Plan,
+    PlanContext,
+    intent_names,
+    list_plans,
+    load_plan,
+)
+from baobabwing.settings.plans import confirm as confirm_plan
+from baobabwing.settings.plans import plan as make_plan
+from baobabwing.settings.plans.intents import intent_class
+
+__all__ = ["app", "confirm", "history"]
+
+_EPILOG = (
+    "Exit codes: 0 done, 1 intent or plan invalid, 2 wrong usage, 3 conflict with "
+    "another change, 4 platform unavailable and nothing changed, 5 platform's "
+    "answer lost and effect unknown: confirm the same plan again."
+)
+_HISTORY_LENGTH = 20
+
+app = typer.Typer(
+    help="State an intent and see what it would do; nothing changes until the "
+    "plan is confirmed.",
+    epilog=_EPILOG,
+    no_args_is_help=True,
+    add_completion=False,
+)
+
+AuthorOption = Annotated[str, typer.Option(help="Who asks for the change.")]
+
+
+@app.command(epilog=_EPILOG)
+def show(
+    plan_id: Annotated[str, typer.Argument(metavar="PLAN", help="Id of the plan.")],
+    platform: PlatformOption,
+    timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
+) -> None:
+    """Show a plan."""
+    with exit_on_error():
+        made = load_plan(table_client(platform, timeout_ms), plan_id)
+    typer.echo(render(made))
+
+
+@app.command("list", epilog=_EPILOG)
+def list_command(
+    platform: PlatformOption, timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS
+) -> None:
+    """List the plans that were made."""
+    with exit_on_error():
+        plans = list_plans(table_client(platform, timeout_ms))
+    for made in plans:
+        typer.echo(f"{made.id}  base {made.base}  {made.author}  {made.summary}")
+
+
+def confirm(
+    plan_id: Annotated[str, typer.Argument(metavar="PLAN", help="Id of the plan.")],
+    platform: PlatformOption,
+    author: AuthorOption,
+    timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
+) -> None:
+    """Carry out a plan, or fail and name who changed what since it was made."""
+    tables = table_client(platform, timeout_ms)
+    with exit_on_error():
+        cfg = confirm_plan(tables, plan_id, author=author)
+    typer.echo(f"version {cfg.version} in force: {cfg.summary}")
+
+
+def history(
+    platform: PlatformOption,
+    limit: Annotated[int, typer.Option(min=1, help="Versions.")] = _HISTORY_LENGTH,
+    timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
+) -> None:
+    """Show who changed what, newest first."""
+    with exit_on_error():
+        entries = read_history(table_client(platform, timeout_ms), limit=limit)
+    for entry in entries:
+        author = entry.author or "unknown"
+        typer.echo(f"version {entry.version}  {author}  {entry.summary}")
+        for change in entry.changes:
+            typer.echo(f"    {describe(change)}")
+
+
+def render(made: Plan) -> str:
+    """Return a plan as text for operators."""
+    lines = [f"plan {made.id}: {made.summary}", f"base version {made.base}", "steps:"]
+    lines += [
+        f"  {number}. {step.action} {step.upstream} ({step.kind})".replace("  (", " (")
+        for number, step in enumerate(made.steps, start=1)
+    ]
+    lines.append("touches:")
+    lines += [f"  {describe(change)}" for change in made.touched]
+    lines.append("spare slots:")
+    lines += [
+        f"  {pool.pool}: {pool.spare_before:g} -> {pool.spare_after:g}, "
+        f"at most {pool.served_share_after:.0%} of the present load served"
+        for pool in made.capacity
+    ]
+    lines.append("risks:" if made.risks else "risks: none found")
+    lines += [f"  {risk.code}: {risk.message}" for risk in made.risks]
+    return "\n".join(lines)
+
+
+def _add_intent(name: str) -> None:
+    """Make a command whose options are the fields of the intent."""
+    cls = intent_class(name)
+    options = [_option(item) for item in dataclasses.fields(cls)]
+
+    def command(platform: str, author: str, timeout_ms: int, **arguments: Any) -> None:
+        with exit_on_error():
+            tables = table_client(platform, timeout_ms)
+            made = make_plan(
+                tables,
+                intent=name,
+                arguments=arguments,
+                author=author,
+                context=_context(name, platform, timeout_ms),
+            )
+        typer.echo(render(made))
+        typer.echo(f"nothing changed yet; run: confirm {made.id}")
+
+    _set_signature(command, options)
+    command.__doc__ = (cls.__doc__ or "").partition("\n")[0]
+    app.command(name, epilog=_EPILOG)(command)
+
+
+def _context(name: str, platform: str, timeout_ms: int) -> PlanContext:
+    if name != "drain-host":
+        return PlanContext()
+    hosts = list_hosts(url=platform, timeout_s=timeout_ms / 1000)
+    return PlanContext(hosts=hosts)
+
+
+def _option(item: dataclasses.Field) -> inspect.Parameter:
+    kind = {"str": str, "int": int, "float": float}[item.type]
+    required = item.default is dataclasses.MISSING
+    return inspect.Parameter(
+        item.name,
+        inspect.Parameter.KEYWORD_ONLY,
+        default=inspect.Parameter.empty if required else item.default,
+        annotation=Annotated[kind, typer.Option()],
+    )
+
+
+def _set_signature(command: Callable, options: list[inspect.Parameter]) -> None:
+    keyword = inspect.Parameter.KEYWORD_ONLY
+    common = [
+        inspect.Parameter("platform", keyword, annotation=PlatformOption),
+        inspect.Parameter("author", keyword, annotation=AuthorOption),
+        inspect.Parameter(
+            "timeout_ms",
+            keyword,
+            annotation=TimeoutOption,
+            default=DEFAULT_TIMEOUT_MS,
+        ),
+    ]
+    parameters = [*options, *common]
+    command.__signature__ = inspect.Signature(parameters)
+    command.__annotations__ = {item.name: item.annotation for item in parameters}
+
+
+for _name in intent_names():
+    _add_intent(_name)
--- /dev/null
+++ b/baobabwing/settings/changes.py
@@ -0,0 +1,117 @@
+"""What differs between two configurations, item by item."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from dataclasses import dataclass
+
+from baobabwing.exceptions import ConflictError
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.documents import dump_configuration, parse_configuration
+
+__all__ = ["Change", "apply_changes", "changes_between", "describe", "inverse"]
+
+_GROUPS = (
+    "tiers",
+    "brands",
+    "organisations",
+    "credentials",
+    "pools",
+    "upstreams",
+    "routes",
+    "leaving_hosts",
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Change:
+    """One item that was added, removed or changed.
+
+    :param group: field of the configuration, such as ``"upstreams"``.
+    :param name: name of the item.
+    :param before: the item as JSON text; empty if it was not there.
+    :param after: the item as JSON text; empty if it is not there.
+    """
+
+    group: str
+    name: str
+    before: str = ""
+    after: str = ""
+
+
+def changes_between(old: Configuration, new: Configuration) -> tuple[Change, ...]:
+    """Return what leads from one configuration to another, by group and name."""
+    changes = []
+    for group in _GROUPS:
+        before, after = _items(old, group), _items(new, group)
+        for name in dict.fromkeys([*before, *after]):
+            if before.get(name) != after.get(name):
+                change = Change(
+                    group=group,
+                    name=name,
+                    before=before.get(name, ""),
+                    after=after.get(name, ""),
+                )
+                changes.append(change)
+    return tuple(changes)
+
+
+def apply_changes(cfg: Configuration, changes: tuple[Change, ...]) -> Configuration:
+    """Make changes to a configuration in which the items are as they were before.
+
+    :raises ConflictError: if an item is not as it was before the change.
+    :raises FieldError: if the result is not valid.
+    """
+    items = {group: _items(cfg, group) for group in _GROUPS}
+    for change in changes:
+        group = items[change.group]
+        if group.get(change.name, "") != change.before:
+            raise ConflictError(
+                f"{change.group} {change.name!r} was changed since", step="changes"
+            )
+        if change.after:
+            group[change.name] = change.after
+        else:
+            del group[change.name]
+    document = dump_configuration(cfg)
+    for group, members in items.items():
+        document[group] = [json.loads(text) for text in members.values()]
+    return parse_configuration(document)
+
+
+def inverse(changes: tuple[Change, ...]) -> tuple[Change, ...]:
+    """Return the changes that lead back."""
+    return tuple(
+        dataclasses.replace(change, before=change.after, after=change.before)
+        for change in reversed(changes)
+    )
+
+
+def describe(change: Change) -> str:
+    """Return one line on a change, with the fields that differ."""
+    label = f"{change.group} {change.name!r}"
+    if not change.before:
+        return f"{label} added"
+    if not change.after:
+        return f"{label} removed"
+    before, after = json.loads(change.before), json.loads(change.after)
+    fields = ", ".join(
+        f"{name} {before.get(name)!r} -> {value!r}"
+        for name, value in after.items()
+        if before.get(name) != value
+    )
+    return f"{label}: {fields}"
+
+
+def _items(cfg: Configuration, group: str) -> dict[str, str]:
+    return {
+        _name(item): json.dumps(dataclasses.asdict(item), sort_keys=True)
+        for item in getattr(cfg, group)
+    }
+
+
+def _name(item: object) -> str:
+    if hasattr(item, "name"):
+        return item.name
+    return f"{item.brand or 'all brands'}/{item.model}"
--- a/baobabwing/settings/configuration.py
+++ b/baobabwing/settings/configuration.py
@@ -7,7 +7,31 @@
 from baobabwing.brands.catalogue import Brand, Credential, Organisation, Tier
 from baobabwing.pools.catalogue import Pool, Upstream
 
-__all__ = ["Configuration"]
+__all__ = ["Configuration", "LeavingHost", "ModelRoute"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class ModelRoute:
+    """Which model answers when callers of a brand ask for a name.
+
+    :param brand: the brand, or an empty string for all that have no own route.
+    :param model: the name that callers use.
+    :param serves: the model of a pool that answers.
+    """
+
+    brand: str = ""
+    model: str
+    serves: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeavingHost:
+    """A node that is to stop gracefully and not come back.
+
+    :param name: name of the node in its settings.
+    """
+
+    name: str
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -30,3 +54,5 @@
     credentials: tuple[Credential, ...] = ()
     pools: tuple[Pool, ...] = ()
     upstreams: tuple[Upstream, ...] = ()
+    routes: tuple[ModelRoute, ...] = ()
+    leaving_hosts: tuple[LeavingHost, ...] = ()
--- a/baobabwing/settings/documents.py
+++ b/baobabwing/settings/documents.py
@@ -80,6 +80,7 @@
         "credentials",
         "pools",
         "upstreams",
+        "leaving_hosts",
     ):
         _check_unique(cfg, group, "name")
     _check_unique(cfg, "tiers", "rank")
@@ -90,6 +91,7 @@
     _check_reference(cfg, "credentials", "tier", "tiers")
     _check_reference(cfg, "upstreams", "pool", "pools")
     _check_models(cfg)
+    _check_routes(cfg)
 
 
 def _check_unique(cfg: Configuration, group: str, name: str) -> None:
@@ -134,3 +136,28 @@
                     found=f"{model!r}, also in pool {owner[model]!r}",
                     allowed="a model of no other pool",
                 )
+
+
+def _check_routes(cfg: Configuration) -> None:
+    models = {model for pool in cfg.pools for model in pool.models}
+    brands = {brand.name for brand in cfg.brands} | {""}
+    seen = set()
+    for index, route in enumerate(cfg.routes):
+        path = f"routes[{index}]"
+        if route.brand not in brands:
+            raise FieldError(
+                path=f"{path}.brand", found=repr(route.brand), allowed="a known brand"
+            )
+        if route.serves not in models:
+            raise FieldError(
+                path=f"{path}.serves",
+                found=repr(route.serves),
+                allowed=f"a model of a pool: {', '.join(sorted(models)) or 'none'}",
+            )
+        if (route.brand, route.model) in seen:
+            raise FieldError(
+                path=f"{path}.model",
+                found=f"{route.model!r} a second time for the brand",
+                allowed="one route",
+            )
+        seen.add((route.brand, route.model))
--- /dev/null
+++ b/baobabwing/settings/history.py
@@ -0,0 +1,54 @@
+"""Who changed what in the configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from baobabwing.platform.tables import Tables
+from baobabwing.settings.changes import Change, changes_between
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.fetch import fetch_configuration, fetch_version
+
+__all__ = ["HistoryEntry", "read_history"]
+
+_NOTHING = Configuration(version=0)
+
+
+@dataclass(frozen=True, kw_only=True)
+class HistoryEntry:
+    """One version and what it changed.
+
+    :param attempt: the attempt that wrote it; the plan's id if it was a plan.
+    """
+
+    version: int
+    author: str
+    summary: str
+    attempt: str
+    changes: tuple[Change, ...]
+
+
+def read_history(tables: Tables, *, limit: int) -> tuple[HistoryEntry, ...]:
+    """Read the newest versions, newest first.
+
+    One read a version.
+
+    :raises PlatformUnavailableError: if the service did not answer.
+    """
+    newest = fetch_configuration(tables)
+    entries: list[HistoryEntry] = []
+    while newest is not None and len(entries) < limit:
+        past = fetch_version(tables, newest.version - 1)
+        entries.append(_entry(newest, past or _NOTHING))
+        newest = past
+    return tuple(entries)
+
+
+def _entry(cfg: Configuration, past: Configuration) -> HistoryEntry:
+    return HistoryEntry(
+        version=cfg.version,
+        author=cfg.author,
+        summary=cfg.summary,
+        attempt=cfg.attempt,
+        changes=changes_between(past, cfg),
+    )
--- /dev/null
+++ b/baobabwing/settings/plans/limits.py
@@ -0,0 +1,58 @@
+"""Intent that changes the limits of an organisation."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from baobabwing.brands.catalogue import Limits, Organisation
+from baobabwing.settings.checker import rule
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.plans.intents import PlanContext, register, unknown_name
+
+__all__ = ["ChangeLimits"]
+
+_KEEP = -1
+
+
+@register("change-limits")
+@dataclass(frozen=True, kw_only=True)
+class ChangeLimits:
+    """Change the limits of an organisation; 0 stands for no bound, -1 for as it is.
+
+    :param organisation: its name.
+    :param requests_per_s: requests admitted a second.
+    :param tokens_per_s: prompt and output tokens a second.
+    :param concurrency: requests open at one time.
+    """
+
+    organisation: str = rule(least=1)
+    requests_per_s: float = rule(float(_KEEP), least=_KEEP)
+    tokens_per_s: float = rule(float(_KEEP), least=_KEEP)
+    concurrency: int = rule(_KEEP, least=_KEEP)
+
+    def apply(self, cfg: Configuration, context: PlanContext) -> Configuration:
+        """Replace the limits that are stated."""
+        names = tuple(organisation.name for organisation in cfg.organisations)
+        if self.organisation not in names:
+            raise unknown_name("organisation", self.organisation, names)
+        organisations = tuple(self._change(item) for item in cfg.organisations)
+        return replace(cfg, organisations=organisations)
+
+    def summary(self) -> str:
+        """Return one line for the history."""
+        return f"change limits of {self.organisation}"
+
+    def _change(self, organisation: Organisation) -> Organisation:
+        if organisation.name != self.organisation:
+            return organisation
+        old = organisation.limits
+        limits = Limits(
+            requests_per_s=_choose(self.requests_per_s, old.requests_per_s),
+            tokens_per_s=_choose(self.tokens_per_s, old.tokens_per_s),
+            concurrency=_choose(self.concurrency, old.concurrency),
+        )
+        return replace(organisation, limits=limits)
+
+
+def _choose(stated: float, old: float) -> float:
+    return old if stated < 0 else stated
--- /dev/null
+++ b/baobabwing/settings/plans/store.py
@@ -0,0 +1,49 @@
+"""Plans in the table service."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+
+from baobabwing.exceptions import PlatformUncertainError, SettingsError
+from baobabwing.platform.tables import Insert, Tables
+from baobabwing.settings.checker import build
+from baobabwing.settings.plans.record import Plan
+
+__all__ = ["PLANS_TABLE", "list_plans", "load_plan", "save_plan"]
+
+PLANS_TABLE = "plans"
+
+
+def save_plan(tables: Tables, plan: Plan) -> None:
+    """Insert a plan under its id.
+
+    :raises PlatformError: if it could not be stored; nothing else happened.
+    """
+    row = Insert(key=plan.id, value=json.loads(json.dumps(dataclasses.asdict(plan))))
+    try:
+        tables.insert_many(PLANS_TABLE, [row])
+    except PlatformUncertainError:
+        # The id belongs to this plan alone, so inserting it again either finds
+        # the row of the lost answer or writes it.
+        tables.insert_many(PLANS_TABLE, [row])
+
+
+def load_plan(tables: Tables, plan_id: str) -> Plan:
+    """Read a plan.
+
+    :raises SettingsError: if there is none of that id.
+    :raises PlatformUnavailableError: if the service did not answer.
+    """
+    row = tables.read(PLANS_TABLE, plan_id)
+    if row is None:
+        raise SettingsError(f"no plan {plan_id!r}", step="plan")
+    return build(Plan, row.value)
+
+
+def list_plans(tables: Tables) -> tuple[Plan, ...]:
+    """Read all plans, confirmed or not.
+
+    :raises PlatformUnavailableError: if the service did not answer.
+    """
+    return tuple(build(Plan, row.value) for row in tables.list_items(PLANS_TABLE))
--- a/baobabwing/settings/rules.py
+++ b/baobabwing/settings/rules.py
@@ -7,7 +7,7 @@
 from baobabwing.brands.catalogue import Brand, Credential, Limits, Organisation, Tier
 from baobabwing.pools.catalogue import Pool, Upstream
 from baobabwing.settings.checker import Rule, is_address, set_rules
-from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.configuration import Configuration, LeavingHost, ModelRoute
 
 __all__ = ["MAX_RANK"]
 
@@ -67,6 +67,8 @@
     prefill_tokens_per_s=Rule(least=0.001, most=1e9),
     step_ms=Rule(least=0.001, most=60_000),
 )
+set_rules(ModelRoute, brand=Rule(most=128), model=_ANY_NAME, serves=_ANY_NAME)
+set_rules(LeavingHost, name=_ANY_NAME)
 set_rules(
     Configuration,
     version=Rule(least=0, most=2**63 - 1),
--- /dev/null
+++ b/tests/cli/test_config.py
@@ -0,0 +1,68 @@
+"""Commands on settings and configuration, with their exit codes."""
+
+import json
+from pathlib import Path
+
+import pytest
+from typer.testing import CliRunner
+
+from baobabwing.cli import config
+from baobabwing.platform.memory import Fault, MemoryTables
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+NODE = str(EXAMPLES / "pitchside.node.jsonc")
+CONFIGURATION = str(EXAMPLES / "pitchside.configuration.jsonc")
+PLATFORM = ["--platform", "http://127.0.0.1:7001"]
+
+
+@pytest.fixture
+def tables(monkeypatch):
+    made = MemoryTables()
+    monkeypatch.setattr(config, "table_client", lambda url, timeout_ms: made)
+    return made
+
+
+def run(*arguments):
+    return CliRunner().invoke(config.app, list(arguments))
+
+
+def test_check_tells_files_apart(tmp_path):
+    assert "node settings" in run("check", NODE).output
+    assert "configuration" in run("check", CONFIGURATION).output
+    wrong = tmp_path / "wrong.jsonc"
+    wrong.write_text('{\n"tiers": [{"nam": 1}]}')
+    result = run("check", str(wrong))
+    assert result.exit_code == config.EXIT_INVALID
+    assert f"{wrong}:2: tiers[0].nam" in result.output
+
+
+def test_show_hides_secrets():
+    shown = json.loads(run("show", NODE).output)
+    assert shown["limits"]["worker_threads"] == 640
+    assert shown["peer_secrets"] == ["not shown"]
+
+
+def test_publish_show_and_change(tables, tmp_path):
+    publish = ["publish", CONFIGURATION, *PLATFORM, "--author", "ana"]
+    assert run("show", *PLATFORM).exit_code == config.EXIT_INVALID
+    assert "version 1 published" in run(*publish).output
+    conflict = run(*publish)
+    assert conflict.exit_code == config.EXIT_CONFLICT
+    assert "version 1 by ana" in conflict.output
+    changed = tmp_path / "changed.jsonc"
+    changed.write_text(run("show", *PLATFORM).output)
+    again = run("publish", str(changed), *PLATFORM, "--author", "eva")
+    assert "version 2 published" in again.output
+
+
+@pytest.mark.parametrize(
+    ("fault", "code"),
+    [
+        (Fault.REFUSE, config.EXIT_UNAVAILABLE),
+        (Fault.LOSE_REQUEST, config.EXIT_UNCERTAIN),
+    ],
+)
+def test_platform_faults(tables, fault, code):
+    tables.on_call = lambda call: fault if call.operation == "put" else None
+    result = run("publish", CONFIGURATION, *PLATFORM, "--author", "ana")
+    assert result.exit_code == code
