Add fleet membership by probing, and homes by rendezvous hashing

Nodes had no way to know of each other without a full mesh of heartbeats, which at 460 nodes would cost more than the 4 KB a second that control may.

Membership probes one member an interval, asks others about a silent one, lets the suspect refute, and spreads news at once to a few random members. A death needs the word of a member outside the own zone, so a node or zone that is cut off declares nobody dead. Refuting raises a number of its own and not the incarnation, because keys of callers are bound to the incarnation.

Datagram gets digest, answers and holds; MemberUpdate gets refutation and weight, all at the end.

--- /dev/null
+++ b/baobabwing/fleet/draw.py
@@ -0,0 +1,26 @@
+"""Weighted draws by hash, the same on every node."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+
+__all__ = ["weighted_draw"]
+
+_HASH_BYTES = 8
+_HASH_RANGE = 2.0 ** (8 * _HASH_BYTES)
+_MIN_LOGARITHM = 1e-18
+
+
+def weighted_draw(name: str, subject: str, *, weight: float) -> float:
+    """Return a number for a name and a subject.
+
+    Among several names, each has the highest number for a share of all subjects
+    that is in proportion to its weight.
+    """
+    data = f"{name}\0{subject}".encode()
+    digest = hashlib.blake2b(data, digest_size=_HASH_BYTES).digest()
+    uniform = (int.from_bytes(digest, "big") + 0.5) / _HASH_RANGE
+    # The topmost hashes round to 1, of which the logarithm is 0. Dividing by it
+    # would raise in whoever asks for that one subject.
+    return weight / max(-math.log(uniform), _MIN_LOGARITHM)
--- /dev/null
+++ b/baobabwing/fleet/joining.py
@@ -0,0 +1,197 @@
+"""Finding the fleet by candidates, and pulling its members page by page."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from baobabwing.fleet.events import SEEDS_FAILED
+from baobabwing.fleet.host import Host, MemberState
+from baobabwing.fleet.settings import MembershipSettings
+from baobabwing.fleet.speaker import Speaker
+from baobabwing.fleet.table import MemberTable
+from baobabwing.fleet.targets import live_others
+from baobabwing.reports.events import log
+from baobabwing.wire.datagram import DatagramKind
+
+__all__ = ["Joining", "SeedReader"]
+
+_MS = 0.001
+_PAGE_TIMEOUT_S = 0.3
+_PAGE_TRIES = 6
+_DIFFERING_S = 10.0
+_NEVER = float("inf")
+
+
+class SeedReader:
+    """Reads the list of hosts on a thread of its own.
+
+    The list comes from the platform and may take seconds or fail. On the probing
+    thread that would look to all others like the death of this node. What the
+    list lacks removes nobody: it only names candidates.
+    """
+
+    def __init__(
+        self, *, seeds: Callable[[], Iterable[Host]], cfg: MembershipSettings
+    ) -> None:
+        self._seeds = seeds
+        self._interval_s = cfg.seed_interval_ms * _MS
+        self._retry_s = cfg.join_interval_ms * _MS
+        self._stopping = threading.Event()
+        self._candidates: tuple[Host, ...] = ()
+
+    def candidates(self) -> tuple[Host, ...]:
+        """Return the hosts of the last list that could be read."""
+        return self._candidates
+
+    def run(self) -> None:
+        """Read the list until stopped."""
+        while not self._stopping.is_set():
+            self._read()
+            pause_s = self._interval_s if self._candidates else self._retry_s
+            self._stopping.wait(pause_s)
+
+    def stop(self) -> None:
+        """Have the thread end after the read that it is in."""
+        self._stopping.set()
+
+    def _read(self) -> None:
+        try:
+            self._candidates = tuple(self._seeds())
+        except Exception as exc:
+            # Whatever the platform's client raises, membership lives on without
+            # the list; the thread must be there when the platform is back.
+            log(SEEDS_FAILED, error=repr(exc))
+
+
+class Joining:
+    """Joins by candidates, and keeps the table whole by pulling pages."""
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        speaker: Speaker,
+        seeds: SeedReader,
+        cfg: MembershipSettings,
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self._speaker = speaker
+        self._seeds = seeds
+        self._cfg = cfg
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._join_at = 0.0
+        self._wanted = True
+        self._source: Host | None = None
+        self._cursor = ""
+        self._asked_at = 0.0
+        self._asked = 0
+        self._tries = 0
+        self._differs_since: float | None = None
+        self._pulled_at = -_NEVER
+
+    def advance(self, now: float) -> None:
+        """Try candidates, and ask for the next page again where it was lost."""
+        if now >= self._join_at:
+            self._join(now)
+        if self._source is not None and now >= self._asked_at + _PAGE_TIMEOUT_S:
+            self._retry(now)
+
+    def next_due(self) -> float:
+        """Return when :meth:`advance` has something to do."""
+        if self._source is not None:
+            return min(self._join_at, self._asked_at + _PAGE_TIMEOUT_S)
+        return self._join_at
+
+    def met(self, host: Host) -> None:
+        """Note a live member; the first one is asked for all others."""
+        with self._lock:
+            if not self._wanted or self._source is not None:
+                return
+            self._begin(host, time.monotonic())
+
+    def pull_anew(self) -> None:
+        """Have the next live member asked for all others."""
+        self._wanted = True
+
+    def compare(self, host: Host, *, differs: bool) -> None:
+        """Note whether a member's digest differs from the own one.
+
+        Samples heal a difference within seconds as a rule. A lasting one has
+        all members pulled from a peer that differs, at a bounded rate.
+        """
+        now = time.monotonic()
+        with self._lock:
+            if not differs:
+                self._differs_since = None
+                return
+            if self._differs_since is None:
+                self._differs_since = now
+            lasting = now - self._differs_since > _DIFFERING_S
+            interval_s = self._cfg.page_interval_ms * _MS
+            rested = now - self._pulled_at > interval_s
+            if lasting and rested and self._source is None:
+                self._begin(host, now)
+
+    def on_page(self, sender: str, answers: int, cursor: str) -> None:
+        """Ask for the page that follows, if there is one."""
+        with self._lock:
+            if self._source is None or sender != self._source.name:
+                return
+            if answers != self._asked:
+                return
+            if not cursor:
+                self._source = None
+                return
+            self._cursor = cursor
+            self._tries = 0
+            self._ask(time.monotonic())
+
+    def _begin(self, host: Host, now: float) -> None:
+        self._wanted = False
+        self._source = host
+        self._cursor = ""
+        self._tries = 0
+        self._pulled_at = now
+        self._ask(now)
+
+    def _ask(self, now: float) -> None:
+        self._asked_at = now
+        self._tries += 1
+        self._asked = self._speaker.say(
+            DatagramKind.PAGE_REQUEST, self._source, target=self._cursor
+        )
+
+    def _retry(self, now: float) -> None:
+        with self._lock:
+            if self._source is None:
+                return
+            if self._tries >= _PAGE_TRIES:
+                self._source = None
+                self._wanted = True
+                return
+            self._ask(now)
+
+    def _join(self, now: float) -> None:
+        view = self._table.view()
+        me = self._table.me.host
+        alone = not live_others(view, me.name)
+        interval_ms = (
+            self._cfg.join_interval_ms if alone else self._cfg.seed_interval_ms
+        )
+        self._join_at = now + interval_ms * _MS
+        strangers = [host for host in self._seeds.candidates() if self._is_new(host)]
+        self._rng.shuffle(strangers)
+        for host in strangers[: self._cfg.fan_out]:
+            self._speaker.introduce(DatagramKind.JOIN, host.peer)
+
+    def _is_new(self, host: Host) -> bool:
+        me = self._table.me.host
+        if not host.peer or host.name == me.name or host.peer == me.peer:
+            return False
+        member = self._table.find(host.name)
+        return member is None or member.state in (MemberState.DEAD, MemberState.LEFT)
--- /dev/null
+++ b/baobabwing/fleet/membership.py
@@ -0,0 +1,191 @@
+"""Who is in the fleet, by probing, rumour and suspicion over UDP.
+
+Each node probes one member an interval. A member that is silent to it, and to
+others whom it asks, is suspect, has a time to refute, and is then declared dead.
+News rides on all datagrams and goes out at once to a few random members. What a
+node sends a second does not depend on the fleet's size.
+
+.. [1] A. Das, I. Gupta and A. Motivala, "SWIM: Scalable Weakly-consistent
+   Infection-style Process Group Membership Protocol", Proc. International
+   Conference on Dependable Systems and Networks, 2002.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any
+
+from baobabwing.fleet.counters import LinkCounters
+from baobabwing.fleet.errands import Errands
+from baobabwing.fleet.host import Host
+from baobabwing.fleet.joining import Joining, SeedReader
+from baobabwing.fleet.link import DatagramLink, open_udp_socket
+from baobabwing.fleet.news import News
+from baobabwing.fleet.prober import Prober
+from baobabwing.fleet.receiver import Receiver
+from baobabwing.fleet.replay import ReplayGuard
+from baobabwing.fleet.settings import MembershipSettings
+from baobabwing.fleet.speaker import ConfigurationVersions, Speaker
+from baobabwing.fleet.table import MemberTable
+from baobabwing.fleet.targets import live_others
+from baobabwing.fleet.updates import UpdateQueue
+from baobabwing.fleet.view import FleetView
+
+__all__ = ["Membership"]
+
+_STOP_TIMEOUT_S = 2.0
+
+
+class Membership:
+    """Part that a node takes in the fleet.
+
+    One thread receives, one probes, and one reads the list of hosts. Callbacks
+    run on the first two and must return soon.
+
+    :param me: the own host; with port 0 in ``peer`` a free port is taken.
+    :param seeds: returns hosts that may be members; it may be wrong, block or
+        fail, since it only names candidates.
+    :param secrets: the first one authenticates what is sent, any what arrives.
+    :param configuration_version: returns the version that this node holds.
+    :param on_configuration: called with a version and a host that told of it.
+    :param on_view: called with each new view of the fleet.
+    :param socket_factory: makes a bound UDP socket for an ``ip:port``.
+    :raises PeerError: if the address cannot be bound.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: Host,
+        seeds: Callable[[], Iterable[Host]],
+        cfg: MembershipSettings,
+        secrets: tuple[bytes, ...],
+        configuration_version: Callable[[], int],
+        on_configuration: Callable[[int, Host], None],
+        on_view: Callable[[FleetView], None],
+        socket_factory: Callable[[str], Any] | None = None,
+    ) -> None:
+        rng = random.Random()
+        self._cfg = cfg
+        self._rng = rng
+        self._link = DatagramLink(
+            address=me.peer,
+            secrets=secrets,
+            socket_factory=socket_factory or open_udp_socket,
+        )
+        self._table = MemberTable(me=replace(me, peer=self._link.address))
+        versions = ConfigurationVersions(held=configuration_version)
+        self._speaker = Speaker(
+            table=self._table,
+            link=self._link,
+            updates=UpdateQueue(),
+            versions=versions,
+            cfg=cfg,
+        )
+        self._news = News(table=self._table, speaker=self._speaker, on_view=on_view)
+        self._seeds = SeedReader(seeds=seeds, cfg=cfg)
+        joining = Joining(
+            table=self._table,
+            speaker=self._speaker,
+            seeds=self._seeds,
+            cfg=cfg,
+            rng=rng,
+        )
+        errands = Errands(speaker=self._speaker, cfg=cfg)
+        self._prober = Prober(
+            table=self._table,
+            speaker=self._speaker,
+            news=self._news,
+            joining=joining,
+            errands=errands,
+            cfg=cfg,
+            rng=rng,
+        )
+        self._news.on_fresh(self._prober.wake)
+        self._receiver = Receiver(
+            table=self._table,
+            link=self._link,
+            replay=ReplayGuard(clock_window_ms=cfg.clock_window_ms),
+            speaker=self._speaker,
+            news=self._news,
+            prober=self._prober,
+            errands=errands,
+            joining=joining,
+            versions=versions,
+            on_configuration=on_configuration,
+        )
+        self._threads = tuple(
+            threading.Thread(target=run, name=f"membership-{name}", daemon=True)
+            for name, run in (
+                ("receive", self._receiver.run),
+                ("probe", self._prober.run),
+                ("seeds", self._seeds.run),
+            )
+        )
+        self._leaving = False
+        self._stopped = False
+
+    @property
+    def me(self) -> Host:
+        """The own host, with the port that was bound."""
+        return self._table.me.host
+
+    @property
+    def counters(self) -> LinkCounters:
+        """Counters of datagrams sent, received and dropped."""
+        return self._link.counters
+
+    def start(self) -> None:
+        """Begin to receive, to probe and to join."""
+        self._news.tell()
+        for thread in self._threads:
+            thread.start()
+
+    def view(self) -> FleetView:
+        """Return the view of now."""
+        return self._table.view()
+
+    def wait_for(
+        self, predicate: Callable[[FleetView], bool], timeout_s: float
+    ) -> bool:
+        """Wait until a view meets a condition; return whether one did."""
+        return self._news.wait_for(predicate, timeout_s)
+
+    def announce(self) -> None:
+        """Tell a few members at once that this node's configuration changed."""
+        self._news.refresh()
+
+    def leave(self) -> None:
+        """Mark this host as leaving, for all to see; it stays a member."""
+        self._leaving = True
+        self._speaker.spread(self._table.mark_leaving())
+        self._news.refresh()
+        self._news.tell()
+
+    def stop(self) -> None:
+        """End the threads; a host that was leaving says that it has left.
+
+        Without :meth:`leave` before, the others see this host die.
+        """
+        if self._stopped:
+            return
+        self._stopped = True
+        if self._leaving:
+            self._say_left()
+        self._receiver.stop()
+        self._prober.stop()
+        self._seeds.stop()
+        for thread in self._threads:
+            if thread.is_alive():
+                thread.join(_STOP_TIMEOUT_S)
+        self._link.close()
+
+    def _say_left(self) -> None:
+        self._speaker.spread(self._table.mark_left())
+        hosts = live_others(self._table.view(), self.me.name)
+        count = min(2 * self._cfg.fan_out, len(hosts))
+        for host in self._rng.sample(hosts, count):
+            self._speaker.gossip(host)
--- /dev/null
+++ b/baobabwing/fleet/news.py
@@ -0,0 +1,128 @@
+"""Takes in changes of the table: logs them, spreads them, tells the node."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from baobabwing.fleet.events import (
+    CALLBACK_FAILED,
+    MEMBER_BACK,
+    MEMBER_DEAD,
+    MEMBER_JOINED,
+    MEMBER_LEAVING,
+    MEMBER_LEFT,
+    MEMBER_REPLACED,
+    OWN_DEATH_REFUTED,
+    SUPERSEDED,
+)
+from baobabwing.fleet.speaker import Speaker
+from baobabwing.fleet.table import Change, ChangeKind, MemberTable
+from baobabwing.fleet.view import FleetView
+from baobabwing.reports.events import Event, log
+from baobabwing.wire.datagram import MemberRecord
+
+__all__ = ["News"]
+
+_EVENTS: dict[ChangeKind, Event] = {
+    ChangeKind.JOINED: MEMBER_JOINED,
+    ChangeKind.REPLACED: MEMBER_REPLACED,
+    ChangeKind.BACK: MEMBER_BACK,
+    ChangeKind.LEAVING: MEMBER_LEAVING,
+    ChangeKind.DEAD: MEMBER_DEAD,
+    ChangeKind.LEFT: MEMBER_LEFT,
+    ChangeKind.OWN_REFUTED: OWN_DEATH_REFUTED,
+    ChangeKind.OWN_SUPERSEDED: SUPERSEDED,
+}
+
+
+class News:
+    """Changes on their way from the table to other nodes and to this one.
+
+    :param on_view: called with each new view, one at a time.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        speaker: Speaker,
+        on_view: Callable[[FleetView], None],
+    ) -> None:
+        self._table = table
+        self._speaker = speaker
+        self._on_view = on_view
+        self._changed = threading.Condition()
+        self._telling = threading.Lock()
+        self._told: FleetView | None = None
+        self._fresh = threading.Event()
+        self._wake: Callable[[], None] = lambda: None
+        self._logged_superseded = False
+
+    def on_fresh(self, wake: Callable[[], None]) -> None:
+        """Set what is called when there is something to be spread at once."""
+        self._wake = wake
+
+    def take_fresh(self) -> bool:
+        """Return whether there is fresh news, and forget that there is."""
+        fresh = self._fresh.is_set()
+        self._fresh.clear()
+        return fresh
+
+    def refresh(self) -> None:
+        """Have the next burst of news go out at once."""
+        self._fresh.set()
+        self._wake()
+
+    def take_in(self, records: Iterable[MemberRecord]) -> None:
+        """Apply records, then spread and tell whatever they changed."""
+        now = time.monotonic()
+        changes = [self._table.apply(record, now=now) for record in records]
+        self.spread([change for change in changes if change is not None])
+
+    def spread(self, changes: list[Change]) -> None:
+        """Log changes, let them ride on datagrams and tell this node."""
+        for change in changes:
+            self._log(change)
+            if change.kind is not ChangeKind.OWN_SUPERSEDED:
+                self._speaker.spread(change.record)
+        if changes:
+            self.refresh()
+            self.tell()
+
+    def tell(self) -> None:
+        """Hand the view to the node if it is a new one."""
+        with self._telling:
+            view = self._table.view()
+            if view is self._told:
+                return
+            self._told = view
+            with self._changed:
+                self._changed.notify_all()
+            try:
+                self._on_view(view)
+            except Exception as exc:
+                # The node's callback runs on the protocol's threads. Its failure
+                # would end them, and the node would be declared dead.
+                log(CALLBACK_FAILED, callback="on_view", error=repr(exc))
+
+    def wait_for(
+        self, predicate: Callable[[FleetView], bool], timeout_s: float
+    ) -> bool:
+        """Wait until a view meets a condition; return whether one did."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: predicate(self._table.view()), timeout_s
+            )
+
+    def _log(self, change: Change) -> None:
+        event = _EVENTS.get(change.kind)
+        if event is None:
+            return
+        if change.kind is ChangeKind.OWN_SUPERSEDED:
+            if self._logged_superseded:
+                return
+            self._logged_superseded = True
+        host = change.member.host
+        log(event, host=host.name, zone=host.zone, incarnation=host.incarnation)
--- /dev/null
+++ b/baobabwing/fleet/prober.py
@@ -0,0 +1,360 @@
+"""The probing thread: probes members, judges the silent ones, spreads news."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+
+from baobabwing.fleet.budget import Budget
+from baobabwing.fleet.errands import Errands
+from baobabwing.fleet.events import (
+    MEMBER_SUSPECTED,
+    OWN_PAUSE,
+    VERDICTS_HELD,
+    VERDICTS_RESUMED,
+)
+from baobabwing.fleet.host import Host, MemberState
+from baobabwing.fleet.joining import Joining
+from baobabwing.fleet.news import News
+from baobabwing.fleet.probe import Probe
+from baobabwing.fleet.settings import MembershipSettings
+from baobabwing.fleet.speaker import Speaker
+from baobabwing.fleet.table import MemberTable
+from baobabwing.fleet.targets import ProbeOrder, confirmers, gone, live_others
+from baobabwing.fleet.verdict import Verdict, judge
+from baobabwing.reports.events import log
+from baobabwing.wire.datagram import DatagramKind, MemberRecord
+
+__all__ = ["Prober"]
+
+_MS = 0.001
+_PINGS_BEFORE_ASKING = 2
+_ROUNDS_BEFORE_SUSPICION = 4
+_MAX_WAIT_S = 0.5
+_LOSS_WEIGHT = 0.1
+_LOSS_FACTOR = 10.0
+_MAX_EXTRA_WINDOWS = 2.0
+_QUICK_HOLDS = 3
+_HELD_SPACING_S = 0.5
+_HELD_MIN_S = 1.0
+_RESUME_SPACING_S = 0.05
+_FORGET_EVERY_S = 5.0
+
+
+class Prober:
+    """Starts one probe an interval and follows the open ones.
+
+    The cost does not grow with the fleet: one probe an interval, whoever is
+    probed, and news at a bounded rate.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        speaker: Speaker,
+        news: News,
+        joining: Joining,
+        errands: Errands,
+        cfg: MembershipSettings,
+        rng: random.Random,
+    ) -> None:
+        self._table = table
+        self._speaker = speaker
+        self._news = news
+        self._joining = joining
+        self._errands = errands
+        self._cfg = cfg
+        self._rng = rng
+        self._order = ProbeOrder(me=table.me.host.name, rng=rng)
+        self._probes: dict[str, Probe] = {}
+        self._by_sequence: dict[int, Probe] = {}
+        self._answered_at: dict[str, float] = {}
+        self._loss = 0.0
+        self._lock = threading.Lock()
+        self._woken = threading.Event()
+        self._stopping = False
+        self._gossip_budget = Budget(rate=cfg.gossip_per_s, burst=cfg.gossip_burst)
+        self._probe_at = 0.0
+        self._gossip_at = 0.0
+        self._reconnect_at = 0.0
+        self._forget_at = 0.0
+        self._fresh = False
+
+    def run(self) -> None:
+        """Probe until stopped."""
+        self._probe_at = time.monotonic() + self._rng.random() * self._interval_s
+        planned = time.monotonic()
+        while not self._stopping:
+            now = time.monotonic()
+            self._note_pause(now, planned)
+            self._start_probe(now)
+            self._advance_probes(now)
+            self._errands.advance(now)
+            self._joining.advance(now)
+            self._spread_news(now)
+            self._reconnect(now)
+            self._forget(now)
+            planned = self._next_due(now)
+            self._woken.wait(max(0.0, planned - time.monotonic()))
+            self._woken.clear()
+            planned = min(planned, time.monotonic())
+
+    def wake(self) -> None:
+        """Have the thread look at what is due."""
+        self._woken.set()
+
+    def stop(self) -> None:
+        """Have the thread end."""
+        self._stopping = True
+        self.wake()
+
+    def answered(self, sequence: int, name: str) -> None:
+        """Take in an answer of a member, direct or by another one.
+
+        :param sequence: sequence of this node's datagram that it answers.
+        """
+        with self._lock:
+            probe = self._by_sequence.get(sequence)
+            if probe is None or probe.target.name != name:
+                return
+            self._answered_at[name] = time.monotonic()
+            lost = float(probe.rounds > 1)
+            self._loss += _LOSS_WEIGHT * (lost - self._loss)
+            self._close(probe)
+            self._release_held()
+        if self._table.clear_suspicion(name):
+            self._news.tell()
+
+    def found_silent(self, sequence: int, by: Host, name: str) -> None:
+        """Take in that another member finds the target silent as well."""
+        with self._lock:
+            probe = self._by_sequence.get(sequence)
+            if probe is not None and probe.target.name == name:
+                probe.confirmed[by.name] = by.zone
+
+    @property
+    def _interval_s(self) -> float:
+        return self._cfg.probe_interval_ms * _MS
+
+    @property
+    def _timeout_s(self) -> float:
+        return self._cfg.probe_timeout_ms * _MS
+
+    def _note_pause(self, now: float, planned: float) -> None:
+        # After a pause of this process its probes look unanswered, though the
+        # answers wait in the socket. It would declare its peers dead in a row.
+        # All timing starts anew, so the receiving thread gets to them first.
+        if now - planned <= self._timeout_s:
+            return
+        log(OWN_PAUSE, seconds=round(now - planned, 3))
+        with self._lock:
+            for probe in self._probes.values():
+                probe.restart(now + self._timeout_s)
+        self._probe_at = now + self._timeout_s
+
+    def _start_probe(self, now: float) -> None:
+        if now < self._probe_at:
+            return
+        self._probe_at = max(self._probe_at + self._interval_s, now)
+        with self._lock:
+            # A node that is cut off for long would have all members under probe.
+            if len(self._probes) >= self._cfg.suspects_limit:
+                return
+            target = self._order.next(self._table.view(), self._probes)
+            if target is not None:
+                self._probes[target.name] = Probe(
+                    target=target, started_at=now, next_at=now
+                )
+
+    def _advance_probes(self, now: float) -> None:
+        with self._lock:
+            due = [probe for probe in self._probes.values() if probe.next_at <= now]
+        for probe in due:
+            if self._is_obsolete(probe):
+                with self._lock:
+                    self._close(probe)
+                continue
+            self._advance(probe, now)
+
+    def _is_obsolete(self, probe: Probe) -> bool:
+        member = self._table.find(probe.target.name)
+        if member is None or member.host.incarnation != probe.target.incarnation:
+            return True
+        return member.state in (MemberState.DEAD, MemberState.LEFT)
+
+    def _advance(self, probe: Probe, now: float) -> None:
+        if probe.suspected_at is None and probe.rounds >= _ROUNDS_BEFORE_SUSPICION:
+            self._suspect(probe, now)
+        if self._is_over(probe, now) and self._judge(probe, now):
+            return
+        self._ping(probe)
+        if probe.rounds > _PINGS_BEFORE_ASKING:
+            self._ask_others(probe)
+        probe.next_at = now + self._pause_of(probe)
+
+    def _pause_of(self, probe: Probe) -> float:
+        if probe.held > _QUICK_HOLDS:
+            return max(_HELD_MIN_S, _HELD_SPACING_S * len(self._probes))
+        if probe.suspected_at is not None:
+            return self._timeout_s
+        return self._timeout_s / 2
+
+    def _ping(self, probe: Probe) -> None:
+        sequence = self._speaker.say(DatagramKind.PING, probe.target)
+        self._expect(sequence, probe)
+        probe.rounds += 1
+
+    def _ask_others(self, probe: Probe) -> None:
+        hosts = confirmers(
+            self._table.view(),
+            me=self._table.me.host,
+            target=probe.target.name,
+            skip=self._probes,
+            count=self._cfg.fan_out,
+            rng=self._rng,
+        )
+        for host in hosts:
+            sequence = self._speaker.say(
+                DatagramKind.PING_REQUEST, host, target=probe.target.name
+            )
+            self._expect(sequence, probe)
+
+    def _expect(self, sequence: int, probe: Probe) -> None:
+        with self._lock:
+            if self._probes.get(probe.target.name) is probe:
+                probe.sequences.add(sequence)
+                self._by_sequence[sequence] = probe
+
+    def _suspect(self, probe: Probe, now: float) -> None:
+        probe.suspected_at = now
+        self._table.suspect(probe.target.name)
+        log(MEMBER_SUSPECTED, host=probe.target.name, zone=probe.target.zone)
+        self._news.tell()
+
+    def _is_over(self, probe: Probe, now: float) -> bool:
+        if probe.suspected_at is None:
+            return False
+        # On a lossy network the suspect's answers are lost as well. Probes that
+        # were answered only on a later ping show the loss; the time grows with it.
+        extra = min(_MAX_EXTRA_WINDOWS, _LOSS_FACTOR * self._loss)
+        window_s = self._cfg.suspicion_ms * _MS * (1.0 + extra)
+        return now - probe.suspected_at >= window_s
+
+    def _judge(self, probe: Probe, now: float) -> bool:
+        """Declare the target dead or hold; return whether it was declared."""
+        me = self._table.me.host
+        others = [
+            host
+            for host in live_others(self._table.view(), me.name)
+            if host.name != probe.target.name
+        ]
+        with self._lock:
+            verdict = judge(
+                me=me,
+                target=probe.target,
+                others=others,
+                confirmed=dict(probe.confirmed),
+                silent=sum(p.rounds > 1 for p in self._probes.values()),
+                answered=sum(
+                    at >= probe.started_at for at in self._answered_at.values()
+                ),
+            )
+        if verdict is Verdict.HOLD:
+            self._hold(probe)
+            return False
+        self._declare(probe)
+        return True
+
+    def _hold(self, probe: Probe) -> None:
+        probe.held += 1
+        if probe.held <= _QUICK_HOLDS or self._table.view().isolated:
+            return
+        log(VERDICTS_HELD, host=probe.target.name, suspects=len(self._probes))
+        self._table.set_isolated(True)
+        self._news.tell()
+
+    def _release_held(self) -> None:
+        """Try all held suspects soon, now that somebody answers again."""
+        now = time.monotonic()
+        held = [probe for probe in self._probes.values() if probe.held]
+        for place, probe in enumerate(held):
+            probe.next_at = min(probe.next_at, now + place * _RESUME_SPACING_S)
+        if not held and self._table.view().isolated:
+            log(VERDICTS_RESUMED)
+            self._table.set_isolated(False)
+            self._joining.pull_anew()
+
+    def _declare(self, probe: Probe) -> None:
+        member = self._table.find(probe.target.name)
+        with self._lock:
+            self._close(probe)
+        if member is None:
+            return
+        self._news.take_in(
+            [
+                MemberRecord(
+                    name=probe.target.name,
+                    incarnation=probe.target.incarnation,
+                    state=MemberState.DEAD,
+                    refutation=member.refutation,
+                )
+            ]
+        )
+
+    def _close(self, probe: Probe) -> None:
+        if self._probes.get(probe.target.name) is probe:
+            del self._probes[probe.target.name]
+        for sequence in probe.sequences:
+            self._by_sequence.pop(sequence, None)
+
+    def _spread_news(self, now: float) -> None:
+        self._fresh = self._news.take_fresh() or self._fresh
+        if not self._fresh or now < self._gossip_at:
+            return
+        hosts = live_others(self._table.view(), self._table.me.host.name)
+        for host in self._rng.sample(hosts, min(self._cfg.fan_out, len(hosts))):
+            if self._gossip_budget.take(1.0, now=now):
+                self._speaker.gossip(host)
+        self._fresh = False
+        self._gossip_at = now + self._cfg.gossip_spacing_ms * _MS
+
+    def _reconnect(self, now: float) -> None:
+        # Two halves of a fleet that were cut from each other hold each other for
+        # dead, and nobody probes the dead. Without this they would stay apart.
+        if now < self._reconnect_at:
+            return
+        interval_s = self._cfg.reconnect_interval_ms * _MS
+        self._reconnect_at = now + interval_s * (0.5 + self._rng.random())
+        dead = gone(self._table.view())
+        if dead:
+            self._speaker.say(DatagramKind.PING, self._rng.choice(dead).host)
+
+    def _forget(self, now: float) -> None:
+        if now < self._forget_at:
+            return
+        self._forget_at = now + _FORGET_EVERY_S
+        forgotten = self._table.forget(
+            now=now,
+            dead_kept_s=self._cfg.dead_kept_ms * _MS,
+            left_kept_s=self._cfg.left_kept_ms * _MS,
+        )
+        for name in forgotten:
+            self._answered_at.pop(name, None)
+        if forgotten:
+            self._news.tell()
+
+    def _next_due(self, now: float) -> float:
+        with self._lock:
+            probes = [probe.next_at for probe in self._probes.values()]
+        times = [
+            self._probe_at,
+            self._errands.next_due(),
+            self._joining.next_due(),
+            now + _MAX_WAIT_S,
+            *probes,
+        ]
+        if self._fresh:
+            times.append(self._gossip_at)
+        return min(times)
--- /dev/null
+++ b/baobabwing/fleet/speaker.py
@@ -0,0 +1,178 @@
+"""Composes datagrams: what each kind carries besides its own question."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+
+from baobabwing.fleet.budget import Budget
+from baobabwing.fleet.host import Host, Member, MemberState
+from baobabwing.fleet.link import PAYLOAD_BYTES, DatagramLink
+from baobabwing.fleet.settings import MembershipSettings
+from baobabwing.fleet.table import MemberTable, record_of
+from baobabwing.fleet.updates import UpdateQueue, within
+from baobabwing.wire.datagram import (
+    Datagram,
+    DatagramKind,
+    MemberRecord,
+    record_size,
+)
+
+__all__ = ["ConfigurationVersions", "Speaker"]
+
+_HEADER_BYTES = 260
+_UPDATES_BYTES = PAYLOAD_BYTES - _HEADER_BYTES
+_RIDING_BYTES = 400
+_SAMPLES = 4
+_SAMPLE_BURST_S = 2.0
+
+
+class ConfigurationVersions:
+    """Highest version heard of, and the version held.
+
+    :param held: returns the version that this node holds.
+    """
+
+    def __init__(self, *, held: Callable[[], int]) -> None:
+        self._held = held
+        self._heard = 0
+        self._lock = threading.Lock()
+
+    def held(self) -> int:
+        """Return the version that this node holds."""
+        return self._held()
+
+    def heard(self) -> int:
+        """Return the highest version that this node knows to exist."""
+        return max(self._heard, self._held())
+
+    def hear(self, version: int) -> bool:
+        """Note a version and return whether it is higher than all before."""
+        with self._lock:
+            if version <= max(self._heard, self._held()):
+                return False
+            self._heard = version
+            return True
+
+
+class Speaker:
+    """Sends datagrams with updates, digest and versions on each."""
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        link: DatagramLink,
+        updates: UpdateQueue,
+        versions: ConfigurationVersions,
+        cfg: MembershipSettings,
+    ) -> None:
+        self._table = table
+        self._link = link
+        self._updates = updates
+        self._versions = versions
+        self._sample_budget = Budget(
+            rate=cfg.sample_bytes_per_s, burst=cfg.sample_bytes_per_s * _SAMPLE_BURST_S
+        )
+        self._retransmissions = cfg.retransmissions
+
+    def spread(self, record: MemberRecord) -> None:
+        """Let an update ride on datagrams, more often in a larger fleet."""
+        size = len(self._table.view().members)
+        times = self._retransmissions * max(2, (size + 1).bit_length())
+        self._updates.put(record, transmissions=times)
+
+    def say(
+        self,
+        kind: DatagramKind,
+        host: Host,
+        *,
+        target: str = "",
+        answers: int = 0,
+        differs: bool = False,
+    ) -> int:
+        """Send a datagram to a member.
+
+        :param differs: whether the member's digest differs from the own one, so
+            that some samples of the table are worth their bytes.
+        :returns: the sequence, by which an answer refers to it.
+        """
+        records = self._own_news(host)
+        records.extend(self._updates.take(_RIDING_BYTES))
+        if differs:
+            records.extend(self._samples())
+        return self._send(
+            kind, host.peer, tuple(records), target=target, answers=answers
+        )
+
+    def gossip(self, host: Host) -> None:
+        """Send as much news as fits, unasked."""
+        records = self._own_news(host)
+        records.extend(self._updates.take(_UPDATES_BYTES - _RIDING_BYTES))
+        self._send(DatagramKind.GOSSIP, host.peer, tuple(records))
+
+    def introduce(
+        self, kind: DatagramKind, address: str, *, about: Member | None = None
+    ) -> None:
+        """Send a datagram with the own record to a process not yet known.
+
+        :param about: what is believed of a member of the process's name.
+        """
+        records = [record_of(self._table.me)]
+        if about is not None:
+            records.append(record_of(about))
+        self._send(kind, address, tuple(records))
+
+    def send_page(self, host: Host, *, after: str, answers: int) -> None:
+        """Send the members that follow a name, as many as fit."""
+        records = self._table.page(after)
+        page = within(records, _UPDATES_BYTES)
+        cursor = page[-1].name if len(page) < len(records) else ""
+        self._send(DatagramKind.PAGE, host.peer, page, target=cursor, answers=answers)
+
+    def _own_news(self, host: Host) -> list[MemberRecord]:
+        """Return what the receiver must know of itself: that it is held for dead."""
+        member = self._table.find(host.name)
+        if member is None or not _is_gone(member):
+            return []
+        return [record_of(member, brief=True)]
+
+    def _samples(self) -> list[MemberRecord]:
+        records = self._table.samples(_SAMPLES)
+        size = sum(record_size(record) for record in records)
+        if not self._sample_budget.take(size, now=time.monotonic()):
+            return []
+        return records
+
+    def _send(
+        self,
+        kind: DatagramKind,
+        address: str,
+        records: tuple[MemberRecord, ...],
+        *,
+        target: str = "",
+        answers: int = 0,
+    ) -> int:
+        sequence = self._link.next_sequence()
+        me = self._table.me.host
+        self._link.send(
+            Datagram(
+                kind=kind,
+                sender=me.name,
+                incarnation=me.incarnation,
+                sequence=sequence,
+                configuration=self._versions.heard(),
+                holds=self._versions.held(),
+                target=target,
+                answers=answers,
+                digest=self._table.digest,
+                updates=within(list(records), _UPDATES_BYTES),
+            ),
+            address,
+        )
+        return sequence
+
+
+def _is_gone(member: Member) -> bool:
+    return member.state in (MemberState.DEAD, MemberState.LEFT)
--- /dev/null
+++ b/baobabwing/fleet/targets.py
@@ -0,0 +1,127 @@
+"""Which member is probed next, and who is asked to confirm."""
+
+from __future__ import annotations
+
+import bisect
+import hashlib
+import random
+from collections.abc import Collection
+
+from baobabwing.fleet.host import Host, Member, MemberState
+from baobabwing.fleet.view import FleetView
+
+__all__ = ["ProbeOrder", "confirmers", "gone", "live_others"]
+
+_HASH_BYTES = 8
+_GONE = (MemberState.DEAD, MemberState.LEFT)
+
+
+class ProbeOrder:
+    """Turns between the successor on a ring of hashes and a shuffled round.
+
+    With random targets alone, the time until somebody probes a given member has
+    no bound. Each member has one predecessor on the ring, which probes it every
+    second turn, so that time is bounded whatever the fleet's size. The shuffled
+    round mixes the news and covers a member whose predecessor died as well.
+
+    :param me: name of the own host.
+    """
+
+    def __init__(self, *, me: str, rng: random.Random) -> None:
+        self._me = me
+        self._rng = rng
+        self._on_ring = False
+        self._round: list[str] = []
+        self._ring: list[tuple[int, str]] = []
+        self._ring_of: FleetView | None = None
+
+    def next(self, view: FleetView, skip: Collection[str]) -> Host | None:
+        """Return the next host to probe.
+
+        :param skip: names under probe at present.
+        """
+        self._on_ring = not self._on_ring
+        if self._on_ring:
+            return self._successor(view, skip)
+        return self._in_round(view, skip)
+
+    def _successor(self, view: FleetView, skip: Collection[str]) -> Host | None:
+        if self._ring_of is not view:
+            self._ring = sorted(
+                (_ring_place(member.host.name), member.host.name)
+                for member in view.members
+                if member.state not in _GONE
+            )
+            self._ring_of = view
+        start = bisect.bisect(self._ring, (_ring_place(self._me), self._me))
+        for offset in range(len(self._ring)):
+            name = self._ring[(start + offset) % len(self._ring)][1]
+            if name != self._me and name not in skip:
+                return _host(view, name)
+        return None
+
+    def _in_round(self, view: FleetView, skip: Collection[str]) -> Host | None:
+        if not self._round:
+            self._round = [host.name for host in live_others(view, self._me)]
+            self._rng.shuffle(self._round)
+        while self._round:
+            name = self._round.pop()
+            host = _host(view, name)
+            if host is not None and name not in skip:
+                return host
+        return None
+
+
+def live_others(view: FleetView, me: str) -> list[Host]:
+    """Return the hosts that are neither gone nor the own one."""
+    return [
+        member.host
+        for member in view.members
+        if member.state not in _GONE and member.host.name != me
+    ]
+
+
+def gone(view: FleetView) -> list[Member]:
+    """Return the members that were declared dead."""
+    return [m for m in view.members if m.state is MemberState.DEAD]
+
+
+def confirmers(
+    view: FleetView,
+    *,
+    me: Host,
+    target: str,
+    skip: Collection[str],
+    count: int,
+    rng: random.Random,
+) -> list[Host]:
+    """Return hosts to ask about a target, as many zones among them as can be.
+
+    Zones other than the own one go first, for those do not share a broken link
+    of this node's zone.
+    """
+    hosts = [
+        host
+        for host in live_others(view, me.name)
+        if host.name != target and host.name not in skip
+    ]
+    rng.shuffle(hosts)
+    seen: dict[str, int] = {}
+    ranked = []
+    for host in hosts:
+        rank = seen.get(host.zone, 0)
+        seen[host.zone] = rank + 1
+        ranked.append((rank, host.zone == me.zone, len(ranked), host))
+    return [entry[-1] for entry in sorted(ranked, key=lambda e: e[:-1])[:count]]
+
+
+def _ring_place(name: str) -> int:
+    digest = hashlib.blake2b(name.encode(), digest_size=_HASH_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _host(view: FleetView, name: str) -> Host | None:
+    member = view.find(name)
+    if member is None or member.state in _GONE:
+        return None
+    return member.host
--- /dev/null
+++ b/baobabwing/fleet/updates.py
@@ -0,0 +1,62 @@
+"""Updates on members that ride along on datagrams a bounded number of times."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+
+from baobabwing.wire.datagram import MAX_UPDATES, MemberRecord, record_size
+
+__all__ = ["UpdateQueue", "within"]
+
+
+@dataclass
+class _Entry:
+    record: MemberRecord
+    left: int
+
+
+class UpdateQueue:
+    """The newest update on each member, least sent first."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+        self._lock = threading.Lock()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def put(self, record: MemberRecord, *, transmissions: int) -> None:
+        """Add an update; it replaces an older one on the same member."""
+        with self._lock:
+            self._entries[record.name] = _Entry(record, transmissions)
+
+    def take(self, budget_bytes: int) -> tuple[MemberRecord, ...]:
+        """Return updates that fit, and count one transmission for each.
+
+        An update that was sent often enough is dropped, so that its cost is
+        bounded; a node that it did not reach learns by the digest.
+        """
+        with self._lock:
+            entries = sorted(self._entries.values(), key=lambda e: -e.left)
+            taken = within([entry.record for entry in entries], budget_bytes)
+            for record in taken:
+                self._count(record.name)
+            return taken
+
+    def _count(self, name: str) -> None:
+        entry = self._entries[name]
+        entry.left -= 1
+        if entry.left <= 0:
+            del self._entries[name]
+
+
+def within(records: list[MemberRecord], budget_bytes: int) -> tuple[MemberRecord, ...]:
+    """Return the leading records that fit into so many bytes."""
+    taken = []
+    for record in records[:MAX_UPDATES]:
+        budget_bytes -= record_size(record)
+        if budget_bytes < 0:
+            break
+        taken.append(record)
+    return tuple(taken)
--- a/baobabwing/wire/messages.capnp
+++ b/baobabwing/wire/messages.capnp
@@ -150,6 +150,9 @@
   kind @4 :UInt8;              # see baobabwing.fleet
   target @5 :Text;
   updates @6 :List(MemberUpdate);
+  digest @7 :UInt64;           # digest of the sender's live members
+  answers @8 :UInt64;          # sequence of the datagram that this one answers
+  holds @9 :UInt64;            # configuration version that the sender holds
 }
 
 struct MemberUpdate {
@@ -160,4 +163,6 @@
   region @4 :Text;
   peer @5 :Text;               # host:port, TCP and UDP
   http @6 :Text;               # host:port for callers
+  refutation @7 :UInt32;       # raised by the member to refute its own death
+  weight @8 :UInt16 = 100;     # share of homes, in hundredths
 }
