Halve the cost of a decision and give up early on what cannot be in time

Cause: a choice looked at all upstreams, also at full ones, and queued asks were only refused when even an idle upstream was too late. Change: a choice looks at upstreams with room only, prefixes are looked up for these only, and asks put out of reach by later work are refused at the next review with when to come back.

--- a/baobabwing/pools/cell.py
+++ b/baobabwing/pools/cell.py
@@ -43,6 +43,7 @@
 NONE_ADMITTED = -1
 
 _REVIEW_S = 0.25
+_SCAN_S = 0.02
 _HEADS_TRIED = 8
 _SURE_OF_RUN = 0.9
 _LEAST_RETRY_AFTER_S = 0.5
@@ -80,6 +81,7 @@
         self._endings = Endings()
         self._arrivals = 0
         self._next_review = now
+        self._next_scan = now
         self._granted: dict[int, int] = {}
         self._refused: dict[tuple[int, str], int] = {}
 
@@ -303,7 +305,7 @@
 
     def _new_item(self, ask: Ask) -> Queued:
         self._arrivals += 1
-        least_s = self._state.least_s(ask)
+        least_s = self._state.least_s(ask, use_cache=False)
         return Queued(
             ask=ask,
             number=self._arrivals,
@@ -368,6 +370,9 @@
             return None
         if choice is Hindrance.LOAD:
             return choice
+        if choice is Hindrance.PREFILL and self._now < self._next_scan:
+            return choice
+        self._next_scan = self._now + _SCAN_S
         for other in queue.heads(rank, _HEADS_TRIED)[1:]:
             second = self._policy.choose(other.ask, self._now)
             if isinstance(second, Choice):
@@ -446,11 +451,21 @@
         expiries = self._expiries
         while expiries and (not expiries[0][2].waiting or expiries[0][0] < self._now):
             item = heappop(expiries)[2]
-            if item.waiting:
+            if item.waiting and not self._may_still_start(item):
                 self._dequeue(item)
                 decisions.append(self._refuse(item, RefusalCode.QUEUE_TOO_LONG))
         return decisions
 
+    def _may_still_start(self, item: Queued) -> bool:
+        """Return whether a cached prefix leaves an ask more time to wait."""
+        least_s = self._state.least_s(item.ask, use_cache=True)
+        latest = item.ask.deadline - _SURE_OF_RUN * least_s
+        if latest <= max(self._now, item.latest_start):
+            return False
+        item.latest_start = latest
+        heappush(self._expiries, (latest, item.number, item))
+        return True
+
     def _orphan(self, permit: Permit) -> None:
         left_s = permit.granted_at + permit.expected_s - self._now
         left_s = min(max(left_s, _LEAST_ORPHAN_S), _MOST_ORPHAN_S)
@@ -472,7 +487,16 @@
         self._state.refresh()
         self._placements.expire(self._now)
         self._endings.expire(self._now)
-        return []
+        return self._refuse_out_of_reach()
+
+    def _refuse_out_of_reach(self) -> list[Decision]:
+        if self._policy is None or not len(self._state.queue):
+            return []
+        decisions: list[Decision] = []
+        for item in self._policy.out_of_reach(self._now):
+            self._dequeue(item)
+            decisions.append(self._refuse(item, RefusalCode.QUEUE_TOO_LONG))
+        return decisions
 
     def _refuse_unplaceable(self) -> list[Decision]:
         decisions: list[Decision] = []
--- a/baobabwing/pools/fairness.py
+++ b/baobabwing/pools/fairness.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from heapq import heapify, heappop, heappush
 
 from baobabwing.pools.permits import Ask
@@ -183,6 +183,28 @@
         share = (own + service_s) * other_weight / max(weight, _LEAST_WEIGHT)
         return own + min(others, share)
 
+    def out_of_reach(
+        self, reaches: Callable[[Queued, float], bool], above_s: float
+    ) -> list[Queued]:
+        """Return the asks that would be served too late.
+
+        :param reaches: whether an ask with so much work before it is in time.
+        :param above_s: work of higher tiers.
+        :returns: those for which it is false; they count as no work for others.
+        """
+        lost: list[Queued] = []
+        for flow in self._flows.values():
+            others = self.work_s - flow.work_s
+            per_own = (self._weight - flow.weight) / flow.weight
+            own = 0.0
+            for _, item in flow.items:
+                share = (own + item.service_s) * per_own
+                if reaches(item, above_s + own + min(others, share)):
+                    own += item.service_s
+                else:
+                    lost.append(item)
+        return lost
+
     def _begin(self, item: Queued) -> _Flow:
         name = item.ask.organisation
         flow = _Flow(
--- a/baobabwing/pools/headroom.py
+++ b/baobabwing/pools/headroom.py
@@ -9,9 +9,14 @@
 
 from __future__ import annotations
 
-from baobabwing.pools.tracking import TrackedUpstream
-
-__all__ = ["Headroom", "reserved_slots"]
+__all__ = [
+    "LONG_PREFILL_S",
+    "MOST_LOW_PREFILL_S",
+    "Headroom",
+    "most_engines_with_long_prefill",
+    "prefill_fits",
+    "reserved_slots",
+]
 
 UPPER_TIER_MEMORY_S = 60.0
 LONG_PREFILL_S = 0.05
@@ -26,21 +31,34 @@
 
     def __init__(self) -> None:
         self._seen: dict[int, float] = {}
+        self._top_rank: int | None = None
+        self._top_until = 0.0
 
     def saw(self, rank: int, now: float) -> None:
         """Note an ask of a tier."""
         self._seen[rank] = now
+        if self._top_rank is None or rank <= self._top_rank:
+            self._top_rank = rank
+            self._top_until = now + UPPER_TIER_MEMORY_S
 
     def upper_present(self, rank: int, now: float) -> bool:
         """Return whether a tier above ``rank`` asked lately."""
-        since = now - UPPER_TIER_MEMORY_S
-        return any(r < rank and at > since for r, at in self._seen.items())
+        if now >= self._top_until:
+            self._find_top(now)
+        return self._top_rank is not None and rank > self._top_rank
 
     def lower_present(self, rank: int, now: float) -> bool:
         """Return whether a tier below ``rank`` asked lately."""
         since = now - UPPER_TIER_MEMORY_S
         return any(r > rank and at > since for r, at in self._seen.items())
 
+    def _find_top(self, now: float) -> None:
+        since = now - UPPER_TIER_MEMORY_S
+        recent = [rank for rank, at in self._seen.items() if at > since]
+        self._top_rank = min(recent, default=None)
+        if self._top_rank is not None:
+            self._top_until = self._seen[self._top_rank] + UPPER_TIER_MEMORY_S
+
 
 def reserved_slots(capacity: int) -> int:
     """Return the slots of an upstream that lower tiers leave free."""
@@ -56,7 +74,9 @@
     return engines - max(engines // _CLEAR_ENGINES_PART, 1)
 
 
-def prefill_fits(upstream: TrackedUpstream, prefill_s: float, now: float) -> bool:
-    """Return whether a low-tier prefill keeps within the engine's bound."""
-    running_s = upstream.low_prefill_free_at - now
+def prefill_fits(running_s: float, prefill_s: float) -> bool:
+    """Return whether a low-tier prefill keeps within an engine's bound.
+
+    :param running_s: low-tier prefill that the engine has still to do.
+    """
     return running_s <= 0.0 or running_s + prefill_s <= MOST_LOW_PREFILL_S
--- a/baobabwing/pools/placements.py
+++ b/baobabwing/pools/placements.py
@@ -34,12 +34,11 @@
         return len(self._entries)
 
     def put(self, key: str, value: ValueT, now: float) -> None:
-        """Keep a value and drop what is too old or too much."""
+        """Keep a value; the oldest goes when there are too many."""
         self._entries[key] = (now + self._retention_s, value)
         self._entries.move_to_end(key)
         while len(self._entries) > self._limit:
             self._entries.popitem(last=False)
-        self.expire(now)
 
     def get(self, key: str, now: float) -> ValueT | None:
         """Return the value, or ``None`` when there is none or it is too old."""
--- a/baobabwing/pools/policies/baselines.py
+++ b/baobabwing/pools/policies/baselines.py
@@ -47,6 +47,10 @@
     def refused(self, item: Queued, code: RefusalCode, now: float) -> None:
         """Keep no memory of refusals."""
 
+    def out_of_reach(self, now: float) -> list[Queued]:
+        """Give up on nothing."""
+        return []
+
     def wait_s(self, item: Queued, now: float) -> float:
         """Return no wait: requests wait in the upstreams, out of sight."""
         return 0.0
--- a/baobabwing/pools/policies/registry.py
+++ b/baobabwing/pools/policies/registry.py
@@ -49,6 +49,9 @@
     def refused(self, item: Queued, code: RefusalCode, now: float) -> None:
         """Take note that a queued or new ask was refused."""
 
+    def out_of_reach(self, now: float) -> list[Queued]:
+        """Return the queued asks that can no longer be in time."""
+
     def wait_s(self, item: Queued, now: float) -> float:
         """Return how long an ask would probably wait for a permit."""
 
--- a/baobabwing/pools/policies/tiered.py
+++ b/baobabwing/pools/policies/tiered.py
@@ -12,7 +12,6 @@
     Headroom,
     most_engines_with_long_prefill,
     prefill_fits,
-    reserved_slots,
 )
 from baobabwing.pools.permits import Ask, RefusalCode
 from baobabwing.pools.policies.registry import Hindrance, policy
@@ -62,84 +61,42 @@
         ask = item.ask
         self._headroom.saw(ask.tier_rank, now)
         if now > item.latest_start:
-            return RefusalCode.DEADLINE
+            least_s = self._state.least_s(ask, use_cache=True)
+            if now + _SURE_OF_RUN * least_s > ask.deadline:
+                return RefusalCode.DEADLINE
         if self._is_closed(ask.tier_rank, now):
             return RefusalCode.OVERLOADED
-        latest = ask.deadline - _SURE_OF_RUN * item.service_s
-        if now + _SURE_OF_WAIT * self.wait_s(item, now) > max(latest, now):
+        wait_s = self.wait_s(item, now)
+        if wait_s and not _in_time(item, wait_s, now):
             return RefusalCode.QUEUE_TOO_LONG
         return None
 
     def choose(self, ask: Ask, now: float) -> Choice | Hindrance:
         """Return the upstream that probably completes the ask first.
 
-        Notes: linear in the cell's upstreams and the prompt's blocks.
+        Notes: linear in the upstreams with room and the prompt's blocks.
         """
         state = self._state
         if state.probes:
             probe = self._probe_for(ask, now)
             if probe is not None:
                 return probe
-        cached = (
-            state.prefixes.cached_blocks(ask.prefix) if ask.prefix else _NOTHING_CACHED
-        )
         bounded = self._headroom.upper_present(ask.tier_rank, now)
-        long_allowed = not bounded or self._another_long_prefill(now)
-        held = now < state.held_until
-        slack = ask.deadline - now
-        hindrance = Hindrance.LOAD
-        best: TrackedUpstream | None = None
-        best_s = float("inf")
-        best_uncached = 0
-        best_long = False
-        for upstream in state.active:
-            running = len(upstream.permits)
-            room = upstream.limit - running - upstream.foreign
-            if bounded:
-                room -= reserved_slots(upstream.capacity)
-            if held:
-                room = min(room, _held_limit(upstream) - running)
-            if room <= 0:
-                continue
-            if ask.exclude and upstream.name in ask.exclude:
-                if hindrance is Hindrance.LOAD:
-                    hindrance = Hindrance.UNUSABLE
-                continue
-            if upstream.kind is PoolKind.SERVICE:
-                total = upstream.speed.service_s
-                uncached = 0
-                is_long = False
-            else:
-                depth = cached.get(upstream.name, 0)
-                uncached = max(ask.prompt_tokens - depth * BLOCK_TOKENS, 0)
-                speed = upstream.speed
-                prefill_s = uncached / speed.prefill_tokens_per_s
-                is_long = bounded and prefill_s > LONG_PREFILL_S
-                if is_long and not (
-                    (long_allowed or prefill_s <= MOST_LOW_PREFILL_S)
-                    and prefill_fits(upstream, prefill_s, now)
-                ):
-                    hindrance = Hindrance.PREFILL
-                    continue
-                total = (
-                    max(upstream.prefill_free_at - now, 0.0)
-                    + speed.head_s
-                    + prefill_s
-                    + ask.output_tokens * speed.step_s(running + 1)
-                )
-            if _SURE_OF_RUN * total > slack:
-                if hindrance is Hindrance.LOAD:
-                    hindrance = Hindrance.UNUSABLE
-                continue
-            total += _CROWDING_S * running
-            if total < best_s:
-                best = upstream
-                best_s = total
-                best_uncached = uncached
-                best_long = is_long
-        if best is None:
-            return hindrance
-        return Choice(upstream=best, uncached=best_uncached, low_prefill=best_long)
+        candidates = state.open_to_lower if bounded else state.open
+        if not candidates:
+            return Hindrance.LOAD
+        search = _Search(
+            ask=ask,
+            now=now,
+            bounded=bounded,
+            long_allowed=not bounded or self._another_long_prefill(now),
+            held=now < state.held_until,
+        )
+        if ask.prefix:
+            search.cached = state.prefixes.cached_blocks(ask.prefix, candidates)
+        for upstream in candidates.values():
+            search.consider(upstream)
+        return search.result()
 
     def refused(self, item: Queued, code: RefusalCode, now: float) -> None:
         """Close the lower tiers after a refusal for too long a queue."""
@@ -156,6 +113,21 @@
             until=now + SHED_MEMORY_S,
         )
 
+    def out_of_reach(self, now: float) -> list[Queued]:
+        """Return the queued asks that can no longer be in time.
+
+        Work that came later in a higher tier, or an upstream lost, may have
+        put them out of reach since they were admitted.
+        """
+
+        def reaches(item: Queued, ahead_s: float) -> bool:
+            if not ahead_s:
+                return True
+            wait_s = self._wait_after_s(ahead_s, item.ask.tier_rank, now)
+            return _in_time(item, wait_s, now)
+
+        return self._state.queue.out_of_reach(reaches)
+
     def wait_s(self, item: Queued, now: float) -> float:
         """Return how long an ask would wait: none while its tier has room.
 
@@ -198,7 +170,7 @@
         state = self._state
         slots = state.slots
         if self._headroom.upper_present(rank, now):
-            slots -= sum(reserved_slots(u.capacity) for u in state.active)
+            slots -= state.reserved
         slots = max(slots, 1)
         running = len(state.permits)
         next_free_s = state.expected_s / running / slots if running else 0.0
@@ -206,11 +178,7 @@
 
     def _has_room(self, rank: int, now: float) -> bool:
         bounded = self._headroom.upper_present(rank, now)
-        for upstream in self._state.active:
-            kept = reserved_slots(upstream.capacity) if bounded else 0
-            if upstream.free() > kept:
-                return True
-        return False
+        return bool(self._state.open_to_lower if bounded else self._state.open)
 
     def _another_long_prefill(self, now: float) -> bool:
         active = self._state.active
@@ -236,5 +204,108 @@
         return None
 
 
-def _held_limit(upstream: TrackedUpstream) -> int:
-    return max(upstream.capacity // _HELD_PART, 1)
+class _Search:
+    """The best upstream so far for one ask, and what hinders the others."""
+
+    __slots__ = (
+        "_ask",
+        "_best",
+        "_best_long",
+        "_best_s",
+        "_best_uncached",
+        "_bounded",
+        "_held",
+        "_hindrance",
+        "_long_allowed",
+        "_now",
+        "_slack_s",
+        "cached",
+    )
+
+    def __init__(
+        self, *, ask: Ask, now: float, bounded: bool, long_allowed: bool, held: bool
+    ) -> None:
+        self._ask = ask
+        self._now = now
+        self._bounded = bounded
+        self._long_allowed = long_allowed
+        self._held = held
+        self._slack_s = (ask.deadline - now) / _SURE_OF_RUN
+        self._hindrance = Hindrance.LOAD
+        self._best: TrackedUpstream | None = None
+        self._best_s = float("inf")
+        self._best_uncached = 0
+        self._best_long = False
+        self.cached = _NOTHING_CACHED
+
+    def consider(self, upstream: TrackedUpstream) -> None:
+        """Compare one upstream with the best so far."""
+        if self._held and not _has_room_while_held(upstream):
+            return
+        if upstream.name in self._ask.exclude:
+            self._hinder(Hindrance.UNUSABLE)
+        elif upstream.kind is PoolKind.SERVICE:
+            self._compare(upstream, upstream.speed.service_s, 0, False)
+        else:
+            self._consider_engine(upstream)
+
+    def result(self) -> Choice | Hindrance:
+        """Return the best upstream, or why there is none."""
+        if self._best is None:
+            return self._hindrance
+        return Choice(
+            upstream=self._best,
+            uncached=self._best_uncached,
+            low_prefill=self._best_long,
+        )
+
+    def _consider_engine(self, upstream: TrackedUpstream) -> None:
+        ask = self._ask
+        speed = upstream.speed
+        uncached = ask.prompt_tokens
+        if self.cached:
+            uncached -= self.cached.get(upstream.name, 0) * BLOCK_TOKENS
+            uncached = max(uncached, 0)
+        prefill_s = uncached / speed.prefill_tokens_per_s
+        is_long = self._bounded and prefill_s > LONG_PREFILL_S
+        if is_long and not self._long_fits(upstream, prefill_s):
+            self._hinder(Hindrance.PREFILL)
+            return
+        total_s = speed.head_s + prefill_s
+        total_s += ask.output_tokens * speed.step_s(len(upstream.permits) + 1)
+        if upstream.prefill_free_at > self._now:
+            total_s += upstream.prefill_free_at - self._now
+        self._compare(upstream, total_s, uncached, is_long)
+
+    def _long_fits(self, upstream: TrackedUpstream, prefill_s: float) -> bool:
+        if not self._long_allowed and prefill_s > MOST_LOW_PREFILL_S:
+            return False
+        return prefill_fits(upstream.low_prefill_free_at - self._now, prefill_s)
+
+    def _compare(
+        self, upstream: TrackedUpstream, total_s: float, uncached: int, is_long: bool
+    ) -> None:
+        if total_s > self._slack_s:
+            self._hinder(Hindrance.UNUSABLE)
+            return
+        total_s += _CROWDING_S * len(upstream.permits)
+        if total_s < self._best_s:
+            self._best = upstream
+            self._best_s = total_s
+            self._best_uncached = uncached
+            self._best_long = is_long
+
+    def _hinder(self, hindrance: Hindrance) -> None:
+        # A long prompt in the way outweighs: what is free will be its own soon.
+        if self._hindrance is not Hindrance.PREFILL:
+            self._hindrance = hindrance
+
+
+def _in_time(item: Queued, wait_s: float, now: float) -> bool:
+    needed_s = _SURE_OF_WAIT * wait_s + _SURE_OF_RUN * item.service_s
+    return now + needed_s <= item.ask.deadline
+
+
+def _has_room_while_held(upstream: TrackedUpstream) -> bool:
+    most = max(upstream.capacity // _HELD_PART, 1)
+    return len(upstream.permits) < most
--- a/baobabwing/pools/prefix_index.py
+++ b/baobabwing/pools/prefix_index.py
@@ -63,27 +63,36 @@
         self._names.pop(bit, None)
         self._live &= ~bit
 
-    def cached_blocks(self, prefix: Sequence[int]) -> dict[str, int]:
-        """Return how many leading blocks each upstream probably holds.
+    def cached_blocks(
+        self, prefix: Sequence[int], upstreams: Iterable[str]
+    ) -> dict[str, int]:
+        """Return how many leading blocks each of some upstreams probably holds.
 
         A digest is chained over all blocks before it, so a block further on
         vouches for those before; a few missing ones are taken for lost events.
 
         Notes: linear in the blocks up to the first unknown ones.
         """
+        bits = self._bits
+        wanted = 0
+        for name in upstreams:
+            wanted |= bits.get(name, 0)
+        if not wanted:
+            return {}
+        holders = self._holders
         levels = []
         missed = 0
         for depth, digest in enumerate(prefix, start=1):
-            mask = self._holders.get(digest, 0) & self._live
+            mask = holders.get(digest, 0) & wanted
             if mask:
                 levels.append((depth, mask))
                 continue
             missed += 1
             if missed > _GAPS_FOLLOWED:
                 break
-        return self._deepest(levels)
+        return self._deepest(levels, wanted)
 
-    def _deepest(self, levels: list[tuple[int, int]]) -> dict[str, int]:
+    def _deepest(self, levels: list[tuple[int, int]], wanted: int) -> dict[str, int]:
         found: dict[str, int] = {}
         seen = 0
         for depth, mask in reversed(levels):
@@ -93,7 +102,7 @@
                 bit = fresh & -fresh
                 found[self._names[bit]] = depth
                 fresh ^= bit
-            if seen == self._live:
+            if seen == wanted:
                 break
         return found
 
--- a/baobabwing/pools/queues.py
+++ b/baobabwing/pools/queues.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from baobabwing.pools.fairness import FairQueue, Queued
@@ -47,6 +47,9 @@
     def work_through_s(self, rank: int) -> float:
         """Return the work of a tier and of those served before it."""
 
+    def out_of_reach(self, reaches: Callable[[Queued, float], bool]) -> list[Queued]:
+        """Return the asks that would be served too late."""
+
     def lengths(self) -> dict[int, int]:
         """Return how many asks wait in each tier."""
 
@@ -128,6 +131,20 @@
         """Return the work of a tier and of all above it."""
         return sum(self._tiers[r].work_s for r in self._ranks if r <= rank)
 
+    def out_of_reach(self, reaches: Callable[[Queued, float], bool]) -> list[Queued]:
+        """Return the asks that would be served too late.
+
+        :param reaches: whether an ask with so much work before it is in time.
+        """
+        lost: list[Queued] = []
+        above = 0.0
+        for rank in self._ranks:
+            tier = self._tiers[rank]
+            late = tier.out_of_reach(reaches, above)
+            above += tier.work_s - sum(item.service_s for item in late)
+            lost += late
+        return lost
+
     def lengths(self) -> dict[int, int]:
         """Return how many asks wait in each tier."""
         return {rank: len(self._tiers[rank]) for rank in self.ranks()}
@@ -182,6 +199,10 @@
         """Return the work of all that wait."""
         return sum(item.service_s for item in self._items.values())
 
+    def out_of_reach(self, reaches: Callable[[Queued, float], bool]) -> list[Queued]:
+        """Return nothing: this order knows no deadlines."""
+        return []
+
     def lengths(self) -> dict[int, int]:
         """Return how many asks wait in each tier."""
         counts: dict[int, int] = {}
--- a/baobabwing/pools/state.py
+++ b/baobabwing/pools/state.py
@@ -18,7 +18,6 @@
 
 _REPORT_VALID_S = 2.0
 _MOST_NOTICES = 256
-_LEAST_SHARE_OF_FIRST_TOKEN = 0.25
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,11 +68,14 @@
         self.pool: Pool | None = None
         self.upstreams: dict[str, TrackedUpstream] = {}
         self.active: list[TrackedUpstream] = []
+        self.open: dict[str, TrackedUpstream] = {}
+        self.open_to_lower: dict[str, TrackedUpstream] = {}
         self.probes: list[TrackedUpstream] = []
         self.permits: dict[str, Permit] = {}
         self.prefixes = PrefixIndex()
         self.held_until = 0.0
         self.slots = 0
+        self.reserved = 0
         self.expected_s = 0.0
         self.notices: list[Notice] = []
         self._book = SpeedBook()
@@ -101,18 +103,43 @@
         """Compute anew what is derived from all upstreams."""
         self.active = [u for u in self.upstreams.values() if u.open_to_work]
         self.slots = sum(u.limit for u in self.active)
+        self.reserved = sum(u.reserved for u in self.active)
+        for upstream in self.upstreams.values():
+            self.update_room(upstream)
         self._speed = _pool_speed(self.active) if self.active else None
 
-    def least_s(self, ask: Ask) -> float:
-        """Return the time the ask would take on the fastest idle upstream."""
+    def set_limit(self, upstream: TrackedUpstream, limit: int) -> None:
+        """Bound the requests that an upstream is given at one time."""
+        upstream.limit = limit
+        self.update_room(upstream)
+
+    def update_room(self, upstream: TrackedUpstream) -> None:
+        """Keep ``open`` to the upstreams that may be given something.
+
+        And ``open_to_lower`` to those with more room than lower tiers leave
+        free. Under load these are few, and a choice looks at no others.
+        """
+        room = upstream.limit - len(upstream.permits) - upstream.foreign
+        if not upstream.open_to_work:
+            room = 0
+        upstream.room = room
+        _keep(self.open, upstream, room > 0)
+        _keep(self.open_to_lower, upstream, room > upstream.reserved)
+
+    def least_s(self, ask: Ask, *, use_cache: bool) -> float:
+        """Return the time the ask would take on the fastest idle upstream.
+
+        :param use_cache: look up the prompt in the caches, which costs more.
+        """
         speed = self._speed
         if speed is None or self.pool is None:
             return 0.0
         if self.pool.kind is PoolKind.SERVICE:
             return speed.best_service_s
         prompt = ask.prompt_tokens
-        if ask.prefix:
-            deepest = max(self.prefixes.cached_blocks(ask.prefix).values(), default=0)
+        if use_cache and ask.prefix:
+            depths = self.prefixes.cached_blocks(ask.prefix, self.upstreams)
+            deepest = max(depths.values(), default=0)
             prompt = max(prompt - deepest * BLOCK_TOKENS, 0)
         prefill = prompt / speed.best_rate
         return speed.best_head_s + prefill + ask.output_tokens * speed.best_step_s
@@ -187,6 +214,7 @@
             upstream.low_prefill_free_at = now
         if not self.permits:
             self.expected_s = 0.0
+        self.update_room(upstream)
         self._drop_if_idle(upstream)
 
     def correct(self, report: LoadReport, now: float) -> None:
@@ -205,6 +233,7 @@
         extra = upstream.reported - len(upstream.permits)
         upstream.foreign = min(max(extra, 0), upstream.capacity)
         upstream.foreign_until = report.measured_at + _REPORT_VALID_S
+        self.update_room(upstream)
         prefill_s = report.waiting_prefill_tokens / upstream.speed.prefill_tokens_per_s
         free_at = report.measured_at + prefill_s
         upstream.prefill_free_at = max(upstream.prefill_free_at, free_at)
@@ -214,6 +243,7 @@
         for upstream in self.active:
             if upstream.foreign and now >= upstream.foreign_until:
                 upstream.foreign = 0
+                self.update_room(upstream)
 
     def notice(self, event: Event, upstream: str, reason: str = "") -> None:
         """Keep a log event for when the lock is free."""
@@ -242,6 +272,7 @@
         upstream.permits[permit.request_id] = permit
         upstream.last_event_at = now
         self.expected_s += permit.expected_s
+        self.update_room(upstream)
 
     def _charge_prefill(self, permit: Permit, choice: Choice, now: float) -> None:
         upstream = permit.upstream
@@ -256,6 +287,15 @@
             upstream.low_prefill_free_at = start + permit.low_prefill_s
 
 
+def _keep(
+    members: dict[str, TrackedUpstream], upstream: TrackedUpstream, wanted: bool
+) -> None:
+    if wanted:
+        members[upstream.name] = upstream
+    else:
+        members.pop(upstream.name, None)
+
+
 def _pool_speed(active: list[TrackedUpstream]) -> _PoolSpeed:
     speeds = [u.speed for u in active]
     loaded = [u.speed.step_s(max(u.capacity, 1)) for u in active]
--- a/baobabwing/pools/stragglers.py
+++ b/baobabwing/pools/stragglers.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from statistics import median
 
 from baobabwing.pools.events import (
@@ -24,6 +25,7 @@
 _WINDOW_S = 10.0
 _LEAST_SAMPLES = 4
 _SLOW_FACTOR = 2.0
+_LEAST_SLOWNESS = 1.3
 _RECOVERED_FACTOR = 1.5
 _MOST_SHARE = 0.34
 _MOST_FAILURES = 3
@@ -38,6 +40,17 @@
 _LEAST_POOLED_SAMPLES = 50
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Recent:
+    """Answers of an upstream within the window and their median slowness."""
+
+    samples: int
+    slowness: float
+
+
+_NOTHING_RECENT = _Recent(samples=0, slowness=0.0)
+
+
 class StragglerWatch:
     """Decides which upstreams of a cell are relieved of new work.
 
@@ -70,13 +83,14 @@
         upstream = permit.upstream
         if upstream.standing is Standing.RELIEVED:
             permit.probe = True
-            upstream.limit = 0
+            self._state.set_limit(upstream, 0)
             self._state.probes.remove(upstream)
 
     def restarted(self, upstream: TrackedUpstream, now: float) -> None:
         """Start an upstream over on a small share: its cache is cold."""
         self._set_standing(upstream, Standing.RAMPING)
-        upstream.limit = max(upstream.capacity // _RESTART_SHARE, 1)
+        limit = max(upstream.capacity // _RESTART_SHARE, 1)
+        self._state.set_limit(upstream, limit)
         upstream.ramp_at = now + _RAMP_STEP_S
         upstream.slowness.clear()
         upstream.failures = 0
@@ -87,7 +101,7 @@
 
         Notes: linear in the upstreams and their permits in use.
         """
-        recent = {u.name: _recent(u, now) for u in self._state.active}
+        recent = {u.name: _recent_slowness(u, now) for u in self._state.active}
         self._learn_normal(recent)
         for upstream in self._state.active:
             if upstream.standing is Standing.RELIEVED:
@@ -101,35 +115,33 @@
                 self._relieve(upstream, "stuck", now)
         self._keep_share()
 
-    def _learn_normal(self, recent: dict[str, list[float]]) -> None:
+    def _learn_normal(self, recent: dict[str, _Recent]) -> None:
         by_generation: dict[str, list[float]] = {}
         for upstream in self._state.active:
-            ratios = recent[upstream.name]
-            if ratios:
+            seen = recent[upstream.name]
+            if seen.samples:
                 group = by_generation.setdefault(upstream.generation, [])
-                group.append(median(ratios))
+                group.append(seen.slowness)
         self._normal_slowness = {
             generation: median(medians) for generation, medians in by_generation.items()
         }
 
-    def _is_slow(
-        self, upstream: TrackedUpstream, recent: dict[str, list[float]]
-    ) -> bool:
-        ratios = recent[upstream.name]
-        if len(ratios) < _LEAST_SAMPLES:
+    def _is_slow(self, upstream: TrackedUpstream, recent: dict[str, _Recent]) -> bool:
+        own = recent[upstream.name]
+        if own.samples < _LEAST_SAMPLES or own.slowness < _LEAST_SLOWNESS:
             return False
         peers = [
-            median(recent[peer.name])
+            recent[peer.name].slowness
             for peer in self._state.active
             if peer is not upstream
             and peer.generation == upstream.generation
-            and recent[peer.name]
+            and recent[peer.name].samples
         ]
         if peers:
-            return median(ratios) >= _SLOW_FACTOR * median(peers)
+            return own.slowness >= _SLOW_FACTOR * median(peers)
         if upstream.pooled.samples < _LEAST_POOLED_SAMPLES:
             return False
-        return median(ratios) >= _SLOW_FACTOR
+        return own.slowness >= _SLOW_FACTOR
 
     def _peers_go_on(self, upstream: TrackedUpstream, now: float) -> bool:
         return any(
@@ -145,7 +157,7 @@
         if upstream.standing is Standing.RELIEVED or relieved >= most:
             return
         self._set_standing(upstream, Standing.RELIEVED)
-        upstream.limit = 0
+        self._state.set_limit(upstream, 0)
         upstream.relieved_at = now
         upstream.probe_after_s = _FIRST_PROBE_S
         upstream.probe_at = now + _FIRST_PROBE_S
@@ -168,7 +180,8 @@
             upstream.probe_at = now + _REPEAT_PROBE_S
         elif outcome == Outcome.ANSWERED and slowness < _RECOVERED_FACTOR * normal:
             self._set_standing(upstream, Standing.RAMPING)
-            upstream.limit = max(upstream.capacity // _RAMP_START_SHARE, 1)
+            limit = max(upstream.capacity // _RAMP_START_SHARE, 1)
+            self._state.set_limit(upstream, limit)
             upstream.ramp_at = now + _RAMP_STEP_S
             upstream.slowness.clear()
             self._state.notice(UPSTREAM_RESTORED, upstream.name)
@@ -179,7 +192,8 @@
     def _ramp(self, upstream: TrackedUpstream, now: float) -> None:
         if now < upstream.ramp_at:
             return
-        upstream.limit = min(upstream.limit * 2, upstream.capacity)
+        limit = min(upstream.limit * 2, upstream.capacity)
+        self._state.set_limit(upstream, limit)
         upstream.ramp_at = now + _RAMP_STEP_S
         if upstream.limit == upstream.capacity:
             self._set_standing(upstream, Standing.NORMAL)
@@ -192,7 +206,7 @@
         relieved.sort(key=lambda u: u.relieved_at)
         for upstream in relieved[: len(relieved) - int(len(active) * _MOST_SHARE)]:
             self._set_standing(upstream, Standing.NORMAL)
-            upstream.limit = upstream.capacity
+            self._state.set_limit(upstream, upstream.capacity)
 
     def _set_standing(self, upstream: TrackedUpstream, standing: Standing) -> None:
         upstream.standing = standing
@@ -200,8 +214,12 @@
             self._state.probes.remove(upstream)
 
 
-def _recent(upstream: TrackedUpstream, now: float) -> list[float]:
-    return [ratio for at, ratio in upstream.slowness if at > now - _WINDOW_S]
+def _recent_slowness(upstream: TrackedUpstream, now: float) -> _Recent:
+    since = now - _WINDOW_S
+    ratios = [ratio for at, ratio in upstream.slowness if at > since]
+    if not ratios:
+        return _NOTHING_RECENT
+    return _Recent(samples=len(ratios), slowness=median(ratios))
 
 
 def _is_stuck(upstream: TrackedUpstream, now: float) -> bool:
--- a/baobabwing/pools/tracking.py
+++ b/baobabwing/pools/tracking.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from baobabwing.pools.catalogue import PoolKind, Upstream, UpstreamState
+from baobabwing.pools.headroom import reserved_slots
 from baobabwing.pools.speeds import LearnedSpeed
 
 __all__ = ["Permit", "Standing", "TrackedUpstream"]
@@ -83,6 +84,9 @@
     :param kind: kind of its pool.
     :param speed: what is learned of it.
     :param pooled: what is learned of its generation.
+
+    ``room`` is how many more requests it may be given; the state of the cell
+    keeps it up to date.
     """
 
     __slots__ = (
@@ -108,6 +112,8 @@
         "relieved_at",
         "reported",
         "reported_at",
+        "reserved",
+        "room",
         "slowness",
         "speed",
         "standing",
@@ -127,6 +133,7 @@
         self.permits: dict[str, Permit] = {}
         self.standing = Standing.NORMAL
         self.limit = upstream.capacity
+        self.room = 0
         self.prefill_free_at = 0.0
         self.low_prefill_free_at = 0.0
         self.last_done_at = 0.0
@@ -149,14 +156,11 @@
             self.limit = upstream.capacity
         self.address = upstream.address
         self.capacity = upstream.capacity
+        self.reserved = reserved_slots(upstream.capacity)
         self.generation = upstream.generation
         self.kind = kind
         self.open_to_work = upstream.state is UpstreamState.ACTIVE
 
-    def free(self) -> int:
-        """Return how many more requests it may be given."""
-        return self.limit - len(self.permits) - self.foreign
-
     def request_s(self, uncached: int, output: int, batch: int) -> float:
         """Return the expected time of a request that starts at once."""
         if self.kind is PoolKind.SERVICE:
