Report service-level burn by brand and tier

Ruled out: a store of our own for history (hosts keep nothing), so the operator's side saves plain scrapes; differences of raw counters, which give budget back when a node restarts. Change: counters over windows from saved or scraped expositions; budget left, causes, burn over all alert windows, wasted prefill and its cost; alerts by several windows and burn rates after The Site Reliability Workbook, chapter 5; terminal table, JSON and a page with inline SVG. Table layout moved from bench to reports, for both. Not run yet: against living nodes.

--- a/baobabwing/bench/tables.py
+++ b/baobabwing/bench/tables.py
@@ -5,19 +5,9 @@
 from collections.abc import Sequence
 
 from baobabwing.bench.figures import RunFigures, TierFigures
+from baobabwing.reports.tables import format_table
 
-__all__ = ["figures_text", "format_table"]
-
-GAP = "  "
-
-
-def format_table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
-    """Return rows under a head, the first column to the left, others to the right."""
-    columns = list(zip(head, *rows, strict=True))
-    widths = [max(len(cell) for cell in column) for column in columns]
-    lines = [_line(row, widths) for row in (head, *rows)]
-    lines.insert(1, GAP.join("-" * width for width in widths))
-    return "\n".join(lines)
+__all__ = ["figures_text"]
 
 
 def figures_text(figures: RunFigures) -> str:
@@ -32,14 +22,6 @@
     return "\n\n".join(parts)
 
 
-def _line(cells: Sequence[str], widths: Sequence[int]) -> str:
-    first = cells[0].ljust(widths[0])
-    rest = [
-        cell.rjust(width) for cell, width in zip(cells[1:], widths[1:], strict=True)
-    ]
-    return GAP.join([first, *rest]).rstrip()
-
-
 def _tier_table(tiers: Sequence[TierFigures]) -> str:
     head = (
         "tier",
--- /dev/null
+++ b/baobabwing/reports/burn.py
@@ -0,0 +1,345 @@
+"""Service-level burn: how fast brands and tiers use up their error budgets.
+
+The alerts follow the rule of several windows and several burn rates in *The Site
+Reliability Workbook*, chapter 5, "Alerting on SLOs": an alert fires while the burn
+rate over its long window and over its short one both exceed its factor. The long
+window keeps a short disturbance from raising it; the short one ends it soon after
+the disturbance is over.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from baobabwing.reports.burn_samples import (
+    ANSWERS,
+    PREFILL,
+    WASTED,
+    Samples,
+    Series,
+)
+from baobabwing.settings.configuration import Configuration
+
+__all__ = [
+    "ALERT_RULES",
+    "WINDOWS_S",
+    "AlertRule",
+    "AlertState",
+    "BrandPrefill",
+    "BurnPoint",
+    "BurnReport",
+    "Cause",
+    "TierBurn",
+    "WindowBurn",
+    "build_report",
+    "burn_rate",
+]
+
+MINUTE_S = 60.0
+HOUR_S = 60.0 * MINUTE_S
+DAY_S = 24.0 * HOUR_S
+GOOD = "whole_in_time"
+# The caller's own doing; neither good nor bad.
+NOT_COUNTED = frozenset({"cancelled", "refused"})
+TOKENS_PER_MILLION = 1_000_000.0
+MOST_POINTS = 240
+
+
+@dataclass(frozen=True, kw_only=True)
+class AlertRule:
+    """One pair of windows with the burn rate at which it alerts.
+
+    :param severity: ``page`` or ``ticket``.
+    :param factor: burn rate that both windows must exceed.
+    """
+
+    severity: str
+    factor: float
+    long_s: float
+    short_s: float
+
+
+ALERT_RULES = (
+    AlertRule(severity="page", factor=14.4, long_s=HOUR_S, short_s=5 * MINUTE_S),
+    AlertRule(severity="page", factor=6.0, long_s=6 * HOUR_S, short_s=30 * MINUTE_S),
+    AlertRule(severity="ticket", factor=3.0, long_s=DAY_S, short_s=2 * HOUR_S),
+    AlertRule(severity="ticket", factor=1.0, long_s=3 * DAY_S, short_s=6 * HOUR_S),
+)
+WINDOWS_S = tuple(
+    sorted({window for rule in ALERT_RULES for window in (rule.short_s, rule.long_s)})
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Cause:
+    """Answers that were not whole and in time, by how they ended."""
+
+    outcome: str
+    count: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class WindowBurn:
+    """Burn over a window that ends with the newest sample.
+
+    :param covered_s: how much of the window the samples span.
+    :param burn: 1 uses up the budget exactly at the end of its period; nothing if
+        there were no answers.
+    """
+
+    window_s: float
+    covered_s: float
+    total: float
+    bad: float
+    burn: float | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class AlertState:
+    """A rule and whether it fires."""
+
+    rule: AlertRule
+    firing: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class BurnPoint:
+    """Burn rate up to a time, for plots."""
+
+    at_s: float
+    burn: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class TierBurn:
+    """Burn of one tier of one brand.
+
+    :param total: answers that count, in the budget's period.
+    :param budget_left: share of the budget that is left; negative if overspent.
+    """
+
+    brand: str
+    tier: str
+    objective: float
+    total: float
+    good: float
+    budget_left: float
+    causes: tuple[Cause, ...]
+    windows: tuple[WindowBurn, ...]
+    alerts: tuple[AlertState, ...]
+    history: tuple[BurnPoint, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class BrandPrefill:
+    """Prompt work of a brand in the budget's period, and what of it was wasted.
+
+    :param cost: of the wasted tokens, at the brand's price for a million.
+    """
+
+    brand: str
+    tokens: float
+    wasted: float
+    reasons: tuple[Cause, ...]
+    cost: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class BurnReport:
+    """The whole report.
+
+    :param at_s: time of the newest sample, seconds since 1970.
+    :param covered_s: time that the samples span; 0 stands for one sample a node,
+        where all counts are since the nodes' starts.
+    """
+
+    at_s: float
+    covered_s: float
+    period_s: float
+    tiers: tuple[TierBurn, ...]
+    brands: tuple[BrandPrefill, ...]
+
+
+def build_report(
+    samples: Samples, cfg: Configuration, *, period_s: float
+) -> BurnReport:
+    """Compute the report from counters and the configured objectives.
+
+    :param period_s: for which an error budget lasts.
+    :raises ValueError: if there are no samples.
+    """
+    if not samples:
+        raise ValueError("no samples")
+    at_s = samples.last_at_s
+    whole = samples.increase(at_s - period_s, at_s)
+    counts = whole.values if whole.covered_s else samples.since_start()
+    windows = {
+        window_s: samples.increase(at_s - window_s, at_s) for window_s in WINDOWS_S
+    }
+    steps = _steps(samples, at_s - period_s)
+    tiers = []
+    for brand in cfg.brands:
+        for tier in sorted(cfg.tiers, key=lambda item: item.rank):
+            burns = tuple(
+                _window_burn(
+                    window_s,
+                    rise.covered_s,
+                    rise.values,
+                    brand.name,
+                    tier.name,
+                    tier.objective,
+                )
+                for window_s, rise in windows.items()
+            )
+            tiers.append(
+                _tier_burn(brand.name, tier.name, tier.objective, counts, burns, steps)
+            )
+    return BurnReport(
+        at_s=at_s,
+        covered_s=whole.covered_s,
+        period_s=period_s,
+        tiers=tuple(tiers),
+        brands=tuple(
+            _brand_prefill(brand.name, brand.prefill_cost_per_million, counts)
+            for brand in cfg.brands
+        ),
+    )
+
+
+def burn_rate(*, bad: float, total: float, objective: float) -> float | None:
+    """Return the share of bad answers over the share that the objective allows.
+
+    >>> round(burn_rate(bad=2, total=100, objective=0.99), 6)
+    2.0
+
+    :returns: nothing if there were no answers, infinity if none may be bad.
+    """
+    if not total:
+        return None
+    allowed = 1.0 - objective
+    if allowed <= 0.0:
+        return math.inf if bad else 0.0
+    return bad / total / allowed
+
+
+def _tier_burn(
+    brand: str,
+    tier: str,
+    objective: float,
+    counts: Mapping[Series, float],
+    windows: tuple[WindowBurn, ...],
+    steps: Sequence[tuple[float, Counter[Series]]],
+) -> TierBurn:
+    total, good = _answers(counts, brand, tier)
+    spent = burn_rate(bad=total - good, total=total, objective=objective)
+    history = [(at_s, _rate(values, brand, tier, objective)) for at_s, values in steps]
+    return TierBurn(
+        brand=brand,
+        tier=tier,
+        objective=objective,
+        total=total,
+        good=good,
+        budget_left=1.0 - (spent or 0.0),
+        causes=_details(counts, ANSWERS, brand, tier),
+        windows=windows,
+        alerts=_alerts(windows),
+        history=tuple(
+            BurnPoint(at_s=at_s, burn=burn)
+            for at_s, burn in history
+            if burn is not None and math.isfinite(burn)
+        ),
+    )
+
+
+def _window_burn(
+    window_s: float,
+    covered_s: float,
+    values: Mapping[Series, float],
+    brand: str,
+    tier: str,
+    objective: float,
+) -> WindowBurn:
+    total, good = _answers(values, brand, tier)
+    return WindowBurn(
+        window_s=window_s,
+        covered_s=min(window_s, covered_s),
+        total=total,
+        bad=total - good,
+        burn=burn_rate(bad=total - good, total=total, objective=objective),
+    )
+
+
+def _rate(
+    values: Mapping[Series, float], brand: str, tier: str, objective: float
+) -> float | None:
+    total, good = _answers(values, brand, tier)
+    return burn_rate(bad=total - good, total=total, objective=objective)
+
+
+def _alerts(windows: Sequence[WindowBurn]) -> tuple[AlertState, ...]:
+    burns = {window.window_s: window.burn or 0.0 for window in windows}
+    return tuple(
+        AlertState(
+            rule=rule,
+            firing=burns[rule.long_s] > rule.factor
+            and burns[rule.short_s] > rule.factor,
+        )
+        for rule in ALERT_RULES
+    )
+
+
+def _answers(
+    values: Mapping[Series, float], brand: str, tier: str
+) -> tuple[float, float]:
+    """Return all answers that count, and the good ones."""
+    total = good = 0.0
+    for series, value in values.items():
+        if (series.metric, series.brand, series.tier) != (ANSWERS, brand, tier):
+            continue
+        if series.detail in NOT_COUNTED:
+            continue
+        total += value
+        if series.detail == GOOD:
+            good += value
+    return total, good
+
+
+def _details(
+    values: Mapping[Series, float], metric: str, brand: str, tier: str = ""
+) -> tuple[Cause, ...]:
+    found = [
+        Cause(outcome=series.detail, count=value)
+        for series, value in values.items()
+        if (series.metric, series.brand, series.tier) == (metric, brand, tier)
+        and series.detail != GOOD
+        and value
+    ]
+    return tuple(sorted(found, key=lambda cause: (-cause.count, cause.outcome)))
+
+
+def _brand_prefill(
+    brand: str, cost_per_million: float, values: Mapping[Series, float]
+) -> BrandPrefill:
+    reasons = _details(values, WASTED, brand)
+    wasted = sum(cause.count for cause in reasons)
+    return BrandPrefill(
+        brand=brand,
+        tokens=values.get(Series(metric=PREFILL, brand=brand), 0.0),
+        wasted=wasted,
+        reasons=reasons,
+        cost=wasted / TOKENS_PER_MILLION * cost_per_million,
+    )
+
+
+def _steps(samples: Samples, start_s: float) -> list[tuple[float, Counter[Series]]]:
+    """Return the rise between times of samples, thinned out for plots."""
+    times = [at_s for at_s in samples.times() if at_s >= start_s]
+    stride = max(1, math.ceil(len(times) / MOST_POINTS))
+    chosen = times[::stride]
+    return [
+        (end_s, samples.increase(begin_s, end_s).values)
+        for begin_s, end_s in zip(chosen, chosen[1:], strict=False)
+    ]
--- /dev/null
+++ b/baobabwing/reports/burn_text.py
@@ -0,0 +1,151 @@
+"""The burn report as text for a terminal and as a JSON document."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import asdict
+from typing import Any
+
+from baobabwing.reports.burn import (
+    WINDOWS_S,
+    AlertRule,
+    BrandPrefill,
+    BurnReport,
+    TierBurn,
+)
+from baobabwing.reports.tables import format_table
+
+__all__ = [
+    "alert_words",
+    "burn_document",
+    "burn_text",
+    "covered_words",
+    "duration_words",
+    "format_burn",
+    "format_causes",
+]
+
+UNITS = (("d", 86_400.0), ("h", 3_600.0), ("m", 60.0), ("s", 1.0))
+NOTHING = "-"
+
+
+def burn_text(report: BurnReport) -> str:
+    """Return the report as tables."""
+    return "\n\n".join(
+        (
+            covered_words(report),
+            _budget_table(report.tiers),
+            _window_table(report.tiers),
+            _alert_lines(report.tiers),
+            _prefill_table(report.brands),
+        )
+    )
+
+
+def burn_document(report: BurnReport) -> dict[str, Any]:
+    """Return the report ready for JSON; an infinite burn becomes ``"inf"``."""
+    return _finite(asdict(report))
+
+
+def covered_words(report: BurnReport) -> str:
+    """Say what time the counts are of."""
+    period = duration_words(report.period_s)
+    if not report.covered_s:
+        return f"one sample a node: counts since the nodes' starts; budget of {period}"
+    return f"samples span {duration_words(report.covered_s)}; budget of {period}"
+
+
+def duration_words(seconds: float) -> str:
+    """Return a duration in its largest whole unit.
+
+    >>> duration_words(7200)
+    '2h'
+    """
+    for unit, size in UNITS:
+        if seconds >= size:
+            return f"{seconds / size:.3g}{unit}"
+    return f"{seconds:.3g}s"
+
+
+def format_burn(burn: float | None) -> str:
+    """Return a burn rate, or a dash where there were no answers."""
+    if burn is None:
+        return NOTHING
+    return f"{burn:.2f}" if math.isfinite(burn) else "inf"
+
+
+def format_causes(tier: TierBurn | BrandPrefill) -> str:
+    """Return counts by how answers ended, or by why work was wasted."""
+    causes = tier.causes if isinstance(tier, TierBurn) else tier.reasons
+    return ", ".join(f"{cause.outcome} {cause.count:.0f}" for cause in causes)
+
+
+def alert_words(rule: AlertRule) -> str:
+    """Return an alert rule in words."""
+    return (
+        f"{rule.severity}: burn above {rule.factor:g} over"
+        f" {duration_words(rule.long_s)} and {duration_words(rule.short_s)}"
+    )
+
+
+def _budget_table(tiers: Sequence[TierBurn]) -> str:
+    head = ("brand", "tier", "objective", "answers", "good", "budget left", "causes")
+    rows = [
+        (
+            tier.brand,
+            tier.tier,
+            f"{tier.objective:.2%}",
+            f"{tier.total:.0f}",
+            f"{tier.good / tier.total:.2%}" if tier.total else NOTHING,
+            f"{tier.budget_left:.1%}",
+            format_causes(tier) or NOTHING,
+        )
+        for tier in tiers
+    ]
+    return format_table(head, rows)
+
+
+def _window_table(tiers: Sequence[TierBurn]) -> str:
+    head = ["burn over", "tier", *(duration_words(window) for window in WINDOWS_S)]
+    rows = [
+        [tier.brand, tier.tier, *(format_burn(one.burn) for one in tier.windows)]
+        for tier in tiers
+    ]
+    return format_table(head, rows)
+
+
+def _alert_lines(tiers: Sequence[TierBurn]) -> str:
+    lines = [
+        f"ALERT {tier.brand} {tier.tier}: {alert_words(alert.rule)}"
+        for tier in tiers
+        for alert in tier.alerts
+        if alert.firing
+    ]
+    return "\n".join(lines) or "no alert"
+
+
+def _prefill_table(brands: Sequence[BrandPrefill]) -> str:
+    head = ("brand", "prefill tokens", "wasted", "share", "cost", "reasons")
+    rows = [
+        (
+            brand.brand,
+            f"{brand.tokens:.0f}",
+            f"{brand.wasted:.0f}",
+            f"{brand.wasted / brand.tokens:.2%}" if brand.tokens else NOTHING,
+            f"{brand.cost:.4f}",
+            format_causes(brand) or NOTHING,
+        )
+        for brand in brands
+    ]
+    return format_table(head, rows)
+
+
+def _finite(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {name: _finite(item) for name, item in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [_finite(item) for item in value]
+    if isinstance(value, float) and not math.isfinite(value):
+        return "-inf" if value < 0 else "inf"
+    return value
