--- /dev/null
+++ b/baobabwing/requests/retries.py
@@ -0,0 +1,119 @@
+"""Budgets that keep retries from multiplying an overload."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+
+__all__ = ["RetryBudget", "RetryBudgets"]
+
+RETRY_FRACTION = 0.1
+LEAST_RETRIES = 3
+_WINDOW_S = 10.0
+_STEP_S = 1.0
+_MOST_BUDGETS = 4096
+
+
+class _Step:
+    """The events of one second."""
+
+    __slots__ = ("count", "number")
+
+    def __init__(self, *, number: int) -> None:
+        self.number = number
+        self.count = 0
+
+
+class _WindowCount:
+    """A count of events within the last seconds, in steps of one second."""
+
+    def __init__(self) -> None:
+        self._steps: deque[_Step] = deque()
+        self._total = 0
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        self._expire(now)
+        number = int(now // _STEP_S)
+        if not self._steps or self._steps[-1].number < number:
+            self._steps.append(_Step(number=number))
+        self._steps[-1].count += 1
+        self._total += 1
+
+    def total(self, now: float) -> int:
+        """Return the events within the window."""
+        self._expire(now)
+        return self._total
+
+    def _expire(self, now: float) -> None:
+        oldest = (now - _WINDOW_S) // _STEP_S
+        while self._steps and self._steps[0].number <= oldest:
+            self._total -= self._steps.popleft().count
+
+
+class RetryBudget:
+    """Retries allowed as a fraction of the first attempts seen lately.
+
+    :param fraction: retries for each first attempt.
+    :param least: retries allowed within the window however little traffic
+        there is, so that a quiet organisation's only request may be retried.
+    """
+
+    def __init__(
+        self, *, fraction: float = RETRY_FRACTION, least: int = LEAST_RETRIES
+    ) -> None:
+        self._fraction = fraction
+        self._least = least
+        self._requests = _WindowCount()
+        self._retries = _WindowCount()
+
+    def count_request(self, now: float) -> None:
+        """Count a first attempt; retries must not be counted here."""
+        self._requests.add(now)
+
+    def allows(self, now: float) -> bool:
+        """Return whether one more retry is within the budget."""
+        most = max(self._fraction * self._requests.total(now), self._least)
+        return self._retries.total(now) + 1 <= most
+
+    def take(self, now: float) -> None:
+        """Count a retry."""
+        self._retries.add(now)
+
+
+class RetryBudgets:
+    """Budgets of pools and of organisations; a retry needs both.
+
+    Not thread safe: the owner holds its lock.
+    """
+
+    def __init__(self) -> None:
+        self._pools: OrderedDict[str, RetryBudget] = OrderedDict()
+        self._organisations: OrderedDict[str, RetryBudget] = OrderedDict()
+
+    def count_request(self, pool: str, organisation: str, now: float) -> None:
+        """Count the first attempt of a request."""
+        _budget(self._pools, pool).count_request(now)
+        _budget(self._organisations, organisation).count_request(now)
+
+    def take_retry(self, pool: str, organisation: str, now: float) -> bool:
+        """Charge a retry to both budgets, or to none if one is used up.
+
+        :returns: whether the retry may be made; if not, the request is to be
+            answered at once.
+        """
+        both = (_budget(self._pools, pool), _budget(self._organisations, organisation))
+        if not all(budget.allows(now) for budget in both):
+            return False
+        for budget in both:
+            budget.take(now)
+        return True
+
+
+def _budget(budgets: OrderedDict[str, RetryBudget], name: str) -> RetryBudget:
+    budget = budgets.get(name)
+    if budget is None:
+        budget = budgets[name] = RetryBudget()
+    budgets.move_to_end(name)
+    while len(budgets) > _MOST_BUDGETS:
+        budgets.popitem(last=False)
+    return budget
