--- /dev/null
+++ b/baobabwing/entry/assembly.py
@@ -0,0 +1,79 @@
+"""A whole answer made of the events of a stream.
+
+Engines are always asked for a stream, also for callers that want the answer in
+one piece: only streams can be resumed after a broken connection.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from baobabwing.exceptions import UpstreamError
+
+__all__ = ["assemble", "count_events"]
+
+_EVENT_END = b"\n\n"
+_DATA = b"data: "
+_DONE = b"[DONE]"
+
+
+def assemble(body: bytes, *, chat: bool, request_id: str) -> dict[str, Any]:
+    """Return the completion that a whole stream of chunks adds up to.
+
+    :param body: the stream, from its first event to ``[DONE]``.
+    :raises UpstreamError: if the stream is not whole or not readable.
+    """
+    objects = _read_objects(body)
+    if not objects:
+        raise UpstreamError("the stream holds no event", step="assemble")
+    last = objects[-1]
+    text = "".join(_text_of(one, chat) for one in objects)
+    choice: dict[str, Any] = {
+        "index": 0,
+        "finish_reason": last["choices"][0].get("finish_reason"),
+    }
+    if chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": request_id,
+        "object": "chat.completion" if chat else "text_completion",
+        "created": last.get("created", 0),
+        "model": last.get("model", ""),
+        "choices": [choice],
+        "usage": last.get("usage", {}),
+    }
+
+
+def count_events(body: bytes) -> int:
+    """Return how many events of tokens a stream holds."""
+    return body.count(b"id: ", 0, 4) + body.count(b"\n\nid: ")
+
+
+def _read_objects(body: bytes) -> list[dict[str, Any]]:
+    objects = []
+    done = False
+    try:
+        for event in body.split(_EVENT_END):
+            _, found, data = event.partition(_DATA)
+            if data == _DONE:
+                done = True
+            elif found:
+                objects.append(json.loads(data))
+    except ValueError as exc:
+        raise UpstreamError("an event is not JSON", step="assemble") from exc
+    if not done:
+        raise UpstreamError("the stream has no end", step="assemble")
+    return objects
+
+
+def _text_of(chunk: dict[str, Any], chat: bool) -> str:
+    try:
+        choice = chunk["choices"][0]
+        if chat:
+            return choice["delta"].get("content") or ""
+        return choice["text"] or ""
+    except (KeyError, IndexError, TypeError) as exc:
+        raise UpstreamError("an event has no text", step="assemble") from exc
--- /dev/null
+++ b/baobabwing/entry/calls.py
@@ -0,0 +1,175 @@
+"""One call of a caller, and the plain ways to answer it."""
+
+from __future__ import annotations
+
+import json
+import math
+import socket
+from collections.abc import Mapping
+from typing import Any
+
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import HTTPRequest
+
+from baobabwing.exceptions import RequestError
+from baobabwing.requests.outcome import Outcome
+
+__all__ = ["HttpCall", "answer_bytes", "answer_error", "answer_json", "retry_headers"]
+
+_JSON_TYPE = "application/json"
+_REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    505: "HTTP Version Not Supported",
+}
+
+
+class HttpCall:
+    """A call as cheroot read it.
+
+    :param req: cheroot's request.
+    :param body_limit: longest body that is read, in bytes.
+    """
+
+    def __init__(self, *, req: HTTPRequest, body_limit: int) -> None:
+        self.req = req
+        self.method = req.method.decode("latin-1")
+        self.path = req.path.decode("latin-1")
+        self.query = req.qs.decode("latin-1")
+        self._body_limit = body_limit
+        self._body: bytes | None = None
+
+    @property
+    def caller_socket(self) -> socket.socket:
+        """The socket that the answer goes to."""
+        return self.req.conn.socket
+
+    def header(self, name: str) -> str:
+        """Return a header's value, or an empty string."""
+        value = self.req.inheaders.get(name.title().encode("latin-1"), b"")
+        return value.decode("latin-1")
+
+    def headers(self) -> Mapping[str, str]:
+        """Return all headers of the call."""
+        return {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in self.req.inheaders.items()
+        }
+
+    def body(self) -> bytes:
+        """Read the body, once.
+
+        :raises RequestError: 413 if it is longer than the limit.
+        """
+        if self._body is None:
+            self._body = self._read_body()
+        return self._body
+
+    def _read_body(self) -> bytes:
+        length = self.req.inheaders.get(b"Content-Length", b"0")
+        if int(length) > self._body_limit:
+            raise self._too_large()
+        try:
+            body = self.req.rfile.read(self._body_limit + 1)
+        except MaxSizeExceeded as exc:
+            raise self._too_large() from exc
+        if len(body) > self._body_limit:
+            raise self._too_large()
+        return body
+
+    def _too_large(self) -> RequestError:
+        # What is left of the body would be read as the next request.
+        self.req.close_connection = True
+        return RequestError(
+            f"the body is longer than {self._body_limit} bytes",
+            status=413,
+            code="body_too_large",
+            field="body",
+            step="read",
+        )
+
+
+def answer_bytes(
+    call: HttpCall,
+    status: int,
+    body: bytes,
+    *,
+    content_type: str,
+    headers: Mapping[str, str] | None = None,
+) -> None:
+    """Send a whole answer."""
+    req = call.req
+    req.status = f"{status} {_REASONS.get(status, 'Status')}".encode("latin-1")
+    fields = {"Content-Type": content_type, "Content-Length": str(len(body))}
+    fields.update(headers or {})
+    req.outheaders = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in fields.items()
+    ]
+    req.sent_headers = True
+    req.send_headers()
+    if call.method != "HEAD":
+        req.conn.wfile.write(body)
+
+
+def answer_json(
+    call: HttpCall,
+    document: Any,
+    *,
+    status: int = 200,
+    headers: Mapping[str, str] | None = None,
+) -> None:
+    """Send a JSON answer."""
+    body = json.dumps(document, separators=(",", ":")).encode()
+    answer_bytes(call, status, body, content_type=_JSON_TYPE, headers=headers)
+
+
+def answer_error(
+    call: HttpCall,
+    exc: RequestError,
+    *,
+    outcome: Outcome,
+    request_id: str = "",
+    retry_after_s: float | None = None,
+) -> None:
+    """Send the one form that all errors to callers have.
+
+    :param retry_after_s: when to come back, where that makes sense.
+    """
+    error = {
+        "message": exc.message,
+        "type": "baobabwing_error",
+        "code": exc.code,
+        "param": exc.field or None,
+        "outcome": outcome.value,
+        "request_id": request_id,
+    }
+    headers = retry_headers(retry_after_s)
+    if request_id:
+        headers["X-Request-Id"] = request_id
+    answer_json(call, {"error": error}, status=exc.status, headers=headers)
+
+
+def retry_headers(retry_after_s: float | None) -> dict[str, str]:
+    """Return the headers that say when to come back.
+
+    >>> retry_headers(1.2)
+    {'Retry-After': '2', 'Retry-After-Ms': '1200'}
+    """
+    if retry_after_s is None:
+        return {}
+    return {
+        "Retry-After": str(max(1, math.ceil(retry_after_s))),
+        "Retry-After-Ms": str(max(1, round(retry_after_s * 1000))),
+    }
--- /dev/null
+++ b/baobabwing/entry/completions.py
@@ -0,0 +1,221 @@
+"""Chat and text completions, in the form of OpenAI's public API."""
+
+from __future__ import annotations
+
+import json
+import time
+import uuid
+
+from baobabwing.entry.assembly import assemble, count_events
+from baobabwing.entry.calls import HttpCall, answer_bytes, answer_json
+from baobabwing.entry.context import EntryContext
+from baobabwing.entry.credentials import Caller
+from baobabwing.entry.dispatch import Dispatch, UpstreamCall
+from baobabwing.entry.ownership import serve_owned
+from baobabwing.entry.parsing import (
+    Completion,
+    parse_completion,
+    parse_deadline,
+    parse_key,
+)
+from baobabwing.entry.relay import (
+    RelayReport,
+    StreamMalformedError,
+    StreamTruncatedError,
+    finish_stream,
+    read_body,
+    relay_events,
+    start_stream,
+)
+from baobabwing.entry.routes import route
+from baobabwing.entry.serving import Given, Serving, give_unknown, read_whole_stream
+from baobabwing.entry.streams import STREAM_HEADERS, end_partial
+from baobabwing.entry.upstream import UpstreamAnswer
+from baobabwing.exceptions import UpstreamError
+from baobabwing.pools.prefix_digest import prompt_prefix
+from baobabwing.requests.outcome import Outcome
+from baobabwing.requests.request import Request, RequestFacts
+
+__all__ = ["serve_chat", "serve_text"]
+
+
+@route("/v1/chat/completions", "POST")
+def serve_chat(context: EntryContext, call: HttpCall) -> None:
+    """Serve a chat completion."""
+    _serve(context, call, chat=True)
+
+
+@route("/v1/completions", "POST")
+def serve_text(context: EntryContext, call: HttpCall) -> None:
+    """Serve a text completion."""
+    _serve(context, call, chat=False)
+
+
+def _serve(context: EntryContext, call: HttpCall, *, chat: bool) -> None:
+    catalogue = context.require_catalogue()
+    caller = catalogue.credentials.identify(
+        call.header("Authorization"), call.header("X-Tier")
+    )
+    limits = context.settings.limits
+    completion = parse_completion(
+        call.body(), chat=chat, most_tokens=limits.output_tokens
+    )
+    pool = catalogue.pool_of_model(completion.model)
+    request = Request(
+        facts=_facts(call, caller, completion, pool.name, limits.request_ms)
+    )
+    giving = _Giving(
+        serving=Serving(context=context), call=call, completion=completion, chat=chat
+    )
+    serve_owned(
+        serving=giving.serving,
+        call=call,
+        request=request,
+        upstream_call=_upstream_call(call, caller, completion),
+        give=giving.give,
+        fetch=giving.fetch,
+    )
+
+
+def _facts(
+    call: HttpCall, caller: Caller, completion: Completion, pool: str, most_ms: int
+) -> RequestFacts:
+    budget_s = parse_deadline(
+        call.header("X-Deadline-Ms"),
+        default_ms=caller.tier.deadline_ms,
+        most_ms=most_ms,
+    )
+    return RequestFacts(
+        request_id=f"req-{uuid.uuid4().hex}",
+        key=parse_key(call.header("Idempotency-Key")),
+        brand=caller.organisation.brand,
+        organisation=caller.organisation.name,
+        tier=caller.tier.name,
+        tier_rank=caller.tier.rank,
+        pool=pool,
+        prompt_tokens=completion.prompt_tokens,
+        output_tokens=completion.output_tokens,
+        deadline=time.monotonic() + budget_s,
+    )
+
+
+def _upstream_call(
+    call: HttpCall, caller: Caller, completion: Completion
+) -> UpstreamCall:
+    fields = dict(completion.fields, stream=True)
+    return UpstreamCall(
+        method="POST",
+        target=call.path,
+        body=json.dumps(fields, separators=(",", ":")).encode(),
+        headers={"Content-Type": "application/json", "Accept": "text/event-stream"},
+        prefix=prompt_prefix(completion.prompt),
+        weight=caller.organisation.weight,
+    )
+
+
+class _Giving:
+    """Gives one caller its completion, as a stream or in one piece."""
+
+    def __init__(
+        self, *, serving: Serving, call: HttpCall, completion: Completion, chat: bool
+    ) -> None:
+        self.serving = serving
+        self._call = call
+        self._completion = completion
+        self._chat = chat
+        self._head_sent = False
+
+    def give(self, request: Request, dispatch: Dispatch) -> Given:
+        """Give the answer of a request that was just dispatched."""
+        answer = dispatch.answer
+        if answer is not None and answer.status != 200:
+            return self._give_refusal(dispatch, answer)
+        if self._completion.stream:
+            return self._give_stream(request, dispatch, answer, RelayReport())
+        return self._give_whole(request, dispatch, answer)
+
+    def fetch(self, request: Request, dispatch: Dispatch) -> Given:
+        """Give the answer of a request that was dispatched before."""
+        report = RelayReport(next_id=_next_event(self._call))
+        if not self._completion.stream:
+            return self._give_whole(request, dispatch, None)
+        return self._give_stream(request, dispatch, None, report)
+
+    def _give_refusal(self, dispatch: Dispatch, answer: UpstreamAnswer) -> Given:
+        """Pass on an answer by which the upstream found fault with the request."""
+        body = read_body(answer=answer)
+        answer_bytes(
+            self._call,
+            answer.status,
+            body,
+            content_type=answer.headers.get("Content-Type", "application/json"),
+            headers={"X-Request-Id": dispatch.placement.attempt_id},
+        )
+        return Given(outcome=Outcome.ANSWERED)
+
+    def _give_whole(
+        self, request: Request, dispatch: Dispatch, answer: UpstreamAnswer | None
+    ) -> Given:
+        attempt_id = dispatch.placement.attempt_id
+        body = read_whole_stream(self.serving, dispatch, answer)
+        if body is None:
+            give_unknown(self._call, request, "the answer was lost with its engine")
+            return Given(outcome=Outcome.UNKNOWN)
+        try:
+            document = assemble(body, chat=self._chat, request_id=attempt_id)
+        except UpstreamError:
+            give_unknown(self._call, request, "the upstream's answer is not readable")
+            return Given(outcome=Outcome.UNKNOWN)
+        answer_json(self._call, document, headers={"X-Request-Id": attempt_id})
+        return Given(
+            outcome=Outcome.ANSWERED, report=RelayReport(next_id=count_events(body))
+        )
+
+    def _give_stream(
+        self,
+        request: Request,
+        dispatch: Dispatch,
+        answer: UpstreamAnswer | None,
+        report: RelayReport,
+    ) -> Given:
+        while True:
+            if answer is None:
+                answer = self.serving.resume_after(dispatch, report)
+            if answer is None:
+                return self._give_up_stream(request, report)
+            try:
+                report = relay_events(
+                    answer=answer,
+                    caller_socket=self._call.caller_socket,
+                    expect_id=dispatch.placement.attempt_id,
+                    resumed=report,
+                    before_first=lambda: self._send_head(dispatch),
+                )
+            except StreamTruncatedError as exc:
+                report, answer = exc.report, None
+                continue
+            except StreamMalformedError as exc:
+                return self._give_up_stream(request, exc.report)
+            finish_stream(self._call.req)
+            return Given(outcome=Outcome.ANSWERED, report=report)
+
+    def _send_head(self, dispatch: Dispatch) -> None:
+        if self._head_sent:
+            return
+        self._head_sent = True
+        attempt_id = dispatch.placement.attempt_id.encode()
+        start_stream(self._call.req, (*STREAM_HEADERS, (b"X-Request-Id", attempt_id)))
+
+    def _give_up_stream(self, request: Request, report: RelayReport) -> Given:
+        """Tell the caller truthfully that the rest cannot be had."""
+        if not self._head_sent:
+            give_unknown(self._call, request, "the answer was lost with its engine")
+            return Given(outcome=Outcome.UNKNOWN, report=report)
+        end_partial(self._call, request.facts.request_id)
+        return Given(outcome=Outcome.PARTIAL, report=report)
+
+
+def _next_event(call: HttpCall) -> int:
+    """Return the number of the first event that the caller still wants."""
+    text = call.header("Last-Event-ID")
+    return int(text) + 1 if text.isascii() and text.isdigit() else 0
--- /dev/null
+++ b/baobabwing/entry/context.py
@@ -0,0 +1,142 @@
+"""What the serving of calls needs of the rest of the node."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from baobabwing.entry.credentials import CredentialIndex
+from baobabwing.exceptions import RequestError
+from baobabwing.fleet.host import Host
+from baobabwing.fleet.view import FleetView
+from baobabwing.homes.permits import PermitClient
+from baobabwing.pools.catalogue import Pool, PoolKind, Upstream
+from baobabwing.reports.metrics import NodeMetrics
+from baobabwing.requests.claims import ClaimKeeper
+from baobabwing.requests.registry import RequestRegistry
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.schema import NodeSettings
+
+__all__ = ["Catalogue", "EntryContext", "Readiness"]
+
+
+class Catalogue:
+    """Look-ups in one configuration.
+
+    :param cfg: the configuration in force.
+    """
+
+    def __init__(self, *, cfg: Configuration) -> None:
+        self.cfg = cfg
+        self.credentials = CredentialIndex(cfg=cfg)
+        self._pools = {pool.name: pool for pool in cfg.pools}
+        self._by_model = {
+            model: pool
+            for pool in cfg.pools
+            if pool.kind is PoolKind.ENGINE
+            for model in pool.models
+        }
+        self._upstreams = {one.name: one for one in cfg.upstreams}
+        self._members: dict[str, tuple[Upstream, ...]] = {
+            pool.name: tuple(one for one in cfg.upstreams if one.pool == pool.name)
+            for pool in cfg.pools
+        }
+
+    def pool_of_model(self, model: str) -> Pool:
+        """Return the pool that serves a model.
+
+        :raises RequestError: 404 if no pool does.
+        """
+        pool = self._by_model.get(model)
+        if pool is None:
+            raise RequestError(
+                "no pool serves this model",
+                status=404,
+                code="unknown_model",
+                field="model",
+            )
+        return pool
+
+    def service_pool(self, name: str) -> Pool:
+        """Return a pool of plain services.
+
+        :raises RequestError: 404 if there is none of this name.
+        """
+        pool = self._pools.get(name)
+        if pool is None or pool.kind is not PoolKind.SERVICE:
+            raise RequestError(
+                "no such pool of services",
+                status=404,
+                code="unknown_pool",
+                field="path",
+            )
+        return pool
+
+    def upstream(self, name: str) -> Upstream | None:
+        """Return an upstream by name."""
+        return self._upstreams.get(name)
+
+    def upstreams_of(self, pool: str) -> tuple[Upstream, ...]:
+        """Return the upstreams of a pool."""
+        return self._members.get(pool, ())
+
+
+class Readiness:
+    """Whether the node takes new requests, and why not."""
+
+    def __init__(self) -> None:
+        self._reasons: set[str] = {"starting"}
+        self._lock = threading.Lock()
+
+    def block(self, reason: str) -> None:
+        """Refuse new requests for a reason."""
+        with self._lock:
+            self._reasons.add(reason)
+
+    def clear(self, reason: str) -> None:
+        """Take a reason away."""
+        with self._lock:
+            self._reasons.discard(reason)
+
+    def reasons(self) -> tuple[str, ...]:
+        """Return why new requests are refused; empty if they are taken."""
+        with self._lock:
+            return tuple(sorted(self._reasons))
+
+
+@dataclass(kw_only=True)
+class EntryContext:
+    """The parts of the node that serve calls, held together.
+
+    :param view: returns the present view of the fleet.
+    :param wall_clock: seconds since 1970; only compared with itself.
+    """
+
+    settings: NodeSettings
+    me: Host
+    view: Callable[[], FleetView]
+    permits: PermitClient
+    registry: RequestRegistry
+    claims: ClaimKeeper
+    metrics: NodeMetrics
+    readiness: Readiness
+    wall_clock: Callable[[], float]
+    status: Callable[[], dict] = dict
+    catalogue: Catalogue | None = None
+    leaving: threading.Event = field(default_factory=threading.Event)
+
+    def require_catalogue(self) -> Catalogue:
+        """Return the catalogue in force.
+
+        :raises RequestError: 503 while there is none, or the node is cut off.
+        """
+        reasons = self.readiness.reasons()
+        if reasons or self.catalogue is None:
+            raise RequestError(
+                f"this host takes no requests: {', '.join(reasons) or 'starting'}",
+                status=503,
+                code="not_ready",
+                step="admission",
+            )
+        return self.catalogue
--- /dev/null
+++ b/baobabwing/entry/credentials.py
@@ -0,0 +1,77 @@
+"""Who a caller is, told by the key it sends."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from baobabwing.brands.catalogue import Credential, Organisation, Tier
+from baobabwing.exceptions import RequestError
+from baobabwing.settings.configuration import Configuration
+
+__all__ = ["Caller", "CredentialIndex"]
+
+_SCHEME = "bearer "
+
+
+@dataclass(frozen=True, kw_only=True)
+class Caller:
+    """A caller whose key is known."""
+
+    organisation: Organisation
+    tier: Tier
+
+
+class CredentialIndex:
+    """The keys of one configuration, looked up by their digests.
+
+    Keys are compared as SHA-256 digests: the time of a failed look-up depends
+    on the digest, which a caller cannot steer towards the digest of a key that
+    it does not know.
+
+    :param cfg: configuration whose credentials are taken.
+    """
+
+    def __init__(self, *, cfg: Configuration) -> None:
+        self._by_digest = {one.sha256: one for one in cfg.credentials}
+        self._organisations = {one.name: one for one in cfg.organisations}
+        self._tiers = {one.name: one for one in cfg.tiers}
+
+    def identify(self, authorization: str, wanted_tier: str = "") -> Caller:
+        """Return the caller that an ``Authorization`` header names.
+
+        :param wanted_tier: a tier below that of the key, for one request.
+        :raises RequestError: 401 if the key is missing or unknown; 400 if the
+            wanted tier is unknown or above that of the key.
+        """
+        if not authorization.lower().startswith(_SCHEME):
+            raise _unauthorized("the header Authorization with a bearer key is missing")
+        key = authorization[len(_SCHEME) :].strip()
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        credential = self._by_digest.get(digest)
+        if credential is None:
+            raise _unauthorized("the key is not known")
+        return Caller(
+            organisation=self._organisations[credential.organisation],
+            tier=self._tier(credential, wanted_tier),
+        )
+
+    def _tier(self, credential: Credential, wanted: str) -> Tier:
+        own = self._tiers[credential.tier]
+        if not wanted:
+            return own
+        tier = self._tiers.get(wanted)
+        if tier is None or tier.rank < own.rank:
+            raise RequestError(
+                "the tier is unknown or above that of the key",
+                status=400,
+                code="bad_tier",
+                field="X-Tier",
+            )
+        return tier
+
+
+def _unauthorized(message: str) -> RequestError:
+    return RequestError(
+        message, status=401, code="bad_key", field="Authorization", step="authorize"
+    )
--- /dev/null
+++ b/baobabwing/entry/dispatch.py
@@ -0,0 +1,380 @@
+"""From a request to the head of its answer: permit, dispatch, resume.
+
+All retries happen here, and only before the dispatch: see
+:class:`baobabwing.requests.request.Request` for the rules.
+"""
+
+from __future__ import annotations
+
+import select
+import socket
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from baobabwing.entry.context import Catalogue, EntryContext
+from baobabwing.entry.events import (
+    STREAM_RESUME_FAILED,
+    STREAM_RESUMED,
+    UPSTREAM_REFUSED,
+)
+from baobabwing.entry.relay import RelayReport
+from baobabwing.entry.upstream import (
+    CallerGoneError,
+    UpstreamAnswer,
+    UpstreamBrokenError,
+    UpstreamUnreachableError,
+    cancel,
+    open_exchange,
+    resume,
+)
+from baobabwing.exceptions import (
+    BaobabwingError,
+    NotAdmittedError,
+    PeerError,
+    UpstreamError,
+)
+from baobabwing.pools.partition import cell_for, cell_names
+from baobabwing.reports.events import log
+from baobabwing.requests.request import Placement, Request, StateError
+from baobabwing.wire.messages import (
+    PermitDecision,
+    PermitDone,
+    PermitRequest,
+    PermitWithdraw,
+)
+
+__all__ = [
+    "Dispatch",
+    "Dispatcher",
+    "RefusedError",
+    "UpstreamCall",
+    "attempt_id",
+    "owned_key",
+]
+
+FIRST_BYTE_TIMEOUT_S = 60.0
+RESUME_BUDGET_S = 5.0
+RESUME_PAUSES_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8)
+MAX_DISPATCH_TRIES = 4
+MAX_HANDOVERS = 3
+DEFAULT_RETRY_S = 1.0
+_NOT_FOUND = 404
+
+
+class RefusedError(BaobabwingError):
+    """A request was given up before any of it ran.
+
+    :param retry_after_s: when the caller may come back.
+    """
+
+    def __init__(
+        self, message: str, *, code: str, retry_after_s: float, step: str = "permit"
+    ) -> None:
+        super().__init__(message, step=step)
+        self.code = code
+        self.retry_after_s = retry_after_s
+
+
+@dataclass(frozen=True, kw_only=True)
+class UpstreamCall:
+    """What is sent to the upstream.
+
+    :param prefix: chained digests of the prompt's blocks.
+    :param weight: weight of the organisation within its tier.
+    """
+
+    method: str
+    target: str
+    body: bytes
+    headers: Mapping[str, str]
+    prefix: tuple[int, ...] = ()
+    weight: float = 1.0
+
+
+@dataclass(kw_only=True)
+class Dispatch:
+    """A request at an upstream, until its permit is given back."""
+
+    placement: Placement
+    answer: UpstreamAnswer | None
+    dispatched_at: float
+    finished: bool = field(default=False)
+
+
+class Dispatcher:
+    """Brings requests to upstreams.
+
+    :param context: the parts of the node that calls need.
+    """
+
+    def __init__(self, *, context: EntryContext) -> None:
+        self._context = context
+
+    def dispatch(
+        self, request: Request, call: UpstreamCall, caller: socket.socket
+    ) -> Dispatch:
+        """Wait for a permit and send the request, once.
+
+        :returns: the dispatch, with the head of the answer, or without one if
+            the connection broke after the request may have run.
+        :raises RefusedError: if the request did not and will not run.
+        :raises CallerGoneError: if the caller left before the dispatch.
+        """
+        exclude: list[str] = []
+        for _ in range(MAX_DISPATCH_TRIES):
+            placement = self._place(request, call, tuple(exclude))
+            try:
+                return self._send(request, call, placement, caller)
+            except (UpstreamUnreachableError, NotAdmittedError) as exc:
+                self._note_refusal(request, placement, exc)
+                exclude.append(placement.upstream)
+        raise RefusedError(
+            "every upstream that was tried refused the request",
+            code="upstreams_refuse",
+            retry_after_s=DEFAULT_RETRY_S,
+            step="dispatch",
+        )
+
+    def resume(
+        self, placement: Placement, report: RelayReport, until: float
+    ) -> UpstreamAnswer | None:
+        """Go on with a broken stream after the last event that was relayed.
+
+        :param until: when to give up, in monotonic seconds.
+        :returns: the answer to go on with, or ``None`` if the engine does not
+            know the stream any more or cannot be reached.
+        """
+        for pause_s in RESUME_PAUSES_S:
+            answer = self._resume_once(placement, report)
+            if answer is not None:
+                if answer.status == 200:
+                    log(STREAM_RESUMED, peer=placement.address)
+                    self._context.metrics.resumed.labels("resumed").inc()
+                    return answer
+                answer.discard()
+                if answer.status == _NOT_FOUND:
+                    break
+            if time.monotonic() + pause_s > until:
+                break
+            time.sleep(pause_s)
+        log(STREAM_RESUME_FAILED, peer=placement.address)
+        self._context.metrics.resumed.labels("lost").inc()
+        return None
+
+    def cancel(self, placement: Placement) -> None:
+        """Tell the upstream that nobody wants the answer any more."""
+        try:
+            cancel(placement.address, placement.attempt_id)
+        except UpstreamError:
+            # The engine is gone or frozen; it has nothing to cancel, or will
+            # end the stream by itself. The caller does not wait for this.
+            return
+
+    def finish(
+        self,
+        request: Request,
+        dispatch: Dispatch,
+        outcome: str,
+        report: RelayReport | None = None,
+    ) -> None:
+        """Give the permit back, with what was seen of the upstream."""
+        if dispatch.finished:
+            return
+        dispatch.finished = True
+        report = report or RelayReport()
+        first_s = 0.0
+        if report.first_event_at is not None:
+            first_s = max(0.0, report.first_event_at - dispatch.dispatched_at)
+        facts = request.facts
+        self._context.permits.done(
+            PermitDone(
+                request_id=facts.request_id,
+                cell=dispatch.placement.cell,
+                upstream=dispatch.placement.upstream,
+                outcome=outcome,
+                first_token_ms=first_s * 1000,
+                tokens=report.next_id,
+                duration_ms=(time.monotonic() - dispatch.dispatched_at) * 1000,
+                prompt_tokens=facts.prompt_tokens,
+            )
+        )
+
+    def _place(
+        self, request: Request, call: UpstreamCall, exclude: tuple[str, ...]
+    ) -> Placement:
+        catalogue = self._context.require_catalogue()
+        cell = self._first_cell(catalogue, request, call)
+        for _ in range(MAX_HANDOVERS):
+            decision = self._ask(request, call, cell, exclude)
+            if decision.granted:
+                return self._to_placement(catalogue, request, cell, decision)
+            if not decision.hand_to:
+                break
+            cell = decision.hand_to
+        raise RefusedError(
+            f"no permit: {decision.code}",
+            code=decision.code,
+            retry_after_s=decision.retry_after_ms / 1000 or DEFAULT_RETRY_S,
+        )
+
+    def _ask(
+        self, request: Request, call: UpstreamCall, cell: str, exclude: tuple[str, ...]
+    ) -> PermitDecision:
+        facts = request.facts
+        budget_s = facts.deadline - time.monotonic()
+        started = time.monotonic()
+        message = PermitRequest(
+            request_id=facts.request_id,
+            cell=cell,
+            organisation=facts.organisation,
+            tier_rank=facts.tier_rank,
+            budget_ms=max(1, int(budget_s * 1000)),
+            prompt_tokens=facts.prompt_tokens,
+            output_tokens=facts.output_tokens,
+            prefix=call.prefix,
+            key=owned_key(facts.organisation, facts.key),
+            exclude=exclude,
+            weight=call.weight,
+        )
+        try:
+            decision = self._context.permits.ask(message)
+        except PeerError as exc:
+            self._context.permits.withdraw(
+                PermitWithdraw(request_id=facts.request_id, cell=cell)
+            )
+            raise RefusedError(
+                "no home decided in time",
+                code="no_decision",
+                retry_after_s=DEFAULT_RETRY_S,
+            ) from exc
+        waited = time.monotonic() - started
+        self._context.metrics.permit_wait.labels(facts.tier).observe(waited)
+        return decision
+
+    def _first_cell(
+        self, catalogue: Catalogue, request: Request, call: UpstreamCall
+    ) -> str:
+        pool_name = request.facts.pool
+        pool = next(one for one in catalogue.cfg.pools if one.name == pool_name)
+        cells = cell_names(pool, catalogue.upstreams_of(pool_name))
+        affinity = str(call.prefix[0]) if call.prefix else request.facts.request_id
+        return cell_for(cells, affinity)
+
+    def _to_placement(
+        self,
+        catalogue: Catalogue,
+        request: Request,
+        cell: str,
+        decision: PermitDecision,
+    ) -> Placement:
+        upstream = catalogue.upstream(decision.upstream)
+        if upstream is None:
+            # The home has a newer configuration than this node; the permit is
+            # of no use here until that has arrived.
+            self._give_back(request, cell, decision.upstream, "unused")
+            raise RefusedError(
+                "the upstream is not known here yet",
+                code="unknown_upstream",
+                retry_after_s=DEFAULT_RETRY_S,
+            )
+        return Placement(
+            upstream=upstream.name,
+            address=upstream.address,
+            attempt_id=attempt_id(request.facts.request_id, upstream.name),
+            cell=cell,
+        )
+
+    def _send(
+        self,
+        request: Request,
+        call: UpstreamCall,
+        placement: Placement,
+        caller: socket.socket,
+    ) -> Dispatch:
+        try:
+            request.permit(placement)
+        except StateError:
+            self._give_back(request, placement.cell, placement.upstream, "unused")
+            raise
+        if _has_left(caller) and not request.facts.key:
+            # Prefill for nobody is waste, and the most of it comes from callers
+            # that gave up while their request was queued.
+            self._give_back(request, placement.cell, placement.upstream, "unused")
+            raise CallerGoneError("the caller left", step="dispatch")
+        started = time.monotonic()
+        try:
+            answer = open_exchange(
+                address=placement.address,
+                method=call.method,
+                target=call.target,
+                headers=self._headers(request, call, placement),
+                body=call.body,
+                timeout_s=FIRST_BYTE_TIMEOUT_S,
+                before_send=request.dispatch,
+            )
+        except StateError:
+            self._give_back(request, placement.cell, placement.upstream, "unused")
+            raise
+        except UpstreamBrokenError:
+            answer = None
+        return Dispatch(placement=placement, answer=answer, dispatched_at=started)
+
+    def _headers(
+        self, request: Request, call: UpstreamCall, placement: Placement
+    ) -> dict[str, str]:
+        headers = dict(call.headers)
+        headers["X-Request-Id"] = placement.attempt_id
+        if request.facts.key:
+            headers["Idempotency-Key"] = request.facts.key
+        return headers
+
+    def _note_refusal(
+        self, request: Request, placement: Placement, exc: UpstreamError
+    ) -> None:
+        if isinstance(exc, NotAdmittedError):
+            request.not_admitted()
+        log(UPSTREAM_REFUSED, peer=placement.address, error=type(exc).__name__)
+        self._give_back(request, placement.cell, placement.upstream, "not_admitted")
+
+    def _give_back(
+        self, request: Request, cell: str, upstream: str, outcome: str
+    ) -> None:
+        self._context.permits.done(
+            PermitDone(
+                request_id=request.facts.request_id,
+                cell=cell,
+                upstream=upstream,
+                outcome=outcome,
+            )
+        )
+
+    def _resume_once(
+        self, placement: Placement, report: RelayReport
+    ) -> UpstreamAnswer | None:
+        try:
+            return resume(placement.address, placement.attempt_id, report.last_event_id)
+        except UpstreamError:
+            return None
+
+
+def attempt_id(request_id: str, upstream: str) -> str:
+    """Return the id under which an upstream knows a request.
+
+    An upstream that refused a request is not tried with it again, so that the
+    pair is unique; and whoever knows the pair can find the stream.
+    """
+    return f"{request_id}.{upstream}"
+
+
+def owned_key(organisation: str, key: str) -> str:
+    """Return the key as homes know it; no organisation can ask for another's."""
+    return f"{organisation}\0{key}" if key else ""
+
+
+def _has_left(caller: socket.socket) -> bool:
+    """Tell whether the caller has closed its connection."""
+    poll = select.poll()
+    poll.register(caller, select.POLLRDHUP)
+    gone = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+    return any(mask & gone for _, mask in poll.poll(0))
--- /dev/null
+++ b/baobabwing/entry/forward.py
@@ -0,0 +1,89 @@
+"""Forwarding of a call to the node that owns its key."""
+
+from __future__ import annotations
+
+from baobabwing.entry.calls import HttpCall, answer_bytes
+from baobabwing.entry.relay import finish_stream, read_body, relay_events, start_stream
+from baobabwing.entry.streams import STREAM_HEADERS
+from baobabwing.entry.upstream import UpstreamAnswer, open_exchange
+from baobabwing.exceptions import UpstreamError
+from baobabwing.fleet.host import Host
+
+__all__ = ["HOP_HEADER", "forward"]
+
+HOP_HEADER = "X-Forwarded-By-Node"
+FIRST_BYTE_TIMEOUT_S = 120.0
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_PASSED_ON = ("Retry-After", "Retry-After-Ms", "X-Request-Id")
+_STREAM_TYPE = "text/event-stream"
+
+
+def forward(call: HttpCall, owner: Host) -> bool:
+    """Give the caller the answer of the owning node.
+
+    The owner recognises the key, so that this may be tried after a try that
+    broke, without a second dispatch.
+
+    :returns: false if the owner gave nothing, so that another way can be tried.
+    :raises UpstreamError: if the owner's answer broke after a part was given.
+    """
+    headers = {
+        name: value
+        for name, value in call.headers().items()
+        if name.lower() not in _HOP_BY_HOP
+    }
+    headers[HOP_HEADER] = "1"
+    try:
+        answer = open_exchange(
+            address=owner.http,
+            method=call.method,
+            target=call.path,
+            headers=headers,
+            body=call.body(),
+            timeout_s=FIRST_BYTE_TIMEOUT_S,
+            caller_socket=call.caller_socket,
+        )
+    except UpstreamError:
+        return False
+    if answer.headers.get("Content-Type", "").startswith(_STREAM_TYPE):
+        _pass_stream(call, answer)
+    else:
+        _pass_whole(call, answer)
+    return True
+
+
+def _pass_whole(call: HttpCall, answer: UpstreamAnswer) -> None:
+    body = read_body(answer=answer)
+    headers = {
+        name: answer.headers[name] for name in _PASSED_ON if name in answer.headers
+    }
+    answer_bytes(
+        call,
+        answer.status,
+        body,
+        content_type=answer.headers.get("Content-Type", "application/json"),
+        headers=headers,
+    )
+
+
+def _pass_stream(call: HttpCall, answer: UpstreamAnswer) -> None:
+    attempt_id = answer.request_id
+    head = (*STREAM_HEADERS, (b"X-Request-Id", attempt_id.encode()))
+    relay_events(
+        answer=answer,
+        caller_socket=call.caller_socket,
+        expect_id=attempt_id,
+        before_first=lambda: start_stream(call.req, head),
+    )
+    finish_stream(call.req)
--- /dev/null
+++ b/baobabwing/entry/operations.py
@@ -0,0 +1,67 @@
+"""Addresses, health and metrics."""
+
+from __future__ import annotations
+
+import uuid
+
+from baobabwing.entry.calls import HttpCall, answer_bytes, answer_json
+from baobabwing.entry.context import EntryContext
+from baobabwing.entry.routes import route
+from baobabwing.fleet.addresses import address_answer
+from baobabwing.requests.keys import key_prefix
+
+__all__ = ["serve_addresses", "serve_health", "serve_metrics", "serve_ready"]
+
+_METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+@route("/v1/addresses", "GET")
+def serve_addresses(context: EntryContext, call: HttpCall) -> None:
+    """Tell a caller which addresses to use, and for how long to keep them."""
+    settings = context.settings
+    answer = address_answer(
+        context.view(),
+        me=context.me,
+        zone=settings.zone,
+        seed=call.header("X-Caller-Seed") or uuid.uuid4().hex,
+    )
+    now_s = context.wall_clock()
+    addresses = [
+        {
+            "name": host.name,
+            "http": host.http,
+            "zone": host.zone,
+            "key_prefix": key_prefix(
+                node=host.name, incarnation=host.incarnation, now_s=now_s
+            ),
+        }
+        for host in answer.hosts
+    ]
+    prefix = addresses[0]["key_prefix"] if addresses else ""
+    document = {
+        "addresses": addresses,
+        "keep_ms": settings.address_keep_ms,
+        "key_prefix": prefix,
+    }
+    answer_json(call, document)
+
+
+@route("/healthz", "GET", "HEAD")
+def serve_health(context: EntryContext, call: HttpCall) -> None:
+    """Tell that the process answers."""
+    answer_json(call, {"ok": True})
+
+
+@route("/readyz", "GET", "HEAD")
+def serve_ready(context: EntryContext, call: HttpCall) -> None:
+    """Tell whether new requests are taken, and why not."""
+    reasons = context.readiness.reasons()
+    status = 503 if reasons else 200
+    answer_json(call, {"ready": not reasons, "reasons": reasons}, status=status)
+
+
+@route("/metrics", "GET")
+def serve_metrics(context: EntryContext, call: HttpCall) -> None:
+    """Give the metrics to Prometheus."""
+    body = context.metrics.render()
+    answer_bytes(call, 200, body, content_type=_METRICS_TYPE)
--- /dev/null
+++ b/baobabwing/entry/owners.py
@@ -0,0 +1,76 @@
+"""Which node may dispatch the request with a key."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from baobabwing.entry.context import EntryContext
+from baobabwing.exceptions import PlatformError, RequestError
+from baobabwing.fleet.host import Host
+from baobabwing.requests.claims import Claim
+from baobabwing.requests.keys import KEY_LIFE_S, parse_bound_key
+
+__all__ = ["Owner", "find_owner"]
+
+CLOCK_SKEW_S = 60.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Owner:
+    """The owner of a key.
+
+    :param mine: whether this node owns it.
+    :param host: the owner, if it is another node that is alive.
+    :param fresh: whether a request with this key may still be dispatched; an
+        older key may only be used to fetch what is there.
+    """
+
+    mine: bool
+    host: Host | None = None
+    fresh: bool = True
+
+
+def find_owner(context: EntryContext, organisation: str, key: str) -> Owner:
+    """Return the owner of a key, claiming a key of the caller's own making.
+
+    :raises RequestError: 503 if the table service could not be asked; the
+        request did not run and will not run.
+    """
+    if not key:
+        return Owner(mine=True)
+    now_s = context.wall_clock()
+    bound = parse_bound_key(key)
+    if bound is not None:
+        since_s, name, incarnation = bound.issued_s, bound.node, bound.incarnation
+    else:
+        claim = _claim(context, organisation, key, int(now_s))
+        since_s, name, incarnation = claim.claimed_at_s, claim.node, claim.incarnation
+    if (name, incarnation) == (context.me.name, context.me.incarnation):
+        # The prefix may come from another host, whose clock may be ahead.
+        fresh = -CLOCK_SKEW_S <= now_s - since_s <= KEY_LIFE_S
+        return Owner(mine=True, fresh=fresh)
+    return Owner(mine=False, host=_live_host(context, name, incarnation))
+
+
+def _claim(context: EntryContext, organisation: str, key: str, now_s: int) -> Claim:
+    me = context.me
+    claim = Claim(node=me.name, incarnation=me.incarnation, claimed_at_s=now_s)
+    try:
+        return context.claims.claim(organisation, key, claim)
+    except PlatformError as exc:
+        raise RequestError(
+            "the key could not be claimed, since the platform does not answer; "
+            "use a key with the prefix from /v1/addresses to go on without it",
+            status=503,
+            code="claim_unavailable",
+            field="Idempotency-Key",
+            step="claim",
+        ) from exc
+
+
+def _live_host(context: EntryContext, name: str, incarnation: int) -> Host | None:
+    view = context.view()
+    if not view.is_current(name, incarnation):
+        return None
+    member = view.find(name)
+    return member.host if member else None
--- /dev/null
+++ b/baobabwing/entry/ownership.py
@@ -0,0 +1,134 @@
+"""Serving a request where its key belongs.
+
+A request without a key, or with one that this node owns, is served here. One
+that another live node owns is forwarded to it. One whose owner has gone is
+never dispatched again: its answer is fetched from the upstream that the home of
+its cell remembers, or the caller is told that the outcome is unknown.
+"""
+
+from __future__ import annotations
+
+import time
+
+from baobabwing.entry.calls import HttpCall, answer_error
+from baobabwing.entry.context import EntryContext
+from baobabwing.entry.dispatch import Dispatch, UpstreamCall, attempt_id, owned_key
+from baobabwing.entry.forward import HOP_HEADER, forward
+from baobabwing.entry.owners import find_owner
+from baobabwing.entry.serving import Give, Serving, give_unknown
+from baobabwing.exceptions import PeerError, RequestError
+from baobabwing.fleet.host import Host
+from baobabwing.pools.partition import cell_names
+from baobabwing.requests.outcome import Outcome
+from baobabwing.requests.request import Placement, Request, RequestState
+
+__all__ = ["serve_owned"]
+
+Fetch = Give
+REUSE_RETRY_S = 1.0
+
+
+def serve_owned(
+    *,
+    serving: Serving,
+    call: HttpCall,
+    request: Request,
+    upstream_call: UpstreamCall,
+    give: Give,
+    fetch: Fetch,
+) -> None:
+    """Serve a request here, at its owner, or from what its owner left behind.
+
+    :param give: gives the answer of a request dispatched just now.
+    :param fetch: gives the answer of a request dispatched before.
+    """
+    context = serving.context
+    facts = request.facts
+    owner = find_owner(context, facts.organisation, facts.key)
+    if owner.mine:
+        if owner.fresh:
+            earlier = context.registry.enter(request, time.monotonic())
+        else:
+            earlier = context.registry.find(facts.organisation, facts.key)
+        if earlier is not None:
+            _fetch_earlier(call, earlier, fetch)
+        elif owner.fresh:
+            serving.run(call, request, upstream_call, give)
+        else:
+            give_unknown(call, request, "the key is too old to be used")
+        return
+    if owner.host is not None and _forward(call, owner.host):
+        return
+    _fetch_orphan(context, call, request, fetch)
+
+
+def _fetch_earlier(call: HttpCall, earlier: Request, fetch: Fetch) -> None:
+    """Give a second try the answer of the first, which may still be running."""
+    wait_s = max(0.0, earlier.facts.deadline - time.monotonic()) + REUSE_RETRY_S
+    earlier.wait_settled(wait_s)
+    placement = earlier.placement
+    if earlier.outcome is Outcome.NOT_RUN or placement is None:
+        _tell_not_run(call, earlier)
+    elif earlier.state < RequestState.DISPATCHED:
+        give_unknown(call, earlier, "the request is still waiting")
+    else:
+        fetch(earlier, _past_dispatch(placement))
+
+
+def _tell_not_run(call: HttpCall, earlier: Request) -> None:
+    certain = earlier.outcome is Outcome.NOT_RUN
+    answer_error(
+        call,
+        RequestError("the first try was not run", status=503, code="first_not_run"),
+        outcome=Outcome.NOT_RUN if certain else Outcome.UNKNOWN,
+        request_id=earlier.facts.request_id,
+        retry_after_s=REUSE_RETRY_S,
+    )
+
+
+def _forward(call: HttpCall, host: Host) -> bool:
+    """Forward to the owner; false if it turned out to be gone."""
+    if call.header(HOP_HEADER):
+        return False
+    return forward(call, host)
+
+
+def _fetch_orphan(
+    context: EntryContext, call: HttpCall, request: Request, fetch: Fetch
+) -> None:
+    placement = _ask_homes(context, request)
+    if placement is None:
+        give_unknown(call, request, "the host that had this request is gone")
+        return
+    fetch(request, _past_dispatch(placement))
+
+
+def _ask_homes(context: EntryContext, request: Request) -> Placement | None:
+    facts = request.facts
+    catalogue = context.require_catalogue()
+    pool = next(one for one in catalogue.cfg.pools if one.name == facts.pool)
+    key = owned_key(facts.organisation, facts.key)
+    for cell in cell_names(pool, catalogue.upstreams_of(pool.name)):
+        try:
+            answer = context.permits.where(cell, key, pool.name)
+        except PeerError:
+            continue
+        upstream = catalogue.upstream(answer.upstream) if answer.known else None
+        if upstream is not None:
+            return Placement(
+                upstream=upstream.name,
+                address=upstream.address,
+                attempt_id=attempt_id(answer.request_id, upstream.name),
+                cell=cell,
+            )
+    return None
+
+
+def _past_dispatch(placement: Placement) -> Dispatch:
+    """Return a dispatch that was made before, whose permit is not ours."""
+    return Dispatch(
+        placement=placement,
+        answer=None,
+        dispatched_at=time.monotonic(),
+        finished=True,
+    )
--- /dev/null
+++ b/baobabwing/entry/parsing.py
@@ -0,0 +1,158 @@
+"""Reading of what callers send: bodies, deadlines and keys."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from baobabwing.exceptions import RequestError
+from baobabwing.requests.keys import MAX_KEY_LENGTH
+
+__all__ = ["Completion", "parse_completion", "parse_deadline", "parse_key"]
+
+DEFAULT_OUTPUT_TOKENS = 16
+_STEP = "parse"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Completion:
+    """A chat or text completion, checked as far as scheduling needs it.
+
+    :param prompt: text of the prompt; contents of messages joined by newlines.
+    :param prompt_tokens: estimate, as the number of words.
+    :param fields: the whole body, for the upstream.
+    """
+
+    model: str
+    prompt: str
+    prompt_tokens: int
+    output_tokens: int
+    stream: bool
+    include_usage: bool
+    fields: dict[str, Any]
+
+
+def parse_completion(body: bytes, *, chat: bool, most_tokens: int) -> Completion:
+    """Read the body of a completion request.
+
+    :param chat: whether it holds messages, and not a prompt.
+    :param most_tokens: bound on the output that may be asked for.
+    :raises RequestError: 400 that names the field at fault.
+    """
+    fields = _parse_object(body)
+    prompt = _read_messages(fields) if chat else _read_prompt(fields)
+    if _typed(fields, "n", int, 1) != 1:
+        raise _bad("only one choice can be asked for", "n")
+    options = _typed(fields, "stream_options", dict, {})
+    return Completion(
+        model=_required(fields, "model", str),
+        prompt=prompt,
+        prompt_tokens=len(prompt.split()),
+        output_tokens=_read_output_tokens(fields, most_tokens),
+        stream=_typed(fields, "stream", bool, False),
+        include_usage=bool(options.get("include_usage")),
+        fields=fields,
+    )
+
+
+def parse_deadline(text: str, *, default_ms: int, most_ms: int) -> float:
+    """Return the time that a caller gives a request, in seconds.
+
+    :param text: value of the header ``X-Deadline-Ms``, or an empty string.
+    :raises RequestError: 400 if it is no whole number above zero.
+    """
+    if not text:
+        return default_ms / 1000
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        raise _bad("a whole number of milliseconds above 0 is wanted", "X-Deadline-Ms")
+    return min(int(text), most_ms) / 1000
+
+
+def parse_key(text: str) -> str:
+    """Return the idempotency key, or an empty string for none.
+
+    :raises RequestError: 400 if it is too long or not printable ASCII.
+    """
+    if len(text) > MAX_KEY_LENGTH or not (text.isascii() and text.isprintable()):
+        raise _bad(
+            f"at most {MAX_KEY_LENGTH} printable ASCII characters are allowed",
+            "Idempotency-Key",
+        )
+    return text
+
+
+def _parse_object(body: bytes) -> dict[str, Any]:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise _bad("the body is not JSON", "body") from exc
+    if not isinstance(fields, dict):
+        raise _bad("the body is not a JSON object", "body")
+    return fields
+
+
+def _read_prompt(fields: dict[str, Any]) -> str:
+    return _required(fields, "prompt", str)
+
+
+def _read_messages(fields: dict[str, Any]) -> str:
+    messages = _required(fields, "messages", list)
+    if not messages:
+        raise _bad("at least one message is wanted", "messages")
+    return "\n".join(
+        _read_content(message, f"messages[{number}]")
+        for number, message in enumerate(messages)
+    )
+
+
+def _read_content(message: Any, where: str) -> str:
+    if not isinstance(message, dict):
+        raise _bad("an object is wanted", where)
+    if not isinstance(message.get("role"), str):
+        raise _bad("a string is wanted", f"{where}.role")
+    content = message.get("content")
+    if isinstance(content, str):
+        return content
+    if not isinstance(content, list):
+        raise _bad("a string or a list of parts is wanted", f"{where}.content")
+    return "\n".join(_read_part(part, f"{where}.content") for part in content)
+
+
+def _read_part(part: Any, where: str) -> str:
+    text = part.get("text") if isinstance(part, dict) else None
+    if not isinstance(text, str):
+        raise _bad("only parts of type text are taken", where)
+    return text
+
+
+def _read_output_tokens(fields: dict[str, Any], most: int) -> int:
+    name = "max_completion_tokens"
+    if name not in fields:
+        name = "max_tokens"
+    tokens = _typed(fields, name, int, DEFAULT_OUTPUT_TOKENS)
+    if not 1 <= tokens <= most:
+        raise _bad(f"a number from 1 to {most} is wanted", name)
+    return tokens
+
+
+def _required(fields: dict[str, Any], name: str, kind: type) -> Any:
+    if name not in fields:
+        raise _bad("the field is missing", name)
+    return _typed(fields, name, kind, None)
+
+
+def _typed(fields: dict[str, Any], name: str, kind: type, default: Any) -> Any:
+    value = fields.get(name)
+    if value is None and default is not None:
+        return default
+    # A bool is an int to Python, but not to the caller who wrote true for 1.
+    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+        raise _bad(f"a value of type {kind.__name__} is wanted", name)
+    return value
+
+
+def _bad(message: str, field: str) -> RequestError:
+    return RequestError(
+        message, status=400, code="bad_request", field=field, step=_STEP
+    )
--- /dev/null
+++ b/baobabwing/entry/server.py
@@ -0,0 +1,108 @@
+"""The HTTP server that callers meet, by cheroot."""
+
+from __future__ import annotations
+
+import threading
+
+from cheroot.server import Gateway, HTTPServer
+
+from baobabwing.entry.calls import HttpCall, answer_error
+from baobabwing.entry.context import EntryContext
+from baobabwing.entry.events import REQUEST_FAULT
+from baobabwing.entry.relay import CallerSlowError
+from baobabwing.entry.routes import find_route
+from baobabwing.entry.upstream import CallerGoneError
+from baobabwing.exceptions import RequestError
+from baobabwing.reports.events import log
+from baobabwing.requests.outcome import Outcome
+
+__all__ = ["EntryServer"]
+
+RECEIVE_TIMEOUT_S = 10.0
+LISTEN_BACKLOG = 512
+# Threads mostly wait on sockets; their stacks stay shallow.
+STACK_BYTES = 256 * 1024
+UNREADY_RETRY_S = 1.0
+
+
+class _Server(HTTPServer):
+    """cheroot's server, told to log faults as numbered events."""
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        log(REQUEST_FAULT, error=msg[:500])
+
+
+class EntryServer:
+    """Serves callers, one thread for each open request.
+
+    :param context: the parts of the node that calls need.
+    """
+
+    def __init__(self, *, context: EntryContext) -> None:
+        cfg = context.settings
+        host, _, port = cfg.http.rpartition(":")
+        self._server = _Server(
+            bind_addr=(host, int(port)),
+            gateway=lambda req: _EntryGateway(req, context),
+            minthreads=cfg.limits.worker_threads,
+            maxthreads=cfg.limits.worker_threads,
+            server_name="baobabwing",
+        )
+        self._server.max_request_header_size = cfg.limits.header_bytes
+        self._server.timeout = RECEIVE_TIMEOUT_S
+        self._server.request_queue_size = LISTEN_BACKLOG
+        self._server.keep_alive_conn_limit = cfg.limits.connections
+        self._thread = threading.Thread(
+            target=self._server.serve, name="entry", daemon=True
+        )
+
+    def start(self) -> None:
+        """Bind the address and begin to serve."""
+        # cheroot starts its threads here; the size holds for those only.
+        before = threading.stack_size(STACK_BYTES)
+        try:
+            self._server.prepare()
+        finally:
+            threading.stack_size(before)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the address and end the threads."""
+        self._server.shutdown_timeout = 1
+        self._server.stop()
+
+
+class _EntryGateway(Gateway):
+    """Finds the route of a call and turns errors into answers."""
+
+    def __init__(self, req: object, context: EntryContext) -> None:
+        super().__init__(req)
+        self._context = context
+
+    def respond(self) -> None:
+        limit = self._context.settings.limits.body_bytes
+        call = HttpCall(req=self.req, body_limit=limit)
+        try:
+            find_route(call.method, call.path).serve(self._context, call)
+        except RequestError as exc:
+            self._refuse(call, exc)
+        except (CallerGoneError, CallerSlowError):
+            self.req.close_connection = True
+        except OSError:
+            self.req.close_connection = True
+            raise
+        except Exception as exc:
+            log(REQUEST_FAULT, error=f"{type(exc).__name__}: {exc}", path=call.path)
+            self.req.close_connection = True
+            if not self.req.sent_headers:
+                self._answer_fault(call)
+
+    def _refuse(self, call: HttpCall, exc: RequestError) -> None:
+        retry_s = UNREADY_RETRY_S if exc.status == 503 else None
+        answer_error(call, exc, outcome=Outcome.NOT_RUN, retry_after_s=retry_s)
+
+    def _answer_fault(self, call: HttpCall) -> None:
+        fault = RequestError("a fault of the scheduler", status=500, code="fault")
+        answer_error(call, fault, outcome=Outcome.UNKNOWN)
--- /dev/null
+++ b/baobabwing/entry/services.py
@@ -0,0 +1,135 @@
+"""Calls of plain services, some of which may not be repeated."""
+
+from __future__ import annotations
+
+import time
+import uuid
+
+from baobabwing.entry.calls import HttpCall, answer_bytes
+from baobabwing.entry.context import EntryContext
+from baobabwing.entry.dispatch import Dispatch, UpstreamCall
+from baobabwing.entry.ownership import serve_owned
+from baobabwing.entry.parsing import parse_deadline, parse_key
+from baobabwing.entry.relay import read_body
+from baobabwing.entry.routes import route
+from baobabwing.entry.serving import (
+    STORED_ANSWER_BYTES,
+    Given,
+    Serving,
+    give_unknown,
+)
+from baobabwing.exceptions import RequestError, UpstreamError
+from baobabwing.requests.outcome import Outcome
+from baobabwing.requests.request import Request, RequestFacts
+
+__all__ = ["serve_service"]
+
+PREFIX = "/v1/services/"
+_PASSED_ON = ("Content-Type", "Accept")
+
+
+@route(PREFIX + "*")
+def serve_service(context: EntryContext, call: HttpCall) -> None:
+    """Serve a call of a plain service."""
+    catalogue = context.require_catalogue()
+    caller = catalogue.credentials.identify(
+        call.header("Authorization"), call.header("X-Tier")
+    )
+    name, _, rest = call.path.removeprefix(PREFIX).partition("/")
+    pool = catalogue.service_pool(name)
+    key = parse_key(call.header("Idempotency-Key"))
+    _require_key(call, key)
+    budget_s = parse_deadline(
+        call.header("X-Deadline-Ms"),
+        default_ms=caller.tier.deadline_ms,
+        most_ms=context.settings.limits.request_ms,
+    )
+    body = call.body()
+    request = Request(
+        facts=RequestFacts(
+            request_id=f"req-{uuid.uuid4().hex}",
+            key=key,
+            brand=caller.organisation.brand,
+            organisation=caller.organisation.name,
+            tier=caller.tier.name,
+            tier_rank=caller.tier.rank,
+            pool=pool.name,
+            prompt_tokens=0,
+            output_tokens=0,
+            deadline=time.monotonic() + budget_s,
+        )
+    )
+    giving = _Giving(call=call)
+    serve_owned(
+        serving=Serving(context=context),
+        call=call,
+        request=request,
+        upstream_call=UpstreamCall(
+            method=call.method,
+            target=f"/{rest}" + (f"?{call.query}" if call.query else ""),
+            body=body,
+            headers={
+                field: call.header(field) for field in _PASSED_ON if call.header(field)
+            },
+            weight=caller.organisation.weight,
+        ),
+        give=giving.give,
+        fetch=giving.fetch,
+    )
+
+
+def _require_key(call: HttpCall, key: str) -> None:
+    """Refuse a call that may not be repeated and could not be recognised again."""
+    marked = call.header("X-Non-Idempotent") not in ("", "0")
+    if marked and not key:
+        raise RequestError(
+            "a call that may not be repeated needs a key",
+            status=400,
+            code="key_missing",
+            field="Idempotency-Key",
+        )
+
+
+class _Giving:
+    """Gives one caller the answer of a service."""
+
+    def __init__(self, *, call: HttpCall) -> None:
+        self._call = call
+
+    def give(self, request: Request, dispatch: Dispatch) -> Given:
+        """Give the answer of a call that was just dispatched."""
+        answer = dispatch.answer
+        if answer is None:
+            return self._lost(request)
+        try:
+            body = read_body(answer=answer, expect_id=dispatch.placement.attempt_id)
+        except UpstreamError:
+            return self._lost(request)
+        content_type = answer.headers.get("Content-Type", "application/json")
+        self._send(answer.status, body, content_type, dispatch)
+        keep = len(body) <= STORED_ANSWER_BYTES and answer.status == 200
+        return Given(outcome=Outcome.ANSWERED, stored=body if keep else None)
+
+    def fetch(self, request: Request, dispatch: Dispatch) -> Given:
+        """Give the kept answer of a call that was dispatched before."""
+        request.wait_closed(max(0.0, request.facts.deadline - time.monotonic()))
+        stored = request.stored_answer
+        if stored is None:
+            return self._lost(request)
+        self._send(200, stored, "application/json", dispatch)
+        return Given(outcome=Outcome.ANSWERED)
+
+    def _lost(self, request: Request) -> Given:
+        give_unknown(self._call, request, "the service may have run the call")
+        return Given(outcome=Outcome.UNKNOWN)
+
+    def _send(
+        self, status: int, body: bytes, content_type: str, dispatch: Dispatch
+    ) -> None:
+        answer_bytes(
+            self._call,
+            status,
+            body,
+            content_type=content_type,
+            headers={"X-Request-Id": dispatch.placement.attempt_id},
+        )
--- /dev/null
+++ b/baobabwing/entry/serving.py
@@ -0,0 +1,269 @@
+"""The life of one request at its entry, whatever form its answer has.
+
+A request is entered into the registry, dispatched once, its answer given, and
+closed with the one outcome that is true of it.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from baobabwing.entry.calls import HttpCall, answer_error
+from baobabwing.entry.context import EntryContext
+from baobabwing.entry.dispatch import (
+    RESUME_BUDGET_S,
+    Dispatch,
+    Dispatcher,
+    RefusedError,
+    UpstreamCall,
+)
+from baobabwing.entry.events import REQUEST_CLOSED, UPSTREAM_MISMATCH
+from baobabwing.entry.relay import (
+    ForeignAnswerError,
+    RelayReport,
+    StreamTruncatedError,
+    read_body,
+)
+from baobabwing.entry.upstream import CallerGoneError, UpstreamAnswer
+from baobabwing.exceptions import BaobabwingError, RequestError, UpstreamError
+from baobabwing.reports.events import log
+from baobabwing.requests.outcome import Outcome
+from baobabwing.requests.request import Placement, Request, StateError
+
+__all__ = ["Given", "Serving", "give_unknown", "read_whole_stream"]
+
+# A caller that broke off and holds a key may come back for its answer; the
+# engine is left running that long.
+COME_BACK_S = 20.0
+STORED_ANSWER_BYTES = 64 * 1024
+WHOLE_IDLE_TIMEOUT_S = 60.0
+UNKNOWN_RETRY_S = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Given:
+    """What a caller was given.
+
+    :param report: of the relay, as far as it came.
+    :param stored: the whole answer, if it is small enough to be kept.
+    """
+
+    outcome: Outcome
+    report: RelayReport = RelayReport()
+    stored: bytes | None = None
+    cancelled: bool = False
+
+
+Give = Callable[[Request, Dispatch], Given]
+
+
+class Serving:
+    """Serves requests that this node owns.
+
+    :param context: the parts of the node that calls need.
+    """
+
+    def __init__(self, *, context: EntryContext) -> None:
+        self.context = context
+        self.dispatcher = Dispatcher(context=context)
+
+    def run(
+        self, call: HttpCall, request: Request, upstream_call: UpstreamCall, give: Give
+    ) -> None:
+        """Dispatch a request that was just entered, and give its answer.
+
+        :param give: gives the caller the answer and tells what it was given.
+        """
+        arrived = time.monotonic()
+        try:
+            dispatch = self.dispatcher.dispatch(
+                request, upstream_call, call.caller_socket
+            )
+        except RefusedError as exc:
+            self._refuse(call, request, exc)
+            return
+        except StateError:
+            self._tell_given_up(call, request)
+            return
+        except CallerGoneError:
+            request.give_up()
+            self._close(request, "cancelled")
+            raise
+        except BaseException:
+            request.give_up()
+            self._close(request, "refused")
+            raise
+        self._answer(call, request, dispatch, give, arrived)
+
+    def resume_after(
+        self, dispatch: Dispatch, report: RelayReport
+    ) -> UpstreamAnswer | None:
+        """Return the rest of a broken stream, or ``None`` if it is lost."""
+        until = time.monotonic() + RESUME_BUDGET_S
+        return self.dispatcher.resume(dispatch.placement, report, until)
+
+    def _answer(
+        self,
+        call: HttpCall,
+        request: Request,
+        dispatch: Dispatch,
+        give: Give,
+        arrived: float,
+    ) -> None:
+        facts = request.facts
+        self.context.metrics.prefill.labels(facts.brand).inc(facts.prompt_tokens)
+        try:
+            given = give(request, dispatch)
+        except ForeignAnswerError as exc:
+            log(UPSTREAM_MISMATCH, peer=exc.peer, request_id=facts.request_id)
+            self.context.metrics.late_answers.inc()
+            given = Given(outcome=Outcome.UNKNOWN)
+            self._end(request, dispatch, given, arrived)
+            give_unknown(call, request, "the upstream gave another answer")
+            return
+        except BaobabwingError as exc:
+            report = getattr(exc, "report", RelayReport())
+            given = Given(outcome=Outcome.PARTIAL, report=report, cancelled=True)
+            self._leave(request, dispatch, given, arrived)
+            raise
+        except BaseException:
+            self._leave(
+                request, dispatch, Given(outcome=Outcome.UNKNOWN, cancelled=True), 0
+            )
+            raise
+        self._end(request, dispatch, given, arrived)
+
+    def _leave(
+        self, request: Request, dispatch: Dispatch, given: Given, arrived: float
+    ) -> None:
+        """End a request whose caller has gone before its answer was whole."""
+        if request.facts.key and self._run_on(dispatch, given.report):
+            given = Given(outcome=Outcome.ANSWERED, report=given.report, cancelled=True)
+        else:
+            self.dispatcher.cancel(dispatch.placement)
+            self._count_waste(request, "dropped")
+        self._end(request, dispatch, given, arrived)
+
+    def _run_on(self, dispatch: Dispatch, report: RelayReport) -> bool:
+        """Wait for the engine to end, since the caller may come back."""
+        answer = self.resume_after(dispatch, report)
+        if answer is None:
+            return False
+        try:
+            read_body(answer=answer, idle_timeout_s=COME_BACK_S)
+        except UpstreamError:
+            return False
+        return True
+
+    def _end(
+        self, request: Request, dispatch: Dispatch, given: Given, arrived: float
+    ) -> None:
+        answered = given.outcome is Outcome.ANSWERED
+        use = "answered" if answered else "failed"
+        if given.cancelled and not answered:
+            use = "cancelled"
+        self.dispatcher.finish(request, dispatch, use, given.report)
+        if request.outcome is None:
+            request.close(given.outcome, stored=given.stored)
+        self._observe(request, given, arrived)
+        self._close(request, self._class_of(request, given))
+
+    def _class_of(self, request: Request, given: Given) -> str:
+        """Return the word under which the request is counted."""
+        if given.cancelled:
+            return "cancelled"
+        if given.outcome is Outcome.ANSWERED:
+            in_time = time.monotonic() <= request.facts.deadline
+            return "whole_in_time" if in_time else "late"
+        return "unknown" if given.outcome is Outcome.UNKNOWN else "upstream"
+
+    def _observe(self, request: Request, given: Given, arrived: float) -> None:
+        metrics = self.context.metrics
+        report = given.report
+        tier = request.facts.tier
+        metrics.tokens.labels(tier).inc(report.next_id)
+        if report.first_event_at is not None:
+            metrics.first_token.labels(tier).observe(report.first_event_at - arrived)
+        if report.next_id > 1:
+            mean_s = report.gap_sum_s / (report.next_id - 1)
+            metrics.between_tokens.labels(tier).observe(mean_s)
+
+    def _refuse(self, call: HttpCall, request: Request, exc: RefusedError) -> None:
+        certain = request.give_up()
+        self._close(request, "shed")
+        outcome = Outcome.NOT_RUN if certain else Outcome.UNKNOWN
+        error = RequestError(
+            exc.message,
+            status=504 if exc.code in ("deadline", "no_decision") else 503,
+            code=exc.code,
+            step=exc.step,
+        )
+        answer_error(
+            call,
+            error,
+            outcome=outcome,
+            request_id=request.facts.request_id,
+            retry_after_s=exc.retry_after_s,
+        )
+
+    def _tell_given_up(self, call: HttpCall, request: Request) -> None:
+        """Answer a request that a stop of this node gave up."""
+        self._close(request, "shed")
+        error = RequestError("the host is leaving", status=503, code="host_leaving")
+        answer_error(
+            call,
+            error,
+            outcome=request.outcome or Outcome.UNKNOWN,
+            request_id=request.facts.request_id,
+            retry_after_s=UNKNOWN_RETRY_S,
+        )
+
+    def _count_waste(self, request: Request, reason: str) -> None:
+        facts = request.facts
+        waste = self.context.metrics.wasted.labels(facts.brand, reason)
+        waste.inc(facts.prompt_tokens)
+
+    def _close(self, request: Request, counted_as: str) -> None:
+        facts = request.facts
+        self.context.registry.leave(request, time.monotonic())
+        answers = self.context.metrics.answers
+        answers.labels(facts.brand, facts.tier, counted_as).inc()
+        log(REQUEST_CLOSED, request_id=facts.request_id, outcome=counted_as)
+
+
+def give_unknown(call: HttpCall, request: Request, message: str) -> None:
+    """Tell a caller that its request may have run."""
+    error = RequestError(message, status=502, code="outcome_unknown", step="relay")
+    answer_error(
+        call,
+        error,
+        outcome=Outcome.UNKNOWN,
+        request_id=request.facts.request_id,
+        retry_after_s=UNKNOWN_RETRY_S,
+    )
+
+
+def read_whole_stream(
+    serving: Serving, dispatch: Dispatch, answer: UpstreamAnswer | None
+) -> bytes | None:
+    """Read a stream to its end, from its start again after a broken connection.
+
+    :returns: the events, or ``None`` if the engine lost the stream.
+    """
+    placement: Placement = dispatch.placement
+    until = time.monotonic() + RESUME_BUDGET_S
+    while True:
+        if answer is None:
+            answer = serving.dispatcher.resume(placement, RelayReport(), until)
+        if answer is None:
+            return None
+        try:
+            return read_body(
+                answer=answer,
+                expect_id=placement.attempt_id,
+                idle_timeout_s=WHOLE_IDLE_TIMEOUT_S,
+            )
+        except StreamTruncatedError:
+            answer = None
--- /dev/null
+++ b/baobabwing/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Homes of cells: which node orders what, and how entries ask it."""
--- /dev/null
+++ b/baobabwing/homes/cells.py
@@ -0,0 +1,364 @@
+"""The cells that this node is home of.
+
+Views of the fleet may differ for a while, so two nodes may both order a cell.
+That costs at most that upstreams are given more than their capacity for that
+while; no request is dispatched twice, since only its entry dispatches it.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from baobabwing.exceptions import PeerError
+from baobabwing.fleet.homes import home_of
+from baobabwing.fleet.host import Host
+from baobabwing.fleet.view import FleetView
+from baobabwing.homes.events import HOME_REBUILT, HOME_TAKEN
+from baobabwing.homes.loads import LoadPoller
+from baobabwing.pools.catalogue import Pool, Upstream
+from baobabwing.pools.cell import Cell
+from baobabwing.pools.partition import cell_names, cell_resource, upstreams_of_cell
+from baobabwing.pools.permits import (
+    Ask,
+    Decision,
+    Done,
+    Grant,
+    Inflight,
+    LoadReport,
+    Refusal,
+)
+from baobabwing.reports.events import log
+from baobabwing.settings.configuration import Configuration
+from baobabwing.wire.messages import (
+    InflightAnswer,
+    InflightQuery,
+    PermitDecision,
+    PermitDone,
+    PermitRequest,
+    PermitWithdraw,
+    WhereAnswer,
+)
+
+__all__ = ["CellHomes"]
+
+TICK_S = 0.02
+# A new home admits nothing for at most this long while it asks the entries
+# what they have at upstreams; an entry that is slower is taken to have nothing.
+HOLD_S = 1.0
+NOT_HOME = "not_home"
+
+Respond = Callable[[PermitDecision], bool]
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Waiting:
+    """An entry that waits for the decision of a cell."""
+
+    cell: str
+    respond: Respond
+
+
+AskPeer = Callable[[Host, InflightQuery], InflightAnswer]
+
+
+class CellHomes:
+    """Orders the requests of every cell whose home this node is.
+
+    :param me: this node.
+    :param view: returns the present view of the fleet.
+    :param ask_peer: asks another entry what it has at upstreams.
+    :param own_inflight: the same of this node's own entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: Host,
+        view: Callable[[], FleetView],
+        ask_peer: AskPeer,
+        own_inflight: Callable[[str], InflightAnswer],
+    ) -> None:
+        self._me = me
+        self._view = view
+        self._ask_peer = ask_peer
+        self._own_inflight = own_inflight
+        self._cells: dict[str, Cell] = {}
+        self._rebuilding: set[str] = set()
+        self._waiting: dict[tuple[str, str], _Waiting] = {}
+        self._cfg: Configuration | None = None
+        self._lock = threading.Lock()
+        self._placing = threading.Lock()
+        self._stopping = threading.Event()
+        self._loads = LoadPoller(report=self._take_load)
+
+    def start(self) -> None:
+        """Begin to look after deadlines of queued requests."""
+        threading.Thread(target=self._tick, name="cells", daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop the threads; queued requests find another home."""
+        self._stopping.set()
+        self._loads.stop()
+
+    def configure(self, cfg: Configuration) -> None:
+        """Take a new configuration into force for all cells."""
+        self._cfg = cfg
+        self.place()
+
+    def place(self) -> None:
+        """Take and give up cells after a change of the view or configuration."""
+        with self._placing:
+            cfg = self._cfg
+            if cfg is None:
+                return
+            wanted = self._wanted_cells(cfg)
+            for name in tuple(self._cells):
+                if name not in wanted:
+                    self._give_up(name)
+            for name, (pool, upstreams) in wanted.items():
+                self._take(name, pool, upstreams)
+            self._loads.watch(
+                one for _, upstreams in wanted.values() for one in upstreams
+            )
+
+    def submit(self, identity: str, message: PermitRequest, respond: Respond) -> None:
+        """Queue a request for a permit.
+
+        :param identity: ``name#incarnation`` of the entry that owns it.
+        :param respond: gets the one decision, at once or later.
+        """
+        cell = self._cells.get(message.cell)
+        if cell is None:
+            respond(
+                PermitDecision(
+                    request_id=message.request_id, granted=False, code=NOT_HOME
+                )
+            )
+            return
+        now = time.monotonic()
+        with self._lock:
+            self._waiting[identity, message.request_id] = _Waiting(
+                cell=message.cell, respond=respond
+            )
+        self._send(cell, cell.submit(_to_ask(identity, message, now), now))
+
+    def withdraw(self, identity: str, message: PermitWithdraw) -> None:
+        """Forget a queued request whose caller has gone."""
+        cell = self._cells.get(message.cell)
+        with self._lock:
+            self._waiting.pop((identity, message.request_id), None)
+        if cell is not None:
+            now = time.monotonic()
+            self._send(cell, cell.withdraw(message.request_id, identity, now))
+
+    def done(self, message: PermitDone) -> None:
+        """Take a permit back."""
+        cell = self._cells.get(message.cell)
+        if cell is not None:
+            self._send(cell, cell.done(_to_done(message), time.monotonic()))
+
+    def where(self, key: str, pool: str) -> WhereAnswer:
+        """Return where the request with a key was permitted to go."""
+        sure = True
+        for name, cell in tuple(self._cells.items()):
+            if name.rpartition("/")[0] != pool:
+                continue
+            placement = cell.where(key)
+            if placement is not None:
+                return WhereAnswer(
+                    known=True,
+                    upstream=placement.upstream,
+                    request_id=placement.request_id,
+                    sure=True,
+                )
+            sure = sure and name not in self._rebuilding
+        return WhereAnswer(known=False, sure=sure)
+
+    def floor(self, pool: str) -> int:
+        """Return the lowest tier rank that this node's cells of a pool admit."""
+        floors = [
+            cell.floor()
+            for name, cell in tuple(self._cells.items())
+            if name.rpartition("/")[0] == pool
+        ]
+        return max(floors, default=0)
+
+    def lose_connection(self, identity: str) -> None:
+        """Drop what an entry has queued, since no decision can reach it."""
+        now = time.monotonic()
+        with self._lock:
+            slots = [slot for slot in self._waiting if slot[0] == identity]
+            lost = [(slot[1], self._waiting.pop(slot).cell) for slot in slots]
+        for request_id, name in lost:
+            cell = self._cells.get(name)
+            if cell is not None:
+                self._send(cell, cell.withdraw(request_id, identity, now))
+
+    def forget_entry(self, identity: str) -> None:
+        """Free what an entry that has died held at upstreams."""
+        now = time.monotonic()
+        for cell in tuple(self._cells.values()):
+            self._send(cell, cell.forget_entry(identity, now))
+
+    def cells(self) -> dict[str, Cell]:
+        """Return the cells by name."""
+        return dict(self._cells)
+
+    def _wanted_cells(
+        self, cfg: Configuration
+    ) -> dict[str, tuple[Pool, tuple[Upstream, ...]]]:
+        view = self._view()
+        wanted = {}
+        for pool in cfg.pools:
+            upstreams = [one for one in cfg.upstreams if one.pool == pool.name]
+            for name in cell_names(pool, upstreams):
+                home = home_of(view, cell_resource(name))
+                if home is not None and home.name == self._me.name:
+                    mine = upstreams_of_cell(name, pool, upstreams)
+                    wanted[name] = (pool, mine)
+        return wanted
+
+    def _take(self, name: str, pool: Pool, upstreams: tuple[Upstream, ...]) -> None:
+        now = time.monotonic()
+        cell = self._cells.get(name)
+        if cell is not None:
+            self._send(cell, cell.configure(pool, upstreams, now))
+            return
+        cell = Cell(name=name, now=now)
+        cell.hold(now + HOLD_S)
+        self._rebuilding.add(name)
+        self._send(cell, cell.configure(pool, upstreams, now))
+        self._cells[name] = cell
+        log(HOME_TAKEN, cell=name)
+        threading.Thread(
+            target=self._rebuild, args=(name, cell), name="rebuild", daemon=True
+        ).start()
+
+    def _give_up(self, name: str) -> None:
+        """Send those who wait in a cell to its new home."""
+        del self._cells[name]
+        with self._lock:
+            slots = [slot for slot, one in self._waiting.items() if one.cell == name]
+            moved = [(slot, self._waiting.pop(slot)) for slot in slots]
+        for (_, request_id), waiting in moved:
+            waiting.respond(
+                PermitDecision(request_id=request_id, granted=False, code=NOT_HOME)
+            )
+
+    def _rebuild(self, name: str, cell: Cell) -> None:
+        """Ask every entry what it has at the cell's upstreams, then admit."""
+        query = InflightQuery(cell=name)
+        self._adopt(cell, self._me, self._own_inflight(name))
+        others = [host for host in self._view().serving() if host.name != self._me.name]
+        if others:
+            with ThreadPoolExecutor(max_workers=min(32, len(others))) as pool:
+                for host, answer in pool.map(self._ask, others, [query] * len(others)):
+                    self._adopt(cell, host, answer)
+        self._rebuilding.discard(name)
+        self._send(cell, cell.release())
+        log(HOME_REBUILT, cell=name, entries=len(others) + 1)
+
+    def _ask(self, host: Host, query: InflightQuery) -> tuple[Host, InflightAnswer]:
+        try:
+            return host, self._ask_peer(host, query)
+        except PeerError:
+            return host, InflightAnswer()
+
+    def _adopt(self, cell: Cell, host: Host, answer: InflightAnswer) -> None:
+        identity = f"{host.name}#{host.incarnation}"
+        items = [
+            Inflight(
+                request_id=item.request_id,
+                entry=identity,
+                upstream=item.upstream,
+                key=item.key,
+                prompt_tokens=item.prompt_tokens,
+                output_tokens=item.output_tokens,
+                organisation=item.organisation,
+                tier_rank=item.tier_rank,
+            )
+            for item in answer.items
+        ]
+        self._send(cell, cell.adopt(items, time.monotonic()))
+
+    def _take_load(self, report: LoadReport) -> None:
+        now = time.monotonic()
+        for cell in tuple(self._cells.values()):
+            self._send(cell, cell.correct(report, now))
+
+    def _tick(self) -> None:
+        while not self._stopping.wait(TICK_S):
+            now = time.monotonic()
+            for cell in tuple(self._cells.values()):
+                self._send(cell, cell.tick(now))
+
+    def _send(self, cell: Cell, decisions: Iterable[Decision]) -> None:
+        """Give each decision to whoever waits for it.
+
+        A permit that cannot be delivered would occupy its place for ever: the
+        entry has gone, so nobody gives it back. It is taken back here at once.
+        """
+        pending = list(decisions)
+        while pending:
+            decision = pending.pop(0)
+            with self._lock:
+                waiting = self._waiting.pop((decision.entry, decision.request_id), None)
+            delivered = waiting is not None and waiting.respond(_to_message(decision))
+            if not delivered and isinstance(decision, Grant):
+                unused = Done(
+                    request_id=decision.request_id,
+                    upstream=decision.upstream,
+                    outcome="unused",
+                )
+                pending += cell.done(unused, time.monotonic())
+
+
+def _to_ask(identity: str, message: PermitRequest, now: float) -> Ask:
+    return Ask(
+        request_id=message.request_id,
+        entry=identity,
+        pool=message.cell.rpartition("/")[0],
+        organisation=message.organisation,
+        weight=message.weight,
+        tier_rank=message.tier_rank,
+        deadline=now + message.budget_ms / 1000,
+        prompt_tokens=message.prompt_tokens,
+        output_tokens=message.output_tokens,
+        prefix=message.prefix,
+        key=message.key,
+        exclude=message.exclude,
+    )
+
+
+def _to_done(message: PermitDone) -> Done:
+    return Done(
+        request_id=message.request_id,
+        upstream=message.upstream,
+        outcome=message.outcome,
+        first_token_s=message.first_token_ms / 1000,
+        tokens=message.tokens,
+        duration_s=message.duration_ms / 1000,
+        prompt_tokens=message.prompt_tokens,
+        cached_tokens=message.cached_tokens,
+    )
+
+
+def _to_message(decision: Decision) -> PermitDecision:
+    if isinstance(decision, Refusal):
+        return PermitDecision(
+            request_id=decision.request_id,
+            granted=False,
+            code=decision.code,
+            retry_after_ms=int(decision.retry_after_s * 1000),
+            hand_to=decision.hand_to,
+        )
+    return PermitDecision(
+        request_id=decision.request_id,
+        granted=True,
+        upstream=decision.upstream,
+        attempt=decision.attempt,
+    )
--- /dev/null
+++ b/baobabwing/homes/permits.py
@@ -0,0 +1,184 @@
+"""Permits as an entry asks for them: at the home of the request's cell."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+
+from baobabwing.exceptions import PeerError
+from baobabwing.fleet.homes import home_of
+from baobabwing.fleet.host import Host
+from baobabwing.fleet.view import FleetView
+from baobabwing.homes.cells import NOT_HOME, CellHomes
+from baobabwing.homes.events import PERMIT_RETRIED
+from baobabwing.pools.partition import cell_resource
+from baobabwing.reports.events import log
+from baobabwing.wire.messages import (
+    Message,
+    PermitDecision,
+    PermitDone,
+    PermitRequest,
+    PermitWithdraw,
+    WhereAnswer,
+    WhereQuery,
+)
+from baobabwing.wire.peers import PeerClients
+
+__all__ = ["PermitClient"]
+
+RETRY_PAUSE_S = 0.05
+WHERE_TIMEOUT_S = 1.0
+# Past its deadline a request is refused by the home; this much later the entry
+# stops waiting for that word, since the home may be frozen.
+SILENCE_S = 0.5
+
+
+class PermitClient:
+    """Asks for permits, gives them back and withdraws.
+
+    :param me: this node.
+    :param homes: the cells of this node, asked without a connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: Host,
+        view: Callable[[], FleetView],
+        homes: CellHomes,
+        peers: PeerClients,
+    ) -> None:
+        self._me = me
+        self._identity = f"{me.name}#{me.incarnation}"
+        self._view = view
+        self._homes = homes
+        self._peers = peers
+
+    def ask(self, message: PermitRequest) -> PermitDecision:
+        """Wait for the decision on a request.
+
+        A home that dies or is frozen is replaced as soon as the view says so;
+        asking again is safe, since nothing was dispatched yet.
+
+        :raises PeerError: if no home decided before the deadline.
+        """
+        until = time.monotonic() + message.budget_ms / 1000 + SILENCE_S
+        while True:
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                raise PeerError("no home decided in time", step="permit")
+            decision = self._ask_once(message, left_s)
+            if decision is not None and decision.code != NOT_HOME:
+                return decision
+            log(PERMIT_RETRIED, cell=message.cell, request_id=message.request_id)
+            time.sleep(RETRY_PAUSE_S)
+
+    def done(self, message: PermitDone) -> None:
+        """Give a permit back."""
+        self._tell(message.cell, message)
+
+    def withdraw(self, message: PermitWithdraw) -> None:
+        """Tell the home that nobody waits for a permit any more."""
+        self._tell(message.cell, message)
+
+    def where(self, cell: str, key: str, pool: str) -> WhereAnswer:
+        """Ask the home of a cell where the request with a key was sent.
+
+        :raises PeerError: if the home does not answer.
+        """
+        home = self._home(cell)
+        if home is None or home.name == self._me.name:
+            return self._homes.where(key, pool)
+        answer = self._peers.ask(
+            home.peer, WhereQuery(key=key, pool=pool), timeout_s=WHERE_TIMEOUT_S
+        )
+        if not isinstance(answer, WhereAnswer):
+            raise PeerError("unexpected answer", step="where", peer=home.peer)
+        return answer
+
+    def _ask_once(self, message: PermitRequest, left_s: float) -> PermitDecision | None:
+        home = self._home(message.cell)
+        if home is None:
+            return None
+        try:
+            fut = self._submit(home, message)
+            decision = self._wait(fut, home, left_s)
+        except PeerError:
+            return None
+        if decision is None:
+            fut.add_done_callback(lambda late: self._return_late(home, message, late))
+        return decision
+
+    def _submit(self, home: Host, message: PermitRequest) -> Future[Message]:
+        if home.name != self._me.name:
+            return self._peers.call(home.peer, message)
+        fut: Future[Message] = Future()
+
+        def respond(decision: PermitDecision) -> bool:
+            fut.set_result(decision)
+            return True
+
+        self._homes.submit(self._identity, message, respond)
+        return fut
+
+    def _wait(
+        self, fut: Future[Message], home: Host, left_s: float
+    ) -> PermitDecision | None:
+        """Wait for the decision, but no longer than this home is believed alive."""
+        until = time.monotonic() + left_s
+        while True:
+            pause_s = min(1.0, until - time.monotonic())
+            if pause_s <= 0:
+                return None
+            try:
+                reply = fut.result(timeout=pause_s)
+            except FutureTimeoutError:
+                if not self._view().is_current(home.name, home.incarnation):
+                    return None
+                continue
+            return reply if isinstance(reply, PermitDecision) else None
+
+    def _return_late(
+        self, home: Host, message: PermitRequest, fut: Future[Message]
+    ) -> None:
+        """Give back a permit that came after its entry stopped waiting for it.
+
+        A home that was frozen grants when it thaws; nobody would use the place
+        or give it back, and the upstream would seem fuller for ever.
+        """
+        reply = None if fut.exception() else fut.result()
+        if isinstance(reply, PermitDecision) and reply.granted:
+            unused = PermitDone(
+                request_id=message.request_id,
+                cell=message.cell,
+                upstream=reply.upstream,
+                outcome="unused",
+            )
+            with contextlib.suppress(PeerError):
+                self._peers.send(home.peer, unused)
+
+    def _tell(self, cell: str, message: PermitDone | PermitWithdraw) -> None:
+        home = self._home(cell)
+        if home is None:
+            return
+        if home.name == self._me.name:
+            self._tell_own(message)
+            return
+        try:
+            self._peers.send(home.peer, message)
+        except PeerError:
+            # The home has died, and with it the count that this would change;
+            # a new home asks the entries what they have at upstreams.
+            return
+
+    def _tell_own(self, message: PermitDone | PermitWithdraw) -> None:
+        if isinstance(message, PermitDone):
+            self._homes.done(message)
+        else:
+            self._homes.withdraw(self._identity, message)
+
+    def _home(self, cell: str) -> Host | None:
+        return home_of(self._view(), cell_resource(cell))
--- /dev/null
+++ b/baobabwing/node/__init__.py
@@ -0,0 +1,1 @@
+"""One node: its parts put together, started and stopped."""
--- /dev/null
+++ b/baobabwing/node/events.py
@@ -0,0 +1,30 @@
+"""Log events of a node as a whole."""
+
+from baobabwing.reports.events import define
+
+__all__ = [
+    "CONFIGURATION_UNREADABLE",
+    "NODE_CUT_OFF",
+    "NODE_LEAVING",
+    "NODE_READY",
+    "NODE_STOPPED",
+]
+
+NODE_READY = define(8001, "node_ready", "The node serves callers.")
+NODE_LEAVING = define(
+    8002, "node_leaving", "A graceful shutdown began; no new work is taken soon."
+)
+NODE_STOPPED = define(8003, "node_stopped", "The node has ended its work.")
+NODE_CUT_OFF = define(
+    8004,
+    "node_cut_off",
+    "Neither peers nor the platform were heard for too long; the node refuses "
+    "new work until it hears one of them.",
+    level="warning",
+)
+CONFIGURATION_UNREADABLE = define(
+    8005,
+    "configuration_unreadable",
+    "A configuration document from the store or a peer could not be read.",
+    level="error",
+)
--- /dev/null
+++ b/baobabwing/node/handling.py
@@ -0,0 +1,102 @@
+"""What a node answers to the messages of its peers."""
+
+from __future__ import annotations
+
+import functools
+
+from baobabwing.exceptions import WireError
+from baobabwing.homes.cells import CellHomes
+from baobabwing.node.spread import ConfigurationSpreader
+from baobabwing.requests.registry import RequestRegistry
+from baobabwing.wire.messages import (
+    ConfigurationAnswer,
+    ConfigurationQuery,
+    FloorAnswer,
+    FloorQuery,
+    InflightAnswer,
+    InflightItem,
+    InflightQuery,
+    Message,
+    PermitDone,
+    PermitRequest,
+    PermitWithdraw,
+    WhereAnswer,
+    WhereQuery,
+)
+from baobabwing.wire.peers import Caller
+
+__all__ = ["PeerHandler", "inflight_of"]
+
+
+class PeerHandler:
+    """Hands each message to the part that it is meant for.
+
+    :param homes: the cells of this node.
+    :param registry: the requests of this node.
+    """
+
+    def __init__(
+        self,
+        *,
+        homes: CellHomes,
+        registry: RequestRegistry,
+        spreader: ConfigurationSpreader,
+    ) -> None:
+        self._homes = homes
+        self._registry = registry
+        self._spreader = spreader
+
+    def handle(self, caller: Caller, message: Message) -> Message | None:
+        """Handle a message; see :class:`baobabwing.wire.peers.PeerServer`."""
+        return self._handle(message, caller)
+
+    @functools.singledispatchmethod
+    def _handle(self, message: Message, caller: Caller) -> Message | None:
+        raise WireError(
+            f"unexpected {type(message).__name__}", step="handle", peer=caller.identity
+        )
+
+    @_handle.register
+    def _(self, message: PermitRequest, caller: Caller) -> None:
+        self._homes.submit(caller.identity, message, caller.reply)
+
+    @_handle.register
+    def _(self, message: PermitDone, caller: Caller) -> None:
+        self._homes.done(message)
+
+    @_handle.register
+    def _(self, message: PermitWithdraw, caller: Caller) -> None:
+        self._homes.withdraw(caller.identity, message)
+
+    @_handle.register
+    def _(self, message: WhereQuery, caller: Caller) -> WhereAnswer:
+        return self._homes.where(message.key, message.pool)
+
+    @_handle.register
+    def _(self, message: FloorQuery, caller: Caller) -> FloorAnswer:
+        return FloorAnswer(tier_rank=self._homes.floor(message.pool))
+
+    @_handle.register
+    def _(self, message: InflightQuery, caller: Caller) -> InflightAnswer:
+        return inflight_of(self._registry, message.cell)
+
+    @_handle.register
+    def _(self, message: ConfigurationQuery, caller: Caller) -> ConfigurationAnswer:
+        return self._spreader.answer(message)
+
+
+def inflight_of(registry: RequestRegistry, cell: str) -> InflightAnswer:
+    """Return what this node has at the upstreams of a cell."""
+    items = [
+        InflightItem(
+            request_id=request.facts.request_id,
+            upstream=placement.upstream,
+            key=request.facts.key,
+            prompt_tokens=request.facts.prompt_tokens,
+            output_tokens=request.facts.output_tokens,
+            organisation=request.facts.organisation,
+            tier_rank=request.facts.tier_rank,
+        )
+        for request, placement in registry.dispatched_in(cell)
+    ]
+    return InflightAnswer(items=tuple(items))
--- /dev/null
+++ b/baobabwing/node/node.py
@@ -0,0 +1,273 @@
+"""A node: its parts, how they start, and how they stop without losing work."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+from collections.abc import Iterable
+
+import baobabwing.entry.completions  # noqa: F401  (registers its routes)
+import baobabwing.entry.operations  # noqa: F401
+import baobabwing.entry.services  # noqa: F401
+from baobabwing.entry.context import Catalogue, EntryContext, Readiness
+from baobabwing.entry.server import EntryServer
+from baobabwing.exceptions import PeerError, PlatformError
+from baobabwing.fleet.host import Host
+from baobabwing.fleet.membership import Membership
+from baobabwing.fleet.settings import MembershipSettings
+from baobabwing.fleet.view import FleetView
+from baobabwing.homes.cells import CellHomes
+from baobabwing.homes.permits import PermitClient
+from baobabwing.node.events import NODE_LEAVING, NODE_READY, NODE_STOPPED
+from baobabwing.node.handling import PeerHandler, inflight_of
+from baobabwing.node.spread import ConfigurationSpreader
+from baobabwing.platform.hosts import ListedHost, list_hosts, register_host
+from baobabwing.platform.tables import TableClient
+from baobabwing.reports.events import log
+from baobabwing.reports.metrics import NodeMetrics
+from baobabwing.requests.claims import ClaimKeeper
+from baobabwing.requests.keys import KEY_LIFE_S
+from baobabwing.requests.registry import RequestRegistry
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.keeper import ConfigurationKeeper
+from baobabwing.settings.schema import NodeSettings
+from baobabwing.wire.messages import InflightAnswer, InflightQuery
+from baobabwing.wire.peers import PeerClients, PeerServer
+
+__all__ = ["Node"]
+
+# Twice the life of a key, so that clocks of hosts need not agree closely.
+RETENTION_S = 2 * KEY_LIFE_S
+CLAIM_BUDGET_S = 1.0
+INFLIGHT_TIMEOUT_S = 0.8
+GAUGE_INTERVAL_S = 1.0
+DRAIN_CHECK_S = 0.05
+
+
+class Node:
+    """One node of the fleet.
+
+    :param settings: the node's own settings.
+    """
+
+    def __init__(self, *, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.me = _own_host(settings)
+        keys = tuple(secret.encode() for secret in settings.peer_secrets)
+        self.keeper = ConfigurationKeeper()
+        self.metrics = NodeMetrics()
+        self.readiness = Readiness()
+        self.registry = RequestRegistry(retention_s=RETENTION_S)
+        self._stopping = threading.Event()
+        self._platform = (settings.platform_url, settings.platform_timeout_ms / 1000)
+        url, timeout_s = self._platform
+        tables = TableClient(url=url, timeout_s=timeout_s)
+        self.claims = ClaimKeeper(tables=tables, budget_s=CLAIM_BUDGET_S)
+        self.membership = Membership(
+            me=self.me,
+            seeds=self._seeds,
+            cfg=_pace(settings),
+            secrets=keys,
+            configuration_version=self._version,
+            on_configuration=self._hear_configuration,
+            on_view=self._see,
+        )
+        self.peers = PeerClients(
+            name=self.me.name, incarnation=self.me.incarnation, keys=keys
+        )
+        self.homes = CellHomes(
+            me=self.me,
+            view=self.membership.view,
+            ask_peer=self._ask_inflight,
+            own_inflight=lambda cell: inflight_of(self.registry, cell),
+        )
+        self.permits = PermitClient(
+            me=self.me, view=self.membership.view, homes=self.homes, peers=self.peers
+        )
+        self.spreader = ConfigurationSpreader(
+            me=self.me,
+            keeper=self.keeper,
+            tables=tables,
+            peers=self.peers,
+            view=self.membership.view,
+            on_heard_platform=lambda: None,
+        )
+        self.server = PeerServer(
+            listen=settings.peer,
+            name=self.me.name,
+            incarnation=self.me.incarnation,
+            keys=keys,
+            handler=PeerHandler(
+                homes=self.homes, registry=self.registry, spreader=self.spreader
+            ).handle,
+            on_lost=self.homes.lose_connection,
+        )
+        self.context = EntryContext(
+            settings=settings,
+            me=self.me,
+            view=self.membership.view,
+            permits=self.permits,
+            registry=self.registry,
+            claims=self.claims,
+            metrics=self.metrics,
+            readiness=self.readiness,
+            wall_clock=time.time,
+        )
+        self.entry = EntryServer(context=self.context)
+        self._known: dict[str, int] = {}
+        self._view_changed = threading.Event()
+
+    def start(self) -> None:
+        """Start all parts; callers are served once a configuration is there."""
+        self.server.start()
+        self.claims.start()
+        self.membership.start()
+        self.homes.start()
+        self.keeper.on_change(self._take_configuration)
+        self.spreader.start()
+        self.entry.start()
+        for run, name in ((self._follow_view, "view"), (self._measure, "gauges")):
+            threading.Thread(target=run, name=name, daemon=True).start()
+        threading.Thread(target=self._register, name="register", daemon=True).start()
+
+    def stop(self) -> None:
+        """Leave gracefully: no new work, then end what is open, then go.
+
+        The mark spreads at once. Callers keep an address answer for a while, so
+        the host serves on until that time is over; then open requests end, and
+        those that are not dispatched by the deadline are told "not run".
+        """
+        began = time.monotonic()
+        log(NODE_LEAVING, open_requests=len(self.registry.open_requests()))
+        self.context.leaving.set()
+        self.membership.leave()
+        deadline = began + self.settings.stop_deadline_ms / 1000
+        self._stopping.wait(self.settings.address_keep_ms / 1000)
+        self.readiness.block("leaving")
+        while self.registry.open_requests() and time.monotonic() < deadline:
+            if self._stopping.wait(DRAIN_CHECK_S):
+                break
+        for request in self.registry.open_requests():
+            request.give_up()
+        self.end()
+
+    def end(self) -> None:
+        """Stop all parts at once."""
+        self._stopping.set()
+        self.spreader.stop()
+        self.entry.stop()
+        self.membership.stop()
+        self.homes.stop()
+        self.claims.stop()
+        self.server.stop()
+        self.peers.close()
+        log(NODE_STOPPED, name=self.me.name)
+
+    def hurry(self) -> None:
+        """Cut a graceful stop short, as a second signal asks."""
+        self._stopping.set()
+
+    def _version(self) -> int:
+        cfg = self.keeper.current()
+        return cfg.version if cfg else 0
+
+    def _hear_configuration(self, version: int, teller: Host) -> None:
+        self.spreader.heard(version, teller)
+
+    def _take_configuration(self, cfg: Configuration) -> None:
+        self.context.catalogue = Catalogue(cfg=cfg)
+        self.homes.configure(cfg)
+        self.metrics.configuration_version.set(cfg.version)
+        self.membership.announce()
+        if "starting" in self.readiness.reasons():
+            self.readiness.clear("starting")
+            log(NODE_READY, name=self.me.name, version=cfg.version)
+
+    def _see(self, view: FleetView) -> None:
+        self._view_changed.set()
+
+    def _follow_view(self) -> None:
+        """Take and give up cells, and free what dead entries held.
+
+        Runs apart from the membership's threads, whose callbacks must return
+        soon: probes that are answered late would make this node look dead.
+        """
+        while not self._stopping.is_set():
+            if not self._view_changed.wait(0.2):
+                continue
+            self._view_changed.clear()
+            view = self.membership.view()
+            self.homes.place()
+            for name, incarnation in tuple(self._known.items()):
+                if not view.is_current(name, incarnation):
+                    self.homes.forget_entry(f"{name}#{incarnation}")
+                    del self._known[name]
+            for member in view.members:
+                if view.is_current(member.host.name, member.host.incarnation):
+                    self._known[member.host.name] = member.host.incarnation
+
+    def _measure(self) -> None:
+        while not self._stopping.wait(GAUGE_INTERVAL_S):
+            self.metrics.open_requests.set(len(self.registry.open_requests()))
+            self.metrics.members.set(len(self.membership.view().serving()))
+
+    def _ask_inflight(self, host: Host, query: InflightQuery) -> InflightAnswer:
+        answer = self.peers.ask(host.peer, query, timeout_s=INFLIGHT_TIMEOUT_S)
+        if not isinstance(answer, InflightAnswer):
+            raise PeerError("unexpected answer", step="inflight", peer=host.peer)
+        return answer
+
+    def _seeds(self) -> Iterable[Host]:
+        url, timeout_s = self._platform
+        try:
+            listed = list_hosts(url=url, timeout_s=timeout_s)
+        except PlatformError:
+            return []
+        return [_seed(one) for one in listed]
+
+    def _register(self) -> None:
+        """Put this host on the platform's list, as soon as the platform answers."""
+        me = self.me
+        entry = ListedHost(
+            name=me.name, zone=me.zone, region=me.region, peer=me.peer, http=me.http
+        )
+        url, timeout_s = self._platform
+        while not self._stopping.is_set():
+            try:
+                register_host(entry, url=url, timeout_s=timeout_s)
+            except PlatformError:
+                self._stopping.wait(1.0)
+                continue
+            return
+
+
+def _own_host(settings: NodeSettings) -> Host:
+    return Host(
+        name=settings.name,
+        incarnation=int(time.time() * 1000),
+        zone=settings.zone,
+        region=settings.region,
+        peer=settings.peer,
+        http=settings.http,
+    )
+
+
+def _seed(listed: ListedHost) -> Host:
+    """Return a candidate; the list does not know incarnations."""
+    return Host(
+        name=listed.name,
+        incarnation=0,
+        zone=listed.zone,
+        region=listed.region,
+        peer=listed.peer,
+        http=listed.http,
+    )
+
+
+def _pace(settings: NodeSettings) -> MembershipSettings:
+    known = {field.name for field in dataclasses.fields(MembershipSettings)}
+    given = dataclasses.asdict(settings.membership)
+    return MembershipSettings(
+        **{name: value for name, value in given.items() if name in known}
+    )
--- /dev/null
+++ b/baobabwing/node/spread.py
@@ -0,0 +1,154 @@
+"""How a node comes by the configuration, and keeps up with it.
+
+The table service holds the accepted versions. Each node looks there now and
+then, so spaced that the whole fleet together asks about ten times a second,
+whatever its size. Whoever finds a new version has its number ride on the
+membership's datagrams; a node that hears a number fetches the document from the
+peer that told it, or from the store.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+
+from baobabwing.exceptions import (
+    BaobabwingError,
+    PeerError,
+    PlatformError,
+    SettingsError,
+)
+from baobabwing.fleet.host import Host
+from baobabwing.fleet.view import FleetView
+from baobabwing.node.events import CONFIGURATION_UNREADABLE
+from baobabwing.platform.tables import TableClient
+from baobabwing.reports.events import log
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.documents import deflate, inflate
+from baobabwing.settings.fetch import fetch_configuration
+from baobabwing.settings.keeper import ConfigurationKeeper
+from baobabwing.wire.messages import ConfigurationAnswer, ConfigurationQuery
+from baobabwing.wire.peers import PeerClients
+
+__all__ = ["ConfigurationSpreader"]
+
+FLEET_LOOKS_PER_S = 10.0
+LEAST_LOOK_INTERVAL_S = 1.0
+FETCH_TIMEOUT_S = 1.0
+RETRY_PAUSE_S = 0.2
+PEERS_TRIED = 3
+
+
+class ConfigurationSpreader:
+    """Fetches configurations for this node and gives them to others.
+
+    :param keeper: holds the configuration in force.
+    :param view: returns the present view of the fleet.
+    :param on_heard_platform: called whenever the platform answered.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: Host,
+        keeper: ConfigurationKeeper,
+        tables: TableClient,
+        peers: PeerClients,
+        view: Callable[[], FleetView],
+        on_heard_platform: Callable[[], None],
+    ) -> None:
+        self._me = me
+        self._keeper = keeper
+        self._tables = tables
+        self._peers = peers
+        self._view = view
+        self._on_heard_platform = on_heard_platform
+        self._tellers: list[Host] = []
+        self._stopping = threading.Event()
+        self._rng = random.Random()
+
+    def start(self) -> None:
+        """Begin to look for versions and to fetch those heard of."""
+        for run, name in ((self._look, "look"), (self._catch_up, "fetch")):
+            threading.Thread(
+                target=run, name=f"configuration-{name}", daemon=True
+            ).start()
+
+    def stop(self) -> None:
+        """End both threads."""
+        self._stopping.set()
+        self._keeper.heard(0)
+
+    def heard(self, version: int, teller: Host) -> None:
+        """Note that a peer holds or has heard of a version."""
+        self._tellers = [teller, *self._tellers[: PEERS_TRIED - 1]]
+        self._keeper.heard(version)
+
+    def answer(self, query: ConfigurationQuery) -> ConfigurationAnswer:
+        """Return the own configuration if it is new enough for the asker."""
+        cfg = self._keeper.current()
+        if cfg is None or cfg.version < query.least:
+            return ConfigurationAnswer(version=cfg.version if cfg else 0)
+        return ConfigurationAnswer(version=cfg.version, document=deflate(cfg))
+
+    def _look(self) -> None:
+        while not self._stopping.is_set():
+            self._fetch_from_store()
+            if self._keeper.current() is None:
+                # A starting node that finds the store down asks its peers.
+                self._fetch_from_peers(1)
+            self._stopping.wait(self._look_interval_s())
+
+    def _look_interval_s(self) -> float:
+        if self._keeper.current() is None:
+            return RETRY_PAUSE_S
+        fleet = max(1, len(self._view().serving()))
+        mean_s = max(LEAST_LOOK_INTERVAL_S, fleet / FLEET_LOOKS_PER_S)
+        return mean_s * self._rng.uniform(0.5, 1.5)
+
+    def _catch_up(self) -> None:
+        while not self._stopping.is_set():
+            version = self._keeper.wait_until_behind(1.0)
+            if not version:
+                continue
+            if not (self._fetch_from_peers(version) or self._fetch_from_store()):
+                self._stopping.wait(RETRY_PAUSE_S)
+
+    def _fetch_from_store(self) -> bool:
+        try:
+            cfg = fetch_configuration(self._tables)
+        except PlatformError:
+            return False
+        except SettingsError as exc:
+            log(CONFIGURATION_UNREADABLE, source="store", error=exc.message)
+            return False
+        self._on_heard_platform()
+        return cfg is not None and self._keeper.offer(cfg, source="store")
+
+    def _fetch_from_peers(self, version: int) -> bool:
+        for host in self._candidates():
+            cfg = self._ask(host, version)
+            if cfg is not None and self._keeper.offer(cfg, source=host.name):
+                return True
+        return False
+
+    def _candidates(self) -> list[Host]:
+        """Return peers to ask: those who told of a version, then a few others."""
+        others = [one for one in self._view().serving() if one.name != self._me.name]
+        self._rng.shuffle(others)
+        return [*self._tellers, *others[:PEERS_TRIED]]
+
+    def _ask(self, host: Host, version: int) -> Configuration | None:
+        query = ConfigurationQuery(least=version)
+        try:
+            answer = self._peers.ask(host.peer, query, timeout_s=FETCH_TIMEOUT_S)
+        except PeerError:
+            return None
+        if not isinstance(answer, ConfigurationAnswer) or not answer.document:
+            return None
+        try:
+            return inflate(answer.document)
+        except BaobabwingError as exc:
+            log(CONFIGURATION_UNREADABLE, source=host.name, error=exc.message)
+            return None
--- /dev/null
+++ b/baobabwing/requests/claims.py
@@ -0,0 +1,171 @@
+"""Claims on keys of the callers' own making, held in the table service.
+
+Two tries with one key may reach two nodes at once. Only a conditional insert in
+the one service that both can ask decides which of them dispatches. Inserts that
+wait at the same time go out as one write, since the service takes only a few
+hundred writes a second.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import queue
+import threading
+import time
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import dataclass
+from typing import Any
+
+from baobabwing.exceptions import (
+    PlatformError,
+    PlatformUnavailableError,
+    PlatformUncertainError,
+)
+from baobabwing.platform.tables import Insert, Tables
+
+__all__ = ["Claim", "ClaimKeeper"]
+
+TABLE = "claims"
+MAX_BATCH = 64
+GATHER_S = 0.002
+SETTLE_ATTEMPTS = 3
+SETTLE_PAUSE_S = 0.05
+_STEP = "claim"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Claim:
+    """Which node owns a key; its registry decides on the one dispatch.
+
+    :param claimed_at_s: second of the owner's wall clock. The owner forgets a
+        request after a while, so it refuses a claim of its own that is older.
+    """
+
+    node: str
+    incarnation: int
+    claimed_at_s: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Waiting:
+    slot: str
+    claim: Claim
+    fut: Future[Claim]
+
+
+class ClaimKeeper:
+    """Makes claims, several at a time.
+
+    :param tables: client of the table service.
+    :param budget_s: longest wait for a claim; past it the request is not run.
+    """
+
+    def __init__(self, *, tables: Tables, budget_s: float) -> None:
+        self._tables = tables
+        self._budget_s = budget_s
+        self._queue: queue.SimpleQueue[_Waiting | None] = queue.SimpleQueue()
+        self._thread = threading.Thread(target=self._run, name="claims", daemon=True)
+
+    def start(self) -> None:
+        """Begin to take claims."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Take no more claims."""
+        self._queue.put(None)
+
+    def claim(self, organisation: str, key: str, claim: Claim) -> Claim:
+        """Claim a key, or learn who has it.
+
+        :returns: the claim that holds, ours or that of another node.
+        :raises PlatformUnavailableError: if nothing is known in time; the
+            request must not be dispatched.
+        """
+        waiting = _Waiting(slot=_slot(organisation, key), claim=claim, fut=Future())
+        self._queue.put(waiting)
+        try:
+            return waiting.fut.result(timeout=self._budget_s)
+        except FutureTimeoutError as exc:
+            # Our insert may still take effect later. That is harmless: the
+            # claim names this node, nobody else dispatches on it, and this
+            # node's registry knows that the key was not dispatched yet.
+            raise PlatformUnavailableError("no answer in time", step=_STEP) from exc
+
+    def _run(self) -> None:
+        while True:
+            first = self._queue.get()
+            if first is None:
+                return
+            batch = self._gather(first)
+            try:
+                self._insert(batch)
+            except PlatformError as exc:
+                for waiting in batch:
+                    if not waiting.fut.done():
+                        waiting.fut.set_exception(exc)
+
+    def _gather(self, first: _Waiting) -> list[_Waiting]:
+        batch = [first]
+        until = time.monotonic() + GATHER_S
+        while len(batch) < MAX_BATCH:
+            try:
+                waiting = self._queue.get(timeout=max(0.0, until - time.monotonic()))
+            except queue.Empty:
+                break
+            if waiting is None:
+                self._queue.put(None)
+                break
+            batch.append(waiting)
+        return batch
+
+    def _insert(self, batch: list[_Waiting]) -> None:
+        values = {}
+        for waiting in batch:
+            values.setdefault(waiting.slot, _to_value(waiting.claim))
+        try:
+            results = self._tables.insert_many(
+                TABLE, [Insert(key=slot, value=value) for slot, value in values.items()]
+            )
+        except PlatformUncertainError:
+            # The write may have taken effect and its answer been lost. Reading
+            # back shows whose claim is there; only then is it concluded.
+            held = {slot: self._read_back(slot) for slot in values}
+        else:
+            held = {result.key: _to_claim(result.value) for result in results}
+        for waiting in batch:
+            waiting.fut.set_result(held[waiting.slot])
+
+    def _read_back(self, slot: str) -> Claim:
+        for _ in range(SETTLE_ATTEMPTS):
+            try:
+                entry = self._tables.read(TABLE, slot)
+            except PlatformError:
+                time.sleep(SETTLE_PAUSE_S)
+                continue
+            if entry is None:
+                break
+            return _to_claim(entry.value)
+        raise PlatformUnavailableError("claim could not be settled", step=_STEP)
+
+
+def _slot(organisation: str, key: str) -> str:
+    """Return the table key; a digest, so that any text is a legal key."""
+    text = f"{organisation}\0{key}".encode()
+    return hashlib.blake2b(text, digest_size=20).hexdigest()
+
+
+def _to_value(claim: Claim) -> dict[str, Any]:
+    return {
+        "node": claim.node,
+        "incarnation": claim.incarnation,
+        "claimed_at_s": claim.claimed_at_s,
+    }
+
+
+def _to_claim(value: dict[str, Any]) -> Claim:
+    return Claim(
+        node=value["node"],
+        incarnation=value["incarnation"],
+        claimed_at_s=value["claimed_at_s"],
+    )
