Measure what relaying a token costs

The measuring tool starts a source, a sink and one relay after another: a bare socket relay, cheroot with urllib3's reader, and ours.

--- /dev/null
+++ b/baobabwing/bench/relay_cost.py
@@ -0,0 +1,432 @@
+"""What relaying one token costs: a bare relay, the libraries' own way, and ours.
+
+``python -m baobabwing.bench.relay_cost`` starts a source of streams, a sink that
+opens them through a relay, and one relay after another between them, all on
+loopback, and prints processor time a token, added time to the first token and
+memory. See ``docs/design/0002-relay.md``.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import os
+import selectors
+import socket
+import statistics
+import sys
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+import typer
+import urllib3
+from cheroot.server import Gateway, HTTPServer
+
+from baobabwing.bench.processes import ProcessGroup, free_port
+from baobabwing.entry.chunks import LAST_CHUNK, encode_chunk
+from baobabwing.entry.relay import finish_stream, relay_events, start_stream
+from baobabwing.entry.upstream import open_exchange
+
+__all__ = ["Figures", "app"]
+
+LOOPBACK = "127.0.0.1"
+WORD = "word " * 4
+BLOCK_BYTES = 65_536
+BACKLOG = 1024
+SPARE_THREADS = 30
+STREAM_TYPE = "text/event-stream"
+HEAD_END = b"\r\n\r\n"
+EVENT_END = b"\n\n"
+SOURCE_HEAD = (
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\nX-Request-Id: {}\r\n\r\n"
+)
+DEADLINE_S = 120.0
+FIRST_TOKENS_OF_SHORT_STREAMS = 40
+LEAD_S = 2.0
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+_RELAYS: dict[str, Callable[[int, str, int], None]] = {}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Figures:
+    """What the sink and the measuring process saw of one relay.
+
+    :param cpu_us: processor time of the relay's process for one token.
+    :param first_ms: times to the first token, in milliseconds.
+    :param rss_mb: resident memory at the end of the window.
+    """
+
+    tokens: int
+    seconds: float
+    cpu_us: float
+    rss_mb: float
+    first_ms: list[float] = field(repr=False)
+
+    def first_p95(self) -> float:
+        """Return the 95th percentile of the times to the first token."""
+        return statistics.quantiles(self.first_ms, n=20)[-1]
+
+
+def _relay(name: str) -> Callable[[Callable[[int, str, int], None]], Callable]:
+    def register(run: Callable[[int, str, int], None]) -> Callable:
+        _RELAYS[name] = run
+        return run
+
+    return register
+
+
+@app.callback(invoke_without_command=True)
+def measure(
+    ctx: typer.Context,
+    streams: int = 200,
+    gap_ms: float = 50.0,
+    seconds: float = 8.0,
+    rounds: int = 1,
+    relays: str = "bare,libraries,ours",
+    memory_streams: int = 600,
+) -> None:
+    """Measure the relays one after another and print one line for each."""
+    if ctx.invoked_subcommand is not None:
+        return
+    names = relays.split(",")
+    typer.echo(f"{streams} streams, {streams * 1000 / gap_ms:.0f} tokens/s offered")
+    costs: dict[str, list[float]] = {name: [] for name in names}
+    for _ in range(rounds):
+        for name in names:
+            figures = _trial(name, streams, gap_ms, seconds, whole_window=True)
+            costs[name].append(figures.cpu_us)
+            typer.echo(
+                f"{name:10} {figures.cpu_us:6.1f} us/token, "
+                f"{figures.tokens / figures.seconds:6.0f} tokens/s relayed, "
+                f"{figures.rss_mb:5.0f} MB"
+            )
+    if {"bare", "ours"} <= set(costs):
+        ratio = statistics.median(costs["ours"]) / statistics.median(costs["bare"])
+        typer.echo(f"ours / bare: {ratio:.2f}")
+    if "ours" in costs:
+        _print_first_token(streams // 2, gap_ms, seconds)
+    if "ours" in costs and memory_streams:
+        _print_memory(memory_streams)
+
+
+def _print_first_token(streams: int, gap_ms: float, seconds: float) -> None:
+    times = {
+        name: _trial(name, streams, gap_ms, seconds, whole_window=False)
+        for name in ("direct", "ours")
+    }
+    added = times["ours"].first_p95() - times["direct"].first_p95()
+    typer.echo(
+        f"first token at {streams} streams, p95: direct "
+        f"{times['direct'].first_p95():.2f} ms, ours "
+        f"{times['ours'].first_p95():.2f} ms, added {added:.2f} ms "
+        f"({len(times['ours'].first_ms)} streams)"
+    )
+
+
+def _print_memory(streams: int) -> None:
+    figures = _trial("ours", streams, 500.0, 3.0, whole_window=True)
+    with ProcessGroup() as group:
+        idle = group.start_python("idle", ["-c", "import time; time.sleep(60)"])
+        time.sleep(0.5)
+        plain_mb = _rss_mb(idle.pid)
+        group.kill("idle")
+    typer.echo(
+        f"{streams} open streams: {figures.rss_mb:.0f} MB, plain interpreter "
+        f"{plain_mb:.0f} MB, beyond it {figures.rss_mb - plain_mb:.0f} MB"
+    )
+
+
+def _trial(
+    name: str, streams: int, gap_ms: float, seconds: float, *, whole_window: bool
+) -> Figures:
+    """Run one relay; ``whole_window`` keeps each stream open throughout."""
+    tokens = FIRST_TOKENS_OF_SHORT_STREAMS
+    if whole_window:
+        tokens = int((seconds + 2 * LEAD_S) * 1000 / gap_ms) + 1
+    module = ["-m", __spec__.name if __spec__ else "baobabwing.bench.relay_cost"]
+    with ProcessGroup() as group:
+        source = free_port()
+        started = group.start_python(
+            "source", [*module, "source", str(source), str(tokens), str(gap_ms)]
+        )
+        group.wait_ready("source", lambda: _listens(source))
+        port = source
+        if name != "direct":
+            port = free_port()
+            arguments = ["relay", name, str(port), str(source), str(streams)]
+            started = group.start_python("relay", [*module, *arguments])
+            group.wait_ready("relay", lambda: _listens(port))
+        sink = group.start_python(
+            "sink",
+            [*module, "sink", str(port), str(started.pid), str(streams), str(seconds)],
+        )
+        sink.popen.wait(DEADLINE_S)
+        out = sink.log.read_text()
+        for other in ("relay", "source"):
+            if other in group.names():
+                group.kill(other)
+    try:
+        return Figures(**json.loads(out))
+    except ValueError:
+        raise SystemExit(f"{name}: the sink failed: {out[-2000:]}") from None
+
+
+def _listens(port: int) -> bool:
+    try:
+        socket.create_connection((LOOPBACK, port), timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+def _cpu_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _rss_mb(pid: int) -> float:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    peak = next(line for line in lines if line.startswith("VmHWM"))
+    return int(peak.split()[1]) / 1024
+
+
+@app.command(hidden=True)
+def source(port: int, tokens: int, gap_ms: float) -> None:
+    """Send a stream of evenly paced events to whoever asks."""
+    listener = socket.create_server((LOOPBACK, port), backlog=BACKLOG)
+    listener.setblocking(False)
+    selector = selectors.DefaultSelector()
+    selector.register(listener, selectors.EVENT_READ)
+    due: list[tuple[float, int, _Sending]] = []
+    while True:
+        wait_s = max(0.0, due[0][0] - time.monotonic()) if due else None
+        for key, _ in selector.select(wait_s):
+            if key.fileobj is listener:
+                _accept(listener, selector)
+            else:
+                _read_request(key.fileobj, selector, due)
+        now = time.monotonic()
+        while due and due[0][0] <= now:
+            at, fd, sending = heapq.heappop(due)
+            if sending.step(tokens):
+                heapq.heappush(due, (at + gap_ms / 1000, fd, sending))
+
+
+def _accept(listener: socket.socket, selector: selectors.BaseSelector) -> None:
+    conn, _ = listener.accept()
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    selector.register(conn, selectors.EVENT_READ)
+
+
+def _read_request(
+    conn: socket.socket,
+    selector: selectors.BaseSelector,
+    due: list[tuple[float, int, _Sending]],
+) -> None:
+    try:
+        head = conn.recv(BLOCK_BYTES).decode("latin-1")
+    except OSError:
+        head = ""
+    if not head:
+        selector.unregister(conn)
+        conn.close()
+        return
+    named = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:-2])
+    sending = _Sending(conn=conn, attempt=named["x-request-id"])
+    heapq.heappush(due, (time.monotonic(), conn.fileno(), sending))
+
+
+class _Sending:
+    """One stream of the source."""
+
+    def __init__(self, *, conn: socket.socket, attempt: str) -> None:
+        self._conn = conn
+        self._attempt = attempt
+        self._next = 0
+
+    def step(self, tokens: int) -> bool:
+        """Send the next event and tell whether there are more."""
+        text = {
+            "id": self._attempt,
+            "object": "text_completion",
+            "created": 1,
+            "model": "model",
+            "choices": [{"index": 0, "text": WORD, "finish_reason": None}],
+        }
+        event = f"id: {self._next}\ndata: {json.dumps(text)}\n\n".encode()
+        out = encode_chunk(event)
+        if not self._next:
+            out = SOURCE_HEAD.format(self._attempt).encode() + out
+        self._next += 1
+        if self._next == tokens:
+            out += encode_chunk(b"data: [DONE]\n\n") + LAST_CHUNK
+        try:
+            self._conn.send(out)
+        except OSError:
+            return False
+        return self._next < tokens
+
+
+@app.command(hidden=True)
+def sink(port: int, pid: int, streams: int, seconds: float) -> None:
+    """Keep streams open through a relay and print what was seen as JSON."""
+    reading = _Sink(port=port, streams=streams)
+    reading.run(LEAD_S)
+    cpu, tokens, start = _cpu_s(pid), reading.tokens, time.monotonic()
+    reading.first_ms.clear()
+    reading.run(seconds)
+    spent, tokens = _cpu_s(pid) - cpu, reading.tokens - tokens
+    figures = Figures(
+        tokens=tokens,
+        seconds=time.monotonic() - start,
+        cpu_us=spent / max(tokens, 1) * 1e6,
+        rss_mb=_rss_mb(pid),
+        first_ms=reading.first_ms,
+    )
+    sys.stdout.write(json.dumps(asdict(figures)))
+
+
+class _Sink:
+    """Callers of streams, all in one thread."""
+
+    def __init__(self, *, port: int, streams: int) -> None:
+        self.tokens = 0
+        self.first_ms: list[float] = []
+        self._port = port
+        self._selector = selectors.DefaultSelector()
+        self._opened = 0
+        self._pending = streams
+        self._spread_s = LEAD_S / 2 / streams
+        self._open_at = time.monotonic()
+
+    def run(self, seconds: float) -> None:
+        """Read for some time, opening streams that are due."""
+        end = time.monotonic() + seconds
+        while (now := time.monotonic()) < end:
+            if self._pending and now >= self._open_at:
+                self._open()
+            for key, _ in self._selector.select(self._spread_s):
+                self._read(key)
+
+    def _open(self) -> None:
+        self._pending -= 1
+        self._opened += 1
+        self._open_at += self._spread_s
+        conn = socket.create_connection((LOOPBACK, self._port))
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        at = time.monotonic()
+        conn.sendall(
+            b"GET /v1/completions HTTP/1.1\r\nHost: relay\r\n"
+            b"X-Request-Id: attempt-%d\r\n\r\n" % self._opened
+        )
+        conn.setblocking(False)
+        self._selector.register(conn, selectors.EVENT_READ, [at])
+
+    def _read(self, key: selectors.SelectorKey) -> None:
+        block = key.fileobj.recv(BLOCK_BYTES)
+        events = block.count(EVENT_END)
+        self.tokens += events
+        if events and key.data:
+            self.first_ms.append((time.monotonic() - key.data.pop()) * 1000)
+        if not block or block.endswith(LAST_CHUNK):
+            self._selector.unregister(key.fileobj)
+            key.fileobj.close()
+            self._pending += 1
+
+
+@app.command(hidden=True)
+def relay(name: str, port: int, source_port: int, streams: int) -> None:
+    """Relay streams in one of the ways that are compared."""
+    _RELAYS[name](port, f"{LOOPBACK}:{source_port}", streams)
+
+
+@_relay("bare")
+def _run_bare(port: int, address: str, streams: int) -> None:
+    listener = socket.create_server((LOOPBACK, port), backlog=BACKLOG)
+    host, _, upstream_port = address.rpartition(":")
+    while True:
+        conn, _ = listener.accept()
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        target = (host, int(upstream_port))
+        threading.Thread(target=_move, args=(conn, target), daemon=True).start()
+
+
+def _move(conn: socket.socket, target: tuple[str, int]) -> None:
+    with conn:
+        head = conn.recv(BLOCK_BYTES)
+        if not head:
+            return
+        with socket.create_connection(target) as upstream:
+            upstream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            upstream.sendall(head)
+            while block := upstream.recv(BLOCK_BYTES):
+                conn.sendall(block)
+
+
+@_relay("libraries")
+def _run_libraries(port: int, address: str, streams: int) -> None:
+    pool = urllib3.PoolManager(maxsize=streams)
+
+    class LibraryGateway(Gateway):
+        def respond(self) -> None:
+            response = pool.request(
+                "GET",
+                f"http://{address}/v1/completions",
+                headers=_sent_on(self.req),
+                preload_content=False,
+            )
+            self.req.status = b"200 OK"
+            self.req.outheaders.append((b"Content-Type", STREAM_TYPE.encode()))
+            self.req.ensure_headers_sent()
+            for block in response.stream():
+                self.req.write(block)
+            response.release_conn()
+
+    _serve(port, streams, LibraryGateway)
+
+
+@_relay("ours")
+def _run_ours(port: int, address: str, streams: int) -> None:
+    class RelayGateway(Gateway):
+        def respond(self) -> None:
+            headers = _sent_on(self.req)
+            answer = open_exchange(
+                address=address,
+                method="GET",
+                target="/v1/completions",
+                headers=headers,
+                body=None,
+                timeout_s=DEADLINE_S,
+                caller_socket=self.req.conn.socket,
+            )
+            relay_events(
+                answer=answer,
+                caller_socket=self.req.conn.socket,
+                expect_id=headers["X-Request-Id"],
+                before_first=lambda: start_stream(
+                    self.req, [(b"Content-Type", STREAM_TYPE.encode())]
+                ),
+            )
+            finish_stream(self.req)
+
+    _serve(port, streams, RelayGateway)
+
+
+def _sent_on(req: object) -> dict[str, str]:
+    return {"X-Request-Id": req.inheaders[b"X-Request-Id"].decode()}
+
+
+def _serve(port: int, streams: int, gateway: type[Gateway]) -> None:
+    server = HTTPServer((LOOPBACK, port), gateway, minthreads=streams + SPARE_THREADS)
+    server.request_queue_size = BACKLOG
+    server.safe_start()
+
+
+if __name__ == "__main__":
+    app()
