--- a/baobabwing/pools/policies/tiered.py
+++ b/baobabwing/pools/policies/tiered.py
@@ -50,7 +50,7 @@
         self._state = state
         self._rng = rng
         self._headroom = Headroom()
-        self._shed: ShedMark | None = None
+        self._shed: dict[int, ShedMark] = {}
 
     def order(self) -> WaitingQueue:
         """Return a queue of strict tiers."""
@@ -77,12 +77,12 @@
         Notes: linear in the upstreams with room and the prompt's blocks.
         """
         state = self._state
+        bounded = self._headroom.upper_present(ask.tier_rank, now)
+        candidates = state.open_to_lower if bounded else state.open
         if state.probes:
-            probe = self._probe_for(ask, now)
+            probe = self._probe_for(ask, now, must=not candidates)
             if probe is not None:
                 return probe
-        bounded = self._headroom.upper_present(ask.tier_rank, now)
-        candidates = state.open_to_lower if bounded else state.open
         if not candidates:
             return Hindrance.LOAD
         search = _Search(
@@ -103,10 +103,7 @@
         if code is not RefusalCode.QUEUE_TOO_LONG:
             return
         rank = item.ask.tier_rank
-        shed = self._shed
-        if shed is not None and shed.rank < rank and now < shed.until:
-            return
-        self._shed = ShedMark(
+        self._shed[rank] = ShedMark(
             rank=rank,
             budget_s=item.ask.deadline - item.queued_at,
             service_s=item.service_s,
@@ -141,20 +138,19 @@
         return self._wait_after_s(ahead, ask.tier_rank, now)
 
     def lowest_admitted(self, now: float) -> int | None:
-        """Return the tier that was refused last, while it still would be."""
-        shed = self._shed
-        if shed is not None and self._is_closed(shed.rank + 1, now):
-            return shed.rank
-        return None
+        """Return the tier above the highest one that is refused for load now."""
+        refused = [m.rank for m in list(self._shed.values()) if self._holds(m, now)]
+        return min(refused) - 1 if refused else None
 
     def _is_closed(self, rank: int, now: float) -> bool:
-        shed = self._shed
-        if shed is None or rank <= shed.rank:
-            return False
-        if now >= shed.until or self._would_be_in_time(shed, now):
-            self._shed = None
-            return False
-        return True
+        marks = list(self._shed.values())
+        return any(mark.rank < rank and self._holds(mark, now) for mark in marks)
+
+    def _holds(self, shed: ShedMark, now: float) -> bool:
+        if now < shed.until and not self._would_be_in_time(shed, now):
+            return True
+        del self._shed[shed.rank]
+        return False
 
     def _would_be_in_time(self, shed: ShedMark, now: float) -> bool:
         queue = self._state.queue
@@ -186,10 +182,12 @@
         busy = sum(u.low_prefill_free_at > latest for u in active)
         return busy < most_engines_with_long_prefill(len(active))
 
-    def _probe_for(self, ask: Ask, now: float) -> Choice | None:
+    def _probe_for(self, ask: Ask, now: float, *, must: bool) -> Choice | None:
         # A probe may well be late again. It is made with the lowest tier that
-        # asks, and only if twice its expected time still fits.
-        if self._headroom.lower_present(ask.tier_rank, now):
+        # asks, and only if twice its expected time still fits. With nothing
+        # else free any tier makes it: lower ones get no turn then, and a
+        # recovered upstream would stay out for as long as the overload lasts.
+        if not must and self._headroom.lower_present(ask.tier_rank, now):
             return None
         slack = ask.deadline - now
         for upstream in self._state.probes:
--- a/baobabwing/pools/speeds.py
+++ b/baobabwing/pools/speeds.py
@@ -125,6 +125,17 @@
         seconds = _clipped(seconds, self.service_s)
         self.service_s += self._share() * (seconds - self.service_s)
 
+    def drift_to(self, other: LearnedSpeed, share: float) -> None:
+        """Move part of the way to another estimate, for lack of samples."""
+        if not other.samples:
+            return
+        rate = self.prefill_tokens_per_s
+        self.prefill_tokens_per_s += share * (other.prefill_tokens_per_s - rate)
+        step_off = other.step_s(self._batch_mean) - self._step_mean
+        self._step_mean += share * step_off
+        self.head_s += share * (other.head_s - self.head_s)
+        self.service_s += share * (other.service_s - self.service_s)
+
     def counted(self) -> None:
         """Count one request learned from; early ones weigh more."""
         self.samples += 1
--- a/baobabwing/pools/state.py
+++ b/baobabwing/pools/state.py
@@ -264,6 +264,7 @@
         if upstream.open_to_work or upstream.permits:
             return
         if self.upstreams.pop(upstream.name, None):
+            self.update_room(upstream)
             self.prefixes.clear(upstream.name)
 
     def _count(self, permit: Permit, now: float) -> None:
--- a/baobabwing/pools/stragglers.py
+++ b/baobabwing/pools/stragglers.py
@@ -23,11 +23,12 @@
 __all__ = ["StragglerWatch"]
 
 _WINDOW_S = 10.0
-_LEAST_SAMPLES = 4
+_LEAST_SAMPLES = 3
 _SLOW_FACTOR = 2.0
 _LEAST_SLOWNESS = 1.3
 _RECOVERED_FACTOR = 1.5
 _MOST_SHARE = 0.34
+_DRIFT_SHARE = 0.02
 _MOST_FAILURES = 3
 _STUCK_BASE_S = 1.0
 _STUCK_FACTOR = 4.0
@@ -109,6 +110,10 @@
                 continue
             if upstream.standing is Standing.RAMPING:
                 self._ramp(upstream, now)
+            if upstream.last_done_at < now - _WINDOW_S:
+                # One or two slow answers make others preferred. Without this
+                # an upstream that nobody tries again keeps that estimate.
+                upstream.speed.drift_to(upstream.pooled, _DRIFT_SHARE)
             if self._is_slow(upstream, recent):
                 self._relieve(upstream, "slow", now)
             elif _is_stuck(upstream, now) and self._peers_go_on(upstream, now):
@@ -226,6 +231,6 @@
     return any(
         permit.expected_s
         and now - permit.granted_at > _STUCK_BASE_S + _STUCK_FACTOR * permit.expected_s
-        and upstream.last_done_at < permit.granted_at
+        and upstream.last_done_at <= permit.granted_at
         for permit in upstream.permits.values()
     )
--- a/baobabwing/pools/tracking.py
+++ b/baobabwing/pools/tracking.py
@@ -11,7 +11,7 @@
 
 __all__ = ["Permit", "Standing", "TrackedUpstream"]
 
-_WINDOW_SAMPLES = 16
+_WINDOW_SAMPLES = 5
 
 
 class Standing(StrEnum):
--- /dev/null
+++ b/tests/pools/conftest.py
@@ -0,0 +1,104 @@
+"""A cell under test with a clock of its own, and what its decisions were."""
+
+import pytest
+
+from baobabwing.pools.catalogue import Pool, PoolKind, Upstream
+from baobabwing.pools.cell import Cell
+from baobabwing.pools.permits import Ask, Done, Grant, Outcome, Refusal
+
+ENTRY = "n1#1"
+
+
+class Bench:
+    """Drives one cell; grants in use and refusals are kept by request id."""
+
+    def __init__(self, upstreams, **pool):
+        pool.setdefault("kind", PoolKind.ENGINE)
+        self.pool = Pool(name="p", **pool)
+        self.now = 0.0
+        self.cell = Cell(name="cell", now=0.0)
+        self.running = {}
+        self.refusals = {}
+        self.order = []
+        self.configure(upstreams)
+
+    def configure(self, upstreams):
+        self.take(self.cell.configure(self.pool, upstreams, self.now))
+
+    def take(self, decisions):
+        for decision in decisions:
+            if isinstance(decision, Grant):
+                self.running[decision.request_id] = decision
+                self.order.append(decision.request_id)
+            elif isinstance(decision, Refusal):
+                self.refusals[decision.request_id] = decision
+        return decisions
+
+    def ask(self, request_id, rank=0, budget=60.0, organisation="salon", **changes):
+        changes.setdefault("prompt_tokens", 80)
+        changes.setdefault("output_tokens", 10)
+        item = Ask(
+            request_id=request_id,
+            entry=ENTRY,
+            pool="p",
+            organisation=organisation,
+            tier_rank=rank,
+            deadline=self.now + budget,
+            **changes,
+        )
+        self.take(self.cell.submit(item, self.now))
+        return self.running.get(request_id) or self.refusals.get(request_id)
+
+    def end(self, request_id, duration=0.09, outcome=Outcome.ANSWERED, **changes):
+        grant = self.running.pop(request_id)
+        changes.setdefault("first_token_s", duration / 9)
+        changes.setdefault("tokens", 10)
+        changes.setdefault("prompt_tokens", 80)
+        done = Done(
+            request_id=request_id,
+            upstream=grant.upstream,
+            outcome=outcome,
+            duration_s=duration,
+            **changes,
+        )
+        self.take(self.cell.done(done, self.now))
+
+    def tick(self, seconds):
+        """Let time pass in ticks of 20 ms."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(self.now + 0.02, end)
+            self.take(self.cell.tick(self.now))
+
+    def upstream(self, name):
+        return next(u for u in self.cell.snapshot().upstreams if u.name == name)
+
+
+def _engines(count, capacity=4, **changes):
+    return [
+        Upstream(
+            name=f"u{i}",
+            pool="p",
+            address=f"127.0.0.1:{9000 + i}",
+            capacity=capacity,
+            **changes,
+        )
+        for i in range(count)
+    ]
+
+
+@pytest.fixture
+def engines():
+    """Return a maker of upstreams named u0, u1 and so on."""
+    return _engines
+
+
+@pytest.fixture
+def make_bench():
+    """Return a maker of benches: count of upstreams, capacity, pool settings."""
+
+    def make(count=1, capacity=4, kind=PoolKind.ENGINE, upstreams=None, **pool):
+        upstreams = _engines(count, capacity) if upstreams is None else upstreams
+        return Bench(upstreams, kind=kind, **pool)
+
+    return make
--- /dev/null
+++ b/tests/pools/test_headroom.py
@@ -0,0 +1,127 @@
+"""Room that lower tiers leave, so that long prompts do not block short chats."""
+
+from baobabwing.pools.permits import LoadReport, Outcome, Refusal
+
+DRAW_TOKENS = 8000
+
+
+def ask_draws(bench, count, **changes):
+    changes.setdefault("prompt_tokens", DRAW_TOKENS)
+    for i in range(count):
+        bench.ask(f"draw{i}", rank=1, budget=600.0, **changes)
+
+
+def test_lower_tier_leaves_slots_once_a_higher_one_asks(make_bench):
+    """Notes would fill all slots; a chat then waits for one to end."""
+    bench = make_bench(capacity=8)
+    bench.ask("chat")
+    for i in range(20):
+        bench.ask(f"note{i}", rank=2)
+    assert bench.upstream("u0").in_flight == 7
+    assert bench.ask("second chat").upstream == "u0"
+
+
+def test_lower_tier_gets_all_slots_when_alone(make_bench):
+    bench = make_bench(capacity=8)
+    for i in range(20):
+        bench.ask(f"note{i}", rank=2)
+    assert bench.upstream("u0").in_flight == 8
+
+
+def test_reserve_ends_when_no_higher_tier_asks_for_a_minute(make_bench):
+    bench = make_bench(capacity=8)
+    bench.ask("chat")
+    for i in range(20):
+        bench.ask(f"note{i}", rank=2, budget=600.0)
+    bench.end("chat")
+    bench.tick(61.0)
+    assert bench.upstream("u0").in_flight == 8
+
+
+def test_one_long_prefill_of_a_lower_tier_on_an_engine(make_bench):
+    """Four season draws come at once, and a kickoff lookup just after.
+
+    First come first served, the engine would prefill four seconds of draws
+    before it looks at the lookup.
+    """
+    bench = make_bench(capacity=8)
+    bench.ask("lookup")
+    ask_draws(bench, 4)
+    assert bench.order == ["lookup", "draw0"]
+    bench.tick(1.5)
+    assert bench.order == ["lookup", "draw0", "draw1"]
+
+
+def test_some_engines_stay_clear_of_long_prefills(make_bench):
+    bench = make_bench(count=4, capacity=8)
+    bench.ask("lookup")
+    ask_draws(bench, 8)
+    busy = {bench.running[f"draw{i}"].upstream for i in range(3)}
+    assert len(busy) == 3
+    assert len(bench.order) == 4
+    assert bench.ask("second lookup").upstream not in busy
+
+
+def test_short_prompts_of_the_tier_pass_a_blocked_long_one(make_bench):
+    bench = make_bench(capacity=8)
+    bench.ask("lookup")
+    ask_draws(bench, 2)
+    bench.ask("note", rank=1, organisation="other")
+    bench.tick(0.05)
+    assert bench.order == ["lookup", "draw0", "note"]
+
+
+def test_lower_tier_does_not_pass_a_blocked_long_prompt(make_bench):
+    bench = make_bench(capacity=8)
+    bench.ask("lookup")
+    ask_draws(bench, 2)
+    bench.ask("note", rank=2)
+    bench.tick(0.05)
+    assert "note" not in bench.running
+
+
+def test_no_bound_on_long_prefills_without_higher_tier(make_bench):
+    bench = make_bench(capacity=8)
+    ask_draws(bench, 4)
+    assert len(bench.order) == 4
+
+
+def test_cancelled_prefill_makes_room_for_the_next(make_bench):
+    bench = make_bench(capacity=8)
+    bench.ask("lookup")
+    ask_draws(bench, 2)
+    bench.end("draw0", outcome=Outcome.CANCELLED, tokens=0)
+    assert "draw1" in bench.running
+
+
+def test_chat_avoids_the_engine_with_a_long_prefill(make_bench):
+    bench = make_bench(count=2, capacity=8)
+    ask_draws(bench, 1)
+    other = {"u0": "u1", "u1": "u0"}[bench.running["draw0"].upstream]
+    assert {bench.ask(f"chat{i}").upstream for i in range(3)} == {other}
+
+
+def test_newer_report_of_foreign_load_takes_slots(make_bench):
+    """Somebody else uses the engine; our own count knows nothing of it."""
+    bench = make_bench(capacity=4)
+    bench.now = 1.0
+    report = LoadReport(upstream="u0", running=4, measured_at=0.9)
+    bench.take(bench.cell.correct(report, bench.now))
+    assert bench.ask("a") is None
+    bench.tick(3.0)
+    assert bench.running["a"].upstream == "u0"
+
+
+def test_report_older_than_our_last_grant_is_not_counted(make_bench):
+    """A lagging report shows four requests that have ended since.
+
+    Believed, it would keep the engine idle with requests waiting.
+    """
+    bench = make_bench(capacity=4)
+    bench.now = 1.0
+    bench.ask("a")
+    bench.end("a")
+    report = LoadReport(upstream="u0", running=4, measured_at=0.5)
+    bench.take(bench.cell.correct(report, 1.1))
+    assert not isinstance(bench.ask("b"), Refusal)
+    assert "b" in bench.running
--- /dev/null
+++ b/tests/pools/test_prefixes.py
@@ -0,0 +1,107 @@
+"""Digests of prompts, the index of caches, and choices that follow it."""
+
+from hashlib import blake2b
+
+from baobabwing.pools.prefix_digest import BLOCK_TOKENS, prompt_prefix
+from baobabwing.pools.prefix_index import PrefixIndex
+
+PREFIX = tuple(range(100, 140))
+
+
+def test_only_whole_blocks_have_a_digest():
+    assert prompt_prefix(" ".join(["w"] * (BLOCK_TOKENS - 1))) == ()
+    assert len(prompt_prefix(" ".join(["w"] * (2 * BLOCK_TOKENS + 5)))) == 2
+
+
+def test_digests_are_chained_blake2b():
+    words = [f"w{i}" for i in range(2 * BLOCK_TOKENS)]
+    first = blake2b(
+        bytes(8) + " ".join(words[:BLOCK_TOKENS]).encode(), digest_size=8
+    ).digest()
+    second = blake2b(
+        first + " ".join(words[BLOCK_TOKENS:]).encode(), digest_size=8
+    ).digest()
+    expected = tuple(int.from_bytes(digest, "big") for digest in (first, second))
+    assert prompt_prefix("  ".join(words)) == expected
+
+
+def test_depth_is_the_deepest_block_known():
+    index = PrefixIndex()
+    index.add("a", PREFIX[:10])
+    index.add("b", PREFIX[:25])
+    assert index.cached_blocks(PREFIX, ["a", "b", "c"]) == {"a": 10, "b": 25}
+
+
+def test_lost_events_leave_gaps_that_are_bridged():
+    index = PrefixIndex()
+    index.add("a", (*PREFIX[:3], *PREFIX[4:9]))
+    assert index.cached_blocks(PREFIX, ["a"]) == {"a": 9}
+
+
+def test_eviction_for_an_unknown_block_changes_nothing():
+    index = PrefixIndex()
+    index.add("a", PREFIX)
+    index.discard("b", PREFIX)
+    index.discard("a", (1, 2, 3))
+    assert index.cached_blocks(PREFIX, ["a"]) == {"a": 40}
+
+
+def test_restart_forgets_all_blocks_of_one_upstream():
+    index = PrefixIndex()
+    index.add("a", PREFIX)
+    index.add("b", PREFIX)
+    index.clear("a")
+    index.add("a", PREFIX[:2])
+    assert index.cached_blocks(PREFIX, ["a", "b"]) == {"a": 2, "b": 40}
+
+
+def test_index_is_bounded_over_prompts_and_restarts():
+    index = PrefixIndex(limit=100)
+    for number in range(1000):
+        index.clear("a")
+        index.add("a", range(number * 10, number * 10 + 10))
+    assert len(index) <= 100
+    assert max(index._holders.values()).bit_length() <= 256
+
+
+def test_cached_prefix_is_followed(make_bench):
+    bench = make_bench(count=4, capacity=8)
+    bench.ask("first", prompt_tokens=2560, prefix=PREFIX)
+    warm = bench.running["first"].upstream
+    bench.end("first", prompt_tokens=2560)
+    bench.tick(1.0)
+    for i in range(4):
+        assert bench.ask(f"r{i}", prompt_tokens=2560, prefix=PREFIX).upstream == warm
+
+
+def test_prefix_is_left_when_the_wait_costs_more(make_bench):
+    """The engine with the cached prefix starts a prefill of four seconds.
+
+    The prefix saves 0.3 s; following it would wait for the long prefill.
+    """
+    bench = make_bench(count=2, capacity=8)
+    bench.ask("first", prompt_tokens=2560, prefix=PREFIX)
+    warm = bench.running["first"].upstream
+    bench.end("first", prompt_tokens=2560)
+    cold = "u1" if warm == "u0" else "u0"
+    bench.ask("draw", prompt_tokens=32000, exclude=(cold,))
+    assert bench.ask("next", prompt_tokens=2560, prefix=PREFIX).upstream == cold
+
+
+def test_events_teach_prefixes_that_we_did_not_send(make_bench):
+    bench = make_bench(count=2, capacity=8)
+    bench.cell.cache_changed("u1", 0.0, stored=PREFIX)
+    assert bench.ask("a", prompt_tokens=2560, prefix=PREFIX).upstream == "u1"
+
+
+def test_cached_prompt_may_still_be_in_time(make_bench):
+    """A prompt of 4 s is due in 1 s, but an engine has nearly all of it.
+
+    Judged by its length alone it would be refused.
+    """
+    prefix = tuple(range(500))
+    bench = make_bench(count=2, capacity=8)
+    assert bench.ask("cold", budget=1.0, prompt_tokens=32100, prefix=prefix).code
+    bench.cell.cache_changed("u1", 0.0, stored=prefix)
+    warm = bench.ask("warm", budget=1.0, prompt_tokens=32100, prefix=prefix)
+    assert warm.upstream == "u1"
--- /dev/null
+++ b/tests/pools/test_speeds.py
@@ -0,0 +1,60 @@
+"""Speeds learned from the ends of requests."""
+
+import pytest
+
+from baobabwing.pools.catalogue import Upstream
+from baobabwing.pools.speeds import LearnedSpeed, SpeedBook
+
+
+def make_speed():
+    return LearnedSpeed(prefill_tokens_per_s=8000.0, step_s=0.008, weight=0.15)
+
+
+def teach(speed, count, rate=2000.0, step=0.02, batch=1.0):
+    for _ in range(count):
+        speed.observe_prefill(4000, 4000 / rate)
+        speed.observe_steps(100, 100 * step, batch)
+        speed.counted()
+
+
+def test_speed_is_learned_in_some_samples():
+    speed = make_speed()
+    teach(speed, 30)
+    assert speed.prefill_tokens_per_s == pytest.approx(2000.0, rel=0.1)
+    assert speed.step_s(1) == pytest.approx(0.02, rel=0.1)
+
+
+def test_one_stalled_stream_spoils_little():
+    speed = make_speed()
+    teach(speed, 30)
+    speed.observe_steps(100, 100 * 10.0, 1.0)
+    assert speed.step_s(1) < 0.025
+
+
+def test_step_time_grows_with_the_batch():
+    speed = make_speed()
+    for i in range(400):
+        batch = 1 + (i * 7) % 16
+        speed.observe_steps(100, 100 * (0.006 + 0.0005 * batch), batch)
+        speed.counted()
+    assert speed.step_s(2) == pytest.approx(0.007, rel=0.1)
+    assert speed.step_s(16) == pytest.approx(0.014, rel=0.1)
+
+
+def test_short_prompts_teach_the_time_before_prefill():
+    speed = make_speed()
+    for _ in range(40):
+        speed.observe_prefill(10, 0.03)
+        speed.counted()
+    assert speed.head_s == pytest.approx(0.029, rel=0.1)
+    assert speed.prefill_tokens_per_s == 8000.0
+
+
+def test_new_upstream_starts_from_its_generation():
+    book = SpeedBook()
+    known = Upstream(name="a", pool="p", address="127.0.0.1:1", generation="new")
+    teach(book.generation(known), 300)
+    fresh = Upstream(name="b", pool="p", address="127.0.0.1:2", generation="new")
+    other = Upstream(name="c", pool="p", address="127.0.0.1:3", generation="old")
+    assert book.start(fresh).step_s(1) == pytest.approx(0.02, rel=0.1)
+    assert book.start(other).step_s(1) == pytest.approx(0.008)
