Let stand-ins die at a step and test the engine's batch and cache

Cause: proofs need faults at every step, and bounds that hold exactly.

Seen red: with room for two in the batch and two waiting, the fourth request was refused, since the ones before it had not been moved from the queue to the batch yet; the load report also showed a batch only after its first step. Both are mended and tested by requests that come one right after the other.

The load report is shared by engine and service.

--- a/baobabwing/standins/application.py
+++ b/baobabwing/standins/application.py
@@ -59,6 +59,7 @@
             return
         self._refuse_cut_peers(exchange)
         self.faults.wait_while_frozen()
+        self.faults.die_at("received")
         handler = self.routes.find(exchange)
         if handler is None:
             raise RequestError(
@@ -76,7 +77,7 @@
 
 @_CONTROL.add("GET", "/control/record")
 def _get_record(app: StandinApplication, exchange: Exchange) -> None:
-    after = int(exchange.query.get("after", "0"))
+    after = exchange.query_number("after")
     exchange.send(json_answer(app.record_document(after)))
 
 
--- a/baobabwing/standins/engine/application.py
+++ b/baobabwing/standins/engine/application.py
@@ -125,14 +125,12 @@
 @_ROUTES.add("GET", "/load")
 def _get_load(app: EngineApplication, exchange: Exchange) -> None:
     lag_ms = app.faults.number("lag", app.engine.report_lag_ms)
-    sample = asdict(app.loop.load.as_of(lag_ms / _MS))
-    measured_at = sample.pop("at")
-    exchange.send(json_answer({**sample, "measured_at": measured_at, "lag_ms": lag_ms}))
+    exchange.send(app.loop.load.report(lag_ms))
 
 
 @_ROUTES.add("GET", "/cache-events")
 def _get_cache_events(app: EngineApplication, exchange: Exchange) -> None:
-    after = int(exchange.query.get("after", "0"))
+    after = exchange.query_number("after")
     lag_ms = app.faults.number("lag", app.engine.cache_event_lag_ms)
     with app.loop.lock:
         app.loop.events.lag_s = lag_ms / _MS
@@ -188,7 +186,9 @@
     )
     if not app.loop.admit(seq):
         exchange.send(not_admitted("too many requests wait", code="queue_full"))
-    elif req.stream:
+        return
+    app.faults.die_at("admitted")
+    if req.stream:
         _stream(app, exchange, seq)
     else:
         seq.ended.wait()
@@ -220,6 +220,7 @@
         seq.ended.wait()
         exchange.cut()
     seq.started.wait()
+    app.faults.die_at("answered")
     if app.faults.take("fail"):
         exchange.send(_failure(seq))
         return
--- a/baobabwing/standins/engine/loop.py
+++ b/baobabwing/standins/engine/loop.py
@@ -8,10 +8,10 @@
 
 from baobabwing.standins.blocks import BLOCK_TOKENS
 from baobabwing.standins.engine.cache import CacheEventLog, PrefixCache
-from baobabwing.standins.engine.load import LoadHistory, LoadSample
 from baobabwing.standins.engine.parameters import MS_PER_S, EngineParameters
 from baobabwing.standins.engine.sequence import Reader, Sequence
 from baobabwing.standins.faults import FaultBoard
+from baobabwing.standins.load import LoadHistory, LoadSample
 from baobabwing.standins.record import Record
 
 __all__ = ["EngineLoop"]
@@ -57,7 +57,10 @@
         :returns: false if too many wait already; then nothing was run.
         """
         with self._changed:
-            if len(self._waiting) >= self._parameters.max_waiting:
+            # Counted together: a batch with room takes in a request only at the
+            # next step, and until then the request must not count as one too many.
+            held = len(self._running) + len(self._waiting)
+            if held >= self._parameters.max_batch + self._parameters.max_waiting:
                 return False
             seq.execution.started_at = time.time()
             self._record.add(seq.execution)
@@ -118,11 +121,14 @@
         return due + self._faults.wait_while_frozen()
 
     def _fill_batch(self) -> None:
+        before = len(self._running)
         while self._waiting and len(self._running) < self._parameters.max_batch:
             seq = self._waiting.popleft()
             self._reuse_prefix(seq)
             seq.execution.state = "running"
             self._running.append(seq)
+        if len(self._running) > before:
+            self._note_load()
 
     def _reuse_prefix(self, seq: Sequence) -> None:
         prompt_tokens = seq.execution.prompt_tokens
--- a/baobabwing/standins/faults.py
+++ b/baobabwing/standins/faults.py
@@ -62,15 +62,18 @@
         names = document.get("names", ())
         if not isinstance(name, str):
             raise _bad_fault("fault must be a name")
-        if count is not None and (not isinstance(count, int) or count < 0):
-            raise _bad_fault("count must be a number from 0")
+        for_ms = document.get("for_ms")
+        if count is not None and (not isinstance(count, int) or count < 1):
+            raise _bad_fault("count must be a number from 1")
+        if for_ms is not None and not _is_number(for_ms):
+            raise _bad_fault("for_ms must be a number from 0")
         if not all(isinstance(each, str) for each in names):
             raise _bad_fault("names must be texts")
         return cls(
             name=name,
             value=document.get("value"),
             count=count,
-            for_ms=document.get("for_ms"),
+            for_ms=for_ms,
             names=tuple(names),
         )
 
@@ -85,28 +88,42 @@
 
     :param kinds: which stand-ins know it.
     :param meaning: one line for the documentation.
+    :param takes_text: whether the value is a word and not a number.
     """
 
     name: str
     kinds: frozenset[str]
     meaning: str
     apply: Callable[[FaultBoard, FaultOrder], None]
+    takes_text: bool = False
 
     def concerns(self, kind: str) -> bool:
         """Return whether a kind of stand-in knows the fault."""
         return kind in self.kinds
 
+    def fits(self, value: object) -> bool:
+        """Return whether a value has the type that the fault takes."""
+        return isinstance(value, str) if self.takes_text else _is_number(value)
+
 
 _KINDS: dict[str, FaultKind] = {}
 
 Apply = Callable[["FaultBoard", FaultOrder], None]
 
 
-def fault(name: str, kinds: frozenset[str], meaning: str) -> Callable[[Apply], Apply]:
+def fault(
+    name: str, kinds: frozenset[str], meaning: str, *, takes_text: bool = False
+) -> Callable[[Apply], Apply]:
     """Register what a fault does when it is asked for."""
 
     def register(apply: Apply) -> Apply:
-        _KINDS[name] = FaultKind(name=name, kinds=kinds, meaning=meaning, apply=apply)
+        _KINDS[name] = FaultKind(
+            name=name,
+            kinds=kinds,
+            meaning=meaning,
+            apply=apply,
+            takes_text=takes_text,
+        )
         return apply
 
     return register
@@ -138,6 +155,8 @@
         kind = _KINDS.get(order.name)
         if kind is None or not kind.concerns(self.kind):
             raise _bad_fault(f"a stand-in {self.kind} has no fault {order.name}")
+        if order.value is not None and not kind.fits(order.value):
+            raise _bad_fault(f"the value does not fit the fault {order.name}")
         log(FAULT_SET, fault=order.name, value=order.value, count=order.count)
         kind.apply(self, order)
 
@@ -187,7 +206,13 @@
                 self._active[name] = replace(order, count=order.count - 1)
             else:
                 del self._active[name]
-            return order if order.count > 0 else None
+            return order
+
+    def die_at(self, step: str) -> None:
+        """End the process if a fault wants that at this step of a request."""
+        order = self.look("die_at")
+        if order is not None and order.value == step:
+            _exit_now()
 
     def active(self) -> list[FaultOrder]:
         """Return the faults in force."""
@@ -212,6 +237,7 @@
 
 def deliver(board: FaultBoard, exchange: Exchange, answer: Answer) -> None:
     """Send the answer to a call that took effect, as the faults in force have it."""
+    board.die_at("answered")
     if board.take("drop_after_effect"):
         exchange.cut()
     late = board.take("answer_late")
@@ -223,6 +249,10 @@
         exchange.repeat(answer)
 
 
+def _is_number(value: object) -> bool:
+    return isinstance(value, (int, float)) and value >= 0
+
+
 def _bad_fault(message: str) -> RequestError:
     return RequestError(
         message, status=HTTPStatus.BAD_REQUEST, code="bad_fault", step="fault"
@@ -271,11 +301,12 @@
     ("lose_answer", PLATFORM_KIND, "cut `count` writes after the effect"),
     ("stale", PLATFORM_KIND, "reads are as of `value` ms ago"),
     ("throttle", PLATFORM_KIND, "only `value` writes a second"),
-    (
-        "list_error",
-        frozenset({"platform"}),
-        "`names` have state `value`, or are missing",
-    ),
+)
+_KEPT_TEXT = (
+    ("die_at", ALL_KINDS, "end when a call is `received`, `admitted`, or `answered`"),
+    ("list_error", PLATFORM_KIND, "`names` have state `value`, or are missing"),
 )
 for _name, _kinds, _meaning in _KEPT:
     fault(_name, _kinds, _meaning)(_keep)
+for _name, _kinds, _meaning in _KEPT_TEXT:
+    fault(_name, _kinds, _meaning, takes_text=True)(_keep)
--- a/baobabwing/standins/engine/load.py
+++ b/baobabwing/standins/load.py
@@ -1,14 +1,17 @@
-"""The load that a stand-in engine reports, as it was a while ago."""
+"""The load that a stand-in reports, as it was a while ago."""
 
 from __future__ import annotations
 
 import time
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
+
+from baobabwing.standins.server import Answer, json_answer
 
 __all__ = ["LoadHistory", "LoadSample"]
 
 SAMPLES_KEPT = 8192
+_MS = 1000.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,3 +50,10 @@
             if sample.at <= horizon:
                 return sample
         return LoadSample(at=horizon, running=0, waiting=0, waiting_prefill_tokens=0)
+
+    def report(self, lag_ms: float) -> Answer:
+        """Return the load report of a stand-in whose reports are some ms old."""
+        document = asdict(self.as_of(lag_ms / _MS))
+        document["measured_at"] = document.pop("at")
+        document["lag_ms"] = lag_ms
+        return json_answer(document)
--- a/baobabwing/standins/record.py
+++ b/baobabwing/standins/record.py
@@ -60,11 +60,6 @@
             # One unbuffered write, so that a death right after loses nothing.
             os.write(self._file, json.dumps(asdict(execution)).encode() + b"\n")
 
-    def count(self, key: str) -> int:
-        """Return how often a key was executed."""
-        with self._lock:
-            return sum(1 for each in self._executions if each.key == key)
-
     def executions(self, after: int = 0) -> list[dict[str, Any]]:
         """Return the executions from a position on."""
         with self._lock:
--- a/baobabwing/standins/server.py
+++ b/baobabwing/standins/server.py
@@ -83,6 +83,21 @@
         """The query's parameters; of a repeated name the last."""
         return dict(parse_qsl(self._req.qs.decode("latin-1"), keep_blank_values=True))
 
+    def query_number(self, name: str) -> int:
+        """Return a parameter of the query as a number, 0 if it is absent.
+
+        :raises RequestError: if it is not a number from 0.
+        """
+        value = self.query.get(name, "0")
+        if not value.isdecimal():
+            raise RequestError(
+                f"{name} is not a number",
+                status=HTTPStatus.BAD_REQUEST,
+                code="bad_field",
+                field=name,
+            )
+        return int(value)
+
     def header(self, name: str, default: str = "") -> str:
         """Return a header's value."""
         value = self._req.inheaders.get(name.title().encode("ascii"))
--- a/baobabwing/standins/service.py
+++ b/baobabwing/standins/service.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 from baobabwing.standins.application import StandinApplication, not_admitted
-from baobabwing.standins.engine.load import LoadHistory, LoadSample
 from baobabwing.standins.faults import deliver
+from baobabwing.standins.load import LoadHistory, LoadSample
 from baobabwing.standins.record import Execution
 from baobabwing.standins.server import Exchange, Routes, json_answer
 
@@ -81,6 +81,7 @@
         """
         execution.started_at = time.time()
         self.record.add(execution)
+        self.faults.die_at("admitted")
         with self._slots:
             number = self._begin(execution)
             factor = self.faults.number("slow", 1.0)
@@ -119,9 +120,7 @@
 @_ROUTES.add("GET", "/load")
 def _get_load(app: ServiceApplication, exchange: Exchange) -> None:
     lag_ms = app.faults.number("lag", app.service.report_lag_ms)
-    sample = asdict(app.load.as_of(lag_ms / _MS))
-    measured_at = sample.pop("at")
-    exchange.send(json_answer({**sample, "measured_at": measured_at, "lag_ms": lag_ms}))
+    exchange.send(app.load.report(lag_ms))
 
 
 @_ROUTES.add("*", "{path*}")
--- a/tests/standins/conftest.py
+++ b/tests/standins/conftest.py
@@ -1,5 +1,6 @@
 """Stand-ins as real processes, and the few calls that tests make to them."""
 
+import http.client
 import json
 import signal
 import subprocess
@@ -26,13 +27,13 @@
 class Standin:
     address: str
     process: subprocess.Popen
-    http: urllib3.PoolManager
+    pool: urllib3.PoolManager
 
     def call(self, method, path, document=None, **headers):
         named = {name.replace("_", "-"): value for name, value in headers.items()}
         body = None if document is None else json.dumps(document)
         url = f"http://{self.address}{path}"
-        return self.http.request(method, url, body=body, headers=named)
+        return self.pool.request(method, url, body=body, headers=named)
 
     def json(self, method, path, document=None, **headers):
         return self.call(method, path, document, **headers).json()
@@ -42,10 +43,18 @@
         named = {name.replace("_", "-"): value for name, value in headers.items()}
         body = None if document is None else json.dumps(document)
         url = f"http://{self.address}{path}"
-        return self.http.request(
+        return self.pool.request(
             method, url, body=body, headers=named, preload_content=False
         )
 
+    def begin(self, path, document, **headers):
+        """Start a call without waiting for its answer; nobody reads it."""
+        host, port = self.address.split(":")
+        conn = http.client.HTTPConnection(host, int(port), timeout=WAIT_S)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        conn.request("POST", path, body=json.dumps(document), headers=named)
+        return conn
+
     def fault(self, name, **order):
         answer = self.call("POST", "/control/faults", {"fault": name, **order})
         assert answer.status == 204
@@ -67,8 +76,8 @@
         process = subprocess.Popen(command, stdout=subprocess.PIPE)
         started.append(process)
         address = json.loads(process.stdout.readline())["listening"]
-        http = urllib3.PoolManager(retries=False, timeout=WAIT_S, maxsize=32)
-        return Standin(address=address, process=process, http=http)
+        pool = urllib3.PoolManager(retries=False, timeout=WAIT_S, maxsize=32)
+        return Standin(address=address, process=process, pool=pool)
 
     yield start_one
     for process in started:
--- /dev/null
+++ b/tests/standins/engine/test_batching.py
@@ -0,0 +1,134 @@
+import pytest
+
+
+def completion(prompt, *, max_tokens=1, stream=False):
+    return {
+        "model": "m",
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "stream": stream,
+    }
+
+
+def words(count, name="w"):
+    return " ".join(f"{name}{i}" for i in range(count))
+
+
+@pytest.fixture
+def small(start):
+    """Start an engine with room for two, whose sequences last for the test."""
+    return start(
+        "engine", "--model", "m", "--max-batch", "2", "--max-waiting", "2",
+        "--report-lag-ms", "0", "--cache-event-lag-ms", "0", "--cache-event-gap", "0",
+    )  # fmt: skip
+
+
+@pytest.fixture
+def begin(until):
+    """Start long streams one after the other, without reading them."""
+    open_ones = []
+
+    def begin_all(engine, *attempts):
+        body = completion("p q", max_tokens=30_000, stream=True)
+        for count, attempt in enumerate(attempts, start=1):
+            conn = engine.begin("/v1/completions", body, X_Request_Id=attempt)
+            open_ones.append(conn)
+            until(lambda count=count: len(engine.executions()) == count)
+
+    yield begin_all
+    for conn in open_ones:
+        conn.close()
+
+
+def test_first_come_first_served_up_to_the_batch_and_the_rest_waits(
+    small, begin, until
+):
+    begin(small, "a", "b", "c", "d")
+    until(lambda: small.states() == ["running", "running", "waiting", "waiting"])
+    load = small.json("GET", "/load")
+    assert (load["running"], load["waiting"]) == (2, 2)
+    assert load["waiting_prefill_tokens"] == 4
+    small.call("DELETE", "/v1/streams/b")
+    until(lambda: small.states() == ["running", "cancelled", "running", "waiting"])
+
+
+def test_more_than_may_wait_are_refused_as_not_admitted(small, begin):
+    begin(small, "a", "b", "c", "d")
+    refused = small.call("POST", "/v1/completions", completion("p"))
+    assert (refused.status, refused.headers["X-Not-Admitted"]) == (503, "1")
+    assert len(small.executions()) == 4
+
+
+def test_a_waiting_request_that_is_cancelled_prefills_nothing(small, begin):
+    begin(small, "a", "b", "c")
+    small.call("DELETE", "/v1/streams/c")
+    last = small.executions()[-1]
+    assert (last["state"], last["prefilled_tokens"]) == ("cancelled", 0)
+
+
+def test_a_request_cancelled_in_the_middle_of_its_prefill_records_what_was_done(
+    start, until
+):
+    """A caller gives up while its long prompt is being read.
+
+    The prompt tokens already prefilled are wasted and have to be counted.
+    """
+    engine = start(
+        "engine", "--model", "m", "--prefill-tokens-per-s", "2000",
+        "--prefill-chunk", "20",
+    )  # fmt: skip
+    body = completion(words(20_000), stream=True)
+    conn = engine.begin("/v1/completions", body, X_Request_Id="a")
+    until(lambda: engine.executions() and engine.executions()[0]["prefilled_tokens"])
+    engine.call("DELETE", "/v1/streams/a")
+    (execution,) = engine.executions()
+    assert execution["state"] == "cancelled"
+    assert 0 < execution["prefilled_tokens"] < 20_000
+    assert execution["output_tokens"] == 0
+    conn.close()
+
+
+@pytest.mark.parametrize("chunk", ["0", "100"])
+def test_a_prompt_is_prefilled_once_and_its_blocks_are_reused(start, chunk):
+    engine = start("engine", "--model", "m", "--prefill-chunk", chunk)
+    for prompt in (words(300), words(310), words(256), words(300, "v")):
+        engine.call("POST", "/v1/completions", completion(prompt))
+    counts = [
+        (each["cached_tokens"], each["prefilled_tokens"])
+        for each in engine.executions()
+    ]
+    assert counts == [(0, 300), (256, 54), (255, 1), (0, 300)]
+
+
+def test_a_full_cache_evicts_and_tells(start):
+    engine = start(
+        "engine", "--model", "m", "--cache-tokens", "128",
+        "--cache-event-lag-ms", "0", "--cache-event-gap", "0",
+    )  # fmt: skip
+    for name in "uv":
+        engine.call("POST", "/v1/completions", completion(words(128, name)))
+    events = engine.json("GET", "/cache-events?after=0")
+    kinds = [each["kind"] for each in events["events"]]
+    assert kinds == ["stored"] * 4 + ["evicted"] * 2
+    assert events["next"] == 6
+
+
+def test_exported_blocks_are_imported_elsewhere(start):
+    first = start("engine", "--model", "m")
+    second = start("engine", "--model", "m")
+    prompt = words(200)
+    first.call("POST", "/v1/completions", completion(prompt))
+    blocks = first.json("POST", "/kv/export", {"prompt": prompt})
+    assert second.json("POST", "/kv/export", {"prompt": prompt}) == {"blocks": []}
+    assert second.json("POST", "/kv/import", blocks) == blocks
+    second.call("POST", "/v1/completions", completion(prompt))
+    assert second.executions()[0]["cached_tokens"] == 192
+
+
+def test_the_load_report_lags(start, begin, until):
+    engine = start("engine", "--model", "m", "--report-lag-ms", "600000")
+    begin(engine, "a")
+    until(lambda: engine.states() == ["running"])
+    assert engine.json("GET", "/load")["running"] == 0
+    engine.fault("lag", value=0)
+    until(lambda: engine.json("GET", "/load")["running"] == 1)
