--- /dev/null
+++ b/tests/requests/test_claims.py
@@ -0,0 +1,157 @@
+"""Claims on callers' own keys, with a table service that fails in every way."""
+
+import threading
+
+import pytest
+
+from baobabwing.exceptions import PlatformUnavailableError
+from baobabwing.platform.memory import Fault, MemoryTables
+from baobabwing.requests.claims import Claim, ClaimKeeper
+
+BUDGET_S = 5.0
+
+
+def _claim(node, at_s=100):
+    return Claim(node=node, incarnation=1, claimed_at_s=at_s)
+
+
+@pytest.fixture
+def keepers():
+    started = []
+
+    def make(tables, budget_s=BUDGET_S):
+        keeper = ClaimKeeper(tables=tables, budget_s=budget_s)
+        keeper.start()
+        started.append(keeper)
+        return keeper
+
+    yield make
+    for keeper in started:
+        keeper.stop()
+
+
+def _faults(*faults):
+    """Return a hook that gives these faults to the first calls."""
+    left = list(faults)
+
+    def on_call(call):
+        return left.pop(0) if left else None
+
+    return on_call
+
+
+def test_first_claim_holds(keepers):
+    """A booking is sent to two hosts at once; only one may dispatch it."""
+    tables = MemoryTables()
+    one, two = keepers(tables), keepers(tables)
+    assert one.claim("salon", "k", _claim("a")) == _claim("a")
+    assert two.claim("salon", "k", _claim("b")) == _claim("a")
+    assert two.claim("rival", "k", _claim("b")) == _claim("b")
+
+
+def test_race_of_many(keepers):
+    tables = MemoryTables()
+    nodes = [f"n{number}" for number in range(8)]
+    makers = {node: keepers(tables) for node in nodes}
+    held = {}
+
+    def claim(node):
+        held[node] = makers[node].claim("salon", "k", _claim(node))
+
+    threads = [threading.Thread(target=claim, args=(node,)) for node in nodes]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len(set(held.values())) == 1
+
+
+def test_lost_answer_is_settled_by_reading_back(keepers):
+    """The insert takes effect and its answer is lost; the booking must go on."""
+    keeper = keepers(MemoryTables(on_call=_faults(Fault.LOSE_ANSWER)))
+    assert keeper.claim("salon", "k", _claim("a")) == _claim("a")
+
+
+def test_lost_answer_may_hide_a_rival(keepers):
+    """The answer that was lost would have said that another host has the key.
+
+    A host that took the loss for success would dispatch a second time.
+    """
+    tables = MemoryTables()
+    keepers(tables).claim("salon", "k", _claim("b"))
+    tables.on_call = _faults(Fault.LOSE_ANSWER, Fault.REFUSE)
+    assert keepers(tables).claim("salon", "k", _claim("a")) == _claim("b")
+
+
+def test_lost_request_is_not_run(keepers):
+    """The insert never arrived; reading back finds nothing, so it is not run."""
+    keeper = keepers(MemoryTables(on_call=_faults(Fault.LOSE_REQUEST)))
+    with pytest.raises(PlatformUnavailableError):
+        keeper.claim("salon", "k", _claim("a"))
+    assert keeper.claim("salon", "k", _claim("a", 101)) == _claim("a", 101)
+
+
+def test_lost_answer_and_store_down_after(keepers):
+    """Whether the insert took effect cannot be read; nothing is dispatched.
+
+    When the store is back, the claim that was left names this host, and the
+    caller's next try goes on with it.
+    """
+    faults = (Fault.LOSE_ANSWER, *(Fault.REFUSE,) * 3)
+    keeper = keepers(MemoryTables(on_call=_faults(*faults)))
+    with pytest.raises(PlatformUnavailableError):
+        keeper.claim("salon", "k", _claim("a"))
+    assert keeper.claim("salon", "k", _claim("a", 101)) == _claim("a")
+
+
+def test_store_down(keepers):
+    """The store is down; the caller hears at once, not after its deadline."""
+    keeper = keepers(MemoryTables(on_call=lambda call: Fault.REFUSE))
+    with pytest.raises(PlatformUnavailableError):
+        keeper.claim("salon", "k", _claim("a"))
+
+
+def test_store_hangs(keepers):
+    """The store hangs past the budget; then its insert takes effect all the same.
+
+    The claim is this host's, so its next try may go on, and another host's not.
+    """
+    going_on = threading.Event()
+
+    def hang(call):
+        going_on.wait(20.0)
+
+    tables = MemoryTables(on_call=hang)
+    keeper = keepers(tables, budget_s=0.05)
+    with pytest.raises(PlatformUnavailableError):
+        keeper.claim("salon", "k", _claim("a"))
+    going_on.set()
+    assert keepers(tables).claim("salon", "k", _claim("b")) == _claim("a")
+
+
+def test_waiting_claims_go_out_as_one_write(keepers):
+    """A morning rush of bookings must fit into a few hundred writes a second."""
+    first_in, going_on = threading.Event(), threading.Event()
+    inserts = []
+
+    def on_call(call):
+        inserts.append(call)
+        first_in.set()
+        going_on.wait(20.0)
+
+    tables = MemoryTables(on_call=on_call)
+    keeper = keepers(tables, budget_s=20.0)
+    threads = [
+        threading.Thread(target=keeper.claim, args=("salon", f"k{n}", _claim("a")))
+        for n in range(33)
+    ]
+    threads[0].start()
+    first_in.wait(20.0)
+    for thread in threads[1:]:
+        thread.start()
+    while keeper._queue.qsize() < 32:
+        threads[1].join(0.001)
+    going_on.set()
+    for thread in threads:
+        thread.join(20.0)
+    assert len(inserts) == 2
--- /dev/null
+++ b/tests/requests/test_registry.py
@@ -0,0 +1,103 @@
+"""The registry recognises every key that may still be used."""
+
+from baobabwing.requests.outcome import Outcome
+from baobabwing.requests.registry import RequestRegistry
+
+
+def _registry():
+    return RequestRegistry(retention_s=10.0)
+
+
+def _run(req, placement, outcome=Outcome.ANSWERED):
+    req.permit(placement)
+    req.dispatch()
+    req.close(outcome)
+
+
+def test_second_try_finds_the_first(make_request):
+    """A caller's app sends its booking again while the first try still runs."""
+    registry = _registry()
+    first, second = make_request(1, key="k"), make_request(2, key="k")
+    assert registry.enter(first, 0.0) is None
+    assert registry.enter(second, 0.0) is first
+    assert registry.find("salon", "k") is first
+
+
+def test_second_try_after_the_end_finds_the_first(make_request, place):
+    registry = _registry()
+    first = make_request(1, key="k")
+    registry.enter(first, 0.0)
+    _run(first, place(), Outcome.UNKNOWN)
+    registry.leave(first, 1.0)
+    assert registry.enter(make_request(2, key="k"), 10.9) is first
+
+
+def test_key_of_a_request_not_run_may_be_used_again(make_request):
+    registry = _registry()
+    first, second = make_request(1, key="k"), make_request(2, key="k")
+    registry.enter(first, 0.0)
+    first.give_up()
+    assert registry.enter(second, 0.0) is None
+    registry.leave(first, 0.0)
+    assert registry.enter(make_request(3, key="k"), 0.0) is second
+
+
+def test_late_leave_of_the_first_does_not_forget_the_second(make_request):
+    """A first try that was not run leaves only after the second has begun.
+
+    If that dropped the key, a third try would be dispatched beside the second.
+    """
+    registry = _registry()
+    first, second = make_request(1, key="k"), make_request(2, key="k")
+    registry.enter(first, 0.0)
+    first.give_up()
+    registry.enter(second, 0.0)
+    registry.leave(first, 0.0)
+    assert registry.enter(make_request(3, key="k"), 100.0) is second
+
+
+def test_open_request_is_never_forgotten(make_request):
+    registry = _registry()
+    first = make_request(1, key="k")
+    registry.enter(first, 0.0)
+    assert registry.enter(make_request(2, key="k"), 1e6) is first
+
+
+def test_closed_request_is_forgotten_after_the_retention(make_request, place):
+    registry = _registry()
+    first = make_request(1, key="k")
+    registry.enter(first, 0.0)
+    _run(first, place())
+    registry.leave(first, 0.0)
+    registry.enter(make_request(2, key="other"), 11.0)
+    assert registry.find("salon", "k") is None
+    assert registry.size() == 2
+
+
+def test_keys_belong_to_their_organisation(make_request):
+    """Two salons happen to use one key; neither may get the other's answer."""
+    registry = _registry()
+    assert registry.enter(make_request(1, key="k"), 0.0) is None
+    rival = make_request(2, key="k", organisation="rival")
+    assert registry.enter(rival, 0.0) is None
+
+
+def test_requests_without_a_key_are_apart(make_request):
+    registry = _registry()
+    assert registry.enter(make_request(1), 0.0) is None
+    assert registry.enter(make_request(2), 0.0) is None
+    assert len(registry.open_requests()) == 2
+
+
+def test_what_a_new_home_is_told(make_request, place):
+    """A new home must hear of permitted and dispatched requests of its cell only."""
+    registry = _registry()
+    waiting, permitted, sent, other = (make_request(n) for n in range(4))
+    for req in (waiting, permitted, sent, other):
+        registry.enter(req, 0.0)
+    permitted.permit(place())
+    sent.permit(place())
+    sent.dispatch()
+    other.permit(place(cell="assistant/1"))
+    told = {req for req, _ in registry.dispatched_in("assistant/0")}
+    assert told == {permitted, sent}
