Bound capacity by deadlines and count doubled attempts in the bench

And records were merged by attempt id alone, so that an attempt which reached one upstream twice would have passed for one execution. Ruled out: cutting off the work after the load, which would count requests as lost that were answered in time. Change: the limit is what a pool does in time at most, earliest deadline first and parts counted; executions are told apart by attempt and start; attempts are matched in the form that entries give them; refusals that do not follow from load are left out of tier inversions; unknown policies are refused; logs go after a clean run.

--- a/baobabwing/bench/capacity.py
+++ b/baobabwing/bench/capacity.py
@@ -2,13 +2,29 @@
 
 from __future__ import annotations
 
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass
+
 from baobabwing.bench.shapes import EngineSpec, ServiceSpec, Shape
 
-__all__ = ["engine_seconds", "pool_seconds", "service_seconds"]
+__all__ = ["Job", "engine_seconds", "most_work_in_time", "pool_seconds"]
 
 MS_PER_S = 1_000.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class Job:
+    """Work that counts only between two times, in seconds from the run's start.
+
+    :param work: in pool-seconds.
+    """
+
+    start_s: float
+    deadline_s: float
+    work: float
+
+
 def engine_seconds(
     spec: EngineSpec, *, prefill_tokens: float, output_tokens: float
 ) -> float:
@@ -27,7 +43,7 @@
     return prefill_s + decode_s
 
 
-def service_seconds(spec: ServiceSpec) -> float:
+def _service_seconds(spec: ServiceSpec) -> float:
     """Return the share of a service worker's time that one call takes up."""
     return spec.service.service_ms / MS_PER_S / spec.service.concurrency
 
@@ -47,7 +63,42 @@
         for spec in shape.engines
         if spec.pool == pool
     ]
-    costs += [service_seconds(spec) for spec in shape.services if spec.pool == pool]
+    costs += [_service_seconds(spec) for spec in shape.services if spec.pool == pool]
     if not costs:
         raise KeyError(pool)
     return 1.0 / sum(1.0 / cost for cost in costs)
+
+
+def most_work_in_time(jobs: Iterable[Job]) -> float:
+    """Return the most pool-seconds of work that one pool can do in time.
+
+    Work counts by its amount, also where a job is done only in part, and jobs may be
+    interrupted; then "earliest deadline first" does the most. No real scheduler does
+    better, since it counts whole jobs only. Time grows as n log n.
+
+    References: C. L. Liu and J. W. Layland, "Scheduling Algorithms for
+    Multiprogramming in a Hard-Real-Time Environment", Journal of the ACM 20(1), 1973.
+    """
+    coming = sorted(jobs, key=lambda job: job.start_s)
+    waiting: list[tuple[float, int, float]] = []
+    done = now_s = 0.0
+    for index, job in enumerate(coming):
+        done += _work_until(waiting, now_s, job.start_s)
+        now_s = job.start_s
+        heapq.heappush(waiting, (job.deadline_s, index, job.work))
+    return done + _work_until(waiting, now_s, float("inf"))
+
+
+def _work_until(
+    waiting: list[tuple[float, int, float]], now_s: float, until_s: float
+) -> float:
+    """Do waiting work, the earliest deadline first, and return how much was done."""
+    done = 0.0
+    while waiting and now_s < until_s:
+        deadline_s, index, work = heapq.heappop(waiting)
+        part = max(0.0, min(work, deadline_s - now_s, until_s - now_s))
+        done += part
+        now_s += part
+        if work > part and deadline_s > now_s:
+            heapq.heappush(waiting, (deadline_s, index, work - part))
+    return done
--- a/baobabwing/bench/executions.py
+++ b/baobabwing/bench/executions.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import re
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -49,12 +48,15 @@
     :param documents: executions in order of writing, several of one attempt too.
     :param epoch_s: wall clock at the start of the run.
     """
-    last: dict[str, Mapping[str, Any]] = {}
+    last: dict[tuple[str, float], Mapping[str, Any]] = {}
     for document in documents:
-        known = last.get(document["attempt"])
+        # Not by attempt alone: an attempt that reached its upstream twice would be
+        # taken for one execution, and the very fault looked for would be hidden.
+        identity = document["attempt"], document["started_at"]
+        known = last.get(identity)
         # A record read over HTTP knows more of a running request than the file.
         if known is None or document["finished_at"] or not known["prefilled_tokens"]:
-            last[document["attempt"]] = document
+            last[identity] = document
     return [_executed(upstream, item, epoch_s) for item in last.values()]
 
 
@@ -83,11 +85,9 @@
             by_id[answer.request_id] = answer.index
     found: dict[int, list[Executed]] = defaultdict(list)
     for one in sorted(executions, key=lambda item: item.started_s):
-        request_id = re.sub(r"\.\d+$", "", one.attempt)
-        index = by_key.get(one.key) if one.key else None
-        if index is None:
-            index = by_id.get(request_id, by_id.get(one.attempt, -1))
-        found[index].append(one)
+        request_id = one.attempt.removesuffix(f".{one.upstream}")
+        index = by_key.get(one.key) if one.key else by_id.get(request_id)
+        found[-1 if index is None else index].append(one)
     return found
 
 
--- a/baobabwing/bench/figures.py
+++ b/baobabwing/bench/figures.py
@@ -10,13 +10,14 @@
 
 from baobabwing.bench.answers import Answer, Verdict
 from baobabwing.bench.arrivals import Arrival
-from baobabwing.bench.capacity import pool_seconds
+from baobabwing.bench.capacity import Job, most_work_in_time, pool_seconds
 from baobabwing.bench.executions import Executed, by_request
 from baobabwing.bench.shapes import Shape
+from baobabwing.pools.permits import RefusalCode
 
 __all__ = [
     "INVERSION_WINDOW_S",
-    "LIMIT_CODES",
+    "NOT_FOR_LOAD",
     "CapacityFigures",
     "Inversions",
     "PrefillFigures",
@@ -39,8 +40,18 @@
 # was told "shed" shows that the lower tier was still admitted. See
 # docs/operators/bench.md for what it can miss and what it can count too much.
 INVERSION_WINDOW_S = 0.05
-# Refusals that follow from the caller itself, and not from a lack of capacity.
-LIMIT_CODES = frozenset({"organisation_limit", "rate_limited", "retry_budget"})
+# Refusals that do not follow from load: the caller's own limits and deadline, a key
+# that is used already or cannot be claimed.
+NOT_FOR_LOAD = frozenset(
+    {
+        RefusalCode.DEADLINE,
+        RefusalCode.DUPLICATE,
+        RefusalCode.CLOSED,
+        "over_limit",
+        "first_not_run",
+        "claim_unavailable",
+    }
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -155,7 +166,7 @@
     """Engine time of good answers against what the engines can do at most.
 
     :param offered: pool-seconds of all requests to engines.
-    :param limit: the lesser of offered work and what the engines can do.
+    :param limit: the most that the engines can do of it in time.
     :param good: pool-seconds of requests answered whole and in time.
     """
 
@@ -277,7 +288,7 @@
     sheds = [
         answer
         for answer in run.answers
-        if answer.verdict is Verdict.SHED and answer.code not in LIMIT_CODES
+        if answer.verdict is Verdict.SHED and answer.code not in NOT_FOR_LOAD
     ]
     inverted = sum(_is_inverted(run.arrivals[one.index], one, starts) for one in sheds)
     return Inversions(sheds=len(sheds), inverted=inverted)
@@ -301,10 +312,11 @@
 def capacity_figures(run: Run) -> CapacityFigures:
     """Weigh good answers by the engine time that they need at the least.
 
-    The limit assumes full batches, all shared prompt heads cached, and work that
-    can be shifted freely within the run; so it is an upper bound.
+    The limit assumes full batches and all shared prompt heads cached, knows all
+    arrivals beforehand and lets requests be done in part; it is an upper bound.
     """
     good = offered = 0.0
+    jobs: dict[str, list[Job]] = defaultdict(list)
     for answer in run.answers:
         arrival = run.arrivals[answer.index]
         if not arrival.to_engine:
@@ -318,7 +330,11 @@
         offered += work
         if _is_good(arrival, answer):
             good += work
-    return CapacityFigures(offered=offered, limit=min(offered, run.seconds), good=good)
+        deadline_s = arrival.at_s + arrival.deadline_ms / MS_PER_S
+        job = Job(start_s=arrival.at_s, deadline_s=deadline_s, work=work)
+        jobs[arrival.pool].append(job)
+    limit = sum(most_work_in_time(pool_jobs) for pool_jobs in jobs.values())
+    return CapacityFigures(offered=offered, limit=limit, good=good)
 
 
 def _one_tier(run: Run, name: str, rank: int, answers: Sequence[Answer]) -> TierFigures:
--- a/baobabwing/cli/bench.py
+++ b/baobabwing/cli/bench.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import shutil
 import signal
 import sys
 import time
@@ -21,6 +22,7 @@
 from baobabwing.bench.scenarios import Scenario, get_scenario, scenario_names
 from baobabwing.bench.tables import figures_text
 from baobabwing.exceptions import BaobabwingError
+from baobabwing.pools.policies import policy_names
 
 __all__ = ["app"]
 
@@ -34,6 +36,14 @@
     help="Put load on a deployment of stand-ins and nodes.", no_args_is_help=True
 )
 
+Nodes = Annotated[
+    int, typer.Option(min=0, help="Node processes; 0 for the shape's own.")
+]
+Logs = Annotated[
+    Path | None,
+    typer.Option(help="Keep logs and records here; else kept only after a fault."),
+]
+
 
 @app.command()
 def run(
@@ -54,24 +64,25 @@
     fault: Annotated[
         str, typer.Option(help=f"At a third of the run: {' | '.join(fault_names())}")
     ] = "",
-    nodes: Annotated[
-        int, typer.Option(min=0, help="Node processes; 0 for the shape's own.")
-    ] = 0,
+    nodes: Nodes = 0,
+    logs: Logs = None,
 ) -> None:
     """Run a scenario under one or several policies, with the same requests."""
     chosen = _scenario(scenario)
     _check_fault(fault)
+    policies = _policies(policy)
     if plot is not None:
         load_pyplot()
     _end_on_sigterm()
     figures = []
-    for name in policy.split(","):
+    for name in policies:
         options = RunOptions(
-            policy=name.strip(),
+            policy=name,
             seed=seed,
             seconds=seconds,
             nodes=nodes,
             fault=get_fault(fault) if fault else None,
+            folder=logs / name if logs else None,
         )
         figures.append(_run_one(chosen, options))
     if json_file is not None:
@@ -85,9 +96,8 @@
     seconds: Annotated[
         float, typer.Option(min=1.0, help="Length of the load, in seconds.")
     ] = DEMO_SECONDS,
-    nodes: Annotated[
-        int, typer.Option(min=0, help="Node processes; 0 for the shape's own.")
-    ] = 0,
+    nodes: Nodes = 0,
+    logs: Logs = None,
 ) -> None:
     """Show a small deployment at work, and check it against the upstreams' records.
 
@@ -96,7 +106,11 @@
     """
     _end_on_sigterm()
     options = RunOptions(
-        policy=DEFAULT_POLICY, seed=DEMO_SEED, seconds=seconds, nodes=nodes
+        policy=DEFAULT_POLICY,
+        seed=DEMO_SEED,
+        seconds=seconds,
+        nodes=nodes,
+        folder=logs,
     )
     scenario = get_scenario(DEMO_SCENARIO)
     typer.echo(f"{scenario.name}: {scenario.story}")
@@ -108,6 +122,7 @@
     if faults:
         typer.echo(f"logs and records: {result.folder}")
         raise typer.Exit(code=1)
+    _discard(result, options)
     typer.echo(
         f"all {len(result.run.answers)} answers were whole and their request's own;"
         " the upstreams' records show each request executed exactly once;"
@@ -121,6 +136,13 @@
     return get_scenario(name)
 
 
+def _policies(names: str) -> list[str]:
+    chosen = [name.strip() for name in names.split(",")]
+    if not set(chosen) <= set(policy_names()):
+        raise typer.BadParameter(f"policies are {', '.join(policy_names())}")
+    return chosen
+
+
 def _check_fault(name: str) -> None:
     if name and name not in fault_names():
         raise typer.BadParameter(f"one of {', '.join(fault_names())}")
@@ -133,9 +155,16 @@
     bad = {name: status for name, status in result.exits.items() if status}
     if bad:
         typer.echo(f"FAULT no graceful stop: {bad}; logs: {result.folder}")
+    else:
+        _discard(result, options)
     return figures
 
 
+def _discard(result: RunResult, options: RunOptions) -> None:
+    if options.folder is None:
+        shutil.rmtree(result.folder, ignore_errors=True)
+
+
 def _run(scenario: Scenario, options: RunOptions) -> RunResult:
     try:
         return run_scenario(scenario, options, report=_Reporter())
--- a/tests/bench/test_arrivals.py
+++ b/tests/bench/test_arrivals.py
@@ -3,7 +3,7 @@
 import pytest
 
 from baobabwing.bench.arrivals import draw_arrivals, prompt_text
-from baobabwing.bench.capacity import pool_seconds
+from baobabwing.bench.capacity import Job, most_work_in_time, pool_seconds
 from baobabwing.bench.scenarios import get_scenario, scenario_names
 from baobabwing.bench.shapes import build_configuration, get_shape, shape_names
 from baobabwing.settings.documents import check_configuration
@@ -88,3 +88,23 @@
     check_configuration(cfg)
     assert {pool.policy for pool in cfg.pools} == {"random"}
     assert len(cfg.upstreams) == len(specs)
+
+
+@pytest.mark.parametrize(
+    ("jobs", "most"),
+    [
+        ([(0.0, 10.0, 2.0)], 2.0),
+        ([(0.0, 1.0, 2.0)], 1.0),
+        ([(0.0, 10.0, 4.0), (1.0, 3.0, 2.0)], 6.0),
+        ([(0.0, 2.0, 2.0), (0.0, 2.0, 2.0)], 2.0),
+        ([(0.0, 1.0, 1.0), (5.0, 6.0, 1.0)], 2.0),
+        ([(0.0, 8.0, 5.0), (0.0, 3.0, 3.0), (2.0, 4.0, 3.0)], 8.0),
+        ([], 0.0),
+    ],
+)
+def test_most_work_in_time(jobs, most):
+    found = most_work_in_time(
+        Job(start_s=start_s, deadline_s=deadline_s, work=work)
+        for start_s, deadline_s, work in jobs
+    )
+    assert found == pytest.approx(most)
--- a/tests/bench/test_figures.py
+++ b/tests/bench/test_figures.py
@@ -25,10 +25,10 @@
 PREFILLED = 100
 
 
-def _executed(index, *, started_s=1.0, state="finished", attempt=1):
+def _executed(index, *, started_s=1.0, state="finished", upstream="engine-1"):
     return Executed(
-        upstream="engine-1",
-        attempt=f"r{index}.{attempt}",
+        upstream=upstream,
+        attempt=f"r{index}.{upstream}",
         key=f"k{index}",
         prompt_tokens=PREFILLED,
         cached_tokens=0,
@@ -121,8 +121,8 @@
     rota = _first(calm, "colour-history").index
     run = _with_answer(calm, rota, verdict=Verdict.UNKNOWN)
     again = [
-        _executed(chat, started_s=9.0, attempt=2),
-        _executed(chat, started_s=0.0, attempt=3, state="cancelled"),
+        _executed(chat, started_s=9.0, upstream="engine-2"),
+        _executed(chat, started_s=0.0, upstream="engine-3", state="cancelled"),
     ]
     figures = _prefill(replace(run, executions=[*run.executions, *again]))
     assert figures.dropped == PREFILLED
@@ -133,10 +133,10 @@
 @pytest.mark.parametrize(
     ("lower_after_s", "code", "sheds", "inverted"),
     [
-        (INVERSION_WINDOW_S / 2, "overload", 1, 1),
-        (INVERSION_WINDOW_S * 2, "overload", 1, 0),
-        (-0.01, "overload", 1, 0),
-        (INVERSION_WINDOW_S / 2, "rate_limited", 0, 0),
+        (INVERSION_WINDOW_S / 2, "overloaded", 1, 1),
+        (INVERSION_WINDOW_S * 2, "overloaded", 1, 0),
+        (-0.01, "overloaded", 1, 0),
+        (INVERSION_WINDOW_S / 2, "over_limit", 0, 0),
     ],
 )
 def test_inversion_is_lower_tier_work_started_soon_after_a_shed(
@@ -170,7 +170,7 @@
     One request has no execution, one has two, one answer is another's, and one
     node did not stop gracefully.
     """
-    executions = [*calm.executions[1:], _executed(2, attempt=2)]
+    executions = [*calm.executions[1:], _executed(2, upstream="engine-2")]
     run = _with_answer(
         replace(calm, executions=executions), 1, verdict=Verdict.WRONG, code="x"
     )
@@ -186,7 +186,7 @@
     unkeyed = [replace(one, key="") for one in calm.executions]
     found = by_request(calm.answers, unkeyed)
     assert set(found) == {one.index for one in calm.arrivals}
-    stranger = replace(unkeyed[0], attempt="other.1")
+    stranger = replace(unkeyed[0], attempt="other.engine-1")
     assert list(by_request(calm.answers, [stranger])) == [-1]
 
 
@@ -197,7 +197,7 @@
     the file got at the start of the request must not hide that.
     """
     item = {
-        "attempt": "r1.1",
+        "attempt": "r1.engine-1",
         "key": "k1",
         "prompt_tokens": 50,
         "cached_tokens": 0,
@@ -216,6 +216,28 @@
     assert found.finished
 
 
+def test_attempt_that_reached_its_upstream_twice_is_two_executions(calm):
+    """A doubled dispatch to the same upstream must not pass for one.
+
+    Both executions have one attempt id, and the record shows both, each with its
+    own start.
+    """
+    item = {
+        "attempt": "r0.engine-1",
+        "key": "k0",
+        "prompt_tokens": 50,
+        "cached_tokens": 0,
+        "prefilled_tokens": 50,
+        "output_tokens": 3,
+        "state": "finished",
+        "started_at": 11.0,
+        "finished_at": 12.0,
+    }
+    record = [item, {**item, "started_at": 11.5, "finished_at": 12.5}]
+    executions = merge_records("engine-1", record, epoch_s=10.0)
+    assert _safety(replace(calm, executions=executions)).executed_twice == 1
+
+
 def test_quantiles_are_nearest_rank():
     found = quantiles([float(value) for value in range(1, 101)])
     assert (found.p50, found.p95, found.p99) == (50.0, 95.0, 99.0)
