--- a/baobabwing/fleet/link.py
+++ b/baobabwing/fleet/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 import time
@@ -102,6 +103,8 @@
             data, source = self._sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
         except OSError:
             return None
+        if not data:
+            return None
         self.counters.add_received(len(data))
         return self._open(data, _join(source))
 
@@ -114,6 +117,11 @@
             self._logged_at[reason] = now
             log(DATAGRAM_DROPPED, reason=reason.value, peer=address, detail=detail)
 
+    def wake(self) -> None:
+        """Have a thread that waits in :meth:`receive` return now."""
+        with contextlib.suppress(OSError):
+            self._sock.sendto(b"", _split(self.address))
+
     def close(self) -> None:
         """Close the socket."""
         self._sock.close()
--- a/baobabwing/fleet/membership.py
+++ b/baobabwing/fleet/membership.py
@@ -178,6 +178,7 @@
         self._receiver.stop()
         self._prober.stop()
         self._seeds.stop()
+        self._link.wake()
         for thread in self._threads:
             if thread.is_alive():
                 thread.join(_STOP_TIMEOUT_S)
--- a/baobabwing/fleet/verdict.py
+++ b/baobabwing/fleet/verdict.py
@@ -9,7 +9,7 @@
 
 __all__ = ["Verdict", "judge"]
 
-_ZONES_WHEN_MOST_ARE_SILENT = 2
+_ZONES_ABOVE_DOUBT = 2
 
 
 class Verdict(StrEnum):
@@ -33,24 +33,27 @@
     A node whose own link is cut sees everybody silent. It gets no confirmation
     either, so it holds; when its whole zone is cut, only its own zone confirms,
     so it holds too. A zone that is lost is silent to all other zones, and these
-    confirm it to each other.
+    confirm it to each other. Two zones apart from the own one are believed
+    whatever else is silent; with fewer, how many answer is weighed as well.
 
     :param others: live members but for the two.
     :param confirmed: zones, by name, of members that found the target silent.
     :param silent: members that do not answer this node at present.
     :param answered: members that did answer since the target fell silent.
     """
-    zones = {host.zone for host in others}
-    if not zones:
+    others = tuple(others)
+    if not others:
         return Verdict.DEAD
     foreign = {zone for zone in confirmed.values() if zone != me.zone}
-    if zones - {me.zone} and not foreign:
-        return Verdict.HOLD
-    if not confirmed:
-        return Verdict.HOLD
-    # Two nodes behind one dead switch confirm to each other that the rest is
-    # dead. It shows in that most of those they probe are silent; then only two
-    # zones apart from the own one, which do not share the switch, are believed.
-    if silent > answered + 1 and len(foreign) < _ZONES_WHEN_MOST_ARE_SILENT:
-        return Verdict.HOLD
-    return Verdict.DEAD
+    if len(foreign) >= _ZONES_ABOVE_DOUBT:
+        return Verdict.DEAD
+    if foreign:
+        believed = silent <= answered + 1
+    elif any(host.zone != me.zone for host in others):
+        believed = False
+    else:
+        # Two nodes behind one dead switch confirm to each other that the rest is
+        # dead. It shows in that most of those they probe are silent.
+        most_answer = answered > silent or answered >= len(others)
+        believed = bool(confirmed) and most_answer
+    return Verdict.DEAD if believed else Verdict.HOLD
--- /dev/null
+++ b/tests/fleet/test_homes.py
@@ -0,0 +1,112 @@
+import pytest
+
+from baobabwing.fleet.addresses import address_answer
+from baobabwing.fleet.homes import home_of, ranking
+from baobabwing.fleet.host import Host, Member, MemberState
+from baobabwing.fleet.view import FleetView
+
+RESOURCES = [f"cell/{i}" for i in range(600)]
+
+
+def host(name, zone="a", weight=1.0):
+    return Host(
+        name=name,
+        incarnation=1,
+        zone=zone,
+        region="r",
+        peer=f"{name}:1",
+        http=f"{name}:2",
+        weight=weight,
+    )
+
+
+def view_of(*hosts, states=None):
+    states = states or {}
+    return FleetView(
+        members=tuple(
+            Member(host=item, state=states.get(item.name, MemberState.ALIVE))
+            for item in hosts
+        )
+    )
+
+
+HOSTS = [host(f"{zone}{i}", zone) for zone in "abc" for i in range(2)]
+
+
+def test_only_homes_of_the_lost_host_move():
+    before, lost = view_of(*HOSTS), HOSTS[3]
+    after = view_of(*HOSTS, states={lost.name: MemberState.DEAD})
+    for resource in RESOURCES:
+        first, second = ranking(before, resource)[:2]
+        assert home_of(before, resource) == first
+        assert home_of(after, resource) == (second if first == lost else first)
+
+
+def test_homes_are_shared_by_weight():
+    view = view_of(host("big", weight=3.0), host("small", weight=1.0))
+    share = sum(home_of(view, r).name == "big" for r in RESOURCES) / len(RESOURCES)
+    assert 0.7 < share < 0.8
+
+
+def test_zone_goes_first_while_it_has_a_host():
+    view = view_of(*HOSTS)
+    assert all(home_of(view, r, zone="b").zone == "b" for r in RESOURCES)
+    assert [h.zone for h in ranking(view, "cell/1", zone="b")][:2] == ["b", "b"]
+    states = {"b0": MemberState.LEAVING, "b1": MemberState.LEFT}
+    emptied = view_of(*HOSTS, states=states)
+    assert home_of(emptied, "cell/1", zone="b") == home_of(emptied, "cell/1")
+
+
+@pytest.mark.parametrize(
+    ("state", "serves"),
+    [
+        (MemberState.ALIVE, True),
+        (MemberState.SUSPECT, True),
+        (MemberState.LEAVING, False),
+        (MemberState.DEAD, False),
+        (MemberState.LEFT, False),
+    ],
+)
+def test_who_is_home_by_state(state, serves):
+    view = view_of(host("x"), states={"x": state})
+    assert (home_of(view, "cell/1") is not None) is serves
+
+
+def test_incarnation_is_current_until_the_host_is_gone():
+    """A key names the incarnation of the node that owns its request.
+
+    A leaving owner still answers for it; a dead or replaced one does not.
+    """
+    states = {"a0": MemberState.LEAVING, "a1": MemberState.DEAD}
+    view = view_of(*HOSTS, states=states)
+    assert view.is_current("a0", 1)
+    assert view.is_current("b0", 1)
+    assert not view.is_current("b0", 2)
+    assert not view.is_current("a1", 1)
+    assert not view.is_current("unknown", 1)
+
+
+def answer(view, **kwargs):
+    return address_answer(view, me=host("me"), zone="a", **{"seed": "1", **kwargs})
+
+
+def test_answer_prefers_the_zone_and_keeps_one_outside():
+    hosts = [*HOSTS, host("a8", "a"), host("a9", "a")]
+    zones = [h.zone for h in answer(view_of(*hosts)).hosts]
+    assert zones[:2] == ["a", "a"]
+    assert zones[2] != "a"
+
+
+def test_answer_spares_loaded_hosts():
+    view = view_of(*HOSTS[:2])
+    first = [
+        answer(view, seed=str(i), loads={"a0": 0.9}).hosts[0].name for i in range(300)
+    ]
+    assert first.count("a0") < 60
+
+
+def test_answer_withdraws_leaving_hosts_and_never_is_empty():
+    view = view_of(*HOSTS[:2], states={"a0": MemberState.LEAVING})
+    assert [h.name for h in answer(view).hosts] == ["a1"]
+    nobody = view_of(host("me"), states={"me": MemberState.LEAVING})
+    assert [h.name for h in answer(nobody).hosts] == ["me"]
--- /dev/null
+++ b/tests/wire/test_datagram.py
@@ -0,0 +1,153 @@
+import contextlib
+import random
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from baobabwing.exceptions import WireError
+from baobabwing.wire.authentication import open_sealed, seal
+from baobabwing.wire.datagram import (
+    MAX_DATAGRAM_BYTES,
+    MAX_UPDATES,
+    Datagram,
+    DatagramKind,
+    MemberRecord,
+    decode,
+    encode,
+    record_size,
+)
+from baobabwing.wire.schema import load_schema
+
+texts = st.text(
+    st.characters(exclude_categories=["Cs"], exclude_characters="\0"), max_size=40
+)
+names = texts.filter(bool)
+numbers = st.integers(0, 2**64 - 1)
+records = st.builds(
+    MemberRecord,
+    name=names,
+    incarnation=numbers,
+    state=st.integers(0, 255),
+    refutation=st.integers(0, 2**32 - 1),
+    zone=texts,
+    region=texts,
+    peer=texts,
+    http=texts,
+    weight=st.integers(0, 2**16 - 1),
+)
+datagrams = st.builds(
+    Datagram,
+    kind=st.sampled_from(DatagramKind),
+    sender=names,
+    incarnation=numbers,
+    sequence=numbers,
+    configuration=numbers,
+    holds=numbers,
+    target=texts,
+    answers=numbers,
+    digest=numbers,
+    updates=st.lists(records, max_size=3).map(tuple),
+)
+
+
+@seed(1)
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(datagram=datagrams)
+def test_round_trip_and_size_estimate(datagram):
+    packed = encode(datagram)
+    bare = encode(Datagram(kind=1, sender="x", incarnation=0, sequence=0))
+    texts = (datagram.sender, datagram.target)
+    estimate = sum(record_size(record) for record in datagram.updates)
+    # 120 bytes for the numbers of the head, a quarter more for text that packs
+    # badly.
+    head = len(bare) + 120 + sum(len(t.encode()) * 5 // 4 for t in texts)
+    assert len(packed) <= head + estimate
+    if len(packed) <= MAX_DATAGRAM_BYTES:
+        assert decode(packed) == datagram
+
+
+def example():
+    record = MemberRecord(name="x", incarnation=7, state=3, peer="127.0.0.1:1")
+    return encode(
+        Datagram(
+            kind=DatagramKind.GOSSIP,
+            sender="me",
+            incarnation=1,
+            sequence=2,
+            updates=(record,) * 4,
+        )
+    )
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(payload=st.binary(max_size=200))
+def test_any_bytes_are_read_or_refused(payload):
+    with contextlib.suppress(WireError):
+        assert isinstance(decode(payload), Datagram)
+
+
+def test_damaged_datagrams_are_read_or_refused():
+    rng = random.Random(1)
+    refused = 0
+    for _ in range(3000):
+        damaged = bytearray(example())
+        for _ in range(rng.randint(1, 4)):
+            damaged[rng.randrange(len(damaged))] = rng.randrange(256)
+        try:
+            decode(bytes(damaged[: rng.randint(1, len(damaged))]))
+        except WireError:
+            refused += 1
+    assert refused > 1000
+
+
+def test_list_that_claims_too_many_updates_is_refused():
+    """A forged list of empty elements claims half a milliard entries.
+
+    Reading it entry by entry would stop the receiving thread for minutes, and
+    the node would be declared dead.
+    """
+    message = load_schema().Datagram.new_message(kind=1, sender="x")
+    message.init("updates", MAX_UPDATES + 1)
+    with pytest.raises(WireError):
+        decode(message.to_bytes_packed())
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"",
+        b"\0" * (MAX_DATAGRAM_BYTES + 1),
+        encode(Datagram(kind=1, sender="", incarnation=1, sequence=1)),
+        encode(Datagram(kind=1, sender="x" * 65, incarnation=1, sequence=1)),
+        encode(Datagram(kind=200, sender="x", incarnation=1, sequence=1)),
+    ],
+)
+def test_out_of_bounds_is_refused(payload):
+    with pytest.raises(WireError):
+        decode(payload)
+
+
+def test_numbers_out_of_range_are_not_encoded():
+    with pytest.raises(WireError):
+        encode(Datagram(kind=1, sender="x", incarnation=-1, sequence=1))
+
+
+def test_seal_is_checked_against_all_secrets_in_force():
+    sealed = seal((b"new", b"old"), b"data", purpose=b"p")
+    assert open_sealed((b"old", b"new"), sealed, purpose=b"p") == b"data"
+    for secrets, data, purpose in (
+        ((b"old",), sealed, b"p"),
+        ((b"new",), sealed, b"q"),
+        ((b"new",), sealed[:-1] + b"x", b"p"),
+        ((b"new",), sealed[:16], b"p"),
+        ((), sealed, b"p"),
+    ):
+        with pytest.raises(WireError):
+            open_sealed(secrets, data, purpose=purpose)
+
+
+@pytest.mark.parametrize("secrets", [(), (b"",)])
+def test_nothing_is_sealed_without_a_secret(secrets):
+    with pytest.raises(WireError):
+        seal(secrets, b"data", purpose=b"p")
