Build the program as one ELF file that starts no process

Cause: the program ships as one binary to hosts without Python and without disks, and a process starts no other process.

Ruled out by trial, with capnp, cheroot and urllib3 imported, 15 starts each: PyInstaller's one-file form (25.3 MB, 702 ms) runs the program as a child, seen as a clone without CLONE_THREAD under strace, and creates files in its temporary folder; its folder form (240 ms) is 64 MB of loose files and executes itself a second time.

Change: a launcher in C is linked with the whole static libpython. Pure modules are read from an uncompressed archive at the end of the program's own file; extension modules and the libraries they need (OpenSSL, libstdc++ and others) are copied to sealed memory-backed files when first imported and loaded from there. No package is needed for the build, only gcc and binutils.

Tests seen red on a scratch copy without the guard, green with it: SIGPIPE (exit by signal 13), libgcc_s not from memory, a second extension module under a used descriptor number ("does not define module export function"). The interrupt test passed without its handlers as well; it stays as a check.

--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,8 @@
 
 clean:
 	rm -rf $(VENV) build dist out
+
+# One ELF file that needs no Python on the host.
+.PHONY: binary
+binary: env
+	$(BIN)/python packaging/build.py
--- /dev/null
+++ b/packaging/boot.py
@@ -0,0 +1,121 @@
+"""First module of the binary: imports extension modules from memory, then runs.
+
+The archive at the end of the binary holds extension modules and the shared
+libraries they need as plain members. Neither can be loaded from inside an
+archive, so each is copied to a sealed memory-backed file when it is first
+imported and loaded from there.
+"""
+
+from __future__ import annotations
+
+import _thread
+import posix
+import sys
+from importlib.machinery import ExtensionFileLoader, ModuleSpec
+
+import _launcher
+import manifest
+
+# The typing module needs an extension module itself: too early for it here.
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+    from types import ModuleType
+    from typing import Any
+
+__all__ = ["run"]
+
+_ARCHIVE = sys.path[0]
+_LIBRARY_FOLDER = "_libraries"
+_EXTENSION_FOLDER = "_extensions"
+
+
+class MemoryExtensionLoader(ExtensionFileLoader):
+    """Loader of one extension module of the archive."""
+
+    def create_module(self, spec: ModuleSpec) -> ModuleType:
+        """Load the module's libraries and the module itself from memory."""
+        for library in manifest.EXTENSIONS[spec.name]:
+            _load_library(library)
+        with _MemoryFile(f"{_EXTENSION_FOLDER}/{spec.name}.so") as path:
+            archived, spec.origin = spec.origin, path
+            try:
+                module = super().create_module(spec)
+            finally:
+                spec.origin = archived
+        module.__file__ = archived
+        return module
+
+    def get_data(self, path: str) -> bytes:
+        """Return a member of the archive."""
+        return _read(path)
+
+
+class MemoryExtensionFinder:
+    """Finder of extension modules and of the distributions' metadata."""
+
+    @staticmethod
+    def find_spec(
+        name: str, path: Sequence[str] | None = None, target: Any = None
+    ) -> ModuleSpec | None:
+        """Return the spec of an extension module of the archive."""
+        if name not in manifest.EXTENSIONS:
+            return None
+        origin = f"{_ARCHIVE}/{_EXTENSION_FOLDER}/{name}.so"
+        return ModuleSpec(name, MemoryExtensionLoader(name, origin), origin=origin)
+
+    @staticmethod
+    def find_distributions(context: Any) -> Iterator[Any]:
+        """Yield the distributions of that name, without searching the archive."""
+        from distributions import find
+
+        return find(context.name, manifest.DISTRIBUTIONS, _read)
+
+
+class _MemoryFile:
+    """Memory-backed copy of a member, there for as long as the ``with`` block."""
+
+    _opened = 0
+
+    def __init__(self, member: str) -> None:
+        self._member = member
+
+    def __enter__(self) -> str:
+        self._fd = _launcher.memory_file(self._member, _read(self._member))
+        # The dynamic linker takes a path that it has seen for the library it
+        # saw there. Descriptor numbers are used again, so without a different
+        # number of slashes the second library under a number would silently be
+        # the first one, and its import would fail for a missing init function.
+        _MemoryFile._opened += 1
+        return f"/proc/self/fd{'/' * _MemoryFile._opened}{self._fd}"
+
+    def __exit__(self, *exc_info: object) -> None:
+        posix.close(self._fd)
+
+
+_loaded_libraries: set[str] = set()
+_loading = _thread.allocate_lock()
+
+
+def _load_library(name: str) -> None:
+    # Two threads that import at one time would map the library twice.
+    with _loading:
+        if name in _loaded_libraries:
+            return
+        with _MemoryFile(f"{_LIBRARY_FOLDER}/{name}") as path:
+            _launcher.load_library(path)
+        _loaded_libraries.add(name)
+
+
+def _read(member: str) -> bytes:
+    return sys.path_importer_cache[_ARCHIVE].get_data(member)
+
+
+def run() -> None:
+    """Run the program's entry point and exit with what it returns."""
+    sys.frozen = True
+    sys.meta_path.insert(0, MemoryExtensionFinder)
+    for library in manifest.PRELOADED:
+        _load_library(library)
+    module = __import__(manifest.ENTRY_MODULE, fromlist=[manifest.ENTRY_FUNCTION])
+    sys.exit(getattr(module, manifest.ENTRY_FUNCTION)())
--- /dev/null
+++ b/packaging/distributions.py
@@ -0,0 +1,50 @@
+"""Metadata of the distributions inside the binary.
+
+``importlib.metadata`` itself would read the archive's whole table of contents
+for each distribution that is asked for.
+"""
+
+import re
+from collections.abc import Callable, Iterator, Mapping
+from importlib.metadata import Distribution
+from pathlib import PurePosixPath
+
+__all__ = ["find"]
+
+Reader = Callable[[str], bytes]
+
+
+class ArchivedDistribution(Distribution):
+    """A distribution whose metadata folder is a folder of the archive."""
+
+    def __init__(self, *, folder: str, read: Reader) -> None:
+        self._folder = folder
+        self._read = read
+
+    def read_text(self, filename: str) -> str | None:
+        """Return a file of the metadata folder, None if there is none."""
+        try:
+            return self._read(f"{self._folder}/{filename}").decode("utf-8")
+        except OSError:
+            return None
+
+    def locate_file(self, path: str) -> PurePosixPath:
+        """Return the path of a file inside the archive."""
+        return PurePosixPath(path)
+
+
+def find(
+    name: str | None, folders: Mapping[str, str], read: Reader
+) -> Iterator[ArchivedDistribution]:
+    """Yield the distributions of that name, all of them without a name.
+
+    :param folders: metadata folder by normalized name.
+    """
+    wanted = folders if name is None else [_normalize(name)]
+    for one in wanted:
+        if one in folders:
+            yield ArchivedDistribution(folder=folders[one], read=read)
+
+
+def _normalize(name: str) -> str:
+    return re.sub(r"[-_.]+", "-", name).lower()
--- /dev/null
+++ b/packaging/pinned.py
@@ -0,0 +1,89 @@
+"""What of the pinned packages goes into the binary."""
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+from importlib import metadata
+from pathlib import Path, PurePosixPath
+
+__all__ = ["PinnedFile", "distribution_folders", "package_files"]
+
+_PIN = re.compile(r"^([A-Za-z0-9._-]+)==([^ \\]+)", re.MULTILINE)
+# Sources of compiled modules, type stubs and what only an installer reads.
+_UNUSED_SUFFIXES = frozenset(
+    {".c", ".capnp", ".cpp", ".h", ".pxd", ".pyc", ".pyi", ".pyx", ".typed"}
+)
+_METADATA_KEPT = frozenset({"METADATA", "entry_points.txt"})
+# Beside the top level, where importlib.metadata would find each one twice.
+_METADATA_FOLDER = "_distributions"
+
+
+@dataclass(frozen=True, kw_only=True)
+class PinnedFile:
+    """A file of an installed distribution.
+
+    :param name: its name in the archive.
+    """
+
+    name: PurePosixPath
+    path: Path
+
+    @property
+    def is_extension(self) -> bool:
+        """Tell whether it is a compiled module."""
+        return self.name.suffix == ".so"
+
+    @property
+    def module(self) -> str:
+        """Dotted name of the module in this file."""
+        return ".".join((*self.name.parent.parts, self.name.name.partition(".")[0]))
+
+
+def package_files(requirements: Path) -> Iterator[PinnedFile]:
+    """Yield the files to ship of all pinned packages, in order of name."""
+    for distribution in _distributions(requirements):
+        for file in sorted(distribution.files or (), key=str):
+            if _is_wanted(file):
+                path = Path(distribution.locate_file(file))
+                yield PinnedFile(name=_archive_name(file), path=path)
+
+
+def distribution_folders(requirements: Path) -> dict[str, str]:
+    """Return the metadata folder of each pinned package by normalized name."""
+    folders = {}
+    for distribution in _distributions(requirements):
+        for file in distribution.files or ():
+            if file.name == "METADATA":
+                folder = _archive_name(file).parent
+                folders[_normalize(distribution.name)] = folder.as_posix()
+    return folders
+
+
+def _distributions(requirements: Path) -> list[metadata.Distribution]:
+    pins = sorted(_PIN.findall(requirements.read_text(encoding="utf-8")))
+    return [_installed(name, version) for name, version in pins]
+
+
+def _installed(name: str, version: str) -> metadata.Distribution:
+    distribution = metadata.distribution(name)
+    if distribution.version != version:
+        raise SystemExit(f"{name} {distribution.version} installed, {version} pinned")
+    return distribution
+
+
+def _is_wanted(file: metadata.PackagePath) -> bool:
+    if ".." in file.parts or file.suffix in _UNUSED_SUFFIXES:
+        return False
+    if file.parts[0].endswith(".dist-info"):
+        return file.name in _METADATA_KEPT
+    return "tests" not in file.parts and "test" not in file.parts
+
+
+def _archive_name(file: metadata.PackagePath) -> PurePosixPath:
+    if file.parts[0].endswith(".dist-info"):
+        return PurePosixPath(_METADATA_FOLDER, file)
+    return PurePosixPath(file)
+
+
+def _normalize(name: str) -> str:
+    return re.sub(r"[-_.]+", "-", name).lower()
--- /dev/null
+++ b/tests/packaging/payload/probe.py
@@ -0,0 +1,95 @@
+"""What the packaging tests run inside a binary; prints one JSON document."""
+
+import importlib
+import importlib.metadata
+import json
+import os
+import pkgutil
+import signal
+import sys
+import threading
+
+
+def imports():
+    """Import every module of the product and tell what the process has mapped."""
+    package = importlib.import_module("baobabwing")
+    names = [one.name for one in pkgutil.walk_packages(package.__path__, "baobabwing.")]
+    modules = [
+        importlib.import_module(name) for name in names if "__main__" not in name
+    ]
+    return {
+        "modules": len(modules),
+        "paths": [path for path in _mapped() if not path.startswith("/memfd:")],
+        "search_path": sys.path,
+        "encoding": sys.stdout.encoding,
+        "cheroot": importlib.metadata.version("cheroot"),
+        "entries": [one.name for one in importlib.metadata.distributions()],
+    }
+
+
+def schema():
+    """Load the message schema and pass one message through it."""
+    from baobabwing.wire.schema import load_schema
+
+    envelope = load_schema().Envelope
+    packed = envelope.new_message(correlation=7).to_bytes_packed()
+    return {"correlation": envelope.from_bytes_packed(packed).correlation}
+
+
+def descriptors():
+    """Tell which memory-backed files are still open after all the imports."""
+    imports()
+    open_files = [os.readlink(f"/proc/self/fd/{fd}") for fd in _descriptors()]
+    return {"open": [name for name in open_files if name.startswith("/memfd:")]}
+
+
+def interrupt():
+    """Send an interrupt to the process itself and tell what it became."""
+    try:
+        os.kill(os.getpid(), signal.SIGINT)
+        threading.Event().wait()
+    except KeyboardInterrupt:
+        return {"raised": "KeyboardInterrupt"}
+
+
+def broken_pipe():
+    """Write to a pipe that no one reads and tell what it became."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    try:
+        os.write(writer, b"x")
+    except BrokenPipeError:
+        return {"raised": "BrokenPipeError"}
+
+
+def daemon_thread():
+    """End the program while a daemon thread still runs."""
+    started = threading.Event()
+
+    def spin():
+        started.set()
+        while True:
+            os.getpid()
+
+    threading.Thread(target=spin, daemon=True).start()
+    started.wait()
+    unwinders = [path for path in _mapped() if "libgcc_s" in path]
+    return {"threads": threading.active_count(), "unwinders": unwinders}
+
+
+def _mapped():
+    with open("/proc/self/maps", encoding="utf-8") as maps:
+        paths = {line.split(maxsplit=5)[5].strip() for line in maps if "/" in line}
+    return sorted(path.removesuffix(" (deleted)") for path in paths)
+
+
+def _descriptors():
+    for name in os.listdir("/proc/self/fd"):
+        if os.path.lexists(f"/proc/self/fd/{name}"):
+            yield name
+
+
+def main():
+    """Run the function that the command line names."""
+    print(json.dumps(globals()[sys.argv[1]]()))
+    return 0
--- /dev/null
+++ b/tests/packaging/test_payload.py
@@ -0,0 +1,96 @@
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[2]
+SYSTEM_LIBRARY = re.compile(r".*/(ld-linux[^/]*|lib(c|m|dl|rt|pthread|util)\.so\.\d+)$")
+TIMEOUT_S = 60
+
+
+def ask(probe, question):
+    """Run the probe where no variable, path or working folder leads to a Python."""
+    done = subprocess.run(
+        [probe, question],
+        env={},
+        cwd="/",
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        check=False,
+    )
+    assert done.returncode == 0, done.stderr
+    return json.loads(done.stdout)
+
+
+def test_maps_nothing_but_itself_and_the_c_library(probe):
+    answer = ask(probe, "imports")
+    others = [path for path in answer["paths"] if not SYSTEM_LIBRARY.match(path)]
+    assert others == [str(probe)]
+    assert answer["search_path"] == ["/proc/self/exe"]
+
+
+def test_every_module_of_the_package_can_be_imported(probe):
+    sources = [
+        path
+        for path in (ROOT / "baobabwing").rglob("*.py")
+        if path.name != "__main__.py" and path.parent != ROOT / "baobabwing"
+    ]
+    assert ask(probe, "imports")["modules"] >= len(sources)
+
+
+def test_finds_each_distribution_once(probe):
+    answer = ask(probe, "imports")
+    assert re.fullmatch(r"\d+(\.\d+)+", answer["cheroot"])
+    assert len(answer["entries"]) == len(set(answer["entries"])) > 5
+
+
+def test_text_is_utf_8_in_an_empty_environment(probe):
+    assert ask(probe, "imports")["encoding"] == "utf-8"
+
+
+def test_loads_the_message_schema(probe):
+    assert ask(probe, "schema") == {"correlation": 7}
+
+
+def test_keeps_no_descriptor_of_what_it_loaded(probe):
+    assert ask(probe, "descriptors") == {"open": []}
+
+
+@pytest.mark.parametrize(
+    ("question", "raised"),
+    [("interrupt", "KeyboardInterrupt"), ("broken_pipe", "BrokenPipeError")],
+)
+def test_signals_become_exceptions(probe, question, raised):
+    """A caller closes its connection, then the node writes to it.
+
+    The user would see the node vanish with all its other streams. Cause: an
+    embedded interpreter sets up no signals by default, so SIGPIPE ends it.
+    """
+    assert ask(probe, question) == {"raised": raised}
+
+
+def test_ends_quietly_while_a_thread_still_runs(probe):
+    """The program ends while a thread still serves a connection.
+
+    The user would see "libgcc_s.so.1 must be installed for pthread_exit to
+    work" and an abort in place of exit status 0, on hosts without that library.
+    Cause: glibc loads it by name when the interpreter ends the thread.
+    """
+    answer = ask(probe, "daemon_thread")
+    assert answer["threads"] == 2
+    assert answer["unwinders"] == ["/memfd:_libraries/libgcc_s.so.1"]
+
+
+def test_equal_input_gives_equal_bytes(folder):
+    payload = Path(__file__).parent / "payload"
+    built = []
+    for name in ("first", "second"):
+        command = [sys.executable, ROOT / "packaging" / "build.py"]
+        command += ["--target", folder / name, "--package", payload]
+        subprocess.run([*command, "--entry", "payload.probe:main"], check=True)
+        built.append((folder / name).read_bytes())
+    assert built[0] == built[1]
