Keep permits in use equal to what entries have

Cause: a permit's return is sent once and lost with its connection, so the place stayed taken; and the end of an entry's old connection, noticed late, dropped what it had asked again on a new one. Ruled out: acknowledging each return (a message more for each request). Change: homes ask entries every 5 s what they have and free the rest; queued requests belong to the connection they came on. Conclusion: a lost message costs a place for at most about 7 s.

--- a/baobabwing/homes/cells.py
+++ b/baobabwing/homes/cells.py
@@ -49,6 +49,9 @@
 # A new home admits nothing for at most this long while it asks the entries
 # what they have at upstreams; an entry that is slower is taken to have nothing.
 HOLD_S = 1.0
+REVIEW_S = 5.0
+# A permit this old has reached its entry, or never will.
+SETTLED_S = 2.0
 NOT_HOME = "not_home"
 
 Respond = Callable[[PermitDecision], bool]
@@ -56,10 +59,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class _Waiting:
-    """An entry that waits for the decision of a cell."""
+    """An entry that waits for the decision of a cell.
+
+    :param connection: on which it asked; ``None`` for this node's own entry.
+    """
 
     cell: str
     respond: Respond
+    connection: object
 
 
 AskPeer = Callable[[Host, InflightQuery], InflightAnswer]
@@ -98,6 +105,7 @@
     def start(self) -> None:
         """Begin to look after deadlines of queued requests."""
         threading.Thread(target=self._tick, name="cells", daemon=True).start()
+        threading.Thread(target=self._review, name="review", daemon=True).start()
 
     def stop(self) -> None:
         """Stop the threads; queued requests find another home."""
@@ -125,11 +133,18 @@
                 one for _, upstreams in wanted.values() for one in upstreams
             )
 
-    def submit(self, identity: str, message: PermitRequest, respond: Respond) -> None:
+    def submit(
+        self,
+        identity: str,
+        message: PermitRequest,
+        respond: Respond,
+        connection: object = None,
+    ) -> None:
         """Queue a request for a permit.
 
         :param identity: ``name#incarnation`` of the entry that owns it.
         :param respond: gets the one decision, at once or later.
+        :param connection: on which the entry asked.
         """
         cell = self._cells.get(message.cell)
         if cell is None:
@@ -142,7 +157,7 @@
         now = time.monotonic()
         with self._lock:
             self._waiting[identity, message.request_id] = _Waiting(
-                cell=message.cell, respond=respond
+                cell=message.cell, respond=respond, connection=connection
             )
         self._send(cell, cell.submit(_to_ask(identity, message, now), now))
 
@@ -187,11 +202,19 @@
         ]
         return max(floors, default=0)
 
-    def lose_connection(self, identity: str) -> None:
-        """Drop what an entry has queued, since no decision can reach it."""
+    def lose_connection(self, identity: str, connection: object) -> None:
+        """Drop what an entry has queued, since no decision can reach it.
+
+        An entry that reconnects asks again, maybe before the end of its old
+        connection is noticed here; what it asked on the new one must stay.
+        """
         now = time.monotonic()
         with self._lock:
-            slots = [slot for slot in self._waiting if slot[0] == identity]
+            slots = [
+                slot
+                for slot, one in self._waiting.items()
+                if slot[0] == identity and one.connection is connection
+            ]
             lost = [(slot[1], self._waiting.pop(slot).cell) for slot in slots]
         for request_id, name in lost:
             cell = self._cells.get(name)
@@ -296,6 +319,29 @@
             for cell in tuple(self._cells.values()):
                 self._send(cell, cell.tick(now))
 
+    def _review(self) -> None:
+        while not self._stopping.wait(REVIEW_S):
+            for name, cell in tuple(self._cells.items()):
+                for identity in cell.holders(time.monotonic() - SETTLED_S):
+                    self._reconcile(name, cell, identity)
+
+    def _reconcile(self, name: str, cell: Cell, identity: str) -> None:
+        """Compare the permits of an entry with what it says it has."""
+        asked_at = time.monotonic()
+        if identity == f"{self._me.name}#{self._me.incarnation}":
+            answer = self._own_inflight(name)
+        else:
+            member = self._view().find(identity.partition("#")[0])
+            if member is None or f"#{member.host.incarnation}" not in identity:
+                return
+            try:
+                answer = self._ask_peer(member.host, InflightQuery(cell=name))
+            except PeerError:
+                return
+        held = {item.request_id for item in answer.items}
+        before = asked_at - SETTLED_S
+        self._send(cell, cell.reconcile(identity, held, before, time.monotonic()))
+
     def _send(self, cell: Cell, decisions: Iterable[Decision]) -> None:
         """Give each decision to whoever waits for it.
 
--- a/baobabwing/node/handling.py
+++ b/baobabwing/node/handling.py
@@ -64,7 +64,7 @@
 
     @_handle.register
     def _(self, message: PermitRequest, caller: Caller) -> None:
-        self._homes.submit(caller.identity, message, caller.reply)
+        self._homes.submit(caller.identity, message, caller.reply, caller.frames)
 
     @_handle.register
     def _(self, message: PermitDone, caller: Caller) -> None:
--- a/baobabwing/pools/cell.py
+++ b/baobabwing/pools/cell.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from heapq import heapify, heappop, heappush
 from random import Random
 from threading import Lock
@@ -170,6 +170,42 @@
                     self._orphan(permit)
             return self._settle([])
 
+    def holders(self, granted_before: float) -> frozenset[str]:
+        """Return the entries that hold permits given before a moment."""
+        with self._lock:
+            return frozenset(
+                permit.entry
+                for permit in self._state.permits.values()
+                if permit.granted_at < granted_before and not permit.freed_at
+            )
+
+    def reconcile(
+        self, entry: str, held: Collection[str], granted_before: float, now: float
+    ) -> list[Decision]:
+        """Free the permits that an entry was given and does not have.
+
+        The message that gives a permit back is sent once; it is lost with the
+        connection it is on. The place would stay taken for ever, and the
+        upstream would seem fuller each time that happens.
+
+        :param held: requests that the entry says it has at upstreams.
+        :param granted_before: when the entry was asked; a permit given later
+            may not have arrived there by then.
+        """
+        with self._lock:
+            self._advance(now)
+            lost = [
+                permit
+                for permit in self._state.permits.values()
+                if permit.entry == entry
+                and permit.granted_at < granted_before
+                and not permit.freed_at
+                and permit.request_id not in held
+            ]
+            for permit in lost:
+                self._end(permit, Outcome.UNUSED, None)
+            return self._settle([])
+
     def hold(self, until: float) -> list[Decision]:
         """Admit cautiously until then: what is in flight is not all known."""
         with self._lock:
@@ -370,7 +406,7 @@
             return None
         if choice is Hindrance.LOAD:
             return choice
-        if choice is Hindrance.PREFILL and self._now < self._next_scan:
+        if choice is Hindrance.BUSY and self._now < self._next_scan:
             return choice
         self._next_scan = self._now + _SCAN_S
         for other in queue.heads(rank, _HEADS_TRIED)[1:]:
--- a/baobabwing/wire/peers.py
+++ b/baobabwing/wire/peers.py
@@ -58,7 +58,8 @@
     :param handler: called in the connection's thread; must not block. What it
         returns is sent as the reply; ``None`` means none, or a later one by
         :meth:`Caller.reply`.
-    :param on_lost: called with the peer's identity when a connection ends.
+    :param on_lost: called with the peer's identity and the connection's frames
+        when a connection ends.
     """
 
     def __init__(
@@ -69,7 +70,7 @@
         incarnation: int,
         keys: Sequence[bytes],
         handler: Handler,
-        on_lost: Callable[[str], None] = lambda identity: None,
+        on_lost: Callable[[str, FrameSocket], None] = lambda identity, frames: None,
     ) -> None:
         self._identity = (name, incarnation, tuple(keys))
         self._handler = handler
@@ -130,7 +131,7 @@
             with self._lock:
                 self._open.discard(frames)
             frames.close()
-            self._on_lost(identity)
+            self._on_lost(identity, frames)
 
     def _read(self, frames: FrameSocket, identity: str) -> None:
         while True:
