--- a/baobabwing/standins/engine/loop.py
+++ b/baobabwing/standins/engine/loop.py
@@ -176,6 +176,8 @@
         seq.execution.prefilled_tokens += tokens
         if not seq.prefill_left:
             self.cache.store(seq.blocks)
+            # A death later on must not hide the prompt work that it wasted.
+            self._record.note(seq.execution)
 
     def _make_token(self, seq: Sequence) -> bool:
         seq.produced += 1
--- a/baobabwing/standins/record.py
+++ b/baobabwing/standins/record.py
@@ -36,8 +36,9 @@
 class Record:
     """All executions of one stand-in, in the order of their admission.
 
-    :param path: a file that also gets each execution when it starts and when
-        it ends, one JSON object a line; it outlives the process.
+    :param path: a file that also gets each execution when it starts, when its
+        prompt is prefilled and when it ends, one JSON object a line; it outlives
+        the process.
     """
 
     def __init__(self, *, path: Path | None = None) -> None:
--- a/tests/standins/engine/test_batching.py
+++ b/tests/standins/engine/test_batching.py
@@ -1,3 +1,5 @@
+import json
+
 import pytest
 
 
@@ -45,6 +47,7 @@
 ):
     begin(small, "a", "b", "c", "d")
     until(lambda: small.states() == ["running", "running", "waiting", "waiting"])
+    until(lambda: small.executions()[1]["output_tokens"])
     load = small.json("GET", "/load")
     assert (load["running"], load["waiting"]) == (2, 2)
     assert load["waiting_prefill_tokens"] == 4
@@ -132,3 +135,20 @@
     assert engine.json("GET", "/load")["running"] == 0
     engine.fault("lag", value=0)
     until(lambda: engine.json("GET", "/load")["running"] == 1)
+
+
+def test_prompt_work_wasted_by_a_death_is_on_file(start, tmp_path):
+    """An engine dies after it has read a long prompt.
+
+    The prompt has to be prefilled again elsewhere; with the engine's memory
+    gone, only the file can tell how much work was wasted.
+    """
+    path = tmp_path / "record"
+    engine = start("engine", "--model", "m", "--record", str(path))
+    engine.fault("die_at", value="answered")
+    body = completion(words(300), max_tokens=30_000, stream=True)
+    conn = engine.begin("/v1/completions", body)
+    assert engine.process.wait(20) == 1
+    last = json.loads(path.read_text().splitlines()[-1])
+    assert (last["state"], last["prefilled_tokens"]) == ("running", 300)
+    conn.close()
