Let an engine's reader of cache events see a restart

Cause: after a restart an engine counts its cache events anew, and echoed the reader's higher number, so that the home never learnt that the cache was empty. Change: a number that was never reached gets the own, lower one. Before: the test gives {'next': 40}; after: {'next': 1}.

--- a/baobabwing/standins/engine/cache.py
+++ b/baobabwing/standins/engine/cache.py
@@ -52,8 +52,12 @@
 
         Costs time in the number of events kept.
 
-        :param number: the ``next`` of the answer before, or 0.
+        :param number: the ``next`` of the answer before, or 0. One that was
+            never reached is of an earlier life of the engine, and gets the own
+            ``next``, which is lower.
         """
+        if number > self._next:
+            return {"next": self._next, "events": []}
         horizon = time.monotonic() - self.lag_s
         told = [
             event for event in self._events if event.n >= number and event.at <= horizon
--- a/tests/standins/engine/test_cache.py
+++ b/tests/standins/engine/test_cache.py
@@ -58,3 +58,14 @@
     assert events.after(0) == {"next": 0, "events": []}
     events.lag_s = 0.0
     assert told(events) == [("stored", 1)]
+
+
+def test_a_reader_of_an_earlier_life_is_told_to_start_again():
+    """A home would trust an empty cache for as long as the engine runs.
+
+    The engine restarts and counts its events anew; a reader asks for events
+    after a number that this life has not reached.
+    """
+    log = CacheEventLog(lag_s=0.0, gap=0.0, seed=1)
+    log.add("stored", 5)
+    assert log.after(40) == {"next": 1, "events": []}
