Test that a node of the binary stays one process

Cause: only a stand-in was watched while it served; and a child that a watched process had started and left to itself would have passed unseen.

Change: the node is watched as well, from start to graceful stop, by the children listed by the kernel, by the members of its session, and by the page faults of children that it has waited for. The two builds whose bytes are compared run under different hash seeds.

--- a/tests/packaging/test_payload.py
+++ b/tests/packaging/test_payload.py
@@ -1,4 +1,5 @@
 import json
+import os
 import re
 import subprocess
 import sys
@@ -7,6 +8,7 @@
 import pytest
 
 ROOT = Path(__file__).resolve().parents[2]
+PAYLOAD = Path(__file__).parent / "payload"
 SYSTEM_LIBRARY = re.compile(r".*/(ld-linux[^/]*|lib(c|m|dl|rt|pthread|util)\.so\.\d+)$")
 TIMEOUT_S = 60
 
@@ -86,11 +88,13 @@
 
 
 def test_equal_input_gives_equal_bytes(folder):
-    payload = Path(__file__).parent / "payload"
     built = []
-    for name in ("first", "second"):
-        command = [sys.executable, ROOT / "packaging" / "build.py"]
-        command += ["--target", folder / name, "--package", payload]
-        subprocess.run([*command, "--entry", "payload.probe:main"], check=True)
-        built.append((folder / name).read_bytes())
+    for seed in ("1", "2"):
+        target = folder / f"seed-{seed}"
+        command = [sys.executable, ROOT / "packaging" / "build.py", "--target", target]
+        command += ["--package", PAYLOAD, "--entry", "payload.probe:main"]
+        # The order of sets in the builder must not show in what it writes.
+        env = {**os.environ, "PYTHONHASHSEED": seed}
+        subprocess.run(command, env=env, check=True)
+        built.append(target.read_bytes())
     assert built[0] == built[1]
--- a/tests/packaging/test_processes.py
+++ b/tests/packaging/test_processes.py
@@ -1,14 +1,17 @@
+import contextlib
 import json
 import os
 import re
 import signal
 import subprocess
 from dataclasses import dataclass
+from http import HTTPStatus
 from pathlib import Path
 
-import pytest
 import urllib3
 
+from baobabwing.bench.processes import free_port, wait_until
+
 TIMEOUT_S = 60
 REQUESTS = 50
 # Fields of /proc/PID/stat behind the command's name, which may hold blanks.
@@ -62,14 +65,43 @@
     return members
 
 
-@pytest.fixture
-def service(binary):
-    command = [binary, "standin", "service", "--listen", "127.0.0.1:0"]
+@contextlib.contextmanager
+def started(binary, *arguments):
+    """Run the binary in a session of its own, with no environment."""
     with subprocess.Popen(
-        command, env={}, cwd="/", stdout=subprocess.PIPE, start_new_session=True
+        [binary, *arguments],
+        env={},
+        cwd="/",
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        start_new_session=True,
     ) as running:
-        yield running
-        running.kill()
+        try:
+            yield running
+        finally:
+            running.kill()
+
+
+def assert_alone(running):
+    """Assert that the process has no child and has had none."""
+    assert children(running.pid) == []
+    assert session_members(running.pid) == [running.pid]
+    assert os.readlink(f"/proc/{running.pid}/exe") == str(running.args[0])
+    # A child that had come and gone would have left its page faults behind.
+    assert read_stat(running.pid).reaped_faults == 0
+
+
+def assert_stops(running):
+    running.send_signal(signal.SIGTERM)
+    assert running.wait(TIMEOUT_S) == 0
+    assert session_members(running.pid) == []
+
+
+def answers(pool, url):
+    try:
+        return pool.request("GET", url, retries=False).status == HTTPStatus.OK
+    except urllib3.exceptions.HTTPError:
+        return False
 
 
 def test_version_needs_no_environment(binary):
@@ -99,27 +131,52 @@
     assert not re.search(r"\((RPATH|RUNPATH)\)", dump)
 
 
-def test_serves_and_stops_as_one_process(service):
+def test_a_standin_serves_and_stops_as_one_process(binary):
     """A host's supervisor starts the binary and stops it by its process id.
 
     The user would see a second process left running, or the port still taken,
     after a stop. Cause: a launcher that unpacks itself and runs the program as
     its child, or a library that runs a helper command.
     """
-    address = json.loads(service.stdout.readline())["listening"]
-    pool = urllib3.PoolManager()
-    for number in range(REQUESTS):
-        answer = pool.request(
-            "POST", f"http://{address}/bookings", json={"n": number}, retries=False
-        )
-        assert answer.status == 200
-        assert children(service.pid) == []
-    assert len(tasks(service.pid)) > 1
-    assert os.readlink(f"/proc/{service.pid}/exe") == str(service.args[0])
-    assert session_members(service.pid) == [service.pid]
-    # A child that had come and gone would have left its page faults behind.
-    assert read_stat(service.pid).reaped_faults == 0
-
-    service.send_signal(signal.SIGTERM)
-    assert service.wait(TIMEOUT_S) == 0
-    assert session_members(service.pid) == []
+    arguments = ("standin", "service", "--listen", "127.0.0.1:0")
+    with started(binary, *arguments) as running:
+        address = json.loads(running.stdout.readline())["listening"]
+        pool = urllib3.PoolManager()
+        for number in range(REQUESTS):
+            answer = pool.request(
+                "POST", f"http://{address}/bookings", json={"n": number}, retries=False
+            )
+            assert answer.status == HTTPStatus.OK
+        assert len(tasks(running.pid)) > 1
+        assert_alone(running)
+        assert_stops(running)
+
+
+def test_a_node_serves_and_stops_as_one_process(binary, tmp_path):
+    """The same story for a node, here with the platform's service down.
+
+    The user would see what the stand-in's test tells, on an entry host.
+    """
+    ports = {name: f"127.0.0.1:{free_port()}" for name in ("http", "peer", "platform")}
+    settings = {
+        "name": "entry-1",
+        "region": "texas",
+        "zone": "a",
+        "http": ports["http"],
+        "peer": ports["peer"],
+        "platform_url": f"http://{ports['platform']}",
+        "peer_secrets": ["of-this-test-only"],
+        "address_keep_ms": 100,
+        "stop_deadline_ms": 1000,
+    }
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(settings), encoding="utf-8")
+    with started(binary, "node", "--settings", path) as running:
+        pool = urllib3.PoolManager()
+        base = f"http://{ports['http']}"
+        assert wait_until(lambda: answers(pool, f"{base}/healthz"), timeout_s=TIMEOUT_S)
+        for _ in range(REQUESTS):
+            assert answers(pool, f"{base}/v1/addresses")
+            assert answers(pool, f"{base}/metrics")
+        assert_alone(running)
+        assert_stops(running)
