Carry out plans with orders to engines under a fenced lease

Cause: a move to another model version touches many engines and the configuration; movers die or are paused half-way, engines refuse, answers are lost, and some engines do not check fencing numbers.

Change: a lease in the table service, taken by compare-and-set with a growing number and timed by each side on its own clock; its holder gives an order only if that ends well inside the lease. Orders name a state, are read back and given again until seen. To engines that do not check numbers a new holder waits out the longest order. Progress of a move is kept, so the next holder finishes it past the switch and undoes it before. Engines that leave their target later, through an order that was paused on its way, are ordered back.

Steps go compensatable, pivot, retriable, after "A Transaction Model for Multidatabase Systems", section 3.

Ruled out: clocks compared between hosts, and a wait alone against paused holders (no wait bounds a pause).

--- a/baobabwing/cli/plan.py
+++ b/baobabwing/cli/plan.py
@@ -20,6 +20,9 @@
     exit_on_error,
     table_client,
 )
+from baobabwing.orders.desk import OrderDesk
+from baobabwing.orders.engines import HttpEngines
+from baobabwing.orders.execution import OrderTiming
 from baobabwing.platform.hosts import list_hosts
 from baobabwing.settings.changes import describe
 from baobabwing.settings.history import read_history
@@ -83,10 +86,21 @@
     author: AuthorOption,
     timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
 ) -> None:
-    """Carry out a plan, or fail and name who changed what since it was made."""
+    """Carry out a plan, or fail and name who changed what since it was made.
+
+    A plan with orders to engines takes as long as they load. If this command is
+    stopped meanwhile, confirm again; a step that was done is not done anew.
+    """
     tables = table_client(platform, timeout_ms)
+    timing = OrderTiming()
+    desk = OrderDesk(
+        tables=tables,
+        engines=HttpEngines(timeout_s=timing.order_s / 2),
+        holder=f"confirm by {author}",
+        timing=timing,
+    )
     with exit_on_error():
-        cfg = confirm_plan(tables, plan_id, author=author)
+        cfg = confirm_plan(tables, plan_id, author=author, carry_out=desk.carry_out)
     typer.echo(f"version {cfg.version} in force: {cfg.summary}")
 
 
--- a/baobabwing/orders/__init__.py
+++ b/baobabwing/orders/__init__.py
@@ -1,1 +1,1 @@
-"""Orders to engines, given under a lease with a fencing number."""
+"""Orders to engines: leases with fencing numbers, and moves of many steps."""
--- /dev/null
+++ b/baobabwing/orders/correction.py
@@ -0,0 +1,53 @@
+"""Bring engines back that left the state the configuration asks of them."""
+
+from __future__ import annotations
+
+from baobabwing.orders.errors import OrderError
+from baobabwing.orders.events import ENGINE_CORRECTED
+from baobabwing.orders.execution import OrderExecution
+from baobabwing.orders.moves import MoveStore
+from baobabwing.orders.targets import engine_targets
+from baobabwing.platform.tables import Tables
+from baobabwing.reports.events import log
+from baobabwing.settings.fetch import fetch_configuration
+from baobabwing.settings.plans.store import load_plan
+
+__all__ = ["correct_engines"]
+
+
+def correct_engines(*, tables: Tables, execution: OrderExecution) -> tuple[str, ...]:
+    """Order each engine that differs from its target back to it.
+
+    A holder that was paused within an order can reach an engine that does not
+    check fencing numbers long after its successor has read everything back. No
+    wait bounds a pause, so the holder of the lease looks again and again.
+    Engines that open moves concern are left to those.
+
+    :returns: names of the engines that were corrected.
+    :raises LeaseLostError: if another holder is at work.
+    :raises PlatformUnavailableError: if the store did not answer.
+    """
+    cfg = fetch_configuration(tables)
+    if cfg is None:
+        return ()
+    busy = _engines_in_moves(tables)
+    corrected = []
+    for target in engine_targets(cfg):
+        upstream = target.upstream
+        if upstream.name in busy:
+            continue
+        try:
+            if execution.holds(upstream, target.models):
+                continue
+            order_id = f"correction/{cfg.version}/{upstream.name}"
+            execution.bring_to(upstream, target.models, order_id=order_id)
+        except OrderError:
+            continue
+        log(ENGINE_CORRECTED, upstream=upstream.name, version=cfg.version)
+        corrected.append(upstream.name)
+    return tuple(corrected)
+
+
+def _engines_in_moves(tables: Tables) -> set[str]:
+    plans = [load_plan(tables, m.plan) for m in MoveStore(tables=tables).open_moves()]
+    return {step.upstream for plan in plans for step in plan.steps}
--- /dev/null
+++ b/baobabwing/orders/engines.py
@@ -0,0 +1,134 @@
+"""What orders need of an engine, and its form over HTTP."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from baobabwing.orders.errors import OrderError, OrderRefusedError, StaleFenceError
+from baobabwing.pools.catalogue import Upstream
+
+__all__ = ["EngineOrder", "EngineState", "Engines", "HttpEngines"]
+
+DEFAULT_ROLE = "both"
+_OK = 200
+_CONFLICT = 409
+_CLIENT_ERRORS = range(400, 500)
+_REFUSED = 503
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineOrder:
+    """State that an engine is to be in; repeating it has no further effect.
+
+    :param fence: fencing number of the lease under which it is given.
+    :param order_id: names the step of the plan.
+    """
+
+    fence: int
+    order_id: str
+    models: tuple[str, ...]
+    role: str = DEFAULT_ROLE
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineState:
+    """State that an engine says it is in.
+
+    :param models: models that it was ordered to hold.
+    :param loaded: models that it can serve.
+    """
+
+    fence: int
+    order_id: str
+    models: frozenset[str]
+    loaded: frozenset[str]
+    role: str = DEFAULT_ROLE
+
+
+class Engines(Protocol):
+    """How orders reach engines."""
+
+    def state(self, upstream: Upstream) -> EngineState:
+        """Read the state of an engine.
+
+        :raises OrderError: if it does not answer.
+        """
+
+    def order(self, upstream: Upstream, order: EngineOrder) -> None:
+        """Give an order.
+
+        :raises StaleFenceError: if the engine knows a higher fencing number.
+        :raises OrderRefusedError: if the engine refused and did nothing.
+        :raises OrderError: if the effect is unknown.
+        """
+
+
+class HttpEngines:
+    """Engines over HTTP.
+
+    :param timeout_s: longest wait for an answer.
+    """
+
+    def __init__(self, *, timeout_s: float) -> None:
+        self._pool = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(connect=timeout_s, read=timeout_s),
+        )
+
+    def state(self, upstream: Upstream) -> EngineState:
+        """Read the state of an engine."""
+        status, body = self._send("GET", upstream, None)
+        if status != _OK:
+            raise _error(OrderError, f"status {status}", upstream)
+        try:
+            return _parse_state(json.loads(body))
+        except (ValueError, KeyError, TypeError) as exc:
+            raise _error(OrderError, "state is malformed", upstream) from exc
+
+    def order(self, upstream: Upstream, order: EngineOrder) -> None:
+        """Give an order."""
+        body = json.dumps(dataclasses.asdict(order)).encode()
+        status, _ = self._send("POST", upstream, body)
+        if status == _OK:
+            return
+        if status == _CONFLICT:
+            raise _error(StaleFenceError, "fencing number is old", upstream)
+        if status in _CLIENT_ERRORS or status == _REFUSED:
+            raise _error(OrderRefusedError, f"status {status}", upstream)
+        raise _error(OrderError, f"status {status}", upstream)
+
+    def _send(
+        self, method: str, upstream: Upstream, body: bytes | None
+    ) -> tuple[int, bytes]:
+        try:
+            answer = self._pool.request(
+                method,
+                f"http://{upstream.address}/orders",
+                body=body,
+                headers={"Content-Type": "application/json"},
+                redirect=False,
+            )
+        except (HTTPError, OSError) as exc:
+            raise _error(OrderError, "no answer", upstream) from exc
+        return answer.status, answer.data
+
+
+def _parse_state(document: dict[str, Any]) -> EngineState:
+    models = frozenset(document["models"])
+    return EngineState(
+        fence=int(document["fence"]),
+        order_id=str(document["order_id"]),
+        models=models,
+        loaded=frozenset(document.get("loaded", models)),
+        role=str(document.get("role", DEFAULT_ROLE)),
+    )
+
+
+def _error(kind: type, message: str, upstream: Upstream) -> Exception:
+    return kind(message, step="order", peer=upstream.name)
--- /dev/null
+++ b/baobabwing/orders/events.py
@@ -0,0 +1,40 @@
+"""Log events of leases and orders."""
+
+from baobabwing.reports.events import define
+
+__all__ = [
+    "ENGINE_CORRECTED",
+    "LEASE_LOST",
+    "LEASE_TAKEN",
+    "MOVE_FINISHED",
+    "MOVE_LEFT_OPEN",
+    "MOVE_UNDONE",
+]
+
+LEASE_TAKEN = define(4101, "lease_taken", "This process holds a lease from now on.")
+LEASE_LOST = define(
+    4102,
+    "lease_lost",
+    "Another process holds the lease, or it could not be renewed in time; orders "
+    "stop here and the next holder goes on.",
+    level="warning",
+)
+MOVE_FINISHED = define(4103, "move_finished", "All steps of a plan are done.")
+MOVE_UNDONE = define(
+    4104,
+    "move_undone",
+    "A plan failed before its switch, and its steps were compensated.",
+    level="warning",
+)
+MOVE_LEFT_OPEN = define(
+    4105,
+    "move_left_open",
+    "A step could not be finished now; the next holder goes on with it.",
+    level="warning",
+)
+ENGINE_CORRECTED = define(
+    4106,
+    "engine_corrected",
+    "An engine did not hold the models of its pool and was ordered to again.",
+    level="warning",
+)
--- /dev/null
+++ b/baobabwing/orders/targets.py
@@ -0,0 +1,30 @@
+"""The state that the configuration asks of each engine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from baobabwing.pools.catalogue import PoolKind, Upstream, UpstreamState
+from baobabwing.settings.configuration import Configuration
+
+__all__ = ["EngineTarget", "engine_targets"]
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineTarget:
+    """An engine and the models that it is to hold."""
+
+    upstream: Upstream
+    models: tuple[str, ...]
+
+
+def engine_targets(cfg: Configuration) -> tuple[EngineTarget, ...]:
+    """Return a target for each engine that is not leaving."""
+    models = {
+        pool.name: pool.models for pool in cfg.pools if pool.kind is PoolKind.ENGINE
+    }
+    return tuple(
+        EngineTarget(upstream=upstream, models=models[upstream.pool])
+        for upstream in cfg.upstreams
+        if upstream.pool in models and upstream.state is UpstreamState.ACTIVE
+    )
--- a/baobabwing/platform/memory.py
+++ b/baobabwing/platform/memory.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import copy
+import json
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Any
 
@@ -53,7 +53,8 @@
         """Read a row."""
 
         def work() -> Row | None:
-            return copy.deepcopy(self._rows.get((table, key)))
+            row = self._rows.get((table, key))
+            return _copy(row) if row else None
 
         return self._run(Call(operation="read", table=table, key=key), work)
 
@@ -91,7 +92,7 @@
 
         def work() -> tuple[Row, ...]:
             return tuple(
-                copy.deepcopy(row)
+                _copy(row)
                 for (owner, key), row in sorted(self._rows.items())
                 if owner == table and key.startswith(prefix)
             )
@@ -117,13 +118,18 @@
 
     def _write(self, table: str, key: str, value: Any) -> int:
         self._written += 1
-        row = Row(key=key, version=self._written, value=copy.deepcopy(value))
-        self._rows[table, key] = row
-        return row.version
+        text = json.dumps(value, allow_nan=False)
+        self._rows[table, key] = Row(key=key, version=self._written, value=text)
+        return self._written
 
     def _insert(self, table: str, insert: Insert) -> InsertResult:
         row = self._rows.get((table, insert.key))
         if row is None:
             self._write(table, insert.key, insert.value)
-        value = copy.deepcopy(row.value if row else insert.value)
+        value = json.loads(self._rows[table, insert.key].value)
         return InsertResult(key=insert.key, inserted=row is None, value=value)
+
+
+def _copy(row: Row) -> Row:
+    """Return a row as it comes off the wire; here it is kept as JSON text."""
+    return replace(row, value=json.loads(row.value))
--- a/baobabwing/settings/checker.py
+++ b/baobabwing/settings/checker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import difflib
+import functools
 import ipaddress
 import typing
 from collections.abc import Callable, Mapping
@@ -95,6 +96,7 @@
 def set_rules(cls: type, **rules: Rule) -> None:
     """Give rules to the fields of a data class that is declared elsewhere."""
     _RULES[cls] = rules
+    _shape.cache_clear()
 
 
 def build(cls: type, value: object, *, path: str = "") -> typing.Any:
@@ -110,17 +112,17 @@
     """
     if not isinstance(value, Mapping):
         raise FieldError(path=path, found=_show(value), allowed="an object")
-    known = {item.name: item for item in fields(cls)}
-    for name in value:
-        if name not in known:
-            raise _unknown_field(_join(path, name), name, list(known))
-    hints = typing.get_type_hints(cls)
+    shape = _shape(cls)
     made = {}
-    for name, item in known.items():
+    for name, found in value.items():
         place = _join(path, name)
-        if name in value:
-            made[name] = _convert(hints[name], value[name], _rule_of(cls, item), place)
-        elif item.default is MISSING and item.default_factory is MISSING:
+        if name not in shape:
+            raise _unknown_field(place, name, list(shape))
+        item = shape[name]
+        made[name] = _convert(item.hint, found, item.limits, place)
+    for name, item in shape.items():
+        if item.required and name not in made:
+            place = _join(path, name)
             raise FieldError(path=place, found="nothing", allowed="a value")
     return cls(**made)
 
@@ -137,6 +139,26 @@
     return bracketed == (":" in host) and is_number and 0 < int(port) < 2**16
 
 
+@dataclass(frozen=True, kw_only=True)
+class _FieldShape:
+    hint: typing.Any
+    limits: Rule
+    required: bool
+
+
+@functools.cache
+def _shape(cls: type) -> dict[str, _FieldShape]:
+    hints = typing.get_type_hints(cls)
+    return {
+        item.name: _FieldShape(
+            hint=hints[item.name],
+            limits=_rule_of(cls, item),
+            required=item.default is MISSING and item.default_factory is MISSING,
+        )
+        for item in fields(cls)
+    }
+
+
 def _unknown_field(path: str, name: str, known: list[str]) -> FieldError:
     near = difflib.get_close_matches(name, known, n=1, cutoff=0.0)
     return FieldError(
--- a/baobabwing/settings/plans/steps.py
+++ b/baobabwing/settings/plans/steps.py
@@ -39,14 +39,12 @@
     """One step of a plan.
 
     :param upstream: the engine that is given an order; empty for the switch.
-    :param models_before: models that the engine is to hold if the step is undone.
     :param models_after: models that the engine is to hold after the step.
     """
 
     kind: StepKind
     action: StepAction
     upstream: str = ""
-    models_before: tuple[str, ...] = ()
     models_after: tuple[str, ...] = ()
 
 
@@ -70,7 +68,6 @@
                 kind=StepKind.COMPENSATABLE,
                 action=StepAction.LOAD,
                 upstream=upstream.name,
-                models_before=old.models,
                 models_after=held,
             )
 
@@ -85,7 +82,6 @@
                 kind=StepKind.RETRIABLE,
                 action=StepAction.UNLOAD,
                 upstream=upstream.name,
-                models_before=held,
                 models_after=new.models,
             )
 
--- /dev/null
+++ b/tests/orders/test_mover.py
@@ -0,0 +1,329 @@
+"""Moves: finished or undone, whoever dies and whatever changes meanwhile."""
+
+from dataclasses import replace
+
+import pytest
+
+from baobabwing.exceptions import ConflictError, PlatformUncertainError
+from baobabwing.orders.correction import correct_engines
+from baobabwing.orders.desk import OrderDesk
+from baobabwing.orders.engines import EngineOrder
+from baobabwing.orders.errors import LeaseLostError, OrderError
+from baobabwing.orders.moves import MoveStore
+from baobabwing.platform.memory import Fault
+from baobabwing.settings.fetch import fetch_configuration
+from baobabwing.settings.plans import confirm, plan
+from baobabwing.settings.publish import publish
+
+OLD = {"e1": ["m1"], "e2": ["m1"]}
+BOTH = {"e1": ["m1", "m2"], "e2": ["m1", "m2"]}
+NEW = {"e1": ["m2"], "e2": ["m2"]}
+LEASE_S = 10.0
+
+
+class KilledError(Exception):
+    """The process dies here."""
+
+
+def make_plan(site, old="m1", new="m2"):
+    arguments = {"old": old, "new": new}
+    return plan(site.tables, intent="roll-version", arguments=arguments, author="ana")
+
+
+def make_desk(site, name="desk"):
+    return OrderDesk(
+        tables=site.tables,
+        engines=site.engines,
+        holder=name,
+        timing=site.timing,
+        lease_s=LEASE_S,
+        clock=site.clock,
+        sleep=site.clock.sleep,
+    )
+
+
+def confirm_plan(site, made):
+    desk = make_desk(site)
+    return confirm(site.tables, made.id, author="eva", carry_out=desk.carry_out)
+
+
+def begin(site, made):
+    holder = site.acquire(site.holder())
+    mover = site.mover(holder)
+    mover.begin(made, author="eva")
+    return mover
+
+
+def open_moves(site):
+    return MoveStore(tables=site.tables).open_moves()
+
+
+def test_roll_version(site):
+    made = make_plan(site)
+    seen = []
+    site.engines.on_order = lambda *_: seen.append(
+        (fetch_configuration(site.tables).version, site.models())
+    )
+    cfg = confirm_plan(site, made)
+    assert (cfg.version, cfg.author) == (2, "eva")
+    assert site.models() == NEW
+    assert [version for version, _ in seen] == [1, 1, 2, 2]
+    assert seen[2][1] == BOTH
+    assert open_moves(site) == ()
+    assert confirm_plan(site, made).version == 2
+    assert len(seen) == 4
+
+
+def test_engine_that_cannot_load_undoes_the_move(site):
+    """An operator rolls a version, and one engine has no room for it.
+
+    Callers were never routed to the new version; the engines that loaded it
+    drop it again, and the operator is told which engine it was.
+    """
+    site.engines.full.add("e2")
+    with pytest.raises(ConflictError, match="no room.*e2"):
+        confirm_plan(site, make_plan(site))
+    assert site.models() == OLD
+    assert fetch_configuration(site.tables).version == 1
+    assert open_moves(site) == ()
+
+
+def test_conflict_found_before_any_order(site):
+    made, rival = make_plan(site), make_plan(site, new="m3")
+    confirm_plan(site, rival)
+    orders = len(site.engines.received)
+    with pytest.raises(ConflictError, match="version 2 by eva: roll version m1 to m3"):
+        confirm_plan(site, made)
+    assert len(site.engines.received) == orders
+
+
+def test_conflict_at_the_switch_undoes_the_loads(site):
+    """Another operator publishes while engines load.
+
+    The switch would overwrite that change, so it fails, and the engines return
+    to what the configuration now in force asks of them.
+    """
+    made, rival = make_plan(site), make_plan(site, new="m3")
+
+    def on_order(upstream, order):
+        if upstream.name == "e2" and not site.engines.on_order_done:
+            site.engines.on_order_done = True
+            confirm(
+                site.tables,
+                rival.id,
+                author="eva",
+                carry_out=lambda item, who: site.publish(item, who),
+            )
+
+    site.engines.on_order_done = False
+    site.engines.on_order = on_order
+    with pytest.raises(ConflictError, match="version 2 by eva"):
+        confirm_plan(site, made)
+    assert fetch_configuration(site.tables).summary.startswith("roll version m1 to m3")
+    assert site.models() == {"e1": ["m3"], "e2": ["m3"]}
+
+
+def test_conflict_found_by_the_next_holder_before_any_order(site):
+    made = make_plan(site)
+    mover = begin(site, made)
+    cfg = fetch_configuration(site.tables)
+    publish(site.tables, base=1, cfg=replace(cfg, author="eva", attempt=""))
+    with pytest.raises(ConflictError, match="version 2 by eva"):
+        mover.run(made.id)
+    assert [set(order.models) for _, order in site.engines.received] == [{"m1"}]
+
+
+def test_load_that_took_effect_unseen_is_undone(site):
+    """An engine takes the order to load, and then does not answer any more.
+
+    The load counts as failed. When the engine is back it holds a version that
+    nobody asked for, unless undoing covers the failed step as well.
+    """
+
+    def on_order(upstream, order):
+        if upstream.name == "e2":
+            site.engines.accept(upstream, order)
+            site.engines.unreachable.add("e2")
+
+    site.engines.on_order = on_order
+    with pytest.raises(OrderError):
+        confirm_plan(site, make_plan(site))
+    assert site.models()["e2"] == ["m1", "m2"]
+    site.engines.on_order = None
+    site.engines.unreachable.clear()
+    desk = make_desk(site, "next")
+    while desk.work_once() is None:
+        site.clock.sleep(1.0)
+    assert site.models() == OLD
+    assert open_moves(site) == ()
+
+
+def test_late_order_within_a_move_is_seen_at_its_end(make_site):
+    """A dead holder's order reaches an engine that does not check its number.
+
+    It arrives after the move has dealt with that engine, which then serves the
+    version that was just taken out, until the move reads everything back.
+    """
+    site = make_site(unchecked=("e1",))
+    late = EngineOrder(fence=0, order_id="old", models=("m1",))
+
+    def on_order(upstream, order):
+        if upstream.name == "e2" and set(order.models) == {"m2"}:
+            site.engines.accept(site.upstreams[0], late)
+
+    site.engines.on_order = on_order
+    confirm_plan(site, make_plan(site))
+    assert site.models() == NEW
+
+
+def test_engines_in_an_open_move_are_not_corrected(site):
+    made = make_plan(site)
+    mover = begin(site, made)
+    site.engines.full.add("e2")
+    site.engines.on_order = lambda upstream, _: (
+        site.engines.unreachable.add("e1") if upstream.name == "e2" else None
+    )
+    with pytest.raises(OrderError):
+        mover.run(made.id)
+    site.engines.unreachable.clear()
+    execution = site.execution(site.acquire(site.holder("next")))
+    assert correct_engines(tables=site.tables, execution=execution) == ()
+    assert site.models()["e1"] == ["m1", "m2"]
+
+
+def test_progress_of_a_successor_is_not_overwritten(site):
+    begin(site, make_plan(site))
+    store = MoveStore(tables=site.tables)
+    (move,) = store.open_moves()
+    saved = store.save(move, token=2, steps_done=3)
+    with pytest.raises(LeaseLostError):
+        store.save(move, token=1, steps_done=1)
+    assert store.open_moves() == (saved,)
+
+
+@pytest.mark.parametrize("after_effect", [False, True])
+@pytest.mark.parametrize("order", range(4))
+def test_next_holder_finishes_what_a_dead_one_left(site, order, after_effect):
+    """A mover dies around its n-th order to an engine.
+
+    No one is there to tell the operator. The next holder of the lease finds the
+    move and finishes it, since nothing stands against it.
+    """
+    mover = begin(site, make_plan(site))
+    count = 0
+
+    def on_order(upstream, given):
+        nonlocal count
+        count += 1
+        if count == order + 1:
+            if after_effect:
+                site.engines.accept(upstream, given)
+            raise KilledError
+
+    site.engines.on_order = on_order
+    with pytest.raises(KilledError):
+        mover.run(MoveStore(tables=site.tables).open_moves()[0].plan)
+    desk = make_desk(site, "next")
+    while desk.work_once() is None:
+        site.clock.sleep(1.0)
+    assert site.models() == NEW
+    assert fetch_configuration(site.tables).version == 2
+    assert open_moves(site) == ()
+
+
+def test_store_goes_down_at_the_switch(site):
+    """The switch takes effect, its answer is lost and the store goes down.
+
+    The operator is told that the effect is unknown. Undoing now would unload a
+    version that callers are routed to; the move stays open until it is known.
+    """
+    made = make_plan(site)
+    down = False
+
+    def on_call(call):
+        nonlocal down
+        if down:
+            return Fault.REFUSE
+        down = call.operation == "put" and call.table == "configuration"
+        return Fault.LOSE_ANSWER if down else None
+
+    site.tables.on_call = on_call
+    with pytest.raises(PlatformUncertainError):
+        confirm_plan(site, made)
+    assert site.models() == BOTH
+    site.tables.on_call = None
+    site.clock.sleep(LEASE_S)
+    assert confirm_plan(site, made).version == 2
+    assert site.models() == NEW
+
+
+def test_engine_unreachable_after_the_switch_is_left_open(site):
+    made = make_plan(site)
+
+    def on_order(upstream, order):
+        if set(order.models) == {"m2"}:
+            site.engines.unreachable.add("e2")
+
+    site.engines.on_order = on_order
+    with pytest.raises(OrderError):
+        confirm_plan(site, made)
+    assert fetch_configuration(site.tables).version == 2
+    assert [move.plan for move in open_moves(site)] == [made.id]
+    site.engines.on_order = None
+    site.engines.unreachable.clear()
+    site.clock.sleep(LEASE_S * 2)
+    assert confirm_plan(site, made).version == 2
+    assert site.models() == NEW
+
+
+def test_paused_mover_does_not_undo_what_its_successor_did(site):
+    """A mover is paused before its second order; its successor finishes.
+
+    When it wakes up, its order fails. Taking that for a failed load, it would
+    undo the move and unload the version that callers are routed to.
+    """
+    made = make_plan(site)
+    mover = begin(site, made)
+
+    def on_order(upstream, order):
+        site.engines.on_order = None
+        desk = make_desk(site, "next")
+        while desk.work_once() is None:
+            site.clock.sleep(1.0)
+        raise OrderError("request lost", step="order", peer=upstream.name)
+
+    site.engines.on_order = on_order
+    with pytest.raises(LeaseLostError):
+        mover.run(made.id)
+    assert site.models() == NEW
+    assert open_moves(site) == ()
+
+
+def test_lease_held_elsewhere(site):
+    """The plan is noted before the lease is had; whoever holds it goes on."""
+    made = make_plan(site)
+    other = site.acquire(site.holder("other"))
+    site.clock.on_sleep = lambda: other.require(0.0, step="other")
+    with pytest.raises(LeaseLostError):
+        confirm_plan(site, made)
+    assert [move.plan for move in open_moves(site)] == [made.id]
+    assert make_desk(site).work_once() is None
+    site.mover(other).run_open_moves()
+    assert site.models() == NEW
+
+
+def test_engine_that_left_needs_no_orders(site):
+    made = make_plan(site)
+    leaving = plan(
+        site.tables,
+        intent="drain-upstream",
+        arguments={"upstream": "e2"},
+        author="ana",
+    )
+    confirm(site.tables, leaving.id, author="ana")
+    with pytest.raises(ConflictError):
+        confirm_plan(site, made)
+    again = make_plan(site)
+    assert {step.upstream for step in again.steps} == {"e1", ""}
+    confirm_plan(site, again)
+    assert site.models() == {"e1": ["m2"], "e2": ["m1"]}
