Have callers of the bench use each address's own key prefix and ask again

And a caller gave up at the first break, although its key lets it ask again. Ruled out: a node's fault; the answer gives each address its own prefix. Change: sites with their own address answers, in the order told; after a break or an "unknown" the same key is asked for again, at another address first; kill-node spares homes of engines' cells and kill-home kills one, since the two losses differ.

--- a/baobabwing/bench/answers.py
+++ b/baobabwing/bench/answers.py
@@ -30,7 +30,8 @@
     :param request_id: the id that the system gave it, if it said one.
     :param status: HTTP status; 0 if no head came.
     :param code: the system's word for a refusal, or what broke.
-    :param sent_s: when it was put on the wire.
+    :param tries: how often it was asked for, each time with the same key.
+    :param sent_s: when the last try began.
     :param first_s: when the first token came; the end for an unstreamed answer.
     :param end_s: when the answer was over.
     :param gaps_ms: times between consecutive tokens of a stream.
@@ -44,6 +45,7 @@
     address: str = ""
     status: int = 0
     code: str = ""
+    tries: int = 0
     sent_s: float = 0.0
     first_s: float = 0.0
     end_s: float = 0.0
--- a/baobabwing/bench/deployments.py
+++ b/baobabwing/bench/deployments.py
@@ -4,6 +4,7 @@
 
 import json
 import secrets
+from pathlib import Path
 from typing import Any
 
 from baobabwing.bench.control import answers_ok, get_json
@@ -15,7 +16,12 @@
     platform_arguments,
     service_arguments,
 )
+from baobabwing.fleet.homes import home_of
+from baobabwing.fleet.host import Host, Member, MemberState
+from baobabwing.fleet.view import FleetView
 from baobabwing.platform.tables import TableClient
+from baobabwing.pools.catalogue import PoolKind, Upstream
+from baobabwing.pools.partition import cell_names, cell_resource
 from baobabwing.settings.publish import publish
 
 __all__ = ["Deployment"]
@@ -27,7 +33,7 @@
 STOP_TIMEOUT_S = 40.0
 # Short, so that callers of a run of seconds hear of changes as they would in one
 # of hours.
-ADDRESS_KEEP_MS = 1_000
+ADDRESS_KEEP_MS = 2_000
 SECRET_BYTES = 16
 
 
@@ -54,6 +60,7 @@
             for number in range(1, count + 1)
         }
         self._group = group
+        self._cfg = build_configuration(shape, self.upstreams, policy=policy)
         self._secret = secrets.token_hex(SECRET_BYTES)
         self._last_records: dict[str, list[dict[str, Any]]] = {}
 
@@ -86,6 +93,26 @@
         """Return the names of the nodes that run."""
         return [name for name in self.nodes if self._group.get(name).alive()]
 
+    def engine_homes(self) -> list[str]:
+        """Return the nodes that are homes of cells of engines.
+
+        Computed as the nodes do, from a view in which every living node serves.
+        """
+        view = FleetView(
+            members=tuple(
+                Member(host=self._host(name), state=MemberState.ALIVE)
+                for name in self.living_nodes()
+            )
+        )
+        cells = [
+            cell
+            for pool in self._cfg.pools
+            if pool.kind is PoolKind.ENGINE
+            for cell in cell_names(pool, self._upstreams_of(pool.name))
+        ]
+        homes = [home_of(view, cell_resource(cell)) for cell in cells]
+        return [home.name for home in homes if home is not None]
+
     def kill_node(self, name: str) -> None:
         """End a node at once."""
         self._group.kill(name)
@@ -118,6 +145,19 @@
             found += merge_records(name, documents, epoch_s=epoch_s)
         return found
 
+    def _host(self, name: str) -> Host:
+        return Host(
+            name=name,
+            incarnation=0,
+            zone=self._zone(self.node_names.index(name)),
+            region=self.shape.region,
+            peer="",
+            http=self.nodes[name],
+        )
+
+    def _upstreams_of(self, pool: str) -> list[Upstream]:
+        return [one for one in self._cfg.upstreams if one.pool == pool]
+
     def _start_standins(self) -> None:
         self._group.start(PLATFORM, platform_arguments(self.platform))
         for spec in self.shape.engines:
@@ -149,11 +189,10 @@
         self._group.start(spec.name, arguments)
 
     def _publish(self) -> None:
-        cfg = build_configuration(self.shape, self.upstreams, policy=self.policy)
         tables = TableClient(
             url=f"http://{self.platform}", timeout_s=PLATFORM_TIMEOUT_S
         )
-        publish(tables, base=0, cfg=cfg)
+        publish(tables, base=0, cfg=self._cfg)
 
     def _start_node(self, name: str, *, zone: str) -> None:
         settings = {
@@ -191,5 +230,5 @@
     def _record_over_http(self, name: str) -> list[dict[str, Any]]:
         return get_json(self.upstreams[name], "/control/record")["executions"]
 
-    def _record_path(self, name: str) -> Any:
+    def _record_path(self, name: str) -> Path:
         return self._group.folder / f"{name}.record.jsonl"
--- a/baobabwing/bench/directory.py
+++ b/baobabwing/bench/directory.py
@@ -11,37 +11,80 @@
 
 from baobabwing.bench.processes import ProcessError
 
-__all__ = ["Directory", "Entry"]
+__all__ = ["Directory", "Entry", "Site"]
 
 ASK_TIMEOUT_S = 1.0
 MS_PER_S = 1_000.0
 OK_STATUS = 200
+SITES = 8
 
 
 @dataclass(frozen=True, kw_only=True)
 class Entry:
-    """One address that callers use.
+    """One address that callers may use.
 
-    :param key_prefix: what keys of callers begin with that asked this address.
+    :param key_prefix: what keys of requests begin with that are sent there.
     """
 
     address: str
-    key_prefix: str
+    key_prefix: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
 class _Told:
-    addresses: tuple[str, ...]
-    key_prefix: str
+    entries: tuple[Entry, ...]
     keep_s: float
 
 
+class Site:
+    """Callers that share one address answer, such as an app's server.
+
+    Thread safe.
+
+    :param name: tells sites apart towards the system.
+    :param nodes: ``host:port`` of nodes that may be asked when nothing else answers.
+    """
+
+    def __init__(self, *, name: str, nodes: Sequence[str]) -> None:
+        self._name = name
+        self._nodes = tuple(nodes)
+        self._entries: tuple[Entry, ...] = ()
+        self._lock = threading.Lock()
+        self.keep_s = 0.0
+
+    def entries(self, *, avoid: str = "") -> tuple[Entry, ...]:
+        """Return the entries in the order in which to try them.
+
+        :param avoid: an address that goes last.
+        """
+        return tuple(sorted(self._entries, key=lambda one: one.address == avoid))
+
+    def use(self, entries: Sequence[Entry]) -> None:
+        """Take entries without asking for them."""
+        self._entries = tuple(entries)
+
+    def drop(self, entry: Entry) -> None:
+        """Leave out an address that refused a connection until the next answer."""
+        with self._lock:
+            self._entries = tuple(one for one in self._entries if one != entry)
+
+    def refresh(self) -> bool:
+        """Ask known nodes in turn until one answers; tell whether one did."""
+        known = [one.address for one in self._entries]
+        for address in dict.fromkeys((*known, *self._nodes)):
+            told = _ask(address, self._name)
+            if told is not None and told.entries:
+                with self._lock:
+                    self._entries = told.entries
+                    self.keep_s = told.keep_s
+                return True
+        return False
+
+
 class Directory:
-    """Stands for callers of every address, each with its own address answer.
+    """Sites with their address answers, each renewed when its keep time is over.
 
-    A thread asks all addresses again whenever the answers' keep time is over, so
-    that sending never waits for it. In between, an address that refuses a
-    connection is left out, as any client would do.
+    A thread asks, so that sending never waits for it.
 
     :param nodes: ``host:port`` of nodes that may be asked first.
     :param direct: whether ``nodes`` are used as they are, without asking.
@@ -50,12 +93,10 @@
     def __init__(
         self, *, nodes: Sequence[str], rng: random.Random, direct: bool = False
     ) -> None:
-        self._nodes = tuple(nodes)
         self._rng = rng
         self._direct = direct
-        self._lock = threading.Lock()
-        self._entries: dict[str, Entry] = {}
-        self._keep_s = 0.0
+        self._nodes = tuple(nodes)
+        self._sites = [self._new_site() for _ in range(SITES)]
         self._stopped = threading.Event()
 
     def start(self) -> None:
@@ -64,12 +105,11 @@
         :raises ProcessError: if no node answers.
         """
         if self._direct:
-            self._entries = {
-                node: Entry(address=node, key_prefix="") for node in self._nodes
-            }
+            for site in self._sites:
+                site.use([Entry(address=node) for node in self._nodes])
             return
-        self._ask_all()
-        if not self._entries:
+        answered = [site.refresh() for site in self._sites]
+        if not all(answered):
             raise ProcessError("no addresses", step="ask", peer=" ".join(self._nodes))
         threading.Thread(target=self._keep_asking, daemon=True).start()
 
@@ -77,53 +117,24 @@
         """Stop asking."""
         self._stopped.set()
 
-    def choose(self) -> Entry:
-        """Return one entry at random.
+    def choose(self) -> Site:
+        """Return one site at random."""
+        return self._rng.choice(self._sites)
 
-        :raises ConnectionError: if no address is left.
-        """
-        with self._lock:
-            if not self._entries:
-                raise ConnectionError("no address left")
-            return self._rng.choice(list(self._entries.values()))
-
-    def failed(self, entry: Entry) -> None:
-        """Leave out an address that refused a connection."""
-        with self._lock:
-            self._entries.pop(entry.address, None)
+    def _new_site(self) -> Site:
+        nodes = self._rng.sample(self._nodes, len(self._nodes))
+        return Site(name=f"{self._rng.getrandbits(64):x}", nodes=nodes)
 
     def _keep_asking(self) -> None:
-        while not self._stopped.wait(self._keep_s):
-            self._ask_all()
-
-    def _ask_all(self) -> None:
-        found: dict[str, Entry] = {}
-        waiting = list(dict.fromkeys((*self._entries, *self._nodes)))
-        offered: set[str] = set()
-        asked: set[str] = set()
-        while waiting:
-            address = waiting.pop(0)
-            asked.add(address)
-            told = _ask(address)
-            if told is None:
-                continue
-            self._keep_s = told.keep_s
-            offered.update(told.addresses)
-            found[address] = Entry(address=address, key_prefix=told.key_prefix)
-            waiting += [
-                one for one in told.addresses if one not in asked and one not in waiting
-            ]
-        with self._lock:
-            # A leaving node still answers, but the others no longer offer it.
-            self._entries = {
-                address: entry for address, entry in found.items() if address in offered
-            }
+        while not self._stopped.wait(min(site.keep_s for site in self._sites)):
+            for site in self._sites:
+                site.refresh()
 
 
-def _ask(address: str) -> _Told | None:
+def _ask(address: str, site: str) -> _Told | None:
     conn = http.client.HTTPConnection(address, timeout=ASK_TIMEOUT_S)
     try:
-        conn.request("GET", "/v1/addresses")
+        conn.request("GET", "/v1/addresses", headers={"X-Caller-Seed": site})
         resp = conn.getresponse()
         raw = resp.read()
     except (OSError, http.client.HTTPException):
@@ -133,8 +144,8 @@
     if resp.status != OK_STATUS:
         return None
     document = json.loads(raw)
-    return _Told(
-        addresses=tuple(one["http"] for one in document["addresses"]),
-        key_prefix=document.get("key_prefix", ""),
-        keep_s=document["keep_ms"] / MS_PER_S,
+    entries = tuple(
+        Entry(address=one["http"], key_prefix=one["key_prefix"])
+        for one in document["addresses"]
     )
+    return _Told(entries=entries, keep_s=document["keep_ms"] / MS_PER_S)
--- a/baobabwing/bench/driver.py
+++ b/baobabwing/bench/driver.py
@@ -20,7 +20,7 @@
 
 from baobabwing.bench.answers import Answer, Verdict
 from baobabwing.bench.arrivals import Arrival, Form, own_text, shared_text
-from baobabwing.bench.directory import Directory, Entry
+from baobabwing.bench.directory import Directory, Entry, Site
 from baobabwing.bench.transcripts import (
     Judgement,
     Piece,
@@ -42,10 +42,14 @@
 STACK_BYTES = 256 * 1024
 READ_BYTES = 64 * 1024
 MS_PER_S = 1_000.0
+OK_STATUS = 200
+UNKNOWN = Verdict.UNKNOWN
+EVENT_STREAM = "text/event-stream"
+STREAM_END = b"data: [DONE]\n\n"
 # How long past its deadline a caller still listens for an answer.
 PATIENCE_S = 10.0
-CONNECT_ATTEMPTS = 3
 PROGRESS_S = 0.5
+COME_BACK_PAUSES_S = (0.1, 0.3, 1.0, 2.0)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -56,6 +60,7 @@
     :param start_at: start of the run on the monotonic clock of the host.
     :param keys: credential by ``organisation/tier``.
     :param direct: whether ``nodes`` are upstreams to be spoken to directly.
+    :param pauses_s: before a caller asks again for an answer that broke off.
     """
 
     run: str
@@ -65,6 +70,7 @@
     keys: dict[str, str]
     arrivals: tuple[Arrival, ...]
     direct: bool = False
+    pauses_s: tuple[float, ...] = COME_BACK_PAUSES_S
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -81,8 +87,8 @@
 
     arrival: Arrival
     answer: Answer
-    content_type: str
-    pieces: tuple[Piece, ...]
+    content_type: str = ""
+    pieces: tuple[Piece, ...] = ()
 
 
 class _Caller:
@@ -97,27 +103,51 @@
         return self._raws
 
     def call(self, arrival: Arrival) -> None:
-        """Send one request and keep its answer; never raises."""
-        answer = Answer(index=arrival.index, verdict=Verdict.UNKNOWN)
-        pieces: list[Piece] = []
-        kind = ""
+        """Send one request and keep its answer; never raises.
+
+        A caller whose connection broke asks again with the same key, at another
+        address if need be, since the system promises not to run the key twice.
+        """
+        site = self._directory.choose()
+        raw = self._try(site, arrival, Answer(index=arrival.index, verdict=UNKNOWN))
+        for pause_s in self._plan.pauses_s:
+            if not _is_unknown(raw):
+                break
+            time.sleep(pause_s)
+            if self._now_s() - arrival.at_s > arrival.deadline_ms / MS_PER_S:
+                break
+            raw = self._try(site, arrival, raw.answer)
+        self._raws.append(raw)
+
+    def _try(self, site: Site, arrival: Arrival, last: Answer) -> _Raw:
+        """Ask once, after ``last``, which had no try or an unknown end."""
+        key = last.key
+        answer = Answer(
+            index=arrival.index,
+            verdict=UNKNOWN,
+            key=key,
+            tries=last.tries + 1,
+            sent_s=self._now_s(),
+        )
         try:
-            conn, entry = self._connect(arrival)
+            conn, entry = self._connect(site, arrival, avoid=last.address)
         except OSError as exc:
-            now_s = self._now_s()
-            answer = replace(
-                answer,
-                verdict=Verdict.ERROR,
-                code=f"no_connection_{type(exc).__name__}",
-                sent_s=now_s,
-                end_s=now_s,
-            )
-            self._keep(arrival, answer, kind, pieces)
-            return
-        key = self._key(arrival, entry)
-        answer = replace(answer, key=key, address=entry.address, sent_s=self._now_s())
+            # Before the first byte nothing can have run; later it is not known.
+            verdict = UNKNOWN if key else Verdict.ERROR
+            code = f"no_connection_{type(exc).__name__}"
+            answer = replace(answer, verdict=verdict, code=code, end_s=self._now_s())
+            return _Raw(arrival=arrival, answer=answer)
+        key = key or self._new_key(arrival, entry)
+        answer = replace(answer, key=key, address=entry.address)
+        return self._exchange(conn, arrival, answer)
+
+    def _exchange(
+        self, conn: http.client.HTTPConnection, arrival: Arrival, answer: Answer
+    ) -> _Raw:
+        pieces: list[Piece] = []
+        kind = ""
         try:
-            self._send(conn, arrival, key)
+            self._send(conn, arrival, answer.key)
             resp = conn.getresponse()
             kind = resp.getheader("Content-Type", "")
             answer = _with_head(answer, resp)
@@ -126,28 +156,32 @@
             answer = replace(answer, code=f"broken_{type(exc).__name__}")
         finally:
             conn.close()
-        self._keep(arrival, replace(answer, end_s=self._now_s()), kind, pieces)
+        return _Raw(
+            arrival=arrival,
+            answer=replace(answer, end_s=self._now_s()),
+            content_type=kind,
+            pieces=tuple(pieces),
+        )
 
-    def _key(self, arrival: Arrival, entry: Entry) -> str:
+    def _new_key(self, arrival: Arrival, entry: Entry) -> str:
         prefix = "" if arrival.own_key else entry.key_prefix
         return f"{prefix}{self._plan.run}-{arrival.index}"
 
-    def _connect(self, arrival: Arrival) -> tuple[http.client.HTTPConnection, Entry]:
+    def _connect(
+        self, site: Site, arrival: Arrival, *, avoid: str
+    ) -> tuple[http.client.HTTPConnection, Entry]:
         """Connect to an address; a refused connect has sent nothing, so go on."""
         timeout_s = arrival.deadline_ms / MS_PER_S + PATIENCE_S
-        for attempt in range(1, CONNECT_ATTEMPTS + 1):
-            entry = self._directory.choose()
+        for entry in site.entries(avoid=avoid):
             conn = http.client.HTTPConnection(entry.address, timeout=timeout_s)
             try:
                 conn.connect()
             except OSError:
                 conn.close()
-                self._directory.failed(entry)
-                if attempt == CONNECT_ATTEMPTS:
-                    raise
+                site.drop(entry)
             else:
                 return conn, entry
-        raise ConnectionError("no address left")
+        raise ConnectionRefusedError("no address left")
 
     def _send(
         self, conn: http.client.HTTPConnection, arrival: Arrival, key: str
@@ -169,14 +203,6 @@
         while data := resp.read1(READ_BYTES):
             pieces.append(Piece(at_s=self._now_s(), data=data))
 
-    def _keep(
-        self, arrival: Arrival, answer: Answer, kind: str, pieces: list[Piece]
-    ) -> None:
-        raw = _Raw(
-            arrival=arrival, answer=answer, content_type=kind, pieces=tuple(pieces)
-        )
-        self._raws.append(raw)
-
     def _now_s(self) -> float:
         return time.monotonic() - self._plan.start_at
 
@@ -218,6 +244,7 @@
     """Read a plan."""
     raw = json.loads(path.read_text(encoding="utf-8"))
     raw["nodes"] = tuple(raw["nodes"])
+    raw["pauses_s"] = tuple(raw["pauses_s"])
     raw["arrivals"] = tuple(
         Arrival(**{**item, "form": Form(item["form"])}) for item in raw["arrivals"]
     )
@@ -299,6 +326,17 @@
         return 0.0
 
 
+def _is_unknown(raw: _Raw) -> bool:
+    """Tell whether the caller does not know what became of its request."""
+    answer = raw.answer
+    last = raw.pieces[-1].data if raw.pieces else b""
+    streamed = raw.content_type.startswith(EVENT_STREAM)
+    ended = last.endswith(STREAM_END) or not streamed
+    if answer.status == OK_STATUS and not answer.code and ended:
+        return False
+    return _judge(raw).verdict is UNKNOWN
+
+
 def _judge(raw: _Raw) -> Answer:
     if raw.answer.verdict is Verdict.ERROR:
         return raw.answer
@@ -320,7 +358,7 @@
 
 
 def _judge_bytes(raw: _Raw) -> Judgement:
-    if raw.content_type.startswith("text/event-stream"):
+    if raw.content_type.startswith(EVENT_STREAM):
         return judge_stream(raw.arrival, raw.pieces)
     body = b"".join(piece.data for piece in raw.pieces)
     if raw.answer.code:
--- a/baobabwing/bench/faults.py
+++ b/baobabwing/bench/faults.py
@@ -69,7 +69,16 @@
 
 @bench_fault("kill-node")
 def _kill_node(deployment: Deployment) -> None:
-    deployment.kill_node(deployment.node_names[-1])
+    """Kill a node that orders the requests of no pool of engines."""
+    homes = set(deployment.engine_homes())
+    others = [name for name in deployment.node_names if name not in homes]
+    deployment.kill_node((others or deployment.node_names)[-1])
+
+
+@bench_fault("kill-home")
+def _kill_home(deployment: Deployment) -> None:
+    """Kill the node that orders the requests of the engines."""
+    deployment.kill_node(deployment.engine_homes()[0])
 
 
 @bench_fault("kill-engine")
--- a/baobabwing/bench/figures.py
+++ b/baobabwing/bench/figures.py
@@ -186,6 +186,8 @@
 
     :param node_ms_per_request: processor time of all nodes for one request.
     :param sending_lag: how late the load client itself was.
+    :param asked_again: requests asked for again, as their answers broke off.
+    :param recovered: those of them that were answered whole in the end.
     """
 
     policy: str
@@ -198,6 +200,8 @@
     capacity: CapacityFigures
     node_ms_per_request: float
     sending_lag: Quantiles
+    asked_again: int
+    recovered: int
     codes: dict[str, int]
 
 
@@ -207,7 +211,9 @@
     lags_ms = [
         (answer.sent_s - run.arrivals[answer.index].at_s) * MS_PER_S
         for answer in run.answers
+        if answer.tries == 1
     ]
+    again = [answer for answer in run.answers if answer.tries > 1]
     codes = Counter(
         f"{answer.verdict}:{answer.code}"
         for answer in run.answers
@@ -224,6 +230,8 @@
         capacity=capacity_figures(run),
         node_ms_per_request=run.node_cpu_s * MS_PER_S / max(1, len(run.answers)),
         sending_lag=quantiles(lags_ms),
+        asked_again=len(again),
+        recovered=sum(one.verdict is Verdict.WHOLE for one in again),
         codes=dict(sorted(codes.items())),
     )
 
--- a/baobabwing/bench/tables.py
+++ b/baobabwing/bench/tables.py
@@ -86,6 +86,8 @@
         f" executions of no request: {safety.unmatched}",
         f"processor time of nodes a request: {figures.node_ms_per_request:.2f} ms;"
         f" load client late by p99 {figures.sending_lag.p99:.1f} ms",
+        f"asked again after a break: {figures.asked_again},"
+        f" then whole: {figures.recovered}",
         f"not whole: {codes or 'none'}",
     ]
 
--- a/tests/bench/test_driver.py
+++ b/tests/bench/test_driver.py
@@ -1,5 +1,7 @@
 """The load client against a stand-in engine and against broken answers."""
 
+import contextlib
+import re
 import socket
 import threading
 import time
@@ -63,6 +65,7 @@
         keys={},
         arrivals=tuple(arrivals),
         direct=True,
+        pauses_s=(0.01,),
     )
 
 
@@ -131,7 +134,48 @@
     assert answer.code.startswith("broken_")
 
 
+def test_caller_asks_again_with_the_same_key_after_a_break(engine):
+    """A node dies while it relays an answer; the caller turns to another node.
+
+    The first connection closes without a word, the second reaches an engine. The
+    caller must use the key of its first try, or the request could run twice.
+    """
+    seen = bytearray()
+    with socket.create_server((LOOPBACK, 0)) as server:
+        address = f"{LOOPBACK}:{server.getsockname()[1]}"
+        threading.Thread(
+            target=_close_then_pass_on, args=(server, engine, seen), daemon=True
+        ).start()
+        (answer,) = drive(_plan(address, _arrivals(CHAT_TURN)[:1], run="again"))
+    assert (answer.verdict, answer.tries) == (Verdict.WHOLE, 2)
+    assert _keys_in(seen) == [answer.key, answer.key]
+
+
 def _accept_and_close(server):
+    while True:
+        try:
+            conn, _ = server.accept()
+        except OSError:
+            return
+        with conn:
+            conn.recv(65_536)
+
+
+def _close_then_pass_on(server, engine, seen):
     conn, _ = server.accept()
     with conn:
-        conn.recv(65_536)
+        seen += conn.recv(65_536)
+    conn, _ = server.accept()
+    host, _, port = engine.partition(":")
+    with conn, socket.create_connection((host, int(port))) as upstream:
+        conn.settimeout(0.2)
+        with contextlib.suppress(TimeoutError):
+            while data := conn.recv(65_536):
+                seen += data
+                upstream.sendall(data)
+        while data := upstream.recv(65_536):
+            conn.sendall(data)
+
+
+def _keys_in(seen):
+    return re.findall(r"Idempotency-Key: (\S+)", seen.decode())
--- a/tests/bench/test_figures.py
+++ b/tests/bench/test_figures.py
@@ -48,6 +48,7 @@
         key=f"k{arrival.index}",
         request_id=f"r{arrival.index}",
         status=200,
+        tries=1,
         code=code,
         sent_s=arrival.at_s,
         first_s=end_s,
