--- a/baobabwing/fleet/membership.py
+++ b/baobabwing/fleet/membership.py
@@ -138,6 +138,11 @@
         """Counters of datagrams sent, received and dropped."""
         return self._link.counters
 
+    @property
+    def superseded(self) -> bool:
+        """Whether a process with this host's name was started later."""
+        return self._news.superseded
+
     def start(self) -> None:
         """Begin to receive, to probe and to join."""
         self._news.tell()
@@ -180,7 +185,7 @@
         self._seeds.stop()
         self._link.wake()
         for thread in self._threads:
-            if thread.is_alive():
+            if thread.is_alive() and thread is not threading.current_thread():
                 thread.join(_STOP_TIMEOUT_S)
         self._link.close()
 
--- a/baobabwing/fleet/news.py
+++ b/baobabwing/fleet/news.py
@@ -54,11 +54,11 @@
         self._speaker = speaker
         self._on_view = on_view
         self._changed = threading.Condition()
-        self._telling = threading.Lock()
+        self._telling = threading.RLock()
         self._told: FleetView | None = None
         self._fresh = threading.Event()
         self._wake: Callable[[], None] = lambda: None
-        self._logged_superseded = False
+        self.superseded = False
 
     def on_fresh(self, wake: Callable[[], None]) -> None:
         """Set what is called when there is something to be spread at once."""
@@ -121,8 +121,8 @@
         if event is None:
             return
         if change.kind is ChangeKind.OWN_SUPERSEDED:
-            if self._logged_superseded:
+            if self.superseded:
                 return
-            self._logged_superseded = True
+            self.superseded = True
         host = change.member.host
         log(event, host=host.name, zone=host.zone, incarnation=host.incarnation)
--- a/baobabwing/fleet/probe.py
+++ b/baobabwing/fleet/probe.py
@@ -30,6 +30,11 @@
     confirmed: dict[str, str] = field(default_factory=dict)
     sequences: set[int] = field(default_factory=set)
 
+    def renew(self, now: float) -> None:
+        """Drop what was found out so far, but remain under suspicion."""
+        self.started_at = now
+        self.confirmed.clear()
+
     def restart(self, now: float) -> None:
         """Begin anew, as if nothing had been sent."""
         self.started_at = now
--- a/baobabwing/fleet/prober.py
+++ b/baobabwing/fleet/prober.py
@@ -123,8 +123,10 @@
             lost = float(probe.rounds > 1)
             self._loss += _LOSS_WEIGHT * (lost - self._loss)
             self._close(probe)
-            self._release_held()
-        if self._table.clear_suspicion(name):
+            if probe.held:
+                self._restart_held()
+        changed = self._table.clear_suspicion(name)
+        if self._note_isolation() or changed:
             self._news.tell()
 
     def found_silent(self, sequence: int, by: Host, name: str) -> None:
@@ -172,11 +174,13 @@
         with self._lock:
             due = [probe for probe in self._probes.values() if probe.next_at <= now]
         for probe in due:
-            if self._is_obsolete(probe):
-                with self._lock:
-                    self._close(probe)
+            if not self._is_obsolete(probe):
+                self._advance(probe, now)
                 continue
-            self._advance(probe, now)
+            with self._lock:
+                self._close(probe)
+            if self._note_isolation():
+                self._news.tell()
 
     def _is_obsolete(self, probe: Probe) -> bool:
         member = self._table.find(probe.target.name)
@@ -262,29 +266,43 @@
                 ),
             )
         if verdict is Verdict.HOLD:
-            self._hold(probe)
+            self._hold(probe, now)
             return False
         self._declare(probe)
         return True
 
-    def _hold(self, probe: Probe) -> None:
+    def _hold(self, probe: Probe, now: float) -> None:
         probe.held += 1
-        if probe.held <= _QUICK_HOLDS or self._table.view().isolated:
+        if probe.held <= _QUICK_HOLDS:
             return
-        log(VERDICTS_HELD, host=probe.target.name, suspects=len(self._probes))
-        self._table.set_isolated(True)
-        self._news.tell()
+        # What was found out before the pause is old by the next verdict. When the
+        # link is back, an old confirmation together with new answers of all others
+        # would declare whoever happens to answer last.
+        with self._lock:
+            probe.renew(now)
+            self._forget_sequences(probe)
+        if self._note_isolation():
+            self._news.tell()
 
-    def _release_held(self) -> None:
-        """Try all held suspects soon, now that somebody answers again."""
+    def _restart_held(self) -> None:
+        """Try all held suspects anew, now that one of them answers again."""
         now = time.monotonic()
         held = [probe for probe in self._probes.values() if probe.held]
         for place, probe in enumerate(held):
-            probe.next_at = min(probe.next_at, now + place * _RESUME_SPACING_S)
-        if not held and self._table.view().isolated:
+            probe.restart(now + place * _RESUME_SPACING_S)
+
+    def _note_isolation(self) -> bool:
+        """Report whether verdicts are held; return whether that changed."""
+        with self._lock:
+            held = [p for p in self._probes.values() if p.held > _QUICK_HOLDS]
+        if not self._table.set_isolated(bool(held)):
+            return False
+        if held:
+            log(VERDICTS_HELD, host=held[0].target.name, suspects=len(self._probes))
+        else:
             log(VERDICTS_RESUMED)
-            self._table.set_isolated(False)
             self._joining.pull_anew()
+        return True
 
     def _declare(self, probe: Probe) -> None:
         member = self._table.find(probe.target.name)
@@ -306,8 +324,12 @@
     def _close(self, probe: Probe) -> None:
         if self._probes.get(probe.target.name) is probe:
             del self._probes[probe.target.name]
+        self._forget_sequences(probe)
+
+    def _forget_sequences(self, probe: Probe) -> None:
         for sequence in probe.sequences:
             self._by_sequence.pop(sequence, None)
+        probe.sequences.clear()
 
     def _spread_news(self, now: float) -> None:
         self._fresh = self._news.take_fresh() or self._fresh
--- a/baobabwing/fleet/receiver.py
+++ b/baobabwing/fleet/receiver.py
@@ -93,6 +93,8 @@
         reason = self._refusal(datagram)
         if reason is not None:
             self._link.drop(reason, arrival.address, detail=datagram.sender)
+            if reason is DropReason.STALE:
+                self._ask_who(arrival, self._table.find(datagram.sender))
             return
         self._news.take_in(datagram.updates)
         member = self._table.find(datagram.sender)
--- a/baobabwing/fleet/table.py
+++ b/baobabwing/fleet/table.py
@@ -125,12 +125,14 @@
             self._view = None
             return True
 
-    def set_isolated(self, isolated: bool) -> None:
-        """Note whether verdicts are held back."""
+    def set_isolated(self, isolated: bool) -> bool:
+        """Note whether verdicts are held back; return whether that is new."""
         with self._lock:
-            if isolated != self._isolated:
-                self._isolated = isolated
-                self._view = None
+            if isolated == self._isolated:
+                return False
+            self._isolated = isolated
+            self._view = None
+            return True
 
     def view(self) -> FleetView:
         """Return the view of now; the same object until something changes."""
