--- a/baobabwing/standins/engine/sequence.py
+++ b/baobabwing/standins/engine/sequence.py
@@ -81,11 +81,15 @@
         self._frame = frame
         self._position = position
         self._cut_at = cut_at
-        self._unsent = b""
+        self._unsent = bytearray()
         self.broken = False
         self.cut = False
         self.ended = threading.Event()
 
+    def start(self) -> None:
+        """Prepare the connection, before the loop writes to it."""
+        self._sock.setblocking(False)
+
     def push(self, produced: int) -> None:
         """Write what is new; called under the engine's lock."""
         if self._cut_at is not None and produced >= self._cut_at:
@@ -107,7 +111,7 @@
         self._sock.settimeout(timeout_s)
         if self._unsent:
             self._sock.sendall(self._unsent)
-            self._unsent = b""
+            self._unsent.clear()
 
     def _write(self) -> None:
         try:
@@ -117,4 +121,4 @@
         except OSError:
             self.broken = True
             return
-        self._unsent = self._unsent[sent:]
+        del self._unsent[:sent]
--- a/tests/standins/engine/test_streams.py
+++ b/tests/standins/engine/test_streams.py
@@ -19,9 +19,13 @@
 
 
 def read_events(answer):
+    return parse_events(answer.data)
+
+
+def parse_events(body):
     """Return the events' numbers, their text, and whether the end was seen."""
     numbers, pieces, done = [], [], False
-    for block in answer.data.decode().split("\n\n"):
+    for block in body.decode().split("\n\n"):
         if block == "data: [DONE]":
             done = True
         elif block:
@@ -126,19 +130,24 @@
         assert answer.read()
 
 
-def test_a_slow_reader_gets_everything_and_holds_up_nobody(engine):
+def test_a_slow_reader_gets_everything_and_holds_up_nobody(start, until):
     """One caller reads nothing for a while; others must not notice.
 
     The connection's buffers fill, so the engine's loop cannot write; if it
     waited there, all other streams of the batch would stand still.
     """
-    slow = engine.open(CHAT, chat("slow", max_tokens=20_000), X_Request_Id="a-1")
-    for index in range(3):
-        quick = engine.call("POST", CHAT, chat(f"quick {index}", max_tokens=20))
-        assert read_events(quick)[2]
-    assert engine.states() == ["running", "finished", "finished", "finished"]
-    engine.call("DELETE", "/v1/streams/a-1")
-    slow.close()
+    engine = start(
+        "engine", "--model", "m", "--step-ms", "0.01", "--step-ms-per-sequence", "0"
+    )
+    conn = engine.begin(CHAT, chat("slow", max_tokens=32_000))
+    until(lambda: engine.states() == ["running"])
+    quick = engine.call("POST", CHAT, chat("quick", max_tokens=20))
+    assert read_events(quick)[2]
+    until(lambda: engine.states() == ["finished", "finished"])
+    numbers, pieces, done = parse_events(conn.getresponse().read())
+    assert (numbers, done) == (list(range(32_000)), True)
+    assert pieces == text("slow", 32_000)
+    conn.close()
 
 
 @pytest.mark.parametrize(
