Count the prefill of a step that a cancel came too late for

Cause: an engine that prefills whole prompts recorded no prompt token for a request cancelled during that step, though the step ran on to its end, so wasted prefill came out too low.

Seen red, then green: a prompt of 300 tokens cancelled within its step was on record with 0 prefilled tokens, and now is with 300.

Ruled out: ending the step at the cancel, which no continuous batching does.

--- a/baobabwing/standins/engine/loop.py
+++ b/baobabwing/standins/engine/loop.py
@@ -161,8 +161,7 @@
 
     def _finish_step(self, prefill: dict[Sequence, int]) -> None:
         for seq, tokens in prefill.items():
-            if not seq.ended.is_set():
-                self._prefilled(seq, tokens)
+            self._prefilled(seq, tokens)
         ended = False
         for seq in self._running:
             if not seq.prefill_left:
@@ -176,7 +175,9 @@
         seq.execution.prefilled_tokens += tokens
         if not seq.prefill_left:
             self.cache.store(seq.blocks)
-            # A death later on must not hide the prompt work that it wasted.
+        if not seq.prefill_left or seq.ended.is_set():
+            # A death later on must not hide the prompt work that it wasted, nor
+            # a cancel the work of the step that it came too late for.
             self._record.note(seq.execution)
 
     def _make_token(self, seq: Sequence) -> bool:
--- a/tests/standins/engine/test_batching.py
+++ b/tests/standins/engine/test_batching.py
@@ -152,3 +152,21 @@
     last = json.loads(path.read_text().splitlines()[-1])
     assert (last["state"], last["prefilled_tokens"]) == ("running", 300)
     conn.close()
+
+
+def test_a_step_that_a_cancel_came_too_late_for_counts_as_prefilled(start, until):
+    """A caller gives up while its whole prompt is being read in one step.
+
+    The step cannot be stopped, so its work is wasted and has to be counted.
+    """
+    engine = start(
+        "engine", "--model", "m", "--prefill-chunk", "0",
+        "--prefill-tokens-per-s", "600",
+    )  # fmt: skip
+    body = completion(words(300), stream=True)
+    conn = engine.begin("/v1/completions", body, X_Request_Id="a")
+    until(lambda: engine.states() == ["running"])
+    engine.call("DELETE", "/v1/streams/a")
+    assert engine.states() == ["cancelled"]
+    until(lambda: engine.executions()[0]["prefilled_tokens"] == 300, wait_s=5.0)
+    conn.close()
