Hold the cell to an oracle over generated histories

Cause: an ask kept from free slots only by a prefill before it let lower tiers take them, and was then refused for load (found by the histories, red; test_lower_tier_does_not_take_what_a_chat_waits_for holds it). Ruled out: blocking lower tiers also where an upstream is too slow even when idle; old hardware would stand idle while the new is full. Change: an ask that is kept back by busy upstreams only keeps lower tiers out; histories of asks, repeats, ends, withdrawals, deaths of entries, restarts, changes of configuration and of the home against an oracle of messages alone.

--- a/baobabwing/pools/policies/registry.py
+++ b/baobabwing/pools/policies/registry.py
@@ -19,13 +19,14 @@
 class Hindrance(Enum):
     """Why an ask cannot be placed now.
 
-    ``LOAD``: nothing is free. ``PREFILL``: only its long prompt is in the way.
-    ``UNUSABLE``: what is free is excluded or too slow for it, so that others
+    ``LOAD``: nothing is free. ``BUSY``: prefills in the way keep it from what
+    is free, so that a shorter prompt of its tier may go first.
+    ``UNUSABLE``: what is free is excluded or too slow for it, so that all others
     may go first without taking anything from it.
     """
 
     LOAD = 1
-    PREFILL = 2
+    BUSY = 2
     UNUSABLE = 3
 
 
--- a/baobabwing/pools/policies/tiered.py
+++ b/baobabwing/pools/policies/tiered.py
@@ -243,7 +243,8 @@
         if upstream.name in self._ask.exclude:
             self._hinder(Hindrance.UNUSABLE)
         elif upstream.kind is PoolKind.SERVICE:
-            self._compare(upstream, upstream.speed.service_s, 0, False)
+            service_s = upstream.speed.service_s
+            self._compare(upstream, service_s, service_s, 0, False)
         else:
             self._consider_engine(upstream)
 
@@ -267,13 +268,15 @@
         prefill_s = uncached / speed.prefill_tokens_per_s
         is_long = self._bounded and prefill_s > LONG_PREFILL_S
         if is_long and not self._long_fits(upstream, prefill_s):
-            self._hinder(Hindrance.PREFILL)
+            self._hinder(Hindrance.BUSY)
             return
-        total_s = speed.head_s + prefill_s
-        total_s += ask.output_tokens * speed.step_s(len(upstream.permits) + 1)
+        idle_s = speed.request_s(uncached, ask.output_tokens, 1)
+        total_s = speed.request_s(
+            uncached, ask.output_tokens, len(upstream.permits) + 1
+        )
         if upstream.prefill_free_at > self._now:
             total_s += upstream.prefill_free_at - self._now
-        self._compare(upstream, total_s, uncached, is_long)
+        self._compare(upstream, total_s, idle_s, uncached, is_long)
 
     def _long_fits(self, upstream: TrackedUpstream, prefill_s: float) -> bool:
         if not self._long_allowed and prefill_s > MOST_LOW_PREFILL_S:
@@ -281,10 +284,19 @@
         return prefill_fits(upstream.low_prefill_free_at - self._now, prefill_s)
 
     def _compare(
-        self, upstream: TrackedUpstream, total_s: float, uncached: int, is_long: bool
+        self,
+        upstream: TrackedUpstream,
+        total_s: float,
+        idle_s: float,
+        uncached: int,
+        is_long: bool,
     ) -> None:
         if total_s > self._slack_s:
-            self._hinder(Hindrance.UNUSABLE)
+            # Too slow even when idle, it is no loss to this ask if another
+            # gets it. Too busy only, it must not go to a lower tier: the ask
+            # would be refused for load with lower-tier work admitted.
+            too_slow = idle_s > self._slack_s
+            self._hinder(Hindrance.UNUSABLE if too_slow else Hindrance.BUSY)
             return
         total_s += _CROWDING_S * len(upstream.permits)
         if total_s < self._best_s:
@@ -294,8 +306,8 @@
             self._best_long = is_long
 
     def _hinder(self, hindrance: Hindrance) -> None:
-        # A long prompt in the way outweighs: what is free will be its own soon.
-        if self._hindrance is not Hindrance.PREFILL:
+        # What is busy now will be its own soon; that outweighs what is not.
+        if self._hindrance is not Hindrance.BUSY:
             self._hindrance = hindrance
 
 
--- /dev/null
+++ b/tests/pools/test_cell_histories.py
@@ -0,0 +1,301 @@
+"""Generated histories of a cell against a simple oracle.
+
+The oracle knows asks, decisions and ends, and nothing of queues, fairness or
+learned speeds. It holds the cell to these rules:
+
+- each ask gets exactly one decision, unless it is withdrawn or its entry dies;
+- what is in flight is what was granted and has not ended;
+- no upstream has more than its capacity, nor anything new while it leaves;
+- a permit goes to a lower tier only if no higher one waits that could use the
+  same upstream, were it idle;
+- a request is dropped for overload only when no lower tier is queued;
+- right after a request is refused for load, no lower tier is let in.
+"""
+
+from hypothesis import HealthCheck, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    consumes,
+    initialize,
+    invariant,
+    rule,
+)
+
+from baobabwing.pools.catalogue import Pool, PoolKind, Upstream, UpstreamState
+from baobabwing.pools.cell import Cell
+from baobabwing.pools.permits import Ask, Done, Grant, Inflight, Outcome, RefusalCode
+
+CAPACITIES = {"u0": 1, "u1": 3, "u2": 5, "u3": 8}
+QUEUE_LIMIT = 6
+FOR_LOAD = (RefusalCode.OVERLOADED, RefusalCode.QUEUE_TOO_LONG)
+LONGEST_ORPHAN_S = 31.0
+TOKENS = 10
+STEP_S = 0.008
+PREFILL_TOKENS_PER_S = 8000.0
+SERVICE_S = 0.02
+SURE_OF_RUN = 0.9
+ENTRIES = ("n1#1", "n2#1", "n3#1")
+
+
+class Oracle:
+    """What must be true of the cell, from messages alone."""
+
+    def __init__(self):
+        self.waiting = {}
+        self.running = {}
+        self.decided = set()
+        self.asked = {}
+
+
+class CellHistories(RuleBasedStateMachine):
+    asks = Bundle("asks")
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.count = 0
+        self.oracle = Oracle()
+        self.closed_below = None
+        self.states = dict.fromkeys(CAPACITIES, UpstreamState.ACTIVE)
+
+    @initialize(kind=st.sampled_from(PoolKind))
+    def start(self, kind):
+        self.pool = Pool(name="p", kind=kind, queue_limit=QUEUE_LIMIT)
+        self.make_home()
+
+    def make_home(self):
+        self.cell = Cell(name="c", now=self.now)
+        self.take(self.cell.configure(self.pool, self.upstreams(), self.now))
+
+    def upstreams(self):
+        return [
+            Upstream(
+                name=name,
+                pool="p",
+                address=f"127.0.0.1:{9000 + i}",
+                capacity=CAPACITIES[name],
+                state=state,
+            )
+            for i, (name, state) in enumerate(self.states.items())
+            if state is not None
+        ]
+
+    def take(self, decisions):
+        """Hold decisions to the rules, in the order they were made."""
+        oracle = self.oracle
+        for decision in decisions:
+            request_id = decision.request_id
+            assert request_id in oracle.waiting, "a decision nobody waits for"
+            asked = oracle.waiting.pop(request_id)
+            oracle.decided.add(request_id)
+            assert decision.entry == asked.entry
+            if isinstance(decision, Grant):
+                assert decision.upstream not in asked.exclude
+                assert self.states[decision.upstream] is UpstreamState.ACTIVE
+                oracle.running[request_id] = (decision.upstream, asked)
+                self.check_no_inversion(decision.upstream, asked)
+            else:
+                assert decision.retry_after_s > 0.0
+                if decision.code == RefusalCode.OVERLOADED:
+                    lower = [
+                        other
+                        for other in oracle.waiting.values()
+                        if other.tier_rank > asked.tier_rank
+                    ]
+                    assert not lower, "dropped with lower tiers queued"
+
+    def check_no_inversion(self, upstream, asked):
+        for other in self.oracle.waiting.values():
+            if other.tier_rank < asked.tier_rank:
+                useless = upstream in other.exclude or self.too_slow_for(other)
+                assert useless, "a lower tier went first"
+
+    def too_slow_for(self, asked):
+        """Whether not even an idle upstream would be in time."""
+        return SURE_OF_RUN * self.run_time(asked) > asked.deadline - self.now
+
+    def run_time(self, asked):
+        if self.pool.kind is PoolKind.SERVICE:
+            return SERVICE_S
+        return asked.prompt_tokens / PREFILL_TOKENS_PER_S + TOKENS * STEP_S
+
+    def event(self, decisions):
+        """Take decisions of anything that may make room."""
+        self.closed_below = None
+        self.take(decisions)
+
+    @rule(
+        target=asks,
+        rank=st.integers(0, 3),
+        organisation=st.sampled_from(["a", "b", "c"]),
+        entry=st.sampled_from(ENTRIES),
+        budget=st.sampled_from([0.0001, 0.3, 2.0, 100.0, 1000.0]),
+        prompt=st.sampled_from([0, 50, 3000, 20000]),
+        exclude=st.sampled_from([(), (), (), ("u0", "u1"), ("u3",)]),
+    )
+    def submit(self, rank, organisation, entry, budget, prompt, exclude):
+        self.count += 1
+        item = Ask(
+            request_id=f"r{self.count}",
+            entry=entry,
+            pool="p",
+            organisation=organisation,
+            tier_rank=rank,
+            deadline=self.now + budget,
+            prompt_tokens=prompt,
+            output_tokens=TOKENS,
+            exclude=exclude,
+            key=f"k{self.count}",
+        )
+        self.oracle.asked[item.request_id] = item
+        self.oracle.waiting[item.request_id] = item
+        decisions = self.cell.submit(item, self.now)
+        self.take(decisions)
+        self.check_closed(item, decisions)
+        return item
+
+    def check_closed(self, item, decisions):
+        refused = {d.request_id: d for d in decisions if not isinstance(d, Grant)}
+        if self.closed_below is not None and item.tier_rank > self.closed_below:
+            assert item.request_id in refused, "let in below a refused tier"
+        for request_id, refusal in refused.items():
+            if refusal.code in FOR_LOAD:
+                rank = self.oracle.asked[request_id].tier_rank
+                before = self.closed_below
+                self.closed_below = rank if before is None else min(before, rank)
+                assert self.cell.floor() < rank
+
+    @rule(item=asks)
+    def repeat(self, item):
+        """The same ask arrives again."""
+        waiting = item.request_id in self.oracle.waiting
+        decisions = self.cell.submit(item, self.now)
+        running = self.oracle.running.get(item.request_id)
+        if waiting:
+            assert decisions == []
+        elif running is not None:
+            assert [d.upstream for d in decisions] == [running[0]]
+        elif item.request_id in self.oracle.decided:
+            assert not any(isinstance(d, Grant) for d in decisions)
+        else:
+            # Its entry withdrew it, died or may ask again: it is a new ask.
+            self.oracle.waiting[item.request_id] = item
+            self.take(decisions)
+            self.closed_below = None
+
+    @rule(item=asks, outcome=st.sampled_from(Outcome))
+    def end(self, item, outcome):
+        running = self.oracle.running.pop(item.request_id, None)
+        upstream = running[0] if running else "u0"
+        done = Done(
+            request_id=item.request_id,
+            upstream=upstream,
+            outcome=outcome,
+            first_token_s=item.prompt_tokens / PREFILL_TOKENS_PER_S,
+            tokens=TOKENS + 1,
+            duration_s=self.run_time(item),
+            prompt_tokens=item.prompt_tokens,
+        )
+        if running and outcome in (Outcome.UNUSED, Outcome.NOT_ADMITTED):
+            self.oracle.decided.discard(item.request_id)
+        self.event(self.cell.done(done, self.now))
+
+    @rule(item=consumes(asks))
+    def withdraw(self, item):
+        self.oracle.waiting.pop(item.request_id, None)
+        self.oracle.running.pop(item.request_id, None)
+        self.event(self.cell.withdraw(item.request_id, item.entry, self.now))
+
+    @rule(seconds=st.sampled_from([0.02, 0.3, 3.0]))
+    def wait(self, seconds):
+        self.now += seconds
+        self.event(self.cell.tick(self.now))
+
+    @rule(
+        name=st.sampled_from(sorted(CAPACITIES)),
+        state=st.sampled_from([UpstreamState.ACTIVE, UpstreamState.LEAVING, None]),
+    )
+    def reconfigure(self, name, state):
+        self.states[name] = state
+        self.event(self.cell.configure(self.pool, self.upstreams(), self.now))
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def entry_dies(self, entry):
+        oracle = self.oracle
+        for request_id, item in list(oracle.waiting.items()):
+            if item.entry == entry:
+                del oracle.waiting[request_id]
+        self.event(self.cell.forget_entry(entry, self.now))
+        self.now += LONGEST_ORPHAN_S
+        for request_id, (_, item) in list(oracle.running.items()):
+            if item.entry == entry:
+                del oracle.running[request_id]
+        self.event(self.cell.tick(self.now))
+
+    @rule(name=st.sampled_from(sorted(CAPACITIES)))
+    def engine_restarts(self, name):
+        self.event(self.cell.cache_changed(name, self.now, cleared=True))
+
+    @rule()
+    def home_is_replaced(self):
+        """A new home learns what is in flight; entries ask again.
+
+        It knows nothing of requests that have ended. Their entries do, and do
+        not ask for them again.
+        """
+        self.oracle.decided.clear()
+        reports = [
+            Inflight(
+                request_id=request_id,
+                entry=item.entry,
+                upstream=upstream,
+                key=item.key,
+                prompt_tokens=item.prompt_tokens,
+                output_tokens=item.output_tokens,
+                organisation=item.organisation,
+                tier_rank=item.tier_rank,
+            )
+            for request_id, (upstream, item) in self.oracle.running.items()
+        ]
+        self.closed_below = None
+        self.make_home()
+        self.cell.hold(self.now + 5.0)
+        self.take(self.cell.adopt(reports, self.now))
+        for item in list(self.oracle.waiting.values()):
+            self.take(self.cell.submit(item, self.now))
+        self.event(self.cell.release())
+
+    @invariant()
+    def in_flight_is_granted_minus_ended(self):
+        if not hasattr(self, "cell"):
+            return
+        snapshot = self.cell.snapshot()
+        assert snapshot.in_flight == len(self.oracle.running)
+        assert sum(t.count for t in snapshot.queued) == len(self.oracle.waiting)
+        assert len(self.oracle.waiting) <= QUEUE_LIMIT
+
+    @invariant()
+    def capacity_is_kept(self):
+        for name, capacity in CAPACITIES.items():
+            used = sum(u == name for u, _ in self.oracle.running.values())
+            assert used <= capacity, f"{used} on {name}"
+
+    @invariant()
+    def running_requests_are_found_by_key(self):
+        for request_id, (upstream, item) in self.oracle.running.items():
+            placement = self.cell.where(item.key)
+            assert (placement.request_id, placement.upstream) == (request_id, upstream)
+
+
+CellHistories.TestCase.settings = settings(
+    max_examples=100,
+    stateful_step_count=60,
+    deadline=None,
+    database=None,
+    derandomize=True,
+    report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
+)
+TestCellHistories = seed(20261202)(CellHistories.TestCase)
--- a/tests/pools/test_headroom.py
+++ b/tests/pools/test_headroom.py
@@ -125,3 +125,18 @@
     bench.take(bench.cell.correct(report, 1.1))
     assert not isinstance(bench.ask("b"), Refusal)
     assert "b" in bench.running
+
+
+def test_lower_tier_does_not_take_what_a_chat_waits_for(make_bench):
+    """A chat is due sooner than the prefill before it ends, with slots free.
+
+    A note with time to spare could take the slot. The chat would be refused
+    when its time is up, with lower-tier work admitted while it waited.
+    """
+    bench = make_bench(capacity=8)
+    ask_draws(bench, 1)
+    bench.ask("chat", budget=0.5)
+    bench.ask("note", rank=2)
+    assert bench.order == ["draw0"]
+    bench.end("draw0", outcome=Outcome.CANCELLED, tokens=0)
+    assert bench.order == ["draw0", "chat", "note"]
--- a/tests/pools/test_stragglers.py
+++ b/tests/pools/test_stragglers.py
@@ -161,3 +161,21 @@
     bench = make_bench(count=3)
     bench.configure(engines(1))
     assert {bench.ask(f"r{i}").upstream for i in range(4)} == {"u0"}
+
+
+def test_any_tier_makes_the_probe_when_nothing_else_is_free(make_bench):
+    """Chats fill all engines while one that has recovered waits for a probe.
+
+    Notes ask as well but get no turn. If only notes could make the probe, the
+    engine would stay out for as long as the chats keep coming.
+    """
+    bench = make_bench(count=3, capacity=1)
+    bench.ask("note", rank=2, exclude=("u0",))
+    for i in range(3):
+        bench.ask(f"r{i}", exclude=("u1", "u2"))
+        bench.end(f"r{i}", outcome=Outcome.NOT_ADMITTED)
+    bench.ask("chat0")
+    bench.ask("chat1")
+    assert "chat1" not in bench.running
+    bench.tick(2.5)
+    assert bench.running["chat1"].upstream == "u0"
--- a/tests/pools/test_tiers.py
+++ b/tests/pools/test_tiers.py
@@ -181,3 +181,24 @@
     assert len(bench.running) == 2
     bench.end("r0", tokens=0, prompt_tokens=0)
     assert bench.order == ["r0", "r1", "r2"]
+
+
+def test_one_request_at_a_time_is_charged_like_a_backlog(make_bench):
+    """One organisation asks for a long prompt again whenever it got one.
+
+    Its queue is empty in between. If that cleared its account, it would be
+    first in line each time and take half the turns with 46 times the tokens.
+    """
+    bench = make_bench(capacity=1)
+    bench.ask("running")
+    for i in range(200):
+        bench.ask(f"short {i}", organisation="a", prompt_tokens=10, budget=1e4)
+    bench.ask("long 0", organisation="b", prompt_tokens=910, budget=1e4)
+    longs = 1
+    for _ in range(100):
+        last = bench.order[-1]
+        bench.end(last)
+        if last.startswith("long"):
+            bench.ask(f"long {longs}", organisation="b", prompt_tokens=910, budget=1e4)
+            longs += 1
+    assert longs <= 4
