Settle publishing and renewals through reads that lag

Cause: after a lost answer the repeated write fails on the very change that it made. With reads that still come from before, publishing called that a conflict, and renewing a lease called itself without end.

Change: a read that does not show the change in the way settles nothing, and the effect is reported as unknown. Engines that do not follow and leases held elsewhere get an exit code of their own.

Ruled out: waiting for the read to catch up (nothing bounds the lag).

Conclusion: a lagging read costs the operator one more confirmation and never a false conflict.

--- a/baobabwing/cli/config.py
+++ b/baobabwing/cli/config.py
@@ -18,6 +18,7 @@
     PlatformUncertainError,
     SettingsError,
 )
+from baobabwing.orders.errors import LeaseLostError, OrderError
 from baobabwing.platform.tables import TableClient
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.documents import dump_configuration
@@ -28,6 +29,7 @@
 __all__ = [
     "EXIT_CONFLICT",
     "EXIT_INVALID",
+    "EXIT_LEFT_OPEN",
     "EXIT_UNAVAILABLE",
     "EXIT_UNCERTAIN",
     "app",
@@ -40,6 +42,7 @@
 EXIT_CONFLICT = 3
 EXIT_UNAVAILABLE = 4
 EXIT_UNCERTAIN = 5
+EXIT_LEFT_OPEN = 6
 DEFAULT_TIMEOUT_MS = 2000
 _HIDDEN = "not shown"
 _EPILOG = (
@@ -136,6 +139,8 @@
     """Return the documented exit code for an error."""
     if isinstance(exc, SettingsError):
         return EXIT_INVALID
+    if isinstance(exc, LeaseLostError | OrderError):
+        return EXIT_LEFT_OPEN
     if isinstance(exc, ConflictError):
         return EXIT_CONFLICT
     if isinstance(exc, PlatformUncertainError):
--- a/baobabwing/cli/plan.py
+++ b/baobabwing/cli/plan.py
@@ -42,7 +42,8 @@
 _EPILOG = (
     "Exit codes: 0 done, 1 intent or plan invalid, 2 wrong usage, 3 conflict with "
     "another change, 4 platform unavailable and nothing changed, 5 platform's "
-    "answer lost and effect unknown: confirm the same plan again."
+    "answer lost and effect unknown: confirm the same plan again, 6 an engine does "
+    "not follow or another process gives orders: the plan is noted and goes on."
 )
 _HISTORY_LENGTH = 20
 
--- a/baobabwing/orders/lease.py
+++ b/baobabwing/orders/lease.py
@@ -131,6 +131,9 @@
             row = self._read()
             if row is None or not self._is_mine(row):
                 raise self._lose("renew") from None
+            if row.version == lease.row_version:
+                # The read came from before the write that is in our way.
+                raise PlatformUncertainError("reads lag", step="renew") from None
             self._lease = replace(lease, row_version=row.version)
             return self.renew()
         except PlatformUncertainError:
--- a/baobabwing/settings/publish.py
+++ b/baobabwing/settings/publish.py
@@ -96,7 +96,12 @@
     expected = stored.row_version if stored else None
     try:
         tables.put(CONFIGURATION_TABLE, CURRENT_KEY, document, expected=expected)
-    except ConflictError:
+    except ConflictError as exc:
+        stored = fetch_stored(tables)
+        if stored is None or stored.cfg.version < cfg.version:
+            # The row has changed, perhaps by an earlier try of this attempt, but
+            # the read came from before that. It cannot tell by whom.
+            raise PlatformUncertainError("reads lag", step="publish") from exc
         return _settle(tables, cfg)
     _try_keep_history(tables, cfg)
     return cfg
--- a/tests/orders/test_lease.py
+++ b/tests/orders/test_lease.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from baobabwing.exceptions import PlatformUnavailableError
+from baobabwing.exceptions import PlatformUnavailableError, PlatformUncertainError
 from baobabwing.orders.errors import LeaseLostError
 from baobabwing.platform.memory import Fault
 
@@ -166,3 +166,21 @@
     site.tables.on_call = on_call
     assert second.acquire() is None
     assert [lease.token for lease in won] == [2]
+
+
+def test_renewal_with_reads_that_lag(site):
+    """A renewal's answer is lost, and the store then answers reads from the past.
+
+    The row has moved on, but reading does not show it: nothing can be settled
+    now, and the holder must neither loop nor believe that a rival took over.
+    """
+    holder = site.holder("a")
+    holder.acquire()
+    past = site.tables.read("leases", "orders")
+    fail(site, "put", Fault.LOSE_ANSWER)
+    site.tables.read = lambda table, key: past
+    for _ in range(2):
+        with pytest.raises(PlatformUncertainError):
+            holder.renew()
+    del site.tables.read
+    assert holder.renew().token == 1
--- a/tests/orders/test_mover.py
+++ b/tests/orders/test_mover.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from baobabwing.cli.config import EXIT_CONFLICT, EXIT_LEFT_OPEN, exit_code
 from baobabwing.exceptions import ConflictError, PlatformUncertainError
 from baobabwing.orders.correction import correct_engines
 from baobabwing.orders.desk import OrderDesk
@@ -327,3 +328,9 @@
     assert {step.upstream for step in again.steps} == {"e1", ""}
     confirm_plan(site, again)
     assert site.models() == {"e1": ["m2"], "e2": ["m1"]}
+
+
+def test_exit_codes():
+    assert exit_code(OrderError("engine does not follow")) == EXIT_LEFT_OPEN
+    assert exit_code(LeaseLostError("held elsewhere")) == EXIT_LEFT_OPEN
+    assert exit_code(ConflictError("changed")) == EXIT_CONFLICT
--- a/tests/settings/test_publish.py
+++ b/tests/settings/test_publish.py
@@ -134,3 +134,21 @@
     with pytest.raises(PlatformUnavailableError):
         publish(tables, base=1, cfg=FIRST)
     assert fetch_configuration(tables).version == 1
+
+
+def test_reads_that_lag_make_no_conflict(tables):
+    """The answer to a change is lost, and reads then come from the past.
+
+    Repeating the write fails, since the row has changed: by this very change.
+    Calling that a conflict would tell the operator that it is not in force.
+    """
+    publish(tables, base=0, cfg=FIRST)
+    cfg = replace(FIRST, attempt="a2")
+    past = tables.read("configuration", "current")
+    tables.on_call = Script("put", Fault.LOSE_ANSWER)
+    tables.read = lambda table, key: past
+    with pytest.raises(PlatformUncertainError):
+        publish(tables, base=1, cfg=cfg)
+    del tables.read
+    assert publish(tables, base=1, cfg=cfg).version == 2
+    assert fetch_configuration(tables).version == 2
