Drop a membership setting that nothing reads

Cause: updates_per_datagram was accepted and checked, and had no effect. Change: it is gone; a file that names it is told so with its line.

--- a/baobabwing/settings/schema.py
+++ b/baobabwing/settings/schema.py
@@ -55,7 +55,6 @@
     :param probe_timeout_ms: wait for an answer before others are asked to probe.
     :param suspicion_ms: time in which a suspected node can object.
     :param fan_out: nodes asked to probe, and nodes told of a change at once.
-    :param updates_per_datagram: most changes that ride on one datagram.
     :param seeds: addresses of peers to ask besides the platform's host list.
     """
 
@@ -63,7 +62,6 @@
     probe_timeout_ms: int = rule(200, least=10, most=_MINUTE_MS)
     suspicion_ms: int = rule(1500, least=50, most=10 * _MINUTE_MS)
     fan_out: int = rule(3, least=1, most=16)
-    updates_per_datagram: int = rule(8, least=1, most=64)
     seeds: tuple[str, ...] = rule((), check=is_address, words=_ADDRESS_WORDS)
 
 
