--- a/baobabwing/bench/matrix/caller.py
+++ b/baobabwing/bench/matrix/caller.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import threading
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -62,10 +63,14 @@
 
     :param first: number of the first event that was asked for.
     :param words: tokens, in the order of their arrival.
+    :param sent_s: when the try began, in seconds since 1970.
+    :param ended_s: when its ending was known.
     """
 
     job: Job
     address: str
+    sent_s: float = 0.0
+    ended_s: float = 0.0
     first: int = 0
     words: list[str] = field(default_factory=list)
     ending: Ending | None = None
@@ -103,6 +108,7 @@
 
     def start(self) -> Try:
         """Send the request."""
+        self.transcript.sent_s = time.time()
         self._thread.start()
         return self
 
@@ -241,6 +247,7 @@
             ending = Ending.GONE
         with self._changed:
             if self.transcript.ending is None:
+                self.transcript.ended_s = time.time()
                 self.transcript.ending = ending
             self._changed.notify_all()
 
@@ -292,12 +299,13 @@
     ) -> Transcript:
         """Wait for a try, and go on at other addresses until something is told.
 
-        A caller goes on after a broken connection, after a part of its answer,
-        and after "unknown" or "not run" as long as tries are left.
+        A caller goes on after a broken connection, also one that it cut itself,
+        after a part of its answer, and after "unknown" or "not run" as long as
+        tries are left.
         """
         script = first.wait()
         for number in range(tries - 1):
-            if script.ending in (Ending.WHOLE, Ending.GONE, Ending.OTHER):
+            if script.ending in (Ending.WHOLE, Ending.OTHER):
                 break
             words = self.words_of(job)
             last = len(words) - 1 if words and job.stream else None
--- /dev/null
+++ b/baobabwing/bench/matrix/scene.py
@@ -0,0 +1,204 @@
+"""One request of one caller, brought to a step at which a fault strikes."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from baobabwing.bench.executions import Executed
+from baobabwing.bench.matrix.caller import Caller, Job, Transcript, Try
+from baobabwing.bench.matrix.site import BOOKING, ENGINES, SERVICES, Site
+from baobabwing.bench.processes import ProcessError, wait_until
+
+__all__ = ["STEPS", "Scene", "get_step", "step"]
+
+WAIT_S = 20.0
+FILLERS = 14
+FILLER_TOKENS = 2_000
+LONG_PROMPT_WORDS = 16_000
+SERVICE_SLOWNESS = 40.0
+STREAM_TOKENS = 120
+# Long enough for a death to be noticed and a home to be replaced meanwhile.
+LONG_STREAM_TOKENS = 600
+EARLY_WORDS = 3
+
+
+@dataclass(kw_only=True)
+class Scene:
+    """A request and whoever has to do with it.
+
+    :param entry: node that the caller sends it to first.
+    :param home: node that is home of the request's cell.
+    :param other: node that is neither, and follows as home.
+    :param strike: brings the fault about, once the step is reached.
+    """
+
+    site: Site
+    caller: Caller
+    service: bool
+    own_key: bool
+    epoch_s: float
+    strike: Callable[[Scene], None]
+    entry: str = ""
+    home: str = ""
+    other: str = ""
+    job: Job = field(default_factory=lambda: Job(text=""))
+    first: Try | None = None
+    entry_hangs: bool = False
+
+    def __post_init__(self) -> None:
+        pool = BOOKING if self.service else "assistant"
+        self.home, self.other, self.entry = self.site.homes(pool)
+
+    def prepare(self, *, prompt_words: int = 0, tokens: int = 16) -> None:
+        """Make the job and its key, without sending it."""
+        name = uuid.uuid4().hex
+        address = self.site.address(self.entry)
+        key = name if self.own_key else self.caller.key_at(address, name)
+        text = " ".join([f"a cut {name}", *(["please"] * prompt_words)])
+        self.job = Job(text=text, key=key, tokens=tokens, service=self.service)
+
+    def send(self) -> Try:
+        """Begin the first try."""
+        self.first = self.caller.begin(self.job, self.site.address(self.entry))
+        return self.first
+
+    def executions(self) -> list[Executed]:
+        """Return the executions of this request."""
+        found = self.site.executions(epoch_s=self.epoch_s)
+        return [one for one in found if one.key == self.job.key]
+
+    def running_at(self) -> list[str]:
+        """Return the upstreams that took the request, or all that might."""
+        names = [one.upstream for one in self.executions()]
+        return names or list(SERVICES if self.service else ENGINES)
+
+    def wait(self, condition: Callable[[], bool], what: str) -> None:
+        """Wait for a condition.
+
+        :raises ProcessError: if it never holds.
+        """
+        if not wait_until(condition, timeout_s=WAIT_S):
+            raise ProcessError(f"never came to this: {what}", step="scene")
+
+    def try_again(self) -> Transcript:
+        """Let the caller go on at other addresses until something is told."""
+        others = tuple(
+            self.site.address(name) for name in (self.other, self.home, self.entry)
+        )
+        if not self.entry_hangs:
+            return self.caller.finish(self.job, self.first, others)
+        words = self.caller.words_of(self.job)
+        last = len(words) - 1 if words else None
+        second = self.caller.begin(self.job, others[0], last_event=last)
+        script = self.caller.finish(self.job, second, others[:2])
+        self.recover()
+        self.first.wait()
+        return script
+
+    def recover(self) -> None:
+        """Let whatever is frozen go on."""
+        for name in self.site.group.names():
+            if self.site.group.get(name).alive():
+                self.site.group.thaw(name)
+
+
+Reach = Callable[[Scene], None]
+STEPS: dict[str, Reach] = {}
+
+
+def step(name: str) -> Callable[[Reach], Reach]:
+    """Add a step at which a fault can strike to the registry."""
+
+    def register(reach: Reach) -> Reach:
+        STEPS[name] = reach
+        return reach
+
+    return register
+
+
+def get_step(name: str) -> Reach:
+    """Return what brings a scene to a step and strikes there.
+
+    :raises KeyError: if there is none of that name.
+    """
+    return STEPS[name]
+
+
+@step("before it arrives")
+def _before(scene: Scene) -> None:
+    scene.prepare()
+    scene.strike(scene)
+    scene.send()
+
+
+@step("while it is queued")
+def _queued(scene: Scene) -> None:
+    scene.prepare()
+    fillers = [_filler(scene, number) for number in range(FILLERS)]
+    scene.wait(lambda: _settled(scene), "upstreams full")
+    scene.send()
+    scene.wait(lambda: scene.site.open_requests(scene.entry) == 1, "queued")
+    if scene.executions():
+        raise ProcessError("it is not queued", step="scene")
+    scene.strike(scene)
+    for filler in fillers:
+        filler.leave()
+
+
+@step("at its dispatch")
+def _at_dispatch(scene: Scene) -> None:
+    if scene.service:
+        for name in SERVICES:
+            scene.site.fault(name, "slow", value=SERVICE_SLOWNESS)
+        scene.prepare()
+    else:
+        scene.prepare(prompt_words=LONG_PROMPT_WORDS)
+    scene.send()
+    scene.wait(lambda: bool(scene.executions()), "dispatched")
+    scene.strike(scene)
+
+
+@step("while it streams")
+def _streaming(scene: Scene) -> None:
+    scene.prepare(tokens=STREAM_TOKENS)
+    if not scene.send().wait_words(EARLY_WORDS):
+        raise ProcessError("no stream", step="scene")
+    scene.strike(scene)
+
+
+@step("while it streams at length")
+def _streaming_long(scene: Scene) -> None:
+    scene.prepare(tokens=LONG_STREAM_TOKENS)
+    if not scene.send().wait_words(EARLY_WORDS):
+        raise ProcessError("no stream", step="scene")
+    scene.strike(scene)
+
+
+@step("after its answer")
+def _after(scene: Scene) -> None:
+    scene.prepare()
+    scene.send().wait()
+    scene.strike(scene)
+    scene.first = scene.caller.begin(scene.job, scene.site.address(scene.other))
+
+
+def _filler(scene: Scene, number: int) -> Try:
+    """Occupy an upstream for as long as it takes."""
+    job = Job(
+        text=f"filler {number} {uuid.uuid4().hex}",
+        tokens=FILLER_TOKENS,
+        service=scene.service,
+        deadline_ms=60_000,
+    )
+    return scene.caller.begin(job, scene.site.address(scene.other))
+
+
+def _settled(scene: Scene) -> bool:
+    """Tell whether both upstreams are full with fillers."""
+    capacity = scene.site.shape.engines[0].engine.max_batch
+    return all(
+        sum(one["state"] == "running" for one in scene.site.record(name)) >= capacity
+        for name in ENGINES
+    )
