Tell a new home the keys as homes know them

Cause: a new home asks the entries what they have at upstreams; they answered with the caller's bare key, while homes look keys up together with their organisation. After a home and then an entry had died, the caller's next try was told "unknown" of a stream that ran on. Ruled out: looking up bare keys, by which one organisation finds another's. Change: the answer carries the key as the home knows it. Conclusion: streams survive the loss of their home and then of their host.

--- a/baobabwing/node/handling.py
+++ b/baobabwing/node/handling.py
@@ -4,6 +4,7 @@
 
 import functools
 
+from baobabwing.entry.dispatch import owned_key
 from baobabwing.exceptions import WireError
 from baobabwing.homes.cells import CellHomes
 from baobabwing.homes.limits import SliceDesk
@@ -101,7 +102,7 @@
         InflightItem(
             request_id=request.facts.request_id,
             upstream=placement.upstream,
-            key=request.facts.key,
+            key=owned_key(request.facts.organisation, request.facts.key),
             prompt_tokens=request.facts.prompt_tokens,
             output_tokens=request.facts.output_tokens,
             organisation=request.facts.organisation,
--- a/tests/features/outcomes.feature
+++ b/tests/features/outcomes.feature
@@ -21,6 +21,7 @@
       | its host is killed                                             | after its answer     | the whole answer    |
       | its host is killed                                             | while it is queued   | the truth           |
       | the home of its cell is killed                                 | while it is queued   | the whole answer    |
+      | the home of its cell is killed, and its host once there is a new home | while it streams at length | the whole answer    |
       | its upstream is killed                                         | while it streams     | a part or "unknown" |
       | its upstream is frozen for a while                             | while it streams     | the whole answer    |
       | its upstream's connection is cut                               | before it arrives    | the whole answer    |
--- /dev/null
+++ b/tests/node/test_handling.py
@@ -0,0 +1,34 @@
+"""What a node tells a new home of a cell."""
+
+from baobabwing.entry.dispatch import owned_key
+from baobabwing.node.handling import inflight_of
+from baobabwing.requests.registry import RequestRegistry
+from baobabwing.requests.request import Placement, Request, RequestFacts
+
+
+def test_new_home_learns_keys_as_homes_know_them():
+    """A home dies, and then the host of an open stream dies too.
+
+    The caller's next try asks the new home where its key was dispatched. If the
+    new home was told the bare key, it does not find it, and a stream that runs on
+    is lost as "unknown".
+    """
+    registry = RequestRegistry(retention_s=10.0)
+    req = Request(
+        facts=RequestFacts(
+            request_id="r",
+            key="k",
+            brand="tijera",
+            organisation="salon",
+            tier="chat",
+            tier_rank=0,
+            pool="assistant",
+            prompt_tokens=1,
+            output_tokens=1,
+            deadline=1.0,
+        )
+    )
+    registry.enter(req, 0.0)
+    req.permit(Placement(upstream="e", address="x", attempt_id="a", cell="assistant/0"))
+    (item,) = inflight_of(registry, "assistant/0").items
+    assert item.key == owned_key("salon", "k")
