Follow a key to its answer when its owner is frozen or the store is down

A frozen owner keeps its connections; a second try that was forwarded to it hung for up to 120 s, also after the fleet had taken the owner for dead. 2. A forwarded second try with Last-Event-ID met "event 0 is not there", since the forwarding node expected the stream from its start: a 500. 3. With the store down, a second try with a caller's own key was told "not run" though the first had run, at another host or even at the same one. 4. A try that says that it has a part of the answer was dispatched anew where nothing was known of its key any more; and without a key it was given the stream from its start. Ruled out: telling "unknown" of every key while the store is down, which is true but leaves a customer who waits without the certainty that nothing ran. Change: forwarding watches whether the fleet still believes in the owner; offsets go along; with the store down the own registry and the homes are asked before "not run" is told, and a home says how sure it is: not while the key is queued there, nor for the retention of a key after it took the cell over from a host that died or did not answer; a try that goes on with a stream is never dispatched. Conclusion: still open is a first try that is frozen between its claim and its permit request while the store goes down: a second try may be told "not run", and the first may run when it thaws.

--- a/baobabwing/entry/forward.py
+++ b/baobabwing/entry/forward.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from baobabwing.entry.calls import HttpCall, answer_bytes
-from baobabwing.entry.relay import finish_stream, read_body, relay_events, start_stream
+from baobabwing.entry.parsing import parse_last_event
+from baobabwing.entry.relay import (
+    RelayReport,
+    finish_stream,
+    read_body,
+    relay_events,
+    start_stream,
+)
 from baobabwing.entry.streams import STREAM_HEADERS
 from baobabwing.entry.upstream import UpstreamAnswer, open_exchange
 from baobabwing.exceptions import UpstreamError
@@ -29,12 +38,17 @@
 _STREAM_TYPE = "text/event-stream"
 
 
-def forward(call: HttpCall, owner: Host) -> bool:
+def forward(
+    call: HttpCall, owner: Host, *, is_alive: Callable[[], bool] = lambda: True
+) -> bool:
     """Give the caller the answer of the owning node.
 
     The owner recognises the key, so that this may be tried after a try that
     broke, without a second dispatch.
 
+    :param is_alive: whether the owner is still believed alive. A frozen owner
+        keeps its connections and answers nothing; once the fleet takes it for
+        dead, what it left behind is looked for elsewhere.
     :returns: false if the owner gave nothing, so that another way can be tried.
     :raises UpstreamError: if the owner's answer broke after a part was given.
     """
@@ -53,6 +67,7 @@
             body=call.body(),
             timeout_s=FIRST_BYTE_TIMEOUT_S,
             caller_socket=call.caller_socket,
+            wanted=is_alive,
         )
     except UpstreamError:
         return False
@@ -84,6 +99,7 @@
         answer=answer,
         caller_socket=call.caller_socket,
         expect_id=attempt_id,
+        resumed=RelayReport(next_id=parse_last_event(call.header("Last-Event-ID"))),
         before_first=lambda: start_stream(call.req, head),
     )
     finish_stream(call.req)
--- a/baobabwing/entry/owners.py
+++ b/baobabwing/entry/owners.py
@@ -10,11 +10,15 @@
 from baobabwing.requests.claims import Claim
 from baobabwing.requests.keys import KEY_LIFE_S, parse_bound_key
 
-__all__ = ["Owner", "find_owner"]
+__all__ = ["ClaimUnavailableError", "Owner", "find_owner"]
 
 CLOCK_SKEW_S = 60.0
 
 
+class ClaimUnavailableError(RequestError):
+    """The table service could not be asked who owns a key."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Owner:
     """The owner of a key.
@@ -33,8 +37,8 @@
 def find_owner(context: EntryContext, organisation: str, key: str) -> Owner:
     """Return the owner of a key, claiming a key of the caller's own making.
 
-    :raises RequestError: 503 if the table service could not be asked; the
-        request did not run and will not run.
+    :raises ClaimUnavailableError: if the table service could not be asked;
+        nothing is dispatched, but an earlier try with the key may have run.
     """
     if not key:
         return Owner(mine=True)
@@ -42,6 +46,9 @@
     bound = parse_bound_key(key)
     if bound is not None:
         since_s, name, incarnation = bound.issued_s, bound.node, bound.incarnation
+    elif context.registry.find(organisation, key) is not None:
+        # Claimed by this node before, which holds also while the store is down.
+        return Owner(mine=True)
     else:
         claim = _claim(context, organisation, key, int(now_s))
         since_s, name, incarnation = claim.claimed_at_s, claim.node, claim.incarnation
@@ -58,7 +65,7 @@
     try:
         return context.claims.claim(organisation, key, claim)
     except PlatformError as exc:
-        raise RequestError(
+        raise ClaimUnavailableError(
             "the key could not be claimed, since the platform does not answer; "
             "use a key with the prefix from /v1/addresses to go on without it",
             status=503,
--- a/baobabwing/entry/ownership.py
+++ b/baobabwing/entry/ownership.py
@@ -9,12 +9,13 @@
 from __future__ import annotations
 
 import time
+from dataclasses import dataclass
 
 from baobabwing.entry.calls import HttpCall, answer_error
 from baobabwing.entry.context import EntryContext
 from baobabwing.entry.dispatch import Dispatch, UpstreamCall, attempt_id, owned_key
 from baobabwing.entry.forward import HOP_HEADER, forward
-from baobabwing.entry.owners import find_owner
+from baobabwing.entry.owners import ClaimUnavailableError, find_owner
 from baobabwing.entry.serving import Give, Serving, give_unknown
 from baobabwing.exceptions import PeerError, RequestError
 from baobabwing.fleet.host import Host
@@ -28,6 +29,17 @@
 REUSE_RETRY_S = 1.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Found:
+    """What the homes know of a key.
+
+    :param sure: whether a key without a placement was certainly not dispatched.
+    """
+
+    placement: Placement | None
+    sure: bool
+
+
 def serve_owned(
     *,
     serving: Serving,
@@ -36,28 +48,35 @@
     upstream_call: UpstreamCall,
     give: Give,
     fetch: Fetch,
+    resuming: bool = False,
 ) -> None:
     """Serve a request here, at its owner, or from what its owner left behind.
 
+    :param resuming: whether the caller has a part of the answer already. Such a
+        request was dispatched before and never is again, whatever is known here.
     :param give: gives the answer of a request dispatched just now.
     :param fetch: gives the answer of a request dispatched before.
     """
     context = serving.context
     facts = request.facts
-    owner = find_owner(context, facts.organisation, facts.key)
+    try:
+        owner = find_owner(context, facts.organisation, facts.key)
+    except ClaimUnavailableError as exc:
+        _serve_unclaimed(context, call, request, fetch, exc)
+        return
     if owner.mine:
-        if owner.fresh:
+        if owner.fresh and not resuming:
             earlier = context.registry.enter(request, time.monotonic())
         else:
             earlier = context.registry.find(facts.organisation, facts.key)
         if earlier is not None:
             _fetch_earlier(call, earlier, fetch)
-        elif owner.fresh:
+        elif owner.fresh and not resuming:
             serving.run(call, request, upstream_call, give)
         else:
-            give_unknown(call, request, "the key is too old to be used")
+            give_unknown(call, request, "nothing is known of this key any more")
         return
-    if owner.host is not None and _forward(call, owner.host):
+    if owner.host is not None and _forward(context, call, owner.host):
         return
     _fetch_orphan(context, call, request, fetch)
 
@@ -86,24 +105,51 @@
     )
 
 
-def _forward(call: HttpCall, host: Host) -> bool:
+def _forward(context: EntryContext, call: HttpCall, host: Host) -> bool:
     """Forward to the owner; false if it turned out to be gone."""
     if call.header(HOP_HEADER):
         return False
-    return forward(call, host)
+    return forward(
+        call,
+        host,
+        is_alive=lambda: context.view().is_current(host.name, host.incarnation),
+    )
 
 
 def _fetch_orphan(
     context: EntryContext, call: HttpCall, request: Request, fetch: Fetch
 ) -> None:
-    placement = _ask_homes(context, request)
-    if placement is None:
+    found = _ask_homes(context, request)
+    if found.placement is None:
         give_unknown(call, request, "the host that had this request is gone")
         return
-    fetch(request, _past_dispatch(placement))
+    fetch(request, _past_dispatch(found.placement))
+
+
+def _serve_unclaimed(
+    context: EntryContext,
+    call: HttpCall,
+    request: Request,
+    fetch: Fetch,
+    exc: ClaimUnavailableError,
+) -> None:
+    """Answer a key that the store, being down, cannot tell the owner of.
+
+    This try is not dispatched. But an earlier one at another host may have been
+    before the store went down; "not run" would be false then, and the caller
+    would take it for the fate of its booking. The homes know of it.
+    """
+    found = _ask_homes(context, request)
+    if found.placement is not None:
+        fetch(request, _past_dispatch(found.placement))
+    elif found.sure:
+        raise exc
+    else:
+        give_unknown(call, request, "an earlier try with this key may have run")
 
 
-def _ask_homes(context: EntryContext, request: Request) -> Placement | None:
+def _ask_homes(context: EntryContext, request: Request) -> _Found:
+    sure = True
     facts = request.facts
     catalogue = context.require_catalogue()
     pool = next(one for one in catalogue.cfg.pools if one.name == facts.pool)
@@ -112,16 +158,19 @@
         try:
             answer = context.permits.where(cell, key, pool.name)
         except PeerError:
+            sure = False
             continue
+        sure = sure and answer.sure
         upstream = catalogue.upstream(answer.upstream) if answer.known else None
         if upstream is not None:
-            return Placement(
+            placement = Placement(
                 upstream=upstream.name,
                 address=upstream.address,
                 attempt_id=attempt_id(answer.request_id, upstream.name),
                 cell=cell,
             )
-    return None
+            return _Found(placement=placement, sure=True)
+    return _Found(placement=None, sure=sure)
 
 
 def _past_dispatch(placement: Placement) -> Dispatch:
--- a/baobabwing/entry/upstream.py
+++ b/baobabwing/entry/upstream.py
@@ -41,6 +41,7 @@
 IDLE_LIMIT_PER_ADDRESS = 64
 CONTROL_TIMEOUT_S = 2.0
 LEFTOVER_BYTES = 65_536
+WANTED_CHECK_S = 0.25
 NOT_ADMITTED_HEADER = "X-Not-Admitted"
 NOT_ADMITTED_STATUSES = frozenset({429, 503})
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -235,6 +236,7 @@
     before_send: Callable[[], None] | None = None,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
     caller_socket: socket.socket | None = None,
+    wanted: Callable[[], bool] | None = None,
     pool: ConnectionPool = _POOL,
 ) -> UpstreamAnswer:
     """Send one request, at most once, and read the head of its answer.
@@ -249,6 +251,8 @@
     :param before_send: called immediately before the first byte is written; what
         it raises goes through, and then nothing was sent.
     :param caller_socket: watched while the head is awaited, if given.
+    :param wanted: asked now and then while the head is awaited, if given along
+        with ``caller_socket``; once it says false, nothing is waited for any more.
     :returns: the head; the body is still to be read from its socket.
     :raises UpstreamUnreachableError: if nothing was sent (``dispatched`` is false).
     :raises UpstreamBrokenError: if the request may have run.
@@ -262,7 +266,7 @@
         conn.timeout = timeout_s
         _send(conn, method, target, headers, body, address)
         if caller_socket is not None:
-            _await_head(conn, caller_socket, timeout_s, address)
+            _await_head(conn, caller_socket, timeout_s, address, wanted)
         answer = _read_head(conn, address, pool)
     except BaseException:
         conn.close()
@@ -390,7 +394,11 @@
 
 
 def _await_head(
-    conn: _Connection, caller_socket: socket.socket, timeout_s: float, address: str
+    conn: _Connection,
+    caller_socket: socket.socket,
+    timeout_s: float,
+    address: str,
+    wanted: Callable[[], bool] | None,
 ) -> None:
     """Wait for the answer, or for the caller to leave.
 
@@ -401,7 +409,11 @@
     poll = select.poll()
     poll.register(conn.sock, select.POLLIN)
     poll.register(caller, select.POLLRDHUP)
-    ready = dict(poll.poll(timeout_s * 1000))
+    end = time.monotonic() + timeout_s
+    ready: dict[int, int] = {}
+    while not ready and time.monotonic() < end and (wanted is None or wanted()):
+        pause_s = timeout_s if wanted is None else min(timeout_s, WANTED_CHECK_S)
+        ready = dict(poll.poll(pause_s * 1000))
     if ready.get(caller, 0) & _GONE and len(ready) == 1:
         raise CallerGoneError("the caller left", step="await head")
     if not ready:
--- a/baobabwing/homes/cells.py
+++ b/baobabwing/homes/cells.py
@@ -15,7 +15,7 @@
 
 from baobabwing.exceptions import PeerError
 from baobabwing.fleet.homes import home_of
-from baobabwing.fleet.host import Host
+from baobabwing.fleet.host import Host, MemberState
 from baobabwing.fleet.view import FleetView
 from baobabwing.homes.events import HOME_REBUILT, HOME_TAKEN
 from baobabwing.homes.loads import LoadPoller
@@ -31,6 +31,7 @@
     LoadReport,
     Refusal,
 )
+from baobabwing.pools.placements import PLACEMENT_RETENTION_S
 from baobabwing.reports.events import log
 from baobabwing.settings.configuration import Configuration
 from baobabwing.wire.messages import (
@@ -65,6 +66,7 @@
     """
 
     cell: str
+    key: str
     respond: Respond
     connection: object
 
@@ -95,6 +97,7 @@
         self._own_inflight = own_inflight
         self._cells: dict[str, Cell] = {}
         self._rebuilding: set[str] = set()
+        self._unsure_until: dict[str, float] = {}
         self._waiting: dict[tuple[str, str], _Waiting] = {}
         self._cfg: Configuration | None = None
         self._lock = threading.Lock()
@@ -157,7 +160,10 @@
         now = time.monotonic()
         with self._lock:
             self._waiting[identity, message.request_id] = _Waiting(
-                cell=message.cell, respond=respond, connection=connection
+                cell=message.cell,
+                key=message.key,
+                respond=respond,
+                connection=connection,
             )
         self._send(cell, cell.submit(_to_ask(identity, message, now), now))
 
@@ -177,11 +183,19 @@
             self._send(cell, cell.done(_to_done(message), time.monotonic()))
 
     def where(self, key: str, pool: str) -> WhereAnswer:
-        """Return where the request with a key was permitted to go."""
-        sure = True
+        """Return where the request with a key was permitted to go.
+
+        It is sure that a key without a place was not dispatched only if this
+        node has the pool's cell, knew all that was dispatched when it took it,
+        and has nobody queued with the key, who may be dispatched next.
+        """
+        with self._lock:
+            sure = all(waiting.key != key for waiting in self._waiting.values())
+        found = False
         for name, cell in tuple(self._cells.items()):
             if name.rpartition("/")[0] != pool:
                 continue
+            found = True
             placement = cell.where(key)
             if placement is not None:
                 return WhereAnswer(
@@ -191,7 +205,8 @@
                     sure=True,
                 )
             sure = sure and name not in self._rebuilding
-        return WhereAnswer(known=False, sure=sure)
+            sure = sure and time.monotonic() >= self._unsure_until.get(name, 0.0)
+        return WhereAnswer(known=False, sure=sure and found)
 
     def floor(self, pool: str) -> int:
         """Return the lowest tier rank that this node's cells of a pool admit."""
@@ -276,20 +291,28 @@
         """Ask every entry what it has at the cell's upstreams, then admit."""
         query = InflightQuery(cell=name)
         self._adopt(cell, self._me, self._own_inflight(name))
-        others = [host for host in self._view().serving() if host.name != self._me.name]
+        view = self._view()
+        others = [host for host in view.serving() if host.name != self._me.name]
+        complete = all(one.state is not MemberState.DEAD for one in view.members)
         if others:
             with ThreadPoolExecutor(max_workers=min(32, len(others))) as pool:
                 for host, answer in pool.map(self._ask, others, [query] * len(others)):
-                    self._adopt(cell, host, answer)
+                    complete = complete and answer is not None
+                    self._adopt(cell, host, answer or InflightAnswer())
+        if not complete:
+            # What a dead entry had dispatched is known to nobody here.
+            self._unsure_until[name] = time.monotonic() + PLACEMENT_RETENTION_S
         self._rebuilding.discard(name)
         self._send(cell, cell.release())
         log(HOME_REBUILT, cell=name, entries=len(others) + 1)
 
-    def _ask(self, host: Host, query: InflightQuery) -> tuple[Host, InflightAnswer]:
+    def _ask(
+        self, host: Host, query: InflightQuery
+    ) -> tuple[Host, InflightAnswer | None]:
         try:
             return host, self._ask_peer(host, query)
         except PeerError:
-            return host, InflightAnswer()
+            return host, None
 
     def _adopt(self, cell: Cell, host: Host, answer: InflightAnswer) -> None:
         identity = f"{host.name}#{host.incarnation}"
--- a/tests/features/outcomes.feature
+++ b/tests/features/outcomes.feature
@@ -20,6 +20,7 @@
       | its host is killed                                             | while it streams     | the whole answer    |
       | its host is killed                                             | after its answer     | the whole answer    |
       | its host is killed                                             | while it is queued   | the truth           |
+      | its host is frozen                                             | while it streams     | the whole answer    |
       | the home of its cell is killed                                 | while it is queued   | the whole answer    |
       | the home of its cell is killed, and its host once there is a new home | while it streams at length | the whole answer    |
       | its upstream is killed                                         | while it streams     | a part or "unknown" |
@@ -50,4 +51,6 @@
       | its upstream answers twice                                  | before it arrives | the whole answer |
       | the platform is down                                        | before it arrives | "not run"        |
       | the platform is down                                        | at its dispatch   | the whole answer |
+      | the platform is down                                        | after its answer  | the whole answer |
       | the platform loses the answer of a write that took effect   | before it arrives | the whole answer |
+      | the platform is down and its host is killed                 | at its dispatch   | "unknown"        |
