Never ask a plain service for a stream, and keep what it answered

Cause: when the caller of a booking vanished before it took its answer, the entry went on as for an engine: it asked the service to resume or to cancel a stream. A plain service knows no streams, so that each was one more call of it. What the service had answered was lost, and a second try was told "unknown". Further: a second try of a booking whose host had died waited out its deadline before it was told "unknown"; answers other than 200 were not kept; and an engine's 500 after the effect went to the caller as the answer, although the engine had it still. Change: calls say whether their answer is a stream; a service's answer is kept with its status and type, also when its caller has gone; a call dispatched by a host that is gone is told "unknown" at once; a 5xx of an engine is resumed like a broken stream.

--- a/baobabwing/entry/completions.py
+++ b/baobabwing/entry/completions.py
@@ -32,13 +32,15 @@
 from baobabwing.entry.serving import Given, Serving, give_unknown, read_whole_stream
 from baobabwing.entry.streams import STREAM_HEADERS, end_partial
 from baobabwing.entry.upstream import UpstreamAnswer
-from baobabwing.exceptions import UpstreamError
+from baobabwing.exceptions import RequestError, UpstreamError
 from baobabwing.pools.prefix_digest import prompt_prefix
 from baobabwing.requests.outcome import Outcome
 from baobabwing.requests.request import Request, RequestFacts
 
 __all__ = ["serve_chat", "serve_text"]
 
+FIRST_FAILURE_STATUS = 500
+
 
 @route("/v1/chat/completions", "POST")
 def serve_chat(context: EntryContext, call: HttpCall) -> None:
@@ -65,12 +67,20 @@
     request = Request(
         facts=_facts(call, caller, completion, pool.name, limits.request_ms)
     )
+    first_event = parse_last_event(call.header("Last-Event-ID"))
+    if first_event and not request.facts.key:
+        raise RequestError(
+            "a stream can only go on by the key of its request",
+            status=400,
+            code="key_missing",
+            field="Idempotency-Key",
+        )
     giving = _Giving(
         serving=Serving(context=context),
         call=call,
         completion=completion,
         chat=chat,
-        first_event=parse_last_event(call.header("Last-Event-ID")),
+        first_event=first_event,
     )
     serve_owned(
         serving=giving.serving,
@@ -79,6 +89,7 @@
         upstream_call=_upstream_call(call, caller, completion),
         give=giving.give,
         fetch=giving.fetch,
+        resuming=first_event > 0,
     )
 
 
@@ -143,7 +154,11 @@
     def give(self, request: Request, dispatch: Dispatch) -> Given:
         """Give the answer of a request that was just dispatched."""
         answer = dispatch.answer
-        if answer is not None and answer.status != 200:
+        if answer is not None and answer.status >= FIRST_FAILURE_STATUS:
+            # The engine may run the request all the same, and then has it still.
+            answer.discard()
+            answer = None
+        elif answer is not None and answer.status != 200:
             return self._give_refusal(dispatch, answer)
         if self._completion.stream:
             return self._give_stream(request, dispatch, answer, RelayReport())
--- a/baobabwing/entry/dispatch.py
+++ b/baobabwing/entry/dispatch.py
@@ -82,6 +82,8 @@
 
     :param prefix: chained digests of the prompt's blocks.
     :param weight: weight of the organisation within its tier.
+    :param resumable: whether the upstream keeps the answer as a stream that can
+        be asked for again and cancelled.
     """
 
     method: str
@@ -90,6 +92,7 @@
     headers: Mapping[str, str]
     prefix: tuple[int, ...] = ()
     weight: float = 1.0
+    resumable: bool = True
 
 
 @dataclass(kw_only=True)
@@ -100,6 +103,7 @@
     answer: UpstreamAnswer | None
     dispatched_at: float
     finished: bool = field(default=False)
+    resumable: bool = True
 
 
 class Dispatcher:
@@ -323,7 +327,12 @@
             raise
         except UpstreamBrokenError:
             answer = None
-        return Dispatch(placement=placement, answer=answer, dispatched_at=started)
+        return Dispatch(
+            placement=placement,
+            answer=answer,
+            dispatched_at=started,
+            resumable=call.resumable,
+        )
 
     def _headers(
         self, request: Request, call: UpstreamCall, placement: Placement
--- a/baobabwing/entry/services.py
+++ b/baobabwing/entry/services.py
@@ -20,7 +20,12 @@
 )
 from baobabwing.exceptions import RequestError, UpstreamError
 from baobabwing.requests.outcome import Outcome
-from baobabwing.requests.request import Request, RequestFacts
+from baobabwing.requests.request import (
+    Request,
+    RequestFacts,
+    RequestState,
+    StoredAnswer,
+)
 
 __all__ = ["serve_service"]
 
@@ -72,6 +77,7 @@
                 field: call.header(field) for field in _PASSED_ON if call.header(field)
             },
             weight=caller.organisation.weight,
+            resumable=False,
         ),
         give=giving.give,
         fetch=giving.fetch,
@@ -105,31 +111,43 @@
             body = read_body(answer=answer, expect_id=dispatch.placement.attempt_id)
         except UpstreamError:
             return self._lost(request)
-        content_type = answer.headers.get("Content-Type", "application/json")
-        self._send(answer.status, body, content_type, dispatch)
-        keep = len(body) <= STORED_ANSWER_BYTES and answer.status == 200
-        return Given(outcome=Outcome.ANSWERED, stored=body if keep else None)
+        whole = StoredAnswer(
+            status=answer.status,
+            content_type=answer.headers.get("Content-Type", "application/json"),
+            body=body,
+        )
+        # A caller that has gone may come back with its key for what was done.
+        left = not self._send(whole, dispatch)
+        stored = whole if len(body) <= STORED_ANSWER_BYTES else None
+        return Given(outcome=Outcome.ANSWERED, stored=stored, cancelled=left)
 
     def fetch(self, request: Request, dispatch: Dispatch) -> Given:
         """Give the kept answer of a call that was dispatched before."""
+        if request.state < RequestState.DISPATCHED:
+            # Dispatched by a host that is gone, and the answer went with it.
+            return self._lost(request)
         request.wait_closed(max(0.0, request.facts.deadline - time.monotonic()))
         stored = request.stored_answer
         if stored is None:
             return self._lost(request)
-        self._send(200, stored, "application/json", dispatch)
+        self._send(stored, dispatch)
         return Given(outcome=Outcome.ANSWERED)
 
     def _lost(self, request: Request) -> Given:
         give_unknown(self._call, request, "the service may have run the call")
         return Given(outcome=Outcome.UNKNOWN)
 
-    def _send(
-        self, status: int, body: bytes, content_type: str, dispatch: Dispatch
-    ) -> None:
-        answer_bytes(
-            self._call,
-            status,
-            body,
-            content_type=content_type,
-            headers={"X-Request-Id": dispatch.placement.attempt_id},
-        )
+    def _send(self, whole: StoredAnswer, dispatch: Dispatch) -> bool:
+        """Send an answer; false if the caller has gone."""
+        try:
+            answer_bytes(
+                self._call,
+                whole.status,
+                whole.body,
+                content_type=whole.content_type,
+                headers={"X-Request-Id": dispatch.placement.attempt_id},
+            )
+        except OSError:
+            self._call.req.close_connection = True
+            return False
+        return True
--- a/baobabwing/entry/serving.py
+++ b/baobabwing/entry/serving.py
@@ -32,7 +32,7 @@
 from baobabwing.homes.limits import Ticket
 from baobabwing.reports.events import log
 from baobabwing.requests.outcome import Outcome
-from baobabwing.requests.request import Placement, Request, StateError
+from baobabwing.requests.request import Placement, Request, StateError, StoredAnswer
 
 __all__ = ["Given", "Serving", "give_unknown", "read_whole_stream"]
 
@@ -54,7 +54,7 @@
 
     outcome: Outcome
     report: RelayReport = RelayReport()
-    stored: bytes | None = None
+    stored: StoredAnswer | None = None
     cancelled: bool = False
 
 
@@ -176,8 +176,14 @@
     def _leave(
         self, request: Request, dispatch: Dispatch, given: Given, arrived: float
     ) -> None:
-        """End a request whose caller has gone before its answer was whole."""
-        if request.facts.key and self._run_on(dispatch, given.report):
+        """End a request whose caller has gone before its answer was whole.
+
+        A plain service knows no streams: asking it for one, or to cancel one,
+        would be one more call of it.
+        """
+        if not dispatch.resumable:
+            given = Given(outcome=Outcome.UNKNOWN, cancelled=True)
+        elif request.facts.key and self._run_on(dispatch, given.report):
             given = Given(outcome=Outcome.ANSWERED, report=given.report, cancelled=True)
         else:
             self.dispatcher.cancel(dispatch.placement)
--- a/baobabwing/requests/request.py
+++ b/baobabwing/requests/request.py
@@ -9,7 +9,14 @@
 from baobabwing.exceptions import BaobabwingError
 from baobabwing.requests.outcome import Outcome
 
-__all__ = ["Placement", "Request", "RequestFacts", "RequestState", "StateError"]
+__all__ = [
+    "Placement",
+    "Request",
+    "RequestFacts",
+    "RequestState",
+    "StateError",
+    "StoredAnswer",
+]
 
 _STEP = "request"
 
@@ -60,6 +67,15 @@
     cell: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoredAnswer:
+    """A whole answer, kept for second tries with the same key."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
 class Request:
     """A request and its one dispatch.
 
@@ -76,7 +92,7 @@
         self._placement: Placement | None = None
         self._refused_by: set[str] = set()
         self._outcome: Outcome | None = None
-        self._stored: bytes | None = None
+        self._stored: StoredAnswer | None = None
         self._changed = threading.Condition()
 
     @property
@@ -95,7 +111,7 @@
         return self._placement
 
     @property
-    def stored_answer(self) -> bytes | None:
+    def stored_answer(self) -> StoredAnswer | None:
         """The whole answer, when it was small enough to be kept."""
         return self._stored
 
@@ -136,7 +152,7 @@
             self._refused_by.add(self._placement.upstream)
             self._placement = None
 
-    def close(self, outcome: Outcome, *, stored: bytes | None = None) -> None:
+    def close(self, outcome: Outcome, *, stored: StoredAnswer | None = None) -> None:
         """End the request.
 
         :param stored: the whole answer, for second tries with the same key.
--- a/tests/features/outcomes.feature
+++ b/tests/features/outcomes.feature
@@ -27,6 +27,7 @@
       | its upstream is frozen for a while                             | while it streams     | the whole answer    |
       | its upstream's connection is cut                               | before it arrives    | the whole answer    |
       | its upstream drops the answer after the effect                 | before it arrives    | the whole answer    |
+      | its upstream fails after the effect                            | before it arrives    | the whole answer    |
       | its upstream answers twice                                     | before it arrives    | the whole answer    |
       | its upstream refuses                                           | before it arrives    | the whole answer    |
       | all its upstreams refuse                                       | before it arrives    | "not run"           |
@@ -46,6 +47,7 @@
       | nothing                                                     | after its answer  | the whole answer |
       | its host is killed                                          | at its dispatch   | "unknown"        |
       | its host is killed                                          | after its answer  | "unknown"        |
+      | its caller vanishes                                         | at its dispatch   | the whole answer |
       | its upstream is killed                                      | at its dispatch   | "unknown"        |
       | its upstream drops the answer after the effect              | before it arrives | "unknown"        |
       | its upstream answers twice                                  | before it arrives | the whole answer |
