--- a/tests/packaging/payload/probe.py
+++ b/tests/packaging/payload/probe.py
@@ -77,6 +77,15 @@
     return {"threads": threading.active_count(), "unwinders": unwinders}
 
 
+def replaced():
+    """Put another file in the program's place, then import from memory."""
+    os.unlink(sys.executable)
+    with open(sys.executable, "w", encoding="utf-8") as other:
+        other.write("a newer version")
+    importlib.import_module("ssl")
+    return {"ssl": "ssl" in sys.modules}
+
+
 def _mapped():
     with open("/proc/self/maps", encoding="utf-8") as maps:
         paths = {line.split(maxsplit=5)[5].strip() for line in maps if "/" in line}
--- a/tests/packaging/test_payload.py
+++ b/tests/packaging/test_payload.py
@@ -1,6 +1,7 @@
 import json
 import os
 import re
+import shutil
 import subprocess
 import sys
 from pathlib import Path
@@ -87,6 +88,16 @@
     assert answer["unwinders"] == ["/memfd:_libraries/libgcc_s.so.1"]
 
 
+def test_runs_on_after_its_file_was_replaced(probe, tmp_path):
+    """An operator puts a newer binary in the place of one that runs.
+
+    The user would see requests fail that are the first to need some module.
+    Cause: modules read by the file's name come from the newer file by then.
+    """
+    running = shutil.copy(probe, tmp_path / "running")
+    assert ask(running, "replaced") == {"ssl": True}
+
+
 def test_equal_input_gives_equal_bytes(folder):
     built = []
     for seed in ("1", "2"):
