Move single events in one tight loop

Cause: a sampling profile of the relay's process showed 37% of its time in the interpreter against 13% for the bare relay, while the same code alone takes 3 us; with hundreds of threads it runs from cold caches. Ruled out: more system calls (the same two a block) and more switches (3.1 against 2.7 a token).

Change: one loop over local names, recv of small bytes objects in place of a buffer with views, and one comparison of the block's start in place of a regular expression: the length of a block tells what the size line of its sole chunk is. whole_chunk, which nothing uses any more, goes with its test; its cases now stand as blocks that the relay must refuse.

--- a/baobabwing/entry/chunks.py
+++ b/baobabwing/entry/chunks.py
@@ -6,7 +6,7 @@
 
 from baobabwing.exceptions import UpstreamError
 
-__all__ = ["LAST_CHUNK", "ChunkDecoder", "ChunkError", "encode_chunk", "whole_chunk"]
+__all__ = ["LAST_CHUNK", "ChunkDecoder", "ChunkError", "encode_chunk"]
 
 LAST_CHUNK = b"0\r\n\r\n"
 CHUNK_LIMIT_BYTES = 16 * 1024 * 1024
@@ -14,7 +14,6 @@
 TRAILER_LIMIT_BYTES = 8_192
 
 _CRLF = b"\r\n"
-_PLAIN_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,7})\r\n")
 _SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?")
 
 
@@ -29,24 +28,6 @@
     return b"%x\r\n%b\r\n" % (len(payload), payload)
 
 
-def whole_chunk(block: bytes | bytearray, length: int) -> int:
-    """Return where the payload starts if a block is exactly one chunk, else 0.
-
-    The common case of a stream: the upstream wrote one chunk and it arrived in
-    one piece. A chunk with extensions and the last chunk are not taken here.
-
-    :param length: bytes of the block that count.
-    """
-    line = _PLAIN_SIZE_LINE.match(block, 0, length)
-    if line is None:
-        return 0
-    start = line.end()
-    size = int(line[1], 16)
-    if size == 0 or start + size + len(_CRLF) != length:
-        return 0
-    return start if block.endswith(_CRLF, start, length) else 0
-
-
 class ChunkDecoder:
     """Decoder of one body; blocks may be cut anywhere.
 
--- a/baobabwing/entry/relay.py
+++ b/baobabwing/entry/relay.py
@@ -24,7 +24,6 @@
     ChunkDecoder,
     ChunkError,
     encode_chunk,
-    whole_chunk,
 )
 from baobabwing.entry.upstream import CallerGoneError, UpstreamAnswer
 from baobabwing.exceptions import BaobabwingError, RequestError, UpstreamError
@@ -43,7 +42,8 @@
     "start_stream",
 ]
 
-BLOCK_BYTES = 16_384
+# No longer than a chunk whose size has three digits, its framing included.
+BLOCK_BYTES = 4_096
 EVENT_LIMIT_BYTES = 1024 * 1024
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 # What a slow caller can leave waiting in the kernel before its relay blocks.
@@ -57,6 +57,11 @@
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
+EVENT_CHUNK_END = EVENT_END + b"\r\n"
+# The chunk's size line, its CRLF, and an event's number, data and empty line.
+EVENT_CHUNK_LINES = 5
+# From this length on, a block that is one chunk has a size of three digits.
+THREE_DIGITS_FROM_BYTES = 0x100 + 6
 COMMENT = b":"
 END_OF_STREAM = encode_chunk(DONE_EVENT + EVENT_END) + LAST_CHUNK
 
@@ -293,7 +298,6 @@
         "_answer",
         "_before_first",
         "_block_at",
-        "_buffer",
         "_caller",
         "_caller_timeout_s",
         "_clock",
@@ -310,7 +314,6 @@
         "_partial",
         "_sent_bytes",
         "_verified",
-        "_view",
         "_whole",
     )
 
@@ -339,8 +342,6 @@
         self._gap_max_s = start.gap_max_s
         self._gaps_over = start.gaps_over
         self._block_at = 0.0
-        self._buffer = bytearray(BLOCK_BYTES)
-        self._view = memoryview(self._buffer)
         self._decoder = ChunkDecoder(peer=answer.peer)
         self._partial = b""
         self._verified = False
@@ -370,61 +371,95 @@
         if self._answer.leftover:
             self._block_at = self._clock()
             self._take_block(self._answer.leftover)
-        while not (self._verified or self._whole):
-            self._take_block(bytes(self._view[: self._receive()]))
         while not self._whole:
-            length = self._receive()
-            if self._is_next_event(length):
-                self._note_gap()
-                self._send(self._view[:length])
-                self._next_id += 1
-            else:
-                self._take_block(bytes(self._view[:length]))
-
-    def _is_next_event(self, length: int) -> bool:
-        """Tell whether the buffer holds just the next event in a chunk of its own.
+            fast = self._is_between_events()
+            block = self._move_events() if fast else self._receive()
+            if not block:
+                raise self._truncated("closed before its end")
+            self._take_block(block)
 
-        Such a block goes to the caller as it is, chunk framing included; this is
-        what nearly all blocks are, and all the work that is done for them.
-        """
-        start = whole_chunk(self._buffer, length)
+    def _is_between_events(self) -> bool:
         return (
-            start > 0
-            and self._buffer.startswith(b"id: %d\n" % self._next_id, start)
-            and self._buffer.find(EVENT_END, start) == length - 4
+            self._verified
             and not self._partial
             and not self._done
             and self._decoder.at_chunk_start
         )
 
-    def _receive(self) -> int:
+    def _move_events(self) -> bytes:
+        """Move blocks that hold just the next event in a chunk of its own.
+
+        Nearly all blocks do, and go to the caller as they are, chunk framing
+        included. With hundreds of threads taking turns this code runs out of cold
+        caches, where each call costs several times what it does alone; hence one
+        loop over local names. A block's length tells what the size line of a sole
+        chunk is, so that one comparison checks it together with the number of the
+        event. Whatever looks different takes the long way.
+
+        :returns: the first block that is not of this kind.
+        """
+        receive = self._answer.sock.recv
+        send = self._caller.send
+        clock = self._clock
+        block_bytes = BLOCK_BYTES
+        next_id = self._next_id
+        last_at = self._last_at
+        while True:
+            try:
+                block = receive(block_bytes)
+            except OSError as exc:
+                block = self._receive_late(exc)
+            now = self._block_at = clock()
+            length = len(block)
+            if length < THREE_DIGITS_FROM_BYTES:
+                start = b"%02x\r\nid: %d\n" % (length - 6, next_id)
+            else:
+                start = b"%03x\r\nid: %d\n" % (length - 7, next_id)
+            if not (
+                block.startswith(start)
+                and block.endswith(EVENT_CHUNK_END)
+                and block.count(b"\n") == EVENT_CHUNK_LINES
+            ):
+                return block
+            try:
+                sent = send(block)
+            except OSError as exc:
+                raise self._caller_failed(exc) from exc
+            if sent != length:
+                self._send_rest(block[sent:])
+            self._next_id = next_id = next_id + 1
+            self._sent_bytes += length
+            gap = now - last_at
+            self._last_at = last_at = now
+            if gap > self._gap_max_s:
+                self._gap_max_s = gap
+            if gap > GAP_OBJECTIVE_S:
+                self._gaps_over += 1
+
+    def _receive(self) -> bytes:
         try:
-            length = self._answer.sock.recv_into(self._buffer)
-        except BlockingIOError:
-            length = self._receive_late()
+            block = self._answer.sock.recv(BLOCK_BYTES)
         except OSError as exc:
-            raise self._truncated(f"broken: {type(exc).__name__}") from exc
-        if not length:
-            raise self._truncated("closed before its end")
+            block = self._receive_late(exc)
         self._block_at = self._clock()
-        return length
+        return block
 
-    def _receive_late(self) -> int:
+    def _receive_late(self, exc: OSError) -> bytes:
         """Wait on in slices, and look after each whether the caller has left."""
         limit_s = (
             self._idle_timeout_s if self._verified else self._first_event_timeout_s
         )
         end = self._clock() + limit_s - CALLER_CHECK_S
-        while self._clock() < end:
+        while isinstance(exc, BlockingIOError):
             if _has_left(self._caller):
                 raise CallerGoneError("the caller left", step="relay")
+            if self._clock() >= end:
+                raise self._truncated(f"stalled for {limit_s:g} s")
             try:
-                return self._answer.sock.recv_into(self._buffer)
-            except BlockingIOError:
-                continue
-            except OSError as exc:
-                raise self._truncated(f"broken: {type(exc).__name__}") from exc
-        raise self._truncated(f"stalled for {limit_s:g} s")
+                return self._answer.sock.recv(BLOCK_BYTES)
+            except OSError as again:
+                exc = again
+        raise self._truncated(f"broken: {type(exc).__name__}") from exc
 
     def _take_block(self, block: bytes) -> None:
         """Pass on the whole events of any block, and keep what is cut."""
@@ -502,37 +537,40 @@
                 self._gaps_over += 1
         self._last_at = now
 
-    def _send(self, block: bytes | memoryview) -> None:
+    def _send(self, block: bytes) -> None:
         if self._before_first is not None:
             self._send_head()
         try:
             sent = self._caller.send(block)
-            if sent != len(block):
-                self._send_rest(block[sent:])
-        except BlockingIOError as exc:
-            raise self._caller_slow() from exc
         except OSError as exc:
-            raise CallerGoneError("the caller left", step="relay") from exc
+            raise self._caller_failed(exc) from exc
+        if sent != len(block):
+            self._send_rest(block[sent:])
         self._sent_bytes += len(block)
 
-    def _send_rest(self, rest: bytes | memoryview) -> None:
+    def _send_rest(self, rest: bytes) -> None:
         """Go on after a send that a signal or the timeout cut short."""
         end = self._block_at + self._caller_timeout_s
-        while rest:
-            if self._clock() >= end:
-                raise self._caller_slow()
-            rest = rest[self._caller.send(rest) :]
+        try:
+            while rest and self._clock() < end:
+                rest = rest[self._caller.send(rest) :]
+        except OSError as exc:
+            raise self._caller_failed(exc) from exc
+        if rest:
+            raise self._caller_failed(BlockingIOError())
+
+    def _caller_failed(self, exc: OSError) -> BaobabwingError:
+        if isinstance(exc, BlockingIOError):
+            return CallerSlowError(
+                f"the caller took no block within {self._caller_timeout_s:g} s",
+                step="relay",
+            )
+        return CallerGoneError("the caller left", step="relay")
 
     def _send_head(self) -> None:
         before_first, self._before_first = self._before_first, None
         before_first()
 
-    def _caller_slow(self) -> CallerSlowError:
-        return CallerSlowError(
-            f"the caller took no block within {self._caller_timeout_s:g} s",
-            step="relay",
-        )
-
     def _truncated(self, message: str) -> StreamTruncatedError:
         return StreamTruncatedError(message, step="relay", peer=self._answer.peer)
 
--- a/tests/entry/test_chunks.py
+++ b/tests/entry/test_chunks.py
@@ -11,7 +11,6 @@
     ChunkDecoder,
     ChunkError,
     encode_chunk,
-    whole_chunk,
 )
 
 PAYLOADS = st.lists(st.binary(min_size=1, max_size=40), max_size=6)
@@ -94,21 +93,3 @@
     assert body == b"abc"
     assert decoder.done
     assert decoder.spare == b"next"
-
-
-def test_whole_chunk_takes_just_one_chunk():
-    block = encode_chunk(b"abc")
-    buffer = bytearray(block + b"left over from before")
-    assert block[whole_chunk(block, len(block)) :] == b"abc\r\n"
-    assert whole_chunk(buffer, len(block)) == 3
-    others = [
-        LAST_CHUNK,
-        block[:-1],
-        block + b"x",
-        block + block,
-        b"3;a\r\nabc\r\n",
-        b"3\r\nabcd\n",
-        b"",
-    ]
-    for other in others:
-        assert whole_chunk(other, len(other)) == 0
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -168,6 +168,60 @@
     assert report.next_id == 5
 
 
+def one_by_one(far: socket.socket, parts: Iterable[bytes], got: list[bytes]):
+    """Yield each part once the caller has those before it, so that none join."""
+    far.settimeout(30)
+    left = 0
+    for part in parts:
+        while left > 0:
+            got.append(far.recv(left))
+            left -= len(got[-1])
+        yield part
+        left = len(part)
+
+
+def test_events_of_any_size_go_through_as_they_come():
+    sizes = [*range(10, 40), *range(235, 275), *range(4070, 4110), 20_000]
+    chunks = [
+        encode_chunk(event(n).replace(b"w", b"w" * size))
+        for n, size in enumerate(sizes)
+    ]
+    got: list[bytes] = []
+    with caller_pair() as (near, far):
+        report = relayed(one_by_one(far, [*chunks, END], got), near)
+        near.shutdown(socket.SHUT_WR)
+        got.append(read_all(far))
+    assert b"".join(got) == b"".join([*chunks, END])
+    assert report.next_id == len(sizes)
+
+
+# One byte more than its size line says, at the edge between two digits and three.
+EDGE = b"ff\r\n" + event(1).replace(b"w", b"w" * 210) + b"\r\n"
+
+
+@pytest.mark.parametrize(
+    "block",
+    [
+        encode_chunk(event(1))[:-2] + b"\n\n",
+        encode_chunk(event(1))[:-1] + b"\r\n",
+        b"0" + encode_chunk(event(1))[1:],
+        EDGE,
+        encode_chunk(event(2)),
+        encode_chunk(event(1) + event(3)),
+        encode_chunk(b"id: 1\n\n"),
+    ],
+    ids=["end", "long", "size", "edge", "number", "second", "empty"],
+)
+def test_a_malformed_block_after_good_ones_is_refused(block):
+    with caller_pair() as (near, far):
+        blocks = one_by_one(far, [encode_chunk(event(0)), block], [])
+        with pytest.raises((StreamMalformedError, StreamTruncatedError)) as caught:
+            relayed(blocks, near)
+        near.shutdown(socket.SHUT_WR)
+        assert read_all(far) == b""
+    assert caught.value.report.next_id == 1
+
+
 def test_a_stream_cut_at_any_byte_goes_on_without_gap_or_repeat():
     """A connection to an engine breaks, after any byte of the body.
 
