Split the cell's learning, expiry and refusals; give no probe to who leaves

Cause: cell.py had grown past 650 lines with five jobs; a relieved upstream due for a probe got it although it was leaving (test seen red, then green: test_relieved_engine_that_leaves_gets_no_probe). Change: modules learning, expiry, refusals and policies/search; probes end with the configuration of an upstream; a reduced capacity also bounds a share that grows back; the idle time and the count of long prefills are computed only when they decide.

--- a/baobabwing/pools/cell.py
+++ b/baobabwing/pools/cell.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Sequence
-from heapq import heapify, heappop, heappush
+from heapq import heappop, heappush
 from random import Random
 from threading import Lock
 from zlib import crc32
 
-from baobabwing.pools.catalogue import Pool, PoolKind, Upstream
+from baobabwing.pools.catalogue import Pool, Upstream
 from baobabwing.pools.events import CELL_HELD, CELL_RELEASED
+from baobabwing.pools.expiry import ExpiryHeap
 from baobabwing.pools.fairness import Queued
+from baobabwing.pools.learning import learn
 from baobabwing.pools.permits import (
     Ask,
     Decision,
@@ -26,12 +28,8 @@
 from baobabwing.pools.placements import Ending, Endings, Placements
 from baobabwing.pools.policies import Hindrance, make_policy
 from baobabwing.pools.queues import FifoQueue
-from baobabwing.pools.snapshot import (
-    CellSnapshot,
-    RefusalCount,
-    TierCount,
-    UpstreamSnapshot,
-)
+from baobabwing.pools.refusals import RefusalWriter
+from baobabwing.pools.snapshot import CellSnapshot, TierCount, upstream_snapshot
 from baobabwing.pools.state import CellState, Choice
 from baobabwing.pools.stragglers import StragglerWatch
 from baobabwing.pools.tracking import Permit, TrackedUpstream
@@ -46,12 +44,8 @@
 _SCAN_S = 0.02
 _HEADS_TRIED = 8
 _SURE_OF_RUN = 0.9
-_LEAST_RETRY_AFTER_S = 0.5
-_MOST_RETRY_AFTER_S = 30.0
-_RETRY_SPREAD = 1.0
 _LEAST_ORPHAN_S = 1.0
 _MOST_ORPHAN_S = 30.0
-_SPARE_EXPIRIES = 256
 _MAY_HAVE_RUN = (Outcome.ANSWERED, Outcome.FAILED, Outcome.CANCELLED)
 
 
@@ -75,7 +69,7 @@
         self._policy = None
         self._watch = StragglerWatch(state=self._state)
         self._queued: dict[str, Queued] = {}
-        self._expiries: list[tuple[float, int, Queued]] = []
+        self._expiries = ExpiryHeap()
         self._orphans: list[tuple[float, str, int]] = []
         self._placements = Placements()
         self._endings = Endings()
@@ -83,7 +77,7 @@
         self._next_review = now
         self._next_scan = now
         self._granted: dict[int, int] = {}
-        self._refused: dict[tuple[int, str], int] = {}
+        self._refusals = RefusalWriter(rng=self._rng)
 
     def configure(
         self, pool: Pool, upstreams: Iterable[Upstream], now: float
@@ -281,11 +275,8 @@
                     TierCount(tier_rank=r, count=n)
                     for r, n in sorted(self._granted.items())
                 ),
-                refused=tuple(
-                    RefusalCount(tier_rank=rank, code=code, count=n)
-                    for (rank, code), n in sorted(self._refused.items())
-                ),
-                upstreams=tuple(map(_upstream_snapshot, state.upstreams.values())),
+                refused=self._refusals.counts(),
+                upstreams=tuple(map(upstream_snapshot, state.upstreams.values())),
             )
 
     def _advance(self, now: float) -> None:
@@ -307,7 +298,7 @@
         permit = self._state.permits.get(ask.request_id)
         if permit is not None:
             if permit.entry != ask.entry:
-                return [self._refusal(ask, RefusalCode.DUPLICATE)]
+                return [self._refusals.write(ask, RefusalCode.DUPLICATE)]
             if permit.upstream.name not in ask.exclude:
                 return [_grant(permit)]
             # The entry asks again since that upstream refused: its report of
@@ -316,7 +307,7 @@
         item = self._queued.get(ask.request_id)
         if item is not None:
             if item.ask.entry != ask.entry:
-                return [self._refusal(ask, RefusalCode.DUPLICATE)]
+                return [self._refusals.write(ask, RefusalCode.DUPLICATE)]
             return []
         return self._ended(ask)
 
@@ -328,7 +319,7 @@
             same = ending.exclude == ask.exclude and ending.refusal.entry == ask.entry
             return [ending.refusal] if same else None
         if ending.outcome in _MAY_HAVE_RUN:
-            return [self._refusal(ask, RefusalCode.CLOSED)]
+            return [self._refusals.write(ask, RefusalCode.CLOSED)]
         return None
 
     def _submit(self, ask: Ask) -> list[Decision]:
@@ -360,10 +351,7 @@
     def _enqueue(self, item: Queued) -> None:
         self._queued[item.ask.request_id] = item
         self._state.queue.add(item)
-        heappush(self._expiries, (item.latest_start, item.number, item))
-        if len(self._expiries) > 2 * len(self._queued) + _SPARE_EXPIRIES:
-            self._expiries = [entry for entry in self._expiries if entry[2].waiting]
-            heapify(self._expiries)
+        self._expiries.add(item, len(self._queued))
 
     def _dequeue(self, item: Queued) -> None:
         del self._queued[item.ask.request_id]
@@ -442,7 +430,7 @@
 
     def _refuse(self, item: Queued, code: RefusalCode) -> Refusal:
         ask = item.ask
-        refusal = self._refusal(ask, code, self._policy_wait_s(item))
+        refusal = self._refusals.write(ask, code, self._policy_wait_s(item))
         if self._policy is not None:
             self._policy.refused(item, code, self._now)
         before = self._endings.get(ask.request_id, self._now)
@@ -459,23 +447,10 @@
             return 0.0
         return self._policy.wait_s(item, self._now)
 
-    def _refusal(self, ask: Ask, code: RefusalCode, wait_s: float = 0.0) -> Refusal:
-        wait_s = min(max(wait_s, _LEAST_RETRY_AFTER_S), _MOST_RETRY_AFTER_S)
-        # Callers refused together would otherwise come back together.
-        spread = 1.0 + _RETRY_SPREAD * self._rng.random()
-        counted = (ask.tier_rank, code.value)
-        self._refused[counted] = self._refused.get(counted, 0) + 1
-        return Refusal(
-            request_id=ask.request_id,
-            entry=ask.entry,
-            code=code.value,
-            retry_after_s=wait_s * spread,
-        )
-
     def _end(self, permit: Permit, outcome: str, done: Done | None) -> None:
         slowness = 0.0
         if done is not None and outcome == Outcome.ANSWERED:
-            slowness = _learn(permit, done)
+            slowness = learn(permit, done)
         self._state.release(permit, outcome, self._now)
         if self._policy is not None and self._policy.relieves:
             self._watch.ended(permit, outcome, slowness, self._now)
@@ -484,10 +459,8 @@
 
     def _expire(self) -> list[Decision]:
         decisions: list[Decision] = []
-        expiries = self._expiries
-        while expiries and (not expiries[0][2].waiting or expiries[0][0] < self._now):
-            item = heappop(expiries)[2]
-            if item.waiting and not self._may_still_start(item):
+        while (item := self._expiries.pop_late(self._now)) is not None:
+            if not self._may_still_start(item):
                 self._dequeue(item)
                 decisions.append(self._refuse(item, RefusalCode.QUEUE_TOO_LONG))
         return decisions
@@ -499,7 +472,7 @@
         if latest <= max(self._now, item.latest_start):
             return False
         item.latest_start = latest
-        heappush(self._expiries, (latest, item.number, item))
+        self._expiries.add(item, len(self._queued))
         return True
 
     def _orphan(self, permit: Permit) -> None:
@@ -605,40 +578,3 @@
         upstream=permit.upstream.name,
         attempt=permit.attempt,
     )
-
-
-def _learn(permit: Permit, done: Done) -> float:
-    """Learn speeds from an answer and return how slow it was for its generation."""
-    upstream = permit.upstream
-    batch = (permit.batch + len(upstream.permits)) / 2.0
-    uncached = max(done.prompt_tokens - done.cached_tokens, 0)
-    if upstream.kind is PoolKind.SERVICE:
-        expected_s = upstream.pooled.service_s
-    else:
-        expected_s = permit.wait_s + upstream.pooled.request_s(
-            uncached, done.tokens, batch
-        )
-    learners = [upstream.speed, upstream.pooled]
-    for speed in learners:
-        if upstream.kind is PoolKind.SERVICE:
-            speed.observe_service(done.duration_s)
-        else:
-            first_s = done.first_token_s
-            speed.observe_prefill(uncached, max(first_s - permit.wait_s, first_s / 4))
-            speed.observe_steps(done.tokens - 1, done.duration_s - first_s, batch)
-        speed.counted()
-    return done.duration_s / max(expected_s, 1e-6)
-
-
-def _upstream_snapshot(upstream: TrackedUpstream) -> UpstreamSnapshot:
-    return UpstreamSnapshot(
-        name=upstream.name,
-        standing=upstream.standing.value,
-        open_to_work=upstream.open_to_work,
-        in_flight=len(upstream.permits),
-        limit=upstream.limit,
-        capacity=upstream.capacity,
-        prefill_tokens_per_s=upstream.speed.prefill_tokens_per_s,
-        step_ms=upstream.speed.step_s(max(len(upstream.permits), 1)) * 1000.0,
-        service_ms=upstream.speed.service_s * 1000.0,
-    )
--- a/baobabwing/pools/policies/tiered.py
+++ b/baobabwing/pools/policies/tiered.py
@@ -4,33 +4,25 @@
 
 from random import Random
 
-from baobabwing.pools.catalogue import PoolKind
 from baobabwing.pools.fairness import Queued
 from baobabwing.pools.headroom import (
-    LONG_PREFILL_S,
     MOST_LOW_PREFILL_S,
     Headroom,
     most_engines_with_long_prefill,
-    prefill_fits,
 )
 from baobabwing.pools.permits import Ask, RefusalCode
 from baobabwing.pools.policies.registry import Hindrance, policy
-from baobabwing.pools.prefix_digest import BLOCK_TOKENS
+from baobabwing.pools.policies.search import SURE_OF_RUN, Search
 from baobabwing.pools.queues import TierQueue, WaitingQueue
 from baobabwing.pools.shedding import SHED_MEMORY_S, ShedMark
 from baobabwing.pools.state import CellState, Choice
-from baobabwing.pools.tracking import TrackedUpstream
 
 __all__ = ["TieredPolicy"]
 
 # Estimates err both ways. A refusal is final, so it needs more certainty than
-# a choice: waits count for 0.7 and runs for 0.9 of what is expected.
+# a choice: waits count for 0.7 of what is expected, as runs do for 0.9.
 _SURE_OF_WAIT = 0.7
-_SURE_OF_RUN = 0.9
-_CROWDING_S = 0.001
 _PROBE_SLACK = 2.0
-_HELD_PART = 4
-_NOTHING_CACHED: dict[str, int] = {}
 
 
 @policy("baobabwing")
@@ -62,7 +54,7 @@
         self._headroom.saw(ask.tier_rank, now)
         if now > item.latest_start:
             least_s = self._state.least_s(ask, use_cache=True)
-            if now + _SURE_OF_RUN * least_s > ask.deadline:
+            if now + SURE_OF_RUN * least_s > ask.deadline:
                 return RefusalCode.DEADLINE
         if self._is_closed(ask.tier_rank, now):
             return RefusalCode.OVERLOADED
@@ -85,11 +77,11 @@
                 return probe
         if not candidates:
             return Hindrance.LOAD
-        search = _Search(
+        search = Search(
             ask=ask,
             now=now,
             bounded=bounded,
-            long_allowed=not bounded or self._another_long_prefill(now),
+            long_prefill_allowed=self._another_long_prefill,
             held=now < state.held_until,
         )
         if ask.prefix:
@@ -159,7 +151,7 @@
             return True
         ahead = queue.work_through_s(shed.rank)
         wait_s = self._wait_after_s(ahead, shed.rank, now)
-        needed = _SURE_OF_WAIT * wait_s + _SURE_OF_RUN * shed.service_s
+        needed = _SURE_OF_WAIT * wait_s + SURE_OF_RUN * shed.service_s
         return needed <= shed.budget_s
 
     def _wait_after_s(self, ahead_s: float, rank: int, now: float) -> float:
@@ -202,120 +194,6 @@
         return None
 
 
-class _Search:
-    """The best upstream so far for one ask, and what hinders the others."""
-
-    __slots__ = (
-        "_ask",
-        "_best",
-        "_best_long",
-        "_best_s",
-        "_best_uncached",
-        "_bounded",
-        "_held",
-        "_hindrance",
-        "_long_allowed",
-        "_now",
-        "_slack_s",
-        "cached",
-    )
-
-    def __init__(
-        self, *, ask: Ask, now: float, bounded: bool, long_allowed: bool, held: bool
-    ) -> None:
-        self._ask = ask
-        self._now = now
-        self._bounded = bounded
-        self._long_allowed = long_allowed
-        self._held = held
-        self._slack_s = (ask.deadline - now) / _SURE_OF_RUN
-        self._hindrance = Hindrance.LOAD
-        self._best: TrackedUpstream | None = None
-        self._best_s = float("inf")
-        self._best_uncached = 0
-        self._best_long = False
-        self.cached = _NOTHING_CACHED
-
-    def consider(self, upstream: TrackedUpstream) -> None:
-        """Compare one upstream with the best so far."""
-        if self._held and not _has_room_while_held(upstream):
-            return
-        if upstream.name in self._ask.exclude:
-            self._hinder(Hindrance.UNUSABLE)
-        elif upstream.kind is PoolKind.SERVICE:
-            service_s = upstream.speed.service_s
-            self._compare(upstream, service_s, service_s, 0, False)
-        else:
-            self._consider_engine(upstream)
-
-    def result(self) -> Choice | Hindrance:
-        """Return the best upstream, or why there is none."""
-        if self._best is None:
-            return self._hindrance
-        return Choice(
-            upstream=self._best,
-            uncached=self._best_uncached,
-            low_prefill=self._best_long,
-        )
-
-    def _consider_engine(self, upstream: TrackedUpstream) -> None:
-        ask = self._ask
-        speed = upstream.speed
-        uncached = ask.prompt_tokens
-        if self.cached:
-            uncached -= self.cached.get(upstream.name, 0) * BLOCK_TOKENS
-            uncached = max(uncached, 0)
-        prefill_s = uncached / speed.prefill_tokens_per_s
-        is_long = self._bounded and prefill_s > LONG_PREFILL_S
-        if is_long and not self._long_fits(upstream, prefill_s):
-            self._hinder(Hindrance.BUSY)
-            return
-        idle_s = speed.request_s(uncached, ask.output_tokens, 1)
-        total_s = speed.request_s(
-            uncached, ask.output_tokens, len(upstream.permits) + 1
-        )
-        if upstream.prefill_free_at > self._now:
-            total_s += upstream.prefill_free_at - self._now
-        self._compare(upstream, total_s, idle_s, uncached, is_long)
-
-    def _long_fits(self, upstream: TrackedUpstream, prefill_s: float) -> bool:
-        if not self._long_allowed and prefill_s > MOST_LOW_PREFILL_S:
-            return False
-        return prefill_fits(upstream.low_prefill_free_at - self._now, prefill_s)
-
-    def _compare(
-        self,
-        upstream: TrackedUpstream,
-        total_s: float,
-        idle_s: float,
-        uncached: int,
-        is_long: bool,
-    ) -> None:
-        if total_s > self._slack_s:
-            # Too slow even when idle, it is no loss to this ask if another
-            # gets it. Too busy only, it must not go to a lower tier: the ask
-            # would be refused for load with lower-tier work admitted.
-            too_slow = idle_s > self._slack_s
-            self._hinder(Hindrance.UNUSABLE if too_slow else Hindrance.BUSY)
-            return
-        total_s += _CROWDING_S * len(upstream.permits)
-        if total_s < self._best_s:
-            self._best = upstream
-            self._best_s = total_s
-            self._best_uncached = uncached
-            self._best_long = is_long
-
-    def _hinder(self, hindrance: Hindrance) -> None:
-        # What is busy now will be its own soon; that outweighs what is not.
-        if self._hindrance is not Hindrance.BUSY:
-            self._hindrance = hindrance
-
-
 def _in_time(item: Queued, wait_s: float, now: float) -> bool:
-    needed_s = _SURE_OF_WAIT * wait_s + _SURE_OF_RUN * item.service_s
+    needed_s = _SURE_OF_WAIT * wait_s + SURE_OF_RUN * item.service_s
     return now + needed_s <= item.ask.deadline
-
-
-def _has_room_while_held(upstream: TrackedUpstream) -> bool:
-    most = max(upstream.capacity // _HELD_PART, 1)
-    return len(upstream.permits) < most
--- a/baobabwing/pools/snapshot.py
+++ b/baobabwing/pools/snapshot.py
@@ -4,7 +4,15 @@
 
 from dataclasses import dataclass
 
-__all__ = ["CellSnapshot", "RefusalCount", "TierCount", "UpstreamSnapshot"]
+from baobabwing.pools.tracking import TrackedUpstream
+
+__all__ = [
+    "CellSnapshot",
+    "RefusalCount",
+    "TierCount",
+    "UpstreamSnapshot",
+    "upstream_snapshot",
+]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,3 +64,19 @@
     granted: tuple[TierCount, ...]
     refused: tuple[RefusalCount, ...]
     upstreams: tuple[UpstreamSnapshot, ...]
+
+
+def upstream_snapshot(upstream: TrackedUpstream) -> UpstreamSnapshot:
+    """Return an upstream's account at this moment."""
+    batch = max(len(upstream.permits), 1)
+    return UpstreamSnapshot(
+        name=upstream.name,
+        standing=upstream.standing.value,
+        open_to_work=upstream.open_to_work,
+        in_flight=len(upstream.permits),
+        limit=upstream.limit,
+        capacity=upstream.capacity,
+        prefill_tokens_per_s=upstream.speed.prefill_tokens_per_s,
+        step_ms=upstream.speed.step_s(batch) * 1000.0,
+        service_ms=upstream.speed.service_s * 1000.0,
+    )
--- a/baobabwing/pools/state.py
+++ b/baobabwing/pools/state.py
@@ -102,6 +102,7 @@
     def refresh(self) -> None:
         """Compute anew what is derived from all upstreams."""
         self.active = [u for u in self.upstreams.values() if u.open_to_work]
+        self.probes = [u for u in self.probes if u.open_to_work]
         self.slots = sum(u.limit for u in self.active)
         self.reserved = sum(u.reserved for u in self.active)
         for upstream in self.upstreams.values():
--- a/baobabwing/pools/tracking.py
+++ b/baobabwing/pools/tracking.py
@@ -154,6 +154,7 @@
         """Take a changed configuration and keep all that was learned."""
         if self.standing is Standing.NORMAL:
             self.limit = upstream.capacity
+        self.limit = min(self.limit, upstream.capacity)
         self.address = upstream.address
         self.capacity = upstream.capacity
         self.reserved = reserved_slots(upstream.capacity)
--- a/tests/pools/test_cell.py
+++ b/tests/pools/test_cell.py
@@ -1,5 +1,7 @@
 """Permits of one cell: who gets them, in which order, and who is told no."""
 
+from threading import Thread
+
 import pytest
 
 from baobabwing.exceptions import ConfigurationError
@@ -280,3 +282,46 @@
     cell.submit(ask("a", rank=2), 0.0)
     cell.submit(ask("b", rank=2), 0.0)
     assert cell.floor() == 1
+
+
+def test_reduced_capacity_holds_while_a_share_grows_back():
+    """An engine restarts, and its capacity is reduced while its share is small.
+
+    Growing to the old limit would give it more than it may have now.
+    """
+    cell = make_cell(capacity=16)
+    cell.cache_changed("u0", 0.0, cleared=True)
+    cell.configure(Pool(name="p", kind=PoolKind.ENGINE), make_upstreams(1, 2), 0.0)
+    assert cell.snapshot().upstreams[0].limit == 2
+
+
+def test_entry_that_lost_a_permit_gives_it_back():
+    """The message that returns a permit is lost with its connection."""
+    cell = make_cell()
+    cell.submit(ask("a"), 0.0)
+    cell.submit(ask("b"), 0.0)
+    assert cell.holders(1.0) == {ENTRY}
+    assert cell.reconcile(ENTRY, {"a"}, 1.0, 2.0) == []
+    assert granted(cell.reconcile(ENTRY, set(), 1.0, 2.0)) == ["b"]
+
+
+def test_calls_from_many_threads_keep_the_account():
+    cell = make_cell(upstreams=2, capacity=2, queue_limit=1000)
+
+    def serve(number):
+        for i in range(100):
+            name = f"r{number}.{i}"
+            decisions = cell.submit(ask(name, rank=i % 3, deadline=1e6), 0.0)
+            while decisions:
+                grants = [d for d in decisions if isinstance(d, Grant)]
+                decisions = [n for g in grants for n in cell.done(done(g), 0.0)]
+            cell.tick(0.0)
+
+    threads = [Thread(target=serve, args=(number,)) for number in range(4)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    snapshot = cell.snapshot()
+    assert snapshot.in_flight == 0
+    assert sum(t.count for t in snapshot.granted) == 400
--- a/tests/pools/test_stragglers.py
+++ b/tests/pools/test_stragglers.py
@@ -1,5 +1,6 @@
 """Upstreams that fall behind their peers, stand still, fail or restart."""
 
+from baobabwing.pools.catalogue import UpstreamState
 from baobabwing.pools.permits import Outcome
 
 
@@ -179,3 +180,18 @@
     assert "chat1" not in bench.running
     bench.tick(2.5)
     assert bench.running["chat1"].upstream == "u0"
+
+
+def test_relieved_engine_that_leaves_gets_no_probe(make_bench, engines):
+    """An engine is relieved, is due for a probe, and is drained just then.
+
+    The probe would be new work on an upstream that is leaving.
+    """
+    bench = make_bench(count=3)
+    for i in range(3):
+        bench.ask(f"r{i}", exclude=("u1", "u2"))
+        bench.end(f"r{i}", outcome=Outcome.NOT_ADMITTED)
+    bench.tick(2.5)
+    leaving = engines(1, state=UpstreamState.LEAVING)
+    bench.configure([*leaving, *engines(3)[1:]])
+    assert {bench.ask(f"next{i}").upstream for i in range(4)} == {"u1", "u2"}
