Fail a bench run that shows what must never be; document the burn report

Cause: 'bench run' ended with 0 whatever its safety figures said. Ruled out: failing on late or shed answers too; overload and faults bring them about. Change: 'bench run' names doubled executions, "not run" that ran, foreign texts, executions of no request and nodes that did not stop gracefully, keeps the logs, and ends with 1. JSON holds wasted prefill and the share of capacity.

--- a/baobabwing/bench/demo.py
+++ b/baobabwing/bench/demo.py
@@ -1,4 +1,4 @@
-"""Checks that a run of the demonstration went as it must."""
+"""Checks that a run went as it must."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from baobabwing.bench.executions import Executed, by_request
 from baobabwing.bench.figures import Run
 
-__all__ = ["demo_faults"]
+__all__ = ["demo_faults", "safety_faults"]
 
 NAMED = 5
 
@@ -29,14 +29,46 @@
         "not executed exactly once",
         [_not_once(one, executed.get(one.index, [])) for one in run.answers],
     )
+    return found + safety_faults(run, exits)
+
+
+def safety_faults(run: Run, exits: dict[str, int]) -> list[str]:
+    """Return what must never be in any run, whatever the load and the fault.
+
+    A request was executed twice, or although its caller was told "not run"; a caller
+    got another text than its own; an upstream executed what nobody asked for; a node
+    did not stop gracefully.
+    """
+    executed = by_request(run.answers, run.executions)
+    answers = {answer.index: answer for answer in run.answers}
+    found = _name(
+        "executed more than once",
+        [
+            f"request {index}: {[one.attempt for one in executions]}"
+            for index, executions in executed.items()
+            if index >= 0 and len(executions) > 1
+        ],
+    )
+    found += _name(
+        '"not run" but executed',
+        [
+            f"request {index}: {answers[index].code}"
+            for index in executed
+            if index >= 0 and answers[index].verdict is Verdict.SHED
+        ],
+    )
     found += _name(
-        "executed for no request", [one.attempt for one in executed.get(-1, [])]
+        "another text than the request's own",
+        [f"request {one.index}" for one in run.answers if one.verdict is Verdict.WRONG],
     )
     found += _name(
+        "executed for no request",
+        [f"{one.upstream}: {one.attempt}" for one in executed.get(-1, [])],
+    )
+    return found + _name(
         "no graceful stop",
         [f"{name}: exit status {status}" for name, status in exits.items() if status],
     )
-    return found
 
 
 def _not_whole(answer: Answer) -> str:
--- a/baobabwing/cli/bench.py
+++ b/baobabwing/cli/bench.py
@@ -14,7 +14,7 @@
 
 import typer
 
-from baobabwing.bench.demo import demo_faults
+from baobabwing.bench.demo import demo_faults, safety_faults
 from baobabwing.bench.faults import fault_names, get_fault
 from baobabwing.bench.figures import RunFigures, run_figures
 from baobabwing.bench.plots import load_pyplot, plot_goodput
@@ -67,7 +67,10 @@
     nodes: Nodes = 0,
     logs: Logs = None,
 ) -> None:
-    """Run a scenario under one or several policies, with the same requests."""
+    """Run a scenario under one or several policies, with the same requests.
+
+    Exits with 1 if anything was seen that must never be, whatever the fault.
+    """
     chosen = _scenario(scenario)
     _check_fault(fault)
     policies = _policies(policy)
@@ -75,6 +78,7 @@
         load_pyplot()
     _end_on_sigterm()
     figures = []
+    broken = False
     for name in policies:
         options = RunOptions(
             policy=name,
@@ -84,11 +88,16 @@
             fault=get_fault(fault) if fault else None,
             folder=logs / name if logs else None,
         )
-        figures.append(_run_one(chosen, options))
+        result = _run(chosen, options)
+        figures.append(run_figures(result.run))
+        typer.echo(f"\n{figures_text(figures[-1])}\n")
+        broken |= _tell_faults(safety_faults(result.run, result.exits), result, options)
     if json_file is not None:
         _write_json(json_file, chosen, seed, figures)
     if plot is not None:
         plot_goodput(plot, figures)
+    if broken:
+        raise typer.Exit(code=1)
 
 
 @app.command()
@@ -116,13 +125,8 @@
     typer.echo(f"{scenario.name}: {scenario.story}")
     result = _run(scenario, options)
     typer.echo(f"\n{figures_text(run_figures(result.run))}\n")
-    faults = demo_faults(result.run, result.exits)
-    for fault in faults:
-        typer.echo(f"FAULT {fault}")
-    if faults:
-        typer.echo(f"logs and records: {result.folder}")
+    if _tell_faults(demo_faults(result.run, result.exits), result, options):
         raise typer.Exit(code=1)
-    _discard(result, options)
     typer.echo(
         f"all {len(result.run.answers)} answers were whole and their request's own;"
         " the upstreams' records show each request executed exactly once;"
@@ -148,21 +152,15 @@
         raise typer.BadParameter(f"one of {', '.join(fault_names())}")
 
 
-def _run_one(scenario: Scenario, options: RunOptions) -> RunFigures:
-    result = _run(scenario, options)
-    figures = run_figures(result.run)
-    typer.echo(f"\n{figures_text(figures)}\n")
-    bad = {name: status for name, status in result.exits.items() if status}
-    if bad:
-        typer.echo(f"FAULT no graceful stop: {bad}; logs: {result.folder}")
-    else:
-        _discard(result, options)
-    return figures
-
-
-def _discard(result: RunResult, options: RunOptions) -> None:
-    if options.folder is None:
+def _tell_faults(faults: list[str], result: RunResult, options: RunOptions) -> bool:
+    """Name what is wrong; logs are kept only then, or where they were wanted."""
+    for fault in faults:
+        typer.echo(f"FAULT {fault}")
+    if faults:
+        typer.echo(f"logs and records: {result.folder}")
+    elif options.folder is None:
         shutil.rmtree(result.folder, ignore_errors=True)
+    return bool(faults)
 
 
 def _run(scenario: Scenario, options: RunOptions) -> RunResult:
@@ -193,7 +191,14 @@
     document = {
         "scenario": scenario.name,
         "seed": seed,
-        "runs": [asdict(one) for one in figures],
+        "runs": [
+            {
+                **asdict(one),
+                "wasted_prefill_tokens": one.prefill.wasted,
+                "capacity_share": one.capacity.share,
+            }
+            for one in figures
+        ],
     }
     path.write_text(json.dumps(document, indent=2), encoding="utf-8")
 
--- a/baobabwing/reports/burn_text.py
+++ b/baobabwing/reports/burn_text.py
@@ -53,7 +53,10 @@
     period = duration_words(report.period_s)
     if not report.covered_s:
         return f"one sample a node: counts since the nodes' starts; budget of {period}"
-    return f"samples span {duration_words(report.covered_s)}; budget of {period}"
+    span = duration_words(report.covered_s)
+    return (
+        f"samples span {span}, longer windows stand for that span; budget of {period}"
+    )
 
 
 def duration_words(seconds: float) -> str:
--- a/tests/bench/test_figures.py
+++ b/tests/bench/test_figures.py
@@ -6,7 +6,7 @@
 
 from baobabwing.bench.answers import Answer, Verdict
 from baobabwing.bench.arrivals import draw_arrivals
-from baobabwing.bench.demo import demo_faults
+from baobabwing.bench.demo import demo_faults, safety_faults
 from baobabwing.bench.executions import Executed, by_request, merge_records
 from baobabwing.bench.figures import (
     INVERSION_WINDOW_S,
@@ -183,6 +183,22 @@
     assert "node-1" not in faults
 
 
+def test_safety_faults_spare_load_but_name_what_must_never_be(calm):
+    """Under overload answers may be late or refused, and the run still be sound.
+
+    A refused request that an upstream's record shows, and an execution that nobody
+    asked for, are never sound.
+    """
+    refused = _with_answer(calm, 3, verdict=Verdict.SHED, code="overloaded")
+    kept = [one for one in calm.executions if one.key != "k3"]
+    assert safety_faults(replace(refused, executions=kept), {"node-1": 0}) == []
+    stray = replace(kept[0], key="", attempt="stray", upstream="service-1")
+    broken = replace(refused, executions=[*calm.executions, stray])
+    faults = "\n".join(safety_faults(broken, {"node-1": 0}))
+    assert "request 3: overloaded" in faults
+    assert "service-1: stray" in faults
+
+
 def test_executions_without_a_key_are_matched_by_attempt(calm):
     unkeyed = [replace(one, key="") for one in calm.executions]
     found = by_request(calm.answers, unkeyed)
