--- a/baobabwing/entry/relay.py
+++ b/baobabwing/entry/relay.py
@@ -162,7 +162,8 @@
     unfinished event.
 
     :param expect_id: the attempt that the answer must belong to.
-    :param resumed: report of the broken relay that this one goes on from.
+    :param resumed: report of the broken relay that this one goes on from. For a
+        caller that comes back by itself, one with the ``next_id`` it lacks.
     :param before_first: called once, before the first byte goes to the caller,
         when the answer is known to belong to this attempt: sends the head.
     :param first_event_timeout_s: longest wait for the first event.
@@ -676,17 +677,22 @@
     """
     before = sock.gettimeout()
     sock.settimeout(None)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _timeval(receive_s))
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _timeval(send_s))
+    _set_kernel_timeouts(sock, receive_s, send_s)
     try:
         yield
     finally:
         _restore(sock, before)
 
 
+def _set_kernel_timeouts(sock: socket.socket, receive_s: float, send_s: float) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _timeval(receive_s))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _timeval(send_s))
+
+
 def _restore(sock: socket.socket, timeout_s: float | None) -> None:
     # The socket may have been closed meanwhile; then there is nothing to restore.
     with contextlib.suppress(OSError):
+        _set_kernel_timeouts(sock, 0.0, 0.0)
         sock.settimeout(timeout_s)
 
 
