Let a stop keep its deadline, and tell those who wait

Cause: a second signal, or the deadline, ended a stop on paper only: the HTTP library waits for each thread, so that the process stayed until its last stream had ended. And a request given up while it waited for a permit was told so only when its home decided, up to its own deadline later. Ruled out: leaving the process by its exit call, which would also cut the answers of those that are just being told; cancelling at the engine what is cut, since the caller comes back with its key and the stream is there to be resumed. Change: the node knows the sockets of calls being answered and cuts them when a stop's time is over, after those that wait were told "not run"; a wait for a permit ends when its request is given up. Conclusion: an answer that is not a stream is cut too; its caller is told nothing and has to come back with its key.

--- a/baobabwing/bench/matrix/caller.py
+++ b/baobabwing/bench/matrix/caller.py
@@ -8,6 +8,7 @@
 import struct
 import threading
 import time
+import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -15,9 +16,10 @@
 
 from baobabwing.bench.matrix.site import BOOKING, CHAT_MODEL
 
-__all__ = ["Caller", "Ending", "Job", "Transcript", "Try"]
+__all__ = ["Caller", "Ending", "Follower", "Job", "Transcript", "Try"]
 
 READ_TIMEOUT_S = 30.0
+MS_PER_S = 1_000.0
 _OK = 200
 _DATA = b"data: "
 _DONE = b"[DONE]"
@@ -320,3 +322,64 @@
             if script.job == job:
                 found.update(enumerate(script.words, start=script.first))
         return [found[index] for index in range(len(found)) if index in found]
+
+
+class Follower:
+    """A caller that sends one chat turn after another where it is told to.
+
+    It keeps an address answer for as long as it may, uses the first address, and
+    asks again at the next when one does not answer.
+
+    :param known: addresses that it knows from its settings.
+    """
+
+    def __init__(self, *, known: tuple[str, ...], credential: str, seed: str) -> None:
+        self._known = known
+        self._seed = seed
+        self._caller = Caller(credential=credential)
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    @property
+    def transcripts(self) -> list[Transcript]:
+        """What it saw so far, one transcript for each request."""
+        return self._caller.transcripts
+
+    def start(self) -> Follower:
+        """Begin to send."""
+        self._thread.start()
+        return self
+
+    def stop(self) -> None:
+        """Send no more, and wait for the last answer."""
+        self._stopped.set()
+        self._thread.join(READ_TIMEOUT_S)
+
+    def _run(self) -> None:
+        told: list[Mapping[str, str]] = []
+        until = 0.0
+        while not self._stopped.is_set():
+            if not told or time.monotonic() >= until:
+                told, keep_s = self._ask(told)
+                until = time.monotonic() + keep_s
+                continue
+            key = told[0]["key_prefix"] + uuid.uuid4().hex
+            job = Job(text=f"a kickoff {key}", key=key)
+            self._caller.begin(job, told[0]["http"]).wait()
+
+    def _ask(
+        self, told: list[Mapping[str, str]]
+    ) -> tuple[list[Mapping[str, str]], float]:
+        for address in (*(one["http"] for one in told), *self._known):
+            conn = http.client.HTTPConnection(address, timeout=1.0)
+            try:
+                conn.request(
+                    "GET", "/v1/addresses", headers={"X-Caller-Seed": self._seed}
+                )
+                document = json.loads(conn.getresponse().read())
+            except (OSError, http.client.HTTPException):
+                continue
+            finally:
+                conn.close()
+            return document["addresses"], document["keep_ms"] / MS_PER_S
+        return [], 0.0
--- a/baobabwing/bench/matrix/scene.py
+++ b/baobabwing/bench/matrix/scene.py
@@ -14,7 +14,7 @@
 __all__ = ["STEPS", "Scene", "get_step", "step"]
 
 WAIT_S = 20.0
-FILLERS = 14
+FILLERS = 18
 FILLER_TOKENS = 2_000
 LONG_PROMPT_WORDS = 16_000
 SERVICE_SLOWNESS = 40.0
--- a/baobabwing/bench/matrix/site.py
+++ b/baobabwing/bench/matrix/site.py
@@ -6,6 +6,7 @@
 import json
 import re
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import replace
 from http import HTTPStatus
 from typing import Any
@@ -20,7 +21,11 @@
 from baobabwing.fleet.homes import ranking
 from baobabwing.fleet.host import Host, Member, MemberState
 from baobabwing.fleet.view import FleetView
+from baobabwing.platform.tables import TableClient
 from baobabwing.pools.partition import cell_resource
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.fetch import fetch_configuration
+from baobabwing.settings.publish import publish
 from baobabwing.standins.engine.parameters import EngineParameters
 from baobabwing.standins.service import ServiceParameters
 
@@ -28,17 +33,19 @@
 
 CHAT_MODEL = "assistant-8b"
 BOOKING = "booking"
-ENGINES = ("engine-1", "engine-2")
+ENGINES = ("engine-1", "engine-2", "engine-3")
 SERVICES = ("service-1", "service-2")
 HEAL_TIMEOUT_S = 30.0
 # Faster than the default, so that a death is seen soon, and still slow enough
 # for a busy host.
 _MEMBERSHIP = {"probe_interval_ms": 250, "probe_timeout_ms": 120, "suspicion_ms": 800}
+TABLES_TIMEOUT_S = 5.0
+_VERSION = re.compile(r"^baobabwing_configuration_version (\S+)$", re.MULTILINE)
 _OPEN_REQUESTS = re.compile(r"^baobabwing_open_requests (\S+)$", re.MULTILINE)
 
 
 def trial_shape(*, step_ms: float = 10.0, capacity: int = 4) -> Shape:
-    """Return two engines, two services and three nodes in three zones.
+    """Return three engines, two services and three nodes in three zones.
 
     :param capacity: requests that run in one engine at one time.
     """
@@ -83,6 +90,7 @@
         super().__init__(shape=shape or trial_shape(), group=group, policy="baobabwing")
         self.group = group
         self._stopping: set[str] = set()
+        self._newest = 0
 
     def address(self, name: str) -> str:
         """Return the address of a node, an upstream or the platform."""
@@ -173,6 +181,7 @@
         for name in self.group.names():
             if self.group.get(name).alive():
                 self.group.thaw(name)
+        self._newest = max(self.version(name) for name in self.nodes)
         while self._stopping:
             self.group.get(self._stopping.pop()).popen.wait(HEAL_TIMEOUT_S)
         for name in self._dead():
@@ -182,6 +191,29 @@
         if not wait_until(self._whole, timeout_s=HEAL_TIMEOUT_S, poll_s=0.05):
             raise ProcessError("the fleet did not become whole", step="heal")
 
+    def version(self, node: str) -> int:
+        """Return the configuration version that a node says is in force."""
+        return int(self._gauge(node, _VERSION))
+
+    def accepted(self) -> Configuration:
+        """Return the configuration that the platform holds."""
+        return fetch_configuration(self._tables())
+
+    def change(
+        self, edit: Callable[[Configuration], Configuration], *, author: str = "bench"
+    ) -> Configuration:
+        """Publish an operator's change of what is accepted.
+
+        :raises ConflictError: if another operator was first.
+        :raises PlatformError: if it is not known or not taken.
+        """
+        base = self.accepted()
+        changed = replace(edit(base), author=author, attempt="")
+        return publish(self._tables(), base=base.version, cfg=changed)
+
+    def _tables(self) -> TableClient:
+        return TableClient(url=f"http://{self.platform}", timeout_s=TABLES_TIMEOUT_S)
+
     def restart_node(self, name: str) -> None:
         """Start a node again that has ended, as a new incarnation."""
         settings = self.group.folder / f"{name}.json"
@@ -194,6 +226,8 @@
             self.group.start(PLATFORM, platform_arguments(self.platform))
             self._wait_ready(PLATFORM, self.platform, "/control/parameters")
             self._publish()
+            while self.accepted().version < self._newest:
+                self.change(lambda cfg: cfg)
         else:
             specs = {one.name: one for one in self.shape.engines}
             if name in specs:
--- a/baobabwing/entry/context.py
+++ b/baobabwing/entry/context.py
@@ -8,6 +8,7 @@
 
 from baobabwing.brands.catalogue import Organisation
 from baobabwing.entry.credentials import CredentialIndex
+from baobabwing.entry.open_calls import OpenCalls
 from baobabwing.exceptions import RequestError
 from baobabwing.fleet.host import Host
 from baobabwing.fleet.view import FleetView
@@ -135,6 +136,7 @@
     status: Callable[[], dict] = dict
     catalogue: Catalogue | None = None
     leaving: threading.Event = field(default_factory=threading.Event)
+    open_calls: OpenCalls = field(default_factory=OpenCalls)
 
     def require_catalogue(self) -> Catalogue:
         """Return the catalogue in force.
--- a/baobabwing/entry/dispatch.py
+++ b/baobabwing/entry/dispatch.py
@@ -247,7 +247,9 @@
             weight=call.weight,
         )
         try:
-            decision = self._context.permits.ask(message)
+            decision = self._context.permits.ask(
+                message, wanted=lambda: request.outcome is None
+            )
         except PeerError as exc:
             self._context.permits.withdraw(
                 PermitWithdraw(request_id=facts.request_id, cell=cell)
--- a/baobabwing/entry/ownership.py
+++ b/baobabwing/entry/ownership.py
@@ -57,6 +57,19 @@
     :param give: gives the answer of a request dispatched just now.
     :param fetch: gives the answer of a request dispatched before.
     """
+    with serving.context.open_calls.during(call.caller_socket):
+        _serve(serving, call, request, upstream_call, give, fetch, resuming)
+
+
+def _serve(
+    serving: Serving,
+    call: HttpCall,
+    request: Request,
+    upstream_call: UpstreamCall,
+    give: Give,
+    fetch: Fetch,
+    resuming: bool,
+) -> None:
     context = serving.context
     facts = request.facts
     try:
--- a/baobabwing/entry/serving.py
+++ b/baobabwing/entry/serving.py
@@ -181,7 +181,10 @@
         A plain service knows no streams: asking it for one, or to cancel one,
         would be one more call of it.
         """
-        if not dispatch.resumable:
+        if self.context.open_calls.ended and request.facts.key:
+            # The engine goes on; the caller comes back for it at another node.
+            given = Given(outcome=Outcome.UNKNOWN, cancelled=True)
+        elif not dispatch.resumable:
             given = Given(outcome=Outcome.UNKNOWN, cancelled=True)
         elif request.facts.key and self._run_on(dispatch, given.report):
             given = Given(outcome=Outcome.ANSWERED, report=given.report, cancelled=True)
@@ -304,17 +307,21 @@
     :returns: the events, or ``None`` if the engine lost the stream.
     """
     placement: Placement = dispatch.placement
+    open_calls = serving.context.open_calls
     until = time.monotonic() + RESUME_BUDGET_S
     while True:
+        if answer is None and open_calls.ended:
+            return None
         if answer is None:
             answer = serving.dispatcher.resume(placement, RelayReport(), until)
         if answer is None:
             return None
         try:
-            return read_body(
-                answer=answer,
-                expect_id=placement.attempt_id,
-                idle_timeout_s=WHOLE_IDLE_TIMEOUT_S,
-            )
+            with open_calls.during(answer.sock):
+                return read_body(
+                    answer=answer,
+                    expect_id=placement.attempt_id,
+                    idle_timeout_s=WHOLE_IDLE_TIMEOUT_S,
+                )
         except StreamTruncatedError:
             answer = None
--- a/baobabwing/homes/permits.py
+++ b/baobabwing/homes/permits.py
@@ -30,6 +30,7 @@
 __all__ = ["PermitClient"]
 
 RETRY_PAUSE_S = 0.05
+WAIT_SLICE_S = 0.5
 WHERE_TIMEOUT_S = 1.0
 # Past its deadline a request is refused by the home; this much later the entry
 # stops waiting for that word, since the home may be frozen.
@@ -57,20 +58,24 @@
         self._homes = homes
         self._peers = peers
 
-    def ask(self, message: PermitRequest) -> PermitDecision:
+    def ask(
+        self, message: PermitRequest, *, wanted: Callable[[], bool] = lambda: True
+    ) -> PermitDecision:
         """Wait for the decision on a request.
 
         A home that dies or is frozen is replaced as soon as the view says so;
         asking again is safe, since nothing was dispatched yet.
 
+        :param wanted: asked now and then; once it says false, as when this node
+            gives up what it has not dispatched, nothing is waited for any more.
         :raises PeerError: if no home decided before the deadline.
         """
         until = time.monotonic() + message.budget_ms / 1000 + SILENCE_S
         while True:
             left_s = until - time.monotonic()
-            if left_s <= 0:
+            if left_s <= 0 or not wanted():
                 raise PeerError("no home decided in time", step="permit")
-            decision = self._ask_once(message, left_s)
+            decision = self._ask_once(message, left_s, wanted)
             if decision is not None and decision.code != NOT_HOME:
                 return decision
             log(PERMIT_RETRIED, cell=message.cell, request_id=message.request_id)
@@ -99,13 +104,15 @@
             raise PeerError("unexpected answer", step="where", peer=home.peer)
         return answer
 
-    def _ask_once(self, message: PermitRequest, left_s: float) -> PermitDecision | None:
+    def _ask_once(
+        self, message: PermitRequest, left_s: float, wanted: Callable[[], bool]
+    ) -> PermitDecision | None:
         home = self._home(message.cell)
         if home is None:
             return None
         try:
             fut = self._submit(home, message)
-            decision = self._wait(fut, home, left_s)
+            decision = self._wait(fut, home, left_s, wanted)
         except PeerError:
             return None
         if decision is None:
@@ -125,13 +132,17 @@
         return fut
 
     def _wait(
-        self, fut: Future[Message], home: Host, left_s: float
+        self,
+        fut: Future[Message],
+        home: Host,
+        left_s: float,
+        wanted: Callable[[], bool],
     ) -> PermitDecision | None:
         """Wait for the decision, but no longer than this home is believed alive."""
         until = time.monotonic() + left_s
         while True:
-            pause_s = min(1.0, until - time.monotonic())
-            if pause_s <= 0:
+            pause_s = min(WAIT_SLICE_S, until - time.monotonic())
+            if pause_s <= 0 or not wanted():
                 return None
             try:
                 reply = fut.result(timeout=pause_s)
--- a/baobabwing/node/events.py
+++ b/baobabwing/node/events.py
@@ -5,6 +5,7 @@
 __all__ = [
     "CONFIGURATION_UNREADABLE",
     "NODE_CUT_OFF",
+    "NODE_CUT_SHORT",
     "NODE_LEAVING",
     "NODE_READY",
     "NODE_STOPPED",
@@ -22,6 +23,13 @@
     "new work until it hears one of them.",
     level="warning",
 )
+NODE_CUT_SHORT = define(
+    8006,
+    "node_cut_short",
+    "A graceful shutdown met its deadline or a second signal with answers open; "
+    "their connections were cut, and callers with keys go on at other hosts.",
+    level="warning",
+)
 CONFIGURATION_UNREADABLE = define(
     8005,
     "configuration_unreadable",
--- a/baobabwing/node/node.py
+++ b/baobabwing/node/node.py
@@ -21,7 +21,12 @@
 from baobabwing.homes.limits import LimitGate, SliceDesk
 from baobabwing.homes.permits import PermitClient
 from baobabwing.node.contact import Contact
-from baobabwing.node.events import NODE_LEAVING, NODE_READY, NODE_STOPPED
+from baobabwing.node.events import (
+    NODE_CUT_SHORT,
+    NODE_LEAVING,
+    NODE_READY,
+    NODE_STOPPED,
+)
 from baobabwing.node.handling import PeerHandler, inflight_of
 from baobabwing.node.spread import ConfigurationSpreader
 from baobabwing.platform.hosts import ListedHost, list_hosts, register_host
@@ -46,6 +51,7 @@
 INFLIGHT_TIMEOUT_S = 0.8
 GAUGE_INTERVAL_S = 1.0
 DRAIN_CHECK_S = 0.05
+TELL_S = 2.0
 
 
 class Node:
@@ -168,10 +174,25 @@
         while self.registry.open_requests() and time.monotonic() < deadline:
             if self._stopping.wait(DRAIN_CHECK_S):
                 break
-        for request in self.registry.open_requests():
-            request.give_up()
+        self._give_up_waiting()
+        cut = self.context.open_calls.cut()
+        if cut:
+            log(NODE_CUT_SHORT, open_calls=cut)
         self.end()
 
+    def _give_up_waiting(self) -> None:
+        """Have the callers of what was not dispatched told "not run"."""
+        until = time.monotonic() + TELL_S
+        waiting = [one for one in self.registry.open_requests() if one.give_up()]
+        while waiting and time.monotonic() < until:
+            time.sleep(DRAIN_CHECK_S)
+            still = self.registry.open_requests()
+            waiting = [one for one in waiting if one in still]
+        if waiting:
+            log(NODE_CUT_SHORT, open_calls=len(waiting))
+        # A request leaves the registry a moment before its caller is told.
+        time.sleep(DRAIN_CHECK_S)
+
     def end(self) -> None:
         """Stop all parts at once."""
         self._stopping.set()
--- a/tests/matrix/test_fuzz_in_process.py
+++ b/tests/matrix/test_fuzz_in_process.py
@@ -186,7 +186,7 @@
         self._world = world
         self._node = node
 
-    def ask(self, message):
+    def ask(self, message, *, wanted):
         world = self._world
         world.act("queued", self._node)
         if world.home_silent:
