Watch engines' caches and loads; hold out against idle and slow callers

Cause: homes knew of prefixes only what they had dispatched; a thousand idle connections, or as many drips as there are threads, kept others from an answer. Change: one watching thread an upstream on a kept connection; a new connection gets a thread only once it sends; heads and bodies have a bounded time; the number of connections is bounded. A service asked for cache events is now a red test.

--- a/baobabwing/entry/calls.py
+++ b/baobabwing/entry/calls.py
@@ -13,6 +13,7 @@
 from cheroot.errors import MaxSizeExceeded
 from cheroot.server import HTTPRequest
 
+from baobabwing.entry.slow import SlowSenderGuard
 from baobabwing.exceptions import RequestError
 from baobabwing.requests.outcome import Outcome
 
@@ -21,6 +22,7 @@
 DROP_S = 2.0
 DROP_BLOCK_BYTES = 65_536
 
+BODY_LIMIT_S = 30.0
 _JSON_TYPE = "application/json"
 _REASONS = {
     200: "OK",
@@ -45,14 +47,18 @@
 
     :param req: cheroot's request.
     :param body_limit: longest body that is read, in bytes.
+    :param slow_senders: ends the connection if the body comes too slowly.
     """
 
-    def __init__(self, *, req: HTTPRequest, body_limit: int) -> None:
+    def __init__(
+        self, *, req: HTTPRequest, body_limit: int, slow_senders: SlowSenderGuard
+    ) -> None:
         self.req = req
         self.method = req.method.decode("latin-1")
         self.path = req.path.decode("latin-1")
         self.query = req.qs.decode("latin-1")
         self._body_limit = body_limit
+        self._slow_senders = slow_senders
         self._body: bytes | None = None
 
     @property
@@ -78,7 +84,8 @@
         :raises RequestError: 413 if it is longer than the limit.
         """
         if self._body is None:
-            self._body = self._read_body()
+            with self._slow_senders.limit(self.caller_socket, BODY_LIMIT_S):
+                self._body = self._read_body()
         return self._body
 
     def _read_body(self) -> bytes:
--- a/baobabwing/entry/server.py
+++ b/baobabwing/entry/server.py
@@ -5,13 +5,14 @@
 import threading
 from http import HTTPStatus
 
-from cheroot.server import Gateway, HTTPServer
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
 
 from baobabwing.entry.calls import HttpCall, answer_error
 from baobabwing.entry.context import EntryContext
 from baobabwing.entry.events import REQUEST_FAULT
 from baobabwing.entry.relay import CallerSlowError
 from baobabwing.entry.routes import find_route
+from baobabwing.entry.slow import SlowSenderGuard
 from baobabwing.entry.upstream import CallerGoneError
 from baobabwing.exceptions import RequestError
 from baobabwing.reports.events import log
@@ -20,14 +21,62 @@
 __all__ = ["EntryServer"]
 
 RECEIVE_TIMEOUT_S = 10.0
+HEAD_LIMIT_S = 10.0
 LISTEN_BACKLOG = 512
 # Threads mostly wait on sockets; their stacks stay shallow.
 STACK_BYTES = 256 * 1024
 UNREADY_RETRY_S = 1.0
 
 
+class _Connection(HTTPConnection):
+    """A caller's connection, which gives its place back when it closes."""
+
+    def __init__(self, server: _Server, *args: object) -> None:
+        super().__init__(server, *args)
+        self._counted = True
+        server.open_connections += 1
+
+    def close(self) -> None:
+        super().close()
+        if self._counted:
+            self._counted = False
+            self.server.open_connections -= 1
+
+
+class _Request(HTTPRequest):
+    """A request whose head has to come within a bounded time."""
+
+    def parse_request(self) -> None:
+        with self.server.slow_senders.limit(self.conn.socket, HEAD_LIMIT_S):
+            super().parse_request()
+
+
+_Connection.RequestHandlerClass = _Request
+
+
 class _Server(HTTPServer):
-    """cheroot's server, told to log faults as numbered events."""
+    """cheroot's server, made to hold out against idle and slow callers."""
+
+    ConnectionClass = _Connection
+
+    def __init__(self, *, connection_limit: int, **options: object) -> None:
+        super().__init__(**options)
+        self.open_connections = 0
+        self.slow_senders = SlowSenderGuard()
+        self._connection_limit = connection_limit
+
+    def process_conn(self, conn: HTTPConnection) -> None:
+        """Give a connection to a thread, but a new one only once it sends.
+
+        cheroot gives new connections to a thread at once. Idle ones would then
+        occupy all threads until they time out, and the node would not answer.
+        """
+        if conn.last_used is not None:
+            super().process_conn(conn)
+        elif self.open_connections > self._connection_limit:
+            conn.close()
+        else:
+            self._connections.put(conn)
 
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
@@ -45,6 +94,7 @@
         cfg = context.settings
         host, _, port = cfg.http.rpartition(":")
         self._server = _Server(
+            connection_limit=cfg.limits.connections,
             bind_addr=(host, int(port)),
             gateway=lambda req: _EntryGateway(req, context),
             minthreads=cfg.limits.worker_threads,
@@ -67,10 +117,12 @@
             self._server.prepare()
         finally:
             threading.stack_size(before)
+        self._server.slow_senders.start()
         self._thread.start()
 
     def stop(self) -> None:
         """Close the address and end the threads."""
+        self._server.slow_senders.stop()
         self._server.shutdown_timeout = 1
         self._server.stop()
 
@@ -84,7 +136,8 @@
 
     def respond(self) -> None:
         limit = self._context.settings.limits.body_bytes
-        call = HttpCall(req=self.req, body_limit=limit)
+        slow_senders = self.req.server.slow_senders
+        call = HttpCall(req=self.req, body_limit=limit, slow_senders=slow_senders)
         try:
             find_route(call.method, call.path).serve(self._context, call)
         except RequestError as exc:
--- a/baobabwing/homes/cells.py
+++ b/baobabwing/homes/cells.py
@@ -18,8 +18,8 @@
 from baobabwing.fleet.host import Host, MemberState
 from baobabwing.fleet.view import FleetView
 from baobabwing.homes.events import HOME_REBUILT, HOME_TAKEN
-from baobabwing.homes.loads import LoadPoller
-from baobabwing.pools.catalogue import Pool, Upstream
+from baobabwing.homes.watching import CacheChange, UpstreamWatcher
+from baobabwing.pools.catalogue import Pool, PoolKind, Upstream
 from baobabwing.pools.cell import Cell
 from baobabwing.pools.partition import cell_names, cell_resource, upstreams_of_cell
 from baobabwing.pools.permits import (
@@ -103,7 +103,9 @@
         self._lock = threading.Lock()
         self._placing = threading.Lock()
         self._stopping = threading.Event()
-        self._loads = LoadPoller(report=self._take_load)
+        self._watcher = UpstreamWatcher(
+            on_load=self._take_load, on_cache=self._take_cache_change
+        )
 
     def start(self) -> None:
         """Begin to look after deadlines of queued requests."""
@@ -113,7 +115,7 @@
     def stop(self) -> None:
         """Stop the threads; queued requests find another home."""
         self._stopping.set()
-        self._loads.stop()
+        self._watcher.stop()
 
     def configure(self, cfg: Configuration) -> None:
         """Take a new configuration into force for all cells."""
@@ -132,8 +134,8 @@
                     self._give_up(name)
             for name, (pool, upstreams) in wanted.items():
                 self._take(name, pool, upstreams)
-            self._loads.watch(
-                one for _, upstreams in wanted.values() for one in upstreams
+            self._watcher.watch(
+                _of_kind(wanted, PoolKind.ENGINE), _of_kind(wanted, PoolKind.SERVICE)
             )
 
     def submit(
@@ -336,6 +338,20 @@
         for cell in tuple(self._cells.values()):
             self._send(cell, cell.correct(report, now))
 
+    def _take_cache_change(self, change: CacheChange) -> None:
+        now = time.monotonic()
+        for cell in tuple(self._cells.values()):
+            self._send(
+                cell,
+                cell.cache_changed(
+                    change.upstream,
+                    now,
+                    stored=change.stored,
+                    evicted=change.evicted,
+                    cleared=change.cleared,
+                ),
+            )
+
     def _tick(self) -> None:
         while not self._stopping.wait(TICK_S):
             now = time.monotonic()
@@ -386,6 +402,17 @@
                 pending += cell.done(unused, time.monotonic())
 
 
+def _of_kind(
+    wanted: dict[str, tuple[Pool, tuple[Upstream, ...]]], kind: PoolKind
+) -> list[Upstream]:
+    return [
+        one
+        for pool, upstreams in wanted.values()
+        if pool.kind is kind
+        for one in upstreams
+    ]
+
+
 def _to_ask(identity: str, message: PermitRequest, now: float) -> Ask:
     return Ask(
         request_id=message.request_id,
--- /dev/null
+++ b/tests/homes/test_watching.py
@@ -0,0 +1,135 @@
+"""What upstreams tell of their load and caches, read from real stand-ins."""
+
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import pytest
+
+from baobabwing.homes.watching import CacheChange, UpstreamWatcher
+from baobabwing.pools.catalogue import Upstream
+
+
+class Engine:
+    """Answers with the load and the cache events that a test sets."""
+
+    def __init__(self):
+        self.answers = {}
+        self.asked = 0
+        self.paths = set()
+        engine = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self):  # noqa: N802  (name given by the library)
+                engine.asked += 1
+                engine.paths.add(self.path.partition("?")[0])
+                path = self.path.partition("?")[0]
+                body = json.dumps(engine.answers.get(path, {})).encode()
+                self.send_response(200 if path in engine.answers else 404)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *args):
+                pass
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    @property
+    def upstream(self):
+        address = f"127.0.0.1:{self.server.server_address[1]}"
+        return Upstream(name="e", pool="p", address=address)
+
+
+@pytest.fixture
+def engine():
+    made = Engine()
+    yield made
+    made.server.shutdown()
+    made.server.server_close()
+
+
+@pytest.fixture
+def seen(engine):
+    loads, changes = [], []
+    watcher = UpstreamWatcher(on_load=loads.append, on_cache=changes.append)
+    watcher.watch([engine.upstream])
+    yield loads, changes
+    watcher.stop()
+
+
+def wait_for(condition):
+    end = time.monotonic() + 20
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(0.02)
+
+
+def event(n, kind, block=0):
+    return {"n": n, "kind": kind, "block": block}
+
+
+def test_the_last_word_on_each_block_counts(engine, seen):
+    _, changes = seen
+    engine.answers["/cache-events"] = {
+        "next": 4,
+        "events": [
+            event(0, "stored", 1),
+            event(1, "stored", 2),
+            event(3, "evicted", 1),
+        ],
+    }
+    wait_for(lambda: changes)
+    assert changes[0] == CacheChange(upstream="e", stored=(2,), evicted=(1,))
+
+
+def test_an_engine_that_counts_anew_has_lost_its_cache(engine, seen):
+    """Prompts would go to an engine for a cache that a restart emptied.
+
+    The engine restarts between two looks, and its events count from 0 again.
+    """
+    _, changes = seen
+    engine.answers["/cache-events"] = {"next": 9, "events": [event(8, "stored", 1)]}
+    wait_for(lambda: changes)
+    engine.answers["/cache-events"] = {"next": 1, "events": []}
+    wait_for(lambda: len(changes) > 1)
+    assert changes[1].cleared
+
+
+def test_a_load_is_dated_by_its_lag(engine, seen):
+    loads, _ = seen
+    engine.answers["/load"] = {"running": 3, "waiting": 2, "lag_ms": 60_000}
+    wait_for(lambda: loads)
+    assert (loads[0].running, loads[0].waiting) == (3, 2)
+    assert loads[0].measured_at < time.monotonic() - 59
+
+
+def test_a_plain_service_is_asked_for_its_load_only(engine):
+    """A service would run a call that no caller sent.
+
+    It takes any path for a call. A home asked all upstreams for cache events,
+    and the services executed the question.
+    """
+    loads, changes = [], []
+    watcher = UpstreamWatcher(on_load=loads.append, on_cache=changes.append)
+    engine.answers["/load"] = {"running": 0}
+    watcher.watch([], [engine.upstream])
+    wait_for(lambda: len(loads) >= 3)
+    watcher.stop()
+    assert engine.paths == {"/load"}
+
+
+def test_answers_without_sense_are_passed_over(engine, seen):
+    loads, changes = seen
+    engine.answers["/load"] = {"running": "many"}
+    engine.answers["/cache-events"] = {"next": 1, "events": [{"kind": "stored"}]}
+    wait_for(lambda: engine.asked >= 4)
+    engine.answers["/load"] = {"running": 1}
+    wait_for(lambda: loads)
+    assert loads[0].running == 1
+    assert not changes
