--- a/baobabwing/pools/cell.py
+++ b/baobabwing/pools/cell.py
@@ -319,6 +319,7 @@
             same = ending.exclude == ask.exclude and ending.refusal.entry == ask.entry
             return [ending.refusal] if same else None
         if ending.outcome in _MAY_HAVE_RUN:
+            self._endings.put(ask.request_id, ending, self._now)
             return [self._refusals.write(ask, RefusalCode.CLOSED)]
         return None
 
--- a/baobabwing/pools/placements.py
+++ b/baobabwing/pools/placements.py
@@ -8,7 +8,14 @@
 
 from baobabwing.pools.permits import Placement, Refusal
 
-__all__ = ["Ending", "Endings", "Placements", "RetentionMap"]
+__all__ = [
+    "ENDING_RETENTION_S",
+    "PLACEMENT_RETENTION_S",
+    "Ending",
+    "Endings",
+    "Placements",
+    "RetentionMap",
+]
 
 PLACEMENT_RETENTION_S = 600.0
 ENDING_RETENTION_S = 60.0
@@ -78,7 +85,11 @@
 
 
 class Endings(RetentionMap[Ending]):
-    """How recent requests ended, so that repeated messages change nothing."""
+    """How recent requests ended, so that repeated messages change nothing.
+
+    Kept for far longer than a message can be under way. An entry never asks
+    again for a request that ended, so that this guards against copies only.
+    """
 
     def __init__(self) -> None:
         super().__init__(retention_s=ENDING_RETENTION_S, limit=_MOST_ENDINGS)
--- a/tests/pools/test_cell.py
+++ b/tests/pools/test_cell.py
@@ -325,3 +325,17 @@
     snapshot = cell.snapshot()
     assert snapshot.in_flight == 0
     assert sum(t.count for t in snapshot.granted) == 400
+
+
+def test_request_told_closed_stays_closed():
+    """A copy of an answered ask is refused, and another copy comes later.
+
+    By then the answer is older than is remembered; the refusal is not. A
+    permit now would contradict it.
+    """
+    cell = make_cell()
+    [grant] = cell.submit(ask("a", deadline=1000.0), 0.0)
+    cell.done(done(grant), 0.1)
+    for now in (50.0, 100.0, 150.0):
+        decisions = cell.submit(ask("a", deadline=1000.0), now)
+        assert refused(decisions) == {"a": RefusalCode.CLOSED}
