Give engines' cache blocks the digests that entries make

Cause: the stand-in began its chain with nothing, the contract says eight zero bytes; no event of a cache matched any prompt. Before: test_same_digests_as_the_engine_stand_in fails; after: it passes.

--- a/baobabwing/standins/blocks.py
+++ b/baobabwing/standins/blocks.py
@@ -23,7 +23,7 @@
     """
     words = text.split()
     digests = []
-    chain = b""
+    chain = bytes(_DIGEST_BYTES)
     for start in range(0, len(words) - block_tokens + 1, block_tokens):
         block = " ".join(words[start : start + block_tokens])
         chain = blake2b(chain + block.encode(), digest_size=_DIGEST_BYTES).digest()
--- a/tests/pools/test_prefixes.py
+++ b/tests/pools/test_prefixes.py
@@ -4,6 +4,7 @@
 
 from baobabwing.pools.prefix_digest import BLOCK_TOKENS, prompt_prefix
 from baobabwing.pools.prefix_index import PrefixIndex
+from baobabwing.standins.blocks import prefix_blocks
 
 PREFIX = tuple(range(100, 140))
 
@@ -105,3 +106,13 @@
     bench.cell.cache_changed("u1", 0.0, stored=prefix)
     warm = bench.ask("warm", budget=1.0, prompt_tokens=32100, prefix=prefix)
     assert warm.upstream == "u1"
+
+
+def test_same_digests_as_the_engine_stand_in():
+    """Cache events would teach nothing, and prompts be prefilled anew.
+
+    An engine tells of blocks by their digests; they have to be those that the
+    entry makes of the prompt.
+    """
+    text = " ".join(f"w{i}" for i in range(300))
+    assert list(prompt_prefix(text)) == list(prefix_blocks(text))
