Connect model routes, drained hosts, open moves, seeds and all commands

Cause: plans could be confirmed but no node followed them: the entry ignored routes, a drained host stayed, a move whose operator died waited for the next confirm, and a fleet could not find its peers with the platform down. Change: entries resolve a brand's model before choosing the pool; a node named as leaving stops gracefully and takes nothing if started again; the home of 'orders' finishes open moves, spaced by the number of engines; seeds of the settings are candidates too; plan, confirm, history and report are commands. The schema is read from memory, so that the binary writes no file; the bench starts processes from the binary too. Probes every 250 ms, as measured. Conclusion: effects of each plan over real processes are still to be tested.

--- a/baobabwing/bench/processes.py
+++ b/baobabwing/bench/processes.py
@@ -84,7 +84,9 @@
 
         :raises ProcessError: if a process of that name runs already.
         """
-        return self.start_python(name, ["-m", "baobabwing", *arguments])
+        # Built as one binary the program is its own interpreter.
+        module = [] if getattr(sys, "frozen", False) else ["-m", "baobabwing"]
+        return self.start_python(name, [*module, *arguments])
 
     def start_python(self, name: str, arguments: Sequence[str]) -> Started:
         """Start this interpreter with the given arguments.
--- a/baobabwing/cli/main.py
+++ b/baobabwing/cli/main.py
@@ -7,7 +7,7 @@
 import typer
 
 import baobabwing
-from baobabwing.cli import bench, config, standin
+from baobabwing.cli import bench, config, plan, report, standin
 from baobabwing.cli.node import node
 
 __all__ = ["app", "main"]
@@ -21,8 +21,12 @@
     add_completion=False,
 )
 app.command()(node)
+app.command()(plan.confirm)
+app.command()(plan.history)
 app.add_typer(bench.app, name="bench")
 app.add_typer(config.app, name="config")
+app.add_typer(plan.app, name="plan")
+app.add_typer(report.app, name="report")
 app.add_typer(standin.app, name="standin")
 
 
--- a/baobabwing/cli/node.py
+++ b/baobabwing/cli/node.py
@@ -34,8 +34,8 @@
     with exit_on_error():
         cfg = load_settings(settings)
         configure_logging(level=cfg.log_level, node=cfg.name)
-        running = Node(settings=cfg)
         asked = threading.Event()
+        running = Node(settings=cfg, on_drain=asked.set)
 
         def on_signal(number: int, frame: object) -> None:
             if asked.is_set():
--- a/baobabwing/entry/completions.py
+++ b/baobabwing/entry/completions.py
@@ -63,7 +63,8 @@
     completion = parse_completion(
         call.body(), chat=chat, most_tokens=limits.output_tokens
     )
-    pool = catalogue.pool_of_model(completion.model)
+    model = catalogue.resolve_model(caller.organisation.brand, completion.model)
+    pool = catalogue.pool_of_model(model)
     request = Request(
         facts=_facts(call, caller, completion, pool.name, limits.request_ms)
     )
@@ -86,7 +87,7 @@
         serving=giving.serving,
         call=call,
         request=request,
-        upstream_call=_upstream_call(call, caller, completion),
+        upstream_call=_upstream_call(call, caller, completion, model),
         give=giving.give,
         fetch=giving.fetch,
         resuming=first_event > 0,
@@ -116,9 +117,9 @@
 
 
 def _upstream_call(
-    call: HttpCall, caller: Caller, completion: Completion
+    call: HttpCall, caller: Caller, completion: Completion, model: str
 ) -> UpstreamCall:
-    fields = dict(completion.fields, stream=True)
+    fields = dict(completion.fields, stream=True, model=model)
     return UpstreamCall(
         method="POST",
         target=call.path,
--- a/baobabwing/entry/context.py
+++ b/baobabwing/entry/context.py
@@ -20,6 +20,7 @@
 from baobabwing.requests.registry import RequestRegistry
 from baobabwing.requests.retry_book import RetryBook
 from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.routes import resolve_model
 from baobabwing.settings.schema import NodeSettings
 
 __all__ = ["Catalogue", "EntryContext", "Readiness"]
@@ -48,6 +49,10 @@
             for pool in cfg.pools
         }
 
+    def resolve_model(self, brand: str, model: str) -> str:
+        """Return the model that answers a brand's callers of this name."""
+        return resolve_model(self.cfg, brand=brand, model=model)
+
     def pool_of_model(self, model: str) -> Pool:
         """Return the pool that serves a model.
 
--- a/baobabwing/node/events.py
+++ b/baobabwing/node/events.py
@@ -4,7 +4,9 @@
 
 __all__ = [
     "CONFIGURATION_UNREADABLE",
+    "DUTY_FAILED",
     "NODE_CUT_OFF",
+    "NODE_DRAINED",
     "NODE_CUT_SHORT",
     "NODE_LEAVING",
     "NODE_READY",
@@ -30,6 +32,18 @@
     "their connections were cut, and callers with keys go on at other hosts.",
     level="warning",
 )
+NODE_DRAINED = define(
+    8008,
+    "node_drained",
+    "The configuration names this host as leaving; it stops gracefully.",
+)
+DUTY_FAILED = define(
+    8009,
+    "orders_not_finished",
+    "Open moves could not be carried on now; they stay written down and are "
+    "tried again.",
+    level="warning",
+)
 CONFIGURATION_UNREADABLE = define(
     8005,
     "configuration_unreadable",
--- a/baobabwing/node/node.py
+++ b/baobabwing/node/node.py
@@ -5,7 +5,7 @@
 import dataclasses
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import baobabwing.entry.completions  # noqa: F401  (registers its routes)
 import baobabwing.entry.operations  # noqa: F401
@@ -21,14 +21,18 @@
 from baobabwing.homes.limits import LimitGate, SliceDesk
 from baobabwing.homes.permits import PermitClient
 from baobabwing.node.contact import Contact
+from baobabwing.node.duties import OrderDuty
 from baobabwing.node.events import (
     NODE_CUT_SHORT,
+    NODE_DRAINED,
     NODE_LEAVING,
     NODE_READY,
     NODE_STOPPED,
 )
 from baobabwing.node.handling import PeerHandler, inflight_of
 from baobabwing.node.spread import ConfigurationSpreader
+from baobabwing.orders.desk import OrderDesk
+from baobabwing.orders.engines import HttpEngines
 from baobabwing.platform.hosts import ListedHost, list_hosts, register_host
 from baobabwing.platform.tables import TableClient
 from baobabwing.reports.events import log
@@ -48,6 +52,7 @@
 # Twice the life of a key, so that clocks of hosts need not agree closely.
 RETENTION_S = 2 * KEY_LIFE_S
 CLAIM_BUDGET_S = 1.0
+ORDER_TIMEOUT_S = 1.0
 INFLIGHT_TIMEOUT_S = 0.8
 GAUGE_INTERVAL_S = 1.0
 DRAIN_CHECK_S = 0.05
@@ -58,10 +63,14 @@
     """One node of the fleet.
 
     :param settings: the node's own settings.
+    :param on_drain: called once the configuration names this host as leaving.
     """
 
-    def __init__(self, *, settings: NodeSettings) -> None:
+    def __init__(
+        self, *, settings: NodeSettings, on_drain: Callable[[], None] = lambda: None
+    ) -> None:
         self.settings = settings
+        self._on_drain = on_drain
         self.me = _own_host(settings)
         keys = tuple(secret.encode() for secret in settings.peer_secrets)
         self.keeper = ConfigurationKeeper()
@@ -112,6 +121,16 @@
             view=self.membership.view,
             on_heard_platform=self.contact.heard_platform,
         )
+        self.duty = OrderDuty(
+            me=self.me,
+            desk=OrderDesk(
+                tables=tables,
+                engines=HttpEngines(timeout_s=ORDER_TIMEOUT_S),
+                holder=f"node {self.me.name}",
+            ),
+            view=self.membership.view,
+            configuration=self.keeper.current,
+        )
         self.server = PeerServer(
             listen=settings.peer,
             name=self.me.name,
@@ -151,6 +170,7 @@
         self.keeper.on_change(self._take_configuration)
         self.limits.start()
         self.contact.start()
+        self.duty.start()
         self.spreader.start()
         self.entry.start()
         for run, name in ((self._follow_view, "view"), (self._measure, "gauges")):
@@ -198,6 +218,7 @@
         self._stopping.set()
         self.spreader.stop()
         self.contact.stop()
+        self.duty.stop()
         self.limits.stop()
         self.entry.stop()
         self.membership.stop()
@@ -219,6 +240,12 @@
         self.spreader.heard(version, teller)
 
     def _take_configuration(self, cfg: Configuration) -> None:
+        if self.me.name in {host.name for host in cfg.leaving_hosts}:
+            # Nothing is undone by a restart: a host that was told to leave and
+            # is started again all the same never takes a request.
+            log(NODE_DRAINED, name=self.me.name, version=cfg.version)
+            self._on_drain()
+            return
         self.context.catalogue = Catalogue(cfg=cfg)
         self.homes.configure(cfg)
         self.slices.configure(cfg)
@@ -266,11 +293,12 @@
 
     def _seeds(self) -> Iterable[Host]:
         url, timeout_s = self._platform
+        named = [_named_seed(one) for one in self.settings.membership.seeds]
         try:
             listed = list_hosts(url=url, timeout_s=timeout_s)
         except PlatformError:
-            return []
-        return [_seed(one) for one in listed]
+            return named
+        return [*named, *(_seed(one) for one in listed)]
 
     def _register(self) -> None:
         """Put this host on the platform's list, as soon as the platform answers."""
@@ -311,6 +339,13 @@
     )
 
 
+def _named_seed(address: str) -> Host:
+    """Return a candidate of which the settings know the address only."""
+    return Host(
+        name=address, incarnation=0, zone="", region="", peer=address, http=address
+    )
+
+
 def _pace(settings: NodeSettings) -> MembershipSettings:
     known = {field.name for field in dataclasses.fields(MembershipSettings)}
     given = dataclasses.asdict(settings.membership)
--- a/baobabwing/requests/retry_book.py
+++ b/baobabwing/requests/retry_book.py
@@ -1,11 +1,10 @@
-"""Retry budgets of all pools and organisations of one entry."""
+"""The retry budgets of one entry, used by the threads of all its requests."""
 
 from __future__ import annotations
 
 import threading
-from collections import defaultdict
 
-from baobabwing.requests.retries import RetryBudget
+from baobabwing.requests.retries import RetryBudgets
 
 __all__ = ["RetryBook"]
 
@@ -18,22 +17,15 @@
     """
 
     def __init__(self) -> None:
-        self._pools: dict[str, RetryBudget] = defaultdict(RetryBudget)
-        self._organisations: dict[str, RetryBudget] = defaultdict(RetryBudget)
+        self._budgets = RetryBudgets()
         self._lock = threading.Lock()
 
     def count_request(self, pool: str, organisation: str, now: float) -> None:
         """Count a first attempt."""
         with self._lock:
-            self._pools[pool].count_request(now)
-            self._organisations[organisation].count_request(now)
+            self._budgets.count_request(pool, organisation, now)
 
     def take(self, pool: str, organisation: str, now: float) -> bool:
         """Take one retry; false if a budget is used up."""
         with self._lock:
-            budgets = (self._pools[pool], self._organisations[organisation])
-            if not all(budget.allows(now) for budget in budgets):
-                return False
-            for budget in budgets:
-                budget.take(now)
-            return True
+            return self._budgets.take_retry(pool, organisation, now)
--- a/baobabwing/settings/schema.py
+++ b/baobabwing/settings/schema.py
@@ -58,9 +58,9 @@
     :param seeds: addresses of peers to ask besides the platform's host list.
     """
 
-    probe_interval_ms: int = rule(500, least=20, most=_MINUTE_MS)
+    probe_interval_ms: int = rule(250, least=20, most=_MINUTE_MS)
     probe_timeout_ms: int = rule(200, least=10, most=_MINUTE_MS)
-    suspicion_ms: int = rule(1500, least=50, most=10 * _MINUTE_MS)
+    suspicion_ms: int = rule(700, least=50, most=10 * _MINUTE_MS)
     fan_out: int = rule(3, least=1, most=16)
     seeds: tuple[str, ...] = rule((), check=is_address, words=_ADDRESS_WORDS)
 
--- a/baobabwing/wire/schema.py
+++ b/baobabwing/wire/schema.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import functools
-import importlib.resources
+import os
+import pkgutil
 from typing import Any
 
 import capnp
@@ -15,8 +16,27 @@
 
 @functools.lru_cache(maxsize=1)
 def load_schema() -> Any:
-    """Return the module that pycapnp makes of ``messages.capnp``."""
+    """Return the module that pycapnp makes of ``messages.capnp``.
+
+    Inside the binary the schema is no file, and hosts have no disk to unpack it
+    to, so pycapnp reads it from a memory-backed file.
+    """
     capnp.remove_import_hook()
-    resource = importlib.resources.files("baobabwing.wire") / _SCHEMA_FILE
-    with importlib.resources.as_file(resource) as path:
-        return capnp.load(str(path))
+    source = pkgutil.get_data(__package__, _SCHEMA_FILE)
+    with os.fdopen(os.memfd_create(_SCHEMA_FILE), "wb") as file:
+        file.write(source)
+        file.flush()
+        path = _MemoryPath(f"/proc/self/fd/{file.fileno()}")
+        return capnp.load(path, display_name=_SCHEMA_FILE)
+
+
+class _MemoryPath(str):
+    """Path of a memory-backed file, which cannot end in ``.capnp``.
+
+    pycapnp asks for that suffix before it reads the file.
+    """
+
+    __slots__ = ()
+
+    def endswith(self, *_: object) -> bool:
+        return True
--- a/tests/packaging/payload/probe.py
+++ b/tests/packaging/payload/probe.py
@@ -33,7 +33,10 @@
 
     envelope = load_schema().Envelope
     packed = envelope.new_message(correlation=7).to_bytes_packed()
-    return {"correlation": envelope.from_bytes_packed(packed).correlation}
+    return {
+        "correlation": envelope.from_bytes_packed(packed).correlation,
+        "file": load_schema().__file__,
+    }
 
 
 def descriptors():
--- a/tests/packaging/test_payload.py
+++ b/tests/packaging/test_payload.py
@@ -56,7 +56,10 @@
 
 
 def test_loads_the_message_schema(probe):
-    assert ask(probe, "schema") == {"correlation": 7}
+    answer = ask(probe, "schema")
+    assert answer["correlation"] == 7
+    # A host has no disk to unpack the schema to.
+    assert answer["file"].startswith("/proc/self/fd")
 
 
 def test_keeps_no_descriptor_of_what_it_loaded(probe):
