Relay nothing before the head or an event names the attempt

An answer whose head names no attempt could have given its caller a comment, or the bare end of a resumed stream, before its first event told whose it is. An event is held to 256 KB in place of 1 MB, since an unfinished one is searched again with each block.

--- a/baobabwing/entry/relay.py
+++ b/baobabwing/entry/relay.py
@@ -44,7 +44,7 @@
 
 # No longer than a chunk whose size has three digits, its framing included.
 BLOCK_BYTES = 4_096
-EVENT_LIMIT_BYTES = 1024 * 1024
+EVENT_LIMIT_BYTES = 256 * 1024
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 # What a slow caller can leave waiting in the kernel before its relay blocks.
 SEND_BUFFER_BYTES = 256 * 1024
@@ -478,6 +478,8 @@
     def _pass_on(self, events: bytes) -> None:
         given, next_id = self._check(events)
         whole = self._decoder.done and self._done and not self._partial
+        if whole and not self._is_ours():
+            raise self._foreign("nothing names this attempt")
         out = encode_chunk(given)
         if whole:
             out += END_OF_STREAM
@@ -511,7 +513,8 @@
                 next_id += 1
             elif not event.startswith(COMMENT):
                 raise self._malformed(f"event {next_id} is not there")
-            given.append(event + EVENT_END)
+            if self._is_ours():
+                given.append(event + EVENT_END)
         return b"".join(given), next_id
 
     def _verify(self, event: bytes) -> None:
@@ -519,13 +522,13 @@
         if self._verified:
             return
         if _object_id(event) != self._expect_id:
-            raise ForeignAnswerError(
-                "the first event names another attempt",
-                step="relay",
-                peer=self._answer.peer,
-            )
+            raise self._foreign("the first event names another attempt")
         self._verified = True
 
+    def _is_ours(self) -> bool:
+        """Tell whether the head or the first event has named this attempt."""
+        return self._verified or self._answer.request_id == self._expect_id
+
     def _note_gap(self) -> None:
         now = self._block_at
         if self._last_at is None:
@@ -575,6 +578,9 @@
     def _truncated(self, message: str) -> StreamTruncatedError:
         return StreamTruncatedError(message, step="relay", peer=self._answer.peer)
 
+    def _foreign(self, message: str) -> ForeignAnswerError:
+        return ForeignAnswerError(message, step="relay", peer=self._answer.peer)
+
     def _malformed(self, message: str) -> StreamMalformedError:
         return StreamMalformedError(message, step="relay", peer=self._answer.peer)
 
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -318,6 +318,23 @@
     assert report.next_id == 0
 
 
+@pytest.mark.parametrize(
+    ("error", "block"),
+    [(StreamTruncatedError, encode_chunk(b": theirs\n\n")), (ForeignAnswerError, END)],
+    ids=["comment", "bare end"],
+)
+def test_what_names_no_attempt_is_not_taken_for_ours(error, block):
+    """An answer's head names no attempt, and its stream starts without an event.
+
+    A comment, or the end of a stream resumed after its last event, says not whose
+    it is. It must not reach the caller before something does.
+    """
+    head = (HEAD % b"").replace(b"X-Request-Id: \r\n", b"")
+    report, raw = failed(error, [block], head=head)
+    assert raw == b""
+    assert not report.whole
+
+
 def test_a_caller_who_reads_nothing_is_given_up():
     """A caller stops reading while its engine goes on.
 
