Give operators tokens, roles and brands; confirm tells what is in force

Cause: whoever ran a command named its author freely, saw every brand, and was told "in force" when a version was only accepted. Ruled out: tokens as arguments, which the list of processes shows; filtering the text of errors, since errors of intents and conflicts name what there is: an intent of a brand's operator is first applied to what that operator sees. Change: operators in the configuration, by the digest of a token, as viewer, editor or admin, of all brands or some. plan, confirm, history, config show and config publish take the token from a file or the environment; the author comes from it. Conclusion: holds for whoever uses the tools.

--- /dev/null
+++ b/baobabwing/cli/access.py
@@ -0,0 +1,107 @@
+"""Who runs a command, told by the operator's token.
+
+The token comes from a file or the environment, never from an argument: the list
+of processes shows arguments to everybody on the host.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from baobabwing.brands.operators import AccessError, Operator, Role, find_operator
+from baobabwing.platform.tables import Tables
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.fetch import fetch_configuration
+
+__all__ = [
+    "TOKEN_VARIABLE",
+    "AuthorOption",
+    "TokenFileOption",
+    "find_author",
+    "identify",
+    "read_token",
+]
+
+TOKEN_VARIABLE = "BAOBABWING_TOKEN"
+MAX_TOKEN_BYTES = 4096
+
+TokenFileOption = Annotated[
+    Path | None,
+    typer.Option(
+        "--token-file",
+        help=f"File with the operator's token; without it, {TOKEN_VARIABLE} counts.",
+    ),
+]
+AuthorOption = Annotated[
+    str,
+    typer.Option(
+        "--author", help="Who asks, only while there are no operators to have tokens."
+    ),
+]
+
+
+def read_token(token_file: Path | None) -> str:
+    """Return the operator's token, or an empty string if none is given.
+
+    :raises AccessError: if the file cannot be read or holds no token.
+    """
+    if token_file is None:
+        return os.environ.get(TOKEN_VARIABLE, "").strip()
+    try:
+        with token_file.open(encoding="utf-8") as file:
+            token = file.read(MAX_TOKEN_BYTES).strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise AccessError(
+            f"the token file cannot be read: {type(exc).__name__}", step="token"
+        ) from None
+    if not token:
+        raise AccessError("the token file is empty", step="token")
+    return token
+
+
+def find_author(
+    cfg: Configuration | None, token: str, author: str | None = None
+) -> Operator:
+    """Return the operator whose token it is.
+
+    While nobody is named an operator, whoever reaches the platform acts as an
+    admin under the name that is given: the first configuration has to come from
+    somebody.
+
+    :param cfg: the configuration in force, or ``None`` before the first.
+    :param author: name to note while there are no operators; ``None`` where
+        nothing is written.
+    :raises AccessError: if the token is missing or nobody's, or if a name is
+        given where the token tells it.
+    """
+    if cfg is None or not cfg.operators:
+        if author == "":
+            raise AccessError("no operators yet: --author is wanted", step="token")
+        return Operator(name=author or "", sha256="", role=Role.ADMIN)
+    if not token:
+        raise AccessError(
+            f"an operator's token is wanted: --token-file or {TOKEN_VARIABLE}",
+            step="token",
+        )
+    operator = find_operator(cfg.operators, token)
+    if operator is None:
+        raise AccessError("the token is no operator's", step="token")
+    if author and author != operator.name:
+        raise AccessError("the author is told by the token", step="token")
+    return operator
+
+
+def identify(
+    tables: Tables, token_file: Path | None, author: str | None = None
+) -> Operator:
+    """Return who runs the command, by the configuration in force.
+
+    :raises AccessError: as :func:`find_author` does.
+    :raises PlatformUnavailableError: if the service did not answer.
+    """
+    token = read_token(token_file)
+    return find_author(fetch_configuration(tables), token, author)
--- a/baobabwing/cli/config.py
+++ b/baobabwing/cli/config.py
@@ -11,6 +11,8 @@
 
 import typer
 
+from baobabwing.brands.operators import AccessError, Operator
+from baobabwing.cli.access import AuthorOption, TokenFileOption, find_author, read_token
 from baobabwing.exceptions import (
     BaobabwingError,
     ConflictError,
@@ -20,14 +22,17 @@
 )
 from baobabwing.orders.errors import LeaseLostError, OrderError
 from baobabwing.platform.tables import TableClient
+from baobabwing.settings.access import check_changes, visible_part
+from baobabwing.settings.changes import changes_between
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.documents import dump_configuration
-from baobabwing.settings.fetch import fetch_configuration
+from baobabwing.settings.fetch import fetch_configuration, fetch_version
 from baobabwing.settings.loader import load_configuration, load_file
 from baobabwing.settings.publish import publish as publish_configuration
 
 __all__ = [
     "EXIT_CONFLICT",
+    "EXIT_DENIED",
     "EXIT_INVALID",
     "EXIT_LEFT_OPEN",
     "EXIT_UNAVAILABLE",
@@ -43,12 +48,14 @@
 EXIT_UNAVAILABLE = 4
 EXIT_UNCERTAIN = 5
 EXIT_LEFT_OPEN = 6
+EXIT_DENIED = 7
 DEFAULT_TIMEOUT_MS = 2000
 _HIDDEN = "not shown"
 _EPILOG = (
     "Exit codes: 0 done, 1 file or document invalid, 2 wrong usage, "
     "3 conflict with another change, 4 platform unavailable and nothing changed, "
-    "5 platform's answer lost and effect unknown."
+    "5 platform's answer lost and effect unknown, 7 token missing, unknown or not "
+    "enough."
 )
 
 app = typer.Typer(
@@ -79,13 +86,20 @@
 def show(
     file: Annotated[Path | None, typer.Argument(help="Settings file.")] = None,
     platform: PlatformOption = "",
+    token_file: TokenFileOption = None,
     timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
 ) -> None:
-    """Show a file with its defaults, or the published configuration."""
+    """Show a file with its defaults, or the published configuration.
+
+    An operator who is confined to brands is shown what concerns them.
+    """
     if (file is None) == (not platform):
         raise typer.BadParameter("give either a file or --platform")
     with exit_on_error():
-        cfg = load_file(file) if file is not None else _fetch(platform, timeout_ms)
+        if file is not None:
+            cfg = load_file(file)
+        else:
+            cfg = _fetch(platform, timeout_ms, read_token(token_file))
     typer.echo(json.dumps(_document(cfg), indent=2))
 
 
@@ -93,7 +107,8 @@
 def publish(
     file: Annotated[Path, typer.Argument(help="Configuration file.")],
     platform: PlatformOption,
-    author: Annotated[str, typer.Option(help="Who makes the change.")],
+    token_file: TokenFileOption = None,
+    author: AuthorOption = "",
     summary: Annotated[str, typer.Option(help="One line on what changed.")] = "",
     attempt: Annotated[
         str, typer.Option(help="Id of an earlier attempt whose effect is unknown.")
@@ -103,16 +118,19 @@
     """Publish a configuration.
 
     The version in the file is the one that the change was made from; a file
-    without a version is the first configuration of all.
+    without a version is the first configuration of all. The first needs no token,
+    since there is nobody yet who could have one.
     """
     with exit_on_error():
         cfg = load_configuration(file)
+        tables = table_client(platform, timeout_ms)
+        operator = _check_publish(tables, cfg, read_token(token_file), author)
         done = publish_configuration(
-            table_client(platform, timeout_ms),
+            tables,
             base=cfg.version,
             cfg=dataclasses.replace(
                 cfg,
-                author=author,
+                author=operator.name,
                 summary=summary or f"published {file.name}",
                 attempt=attempt,
             ),
@@ -137,6 +155,8 @@
 
 def exit_code(exc: BaobabwingError) -> int:
     """Return the documented exit code for an error."""
+    if isinstance(exc, AccessError):
+        return EXIT_DENIED
     if isinstance(exc, SettingsError):
         return EXIT_INVALID
     if isinstance(exc, LeaseLostError | OrderError):
@@ -150,11 +170,42 @@
     return EXIT_INVALID
 
 
-def _fetch(platform: str, timeout_ms: int) -> Configuration:
+def _check_publish(
+    tables: TableClient, cfg: Configuration, token: str, author: str
+) -> Operator:
+    """Return who publishes, if that operator may change what the file changes.
+
+    The changes are those against the version that the file was made from; if
+    another is in force, publishing ends in a conflict.
+    """
+    current = fetch_configuration(tables)
+    operator = find_author(current, token, author)
+    if operator.confined:
+        # The file is the whole configuration, of which this operator sees a part.
+        raise AccessError("an operator of some brands makes plans", step="publish")
+    base = _base(tables, current, cfg.version)
+    check_changes(operator, base, changes_between(base, cfg), step="publish")
+    return operator
+
+
+def _base(
+    tables: TableClient, current: Configuration | None, version: int
+) -> Configuration:
+    if version == 0:
+        return Configuration(version=0)
+    if current is not None and current.version == version:
+        return current
+    past = fetch_version(tables, version)
+    if past is None:
+        raise ConflictError(f"version {version} is not known", step="publish")
+    return past
+
+
+def _fetch(platform: str, timeout_ms: int, token: str) -> Configuration:
     cfg = fetch_configuration(table_client(platform, timeout_ms))
     if cfg is None:
         raise SettingsError("no configuration was published yet", step="show")
-    return cfg
+    return visible_part(cfg, find_author(cfg, token))
 
 
 def _document(cfg: object) -> dict:
--- a/baobabwing/cli/plan.py
+++ b/baobabwing/cli/plan.py
@@ -9,10 +9,13 @@
 import dataclasses
 import inspect
 from collections.abc import Callable
+from pathlib import Path
 from typing import Annotated, Any
 
 import typer
 
+from baobabwing.brands.operators import Operator
+from baobabwing.cli.access import AuthorOption, TokenFileOption, identify, read_token
 from baobabwing.cli.config import (
     DEFAULT_TIMEOUT_MS,
     PlatformOption,
@@ -20,11 +23,15 @@
     exit_on_error,
     table_client,
 )
+from baobabwing.cli.in_force import NodeOption, show_in_force
 from baobabwing.orders.desk import OrderDesk
 from baobabwing.orders.engines import HttpEngines
 from baobabwing.orders.execution import OrderTiming
 from baobabwing.platform.hosts import list_hosts
+from baobabwing.settings.access import scope_of, visible_entry
 from baobabwing.settings.changes import describe
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.fetch import fetch_configuration
 from baobabwing.settings.history import read_history
 from baobabwing.settings.plans import (
     Plan,
@@ -36,6 +43,7 @@
 from baobabwing.settings.plans import confirm as confirm_plan
 from baobabwing.settings.plans import plan as make_plan
 from baobabwing.settings.plans.intents import intent_class
+from baobabwing.settings.plans.store import unknown_plan
 
 __all__ = ["app", "confirm", "history"]
 
@@ -43,7 +51,9 @@
     "Exit codes: 0 done, 1 intent or plan invalid, 2 wrong usage, 3 conflict with "
     "another change, 4 platform unavailable and nothing changed, 5 platform's "
     "answer lost and effect unknown: confirm the same plan again, 6 an engine does "
-    "not follow or another process gives orders: the plan is noted and goes on."
+    "not follow or another process gives orders: the plan is noted and goes on, "
+    "7 token missing, unknown or not enough, 8 accepted, but some host could not be "
+    "confirmed to have it in force."
 )
 _HISTORY_LENGTH = 20
 
@@ -55,71 +65,111 @@
     add_completion=False,
 )
 
-AuthorOption = Annotated[str, typer.Option(help="Who asks for the change.")]
-
 
 @app.command(epilog=_EPILOG)
 def show(
     plan_id: Annotated[str, typer.Argument(metavar="PLAN", help="Id of the plan.")],
     platform: PlatformOption,
+    token_file: TokenFileOption = None,
     timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
 ) -> None:
     """Show a plan."""
+    tables = table_client(platform, timeout_ms)
     with exit_on_error():
-        made = load_plan(table_client(platform, timeout_ms), plan_id)
+        operator = identify(tables, token_file)
+        made = load_plan(tables, plan_id)
+        if not _is_visible(made, operator, fetch_configuration(tables)):
+            raise unknown_plan(plan_id)
     typer.echo(render(made))
 
 
 @app.command("list", epilog=_EPILOG)
 def list_command(
-    platform: PlatformOption, timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS
+    platform: PlatformOption,
+    token_file: TokenFileOption = None,
+    timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
 ) -> None:
     """List the plans that were made."""
+    tables = table_client(platform, timeout_ms)
     with exit_on_error():
-        plans = list_plans(table_client(platform, timeout_ms))
+        operator = identify(tables, token_file)
+        cfg = fetch_configuration(tables)
+        plans = list_plans(tables)
     for made in plans:
+        if not _is_visible(made, operator, cfg):
+            continue
         typer.echo(f"{made.id}  base {made.base}  {made.author}  {made.summary}")
 
 
 def confirm(
     plan_id: Annotated[str, typer.Argument(metavar="PLAN", help="Id of the plan.")],
     platform: PlatformOption,
-    author: AuthorOption,
+    token_file: TokenFileOption = None,
+    author: AuthorOption = "",
+    node: NodeOption = "",
     timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
 ) -> None:
     """Carry out a plan, or fail and name who changed what since it was made.
 
     A plan with orders to engines takes as long as they load. If this command is
     stopped meanwhile, confirm again; a step that was done is not done anew.
+
+    With --node the command also asks all serving hosts, beginning with that one,
+    and returns once the version is in force at each of them.
     """
     tables = table_client(platform, timeout_ms)
+    with exit_on_error():
+        operator = identify(tables, token_file, author)
     timing = OrderTiming()
     desk = OrderDesk(
         tables=tables,
         engines=HttpEngines(timeout_s=timing.order_s / 2),
-        holder=f"confirm by {author}",
+        holder=f"confirm by {operator.name}",
         timing=timing,
     )
     with exit_on_error():
-        cfg = confirm_plan(tables, plan_id, author=author, carry_out=desk.carry_out)
-    typer.echo(f"version {cfg.version} in force: {cfg.summary}")
+        cfg = confirm_plan(
+            tables,
+            plan_id,
+            author=operator.name,
+            carry_out=desk.carry_out,
+            operator=operator,
+        )
+    typer.echo(f"version {cfg.version} accepted: {cfg.summary}")
+    if node:
+        show_in_force(node, read_token(token_file), cfg.version)
 
 
 def history(
     platform: PlatformOption,
     limit: Annotated[int, typer.Option(min=1, help="Versions.")] = _HISTORY_LENGTH,
+    token_file: TokenFileOption = None,
     timeout_ms: TimeoutOption = DEFAULT_TIMEOUT_MS,
 ) -> None:
-    """Show who changed what, newest first."""
+    """Show who changed what, newest first.
+
+    An operator who is confined to brands is shown what concerns them.
+    """
+    tables = table_client(platform, timeout_ms)
     with exit_on_error():
-        entries = read_history(table_client(platform, timeout_ms), limit=limit)
-    for entry in entries:
+        operator = identify(tables, token_file)
+        cfg = fetch_configuration(tables)
+        entries = read_history(tables, limit=limit)
+    seen = (visible_entry(entry, operator, cfg) for entry in entries)
+    for entry in filter(None, seen):
         author = entry.author or "unknown"
         typer.echo(f"version {entry.version}  {author}  {entry.summary}")
         for change in entry.changes:
             typer.echo(f"    {describe(change)}")
 
 
+def _is_visible(made: Plan, operator: Operator, cfg: Configuration | None) -> bool:
+    if not operator.confined:
+        return True
+    scope = scope_of(operator, cfg, made.touched)
+    return all(scope.holds(change) for change in made.touched)
+
+
 def render(made: Plan) -> str:
     """Return a plan as text for operators."""
     lines = [f"plan {made.id}: {made.summary}", f"base version {made.base}", "steps:"]
@@ -145,14 +195,22 @@
     cls = intent_class(name)
     options = [_option(item) for item in dataclasses.fields(cls)]
 
-    def command(platform: str, author: str, timeout_ms: int, **arguments: Any) -> None:
+    def command(
+        platform: str,
+        token_file: Path | None,
+        author: str,
+        timeout_ms: int,
+        **arguments: Any,
+    ) -> None:
         with exit_on_error():
             tables = table_client(platform, timeout_ms)
+            operator = identify(tables, token_file, author)
             made = make_plan(
                 tables,
                 intent=name,
                 arguments=arguments,
-                author=author,
+                author=operator.name,
+                operator=operator,
                 context=_context(name, platform, timeout_ms),
             )
         typer.echo(render(made))
@@ -185,7 +243,10 @@
     keyword = inspect.Parameter.KEYWORD_ONLY
     common = [
         inspect.Parameter("platform", keyword, annotation=PlatformOption),
-        inspect.Parameter("author", keyword, annotation=AuthorOption),
+        inspect.Parameter(
+            "token_file", keyword, annotation=TokenFileOption, default=None
+        ),
+        inspect.Parameter("author", keyword, annotation=AuthorOption, default=""),
         inspect.Parameter(
             "timeout_ms",
             keyword,
--- a/baobabwing/settings/changes.py
+++ b/baobabwing/settings/changes.py
@@ -21,6 +21,7 @@
     "upstreams",
     "routes",
     "leaving_hosts",
+    "operators",
 )
 
 
--- a/baobabwing/settings/configuration.py
+++ b/baobabwing/settings/configuration.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from baobabwing.brands.catalogue import Brand, Credential, Organisation, Tier
+from baobabwing.brands.operators import Operator
 from baobabwing.pools.catalogue import Pool, Upstream
 
 __all__ = ["Configuration", "LeavingHost", "ModelRoute"]
@@ -42,6 +43,16 @@
     :param attempt: id of the operator's attempt that wrote this version.
     :param author: name of the operator who wrote it.
     :param summary: one line on what changed.
+    :param tiers: levels of service, each with a rank of its own.
+    :param brands: brands under which the service is sold.
+    :param organisations: customers of the brands.
+    :param credentials: keys of callers, as digests.
+    :param pools: groups of upstreams that answer for the same models.
+    :param upstreams: engines and services.
+    :param routes: models that answer under the names that callers use.
+    :param leaving_hosts: nodes that are to stop.
+    :param operators: who may see and change what; while there are none,
+        anybody who reaches the platform may.
     """
 
     version: int
@@ -56,3 +67,4 @@
     upstreams: tuple[Upstream, ...] = ()
     routes: tuple[ModelRoute, ...] = ()
     leaving_hosts: tuple[LeavingHost, ...] = ()
+    operators: tuple[Operator, ...] = ()
--- a/baobabwing/settings/documents.py
+++ b/baobabwing/settings/documents.py
@@ -8,12 +8,14 @@
 from collections.abc import Mapping
 
 import baobabwing.settings.rules  # noqa: F401  (gives the fields their rules)
+from baobabwing.brands.operators import Role
 from baobabwing.exceptions import SettingsError
 from baobabwing.pools.catalogue import PoolKind
 from baobabwing.settings.checker import FieldError, build
 from baobabwing.settings.configuration import Configuration
 
 __all__ = [
+    "check_administrators",
     "check_configuration",
     "deflate",
     "dump_configuration",
@@ -81,17 +83,20 @@
         "pools",
         "upstreams",
         "leaving_hosts",
+        "operators",
     ):
         _check_unique(cfg, group, "name")
     _check_unique(cfg, "tiers", "rank")
     _check_unique(cfg, "credentials", "sha256")
     _check_unique(cfg, "upstreams", "address")
+    _check_unique(cfg, "operators", "sha256")
     _check_reference(cfg, "organisations", "brand", "brands")
     _check_reference(cfg, "credentials", "organisation", "organisations")
     _check_reference(cfg, "credentials", "tier", "tiers")
     _check_reference(cfg, "upstreams", "pool", "pools")
     _check_models(cfg)
     _check_routes(cfg)
+    _check_operators(cfg)
 
 
 def _check_unique(cfg: Configuration, group: str, name: str) -> None:
@@ -161,3 +166,36 @@
                 allowed="one route",
             )
         seen.add((route.brand, route.model))
+
+
+def _check_operators(cfg: Configuration) -> None:
+    brands = {brand.name for brand in cfg.brands}
+    keys = {credential.sha256 for credential in cfg.credentials}
+    for index, operator in enumerate(cfg.operators):
+        path = f"operators[{index}]"
+        for brand in operator.brands:
+            if brand not in brands:
+                raise FieldError(
+                    path=f"{path}.brands", found=repr(brand), allowed="a known brand"
+                )
+        if operator.sha256 in keys:
+            raise FieldError(
+                path=f"{path}.sha256",
+                found="the digest of a caller's key",
+                allowed="a token of its own",
+            )
+
+
+def check_administrators(cfg: Configuration) -> None:
+    """Check that somebody may administer all of a configuration.
+
+    :raises FieldError: if there are operators, but no admin of all brands.
+    """
+    whole = any(one.role is Role.ADMIN and not one.confined for one in cfg.operators)
+    if cfg.operators and not whole:
+        # Without one, nobody could replace a lost token any more.
+        raise FieldError(
+            path="operators",
+            found="no admin of all brands",
+            allowed="at least one with role admin and without brands",
+        )
--- a/baobabwing/settings/loader.py
+++ b/baobabwing/settings/loader.py
@@ -9,7 +9,7 @@
 from baobabwing.exceptions import SettingsError
 from baobabwing.settings.checker import FieldError, build
 from baobabwing.settings.configuration import Configuration
-from baobabwing.settings.documents import parse_configuration
+from baobabwing.settings.documents import check_administrators, parse_configuration
 from baobabwing.settings.jsonc import Document, read_document
 from baobabwing.settings.schema import NodeSettings, check_node
 
@@ -35,7 +35,7 @@
 
     :raises SettingsError: as :func:`load_settings` does.
     """
-    return _make(path, _read(path), parse_configuration)
+    return _make(path, _read(path), _parse_configuration)
 
 
 def load_file(path: str | Path) -> NodeSettings | Configuration:
@@ -45,7 +45,7 @@
     """
     document = _read(path)
     if is_configuration(document.value):
-        return _make(path, document, parse_configuration)
+        return _make(path, document, _parse_configuration)
     return _make(path, document, _parse_settings)
 
 
@@ -54,6 +54,12 @@
     return isinstance(value, dict) and not _CONFIGURATION_FIELDS.isdisjoint(value)
 
 
+def _parse_configuration(value: object) -> Configuration:
+    cfg = parse_configuration(value)
+    check_administrators(cfg)
+    return cfg
+
+
 def _parse_settings(value: object) -> NodeSettings:
     cfg = build(NodeSettings, value)
     check_node(cfg)
--- a/baobabwing/settings/plans/__init__.py
+++ b/baobabwing/settings/plans/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from baobabwing.settings.plans import (  # noqa: F401
+    change_operator,
     drain,
     limits,
     move_brand,
--- /dev/null
+++ b/baobabwing/settings/plans/change_operator.py
@@ -0,0 +1,60 @@
+"""Intent that adds, changes or removes an operator."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from baobabwing.brands.operators import Operator, Role
+from baobabwing.exceptions import SettingsError
+from baobabwing.settings.checker import rule
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.plans.intents import PlanContext, register, unknown_name
+
+__all__ = ["ChangeOperator"]
+
+REMOVED = "none"
+_SEPARATOR = ","
+
+
+@register("change-operator")
+@dataclass(frozen=True, kw_only=True)
+class ChangeOperator:
+    """Add or change an operator; role none removes it.
+
+    :param name: the operator's name.
+    :param role: viewer, editor, admin, or none.
+    :param sha256: digest of the token; empty to keep the present one.
+    :param brands: brands it is confined to, parted by commas; empty for all.
+    """
+
+    name: str = rule(least=1)
+    role: str = rule(choices=(*Role, REMOVED))
+    sha256: str = ""
+    brands: str = ""
+
+    def apply(self, cfg: Configuration, context: PlanContext) -> Configuration:
+        """Replace the operator of that name."""
+        present = {one.name: one for one in cfg.operators}
+        if self.role == REMOVED and self.name not in present:
+            raise unknown_name("operator", self.name, tuple(present))
+        old = present.pop(self.name, None)
+        if self.role != REMOVED:
+            present[self.name] = self._changed(old)
+        return replace(cfg, operators=tuple(present.values()))
+
+    def summary(self) -> str:
+        """Return one line for the history."""
+        if self.role == REMOVED:
+            return f"remove operator {self.name}"
+        return f"make operator {self.name} {self.role}"
+
+    def _changed(self, old: Operator | None) -> Operator:
+        if old is None and not self.sha256:
+            raise SettingsError("a new operator needs --sha256", step="plan")
+        brands = (brand.strip() for brand in self.brands.split(_SEPARATOR))
+        return Operator(
+            name=self.name,
+            sha256=self.sha256 or old.sha256,
+            role=Role(self.role),
+            brands=tuple(filter(None, brands)),
+        )
--- a/baobabwing/settings/plans/confirm.py
+++ b/baobabwing/settings/plans/confirm.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from baobabwing.brands.operators import Operator
 from baobabwing.exceptions import ConflictError, SettingsError
 from baobabwing.platform.tables import Tables
+from baobabwing.settings.access import check_changes
 from baobabwing.settings.changes import apply_changes
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.fetch import fetch_configuration, fetch_version
@@ -20,7 +22,12 @@
 
 
 def confirm(
-    tables: Tables, plan_id: str, *, author: str, carry_out: CarryOut | None = None
+    tables: Tables,
+    plan_id: str,
+    *,
+    author: str,
+    carry_out: CarryOut | None = None,
+    operator: Operator | None = None,
 ) -> Configuration:
     """Carry out a plan, once.
 
@@ -29,17 +36,30 @@
 
     :param author: who confirms.
     :param carry_out: carries out plans that give orders to engines.
+    :param operator: whose rights bound it; ``None`` for no bounds.
     :returns: the configuration that the plan put in force.
+    :raises AccessError: if the operator may not make these changes.
     :raises ConflictError: naming who changed what since the plan was made.
     :raises PlatformUnavailableError: if nothing was changed.
     :raises PlatformUncertainError: if the effect is unknown; confirm again.
     """
     plan = load_plan(tables, plan_id)
-    if not plan.has_orders:
-        return publish_plan(tables, plan, author=author)
-    if carry_out is None:
+    if operator is not None:
+        check_changes(operator, _base(tables, plan), plan.touched, step="confirm")
+    if plan.has_orders and carry_out is None:
         raise SettingsError("the plan gives orders to engines", step="confirm")
-    return carry_out(plan, author)
+    try:
+        if plan.has_orders:
+            return carry_out(plan, author)
+        return publish_plan(tables, plan, author=author)
+    except ConflictError:
+        if operator is None or not operator.confined:
+            raise
+        # Who changed what may concern brands that the operator does not see.
+        raise ConflictError(
+            f"version {plan.base} is no longer current; make the plan anew",
+            step="confirm",
+        ) from None
 
 
 def publish_plan(tables: Tables, plan: Plan, *, author: str) -> Configuration:
--- a/baobabwing/settings/plans/plan.py
+++ b/baobabwing/settings/plans/plan.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
-from baobabwing.exceptions import SettingsError
+from baobabwing.brands.operators import AccessError, Operator
+from baobabwing.exceptions import BaobabwingError, SettingsError
 from baobabwing.platform.tables import Tables
+from baobabwing.settings.access import check_changes, visible_part
 from baobabwing.settings.changes import apply_changes, changes_between
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.documents import check_administrators
 from baobabwing.settings.fetch import fetch_configuration, fetch_version
 from baobabwing.settings.plans.capacity import capacities, find_risks
-from baobabwing.settings.plans.intents import PlanContext, make_intent
+from baobabwing.settings.plans.intents import Intent, PlanContext, make_intent
 from baobabwing.settings.plans.record import Plan
 from baobabwing.settings.plans.steps import derive_steps
 from baobabwing.settings.plans.store import save_plan
@@ -27,12 +31,15 @@
     arguments: Mapping[str, Any],
     author: str,
     context: PlanContext | None = None,
+    operator: Operator | None = None,
 ) -> Plan:
     """Make a plan and store it; nothing else changes.
 
     :param intent: name of the intent.
     :param arguments: its fields.
+    :param operator: whose rights bound the plan; ``None`` for no bounds.
     :raises SettingsError: if the intent is wrong or would change nothing.
+    :raises AccessError: if the operator may not make these changes.
     :raises ConflictError: if an undo would overwrite a later change.
     :raises PlatformError: if the plan could not be stored.
     """
@@ -43,10 +50,13 @@
     context = replace(
         context or PlanContext(), version=lambda number: fetch_version(tables, number)
     )
-    touched = changes_between(before, stated.apply(before, context))
+    touched = changes_between(before, _apply(stated, before, context, operator))
     if not touched:
         raise SettingsError("the intent changes nothing", step="plan")
+    if operator is not None:
+        check_changes(operator, before, touched, step="plan")
     after = apply_changes(before, touched)
+    check_administrators(after)
     steps = derive_steps(before, after)
     capacity = capacities(before, after, context.in_use)
     made = Plan(
@@ -62,3 +72,36 @@
     )
     save_plan(tables, made)
     return made
+
+
+def _apply(
+    stated: Intent,
+    cfg: Configuration,
+    context: PlanContext,
+    operator: Operator | None,
+) -> Configuration:
+    """Apply an intent, telling a confined operator nothing of other brands.
+
+    Errors of intents name what there is. So the intent is first applied to what
+    the operator sees, and errors beyond that say no more than that there is one.
+    """
+    if operator is None or not operator.confined:
+        return stated.apply(cfg, context)
+    seen = visible_part(cfg, operator)
+    stated.apply(seen, replace(context, version=_seen_versions(context, operator)))
+    try:
+        return stated.apply(cfg, context)
+    except BaobabwingError:
+        raise AccessError(
+            "the change reaches beyond the operator's brands", step="plan"
+        ) from None
+
+
+def _seen_versions(
+    context: PlanContext, operator: Operator
+) -> Callable[[int], Configuration | None]:
+    def version(number: int) -> Configuration | None:
+        cfg = context.version(number)
+        return None if cfg is None else visible_part(cfg, operator)
+
+    return version
--- a/baobabwing/settings/plans/store.py
+++ b/baobabwing/settings/plans/store.py
@@ -10,7 +10,7 @@
 from baobabwing.settings.checker import build
 from baobabwing.settings.plans.record import Plan
 
-__all__ = ["PLANS_TABLE", "list_plans", "load_plan", "save_plan"]
+__all__ = ["PLANS_TABLE", "list_plans", "load_plan", "save_plan", "unknown_plan"]
 
 PLANS_TABLE = "plans"
 
@@ -37,10 +37,15 @@
     """
     row = tables.read(PLANS_TABLE, plan_id)
     if row is None:
-        raise SettingsError(f"no plan {plan_id!r}", step="plan")
+        raise unknown_plan(plan_id)
     return build(Plan, row.value)
 
 
+def unknown_plan(plan_id: str) -> SettingsError:
+    """Make the error for an id that no plan has."""
+    return SettingsError(f"no plan {plan_id!r}", step="plan")
+
+
 def list_plans(tables: Tables) -> tuple[Plan, ...]:
     """Read all plans, confirmed or not.
 
--- a/baobabwing/settings/publish.py
+++ b/baobabwing/settings/publish.py
@@ -14,7 +14,11 @@
 )
 from baobabwing.platform.tables import Insert, Tables
 from baobabwing.settings.configuration import Configuration
-from baobabwing.settings.documents import check_configuration, dump_configuration
+from baobabwing.settings.documents import (
+    check_administrators,
+    check_configuration,
+    dump_configuration,
+)
 from baobabwing.settings.fetch import (
     CONFIGURATION_TABLE,
     CURRENT_KEY,
@@ -52,6 +56,7 @@
     attempt = cfg.attempt or new_attempt()
     cfg = replace(cfg, version=base + 1, attempt=attempt)
     check_configuration(cfg)
+    check_administrators(cfg)
     uncertain: PlatformUncertainError | None = None
     for _ in range(_ATTEMPTS):
         try:
--- a/baobabwing/settings/rules.py
+++ b/baobabwing/settings/rules.py
@@ -5,6 +5,7 @@
 import re
 
 from baobabwing.brands.catalogue import Brand, Credential, Limits, Organisation, Tier
+from baobabwing.brands.operators import Operator
 from baobabwing.pools.catalogue import Pool, Upstream
 from baobabwing.settings.checker import Rule, is_address, set_rules
 from baobabwing.settings.configuration import Configuration, LeavingHost, ModelRoute
@@ -41,10 +42,11 @@
 set_rules(
     Organisation, name=_ANY_NAME, brand=_ANY_NAME, weight=Rule(least=0.001, most=1e6)
 )
+_SHA256 = Rule(check=_DIGEST.fullmatch, words="64 digits 0-9 and a-f")
 set_rules(
     Credential,
     name=_ANY_NAME,
-    sha256=Rule(check=_DIGEST.fullmatch, words="64 digits 0-9 and a-f"),
+    sha256=_SHA256,
     organisation=_ANY_NAME,
     tier=_ANY_NAME,
 )
@@ -69,6 +71,7 @@
 )
 set_rules(ModelRoute, brand=Rule(most=128), model=_ANY_NAME, serves=_ANY_NAME)
 set_rules(LeavingHost, name=_ANY_NAME)
+set_rules(Operator, name=_ANY_NAME, sha256=_SHA256, brands=_ANY_NAME)
 set_rules(
     Configuration,
     version=Rule(least=0, most=2**63 - 1),
--- /dev/null
+++ b/tests/brands/test_operators.py
@@ -0,0 +1,43 @@
+"""Operators, their roles and the brands that they are confined to."""
+
+import pytest
+
+from baobabwing.brands.operators import (
+    AccessError,
+    Operator,
+    Role,
+    find_operator,
+    token_digest,
+)
+
+
+def operator(name="ana", role=Role.EDITOR, brands=()):
+    return Operator(
+        name=name, sha256=token_digest(f"{name}-token"), role=role, brands=brands
+    )
+
+
+def test_roles_include_those_before():
+    for rank, role in enumerate(Role):
+        held = [one for one in Role if operator(role=role).has(one)]
+        assert held == list(Role)[: rank + 1]
+    with pytest.raises(AccessError, match="wanted is admin"):
+        operator().require(Role.ADMIN, "plan")
+
+
+def test_who_is_confined_covers_own_brands_only():
+    confined = operator(brands=("a", "b"))
+    assert confined.covers({"a"})
+    assert confined.covers({"a", "b"})
+    assert not confined.covers({"a", "c"})
+    assert not confined.covers(())
+    assert operator().covers(())
+
+
+def test_a_token_finds_its_operator():
+    known = (operator("ana"), operator("eva"))
+    assert find_operator(known, "eva-token") == known[1]
+    assert find_operator(known, "eva-token ") is None
+    assert find_operator(known, "") is None
+    assert find_operator(known, known[0].sha256) is None
+    assert find_operator(known, "\udcff") is None
--- a/tests/settings/test_documents.py
+++ b/tests/settings/test_documents.py
@@ -8,6 +8,7 @@
 from baobabwing.exceptions import SettingsError
 from baobabwing.settings.checker import FieldError
 from baobabwing.settings.documents import (
+    check_administrators,
     deflate,
     dump_configuration,
     inflate,
@@ -81,3 +82,31 @@
 def test_bytes_that_are_no_document(data):
     with pytest.raises(SettingsError):
         inflate(data)
+
+
+OPERATOR = {"name": "ana", "sha256": "a" * 64, "role": "admin"}
+
+
+@pytest.mark.parametrize(
+    ("operators", "path"),
+    [
+        ([OPERATOR, OPERATOR], "operators[1].name"),
+        ([OPERATOR, {**OPERATOR, "name": "eva"}], "operators[1].sha256"),
+        ([{**OPERATOR, "role": "owner"}], "operators[0].role"),
+        ([{**OPERATOR, "sha256": "token"}], "operators[0].sha256"),
+        ([{**OPERATOR, "brands": ["nobody's"]}], "operators[0].brands"),
+    ],
+)
+def test_operators_are_checked(operators, path):
+    with pytest.raises(FieldError) as caught:
+        parse_configuration({"operators": operators})
+    assert caught.value.path == path
+
+
+def test_somebody_must_administer_everything():
+    brand = [{"name": "own"}]
+    confined = [{**OPERATOR, "brands": ["own"]}]
+    cfg = parse_configuration({"brands": brand, "operators": confined})
+    with pytest.raises(FieldError, match="no admin of all brands"):
+        check_administrators(cfg)
+    check_administrators(parse_configuration({"operators": [OPERATOR]}))
--- a/tests/settings/test_plans.py
+++ b/tests/settings/test_plans.py
@@ -65,6 +65,7 @@
 def test_registry():
     assert intent_names() == (
         "change-limits",
+        "change-operator",
         "drain-host",
         "drain-upstream",
         "move-brand",
