Tell the next home in line where keyed requests go when entry and home are one

Ruled out: a second copy of every placement (a message more a request); letting callers name the engine (they would have to be trusted or told a secret). Change: an entry that is itself the home tells the next node in line before it dispatches; a question for a key goes to the home and then to the next in line. Before: the second try is told 'unknown' (test red with the notice removed); after: the whole answer, one execution.

--- a/baobabwing/entry/dispatch.py
+++ b/baobabwing/entry/dispatch.py
@@ -313,6 +313,13 @@
             # that gave up while their request was queued.
             self._give_back(request, placement.cell, placement.upstream, "unused")
             raise CallerGoneError("the caller left", step="dispatch")
+        if request.facts.key:
+            self._context.permits.back_up(
+                placement.cell,
+                owned_key(request.facts.organisation, request.facts.key),
+                placement.upstream,
+                request.facts.request_id,
+            )
         started = time.monotonic()
         try:
             answer = open_exchange(
--- a/baobabwing/homes/permits.py
+++ b/baobabwing/homes/permits.py
@@ -9,9 +9,10 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 
 from baobabwing.exceptions import PeerError
-from baobabwing.fleet.homes import home_of
+from baobabwing.fleet.homes import home_of, ranking
 from baobabwing.fleet.host import Host
 from baobabwing.fleet.view import FleetView
+from baobabwing.homes.backups import PlacementBackups
 from baobabwing.homes.cells import NOT_HOME, CellHomes
 from baobabwing.homes.events import PERMIT_RETRIED
 from baobabwing.pools.partition import cell_resource
@@ -22,6 +23,7 @@
     PermitDone,
     PermitRequest,
     PermitWithdraw,
+    PlacementNotice,
     WhereAnswer,
     WhereQuery,
 )
@@ -42,6 +44,7 @@
 
     :param me: this node.
     :param homes: the cells of this node, asked without a connection.
+    :param backups: what other nodes told this one in case they die.
     """
 
     def __init__(
@@ -51,12 +54,14 @@
         view: Callable[[], FleetView],
         homes: CellHomes,
         peers: PeerClients,
+        backups: PlacementBackups,
     ) -> None:
         self._me = me
         self._identity = f"{me.name}#{me.incarnation}"
         self._view = view
         self._homes = homes
         self._peers = peers
+        self._backups = backups
 
     def ask(
         self, message: PermitRequest, *, wanted: Callable[[], bool] = lambda: True
@@ -89,14 +94,49 @@
         """Tell the home that nobody waits for a permit any more."""
         self._tell(message.cell, message)
 
+    def back_up(self, cell: str, key: str, upstream: str, request_id: str) -> None:
+        """Tell the next home in line of a dispatch that only this node knows.
+
+        Nothing is waited for: the notice is on its way before the first byte of
+        the request, and the death of this process does not call it back.
+        """
+        order = ranking(self._view(), cell_resource(cell))
+        if len(order) < 2 or order[0].name != self._me.name:
+            return
+        notice = PlacementNotice(key=key, upstream=upstream, request_id=request_id)
+        with contextlib.suppress(PeerError):
+            self._peers.send(order[1].peer, notice)
+
     def where(self, cell: str, key: str, pool: str) -> WhereAnswer:
-        """Ask the home of a cell where the request with a key was sent.
+        """Ask where the request with a key was sent: the home, or the next in line.
+
+        The first may have died so lately that this node does not know it yet.
 
-        :raises PeerError: if the home does not answer.
+        :raises PeerError: if neither answers.
         """
-        home = self._home(cell)
-        if home is None or home.name == self._me.name:
-            return self._homes.where(key, pool)
+        order = ranking(self._view(), cell_resource(cell))
+        if not order:
+            return self._where_own(key, pool)
+        try:
+            found = self._where_at(order[0], key, pool)
+        except PeerError:
+            if len(order) < 2:
+                raise
+            return self._where_at(order[1], key, pool)
+        if found.known or len(order) < 2:
+            return found
+        with contextlib.suppress(PeerError):
+            backed_up = self._where_at(order[1], key, pool)
+            return backed_up if backed_up.known else found
+        return found
+
+    def _where_own(self, key: str, pool: str) -> WhereAnswer:
+        found = self._homes.where(key, pool)
+        return found if found.known else self._backups.find(key) or found
+
+    def _where_at(self, home: Host, key: str, pool: str) -> WhereAnswer:
+        if home.name == self._me.name:
+            return self._where_own(key, pool)
         answer = self._peers.ask(
             home.peer, WhereQuery(key=key, pool=pool), timeout_s=WHERE_TIMEOUT_S
         )
--- a/baobabwing/node/handling.py
+++ b/baobabwing/node/handling.py
@@ -6,6 +6,7 @@
 
 from baobabwing.entry.dispatch import owned_key
 from baobabwing.exceptions import WireError
+from baobabwing.homes.backups import PlacementBackups
 from baobabwing.homes.cells import CellHomes
 from baobabwing.homes.limits import SliceDesk
 from baobabwing.node.spread import ConfigurationSpreader
@@ -22,6 +23,7 @@
     PermitDone,
     PermitRequest,
     PermitWithdraw,
+    PlacementNotice,
     SliceAnswer,
     SliceQuery,
     WhereAnswer,
@@ -36,6 +38,7 @@
     """Hands each message to the part that it is meant for.
 
     :param homes: the cells of this node.
+    :param backups: what other nodes told this one in case they die.
     :param slices: the limits of organisations whose home this node is.
     :param registry: the requests of this node.
     """
@@ -44,11 +47,13 @@
         self,
         *,
         homes: CellHomes,
+        backups: PlacementBackups,
         slices: SliceDesk,
         registry: RequestRegistry,
         spreader: ConfigurationSpreader,
     ) -> None:
         self._homes = homes
+        self._backups = backups
         self._slices = slices
         self._registry = registry
         self._spreader = spreader
@@ -77,7 +82,12 @@
 
     @_handle.register
     def _(self, message: WhereQuery, caller: Caller) -> WhereAnswer:
-        return self._homes.where(message.key, message.pool)
+        found = self._homes.where(message.key, message.pool)
+        return found if found.known else self._backups.find(message.key) or found
+
+    @_handle.register
+    def _(self, message: PlacementNotice, caller: Caller) -> None:
+        self._backups.keep(message)
 
     @_handle.register
     def _(self, message: SliceQuery, caller: Caller) -> SliceAnswer:
--- a/baobabwing/node/node.py
+++ b/baobabwing/node/node.py
@@ -10,6 +10,7 @@
 import baobabwing.entry.completions  # noqa: F401  (registers its routes)
 import baobabwing.entry.operations  # noqa: F401
 import baobabwing.entry.services  # noqa: F401
+import baobabwing.entry.status  # noqa: F401
 from baobabwing.entry.context import Catalogue, EntryContext, Readiness
 from baobabwing.entry.server import EntryServer
 from baobabwing.exceptions import PeerError, PlatformError
@@ -17,6 +18,7 @@
 from baobabwing.fleet.membership import Membership
 from baobabwing.fleet.settings import MembershipSettings
 from baobabwing.fleet.view import FleetView
+from baobabwing.homes.backups import PlacementBackups
 from baobabwing.homes.cells import CellHomes
 from baobabwing.homes.limits import LimitGate, SliceDesk
 from baobabwing.homes.permits import PermitClient
@@ -100,8 +102,13 @@
             ask_peer=self._ask_inflight,
             own_inflight=lambda cell: inflight_of(self.registry, cell),
         )
+        self.backups = PlacementBackups(clock=time.monotonic)
         self.permits = PermitClient(
-            me=self.me, view=self.membership.view, homes=self.homes, peers=self.peers
+            me=self.me,
+            view=self.membership.view,
+            homes=self.homes,
+            peers=self.peers,
+            backups=self.backups,
         )
         self.slices = SliceDesk()
         self.limits = LimitGate(
@@ -138,6 +145,7 @@
             keys=keys,
             handler=PeerHandler(
                 homes=self.homes,
+                backups=self.backups,
                 slices=self.slices,
                 registry=self.registry,
                 spreader=self.spreader,
@@ -156,6 +164,8 @@
             metrics=self.metrics,
             readiness=self.readiness,
             wall_clock=time.time,
+            cells=self.homes.cells,
+            highest_heard=self.keeper.highest_heard,
         )
         self.entry = EntryServer(context=self.context)
         self._known: dict[str, int] = {}
@@ -251,6 +261,7 @@
         self.slices.configure(cfg)
         self.limits.configure(cfg)
         self.metrics.configuration_version.set(cfg.version)
+        self.context.version_in_force = cfg.version
         self.membership.announce()
         if "starting" in self.readiness.reasons():
             self.readiness.clear("starting")
--- a/baobabwing/wire/messages.capnp
+++ b/baobabwing/wire/messages.capnp
@@ -23,6 +23,7 @@
     floorAnswer @15 :FloorAnswer;
     failure @16 :Text;
     configurationNotice @17 :ConfigurationNotice;
+    placementNotice @18 :PlacementNotice;
   }
 }
 
@@ -46,6 +47,8 @@
   key @8 :Text;
   exclude @9 :List(Text);      # upstreams that refused this request before
   weight @10 :Float32;
+  tried @11 :List(Text);       # cells that refused it for load
+  moves @12 :UInt8;            # cells that handed it on
 }
 
 struct PermitDecision {
@@ -87,6 +90,13 @@
   sure @3 :Bool;               # false while the home is still rebuilding
 }
 
+struct PlacementNotice {
+  # Where a keyed request is about to go, told to the next home in line.
+  key @0 :Text;
+  upstream @1 :Text;
+  requestId @2 :Text;
+}
+
 struct ConfigurationQuery {
   least @0 :UInt64;
 }
@@ -139,6 +149,9 @@
 struct FloorAnswer {
   tierRank @0 :UInt8;          # lowest tier that the cell still admits
   sure @1 :Bool;
+  numbers @2 :List(UInt16);    # cells of the pool at this home, by number
+  floors @3 :List(UInt8);      # of each: lowest tier plus one; 0 none, 255 all
+  fills @4 :List(UInt16);      # of each: requests, in hundredths of its slots
 }
 
 struct Datagram {
--- a/baobabwing/wire/messages.py
+++ b/baobabwing/wire/messages.py
@@ -21,6 +21,7 @@
     "PermitDone",
     "PermitRequest",
     "PermitWithdraw",
+    "PlacementNotice",
     "SliceAnswer",
     "SliceQuery",
     "WhereAnswer",
@@ -158,6 +159,16 @@
     sure: bool = False
 
 
+@_message("placementNotice")
+@dataclass(frozen=True, kw_only=True)
+class PlacementNotice(Message):
+    """Where a keyed request is about to go, told to the next home in line."""
+
+    key: str
+    upstream: str
+    request_id: str
+
+
 @_message("configurationQuery")
 @dataclass(frozen=True, kw_only=True)
 class ConfigurationQuery(Message):
