--- a/baobabwing/bench/matrix/caller.py
+++ b/baobabwing/bench/matrix/caller.py
@@ -305,7 +305,7 @@
         after a part of its answer, and after "unknown" or "not run" as long as
         tries are left.
         """
-        script = first.wait()
+        told = script = first.wait()
         for number in range(tries - 1):
             if script.ending in (Ending.WHOLE, Ending.OTHER):
                 break
@@ -313,7 +313,9 @@
             last = len(words) - 1 if words and job.stream else None
             address = others[number % len(others)]
             script = self.begin(job, address, last_event=last).wait()
-        return script
+            if script.ending is not Ending.REFUSED:
+                told = script
+        return told
 
     def words_of(self, job: Job) -> list[str]:
         """Return the tokens that all tries of a job gave, in their places."""
--- /dev/null
+++ b/baobabwing/bench/matrix/campaign.py
@@ -0,0 +1,284 @@
+"""Many requests while processes are killed and frozen and connections cut."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+import uuid
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from baobabwing.bench.deployments import PLATFORM
+from baobabwing.bench.executions import Executed
+from baobabwing.bench.matrix.caller import Caller, Ending, Job, Transcript, Try
+from baobabwing.bench.matrix.oracle import Breach, judge
+from baobabwing.bench.matrix.site import ENGINES, SERVICES, Site
+from baobabwing.bench.processes import ProcessError, wait_until
+
+__all__ = ["Campaign", "Figures"]
+
+CALLERS = 12
+LEAST_TOKENS, MOST_TOKENS = 10, 120
+BOOKING_SHARE = 0.3
+LEAVING_SHARE = 0.1
+PROMPT_WORDS = 200
+TRIES = 5
+RETRY_PAUSE_S = 0.1
+FAULT_PAUSE_S = (0.5, 1.5)
+FREEZE_S = (0.2, 2.5)
+IDLE_S = 60.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Figures:
+    """What a campaign showed.
+
+    :param breaches: broken promises, by the judge.
+    :param cut_streams: chat turns dispatched and open at a host when it was killed.
+    :param completed: those of them that the caller's second try made whole.
+    :param recomputed: those of them that an engine prefilled more than once.
+    :param endings: last endings of all requests.
+    """
+
+    requests: int
+    breaches: tuple[Breach, ...]
+    cut_streams: int
+    completed: int
+    recomputed: int
+    executions: int
+    faults: dict[str, int]
+    endings: dict[str, int]
+
+    def text(self) -> str:
+        """Return the figures as lines."""
+        counts = Counter(one.promise for one in self.breaches)
+        return "\n".join(
+            (
+                f"requests {self.requests}, executions {self.executions}",
+                f"faults {self.faults}",
+                f"last endings {self.endings}",
+                f"executed twice {counts['once']}, false not run {counts['not_run']},"
+                f" wrong answers {counts['whole']}",
+                f"streams open at a killed host {self.cut_streams}, completed by the"
+                f" second try {self.completed}, prefilled again {self.recomputed}",
+            )
+        )
+
+
+@dataclass(kw_only=True)
+class _Request:
+    """A request with all its tries, and those of them whose host was killed."""
+
+    job: Job
+    tries: list[Try] = field(default_factory=list)
+    killed: int | None = None
+
+
+class Campaign:
+    """One run of callers against faults at random moments.
+
+    :param requests: how many requests are sent.
+    :param seed: start of all random choices; the moments also depend on the host.
+    """
+
+    def __init__(self, *, site: Site, requests: int, seed: int) -> None:
+        self._site = site
+        self._left = requests
+        self._seed = seed
+        self._rng = random.Random(seed)
+        self._lock = threading.Lock()
+        self._done = threading.Event()
+        self._requests: list[_Request] = []
+        self._callers: list[Caller] = []
+        self._faults: Counter[str] = Counter()
+
+    def run(self) -> Figures:
+        """Send all requests, let things fail meanwhile, and judge.
+
+        :raises ProcessError: if the site does not come to rest.
+        """
+        epoch_s = time.time()
+        threads = [
+            threading.Thread(target=self._call, args=(number,))
+            for number in range(CALLERS)
+        ]
+        hurting = threading.Thread(target=self._hurt)
+        for thread in (*threads, hurting):
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self._done.set()
+        hurting.join()
+        self._site.heal()
+        if not self._site.wait_idle(timeout_s=IDLE_S):
+            raise ProcessError("upstreams did not come to rest", step="campaign")
+        return self._judge(epoch_s)
+
+    def _call(self, number: int) -> None:
+        rng = random.Random(f"{self._seed}/{number}")
+        credential = self._site.shape.credential_key("pocitos", "chat")
+        caller = Caller(credential=credential)
+        with self._lock:
+            self._callers.append(caller)
+        while self._take():
+            self._one(caller, rng)
+
+    def _take(self) -> bool:
+        with self._lock:
+            self._left -= 1
+            return self._left >= 0
+
+    def _one(self, caller: Caller, rng: random.Random) -> None:
+        nodes = list(self._site.nodes.values())
+        rng.shuffle(nodes)
+        job = self._job(caller, nodes, rng)
+        request = _Request(job=job)
+        with self._lock:
+            self._requests.append(request)
+        leaves = rng.random() < LEAVING_SHARE
+        for number in range(TRIES):
+            words = caller.words_of(job)
+            last = len(words) - 1 if words else None
+            address = nodes[number % len(nodes)]
+            attempt = caller.begin(job, address, last_event=last)
+            with self._lock:
+                request.tries.append(attempt)
+            if leaves and number == 0:
+                attempt.wait_words(rng.randrange(1, 5), timeout_s=1.0)
+                attempt.leave(hard=rng.random() < 0.5)
+            if attempt.wait().ending in (Ending.WHOLE, Ending.OTHER):
+                return
+            time.sleep(RETRY_PAUSE_S)
+
+    def _job(self, caller: Caller, nodes: list[str], rng: random.Random) -> Job:
+        name = uuid.uuid4().hex
+        service = rng.random() < BOOKING_SHARE
+        key = name
+        # An own key, should the host be down that is asked for a prefix.
+        if not service:
+            for address in (*nodes,):
+                try:
+                    key = caller.key_at(address, name)
+                except (OSError, LookupError, ValueError):
+                    continue
+                nodes.remove(address)
+                nodes.insert(0, address)
+                break
+        prompt = " ".join(["please"] * rng.randrange(PROMPT_WORDS))
+        return Job(
+            text=f"a cut {name} {prompt}",
+            key=key,
+            service=service,
+            tokens=rng.randrange(LEAST_TOKENS, MOST_TOKENS),
+        )
+
+    def _hurt(self) -> None:
+        acts: tuple[tuple[str, Callable[[], None]], ...] = (
+            ("host killed", self._kill_node),
+            ("host killed", self._kill_node),
+            ("host frozen", self._freeze_node),
+            ("engine killed", self._kill_engine),
+            ("engine frozen", self._freeze_engine),
+            ("streams cut", self._cut_streams),
+            ("answers dropped", self._drop_answers),
+            ("answers twice", self._answer_twice),
+            ("refusals", self._refuse),
+            ("store down", self._store_down),
+            ("store loses answers", self._lose_answers),
+        )
+        while not self._done.wait(self._rng.uniform(*FAULT_PAUSE_S)):
+            name, act = self._rng.choice(acts)
+            self._faults[name] += 1
+            act()
+
+    def _kill_node(self) -> None:
+        name = self._rng.choice(self._site.node_names)
+        address = self._site.nodes[name]
+        with self._lock:
+            self._site.kill(name)
+            for request in self._requests:
+                self._note_killed(request, address)
+        self._done.wait(self._rng.uniform(*FREEZE_S))
+        self._site.restart_node(name)
+        wait_until(self._site.is_whole, timeout_s=IDLE_S)
+
+    def _note_killed(self, request: _Request, address: str) -> None:
+        if not request.tries or request.killed is not None:
+            return
+        script = request.tries[-1].transcript
+        streams = bool(script.words) and not script.job.service
+        if script.ending is None and script.address == address and streams:
+            request.killed = len(request.tries) - 1
+
+    def _freeze_node(self) -> None:
+        self._freeze(self._rng.choice(self._site.node_names))
+        wait_until(self._site.is_whole, timeout_s=IDLE_S)
+
+    def _freeze(self, name: str) -> None:
+        self._site.group.freeze(name)
+        self._done.wait(self._rng.uniform(*FREEZE_S))
+        self._site.group.thaw(name)
+
+    def _kill_engine(self) -> None:
+        name = self._rng.choice(ENGINES)
+        self._site.kill(name)
+        self._done.wait(self._rng.uniform(*FREEZE_S))
+        self._site.restart(name)
+
+    def _freeze_engine(self) -> None:
+        self._freeze(self._rng.choice(ENGINES))
+
+    def _cut_streams(self) -> None:
+        name = self._rng.choice(ENGINES)
+        value = self._rng.randrange(1, LEAST_TOKENS)
+        self._site.fault(name, "cut_stream_after", value=value, count=3)
+
+    def _drop_answers(self) -> None:
+        name = self._rng.choice((*ENGINES, *SERVICES))
+        self._site.fault(name, "drop_after_effect", count=2)
+
+    def _answer_twice(self) -> None:
+        name = self._rng.choice((*ENGINES, *SERVICES))
+        self._site.fault(name, "answer_twice", count=3)
+
+    def _refuse(self) -> None:
+        name = self._rng.choice((*ENGINES, *SERVICES))
+        self._site.fault(name, "refuse", count=5)
+
+    def _store_down(self) -> None:
+        self._site.fault(PLATFORM, "down", for_ms=1_000)
+
+    def _lose_answers(self) -> None:
+        self._site.fault(PLATFORM, "lose_answer", count=3)
+
+    def _judge(self, epoch_s: float) -> Figures:
+        executions = [
+            one for one in self._site.executions(epoch_s=epoch_s) if one.started_s >= 0
+        ]
+        scripts = [one for caller in self._callers for one in caller.transcripts]
+        runs: dict[str, list[Executed]] = defaultdict(list)
+        for one in executions:
+            runs[one.key].append(one)
+        cut = [one for one in self._requests if one.killed is not None]
+        return Figures(
+            requests=len(self._requests),
+            breaches=tuple(judge(scripts, executions, epoch_s=epoch_s)),
+            cut_streams=len(cut),
+            completed=sum(_second_try_whole(one) for one in cut),
+            recomputed=sum(len(runs[one.job.key]) > 1 for one in cut),
+            executions=len(executions),
+            faults=dict(self._faults),
+            endings=dict(Counter(str(_last(one).ending) for one in self._requests)),
+        )
+
+
+def _last(request: _Request) -> Transcript:
+    return request.tries[-1].transcript
+
+
+def _second_try_whole(request: _Request) -> bool:
+    """Tell whether the try after the one whose host was killed was whole."""
+    following = request.tries[request.killed + 1 :]
+    return bool(following) and following[0].transcript.ending is Ending.WHOLE
--- a/baobabwing/bench/matrix/oracle.py
+++ b/baobabwing/bench/matrix/oracle.py
@@ -22,7 +22,7 @@
 class Breach:
     """A promise that was broken.
 
-    :param promise: ``once``, ``not_run`` or ``whole``.
+    :param promise: ``once``, ``not_run``, ``whole``, ``unasked`` or ``leaving``.
     """
 
     promise: str
@@ -47,6 +47,7 @@
         *_more_than_once(executed),
         *_false_not_run(transcripts, executed, epoch_s),
         *_wrong_answers(transcripts),
+        *_unasked(transcripts, executed),
     ]
 
 
@@ -116,6 +117,22 @@
     return breaches
 
 
+def _unasked(
+    transcripts: Sequence[Transcript], executed: Sequence[Executed]
+) -> list[Breach]:
+    """Find executions that no caller asked for.
+
+    To a plain service everything is a call; a look at its state or a second
+    request on behalf of one that is over would run it.
+    """
+    keys = {script.job.key for script in transcripts}
+    return [
+        Breach(promise="unasked", what=f"{one.upstream}: {one.attempt}")
+        for one in executed
+        if one.key not in keys
+    ]
+
+
 def _is_right_chat(script: Transcript) -> bool:
     expected = [token(script.job.text, index) for index in range(script.job.tokens)]
     expected = expected[script.first :]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,10 @@
 """A small deployment of real processes, shared by the tests that hurt it."""
 
+import json
 import time
 import uuid
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import pytest
 
@@ -19,6 +21,37 @@
     group = parser.getgroup("outcomes")
     group.addoption("--fuzz-seed", type=int, help="seed; fixed without one")
     group.addoption("--fuzz-examples", type=int, default=CI_EXAMPLES)
+    group.addoption("--campaign-requests", type=int, default=200)
+    group.addoption("--matrix", action="store_true", help="the long tests too")
+    group.addoption("--results", help="file that gets each test's outcome")
+
+
+def pytest_configure(config):
+    config.addinivalue_line("markers", "matrix: long; runs with --matrix only")
+
+
+def pytest_collection_modifyitems(config, items):
+    if config.getoption("--matrix"):
+        return
+    long_ones = [item for item in items if item.get_closest_marker("matrix")]
+    config.hook.pytest_deselected(items=long_ones)
+    items[:] = [item for item in items if not item.get_closest_marker("matrix")]
+
+
+_RESULTS = {}
+
+
+def pytest_runtest_logreport(report):
+    # A test that fails in its set-up or tear-down has failed.
+    ends = report.when == "call" or report.outcome != "passed"
+    if ends and _RESULTS.get(report.nodeid) != "failed":
+        _RESULTS[report.nodeid] = report.outcome
+
+
+def pytest_sessionfinish(session):
+    path = session.config.getoption("--results")
+    if path:
+        Path(path).write_text(json.dumps(_RESULTS), encoding="utf-8")
 
 
 @pytest.fixture
--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -28,6 +28,7 @@
     Then the caller gets the whole answer from it
     And the host ends with exit status 0
 
+  @matrix
   Scenario: A host is stopped while a chat turn waits for a place
     Given a chat turn that waits at a host, with all engines busy
     When the host is told to stop, twice
--- /dev/null
+++ b/tests/matrix/test_campaign.py
@@ -0,0 +1,22 @@
+"""Many requests under random kills, freezes and cuts; the figures are printed."""
+
+import pytest
+
+from baobabwing.bench.matrix.campaign import Campaign
+
+SEED = 4
+LEAST_COMPLETED = 0.95
+MOST_RECOMPUTED = 0.02
+
+
+@pytest.mark.matrix
+def test_campaign(site, request):
+    """Callers go on at another host whenever something fails on their way."""
+    number = request.config.getoption("--campaign-requests")
+    seed = request.config.getoption("--fuzz-seed") or SEED
+    figures = Campaign(site=site, requests=number, seed=seed).run()
+    print(figures.text())
+    assert not figures.breaches
+    assert figures.cut_streams
+    assert figures.completed >= LEAST_COMPLETED * figures.cut_streams
+    assert figures.recomputed <= MOST_RECOMPUTED * figures.cut_streams
