--- a/baobabwing/bench/relay_cost.py
+++ b/baobabwing/bench/relay_cost.py
@@ -27,7 +27,8 @@
 
 from baobabwing.bench.processes import ProcessGroup, free_port
 from baobabwing.entry.chunks import LAST_CHUNK, encode_chunk
-from baobabwing.entry.relay import finish_stream, relay_events, start_stream
+from baobabwing.entry.relay import relay_events
+from baobabwing.entry.streams import finish_stream, start_stream
 from baobabwing.entry.upstream import open_exchange
 
 __all__ = ["Figures", "app"]
--- /dev/null
+++ b/baobabwing/entry/bodies.py
@@ -0,0 +1,145 @@
+"""Answers in one piece: read whole, or passed on only when all of it is here."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+from baobabwing.entry.chunks import ChunkDecoder
+from baobabwing.entry.relay_report import (
+    CallerSlowError,
+    ForeignAnswerError,
+    StreamMalformedError,
+    StreamTruncatedError,
+)
+from baobabwing.entry.socket_timeouts import waiting
+from baobabwing.entry.upstream import CallerGoneError, UpstreamAnswer
+
+__all__ = ["read_body", "relay_body"]
+
+BLOCK_BYTES = 16_384
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+IDLE_TIMEOUT_S = 10.0
+CALLER_TIMEOUT_S = 5.0
+
+
+def read_body(
+    *,
+    answer: UpstreamAnswer,
+    expect_id: str = "",
+    limit_bytes: int = BODY_LIMIT_BYTES,
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
+) -> bytes:
+    """Read a whole body of bounded size, and release or discard the answer.
+
+    :param expect_id: the attempt that the head must name, unless empty.
+    :raises ForeignAnswerError: if the answer belongs to another attempt.
+    :raises StreamTruncatedError: if the body broke off or stalled.
+    :raises StreamMalformedError: if it is too large or has no end that tells.
+    :raises ChunkError: if its chunked coding is malformed.
+    """
+    whole = False
+    try:
+        if expect_id and answer.request_id != expect_id:
+            raise ForeignAnswerError(
+                "the head does not name this attempt", step="relay", peer=answer.peer
+            )
+        answer.sock.settimeout(idle_timeout_s)
+        body = _read_whole(answer, limit_bytes)
+        whole = True
+    finally:
+        if whole:
+            answer.release()
+        else:
+            answer.discard()
+    return body
+
+
+def relay_body(
+    *,
+    answer: UpstreamAnswer,
+    caller_socket: socket.socket,
+    send_head: Callable[[int], None],
+    expect_id: str = "",
+    limit_bytes: int = BODY_LIMIT_BYTES,
+    idle_timeout_s: float = IDLE_TIMEOUT_S,
+    caller_timeout_s: float = CALLER_TIMEOUT_S,
+) -> int:
+    """Give the caller a whole answer; nothing is sent before all of it is here.
+
+    :param send_head: called with the length of the body before it is sent.
+    :returns: the length of the body.
+    :raises CallerGoneError: if the caller closed its connection.
+    :raises CallerSlowError: if the caller did not take the answer in time.
+    """
+    body = read_body(
+        answer=answer,
+        expect_id=expect_id,
+        limit_bytes=limit_bytes,
+        idle_timeout_s=idle_timeout_s,
+    )
+    send_head(len(body))
+    with waiting(caller_socket, caller_timeout_s):
+        _send_whole(caller_socket, body)
+    return len(body)
+
+
+def _read_whole(answer: UpstreamAnswer, limit_bytes: int) -> bytes:
+    if answer.chunked:
+        return _read_chunked(answer, limit_bytes)
+    length = answer.content_length
+    if length is None:
+        raise _bad_body(answer, "the body has no length")
+    if length > limit_bytes:
+        raise _bad_body(answer, "the body is too large")
+    body = bytearray(answer.leftover)
+    while len(body) < length:
+        body += _read_block(answer)
+    if len(body) > length:
+        raise _bad_body(answer, "the body is longer than it says")
+    return bytes(body)
+
+
+def _read_chunked(answer: UpstreamAnswer, limit_bytes: int) -> bytes:
+    decoder = ChunkDecoder(peer=answer.peer)
+    body = bytearray()
+    block = answer.leftover
+    while True:
+        body += decoder.feed(block)
+        if len(body) > limit_bytes:
+            raise _bad_body(answer, "the body is too large")
+        if decoder.done:
+            break
+        block = _read_block(answer)
+    if decoder.spare:
+        raise _bad_body(answer, "bytes follow the body")
+    return bytes(body)
+
+
+def _read_block(answer: UpstreamAnswer) -> bytes:
+    try:
+        block = answer.sock.recv(BLOCK_BYTES)
+    except OSError as exc:
+        raise StreamTruncatedError(
+            f"broken: {type(exc).__name__}", step="read body", peer=answer.peer
+        ) from exc
+    if not block:
+        raise StreamTruncatedError(
+            "closed before its end", step="read body", peer=answer.peer
+        )
+    return block
+
+
+def _bad_body(answer: UpstreamAnswer, message: str) -> StreamMalformedError:
+    return StreamMalformedError(message, step="read body", peer=answer.peer)
+
+
+def _send_whole(caller: socket.socket, body: bytes) -> None:
+    try:
+        caller.sendall(body)
+    except TimeoutError as exc:
+        raise CallerSlowError(
+            "the caller did not take its answer", step="relay"
+        ) from exc
+    except OSError as exc:
+        raise CallerGoneError("the caller left", step="relay") from exc
--- a/baobabwing/entry/completions.py
+++ b/baobabwing/entry/completions.py
@@ -6,7 +6,9 @@
 import time
 import uuid
 
+from baobabwing.entry.admission import admitted_catalogue
 from baobabwing.entry.assembly import assemble, count_events
+from baobabwing.entry.bodies import read_body
 from baobabwing.entry.calls import HttpCall, answer_bytes, answer_json
 from baobabwing.entry.context import EntryContext
 from baobabwing.entry.credentials import Caller
@@ -19,18 +21,21 @@
     parse_key,
     parse_last_event,
 )
-from baobabwing.entry.relay import (
+from baobabwing.entry.relay import relay_events
+from baobabwing.entry.relay_report import (
     RelayReport,
     StreamMalformedError,
     StreamTruncatedError,
-    finish_stream,
-    read_body,
-    relay_events,
-    start_stream,
 )
 from baobabwing.entry.routes import route
 from baobabwing.entry.serving import Given, Serving, give_unknown, read_whole_stream
-from baobabwing.entry.streams import STREAM_HEADERS, end_partial
+from baobabwing.entry.streams import (
+    STREAM_HEADERS,
+    end_partial,
+    finish_stream,
+    require_chunks,
+    start_stream,
+)
 from baobabwing.entry.upstream import UpstreamAnswer
 from baobabwing.exceptions import RequestError, UpstreamError
 from baobabwing.pools.prefix_digest import prompt_prefix
@@ -55,7 +60,9 @@
 
 
 def _serve(context: EntryContext, call: HttpCall, *, chat: bool) -> None:
-    catalogue = context.require_catalogue()
+    catalogue = admitted_catalogue(context, call)
+    if catalogue is None:
+        return
     caller = catalogue.credentials.identify(
         call.header("Authorization"), call.header("X-Tier")
     )
@@ -64,6 +71,9 @@
         call.body(), chat=chat, most_tokens=limits.output_tokens
     )
     model = catalogue.resolve_model(caller.organisation.brand, completion.model)
+    if completion.stream:
+        # Found out only at the first event, the engine would run for nobody.
+        require_chunks(call.req)
     pool = catalogue.pool_of_model(model)
     request = Request(
         facts=_facts(call, caller, completion, pool.name, limits.request_ms)
--- a/baobabwing/entry/forward.py
+++ b/baobabwing/entry/forward.py
@@ -4,16 +4,12 @@
 
 from collections.abc import Callable
 
+from baobabwing.entry.bodies import read_body
 from baobabwing.entry.calls import HttpCall, answer_bytes
 from baobabwing.entry.parsing import parse_last_event
-from baobabwing.entry.relay import (
-    RelayReport,
-    finish_stream,
-    read_body,
-    relay_events,
-    start_stream,
-)
-from baobabwing.entry.streams import STREAM_HEADERS
+from baobabwing.entry.relay import relay_events
+from baobabwing.entry.relay_report import RelayReport
+from baobabwing.entry.streams import STREAM_HEADERS, finish_stream, start_stream
 from baobabwing.entry.upstream import UpstreamAnswer, open_exchange
 from baobabwing.exceptions import UpstreamError
 from baobabwing.fleet.host import Host
--- a/baobabwing/entry/relay.py
+++ b/baobabwing/entry/relay.py
@@ -7,17 +7,11 @@
 
 from __future__ import annotations
 
-import contextlib
 import json
 import select
 import socket
-import struct
 import time
-from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
-from http import HTTPStatus
-
-from cheroot.server import HTTPRequest
+from collections.abc import Callable
 
 from baobabwing.entry.chunks import (
     LAST_CHUNK,
@@ -25,27 +19,24 @@
     ChunkError,
     encode_chunk,
 )
+from baobabwing.entry.relay_report import (
+    GAP_OBJECTIVE_S,
+    CallerSlowError,
+    ForeignAnswerError,
+    RelayReport,
+    StreamError,
+    StreamMalformedError,
+    StreamTruncatedError,
+)
+from baobabwing.entry.socket_timeouts import blocking
 from baobabwing.entry.upstream import CallerGoneError, UpstreamAnswer
-from baobabwing.exceptions import BaobabwingError, RequestError, UpstreamError
-
-__all__ = [
-    "CallerSlowError",
-    "ForeignAnswerError",
-    "RelayReport",
-    "StreamMalformedError",
-    "StreamTruncatedError",
-    "check_attempt",
-    "finish_stream",
-    "read_body",
-    "relay_body",
-    "relay_events",
-    "start_stream",
-]
+from baobabwing.exceptions import BaobabwingError
+
+__all__ = ["check_attempt", "relay_events"]
 
 # No longer than a chunk whose size has three digits, its framing included.
 BLOCK_BYTES = 4_096
 EVENT_LIMIT_BYTES = 256 * 1024
-BODY_LIMIT_BYTES = 8 * 1024 * 1024
 # What a slow caller can leave waiting in the kernel before its relay blocks.
 SEND_BUFFER_BYTES = 256 * 1024
 FIRST_EVENT_TIMEOUT_S = 60.0
@@ -53,7 +44,6 @@
 CALLER_TIMEOUT_S = 5.0
 # How often a wait for the upstream is interrupted to see whether the caller left.
 CALLER_CHECK_S = 0.5
-GAP_OBJECTIVE_S = 0.055
 
 EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]"
@@ -68,64 +58,6 @@
 _GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
-@dataclass(frozen=True, kw_only=True)
-class RelayReport:
-    """What the caller of a stream has got, and when.
-
-    :param next_id: number of the event that is to follow; also the tokens given.
-    :param whole: whether the caller has the whole answer, its end included.
-    :param sent_bytes: bytes of the body written to the caller.
-    :param first_event_at: by the clock of the relay; none before it.
-    :param last_event_at: by the clock of the relay; none before the first.
-    :param gap_max_s: longest time between two blocks of events.
-    :param gaps_over: gaps longer than :data:`GAP_OBJECTIVE_S`.
-    """
-
-    next_id: int = 0
-    whole: bool = False
-    sent_bytes: int = 0
-    first_event_at: float | None = None
-    last_event_at: float | None = None
-    gap_max_s: float = 0.0
-    gaps_over: int = 0
-
-    @property
-    def last_event_id(self) -> int | None:
-        """Number of the last event the caller has, for resuming after it."""
-        return self.next_id - 1 if self.next_id else None
-
-    @property
-    def gap_sum_s(self) -> float:
-        """Sum of all gaps between events."""
-        if self.first_event_at is None or self.last_event_at is None:
-            return 0.0
-        return self.last_event_at - self.first_event_at
-
-
-class _StreamError(UpstreamError):
-    """A stream failed; ``report`` says what the caller has got of it."""
-
-    report: RelayReport = RelayReport()
-
-
-class StreamTruncatedError(_StreamError):
-    """The upstream's stream ended, broke or stalled before its whole end."""
-
-
-class StreamMalformedError(_StreamError):
-    """The upstream's stream is not what an engine may send."""
-
-
-class ForeignAnswerError(_StreamError):
-    """The answer belongs to another attempt; nothing of it was relayed."""
-
-
-class CallerSlowError(BaobabwingError):
-    """The caller did not take a block of its answer in time."""
-
-    report: RelayReport = RelayReport()
-
-
 def check_attempt(answer: UpstreamAnswer, expect_id: str) -> None:
     """Refuse an answer whose head names another attempt.
 
@@ -190,11 +122,11 @@
         check_attempt(answer, expect_id)
         caller_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         with (
-            _blocking(answer.sock, receive_s=CALLER_CHECK_S),
-            _blocking(caller_socket, send_s=caller_timeout_s),
+            blocking(answer.sock, receive_s=CALLER_CHECK_S),
+            blocking(caller_socket, send_s=caller_timeout_s),
         ):
             stream.run()
-    except (_StreamError, CallerSlowError, CallerGoneError) as exc:
+    except (StreamError, CallerSlowError, CallerGoneError) as exc:
         exc.report = stream.report()
         raise
     finally:
@@ -202,96 +134,6 @@
     return stream.report()
 
 
-def read_body(
-    *,
-    answer: UpstreamAnswer,
-    expect_id: str = "",
-    limit_bytes: int = BODY_LIMIT_BYTES,
-    idle_timeout_s: float = IDLE_TIMEOUT_S,
-) -> bytes:
-    """Read a whole body of bounded size, and release or discard the answer.
-
-    :param expect_id: the attempt that the head must name, unless empty.
-    :raises ForeignAnswerError: if the answer belongs to another attempt.
-    :raises StreamTruncatedError: if the body broke off or stalled.
-    :raises StreamMalformedError: if it is too large or has no end that tells.
-    :raises ChunkError: if its chunked coding is malformed.
-    """
-    whole = False
-    try:
-        if expect_id and answer.request_id != expect_id:
-            raise ForeignAnswerError(
-                "the head does not name this attempt", step="relay", peer=answer.peer
-            )
-        answer.sock.settimeout(idle_timeout_s)
-        body = _read_whole(answer, limit_bytes)
-        whole = True
-    finally:
-        if whole:
-            answer.release()
-        else:
-            answer.discard()
-    return body
-
-
-def relay_body(
-    *,
-    answer: UpstreamAnswer,
-    caller_socket: socket.socket,
-    send_head: Callable[[int], None],
-    expect_id: str = "",
-    limit_bytes: int = BODY_LIMIT_BYTES,
-    idle_timeout_s: float = IDLE_TIMEOUT_S,
-    caller_timeout_s: float = CALLER_TIMEOUT_S,
-) -> int:
-    """Give the caller a whole answer; nothing is sent before all of it is here.
-
-    :param send_head: called with the length of the body before it is sent.
-    :returns: the length of the body.
-    :raises CallerGoneError: if the caller closed its connection.
-    :raises CallerSlowError: if the caller did not take the answer in time.
-    """
-    body = read_body(
-        answer=answer,
-        expect_id=expect_id,
-        limit_bytes=limit_bytes,
-        idle_timeout_s=idle_timeout_s,
-    )
-    send_head(len(body))
-    with _waiting(caller_socket, caller_timeout_s):
-        _send_whole(caller_socket, body)
-    return len(body)
-
-
-def start_stream(req: HTTPRequest, headers: Iterable[tuple[bytes, bytes]]) -> None:
-    """Send the head of a stream and leave the body to :func:`relay_events`.
-
-    cheroot would end a chunked body by itself, also one that was cut off, and
-    would then take the next request on the connection. Both are turned off here,
-    so that whatever fails the caller sees a body without an end and a closed
-    connection; :func:`finish_stream` turns keeping the connection on again.
-
-    :raises RequestError: if the caller does not speak HTTP/1.1, which has chunks.
-    """
-    if req.response_protocol != "HTTP/1.1":
-        raise RequestError(
-            "streams need HTTP/1.1",
-            status=HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
-            code="http_version",
-        )
-    req.status = b"200 OK"
-    req.outheaders.extend(headers)
-    req.sent_headers = True
-    req.send_headers()
-    req.chunked_write = False
-    req.close_connection = True
-
-
-def finish_stream(req: HTTPRequest) -> None:
-    """Keep the caller's connection after a whole stream, unless the head said no."""
-    req.close_connection = (b"Connection", b"close") in req.outheaders
-
-
 class _EventStream:
     """One stream on its way from an upstream to a caller."""
 
@@ -598,110 +440,3 @@
     poll = select.poll()
     poll.register(caller, select.POLLRDHUP)
     return any(mask & _GONE for _, mask in poll.poll(0))
-
-
-def _read_whole(answer: UpstreamAnswer, limit_bytes: int) -> bytes:
-    if answer.chunked:
-        return _read_chunked(answer, limit_bytes)
-    length = answer.content_length
-    if length is None:
-        raise _bad_body(answer, "the body has no length")
-    if length > limit_bytes:
-        raise _bad_body(answer, "the body is too large")
-    body = bytearray(answer.leftover)
-    while len(body) < length:
-        body += _read_block(answer)
-    if len(body) > length:
-        raise _bad_body(answer, "the body is longer than it says")
-    return bytes(body)
-
-
-def _read_chunked(answer: UpstreamAnswer, limit_bytes: int) -> bytes:
-    decoder = ChunkDecoder(peer=answer.peer)
-    body = bytearray()
-    block = answer.leftover
-    while True:
-        body += decoder.feed(block)
-        if len(body) > limit_bytes:
-            raise _bad_body(answer, "the body is too large")
-        if decoder.done:
-            break
-        block = _read_block(answer)
-    if decoder.spare:
-        raise _bad_body(answer, "bytes follow the body")
-    return bytes(body)
-
-
-def _read_block(answer: UpstreamAnswer) -> bytes:
-    try:
-        block = answer.sock.recv(BLOCK_BYTES)
-    except OSError as exc:
-        raise StreamTruncatedError(
-            f"broken: {type(exc).__name__}", step="read body", peer=answer.peer
-        ) from exc
-    if not block:
-        raise StreamTruncatedError(
-            "closed before its end", step="read body", peer=answer.peer
-        )
-    return block
-
-
-def _bad_body(answer: UpstreamAnswer, message: str) -> StreamMalformedError:
-    return StreamMalformedError(message, step="read body", peer=answer.peer)
-
-
-def _send_whole(caller: socket.socket, body: bytes) -> None:
-    try:
-        caller.sendall(body)
-    except TimeoutError as exc:
-        raise CallerSlowError(
-            "the caller did not take its answer", step="relay"
-        ) from exc
-    except OSError as exc:
-        raise CallerGoneError("the caller left", step="relay") from exc
-
-
-@contextlib.contextmanager
-def _waiting(sock: socket.socket, timeout_s: float) -> Iterator[None]:
-    before = sock.gettimeout()
-    sock.settimeout(timeout_s)
-    try:
-        yield
-    finally:
-        _restore(sock, before)
-
-
-@contextlib.contextmanager
-def _blocking(
-    sock: socket.socket, *, receive_s: float = 0.0, send_s: float = 0.0
-) -> Iterator[None]:
-    """Let the kernel keep the time of a socket's calls.
-
-    With a timeout of its own the interpreter calls ``poll`` before each ``recv``
-    and ``send``; with the kernel's there is one call a block. A call that timed
-    out shows as ``BlockingIOError``.
-    """
-    before = sock.gettimeout()
-    sock.settimeout(None)
-    _set_kernel_timeouts(sock, receive_s, send_s)
-    try:
-        yield
-    finally:
-        _restore(sock, before)
-
-
-def _set_kernel_timeouts(sock: socket.socket, receive_s: float, send_s: float) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _timeval(receive_s))
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, _timeval(send_s))
-
-
-def _restore(sock: socket.socket, timeout_s: float | None) -> None:
-    # The socket may have been closed meanwhile; then there is nothing to restore.
-    with contextlib.suppress(OSError):
-        _set_kernel_timeouts(sock, 0.0, 0.0)
-        sock.settimeout(timeout_s)
-
-
-def _timeval(seconds: float) -> bytes:
-    whole = int(seconds)
-    return struct.pack("@ll", whole, int((seconds - whole) * 1_000_000))
--- a/baobabwing/entry/server.py
+++ b/baobabwing/entry/server.py
@@ -10,7 +10,7 @@
 from baobabwing.entry.calls import HttpCall, answer_error
 from baobabwing.entry.context import EntryContext
 from baobabwing.entry.events import REQUEST_FAULT
-from baobabwing.entry.relay import CallerSlowError
+from baobabwing.entry.relay_report import CallerSlowError
 from baobabwing.entry.routes import find_route
 from baobabwing.entry.slow import SlowSenderGuard
 from baobabwing.entry.upstream import CallerGoneError
--- a/baobabwing/entry/services.py
+++ b/baobabwing/entry/services.py
@@ -5,12 +5,13 @@
 import time
 import uuid
 
+from baobabwing.entry.admission import admitted_catalogue
+from baobabwing.entry.bodies import read_body
 from baobabwing.entry.calls import HttpCall, answer_bytes
 from baobabwing.entry.context import EntryContext
 from baobabwing.entry.dispatch import Dispatch, UpstreamCall
 from baobabwing.entry.ownership import serve_owned
 from baobabwing.entry.parsing import parse_deadline, parse_key
-from baobabwing.entry.relay import read_body
 from baobabwing.entry.routes import route
 from baobabwing.entry.serving import (
     STORED_ANSWER_BYTES,
@@ -36,7 +37,9 @@
 @route(PREFIX + "*")
 def serve_service(context: EntryContext, call: HttpCall) -> None:
     """Serve a call of a plain service."""
-    catalogue = context.require_catalogue()
+    catalogue = admitted_catalogue(context, call)
+    if catalogue is None:
+        return
     caller = catalogue.credentials.identify(
         call.header("Authorization"), call.header("X-Tier")
     )
--- a/baobabwing/entry/serving.py
+++ b/baobabwing/entry/serving.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from baobabwing.brands.limits import Exceeded
+from baobabwing.entry.bodies import read_body
 from baobabwing.entry.calls import HttpCall, answer_error
 from baobabwing.entry.context import EntryContext
 from baobabwing.entry.dispatch import (
@@ -21,11 +22,10 @@
     UpstreamCall,
 )
 from baobabwing.entry.events import REQUEST_CLOSED, UPSTREAM_MISMATCH
-from baobabwing.entry.relay import (
+from baobabwing.entry.relay_report import (
     ForeignAnswerError,
     RelayReport,
     StreamTruncatedError,
-    read_body,
 )
 from baobabwing.entry.upstream import CallerGoneError, UpstreamAnswer
 from baobabwing.exceptions import BaobabwingError, RequestError, UpstreamError
--- a/baobabwing/entry/streams.py
+++ b/baobabwing/entry/streams.py
@@ -4,11 +4,16 @@
 
 import contextlib
 import json
+from collections.abc import Iterable
+from http import HTTPStatus
+
+from cheroot.server import HTTPRequest
 
 from baobabwing.entry.calls import HttpCall
 from baobabwing.entry.chunks import LAST_CHUNK, encode_chunk
+from baobabwing.exceptions import RequestError
 
-__all__ = ["STREAM_HEADERS", "end_partial"]
+__all__ = ["STREAM_HEADERS", "end_partial", "finish_stream", "start_stream"]
 
 STREAM_HEADERS = (
     (b"Content-Type", b"text/event-stream"),
@@ -33,3 +38,32 @@
     with contextlib.suppress(OSError):
         call.caller_socket.sendall(encode_chunk(event) + LAST_CHUNK)
     call.req.close_connection = True
+
+
+def start_stream(req: HTTPRequest, headers: Iterable[tuple[bytes, bytes]]) -> None:
+    """Send the head of a stream and leave the body to :func:`relay_events`.
+
+    cheroot would end a chunked body by itself, also one that was cut off, and
+    would then take the next request on the connection. Both are turned off here,
+    so that whatever fails the caller sees a body without an end and a closed
+    connection; :func:`finish_stream` turns keeping the connection on again.
+
+    :raises RequestError: if the caller does not speak HTTP/1.1, which has chunks.
+    """
+    if req.response_protocol != "HTTP/1.1":
+        raise RequestError(
+            "streams need HTTP/1.1",
+            status=HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
+            code="http_version",
+        )
+    req.status = b"200 OK"
+    req.outheaders.extend(headers)
+    req.sent_headers = True
+    req.send_headers()
+    req.chunked_write = False
+    req.close_connection = True
+
+
+def finish_stream(req: HTTPRequest) -> None:
+    """Keep the caller's connection after a whole stream, unless the head said no."""
+    req.close_connection = (b"Connection", b"close") in req.outheaders
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -11,19 +11,17 @@
 from cheroot.server import Gateway, HTTPServer
 
 from baobabwing.entry import relay
+from baobabwing.entry.bodies import read_body, relay_body
 from baobabwing.entry.chunks import ChunkDecoder, encode_chunk
-from baobabwing.entry.relay import (
+from baobabwing.entry.relay import relay_events
+from baobabwing.entry.relay_report import (
     CallerSlowError,
     ForeignAnswerError,
     RelayReport,
     StreamMalformedError,
     StreamTruncatedError,
-    finish_stream,
-    read_body,
-    relay_body,
-    relay_events,
-    start_stream,
 )
+from baobabwing.entry.streams import finish_stream, start_stream
 from baobabwing.entry.upstream import CallerGoneError, UpstreamAnswer, open_exchange
 
 ATTEMPT = "attempt-1"
