Learn prefill rates only from what was prefilled and seen

Entries report neither what an engine took from its cache nor, for answers in one piece, when the first token came. An engine with one long prompt also looked slow to all that ran beside it.

Ruled out: the load client (late by 0.8 ms at p99) and the tick of the cell.

--- a/baobabwing/pools/state.py
+++ b/baobabwing/pools/state.py
@@ -283,6 +283,8 @@
         permit.prefill_s = choice.uncached / upstream.speed.prefill_tokens_per_s
         start = max(upstream.prefill_free_at, now)
         upstream.prefill_free_at = start + permit.prefill_s
+        upstream.prefill_given += choice.uncached
+        permit.prefill_mark = upstream.prefill_given
         if choice.low_prefill:
             permit.low_prefill_s = permit.prefill_s
             start = max(upstream.low_prefill_free_at, now)
--- a/baobabwing/pools/tracking.py
+++ b/baobabwing/pools/tracking.py
@@ -35,6 +35,7 @@
         "key",
         "low_prefill_s",
         "organisation",
+        "prefill_mark",
         "prefill_s",
         "prefix",
         "probe",
@@ -71,6 +72,7 @@
         self.uncached = 0
         self.wait_s = 0.0
         self.prefill_s = 0.0
+        self.prefill_mark = 0
         self.low_prefill_s = 0.0
         self.batch = 1
         self.probe = False
@@ -86,7 +88,8 @@
     :param pooled: what is learned of its generation.
 
     ``room`` is how many more requests it may be given; the state of the cell
-    keeps it up to date.
+    keeps it up to date. ``prefill_given`` counts the prompt tokens that it was
+    given to prefill; a permit's ``prefill_mark`` is that count after its own.
     """
 
     __slots__ = (
@@ -106,6 +109,7 @@
         "permits",
         "pooled",
         "prefill_free_at",
+        "prefill_given",
         "probe_after_s",
         "probe_at",
         "ramp_at",
@@ -135,6 +139,7 @@
         self.limit = upstream.capacity
         self.room = 0
         self.prefill_free_at = 0.0
+        self.prefill_given = 0
         self.low_prefill_free_at = 0.0
         self.last_done_at = 0.0
         self.last_event_at = 0.0
