--- a/baobabwing/brands/catalogue.py
+++ b/baobabwing/brands/catalogue.py
@@ -43,7 +43,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Brand:
-    """A brand under which the operator sells the service."""
+    """A brand under which the operator sells the service.
+
+    :param name: unique among brands.
+    :param prefill_cost_per_million: what prefill costs the brand, for reports.
+    """
 
     name: str
     prefill_cost_per_million: float = 0.0
@@ -53,7 +57,10 @@
 class Organisation:
     """A customer of a brand.
 
+    :param name: unique among organisations of all brands.
+    :param brand: whose customer it is.
     :param weight: share among the organisations of one tier, in tokens.
+    :param limits: bounds on what it may use.
     """
 
     name: str
@@ -66,6 +73,7 @@
 class Credential:
     """A caller's key, kept only as its digest.
 
+    :param name: tells it from others; not the key.
     :param sha256: hexadecimal SHA-256 digest of the key.
     :param organisation: whose key it is.
     :param tier: tier of the requests that carry the key.
--- a/baobabwing/brands/operators.py
+++ b/baobabwing/brands/operators.py
@@ -36,6 +36,7 @@
 class Operator:
     """Somebody who looks after the system, or after some of its brands.
 
+    :param name: author of what the operator changes.
     :param sha256: hexadecimal SHA-256 digest of the operator's token.
     :param role: what the operator may do.
     :param brands: the brands that the operator is confined to; empty for all.
--- a/baobabwing/pools/catalogue.py
+++ b/baobabwing/pools/catalogue.py
@@ -26,12 +26,16 @@
 class Upstream:
     """One engine worker or one worker of a plain service.
 
+    :param name: unique among upstreams.
+    :param pool: the pool that it belongs to.
     :param address: ``host:port`` with the host as an IP number.
+    :param zone: availability zone.
     :param generation: hardware generation; peers of one are compared.
     :param capacity: requests it is given at one time.
     :param prefill_tokens_per_s: starting estimate, replaced by what is learned.
     :param step_ms: starting estimate of one decoding step, in milliseconds.
     :param checks_fencing: whether it refuses orders with an old fencing number.
+    :param state: whether it may be given new work.
     """
 
     name: str
@@ -50,6 +54,8 @@
 class Pool:
     """Upstreams that can answer the same requests.
 
+    :param name: unique among pools.
+    :param kind: whether engines or plain services answer.
     :param models: model names that callers use; empty for plain services.
     :param cell_size: most upstreams that one home orders.
     :param policy: name in the registry of :mod:`baobabwing.pools.policies`.
--- a/baobabwing/settings/checker.py
+++ b/baobabwing/settings/checker.py
@@ -12,7 +12,7 @@
 
 from baobabwing.exceptions import SettingsError
 
-__all__ = ["FieldError", "Rule", "build", "is_address", "rule", "set_rules"]
+__all__ = ["FieldError", "Rule", "build", "is_address", "rule", "rule_of", "set_rules"]
 
 _RULE = "rule"
 _FOUND_LENGTH = 60
@@ -152,7 +152,7 @@
     return {
         item.name: _FieldShape(
             hint=hints[item.name],
-            limits=_rule_of(cls, item),
+            limits=rule_of(cls, item),
             required=item.default is MISSING and item.default_factory is MISSING,
         )
         for item in fields(cls)
@@ -166,7 +166,8 @@
     )
 
 
-def _rule_of(cls: type, item: Field) -> Rule:
+def rule_of(cls: type, item: Field) -> Rule:
+    """Return what a field of a data class allows beyond its type."""
     given = _RULES.get(cls, {}).get(item.name)
     return given or item.metadata.get(_RULE, Rule())
 
--- a/baobabwing/settings/schema.py
+++ b/baobabwing/settings/schema.py
@@ -70,13 +70,18 @@
     """Everything a node reads from its own settings file.
 
     :param name: name of the node, unique in the fleet.
+    :param region: where the node runs; zones belong to one region.
+    :param zone: availability zone of the node.
     :param http: address where callers connect.
     :param peer: address where other nodes connect, over TCP and UDP.
     :param platform_url: base of the platform's HTTP interface.
     :param platform_timeout_ms: wait for an answer of the platform.
     :param peer_secrets: shared by all nodes; the first signs, all verify.
+    :param log_level: least level of the events that are logged.
     :param address_keep_ms: how long callers keep an address answer.
     :param stop_deadline_ms: longest graceful shutdown.
+    :param limits: bounds on what callers may send.
+    :param membership: pace of the membership protocol.
     """
 
     name: str = rule(least=1, most=63, check=_is_name, words="of a-z, 0-9 and -")
