Log faults without the text that they carry

Ruled out: masking known keys in log lines, which would miss prompts. Change: faults at the entry and of peers' messages are logged as a type and a place in the code; the path of the call is no longer logged, since paths of services are the caller's. Bad chunks are refused with a 400 as not run. Conclusion: an error of a thread outside the entry's calls and peers' messages still prints its traceback; none was seen to hold a caller's text.

--- a/baobabwing/entry/calls.py
+++ b/baobabwing/entry/calls.py
@@ -105,6 +105,17 @@
             body = self.req.rfile.read(self._body_limit + 1)
         except MaxSizeExceeded as exc:
             raise self._too_large() from exc
+        except ValueError as exc:
+            # A chunk whose size is no number: where the next one begins, and so
+            # the next request, is not to be known.
+            self.req.close_connection = True
+            raise RequestError(
+                "the body's chunks cannot be read",
+                status=400,
+                code="bad_request",
+                field="body",
+                step="read",
+            ) from exc
         if len(body) > self._body_limit:
             raise self._too_large()
         return body
--- a/baobabwing/entry/server.py
+++ b/baobabwing/entry/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import threading
 from http import HTTPStatus
 
@@ -16,6 +17,7 @@
 from baobabwing.entry.upstream import CallerGoneError
 from baobabwing.exceptions import RequestError
 from baobabwing.reports.events import log
+from baobabwing.reports.faults import describe_fault
 from baobabwing.requests.outcome import Outcome
 
 __all__ = ["EntryServer"]
@@ -81,7 +83,8 @@
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
-        log(REQUEST_FAULT, error=msg[:500])
+        exc = sys.exc_info()[1]
+        log(REQUEST_FAULT, error=describe_fault(exc) if exc else msg[:500])
 
 
 class EntryServer:
@@ -148,7 +151,7 @@
             self.req.close_connection = True
             raise
         except Exception as exc:
-            log(REQUEST_FAULT, error=f"{type(exc).__name__}: {exc}", path=call.path)
+            log(REQUEST_FAULT, error=describe_fault(exc))
             self.req.close_connection = True
             if not self.req.sent_headers:
                 self._answer_fault(call)
--- a/baobabwing/wire/peers.py
+++ b/baobabwing/wire/peers.py
@@ -17,6 +17,7 @@
 
 from baobabwing.exceptions import BaobabwingError, PeerError, WireError
 from baobabwing.reports.events import log
+from baobabwing.reports.faults import describe_fault
 from baobabwing.wire.events import HANDSHAKE_REFUSED, PEER_HANDLER_FAILED, PEER_LOST
 from baobabwing.wire.framing import FrameSocket, accept_handshake, open_handshake
 from baobabwing.wire.messages import Failure, Message
@@ -152,7 +153,7 @@
                 PEER_HANDLER_FAILED,
                 peer=caller.identity,
                 kind=type(message).__name__,
-                error=f"{type(exc).__name__}: {exc}",
+                error=describe_fault(exc),
             )
             return Failure(text=type(exc).__name__)
 
