Ask peers before a starting node takes what the store shows

Cause: a restarted node took the store's answer first, so a store that answered from the past was served until gossip corrected it. And publishing again after a lost answer told a conflict when the store's reads lagged, although the change had taken effect: a version below the base proves nothing about the write. Ruled out: a fault of the keeper; with its check removed the histories fail too. Change: a starting node asks up to three peers and offers the highest before it reads the store; without any peer it waits one second for one. Publishing says that the effect is unknown while reads lag after an uncertain try. Conclusion: a restart under a stale store is safe as long as one peer is heard.

--- a/baobabwing/node/spread.py
+++ b/baobabwing/node/spread.py
@@ -5,12 +5,16 @@
 whatever its size. Whoever finds a new version has its number ride on the
 membership's datagrams; a node that hears a number fetches the document from the
 peer that told it, or from the store.
+
+A starting node holds nothing that would show a store to answer from the past,
+so it asks its peers first and takes the highest version that it is given.
 """
 
 from __future__ import annotations
 
 import random
 import threading
+import time
 from collections.abc import Callable
 
 from baobabwing.exceptions import (
@@ -37,7 +41,10 @@
 LEAST_LOOK_INTERVAL_S = 1.0
 FETCH_TIMEOUT_S = 1.0
 RETRY_PAUSE_S = 0.2
+CATCH_UP_WAIT_S = 1.0
 PEERS_TRIED = 3
+# Joining takes a few probes; a node without any peer waits this long for one.
+JOIN_GRACE_S = 1.0
 
 
 class ConfigurationSpreader:
@@ -65,6 +72,7 @@
         self._view = view
         self._on_heard_platform = on_heard_platform
         self._tellers: list[Host] = []
+        self._alone_until = time.monotonic() + JOIN_GRACE_S
         self._stopping = threading.Event()
         self._rng = random.Random()
 
@@ -92,12 +100,34 @@
             return ConfigurationAnswer(version=cfg.version if cfg else 0)
         return ConfigurationAnswer(version=cfg.version, document=deflate(cfg))
 
+    def look(self) -> None:
+        """Look once for the newest configuration."""
+        if self._keeper.current() is not None:
+            self._fetch_from_store()
+            return
+        peers = self._others()
+        if not peers and time.monotonic() < self._alone_until:
+            return
+        # A store that was restored from a copy shows an old version, which a
+        # node without memory would serve until its peers corrected it. They are
+        # asked first; what the store then shows counts only if it is newer.
+        self._take_highest(peers)
+        self._fetch_from_store()
+
+    def catch_up(self, timeout_s: float = 0.0) -> bool:
+        """Fetch a version that was heard of, if there is one.
+
+        :param timeout_s: how long to wait until one is heard of.
+        :returns: false if it is heard of and could not be fetched.
+        """
+        version = self._keeper.wait_until_behind(timeout_s)
+        if not version:
+            return True
+        return self._fetch_from_peers(version) or self._fetch_from_store()
+
     def _look(self) -> None:
         while not self._stopping.is_set():
-            self._fetch_from_store()
-            if self._keeper.current() is None:
-                # A starting node that finds the store down asks its peers.
-                self._fetch_from_peers(1)
+            self.look()
             self._stopping.wait(self._look_interval_s())
 
     def _look_interval_s(self) -> float:
@@ -113,10 +143,7 @@
 
     def _catch_up(self) -> None:
         while not self._stopping.is_set():
-            version = self._keeper.wait_until_behind(1.0)
-            if not version:
-                continue
-            if not (self._fetch_from_peers(version) or self._fetch_from_store()):
+            if not self.catch_up(CATCH_UP_WAIT_S):
                 self._stopping.wait(RETRY_PAUSE_S)
 
     def _fetch_from_store(self) -> bool:
@@ -137,11 +164,22 @@
                 return True
         return False
 
+    def _take_highest(self, peers: list[Host]) -> None:
+        answers = [(self._ask(host, 1), host) for host in peers[:PEERS_TRIED]]
+        found = [(cfg, host) for cfg, host in answers if cfg is not None]
+        if found:
+            cfg, host = max(found, key=lambda one: one[0].version)
+            self._keeper.offer(cfg, source=host.name)
+
     def _candidates(self) -> list[Host]:
         """Return peers to ask: those who told of a version, then a few others."""
+        return [*self._tellers, *self._others()[:PEERS_TRIED]]
+
+    def _others(self) -> list[Host]:
+        """Return the serving peers in random order."""
         others = [one for one in self._view().serving() if one.name != self._me.name]
         self._rng.shuffle(others)
-        return [*self._tellers, *others[:PEERS_TRIED]]
+        return others
 
     def _ask(self, host: Host, version: int) -> Configuration | None:
         query = ConfigurationQuery(least=version)
--- a/baobabwing/settings/publish.py
+++ b/baobabwing/settings/publish.py
@@ -60,7 +60,7 @@
     uncertain: PlatformUncertainError | None = None
     for _ in range(_ATTEMPTS):
         try:
-            return _publish_once(tables, cfg)
+            return _publish_once(tables, cfg, uncertain=uncertain is not None)
         except PlatformUncertainError as exc:
             # The write may have taken effect although its answer was lost, or
             # may still take effect. The next round reads back by attempt id and
@@ -84,45 +84,67 @@
     stored = fetch_stored(tables)
     if stored is None or stored.cfg.version < version:
         return False
-    if stored.cfg.version == version:
-        return stored.cfg.attempt == attempt
-    past = fetch_version(tables, version)
-    return past is not None and past.attempt == attempt
+    written = _version_at(tables, stored, version)
+    return written is not None and written.attempt == attempt
+
 
+def _publish_once(
+    tables: Tables, cfg: Configuration, *, uncertain: bool
+) -> Configuration:
+    """Try once.
 
-def _publish_once(tables: Tables, cfg: Configuration) -> Configuration:
+    :param uncertain: whether an earlier try may have taken effect.
+    """
     base = cfg.version - 1
     stored = fetch_stored(tables)
     current = stored.cfg.version if stored else 0
     if current != base:
-        return _settle(tables, cfg)
+        return _settle(tables, stored, cfg, uncertain=uncertain)
     _keep_history(tables, stored)
     document = dump_configuration(cfg)
     expected = stored.row_version if stored else None
     try:
         tables.put(CONFIGURATION_TABLE, CURRENT_KEY, document, expected=expected)
-    except ConflictError as exc:
-        stored = fetch_stored(tables)
-        if stored is None or stored.cfg.version < cfg.version:
-            # The row has changed, perhaps by an earlier try of this attempt, but
-            # the read came from before that. It cannot tell by whom.
-            raise PlatformUncertainError("reads lag", step="publish") from exc
-        return _settle(tables, cfg)
+    except ConflictError:
+        # The row has changed, perhaps by an earlier try of this attempt.
+        return _settle(tables, fetch_stored(tables), cfg, uncertain=True)
     _try_keep_history(tables, cfg)
     return cfg
 
 
-def _settle(tables: Tables, cfg: Configuration) -> Configuration:
-    if find_attempt(tables, version=cfg.version, attempt=cfg.attempt):
+def _settle(
+    tables: Tables,
+    stored: StoredConfiguration | None,
+    cfg: Configuration,
+    *,
+    uncertain: bool,
+) -> Configuration:
+    written = _version_at(tables, stored, cfg.version) if stored else None
+    if written is not None and written.attempt == cfg.attempt:
         _try_keep_history(tables, cfg)
         return cfg
+    if uncertain and written is None:
+        # The store shows what was before this version, so it cannot tell who
+        # wrote it. A conflict told now could be one with the own change.
+        raise PlatformUncertainError("reads lag", step="publish")
+    base = cfg.version - 1
     raise ConflictError(
-        f"version {cfg.version - 1} is no longer current: "
-        f"{_changes_since(tables, cfg.version - 1)}",
+        f"version {base} is no longer current: {_changes_since(tables, base)}",
         step="publish",
     )
 
 
+def _version_at(
+    tables: Tables, stored: StoredConfiguration, version: int
+) -> Configuration | None:
+    """Return the configuration of a version, if the store shows it."""
+    if stored.cfg.version < version:
+        return None
+    if stored.cfg.version == version:
+        return stored.cfg
+    return fetch_version(tables, version)
+
+
 def _keep_history(tables: Tables, stored: StoredConfiguration | None) -> None:
     # The process that published the current version may have died before it
     # wrote the history. Replacing that version now would lose who made it and
