Let a draining host take up what is withdrawn meanwhile

Cause: a node that the configuration names as leaving dropped that version and all later ones, while it still served callers for the address's keep time. A key withdrawn in that time was served there until the process ended. Ruled out: the spread; the node held the version and did not apply it. Change: a draining node that served before applies versions; one that is started again takes none and ends, as before. Its log says once that it drains. Tests over real processes, three nodes and two engines: a moved brand, a drained host, a drained engine, a rolled version, a command killed half-way, two racing operators, a frozen node, a store that answers from the past, a start with seeds only and a start with nothing. The test of the withdrawn key was red (only 200 until the process ended) and is green; the others were green at once.

--- a/baobabwing/node/node.py
+++ b/baobabwing/node/node.py
@@ -253,9 +253,11 @@
         if self.me.name in {host.name for host in cfg.leaving_hosts}:
             # Nothing is undone by a restart: a host that was told to leave and
             # is started again all the same never takes a request.
-            log(NODE_DRAINED, name=self.me.name, version=cfg.version)
-            self._on_drain()
-            return
+            self._drain(cfg)
+            if "starting" in self.readiness.reasons():
+                return
+        # A host that drains still serves callers that keep its address, so it
+        # takes up what is withdrawn meanwhile.
         self.context.catalogue = Catalogue(cfg=cfg)
         self.homes.configure(cfg)
         self.slices.configure(cfg)
@@ -267,6 +269,11 @@
             self.readiness.clear("starting")
             log(NODE_READY, name=self.me.name, version=cfg.version)
 
+    def _drain(self, cfg: Configuration) -> None:
+        if not self.context.leaving.is_set():
+            log(NODE_DRAINED, name=self.me.name, version=cfg.version)
+        self._on_drain()
+
     def _see(self, view: FleetView) -> None:
         self._view_changed.set()
 
