Tell no "not run" of a key that an earlier try may have run

Cause: a host that leaves or is cut off answered every call "not run", also a second try whose first had run here or elsewhere; found by fuzzing once hosts could stop taking calls. And a stream for a caller of HTTP/1.0 was refused, as "not run", only when the engine's first event came. Ruled out: serving second tries while leaving, which would never end. Change: a host that takes nothing says "not run" only of calls without a key and of keys that it owns and never saw, "unknown" of others; callers that cannot take a stream are refused before the dispatch, with the field.

--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,26 @@
 .PHONY: binary
 binary: env
 	$(BIN)/python packaging/build.py
+
+# Every fault at every step over real processes; writes docs/FAULTS.md.
+MATRIX_TESTS := tests/features tests/matrix tests/guards tests/requests tests/homes \
+	tests/node tests/orders tests/settings tests/fleet
+.PHONY: matrix fuzz
+matrix: env
+	@mkdir -p out
+	$(BIN)/python -m pytest $(MATRIX_TESTS) --matrix --show-capture=no \
+		--results out/matrix.json; status=$$?; \
+	$(BIN)/python -m baobabwing.bench.matrix.table docs/FAULTS.md out/matrix.json; \
+	exit $$status
+
+# make fuzz SEED=7 EXAMPLES=400 PROCESS_EXAMPLES=20 REQUESTS=2000
+SEED ?= 4
+EXAMPLES ?= 400
+PROCESS_EXAMPLES ?= 10
+REQUESTS ?= 2000
+fuzz: env
+	$(BIN)/python -m pytest tests/matrix/test_fuzz_in_process.py --show-capture=no \
+		--fuzz-seed $(SEED) --fuzz-examples $(EXAMPLES)
+	$(BIN)/python -m pytest tests/matrix/test_fuzz_processes.py \
+		tests/matrix/test_campaign.py --matrix -s --fuzz-seed $(SEED) \
+		--process-examples $(PROCESS_EXAMPLES) --campaign-requests $(REQUESTS)
--- /dev/null
+++ b/baobabwing/entry/admission.py
@@ -0,0 +1,63 @@
+"""Whether this node takes a call, and what is told truthfully if it does not."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from cheroot.server import HTTPRequest
+
+from baobabwing.entry.calls import HttpCall, answer_error
+from baobabwing.entry.context import Catalogue, EntryContext
+from baobabwing.exceptions import RequestError
+from baobabwing.requests.keys import parse_bound_key
+from baobabwing.requests.outcome import Outcome
+
+__all__ = ["admitted_catalogue", "require_chunks"]
+
+ELSEWHERE_RETRY_S = 1.0
+
+
+def admitted_catalogue(context: EntryContext, call: HttpCall) -> Catalogue | None:
+    """Return the catalogue to serve by, or tell the caller why there is none.
+
+    A node that leaves or is cut off looks nothing up for anybody. A call without
+    a key, or with one that this node owns and never saw, did not run. Any other
+    key may have run for an earlier try; "not run" would be false of it.
+
+    :returns: ``None`` if the caller was answered.
+    :raises RequestError: 503 if the request certainly did not run.
+    """
+    try:
+        return context.require_catalogue()
+    except RequestError as exc:
+        if _is_new(context, call.header("Idempotency-Key")):
+            raise
+        answer_error(
+            call, exc, outcome=Outcome.UNKNOWN, retry_after_s=ELSEWHERE_RETRY_S
+        )
+        return None
+
+
+def require_chunks(req: HTTPRequest) -> None:
+    """Refuse a caller that cannot take a stream, before anything is dispatched.
+
+    :raises RequestError: if the caller does not speak HTTP/1.1, which has chunks.
+    """
+    if req.response_protocol != "HTTP/1.1":
+        raise RequestError(
+            "streams need HTTP/1.1",
+            status=HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
+            code="http_version",
+            field="stream",
+        )
+
+
+def _is_new(context: EntryContext, key: str) -> bool:
+    """Tell whether no earlier try with a key can have been dispatched."""
+    if not key:
+        return True
+    bound = parse_bound_key(key)
+    if bound is None:
+        return False
+    me = (context.me.name, context.me.incarnation)
+    return me == (bound.node, bound.incarnation) and not context.registry.knows(key)
--- a/baobabwing/entry/completions.py
+++ b/baobabwing/entry/completions.py
@@ -6,7 +6,7 @@
 import time
 import uuid
 
-from baobabwing.entry.admission import admitted_catalogue
+from baobabwing.entry.admission import admitted_catalogue, require_chunks
 from baobabwing.entry.assembly import assemble, count_events
 from baobabwing.entry.bodies import read_body
 from baobabwing.entry.calls import HttpCall, answer_bytes, answer_json
@@ -33,7 +33,6 @@
     STREAM_HEADERS,
     end_partial,
     finish_stream,
-    require_chunks,
     start_stream,
 )
 from baobabwing.entry.upstream import UpstreamAnswer
--- a/baobabwing/requests/registry.py
+++ b/baobabwing/requests/registry.py
@@ -51,6 +51,11 @@
         with self._lock:
             return self._keyed.get((organisation, key))
 
+    def knows(self, key: str) -> bool:
+        """Tell whether any organisation has a request with this key here."""
+        with self._lock:
+            return any(used == key for _, used in self._keyed)
+
     def leave(self, request: Request, now: float) -> None:
         """Note that a request has closed."""
         facts = request.facts
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -21,6 +21,7 @@
     group = parser.getgroup("outcomes")
     group.addoption("--fuzz-seed", type=int, help="seed; fixed without one")
     group.addoption("--fuzz-examples", type=int, default=CI_EXAMPLES)
+    group.addoption("--process-examples", type=int, default=10)
     group.addoption("--campaign-requests", type=int, default=200)
     group.addoption("--matrix", action="store_true", help="the long tests too")
     group.addoption("--results", help="file that gets each test's outcome")
--- a/tests/entry/test_caller_errors.py
+++ b/tests/entry/test_caller_errors.py
@@ -140,6 +140,25 @@
     assert _call(running_site, CHAT, _chat())[0] == 200
 
 
+def test_stream_for_a_caller_without_chunks(running_site):
+    """An old client asks for a stream by HTTP/1.0, which has no chunks.
+
+    It must be refused before the engine runs: told at the first event, "not run"
+    would be false.
+    """
+    before = _executed(running_site)
+    conn = http.client.HTTPConnection(running_site.nodes["node-1"], timeout=10)
+    conn._http_vsn, conn._http_vsn_str = 10, "HTTP/1.0"
+    key = running_site.shape.credential_key("pocitos", "chat")
+    headers = {"Authorization": f"Bearer {key}"}
+    conn.request("POST", CHAT, body=_chat(stream=True), headers=headers)
+    resp = conn.getresponse()
+    error = json.loads(resp.read())["error"]
+    conn.close()
+    assert (resp.status, error["outcome"], error["param"]) == (505, "not_run", "stream")
+    assert _executed(running_site) == before
+
+
 def test_other_method_is_refused(running_site):
     status, document = _call(running_site, CHAT, None, method="GET")
     assert (status, document["error"]["param"]) == (405, "method")
--- a/tests/matrix/test_fuzz_in_process.py
+++ b/tests/matrix/test_fuzz_in_process.py
@@ -596,6 +596,11 @@
     def kill_node(self, name):
         self.world.kill(name)
 
+    @rule(name=nodes, ready=st.booleans())
+    def ready(self, name, ready):
+        readiness = self.world.nodes[name].context.readiness
+        (readiness.clear if ready else readiness.block)("leaving")
+
     @rule()
     def replace_home(self):
         self.world.replace_home()
