Charge organisations what they used, and leave no request open after an error

Cause: the limits were settled with the estimate, so 500 tokens asked and 3 given cost 510; an error between the look at the key and the limits left the request open, which a graceful stop then waits for. Change: settled by the tokens given; what raises before the dispatch ends the request as not run. Before: both tests red (charged 510; one request open). After: both green.

--- a/baobabwing/entry/serving.py
+++ b/baobabwing/entry/serving.py
@@ -61,6 +61,17 @@
 Give = Callable[[Request, Dispatch], Given]
 
 
+@dataclass(kw_only=True)
+class _Used:
+    """Tokens that a request is charged in the end.
+
+    Nothing if it did not run, its estimate if its answer broke off, and what it
+    took if it was answered.
+    """
+
+    tokens: float = 0.0
+
+
 class Serving:
     """Serves requests that this node owns.
 
@@ -79,12 +90,17 @@
         :param give: gives the caller the answer and tells what it was given.
         """
         arrived = time.monotonic()
-        ticket = self._admit(call, request)
         try:
-            self._run(call, request, upstream_call, give, arrived)
+            ticket = self._admit(request)
+        except BaseException:
+            self._drop(request)
+            raise
+        used = _Used()
+        try:
+            self._run(call, request, upstream_call, give, arrived, used)
         finally:
             if ticket is not None:
-                self.context.limits.settle(ticket, _used_tokens(request))
+                self.context.limits.settle(ticket, used.tokens)
 
     def _run(
         self,
@@ -93,6 +109,7 @@
         upstream_call: UpstreamCall,
         give: Give,
         arrived: float,
+        used: _Used,
     ) -> None:
         try:
             dispatch = self.dispatcher.dispatch(
@@ -109,12 +126,22 @@
             self._close(request, "cancelled")
             raise
         except BaseException:
+            self._drop(request)
+            raise
+        given = self._answer(call, request, dispatch, give, arrived, used)
+        used.tokens = request.facts.prompt_tokens + given.report.next_id
+
+    def _drop(self, request: Request) -> None:
+        """End a request that met an error before its dispatch.
+
+        One left open would be counted as in use, and hold up a graceful stop,
+        for as long as the node runs.
+        """
+        if request.outcome is None:
             request.give_up()
             self._close(request, "refused")
-            raise
-        self._answer(call, request, dispatch, give, arrived)
 
-    def _admit(self, call: HttpCall, request: Request) -> Ticket | None:
+    def _admit(self, request: Request) -> Ticket | None:
         """Charge the request to its organisation's limits.
 
         :raises RequestError: 429 if a limit is exceeded.
@@ -149,8 +176,10 @@
         dispatch: Dispatch,
         give: Give,
         arrived: float,
-    ) -> None:
+        used: _Used,
+    ) -> Given:
         facts = request.facts
+        used.tokens = facts.prompt_tokens + facts.output_tokens
         self.context.metrics.prefill.labels(facts.brand).inc(facts.prompt_tokens)
         try:
             given = give(request, dispatch)
@@ -160,7 +189,7 @@
             given = Given(outcome=Outcome.UNKNOWN)
             self._end(request, dispatch, given, arrived)
             give_unknown(call, request, "the upstream gave another answer")
-            return
+            return given
         except BaobabwingError as exc:
             report = getattr(exc, "report", RelayReport())
             given = Given(outcome=Outcome.PARTIAL, report=report, cancelled=True)
@@ -172,6 +201,7 @@
             )
             raise
         self._end(request, dispatch, given, arrived)
+        return given
 
     def _leave(
         self, request: Request, dispatch: Dispatch, given: Given, arrived: float
@@ -280,13 +310,6 @@
         log(REQUEST_CLOSED, request_id=facts.request_id, outcome=counted_as)
 
 
-def _used_tokens(request: Request) -> float:
-    """Return what an ended request is charged; nothing if it did not run."""
-    if request.outcome is Outcome.NOT_RUN:
-        return 0.0
-    return request.facts.prompt_tokens + request.facts.output_tokens
-
-
 def give_unknown(call: HttpCall, request: Request, message: str) -> None:
     """Tell a caller that its request may have run."""
     error = RequestError(message, status=502, code="outcome_unknown", step="relay")
--- /dev/null
+++ b/tests/entry/test_serving.py
@@ -0,0 +1,112 @@
+"""A request is charged what it used, and never left open by an error."""
+
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from baobabwing.brands.catalogue import Organisation
+from baobabwing.entry.dispatch import Dispatch
+from baobabwing.entry.relay_report import RelayReport
+from baobabwing.entry.serving import Given, Serving
+from baobabwing.exceptions import RequestError
+from baobabwing.reports.metrics import NodeMetrics
+from baobabwing.requests.outcome import Outcome
+from baobabwing.requests.registry import RequestRegistry
+from baobabwing.requests.request import Placement, Request, RequestFacts
+
+PLACEMENT = Placement(upstream="e", address="127.0.0.1:9", attempt_id="r.e", cell="p/0")
+
+
+class Limits:
+    """Takes every request and keeps what it was charged in the end."""
+
+    def __init__(self):
+        self.settled = []
+
+    def admit(self, organisation, tokens):
+        return "ticket"
+
+    def settle(self, ticket, tokens):
+        self.settled.append(tokens)
+
+
+class Context(SimpleNamespace):
+    """The parts of a node that serving a request touches."""
+
+    def require_catalogue(self):
+        if not self.ready:
+            raise RequestError("not ready", status=503, code="not_ready")
+        organisation = Organisation(name="o", brand="b")
+        return SimpleNamespace(organisation=lambda name: organisation)
+
+
+@pytest.fixture
+def serving():
+    registry = RequestRegistry(retention_s=600.0)
+    context = Context(
+        ready=True,
+        limits=Limits(),
+        metrics=NodeMetrics(),
+        registry=registry,
+        permits=SimpleNamespace(done=lambda message: None),
+    )
+    made = Serving(context=context)
+
+    def dispatch(request, upstream_call, caller):
+        request.permit(PLACEMENT)
+        request.dispatch()
+        return Dispatch(placement=PLACEMENT, answer=None, dispatched_at=0.0)
+
+    made.dispatcher.dispatch = dispatch
+    return made
+
+
+def entered(serving):
+    request = Request(
+        facts=RequestFacts(
+            request_id="r",
+            key="",
+            brand="b",
+            organisation="o",
+            tier="chat",
+            tier_rank=0,
+            pool="p",
+            prompt_tokens=10,
+            output_tokens=500,
+            deadline=time.monotonic() + 60,
+        )
+    )
+    assert serving.context.registry.enter(request, 0.0) is None
+    return request
+
+
+CALL = SimpleNamespace(caller_socket=None)
+
+
+def test_an_organisation_is_charged_what_its_request_used(serving):
+    """An organisation would be refused for tokens that nobody gave it.
+
+    It asks for 500 tokens at most and the answer ends after 3. The estimate is
+    charged first, and has to be replaced by the fact.
+    """
+
+    def give(request, dispatch):
+        return Given(outcome=Outcome.ANSWERED, report=RelayReport(next_id=3))
+
+    serving.run(CALL, entered(serving), None, give)
+    assert serving.context.limits.settled == [13]
+
+
+def test_a_request_refused_by_an_error_is_not_left_open(serving):
+    """A host's graceful stop would wait until its deadline for nobody.
+
+    The host is cut off between the look at the key and the look at the limits,
+    which raises. The request, entered before, has to end as not run.
+    """
+    request = entered(serving)
+    serving.context.ready = False
+    with pytest.raises(RequestError):
+        serving.run(CALL, request, None, lambda *given: None)
+    assert request.outcome is Outcome.NOT_RUN
+    assert serving.context.registry.open_requests() == ()
