--- a/baobabwing/cli/in_force.py
+++ b/baobabwing/cli/in_force.py
@@ -10,8 +10,9 @@
 
 import typer
 
-from baobabwing.cli.node_client import fetch_status
+from baobabwing.cli.node_client import fetch_status, hand_over
 from baobabwing.exceptions import BaobabwingError
+from baobabwing.settings.configuration import Configuration
 
 __all__ = [
     "EXIT_UNCONFIRMED",
@@ -89,19 +90,24 @@
         time.sleep(POLL_S)
 
 
-def show_in_force(node: str, token: str, version: int) -> None:
-    """Wait for a version and print where it is in force.
+def show_in_force(node: str, token: str, cfg: Configuration) -> None:
+    """Hand a version over, wait for it and print where it is in force.
+
+    The store can go down right after it accepted, before any node looked there.
+    The node that is handed the version tells the others.
 
     :raises typer.Exit: if some host could not be confirmed.
     """
     try:
+        hand_over(node, token, cfg)
         found = wait_in_force(
-            node, token, version, timeout_s=WAIT_S, fetch=fetch_status
+            node, token, cfg.version, timeout_s=WAIT_S, fetch=fetch_status
         )
     except BaobabwingError as exc:
         typer.echo(f"not confirmed in force: {exc}", err=True)
         raise typer.Exit(EXIT_UNCONFIRMED) from exc
-    typer.echo(f"in force at {len(found.confirmed)} hosts")
+    hosts = len(found.confirmed) + len(found.unconfirmed)
+    typer.echo(f"in force at {len(found.confirmed)} of {hosts} hosts")
     for host in found.unconfirmed:
         typer.echo(f"not confirmed: {host.name} {host.http}: {host.reason}", err=True)
     if found.unconfirmed:
--- a/baobabwing/cli/status.py
+++ b/baobabwing/cli/status.py
@@ -99,11 +99,11 @@
 
 
 def _cell(cell: dict[str, Any], ranks: dict[int, str]) -> str:
-    floor = cell["floor"]
+    floor = ranks.get(cell["floor"])
+    admitted = f"tiers down to {floor}" if floor else "every tier"
     lines = [
         f"cell {cell['name']}, policy {cell['policy']}: {cell['in_flight']} in flight, "
-        f"admits down to {ranks.get(floor, f'rank {floor}')}"
-        + (", held" if cell["held"] else "")
+        f"admits {admitted}" + (", held" if cell["held"] else "")
     ]
     queued = [
         f"{ranks.get(one['tier_rank'], one['tier_rank'])} {one['count']}"
--- a/tests/cli/test_plan.py
+++ b/tests/cli/test_plan.py
@@ -200,6 +200,6 @@
     (made,) = list_plans(tables)
     result = run("confirm", made.id, "--node", "1.1.1.1:1")
     assert result.exit_code == in_force.EXIT_UNCONFIRMED
-    assert "in force at 1 hosts" in result.output
+    assert "in force at 1 of 3 hosts" in result.output
     assert "b 1.1.1.1:2: holds version 1" in result.output
     assert "c 1.1.1.1:3: no answer" in result.output
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -76,7 +76,7 @@
         "takes no new requests: isolated",
         "version 3 in force, 4 the highest",
         "may be cut off",
-        "admits down to notes",
+        "admits tiers down to notes",
         "queued: notes 7",
         "2/4",
     ):
