Queue a trial's request for long enough, and say why a site is not whole

Cause: trials of queued requests had a deadline shorter than their fillers take, so that a home which had learned the speeds refused at once; a failed trial left its fillers running. A site that did not heal said nothing of the reason. Change: a longer deadline in that step, fillers always leave, and the error names views and the ends of logs.

--- a/baobabwing/bench/matrix/scene.py
+++ b/baobabwing/bench/matrix/scene.py
@@ -16,6 +16,8 @@
 WAIT_S = 20.0
 FILLERS = 18
 FILLER_TOKENS = 2_000
+# Beyond the time that the fillers take, or it would be refused at once.
+QUEUED_DEADLINE_MS = 60_000
 LONG_PROMPT_WORDS = 16_000
 SERVICE_SLOWNESS = 40.0
 STREAM_TOKENS = 120
@@ -51,13 +53,21 @@
         pool = BOOKING if self.service else "assistant"
         self.home, self.other, self.entry = self.site.homes(pool)
 
-    def prepare(self, *, prompt_words: int = 0, tokens: int = 16) -> None:
+    def prepare(
+        self, *, prompt_words: int = 0, tokens: int = 16, deadline_ms: int = 8_000
+    ) -> None:
         """Make the job and its key, without sending it."""
         name = uuid.uuid4().hex
         address = self.site.address(self.entry)
         key = name if self.own_key else self.caller.key_at(address, name)
         text = " ".join([f"a cut {name}", *(["please"] * prompt_words)])
-        self.job = Job(text=text, key=key, tokens=tokens, service=self.service)
+        self.job = Job(
+            text=text,
+            key=key,
+            tokens=tokens,
+            service=self.service,
+            deadline_ms=deadline_ms,
+        )
 
     def send(self) -> Try:
         """Begin the first try."""
@@ -139,16 +149,18 @@
 
 @step("while it is queued")
 def _queued(scene: Scene) -> None:
-    scene.prepare()
+    scene.prepare(deadline_ms=QUEUED_DEADLINE_MS)
     fillers = [_filler(scene, number) for number in range(FILLERS)]
-    scene.wait(lambda: _overfull(scene, fillers), "upstreams full")
-    scene.send()
-    scene.wait(lambda: scene.site.open_requests(scene.entry) == 1, "queued")
-    if scene.executions():
-        raise ProcessError("it is not queued", step="scene")
-    scene.strike(scene)
-    for filler in fillers:
-        filler.leave()
+    try:
+        scene.wait(lambda: _overfull(scene, fillers), "upstreams full")
+        scene.send()
+        scene.wait(lambda: scene.site.open_requests(scene.entry) == 1, "queued")
+        if scene.executions():
+            raise ProcessError("it is not queued", step="scene")
+        scene.strike(scene)
+    finally:
+        for filler in fillers:
+            filler.leave()
 
 
 @step("at its dispatch")
--- a/baobabwing/bench/matrix/site.py
+++ b/baobabwing/bench/matrix/site.py
@@ -40,6 +40,7 @@
 # for a busy host.
 _MEMBERSHIP = {"probe_interval_ms": 250, "probe_timeout_ms": 120, "suspicion_ms": 800}
 TABLES_TIMEOUT_S = 5.0
+LOG_TAIL_CHARACTERS = 500
 _VERSION = re.compile(r"^baobabwing_configuration_version (\S+)$", re.MULTILINE)
 _OPEN_REQUESTS = re.compile(r"^baobabwing_open_requests (\S+)$", re.MULTILINE)
 
@@ -192,7 +193,7 @@
         for name in (PLATFORM, *self.upstreams):
             clear_faults(self.address(name))
         if not wait_until(self.is_whole, timeout_s=HEAL_TIMEOUT_S, poll_s=0.05):
-            raise ProcessError("the fleet did not become whole", step="heal")
+            raise ProcessError(f"not whole: {self._state()}", step="heal")
 
     def version(self, node: str) -> int:
         """Return the configuration version that a node says is in force."""
@@ -217,6 +218,15 @@
     def _tables(self) -> TableClient:
         return TableClient(url=f"http://{self.platform}", timeout_s=TABLES_TIMEOUT_S)
 
+    def _state(self) -> str:
+        """Return what keeps the fleet from being whole, for a failed trial."""
+        ends = {
+            name: self.group.get(name).log.read_text()[-LOG_TAIL_CHARACTERS:]
+            for name in self._dead()
+        }
+        views = {name: sorted(self.members(name)) for name in self.nodes}
+        return f"members {views}, ended {ends}"
+
     def restart_node(self, name: str) -> None:
         """Start a node again that has ended, as a new incarnation."""
         settings = self.group.folder / f"{name}.json"
