--- a/baobabwing/cli/in_force.py
+++ b/baobabwing/cli/in_force.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -99,7 +100,7 @@
     :raises typer.Exit: if some host could not be confirmed.
     """
     try:
-        hand_over(node, token, cfg)
+        _hand_over_if_needed(node, token, cfg)
         found = wait_in_force(
             node, token, cfg.version, timeout_s=WAIT_S, fetch=fetch_status
         )
@@ -114,6 +115,14 @@
         raise typer.Exit(EXIT_UNCONFIRMED)
 
 
+def _hand_over_if_needed(node: str, token: str, cfg: Configuration) -> None:
+    if _told(fetch_status(node, token)).version >= cfg.version:
+        return
+    # A node that does not take it from this operator hears of it from the store.
+    with contextlib.suppress(BaobabwingError):
+        hand_over(node, token, cfg)
+
+
 def _ask_all(node: str, token: str, version: int, fetch: Fetch) -> InForce:
     first = _told(fetch(node, token))
     told = {node: first}
--- a/baobabwing/cli/node_client.py
+++ b/baobabwing/cli/node_client.py
@@ -10,10 +10,13 @@
 from baobabwing.brands.operators import AccessError
 from baobabwing.exceptions import PeerError, SettingsError
 from baobabwing.settings.checker import is_address
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.documents import dump_configuration
 
-__all__ = ["fetch_status"]
+__all__ = ["fetch_status", "hand_over"]
 
 STATUS_PATH = "/v1/status"
+CONFIGURATION_PATH = "/v1/configuration"
 TIMEOUT_S = 2.0
 _OK = 200
 _DENIED = (401, 403)
@@ -27,26 +30,47 @@
     :raises AccessError: if the node does not take the token.
     :raises PeerError: if the node does not answer as a node does.
     """
+    return _call("GET", address, STATUS_PATH, token, step="status")
+
+
+def hand_over(address: str, token: str, cfg: Configuration) -> int:
+    """Give an accepted configuration to a node.
+
+    :param address: where the node meets callers, an IP number and a port.
+    :returns: the version that the node holds after it.
+    :raises SettingsError: if the address is none.
+    :raises AccessError: if the node does not take the token, or not for this.
+    :raises PeerError: if the node does not answer as a node does.
+    """
+    body = json.dumps(dump_configuration(cfg))
+    answer = _call("POST", address, CONFIGURATION_PATH, token, body, step="hand over")
+    return int(answer["held"])
+
+
+def _call(
+    method: str, address: str, path: str, token: str, body: str = "", *, step: str
+) -> dict[str, Any]:
     if not is_address(address):
-        raise SettingsError(f"{address!r} is no IP number and port", step="status")
+        raise SettingsError(f"{address!r} is no IP number and port", step=step)
     try:
         with urllib3.PoolManager(retries=False) as pool:
             answer = pool.request(
-                "GET",
-                f"http://{address}{STATUS_PATH}",
+                method,
+                f"http://{address}{path}",
+                body=body or None,
                 headers={"Authorization": f"Bearer {token}"},
                 timeout=TIMEOUT_S,
                 redirect=False,
             )
     except urllib3.exceptions.HTTPError as exc:
         raise PeerError(
-            f"no answer: {type(exc).__name__}", step="status", peer=address
+            f"no answer: {type(exc).__name__}", step=step, peer=address
         ) from None
     if answer.status in _DENIED:
-        raise AccessError("the token is not taken", step="status", peer=address)
+        raise AccessError("the token is not taken", step=step, peer=address)
     if answer.status != _OK:
-        raise PeerError(f"answered {answer.status}", step="status", peer=address)
+        raise PeerError(f"answered {answer.status}", step=step, peer=address)
     try:
         return json.loads(answer.data)
     except ValueError:
-        raise PeerError("answered no JSON", step="status", peer=address) from None
+        raise PeerError("answered no JSON", step=step, peer=address) from None
--- a/baobabwing/cli/plan.py
+++ b/baobabwing/cli/plan.py
@@ -114,8 +114,9 @@
     A plan with orders to engines takes as long as they load. If this command is
     stopped meanwhile, confirm again; a step that was done is not done anew.
 
-    With --node the command also asks all serving hosts, beginning with that one,
-    and returns once the version is in force at each of them.
+    With --node the command also hands the version to that host, should the
+    platform go down before any looked there. Then it asks all serving hosts,
+    beginning with that one, and returns once the version is in force at each.
     """
     tables = table_client(platform, timeout_ms)
     with exit_on_error():
@@ -137,7 +138,7 @@
         )
     typer.echo(f"version {cfg.version} accepted: {cfg.summary}")
     if node:
-        show_in_force(node, read_token(token_file), cfg.version)
+        show_in_force(node, read_token(token_file), cfg)
 
 
 def history(
--- a/tests/cli/test_plan.py
+++ b/tests/cli/test_plan.py
@@ -185,21 +185,21 @@
         assert token == "ana-token-1"
         if address.endswith(":3"):
             raise PeerError("no answer", step="status", peer=address)
-        names = {"1.1.1.1:1": ("a", 2, "b", 2), "1.1.1.1:2": ("b", 1, "c", 3)}
+        names = {"127.0.0.1:1": ("a", 2, "b", 2), "127.0.0.1:2": ("b", 1, "c", 3)}
         name, held, other, port = names[address]
-        member = {"name": other, "http": f"1.1.1.1:{port}", "state": "alive"}
+        member = {"name": other, "http": f"127.0.0.1:{port}", "state": "alive"}
         return {
             "node": {"name": name},
             "configuration": {"held": held},
-            "members": [member, {**member, "http": "1.1.1.1:9", "state": "dead"}],
+            "members": [member, {**member, "http": "127.0.0.1:9", "state": "dead"}],
         }
 
     monkeypatch.setattr(in_force, "fetch_status", fetch)
     monkeypatch.setattr(in_force, "WAIT_S", 0.0)
     run(*LIMITS, OWN)
     (made,) = list_plans(tables)
-    result = run("confirm", made.id, "--node", "1.1.1.1:1")
+    result = run("confirm", made.id, "--node", "127.0.0.1:1")
     assert result.exit_code == in_force.EXIT_UNCONFIRMED
     assert "in force at 1 of 3 hosts" in result.output
-    assert "b 1.1.1.1:2: holds version 1" in result.output
-    assert "c 1.1.1.1:3: no answer" in result.output
+    assert "b 127.0.0.1:2: holds version 1" in result.output
+    assert "c 127.0.0.1:3: no answer" in result.output
