Load the message schema before any thread can race for it

A worker of the membership measurement ended at its start with "terminate called" and "Duplicate ID": its receiving and its probing thread used the schema first at the same moment, lru_cache ran the load twice, and pycapnp ends a process that loads a schema twice.

The datagram module now loads the schema when it is imported. A lock in wire/schema.py would cover other first uses in threads too.

The measurement says when a worker ended by itself.

--- a/baobabwing/bench/membership.py
+++ b/baobabwing/bench/membership.py
@@ -115,6 +115,11 @@
         self.alive = False
         return at
 
+    def check(self) -> None:
+        status = self._process.poll()
+        if status is not None:
+            raise RuntimeError(f"{self.name} ended by itself with status {status}")
+
     def close(self) -> None:
         if self.alive:
             self.signal(signal.SIGCONT)
@@ -168,7 +173,12 @@
         _wait(self.whole)
 
     def whole(self) -> bool:
-        """Tell whether every running node sees every running node alive."""
+        """Tell whether every running node sees every running node alive.
+
+        :raises RuntimeError: if a worker ended that was not killed.
+        """
+        for node in self.running:
+            node.check()
         names = [node.name for node in self.running]
         states = ("alive", "leaving")
         return all(
--- a/baobabwing/wire/datagram.py
+++ b/baobabwing/wire/datagram.py
@@ -28,6 +28,10 @@
 _RECORD_OVERHEAD_BYTES = 20
 _TEXT_OVERHEAD_BYTES = 4
 
+# Two threads that use the schema first at the same time would both load it, and
+# pycapnp ends the process then. An import is run by one thread only.
+_SCHEMA = load_schema()
+
 
 class DatagramKind(IntEnum):
     """What a datagram asks or says."""
@@ -125,7 +129,7 @@
 
 
 def _build(datagram: Datagram) -> Any:
-    message = load_schema().Datagram.new_message()
+    message = _SCHEMA.Datagram.new_message()
     message.kind = int(datagram.kind)
     message.sender = datagram.sender
     message.incarnation = datagram.incarnation
@@ -156,7 +160,7 @@
 
 
 def _read(payload: bytes) -> Datagram:
-    message = load_schema().Datagram.from_bytes_packed(payload)
+    message = _SCHEMA.Datagram.from_bytes_packed(payload)
     # A forged list of elements without size can claim half a milliard entries
     # in a few bytes; reading it would hold the receiving thread for minutes.
     if len(message.updates) > MAX_UPDATES:
--- a/tests/wire/test_datagram.py
+++ b/tests/wire/test_datagram.py
@@ -1,5 +1,7 @@
 import contextlib
 import random
+import subprocess
+import sys
 
 import pytest
 from hypothesis import given, seed, settings
@@ -19,6 +21,21 @@
 )
 from baobabwing.wire.schema import load_schema
 
+FIRST_USE_BY_MANY_THREADS = """
+import threading
+from baobabwing.wire.datagram import Datagram, encode
+
+barrier = threading.Barrier(8)
+
+def use():
+    barrier.wait()
+    encode(Datagram(kind=1, sender="x", incarnation=1, sequence=1))
+
+threads = [threading.Thread(target=use) for _ in range(8)]
+[thread.start() for thread in threads]
+[thread.join() for thread in threads]
+"""
+
 texts = st.text(
     st.characters(exclude_categories=["Cs"], exclude_characters="\0"), max_size=40
 )
@@ -128,6 +145,16 @@
         decode(payload)
 
 
+def test_first_use_by_several_threads_at_once():
+    """A node starts and ends at once with "terminate called", now and then.
+
+    Its receiving and its probing thread used the schema first at the same time,
+    both loaded it, and the library ends a process that loads a schema twice.
+    """
+    for _ in range(3):
+        subprocess.run([sys.executable, "-c", FIRST_USE_BY_MANY_THREADS], check=True)
+
+
 def test_numbers_out_of_range_are_not_encoded():
     with pytest.raises(WireError):
         encode(Datagram(kind=1, sender="x", incarnation=-1, sequence=1))
