--- /dev/null
+++ b/tests/entry/test_slow_bodies.py
@@ -0,0 +1,71 @@
+"""Bodies that come too slowly do not hold threads."""
+
+import contextlib
+import http.client
+import socket
+import threading
+from types import SimpleNamespace
+
+import pytest
+
+from baobabwing.bench.processes import free_port, wait_until
+from baobabwing.entry import calls as calls_module
+from baobabwing.entry import server as server_module
+from baobabwing.entry.calls import answer_json
+from baobabwing.entry.routes import Route
+from baobabwing.entry.server import EntryServer
+from baobabwing.settings.schema import NodeLimits
+
+THREADS = 3
+HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"
+
+
+def _take_body(context, call):
+    answer_json(call, {"length": len(call.body())})
+
+
+@pytest.fixture
+def address(monkeypatch):
+    monkeypatch.setattr(calls_module, "BODY_LIMIT_S", 1.0)
+    route = Route(path="/", methods=(), serve=_take_body)
+    monkeypatch.setattr(server_module, "find_route", lambda method, path: route)
+    made = ("127.0.0.1", free_port())
+    limits = NodeLimits(worker_threads=THREADS, connections=100)
+    settings = SimpleNamespace(http=f"{made[0]}:{made[1]}", limits=limits)
+    entry = EntryServer(context=SimpleNamespace(settings=settings))
+    entry.start()
+    yield made
+    entry.stop()
+
+
+@pytest.fixture
+def stopping():
+    event = threading.Event()
+    yield event
+    event.set()
+
+
+def _drip(sock, stopping, ended):
+    with contextlib.suppress(OSError):
+        while not stopping.wait(0.05):
+            sock.sendall(b"a")
+    ended.append(sock)
+
+
+def test_bodies_sent_a_byte_at_a_time_are_ended(address, stopping):
+    """Three callers that drip their bodies would occupy all three threads.
+
+    Each byte comes before the timeout of a read, so that only a bound on the
+    whole body ends them; another caller is then answered.
+    """
+    ended = []
+    for _ in range(THREADS):
+        sock = socket.create_connection(address)
+        sock.sendall(HEAD)
+        drip = threading.Thread(target=_drip, args=(sock, stopping, ended), daemon=True)
+        drip.start()
+    assert wait_until(lambda: len(ended) == THREADS, timeout_s=20)
+    conn = http.client.HTTPConnection(*address, timeout=10)
+    conn.request("POST", "/", body=b"abc")
+    assert conn.getresponse().read() == b'{"length":3}'
+    conn.close()
