--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -124,7 +124,9 @@
     address = free_address()
     arrived = threading.Event()
     lost = threading.Event()
-    server = serve(address, lambda c, m: arrived.set(), on_lost=lambda *lost_one: lost.set())
+    server = serve(
+        address, lambda c, m: arrived.set(), on_lost=lambda *lost_one: lost.set()
+    )
     peers = clients()
     fut = peers.call(address, WhereQuery(key="k", pool="p"))
     assert arrived.wait(5)
