Let the cells of a pool act together under overload

Cause: a cell refused for load whatever the pool's other cells did. A chat was refused by a full cell with empty cells beside it, and one home queued notes while another refused chats.

Change: a home that would refuse for load asks the homes of the pool's other cells for their floors, and hands the request to a cell that admits its tier (own availability zone first, the less full of two drawn). An answer is also a promise: for as long as it is relied on, the cell takes nothing below the tier it does not admit. Answers are kept 0.1 s for each home asked, so that bytes a second do not grow with the pool; nothing is sent at rest. A silent home counts as full after 0.1 s, so refusals are not held up. Requests that would wait long move to a cell with idle slots before anything is refused. The entry now tries up to 32 cells, not 3, each once. A home that takes a cell keeps asks back for 0.25 s after its first question to the entries, and lets them through by tier.

--- a/baobabwing/entry/dispatch.py
+++ b/baobabwing/entry/dispatch.py
@@ -34,6 +34,7 @@
     PeerError,
     UpstreamError,
 )
+from baobabwing.homes.cells import CROWDED
 from baobabwing.pools.partition import cell_for, cell_names
 from baobabwing.reports.events import log
 from baobabwing.requests.request import Placement, Request, StateError
@@ -57,7 +58,9 @@
 RESUME_BUDGET_S = 5.0
 RESUME_PAUSES_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8)
 MAX_DISPATCH_TRIES = 4
-MAX_HANDOVERS = 3
+# A cell that refused a request is not tried with it again, so that all cells of
+# a pool of this many are. Fewer hops would shed a tier with a cell untried.
+MAX_HANDOVERS = 32
 DEFAULT_RETRY_S = 1.0
 _NOT_FOUND = 404
 
@@ -106,6 +109,20 @@
     resumable: bool = True
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Way:
+    """What a request met before it came to a cell.
+
+    :param exclude: upstreams that refused it.
+    :param tried: cells that refused it for load.
+    :param moves: cells that handed it on.
+    """
+
+    exclude: tuple[str, ...]
+    tried: tuple[str, ...]
+    moves: int
+
+
 class Dispatcher:
     """Brings requests to upstreams.
 
@@ -214,12 +231,16 @@
     ) -> Placement:
         catalogue = self._context.require_catalogue()
         cell = self._first_cell(catalogue, request, call)
-        for _ in range(MAX_HANDOVERS):
-            decision = self._ask(request, call, cell, exclude)
+        tried: list[str] = []
+        for moves in range(MAX_HANDOVERS):
+            way = _Way(exclude=exclude, tried=tuple(tried), moves=moves)
+            decision = self._ask(request, call, cell, way)
             if decision.granted:
                 return self._to_placement(catalogue, request, cell, decision)
             if not decision.hand_to:
                 break
+            if decision.code != CROWDED:
+                tried.append(cell)
             cell = decision.hand_to
         raise RefusedError(
             f"no permit: {decision.code}",
@@ -228,7 +249,7 @@
         )
 
     def _ask(
-        self, request: Request, call: UpstreamCall, cell: str, exclude: tuple[str, ...]
+        self, request: Request, call: UpstreamCall, cell: str, way: _Way
     ) -> PermitDecision:
         facts = request.facts
         budget_s = facts.deadline - time.monotonic()
@@ -243,8 +264,10 @@
             output_tokens=facts.output_tokens,
             prefix=call.prefix,
             key=owned_key(facts.organisation, facts.key),
-            exclude=exclude,
+            exclude=way.exclude,
             weight=call.weight,
+            tried=way.tried,
+            moves=way.moves,
         )
         try:
             decision = self._context.permits.ask(
--- a/baobabwing/node/handling.py
+++ b/baobabwing/node/handling.py
@@ -95,7 +95,7 @@
 
     @_handle.register
     def _(self, message: FloorQuery, caller: Caller) -> FloorAnswer:
-        return FloorAnswer(tier_rank=self._homes.floor(message.pool))
+        return self._homes.floor(message)
 
     @_handle.register
     def _(self, message: InflightQuery, caller: Caller) -> InflightAnswer:
--- a/baobabwing/node/node.py
+++ b/baobabwing/node/node.py
@@ -21,6 +21,7 @@
 from baobabwing.fleet.view import FleetView
 from baobabwing.homes.backups import PlacementBackups
 from baobabwing.homes.cells import CellHomes
+from baobabwing.homes.floors import FLOOR_TIMEOUT_S
 from baobabwing.homes.limits import LimitGate, SliceDesk
 from baobabwing.homes.permits import PermitClient
 from baobabwing.node.contact import Contact
@@ -47,7 +48,12 @@
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.keeper import ConfigurationKeeper
 from baobabwing.settings.schema import NodeSettings
-from baobabwing.wire.messages import InflightAnswer, InflightQuery
+from baobabwing.wire.messages import (
+    FloorAnswer,
+    FloorQuery,
+    InflightAnswer,
+    InflightQuery,
+)
 from baobabwing.wire.peers import PeerClients, PeerServer
 
 __all__ = ["Node"]
@@ -102,6 +108,7 @@
             view=self.membership.view,
             ask_peer=self._ask_inflight,
             own_inflight=lambda cell: inflight_of(self.registry, cell),
+            ask_floor=self._ask_floor,
         )
         self.backups = PlacementBackups(clock=time.monotonic)
         self.permits = PermitClient(
@@ -311,6 +318,12 @@
             raise PeerError("unexpected answer", step="inflight", peer=host.peer)
         return answer
 
+    def _ask_floor(self, host: Host, query: FloorQuery) -> FloorAnswer:
+        answer = self.peers.ask(host.peer, query, timeout_s=FLOOR_TIMEOUT_S)
+        if not isinstance(answer, FloorAnswer):
+            raise PeerError("unexpected answer", step="floor", peer=host.peer)
+        return answer
+
     def _seeds(self) -> Iterable[Host]:
         url, timeout_s = self._platform
         named = [_named_seed(one) for one in self.settings.membership.seeds]
--- a/baobabwing/wire/messages.capnp
+++ b/baobabwing/wire/messages.capnp
@@ -144,6 +144,7 @@
 
 struct FloorQuery {
   pool @0 :Text;
+  validMs @1 :UInt16;          # how long the answer will be relied on
 }
 
 struct FloorAnswer {
--- a/baobabwing/wire/messages.py
+++ b/baobabwing/wire/messages.py
@@ -82,6 +82,8 @@
 
     :param budget_ms: time left until the deadline, in milliseconds; a span and
         not a point in time, so that clocks need not agree.
+    :param tried: cells that refused the request for load.
+    :param moves: cells that handed the request on, refused or not.
     """
 
     request_id: str
@@ -95,6 +97,8 @@
     key: str = ""
     exclude: tuple[str, ...] = ()
     weight: float = 1.0
+    tried: tuple[str, ...] = ()
+    moves: int = 0
 
 
 @_message("permitDecision")
@@ -248,18 +252,34 @@
 @_message("floorQuery")
 @dataclass(frozen=True, kw_only=True)
 class FloorQuery(Message):
-    """Asks a home which tiers its cell of the pool still admits."""
+    """Asks a home which tiers its cells of the pool still admit.
+
+    :param valid_ms: how long the answer will be relied on, in milliseconds.
+    """
 
     pool: str
+    valid_ms: int = 0
 
 
 @_message("floorAnswer")
 @dataclass(frozen=True, kw_only=True)
 class FloorAnswer(Message):
-    """The lowest tier that is still admitted, as its rank."""
+    """What a home's cells of a pool still admit, and how full they are.
+
+    :param tier_rank: lowest tier that any of the cells admits.
+    :param sure: false if no cell admits anything.
+    :param numbers: of the cells, as in ``pool/number``.
+    :param floors: of each cell the lowest tier it admits plus one; 0 if it
+        admits none, 255 if it admits all.
+    :param fills: of each cell the requests in flight and queued, in hundredths
+        of its slots.
+    """
 
     tier_rank: int
     sure: bool = True
+    numbers: tuple[int, ...] = ()
+    floors: tuple[int, ...] = ()
+    fills: tuple[int, ...] = ()
 
 
 @_message("failure")
