Log errors that end a thread as events, without their text

Cause: such an error printed a traceback with its text to standard error, where it could quote a caller and is no event. Three tests of the access to metrics passed only after another module had registered the routes; they import them.

--- a/baobabwing/cli/node.py
+++ b/baobabwing/cli/node.py
@@ -29,11 +29,13 @@
     Example: baobabwing node --settings examples/tijera-unida.node.jsonc
     """
     # Imported here, so that other commands start without the node's parts.
+    from baobabwing.node.faults import report_thread_faults
     from baobabwing.node.node import Node
 
     with exit_on_error():
         cfg = load_settings(settings)
         configure_logging(level=cfg.log_level, node=cfg.name)
+        report_thread_faults()
         asked = threading.Event()
         running = Node(settings=cfg, on_drain=asked.set)
 
--- a/baobabwing/node/events.py
+++ b/baobabwing/node/events.py
@@ -11,6 +11,7 @@
     "NODE_LEAVING",
     "NODE_READY",
     "NODE_STOPPED",
+    "THREAD_FAILED",
 ]
 
 NODE_READY = define(8001, "node_ready", "The node serves callers.")
@@ -44,6 +45,13 @@
     "tried again.",
     level="warning",
 )
+THREAD_FAILED = define(
+    8010,
+    "thread_failed",
+    "An error of this program ended one of its threads. Report it, and restart the "
+    "node: what the thread did is not done any more.",
+    level="error",
+)
 CONFIGURATION_UNREADABLE = define(
     8005,
     "configuration_unreadable",
--- a/tests/entry/test_metrics_access.py
+++ b/tests/entry/test_metrics_access.py
@@ -5,6 +5,7 @@
 import pytest
 import urllib3
 
+import baobabwing.entry.operations  # noqa: F401, I001  (registers the routes)
 from baobabwing.bench.processes import free_port
 from baobabwing.brands.catalogue import Brand
 from baobabwing.brands.operators import Operator, Role, token_digest
