Report goodput weighted by tier

Change: the share of requests answered whole and in time, each counting twice as much as one of the tier below.

--- a/baobabwing/bench/figures.py
+++ b/baobabwing/bench/figures.py
@@ -33,9 +33,12 @@
     "run_figures",
     "safety_figures",
     "tier_figures",
+    "weighted_goodput",
 ]
 
 MS_PER_S = 1_000.0
+# A good answer counts as many times as much as one of the tier below.
+TIER_WEIGHT = 2.0
 # An upstream that starts lower-tier work this soon after a caller of the same pool
 # was told "shed" shows that the lower tier was still admitted. See
 # docs/operators/bench.md for what it can miss and what it can count too much.
@@ -184,6 +187,8 @@
 class RunFigures:
     """All figures of one run.
 
+    :param weighted_goodput: share of the offered requests that was answered
+        whole and in time, each tier's requests counting twice those below.
     :param node_ms_per_request: processor time of all nodes for one request.
     :param sending_lag: how late the load client itself was.
     :param asked_again: requests asked for again, as their answers broke off.
@@ -198,6 +203,7 @@
     inversions: Inversions
     safety: SafetyFigures
     capacity: CapacityFigures
+    weighted_goodput: float
     node_ms_per_request: float
     sending_lag: Quantiles
     asked_again: int
@@ -219,15 +225,17 @@
         for answer in run.answers
         if answer.verdict is not Verdict.WHOLE
     )
+    tiers = tier_figures(run)
     return RunFigures(
         policy=run.policy,
         fault=run.fault,
         seconds=run.seconds,
-        tiers=tier_figures(run),
+        tiers=tiers,
         prefill=prefill_figures(run, executed),
         inversions=count_inversions(run, executed),
         safety=safety_figures(run, executed),
         capacity=capacity_figures(run),
+        weighted_goodput=weighted_goodput(tiers),
         node_ms_per_request=run.node_cpu_s * MS_PER_S / max(1, len(run.answers)),
         sending_lag=quantiles(lags_ms),
         asked_again=len(again),
@@ -259,6 +267,14 @@
     )
 
 
+def weighted_goodput(tiers: Sequence[TierFigures]) -> float:
+    """Return good requests over offered ones, weighted by tier; 1 if none."""
+    weights = [TIER_WEIGHT**-tier.rank for tier in tiers]
+    offered = sum(w * tier.offered for w, tier in zip(weights, tiers, strict=True))
+    good = sum(w * tier.good for w, tier in zip(weights, tiers, strict=True))
+    return good / offered if offered else 1.0
+
+
 def prefill_figures(
     run: Run, executed: Mapping[int, Sequence[Executed]]
 ) -> PrefillFigures:
--- a/tests/bench/test_figures.py
+++ b/tests/bench/test_figures.py
@@ -107,6 +107,16 @@
     assert "wasted prefill: 0 of" in figures_text(figures)
 
 
+def test_upper_tiers_weigh_more_in_goodput(calm):
+    lost = {
+        work: _with_answer(calm, _first(calm, work).index, verdict=Verdict.SHED)
+        for work in ("chat-turn", "colour-history")
+    }
+    chat, summary = (1.0 - run_figures(run).weighted_goodput for run in lost.values())
+    assert run_figures(calm).weighted_goodput == pytest.approx(1.0)
+    assert chat == pytest.approx(2.0 * summary)
+
+
 def test_whole_answer_past_its_deadline_is_late(calm):
     arrival = _first(calm, "chat-turn")
     end_s = arrival.at_s + arrival.deadline_ms / 1_000 + 0.01
