Test a home's death in a burst: order of tiers, nothing lost or granted twice

Cause: a new home knows nothing of what was queued at the dead one; whoever asks it first would go first.

Change: a test kills the home of one of two cells with one request running or just ended and three queued, and has the entry ask again with the lowest tier first. Each is granted once, in the order of tiers.

--- a/tests/homes/test_floors.py
+++ b/tests/homes/test_floors.py
@@ -17,10 +17,17 @@
 from baobabwing.pools.catalogue import Pool, PoolKind, Upstream
 from baobabwing.pools.partition import cell_names, cell_resource, upstreams_of_cell
 from baobabwing.settings.configuration import Configuration
-from baobabwing.wire.messages import InflightAnswer, PermitDone, PermitRequest
+from baobabwing.wire.messages import (
+    InflightAnswer,
+    InflightItem,
+    PermitDone,
+    PermitRequest,
+)
 
 WAIT_S = 20.0
-IDENTITY = "entry#1"
+# The node of the callers, which is home of nothing.
+ENTRY = "n9"
+IDENTITY = f"{ENTRY}#1"
 LOWEST = 9
 QUEUE_LIMIT = 3
 
@@ -33,6 +40,7 @@
         region="r",
         peer=f"127.0.0.1:{1000 + int(name[1:])}",
         http="127.0.0.1:2",
+        weight=1e-9 if name == ENTRY else 1.0,
     )
 
 
@@ -73,15 +81,14 @@
 
     def __init__(self, homes, cells, each=1):
         self.hosts = [make_host(f"n{number}") for number in range(homes)]
-        self.view = FleetView(
-            members=tuple(
-                Member(host=one, state=MemberState.ALIVE) for one in self.hosts
-            )
-        )
+        self.view = self._view_without(None)
         self.cfg = make_configuration(cells, each)
         self.cells = cell_names(self.cfg.pools[0], self.cfg.upstreams)
         self.asked = 0
         self.ask_hook = lambda host: None
+        self.at_upstreams = ()
+        self.entry_answers = threading.Event()
+        self.entry_answers.set()
         self.count = 0
         self.homes = {one.name: self._make(one) for one in self.hosts}
         for one in self.homes.values():
@@ -93,11 +100,41 @@
         return CellHomes(
             me=host,
             view=lambda: self.view,
-            ask_peer=lambda other, query: InflightAnswer(),
+            ask_peer=self._ask_entry,
             own_inflight=lambda cell: InflightAnswer(),
             ask_floor=self._ask_floor,
         )
 
+    def _view_without(self, dead):
+        hosts = [*self.hosts, make_host(ENTRY)]
+        return FleetView(
+            members=tuple(
+                Member(
+                    host=one,
+                    state=MemberState.DEAD if one.name == dead else MemberState.ALIVE,
+                )
+                for one in hosts
+            )
+        )
+
+    def kill_home(self, cell):
+        """Let the home of a cell die, and all others see it."""
+        dead = home_of(self.view, cell_resource(cell)).name
+        self.homes.pop(dead).stop()
+        self.view = self._view_without(dead)
+        for one in self.homes.values():
+            one.place()
+
+    def _ask_entry(self, host, query):
+        if host.name != ENTRY:
+            return InflightAnswer()
+        assert self.entry_answers.wait(WAIT_S)
+        return InflightAnswer(items=self.at_upstreams)
+
+    def ask_again(self, asked):
+        """Ask the present home, as an entry does that lost the one before."""
+        self._submit(asked, True, 1)
+
     def _ask_floor(self, host, query):
         self.asked += 1
         self.ask_hook(host)
@@ -368,6 +405,41 @@
     assert not home._crowds["p/0"].waits_long(1)
 
 
+@pytest.mark.parametrize("runs_on", [True, False])
+def test_queued_work_goes_to_the_new_home_in_its_order(make_fleet, runs_on):
+    """Parent notes would run before a chat that had queued longer.
+
+    The home of one of two cells dies in a burst. The entries ask the new home
+    again, notes first. It must not give the slot away, nor give it to notes,
+    before it knows what still runs and the chat has come back.
+    """
+    fleet = make_fleet(homes=3, cells=2)
+    running = fleet.enter("p/0", rank=2)
+    queued = [fleet.enter("p/0", rank) for rank in (1, 3, 2)]
+    assert fleet.settle(running).granted
+    assert not any(map(fleet.settle, queued))
+    if runs_on:
+        item = InflightItem(request_id=running.id, upstream=running.last.upstream)
+        fleet.at_upstreams = (item,)
+    fleet.entry_answers.clear()
+    fleet.kill_home("p/0")
+    by_tier = sorted(queued, key=lambda one: one.rank)
+    for one in reversed(by_tier):
+        fleet.ask_again(one)
+    assert not any(one.decisions for one in queued)
+    fleet.entry_answers.set()
+    home = fleet.home("p/0")
+    assert wait_until(lambda: not home._rebuilding, timeout_s=WAIT_S)
+    if runs_on:
+        assert not any(one.decisions for one in queued)
+        fleet.end(running)
+    for number, one in enumerate(by_tier):
+        assert wait_until(lambda one=one: one.last, timeout_s=WAIT_S)
+        assert not any(other.decisions for other in by_tier[number + 1 :])
+        fleet.end(one)
+    assert all([d.granted for d in one.decisions] == [True] for one in queued)
+
+
 def test_promises_outlast_the_use_of_the_answers():
     promises = floors_module.Promises()
     promises.close_below("p/0", 1, 10.0)
