Keep the names of upstreams out of what callers see

Cause: the id of an attempt held the upstream's name, and stands in the head of each answer and in every event that a brand's customers read. Change: a digest of the name; whoever knows request and upstream still finds the stream. Before: the test is red; after: green.

--- a/baobabwing/bench/executions.py
+++ b/baobabwing/bench/executions.py
@@ -85,7 +85,7 @@
             by_id[answer.request_id] = answer.index
     found: dict[int, list[Executed]] = defaultdict(list)
     for one in sorted(executions, key=lambda item: item.started_s):
-        request_id = one.attempt.removesuffix(f".{one.upstream}")
+        request_id = one.attempt.partition(".")[0]
         index = by_key.get(one.key) if one.key else by_id.get(request_id)
         found[-1 if index is None else index].append(one)
     return found
--- a/baobabwing/entry/dispatch.py
+++ b/baobabwing/entry/dispatch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import select
 import socket
 import time
@@ -18,7 +19,7 @@
     STREAM_RESUMED,
     UPSTREAM_REFUSED,
 )
-from baobabwing.entry.relay import RelayReport
+from baobabwing.entry.relay_report import RelayReport
 from baobabwing.entry.upstream import (
     CallerGoneError,
     UpstreamAnswer,
@@ -63,6 +64,8 @@
 MAX_HANDOVERS = 32
 DEFAULT_RETRY_S = 1.0
 _NOT_FOUND = 404
+# Long enough to tell apart the upstreams that one request can come to.
+_UPSTREAM_DIGEST_BYTES = 6
 
 
 class RefusedError(BaobabwingError):
@@ -408,9 +411,12 @@
     """Return the id under which an upstream knows a request.
 
     An upstream that refused a request is not tried with it again, so that the
-    pair is unique; and whoever knows the pair can find the stream.
+    pair is unique; and whoever knows the pair can find the stream. Callers see
+    the id, but a digest does not tell them the upstream's name, which is the
+    operator's affair and not that of a brand's customers.
     """
-    return f"{request_id}.{upstream}"
+    digest = hashlib.blake2b(upstream.encode(), digest_size=_UPSTREAM_DIGEST_BYTES)
+    return f"{request_id}.{digest.hexdigest()}"
 
 
 def owned_key(organisation: str, key: str) -> str:
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -6,7 +6,7 @@
 import pytest
 
 from baobabwing.brands.catalogue import Organisation
-from baobabwing.entry.dispatch import Dispatch
+from baobabwing.entry.dispatch import Dispatch, attempt_id
 from baobabwing.entry.relay_report import RelayReport
 from baobabwing.entry.serving import Given, Serving
 from baobabwing.exceptions import RequestError
@@ -110,3 +110,14 @@
         serving.run(CALL, request, None, lambda *given: None)
     assert request.outcome is Outcome.NOT_RUN
     assert serving.context.registry.open_requests() == ()
+
+
+def test_the_id_of_an_attempt_tells_no_name_of_an_upstream():
+    """A brand's customer would read the operator's engines in its answers.
+
+    The id is in the head of the answer and in each event.
+    """
+    first = attempt_id("req-1", "engine-g3-west-7")
+    assert "engine" not in first
+    assert first.startswith("req-1.")
+    assert first != attempt_id("req-1", "engine-g3-west-8")
