Work out each role's cost at 460 nodes from measured slopes

Cause: the design is to follow the size of 460 nodes and 6,600 workers, and no page said what each role costs there.

Ruled out: figures from one size only, since they hide what grows; counting bytes without headers, which are a third of a small exchange.

--- /dev/null
+++ b/baobabwing/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Small measurements of what one more of something costs."""
--- /dev/null
+++ b/baobabwing/bench/slopes/rig.py
@@ -0,0 +1,167 @@
+"""A deployment under load whose processes can be looked at, killed and restarted."""
+
+from __future__ import annotations
+
+import http.client
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from baobabwing.bench.answers import Answer
+from baobabwing.bench.arrivals import Arrival
+from baobabwing.bench.control import answers_ok
+from baobabwing.bench.deployments import Deployment
+from baobabwing.bench.driver import Plan, read_answers, write_plan
+from baobabwing.bench.processes import ProcessError, ProcessGroup, Started
+from baobabwing.bench.shapes import Shape
+
+__all__ = ["Look", "MeasuredGroup", "Rig"]
+
+DRIVERS = 2
+LEAD_S = 1.5
+GRACE_S = 150.0
+KILOBYTE = 1024
+PROBE_TIMEOUT_S = 2.0
+NODE = "node"
+NODE_MODULE = "baobabwing.bench.slopes.measured_node"
+GAUGE = "baobabwing_control_bytes "
+
+
+@dataclass(frozen=True, kw_only=True)
+class Look:
+    """What the system says of a process at one moment."""
+
+    resident_bytes: int
+    threads: int
+
+
+class MeasuredGroup(ProcessGroup):
+    """Starts nodes that tell their control bytes in place of plain ones."""
+
+    def start(self, name: str, arguments: Sequence[str]) -> Started:
+        """Start a command of the program.
+
+        :raises ProcessError: if a process of that name runs already.
+        """
+        if arguments[0] == NODE:
+            return self.start_python(name, ["-m", NODE_MODULE, arguments[-1]])
+        return super().start(name, arguments)
+
+
+class Rig:
+    """A deployment and the drivers that put load on it.
+
+    :param group: which starts the processes.
+    """
+
+    def __init__(
+        self,
+        *,
+        shape: Shape,
+        group: ProcessGroup,
+        nodes: int,
+        arrivals: Sequence[Arrival],
+        seed: int,
+    ) -> None:
+        self.group = group
+        self.deployment = Deployment(
+            shape=shape, group=group, policy="baobabwing", nodes=nodes
+        )
+        self.arrivals = arrivals
+        self.start_at = 0.0
+        self.epoch_s = 0.0
+        self._seed = seed
+        self._drivers = [f"driver-{number}" for number in range(DRIVERS)]
+
+    def put_load(self) -> None:
+        """Start the drivers; the load begins a little later."""
+        self.start_at = time.monotonic() + LEAD_S
+        self.epoch_s = time.time() + LEAD_S
+        for number, name in enumerate(self._drivers):
+            write_plan(self._path(name, "plan"), self._plan(number))
+            paths = [str(self._path(name, kind)) for kind in ("plan", "answers")]
+            self.group.start_python(name, ["-m", "baobabwing.bench.driver", *paths])
+
+    def loading(self) -> bool:
+        """Tell whether a driver still runs.
+
+        :raises ProcessError: if one failed, or takes far too long.
+        """
+        ends_at = self.start_at + self.arrivals[-1].at_s + GRACE_S
+        if time.monotonic() > ends_at:
+            raise ProcessError("driver takes too long", step="load")
+        for name in self._drivers:
+            if self.group.get(name).popen.poll():
+                raise ProcessError("driver failed", step="load", peer=name)
+        return any(self.group.get(name).alive() for name in self._drivers)
+
+    def answers(self) -> list[Answer]:
+        """Return the answers that callers got."""
+        found = [
+            answer
+            for name in self._drivers
+            for answer in read_answers(self._path(name, "answers"))
+        ]
+        return sorted(found, key=lambda answer: answer.index)
+
+    def restart_node(self, name: str) -> None:
+        """Start a node again with the settings that it had."""
+        path = self.group.folder / f"{name}.json"
+        self.group.start(name, [NODE, "--settings", str(path)])
+
+    def node_ready(self, name: str) -> bool:
+        """Tell whether a node takes requests."""
+        if not self.group.get(name).alive():
+            return False
+        return answers_ok(self.deployment.nodes[name], "/readyz")
+
+    def look(self, name: str) -> Look:
+        """Return the memory and threads of a running node."""
+        path = Path(f"/proc/{self.group.get(name).pid}/status")
+        lines = path.read_text(encoding="ascii").splitlines()
+        values = dict(line.split(":", 1) for line in lines if ":" in line)
+        return Look(
+            resident_bytes=int(values["VmRSS"].split()[0]) * KILOBYTE,
+            threads=int(values["Threads"]),
+        )
+
+    def control_bytes(self) -> float:
+        """Return the bytes between nodes so far, each counted once.
+
+        :raises ProcessError: if a node does not tell.
+        """
+        return sum(self._gauge(address) for address in self.deployment.nodes.values())
+
+    def _gauge(self, address: str) -> float:
+        conn = http.client.HTTPConnection(address, timeout=PROBE_TIMEOUT_S)
+        try:
+            conn.request("GET", "/metrics")
+            text = conn.getresponse().read().decode()
+        except OSError as exc:
+            raise ProcessError("no metrics", step="measure", peer=address) from exc
+        finally:
+            conn.close()
+        line = next(one for one in text.splitlines() if one.startswith(GAUGE))
+        return float(line.removeprefix(GAUGE))
+
+    def _plan(self, number: int) -> Plan:
+        shape = self.deployment.shape
+        keys = {
+            f"{one.name}/{tier.name}": shape.credential_key(one.name, tier.name)
+            for one in shape.organisations
+            for tier in shape.tiers
+        }
+        return Plan(
+            run=f"rig{self._seed}",
+            nodes=tuple(self.deployment.nodes.values()),
+            start_at=self.start_at,
+            seed=self._seed * DRIVERS + number,
+            keys=keys,
+            arrivals=tuple(
+                one for one in self.arrivals if one.index % DRIVERS == number
+            ),
+        )
+
+    def _path(self, name: str, kind: str) -> Path:
+        return self.group.folder / f"{name}.{kind}.json"
