--- /dev/null
+++ b/baobabwing/bench/changes.py
@@ -0,0 +1,307 @@
+"""Measures how soon changes and deaths are taken up, on real node processes.
+
+``python -m baobabwing.bench.changes --nodes 3,6,12 --output figures.json``
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+import uuid
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import asdict, dataclass, replace
+from datetime import datetime
+from pathlib import Path
+from statistics import median
+from typing import Annotated
+
+import typer
+
+from baobabwing.bench.deployments import PLATFORM
+from baobabwing.bench.matrix.caller import Caller, Ending, Job, Transcript
+from baobabwing.bench.matrix.site import Site, trial_shape
+from baobabwing.bench.processes import ProcessError, ProcessGroup, wait_until
+from baobabwing.brands.operators import Operator, Role, token_digest
+from baobabwing.cli.node_client import hand_over
+from baobabwing.exceptions import BaobabwingError
+from baobabwing.platform.tables import TableClient
+from baobabwing.settings.configuration import Configuration
+from baobabwing.settings.plans import confirm, plan
+
+__all__ = ["Figures", "Reach", "main", "measure"]
+
+PATIENCE_S = 15.0
+READY_S = 120.0
+NEVER_S = 3.0
+TABLES_TIMEOUT_S = 5.0
+POOL = "assistant"
+CALLERS = 4
+AFTER_DRAIN_S = 4.0
+TRIES = 5
+DEATHS = 3
+DRAINS = 3
+WORKER_THREADS = 8
+CONNECTIONS = 64
+_TOKEN = "bench-operator"
+_AUTHOR = "bench"
+_APPLIED = "configuration_applied"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reach:
+    """Seconds from accepting until a change was in force, over some tries.
+
+    :param half_s: at half of the nodes; the worst try.
+    :param all_s: at all nodes; the worst try.
+    :param nowhere: tries in which no node had it within 3 s; not counted above.
+    """
+
+    tries: int
+    half_s: float
+    all_s: float
+    all_median_s: float
+    nowhere: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Figures:
+    """Figures of one fleet size.
+
+    :param stopped: with the platform frozen right after accepting.
+    :param handed_over: the same, with the version handed to one node.
+    :param home_s: from the death of a cell's home to the first answer to a
+        request that was sent after it.
+    :param drain_s: from the confirmation of a drain to the last dispatch to the
+        drained engine; 0 if there was none after it.
+    """
+
+    nodes: int
+    calm: Reach
+    stopped: Reach
+    handed_over: Reach
+    home_s: tuple[float, ...]
+    drain_s: tuple[float, ...]
+
+
+class _Fleet(Site):
+    """A site of many small nodes that tells when each took a version up."""
+
+    def __init__(self, *, group: ProcessGroup, nodes: int) -> None:
+        super().__init__(group=group, shape=replace(trial_shape(), nodes=nodes))
+
+    def tables(self) -> TableClient:
+        return TableClient(url=f"http://{self.platform}", timeout_s=TABLES_TIMEOUT_S)
+
+    def applied_at(self, node: str, version: int) -> float | None:
+        """Return when a node put a version or a higher one in force, by its log."""
+        for line in self.group.get(node).log.read_text().splitlines():
+            with suppress(ValueError, KeyError):
+                entry = json.loads(line)
+                if entry["event"] == _APPLIED and entry["version"] >= version:
+                    return datetime.fromisoformat(entry["timestamp"]).timestamp()
+        return None
+
+    def applied_times(self, version: int) -> list[float]:
+        found = (self.applied_at(node, version) for node in self.nodes)
+        return [at for at in found if at is not None]
+
+    def wait_whole(self) -> None:
+        if not wait_until(self.is_whole, timeout_s=READY_S, poll_s=1.0):
+            raise ProcessError("the fleet did not become whole", step="wait")
+
+    def _start_node(self, name: str, *, zone: str) -> None:
+        super()._start_node(name, zone=zone)
+        self.group.kill(name)
+        path = self.group.folder / f"{name}.json"
+        settings = json.loads(path.read_text(encoding="utf-8"))
+        settings["limits"] = {
+            "worker_threads": WORKER_THREADS,
+            "connections": CONNECTIONS,
+        }
+        # Pace of the membership as nodes have it by default.
+        del settings["membership"]
+        path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
+        self.restart_node(name)
+
+
+class _Load:
+    """Callers that send one short chat turn after another to some nodes."""
+
+    def __init__(self, fleet: _Fleet, nodes: list[str]) -> None:
+        self._fleet = fleet
+        self._stopped = threading.Event()
+        self._key = fleet.shape.credential_key("pocitos", "chat")
+        self.told: list[Transcript] = []
+        self._threads = [
+            threading.Thread(target=self._run, args=(nodes[i % len(nodes)],))
+            for i in range(CALLERS)
+        ]
+
+    def __enter__(self) -> _Load:
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def first_answer_after(self, at: float) -> float | None:
+        """Return when the first answer to a request sent after a time had ended."""
+        ends = [
+            one.ended_s
+            for one in tuple(self.told)
+            if one.ending is Ending.WHOLE and one.sent_s > at
+        ]
+        return min(ends, default=None)
+
+    def _run(self, node: str) -> None:
+        caller = Caller(credential=self._key)
+        while not self._stopped.is_set():
+            job = Job(text=f"a cut at noon {uuid.uuid4().hex}", tokens=1)
+            self.told.append(caller.begin(job, self._fleet.address(node)).wait())
+
+
+def measure(nodes: int) -> Figures:
+    """Measure a fleet of some nodes; everything that is started is ended."""
+    with ProcessGroup() as group:
+        fleet = _Fleet(group=group, nodes=nodes)
+        fleet.start()
+        fleet.wait_whole()
+        operator = Operator(name=_AUTHOR, sha256=token_digest(_TOKEN), role=Role.ADMIN)
+        fleet.change(lambda cfg: replace(cfg, operators=(operator,)))
+        return Figures(
+            nodes=nodes,
+            calm=_measure_reach(fleet, _change),
+            stopped=_measure_reach(fleet, _change_and_stop),
+            handed_over=_measure_reach(fleet, _change_stop_and_hand_over),
+            home_s=tuple(_measure_death(fleet) for _ in range(DEATHS)),
+            drain_s=tuple(_measure_drain(fleet) for _ in range(DRAINS)),
+        )
+
+
+def _measure_reach(
+    fleet: _Fleet, change: Callable[[_Fleet], tuple[Configuration, float]]
+) -> Reach:
+    halves, wholes, nowhere = [], [], 0
+    for number in range(TRIES):
+        # Nodes look at the store about once a second when few; the pauses differ
+        # so that tries do not meet the same moment between two looks.
+        time.sleep(0.3 + 0.17 * number)
+        cfg, accepted = change(fleet)
+        somewhere = wait_until(
+            lambda cfg=cfg: fleet.applied_times(cfg.version), timeout_s=NEVER_S
+        )
+        nowhere += not somewhere
+        if somewhere:
+            after = sorted(at - accepted for at in _wait_everywhere(fleet, cfg))
+            halves.append(after[(len(after) - 1) // 2])
+            wholes.append(after[-1])
+        fleet.group.thaw(PLATFORM)
+        _wait_everywhere(fleet, cfg)
+    return Reach(
+        tries=TRIES,
+        half_s=round(max(halves, default=-1.0), 3),
+        all_s=round(max(wholes, default=-1.0), 3),
+        all_median_s=round(median(wholes), 3) if wholes else -1.0,
+        nowhere=nowhere,
+    )
+
+
+def _wait_everywhere(fleet: _Fleet, cfg: Configuration) -> list[float]:
+    def everywhere() -> bool:
+        return len(fleet.applied_times(cfg.version)) == len(fleet.nodes)
+
+    if not wait_until(everywhere, timeout_s=PATIENCE_S, poll_s=0.2):
+        raise ProcessError("not in force everywhere", step=f"version {cfg.version}")
+    return fleet.applied_times(cfg.version)
+
+
+def _change(fleet: _Fleet) -> tuple[Configuration, float]:
+    cfg = fleet.change(lambda cfg: cfg)
+    return cfg, time.time()
+
+
+def _change_and_stop(fleet: _Fleet) -> tuple[Configuration, float]:
+    cfg, accepted = _change(fleet)
+    fleet.group.freeze(PLATFORM)
+    return cfg, accepted
+
+
+def _change_stop_and_hand_over(fleet: _Fleet) -> tuple[Configuration, float]:
+    cfg, accepted = _change_and_stop(fleet)
+    hand_over(fleet.nodes["node-1"], _TOKEN, cfg)
+    return cfg, accepted
+
+
+def _measure_death(fleet: _Fleet) -> float:
+    home, *others = fleet.homes(POOL)
+    with _Load(fleet, others) as load:
+        if not wait_until(lambda: len(load.told) > 2 * CALLERS, timeout_s=PATIENCE_S):
+            raise ProcessError("no answers", step="load")
+        fleet.kill(home)
+        killed = time.time()
+        wait_until(
+            lambda: load.first_answer_after(killed) is not None, timeout_s=PATIENCE_S
+        )
+        answered = load.first_answer_after(killed)
+    fleet.restart_node(home)
+    fleet.wait_whole()
+    if answered is None:
+        raise ProcessError("no new home", step="death", peer=home)
+    return round(answered - killed, 3)
+
+
+def _measure_drain(fleet: _Fleet) -> float:
+    engine = fleet.shape.engines[0].name
+    before = fleet.accepted()
+    with _Load(fleet, list(fleet.nodes)) as load, _restored(fleet, before):
+        if not wait_until(lambda: len(load.told) > 2 * CALLERS, timeout_s=PATIENCE_S):
+            raise ProcessError("no answers", step="load")
+        made = plan(
+            fleet.tables(),
+            intent="drain-upstream",
+            arguments={"upstream": engine},
+            author=_AUTHOR,
+        )
+        confirm(fleet.tables(), made.id, author=_AUTHOR)
+        confirmed = time.time()
+        time.sleep(AFTER_DRAIN_S)
+        starts = [one["started_at"] for one in fleet.record(engine)]
+    after = [at - confirmed for at in starts if at is not None and at > confirmed]
+    return round(max(after, default=0.0), 3)
+
+
+@contextmanager
+def _restored(fleet: _Fleet, before: Configuration) -> Iterator[None]:
+    yield
+    cfg = fleet.change(lambda cfg: replace(cfg, upstreams=before.upstreams))
+    _wait_everywhere(fleet, cfg)
+
+
+def _run_all(sizes: Iterable[int]) -> Iterator[Figures]:
+    for nodes in sizes:
+        try:
+            yield measure(nodes)
+        except BaobabwingError as exc:
+            typer.echo(f"{nodes} nodes failed: {exc}", err=True)
+
+
+def main(
+    nodes: Annotated[str, typer.Option(help="Sizes of fleets, by commas.")] = "3,6,12",
+    output: Annotated[Path | None, typer.Option(help="File for JSON.")] = None,
+) -> None:
+    """Measure fleets of several sizes, one after another."""
+    found = []
+    for figures in _run_all(int(size) for size in nodes.split(",")):
+        found.append(asdict(figures))
+        typer.echo(json.dumps(found[-1]))
+        if output:
+            output.write_text(json.dumps(found, indent=2), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tests/node/test_changes.py
+++ b/tests/node/test_changes.py
@@ -15,7 +15,7 @@
 from baobabwing.bench.processes import ProcessGroup, free_port
 from baobabwing.brands.operators import AccessError, Operator, Role, token_digest
 from baobabwing.cli.node_client import hand_over
-from baobabwing.exceptions import ConflictError
+from baobabwing.exceptions import ConflictError, PeerError
 from baobabwing.fleet.homes import home_of
 from baobabwing.fleet.host import Host, Member, MemberState
 from baobabwing.fleet.view import FleetView
@@ -530,6 +530,8 @@
     for token in (callers_key, "token-of-viewer", "nobody"):
         with pytest.raises(AccessError):
             hand_over(address, token, after)
+    with pytest.raises(PeerError, match="400"):
+        hand_over(address, "token-of-ana", replace(after, version=10**9))
     assert hand_over(address, "token-of-ana", after) == after.version
     trial.wait(lambda: everywhere(site, after))
     site.group.thaw(PLATFORM)
