Load the schema in one thread at a time

Cause: a cached function lets a second thread in while the first one loads, and pycapnp then ends the process. Change: a lock around the load. Before: eight threads at once end the process (test red); after: green.

--- a/baobabwing/wire/schema.py
+++ b/baobabwing/wire/schema.py
@@ -5,6 +5,7 @@
 import functools
 import os
 import pkgutil
+import threading
 from typing import Any
 
 import capnp
@@ -14,13 +15,23 @@
 _SCHEMA_FILE = "messages.capnp"
 
 
-@functools.lru_cache(maxsize=1)
+_LOADING = threading.Lock()
+
+
 def load_schema() -> Any:
     """Return the module that pycapnp makes of ``messages.capnp``.
 
     Inside the binary the schema is no file, and hosts have no disk to unpack it
     to, so pycapnp reads it from a memory-backed file.
     """
+    # Two threads that load it at once make pycapnp end the process. A cache of
+    # the interpreter's does not hold the second one back while the first loads.
+    with _LOADING:
+        return _load()
+
+
+@functools.lru_cache(maxsize=1)
+def _load() -> Any:
     capnp.remove_import_hook()
     source = pkgutil.get_data(__package__, _SCHEMA_FILE)
     with os.fdopen(os.memfd_create(_SCHEMA_FILE), "wb") as file:
