Ask for slices when a request comes, and ahead only for the busy

Cause: docs/CAPACITY.md puts slices first of what does not fit at 460 nodes: 566 KB/s and 94% of a core a node, since each entry renewed the slice of each organisation it had seen in 5 s twice a second. Ruled out: longer validity (a change of home or limits would overshoot longer). Change: renewed ahead only with two requests or more since the last lease, near the end of the validity, or while requests are open that a limit on concurrency bounds; idle organisations are forgotten at the entry. Before: the test of a quiet organisation is red (needs no renewal); after: green. Conclusion: a cold organisation costs one exchange a request.

--- a/baobabwing/homes/limits.py
+++ b/baobabwing/homes/limits.py
@@ -24,8 +24,11 @@
 LEASE_TIMEOUT_S = 0.25
 FALLBACK_VALID_S = 1.0
 NO_SLICE_RETRY_S = 0.5
-# An organisation that sent nothing for this long asks for no slice.
-IDLE_S = 5.0
+# Requests since the last lease from which on a slice is renewed ahead.
+BUSY_REQUESTS = 2
+# An organisation that sent nothing for this long is forgotten at this entry; its
+# next request asks for a slice anew.
+IDLE_S = 60.0
 _NO_LIMITS = Limits()
 
 
@@ -83,6 +86,7 @@
 
     def __init__(self, *, limits: Limits, now: float) -> None:
         self.limiter = OrganisationLimiter(limits=limits, now=now)
+        self.concurrency = limits.concurrency
         self.valid_until = 0.0
         self.nothing_until = 0.0
         self.asked_at = now
@@ -90,6 +94,19 @@
         self.requests = 0
         self.tokens = 0.0
 
+    def needs_renewal(self, now: float) -> bool:
+        """Tell whether a request would likely find the slice run out.
+
+        Only for an organisation that sends several requests within a slice's
+        validity is asking ahead cheaper than asking when one comes. Most
+        organisations send an entry of a large fleet one request a minute. Where
+        the requests open at one time are bounded, those that are open here have
+        to stay leased, or the home would lease their places a second time.
+        """
+        open_bounded = self.concurrency > 0 and self.limiter.open > 0
+        wanted = self.requests >= BUSY_REQUESTS or open_bounded
+        return wanted and now > self.valid_until - 1.5 * RENEW_S
+
     def demand(self, now: float) -> Demand:
         """Return the demand since the last time, and start counting anew."""
         span_s = max(now - self.asked_at, RENEW_S)
@@ -127,7 +144,7 @@
         self._stopping = threading.Event()
 
     def start(self) -> None:
-        """Begin to renew slices before they run out."""
+        """Begin to renew the slices of busy organisations before they run out."""
         threading.Thread(target=self._renew, name="slices", daemon=True).start()
 
     def stop(self) -> None:
@@ -236,10 +253,20 @@
         while not self._stopping.wait(RENEW_S):
             now = time.monotonic()
             with self._lock:
-                accounts = tuple(self._accounts.items())
-            for name, account in accounts:
-                if now - account.seen_at <= IDLE_S or account.limiter.open:
-                    self._ask(name, account)
+                due = [
+                    (name, account)
+                    for name, account in self._accounts.items()
+                    if account.needs_renewal(now)
+                ]
+                self._forget_idle(now)
+            for name, account in due:
+                self._ask(name, account)
+
+    def _forget_idle(self, now: float) -> None:
+        """Forget organisations that are not seen here any more."""
+        for name, account in tuple(self._accounts.items()):
+            if now - account.seen_at > IDLE_S and not account.limiter.open:
+                del self._accounts[name]
 
 
 def _to_slice(answer: SliceAnswer) -> Slice:
--- a/tests/homes/test_limits.py
+++ b/tests/homes/test_limits.py
@@ -75,3 +75,28 @@
         made._lease = lambda name, demand: None
         admitted = [made.admit(organisation, 1.0) for _ in range(4)]
         assert sum(isinstance(one, Ticket) for one in admitted) == 2
+
+
+def test_quiet_organisations_are_not_asked_for_ahead(alone):
+    """At 1,400 organisations the slices alone would break the bound of control.
+
+    Each entry of a large fleet sees most organisations, each about once a
+    minute. Renewing all their slices twice a second was 566 KB/s a node; a slice
+    is asked for when a request comes, and ahead only for the busy.
+    """
+    asked = []
+    lease = alone._lease
+    alone._lease = lambda name, demand: asked.append(name) or lease(name, demand)
+    ticket = alone.admit(ORGANISATION, 1.0)
+    account = alone._accounts["salon"]
+    alone.settle(ticket, 1.0)
+    assert not account.needs_renewal(account.valid_until - 0.1)
+    for _ in range(2):
+        alone.settle(alone.admit(ORGANISATION, 1.0), 1.0)
+    assert account.needs_renewal(account.valid_until - 0.1)
+    assert not account.needs_renewal(account.valid_until - 1.9)
+    account.requests = 0
+    alone.admit(ORGANISATION, 1.0)
+    account.requests = 0
+    assert account.needs_renewal(account.valid_until - 0.1)
+    assert asked == ["salon"]
