--- a/baobabwing/bench/matrix/campaign.py
+++ b/baobabwing/bench/matrix/campaign.py
@@ -38,6 +38,7 @@
     :param breaches: broken promises, by the judge.
     :param cut_streams: chat turns dispatched and open at a host when it was killed.
     :param completed: those of them that the caller's second try made whole.
+    :param second_endings: how the second tries of those ended, with their codes.
     :param recomputed: those of them that an engine prefilled more than once.
     :param hung: tries that did not end in time, with what is known of them.
     :param endings: last endings of all requests.
@@ -47,6 +48,7 @@
     breaches: tuple[Breach, ...]
     cut_streams: int
     completed: int
+    second_endings: dict[str, int]
     recomputed: int
     executions: int
     hung: tuple[str, ...]
@@ -65,6 +67,7 @@
                 f" wrong answers {counts['whole']}",
                 f"streams open at a killed host {self.cut_streams}, completed by the"
                 f" second try {self.completed}, prefilled again {self.recomputed}",
+                f"endings of those second tries {self.second_endings}",
                 f"tries that did not end {len(self.hung)} {' '.join(self.hung)}",
             )
         )
@@ -291,6 +294,7 @@
             breaches=tuple(judge(scripts, executions, epoch_s=epoch_s)),
             cut_streams=len(cut),
             completed=sum(_second_try_whole(one) for one in cut),
+            second_endings=dict(Counter(_second_ending(one) for one in cut)),
             recomputed=sum(len(runs[one.job.key]) > 1 for one in cut),
             executions=len(executions),
             hung=tuple(self._hung),
@@ -303,6 +307,15 @@
     return request.tries[-1].transcript
 
 
+def _second_ending(request: _Request) -> str:
+    following = request.tries[request.killed + 1 :]
+    if not following:
+        return "no second try"
+    script = following[0].transcript
+    message = script.error.get("message", "")
+    return f"{script.ending} {message}".strip()
+
+
 def _second_try_whole(request: _Request) -> bool:
     """Tell whether the try after the one whose host was killed was whole."""
     following = request.tries[request.killed + 1 :]
--- a/baobabwing/bench/matrix/site.py
+++ b/baobabwing/bench/matrix/site.py
@@ -40,6 +40,8 @@
 # for a busy host.
 _MEMBERSHIP = {"probe_interval_ms": 250, "probe_timeout_ms": 120, "suspicion_ms": 800}
 TABLES_TIMEOUT_S = 5.0
+# Enough for the trials; hundreds in each node are more than a busy host has.
+WORKER_THREADS = 64
 LOG_TAIL_CHARACTERS = 500
 _VERSION = re.compile(r"^baobabwing_configuration_version (\S+)$", re.MULTILINE)
 _OPEN_REQUESTS = re.compile(r"^baobabwing_open_requests (\S+)$", re.MULTILINE)
@@ -280,6 +282,7 @@
         path = self.group.folder / f"{name}.json"
         settings = json.loads(path.read_text(encoding="utf-8"))
         settings["membership"] = _MEMBERSHIP
+        settings["limits"] = {"worker_threads": WORKER_THREADS}
         path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
         self.restart_node(name)
 
