--- a/baobabwing/bench/changes.py
+++ b/baobabwing/bench/changes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import re
 import threading
 import time
 import uuid
@@ -19,6 +20,7 @@
 
 import typer
 
+from baobabwing.bench.control import answers_ok
 from baobabwing.bench.deployments import PLATFORM
 from baobabwing.bench.matrix.caller import Caller, Ending, Job, Transcript
 from baobabwing.bench.matrix.site import Site, trial_shape
@@ -47,6 +49,7 @@
 _TOKEN = "bench-operator"
 _AUTHOR = "bench"
 _APPLIED = "configuration_applied"
+_MEMBERS = re.compile(r"^baobabwing_serving_members (\S+)$", re.MULTILINE)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -107,6 +110,15 @@
         found = (self.applied_at(node, version) for node in self.nodes)
         return [at for at in found if at is not None]
 
+    def is_whole(self) -> bool:
+        """Tell whether every node is ready and counts all of them as serving.
+
+        Address answers name some nodes of a large fleet only.
+        """
+        counts = (self._gauge(name, _MEMBERS) for name in self.nodes)
+        ready = (answers_ok(address, "/readyz") for address in self.nodes.values())
+        return all(count == len(self.nodes) for count in counts) and all(ready)
+
     def wait_whole(self) -> None:
         if not wait_until(self.is_whole, timeout_s=READY_S, poll_s=1.0):
             raise ProcessError("the fleet did not become whole", step="wait")
