Reckon the capacity page with changes of the configuration and slices on demand

Cause: peers are now sent what changed of a configuration, and slices are asked for as requests come; the page still reckoned with the ways before.

Change: slopes of one change (bytes, taking and noting it) and of publishing; the rate of slices by the rule in force, for organisations whose open requests are bounded (in the sums) and for those whose rates are (beside them).

--- a/baobabwing/bench/capacity_page_events.py
+++ b/baobabwing/bench/capacity_page_events.py
@@ -12,6 +12,8 @@
 __all__: list[str] = []
 
 MEGABYTE = 1e6
+# The version before and the new one to the history, and the new one in its place.
+PUBLISHING_WRITES = 3
 PERCENT = 100.0
 HOUR_S = 3_600.0
 MICROSECONDS = 1e6
@@ -23,7 +25,7 @@
     per_change_ms = sum(
         measured.at(name, 1)
         for name in (
-            "time: inflating and checking a configuration",
+            "time: taking and noting a change",
             "time: index of a configuration",
             "time: putting a configuration in force, again",
         )
@@ -31,19 +33,23 @@
     json_bytes = measured.at("bytes: configuration as JSON", 1)
     packed = measured.at("bytes: configuration deflated", 1)
     heard_s = measured.at("seconds: version known to all", TARGET.nodes)
+    whole_ms = measured.at("time: inflating and checking a configuration", 1)
+    change_bytes = measured.at("bytes: change of a configuration", 1)
     deflate_ms = measured.at("time: deflating a configuration", 1)
     rows = [
         ("as JSON, MB", json_bytes / MEGABYTE),
         ("deflated, KB", packed / 1e3),
         ("deflating, once at a node that read the store, ms", deflate_ms),
-        ("inflating, checking, index and in force, ms", per_change_ms),
+        ("inflating and checking the whole, at a start, ms", whole_ms),
+        ("one change of an organisation's limits, packed, bytes", change_bytes),
+        ("taking it, index and in force, ms", per_change_ms),
         (
             "in force for the first time (all homes looked up), ms",
             measured.at("time: putting a configuration in force, first", 1),
         ),
         (
             "fleet's traffic between nodes for one change, MB",
-            packed * TARGET.nodes / MEGABYTE,
+            change_bytes * TARGET.nodes / MEGABYTE,
         ),
         (
             "fleet's processor time for one change, s",
@@ -58,11 +64,19 @@
             json_bytes * TARGET.changes_per_day / 1e9,
         ),
         (
-            "handed to a peer, both ends, ms",
+            "publishing a change, in the operator's process, ms",
+            measured.at("time: publishing a configuration", 1),
+        ),
+        (
+            "written to the table service for one change, MB",
+            PUBLISHING_WRITES * json_bytes / MEGABYTE,
+        ),
+        (
+            "the whole handed to a peer, both ends, ms",
             measured.at("time: configuration, both ends", packed) / MS_PER_S,
         ),
         (
-            "in force on the last node after, s: number heard, document taken",
+            "in force on the last node after, s: number heard, change taken",
             heard_s + per_change_ms / MS_PER_S,
         ),
     ]
@@ -79,7 +93,7 @@
         (
             "publishing: 2 reads, 2 inserts of history, 1 write",
             2 * changes,
-            3 * changes,
+            PUBLISHING_WRITES * changes,
             "`settings/publish.py`",
         ),
         ("list of hosts, each 10 s", TARGET.nodes / 10, 0.0, "`platform/hosts.py`"),
--- a/baobabwing/bench/capacity_page_misfits.py
+++ b/baobabwing/bench/capacity_page_misfits.py
@@ -8,6 +8,7 @@
 from baobabwing.bench.capacity_page_text import markdown_table, short
 from baobabwing.bench.capacity_page_workings import (
     Flow,
+    asked_slices,
     flows,
     home_flows,
     organisations_per_entry,
@@ -42,15 +43,23 @@
     lost_open = TARGET.open_requests / (TARGET.nodes * (1 - 1 / TARGET.zones))
     found = [
         _Misfit(
-            label="slice",
-            flow=by_name["slice"],
+            label="slice, open requests bounded",
+            flow=by_name["slice, open requests bounded"],
             mend=(
-                "An entry asks for each organisation it has work of, twice a second, "
-                f"one by one: at 2 ms there and back a round takes {round_s:.1f} s or "
-                "more, so that the rate is lower and slices are renewed late. Bring an "
+                "An entry keeps the places of its open requests leased, one "
+                f"organisation after the other: at {ROUND_TRIP_S * 1e3:.0f} ms there "
+                f"and back a round takes {round_s:.1f} s or more. Bring an "
                 "organisation's callers to few entries by the seed of address answers; "
-                "renew by how near the organisation is to its limits; ask for all "
-                "slices of one home in one message."
+                "lease for longer where the organisation is far from its bound; ask "
+                "for all slices of one home in one message."
+            ),
+        ),
+        _Misfit(
+            label="slice, rates bounded only (not in the sums)",
+            flow=asked_slices(measured.slopes),
+            mend=(
+                "Nearly every request asks. As above, and let small organisations go "
+                "unasked until the home says that they are near their bound."
             ),
         ),
         _Misfit(
@@ -75,8 +84,8 @@
             label="configuration from a peer",
             flow=by_name["configuration from a peer"],
             mend=(
-                "The whole document goes round on each change, and is checked whole. "
-                "Send the change against the version that the asker has."
+                "The change alone goes round; what is left is the index of all "
+                "callers and upstreams, and the look at all cells, made anew for each."
             ),
         ),
         _Misfit(
--- a/baobabwing/bench/capacity_page_roles.py
+++ b/baobabwing/bench/capacity_page_roles.py
@@ -10,6 +10,7 @@
 from baobabwing.bench.capacity_page_workings import (
     Flow,
     State,
+    asked_slices,
     flows,
     home_flows,
     open_per_node,
@@ -40,7 +41,7 @@
         ("nodes a cell", 1 / TARGET.cells_per_node),
         ("requests a second a cell orders", TARGET.cell_requests_per_s),
         ("permits of a cell in use", TARGET.open_requests / TARGET.cells),
-        ("organisations whose slices an entry renews", organisations_per_entry()),
+        ("organisations with requests open at an entry", organisations_per_entry()),
         ("seconds between two configuration changes", TARGET.change_every_s),
         ("changes of the view a second, on an ordinary day", TARGET.views_per_s),
     ]
@@ -77,7 +78,7 @@
 
 @table("flows")
 def _flows(measured: Measured) -> list[str]:
-    return _flow_table(flows(measured.slopes))
+    return _flow_table([*flows(measured.slopes), asked_slices(measured.slopes)])
 
 
 @table("home")
--- a/baobabwing/bench/capacity_page_workings.py
+++ b/baobabwing/bench/capacity_page_workings.py
@@ -8,19 +8,18 @@
 
 from baobabwing.bench.slopes.fitting import Slope
 from baobabwing.bench.slopes.size import TARGET
+from baobabwing.brands.slices import SLICE_VALID_S
 from baobabwing.homes.cells import REVIEW_S, TICK_S
-from baobabwing.homes.limits import IDLE_S, RENEW_S
+from baobabwing.homes.limits import RENEW_S
 from baobabwing.node.node import RETENTION_S
 from baobabwing.node.spread import FLEET_LOOKS_PER_S
 from baobabwing.pools.placements import ENDING_RETENTION_S, PLACEMENT_RETENTION_S
 from baobabwing.pools.prefix_digest import BLOCK_TOKENS
 
-__all__ = ["HOME", "MEAN", "Flow", "State", "flows", "home_flows", "states"]
+__all__ = ["Flow", "State", "asked_slices", "flows", "home_flows", "states"]
 
 Slopes = Mapping[str, Slope]
 
-MEAN = "mean node"
-HOME = "home of one cell"
 QUEUE_LIMIT = 512
 MOST_PLACEMENTS = 65_536
 MOST_DIGESTS = 65_536
@@ -104,20 +103,43 @@
 
 
 def organisations_per_entry() -> float:
-    """Return the organisations whose slices one entry renews.
+    """Return the organisations with requests open at one entry.
 
-    Those with an open request or one in the last seconds, if all organisations are
-    of one size; the larger some are, the fewer.
+    If all organisations are of one size; the larger some are, the fewer.
     """
-    recent = open_per_node() + TARGET.node_requests_per_s * IDLE_S
-    return _distinct(TARGET.organisations, recent)
+    return _distinct(TARGET.organisations, open_per_node())
 
 
 def entries_per_organisation() -> float:
-    """Return the entries that hold a slice of one organisation."""
+    """Return the entries with open requests of one organisation."""
     return organisations_per_entry() * TARGET.nodes / TARGET.organisations
 
 
+def renewal_s() -> float:
+    """Return how long after a lease the next one is asked for ahead.
+
+    At the first look, each half second, that is within one and a half of them of the
+    end of its validity.
+    """
+    due_s = SLICE_VALID_S - 1.5 * RENEW_S
+    return math.ceil(due_s / RENEW_S) * RENEW_S
+
+
+def slices_asked_per_s() -> float:
+    """Return the leases a second that one entry asks for as requests come.
+
+    A request asks unless one of its organisation did within the validity.
+    """
+    rate = TARGET.node_requests_per_s / TARGET.organisations
+    return TARGET.node_requests_per_s / (1 + rate * SLICE_VALID_S)
+
+
+def entries_asking() -> float:
+    """Return the entries with a lease of one organisation, by what they asked."""
+    per_organisation = slices_asked_per_s() * TARGET.nodes / TARGET.organisations
+    return per_organisation * SLICE_VALID_S
+
+
 def holders_per_cell() -> float:
     """Return the entries that hold permits of one cell."""
     return _distinct(TARGET.nodes, open_per_cell())
@@ -128,11 +150,6 @@
     return open_per_cell() / holders_per_cell()
 
 
-def slice_queries_per_s() -> float:
-    """Return the slice queries a second that one entry sends."""
-    return organisations_per_entry() / RENEW_S
-
-
 def states(slopes: Slopes) -> list[State]:
     """Return what a node keeps that is an entry and home of one cell."""
     rate, cell_rate = TARGET.node_requests_per_s, TARGET.cell_requests_per_s
@@ -334,11 +351,11 @@
         ),
         _between(
             "entry and home of an organisation",
-            "slice",
-            slice_queries_per_s(),
-            f"{organisations_per_entry():.0f} organisations each {RENEW_S} s",
+            "slice, open requests bounded",
+            organisations_per_entry() / renewal_s(),
+            f"{organisations_per_entry():.0f} organisations each {renewal_s()} s",
             slopes["bytes: slice"].at(1),
-            _slice_us(slopes),
+            _slice_us(slopes, entries_per_organisation()),
             "slice; slice lease at its home",
             "homes/limits.py, brands/slices.py",
         ),
@@ -370,11 +387,11 @@
             "member",
             "configuration from a peer",
             1 / TARGET.change_every_s,
-            f"{TARGET.changes_per_day} changes a day, each whole",
-            _document_bytes(slopes),
+            f"{TARGET.changes_per_day} changes a day, of one item each",
+            _change_bytes(slopes),
             _change_us(slopes),
-            "configuration; inflating and checking; index; in force",
-            "node/spread.py, node/packing.py, settings/documents.py",
+            "change of a configuration; taking and noting; index; in force",
+            "node/spread.py, settings/deltas.py",
         ),
         Flow(
             role="entry",
@@ -416,6 +433,20 @@
     ]
 
 
+def asked_slices(slopes: Slopes) -> Flow:
+    """Return the slices of organisations whose open requests are not bounded."""
+    return _between(
+        "entry and home of an organisation",
+        "slice, rates bounded only",
+        slices_asked_per_s(),
+        "a request asks that finds none in force",
+        slopes["bytes: slice"].at(1),
+        _slice_us(slopes, entries_asking()),
+        "slice; slice lease at its home",
+        "homes/limits.py, brands/slices.py",
+    )
+
+
 def home_flows(slopes: Slopes) -> list[Flow]:
     """Return what goes to and from the home of one cell, for that cell alone.
 
@@ -526,8 +557,8 @@
     return both + slopes["time: permit and its return at a cell"].at(0)
 
 
-def _slice_us(slopes: Slopes) -> float:
-    lease = slopes["time: slice lease at its home"].at(entries_per_organisation())
+def _slice_us(slopes: Slopes, entries: float) -> float:
+    lease = slopes["time: slice lease at its home"].at(entries)
     return slopes["time: slice, both ends"].at(1) + lease
 
 
@@ -537,8 +568,8 @@
     return carried + placed * US_PER_S / MS_PER_S
 
 
-def _document_bytes(slopes: Slopes) -> float:
-    size = slopes["bytes: configuration deflated"].at(1)
+def _change_bytes(slopes: Slopes) -> float:
+    size = slopes["bytes: change of a configuration"].at(1)
     return slopes["bytes: configuration"].at(size)
 
 
@@ -546,12 +577,12 @@
     work_ms = sum(
         slopes[name].at(1)
         for name in (
-            "time: inflating and checking a configuration",
+            "time: taking and noting a change",
             "time: index of a configuration",
             "time: putting a configuration in force, again",
         )
     )
-    size = slopes["bytes: configuration deflated"].at(1)
+    size = slopes["bytes: change of a configuration"].at(1)
     moved_us = slopes["time: configuration, both ends"].at(size)
     return work_ms * US_PER_S / MS_PER_S + moved_us
 
--- a/baobabwing/bench/slopes/configurations.py
+++ b/baobabwing/bench/slopes/configurations.py
@@ -18,9 +18,18 @@
 from baobabwing.entry.context import Catalogue
 from baobabwing.homes.cells import CellHomes
 from baobabwing.homes.limits import SliceDesk
+from baobabwing.platform.memory import MemoryTables
 from baobabwing.pools.catalogue import Pool, PoolKind, Upstream
 from baobabwing.settings.configuration import Configuration, ModelRoute
+from baobabwing.settings.deltas import (
+    DeltaLog,
+    apply_deltas,
+    make_delta,
+    pack,
+    unpack,
+)
 from baobabwing.settings.documents import deflate, dump_configuration, inflate
+from baobabwing.settings.publish import publish
 from baobabwing.wire.messages import InflightAnswer
 
 __all__ = ["configuration_of", "measure_configurations"]
@@ -75,7 +84,10 @@
         ("bytes: configuration deflated", BYTES, lambda cfg: len(deflate(cfg))),
         ("time: deflating a configuration", MS, _deflate_ms),
         ("time: inflating and checking a configuration", MS, _inflate_ms),
+        ("bytes: change of a configuration", BYTES, _change_bytes),
+        ("time: taking and noting a change", MS, _change_ms),
         ("time: index of a configuration", MS, _index_ms),
+        ("time: publishing a configuration", MS, _publish_ms),
         ("time: putting a configuration in force, first", MS, _first_place_ms),
         ("time: putting a configuration in force, again", MS, _again_ms),
         ("time: placing cells after a change of the view", MS, _view_ms),
@@ -108,10 +120,46 @@
     return seconds_of(lambda: inflate(packed)) * MILLISECONDS
 
 
+def _changed(cfg: Configuration) -> Configuration:
+    """Return the next version, in which one organisation's limits are others."""
+    first, *rest = cfg.organisations
+    limits = replace(first.limits, concurrency=first.limits.concurrency + 1)
+    organisations = (replace(first, limits=limits), *rest)
+    return replace(cfg, version=cfg.version + 1, organisations=organisations)
+
+
+def _change_bytes(cfg: Configuration) -> float:
+    return len(pack([make_delta(cfg, _changed(cfg))]))
+
+
+def _change_ms(cfg: Configuration) -> float:
+    """Return the time to take a change, and to note it for others."""
+    changed = _changed(cfg)
+    packed = pack([make_delta(cfg, changed)])
+
+    def take() -> None:
+        DeltaLog().note(cfg, apply_deltas(cfg, unpack(packed)))
+
+    return seconds_of(take) * MILLISECONDS
+
+
 def _index_ms(cfg: Configuration) -> float:
     return seconds_of(lambda: Catalogue(cfg=cfg)) * MILLISECONDS
 
 
+def _publish_ms(cfg: Configuration) -> float:
+    """Return an operator's time for a change of what is published already."""
+    tables = MemoryTables()
+    current = publish(tables, base=0, cfg=cfg)
+
+    def change() -> None:
+        nonlocal current
+        changed = replace(current, attempt="")
+        current = publish(tables, base=current.version, cfg=changed)
+
+    return seconds_of(change) * MILLISECONDS
+
+
 def _memory_bytes(cfg: Configuration) -> float:
     packed = deflate(cfg)
 
