--- a/baobabwing/bench/figures.py
+++ b/baobabwing/bench/figures.py
@@ -189,6 +189,7 @@
 
     :param weighted_goodput: share of the offered requests that was answered
         whole and in time, each tier's requests counting twice those below.
+    :param engine_goodput: the same of requests to engines alone.
     :param node_ms_per_request: processor time of all nodes for one request.
     :param sending_lag: how late the load client itself was.
     :param asked_again: requests asked for again, as their answers broke off.
@@ -204,6 +205,7 @@
     safety: SafetyFigures
     capacity: CapacityFigures
     weighted_goodput: float
+    engine_goodput: float
     node_ms_per_request: float
     sending_lag: Quantiles
     asked_again: int
@@ -225,17 +227,17 @@
         for answer in run.answers
         if answer.verdict is not Verdict.WHOLE
     )
-    tiers = tier_figures(run)
     return RunFigures(
         policy=run.policy,
         fault=run.fault,
         seconds=run.seconds,
-        tiers=tiers,
+        tiers=tier_figures(run),
         prefill=prefill_figures(run, executed),
         inversions=count_inversions(run, executed),
         safety=safety_figures(run, executed),
         capacity=capacity_figures(run),
-        weighted_goodput=weighted_goodput(tiers),
+        weighted_goodput=weighted_goodput(run),
+        engine_goodput=weighted_goodput(run, engines_only=True),
         node_ms_per_request=run.node_cpu_s * MS_PER_S / max(1, len(run.answers)),
         sending_lag=quantiles(lags_ms),
         asked_again=len(again),
@@ -267,11 +269,21 @@
     )
 
 
-def weighted_goodput(tiers: Sequence[TierFigures]) -> float:
-    """Return good requests over offered ones, weighted by tier; 1 if none."""
-    weights = [TIER_WEIGHT**-tier.rank for tier in tiers]
-    offered = sum(w * tier.offered for w, tier in zip(weights, tiers, strict=True))
-    good = sum(w * tier.good for w, tier in zip(weights, tiers, strict=True))
+def weighted_goodput(run: Run, *, engines_only: bool = False) -> float:
+    """Return good requests over offered ones, weighted by tier; 1 if none.
+
+    :param engines_only: leave out calls of plain services, which load no engine.
+    """
+    ranks = {tier.name: tier.rank for tier in run.shape.tiers}
+    good = offered = 0.0
+    for answer in run.answers:
+        arrival = run.arrivals[answer.index]
+        if engines_only and not arrival.to_engine:
+            continue
+        weight = TIER_WEIGHT ** -ranks[arrival.tier]
+        offered += weight
+        if _is_good(arrival, answer):
+            good += weight
     return good / offered if offered else 1.0
 
 
--- a/baobabwing/bench/tables.py
+++ b/baobabwing/bench/tables.py
@@ -79,7 +79,8 @@
         f" recomputed {prefill.recomputed}; for late answers {prefill.late}",
         f"good work {capacity.good:.2f} of at most {capacity.limit:.2f} pool-seconds"
         f" ({capacity.share:.1%}); offered {capacity.offered:.2f};"
-        f" goodput weighted by tier {figures.weighted_goodput:.1%}",
+        f" goodput weighted by tier {figures.weighted_goodput:.1%},"
+        f" of engines alone {figures.engine_goodput:.1%}",
         f"tier inversions: {inversions.inverted} of {inversions.sheds} sheds;"
         f" executed twice: {safety.executed_twice};"
         f' "not run" but ran: {safety.not_run_but_ran};'
--- a/tests/bench/test_figures.py
+++ b/tests/bench/test_figures.py
@@ -117,6 +117,12 @@
     assert chat == pytest.approx(2.0 * summary)
 
 
+def test_calls_of_services_do_not_count_as_goodput_of_engines(calm):
+    run = _with_answer(calm, _first(calm, "slot-check").index, verdict=Verdict.SHED)
+    assert run_figures(run).weighted_goodput < 1.0
+    assert run_figures(run).engine_goodput == pytest.approx(1.0)
+
+
 def test_whole_answer_past_its_deadline_is_late(calm):
     arrival = _first(calm, "chat-turn")
     end_s = arrival.at_s + arrival.deadline_ms / 1_000 + 0.01
