Keep handed work from wandering through full cells; measure floors

Cause: a full queue has room for a moment now and then.

Change: an answer of room is used for 2 requests to a busy cell and 16 to an idle one, then asked for again. A refusal that is handed on is a promise as well and travels with the request, unless it was queued since. A host that is out of threads, and so cannot ask, decides by what it knows; callers would have heard nothing.

Ruled out: counting any refusal that a request met as recent. One that had been queued in between brought word older than the promise, and a generated history found the inversion.

--- a/baobabwing/entry/dispatch.py
+++ b/baobabwing/entry/dispatch.py
@@ -62,6 +62,7 @@
 # A cell that refused a request is not tried with it again, so that all cells of
 # a pool of this many are. Fewer hops would shed a tier with a cell untried.
 MAX_HANDOVERS = 32
+RECENT_S = 0.1
 DEFAULT_RETRY_S = 1.0
 _NOT_FOUND = 404
 # Long enough to tell apart the upstreams that one request can come to.
@@ -119,11 +120,14 @@
     :param exclude: upstreams that refused it.
     :param tried: cells that refused it for load.
     :param moves: cells that handed it on.
+    :param recent: how many of the cells tried refused it just now. Of one that
+        did so earlier, it says nothing any more: the request was queued since.
     """
 
     exclude: tuple[str, ...]
     tried: tuple[str, ...]
     moves: int
+    recent: int
 
 
 class Dispatcher:
@@ -234,16 +238,22 @@
     ) -> Placement:
         catalogue = self._context.require_catalogue()
         cell = self._first_cell(catalogue, request, call)
-        tried: list[str] = []
+        tried: dict[str, float] = {}
         for moves in range(MAX_HANDOVERS):
-            way = _Way(exclude=exclude, tried=tuple(tried), moves=moves)
+            since = time.monotonic() - RECENT_S
+            way = _Way(
+                exclude=exclude,
+                tried=tuple(tried),
+                moves=moves,
+                recent=sum(at >= since for at in tried.values()),
+            )
             decision = self._ask(request, call, cell, way)
             if decision.granted:
                 return self._to_placement(catalogue, request, cell, decision)
             if not decision.hand_to:
                 break
             if decision.code != CROWDED:
-                tried.append(cell)
+                tried[cell] = time.monotonic()
             cell = decision.hand_to
         raise RefusedError(
             f"no permit: {decision.code}",
@@ -271,6 +281,7 @@
             weight=call.weight,
             tried=way.tried,
             moves=way.moves,
+            recent=way.recent,
         )
         try:
             decision = self._context.permits.ask(
--- a/baobabwing/homes/cells.py
+++ b/baobabwing/homes/cells.py
@@ -193,6 +193,8 @@
                 )
             )
             return
+        recent = message.tried[len(message.tried) - message.recent :]
+        self._floors.heard_refused(recent, message.tier_rank)
         ask = _to_ask(identity, message, time.monotonic())
         with self._lock:
             self._waiting[identity, message.request_id] = _Waiting(
@@ -523,6 +525,8 @@
         if not self._floors.has_others(waiting.cell):
             return waiting.respond(_to_message(decision))
 
+        self._floors.refused(waiting.cell, waiting.rank)
+
         def hand_to(target: str) -> None:
             waiting.respond(_to_message(replace(decision, hand_to=target)))
 
--- a/baobabwing/homes/floors.py
+++ b/baobabwing/homes/floors.py
@@ -33,6 +33,13 @@
 VALID_PER_HOME_S = 0.1
 LEAST_VALID_S = 0.25
 MOST_VALID_S = 5.0
+# The word that a cell refused a request travels with the request, and is relied
+# on from its arrival. The promise counts from the refusal, so it lasts longer.
+REFUSAL_PROMISE_FACTOR = 2.0
+# A home is asked again after it was handed so many requests: one with idle slots
+# takes many, but the queue of a busy one may have had room for a moment only.
+USES_IDLE = 16
+USES_BUSY = 2
 # A request waits for the answers no longer than this; a home that is silent is
 # taken to admit nothing.
 FLOOR_TIMEOUT_S = 0.1
@@ -92,10 +99,12 @@
     """The last answer of a home, or that it gave none.
 
     :param until: when it has to be asked for again.
+    :param uses: requests that may still be handed to the home by it.
     """
 
     floors: tuple[CellFloor, ...]
     until: float
+    uses: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -208,6 +217,32 @@
             fills=tuple(one.fill for one in told),
         )
 
+    def refused(self, cell: str, rank: int) -> None:
+        """Keep lower tiers out of a cell of this node that refused one for load."""
+        valid_s = self._valid_ms(pool_of(cell)) / MS_PER_S
+        until = time.monotonic() + REFUSAL_PROMISE_FACTOR * valid_s
+        self._promises.close_below(cell, rank, until)
+
+    def heard_refused(self, cells: Collection[str], rank: int) -> None:
+        """Note that other cells refused a tier, as a request tells that they did.
+
+        Else each home would hand requests to a cell that is full until its old
+        answer is asked for anew, and they would go through most of the cells.
+        """
+        if not cells:
+            return
+        pool = pool_of(next(iter(cells)))
+        with self._lock:
+            for slot, known in tuple(self._known.items()):
+                if slot[0] == pool:
+                    floors = tuple(
+                        replace(one, floor=min(one.floor, rank - 1))
+                        if one.cell in cells
+                        else one
+                        for one in known.floors
+                    )
+                    self._known[slot] = replace(known, floors=floors)
+
     def find(
         self, *, cell: str, rank: int, tried: Collection[str] = (), then: Then
     ) -> None:
@@ -224,6 +259,7 @@
         pending = _Pending(cell=cell, rank=rank, tried=tried, then=then)
         target = self._choose(pending)
         if target or not self._stale(pool):
+            self._count_use(target)
             then(target)
             return
         with self._lock:
@@ -297,6 +333,20 @@
                     )
                     self._known[slot] = replace(known, floors=floors)
 
+    def _count_use(self, cell: str) -> None:
+        """Have the home of a cell asked again once it was handed enough."""
+        home = home_of(self._view(), cell_resource(cell)) if cell else None
+        if home is None:
+            return
+        slot = (pool_of(cell), home.name)
+        with self._lock:
+            known = self._known.get(slot)
+            if known is None:
+                return
+            uses = known.uses - 1
+            until = known.until if uses > 0 else 0.0
+            self._known[slot] = replace(known, uses=uses, until=until)
+
     def _homes(self, pool: str) -> list[Host]:
         view = self._view()
         homes = {}
@@ -316,27 +366,41 @@
         return stale
 
     def _start_refresh(self, pool: str) -> None:
-        threading.Thread(
+        thread = threading.Thread(
             target=self._refresh, args=(pool,), name="floors", daemon=True
-        ).start()
+        )
+        try:
+            thread.start()
+        except RuntimeError:
+            # The host is out of threads. Whoever waits for the answers would
+            # never be told; what is known already has to do.
+            self._decide(pool)
 
     def _refresh(self, pool: str) -> None:
         """Ask all homes whose answers are too old, then decide what waits."""
-        stale = self._stale(pool)
-        if stale:
-            workers = min(MOST_ASKED_AT_ONCE, len(stale))
-            query = FloorQuery(pool=pool, valid_ms=self._valid_ms(pool))
-            threads = ThreadPoolExecutor(max_workers=workers)
-            futs = {threads.submit(self._learn, home, query): home for home in stale}
-            silent = wait(futs, timeout=FLOOR_TIMEOUT_S).not_done
-            for fut in silent:
-                # Asked once in a while only, a frozen home holds up nobody else.
-                self._remember(futs[fut], query, (), time.monotonic())
-            threads.shutdown(wait=False)
+        try:
+            stale = self._stale(pool)
+            if stale:
+                self._ask_all(pool, stale)
+        finally:
+            self._decide(pool)
+
+    def _ask_all(self, pool: str, homes: list[Host]) -> None:
+        query = FloorQuery(pool=pool, valid_ms=self._valid_ms(pool))
+        threads = ThreadPoolExecutor(max_workers=min(MOST_ASKED_AT_ONCE, len(homes)))
+        futs = {threads.submit(self._learn, home, query): home for home in homes}
+        for fut in wait(futs, timeout=FLOOR_TIMEOUT_S).not_done:
+            # Asked once in a while only, a frozen home holds up nobody else.
+            self._remember(futs[fut], query, (), time.monotonic())
+        threads.shutdown(wait=False)
+
+    def _decide(self, pool: str) -> None:
         with self._lock:
             decided = self._pending.pop(pool, [])
         for pending in decided:
-            pending.then(self._choose(pending))
+            target = self._choose(pending)
+            self._count_use(target)
+            pending.then(target)
 
     def _valid_ms(self, pool: str) -> int:
         valid_s = VALID_PER_HOME_S * len(self._homes(pool))
@@ -359,7 +423,12 @@
         floors: tuple[CellFloor, ...],
         asked_at: float,
     ) -> None:
-        known = _Known(floors=floors, until=asked_at + query.valid_ms / MS_PER_S)
+        fill = min((one.fill for one in floors), default=PERCENT)
+        known = _Known(
+            floors=floors,
+            until=asked_at + query.valid_ms / MS_PER_S,
+            uses=USES_IDLE if fill < PERCENT else USES_BUSY,
+        )
         with self._lock:
             self._known[query.pool, home.name] = known
 
