Prefill long prompts where no higher tier is running

Engines prefill in chunks, up to 256 ms of a step, and what decodes beside a long prompt of a lower tier gets one token a step. The choice of an engine counted the prefill before an ask, but not whom the ask's own prefill would delay.

Change: a long prefill of a lower tier costs its own time for each request of a higher tier that is running there. The new test in test_headroom.py failed before.

--- a/baobabwing/pools/policies/search.py
+++ b/baobabwing/pools/policies/search.py
@@ -110,7 +110,14 @@
         total_s += ask.output_tokens * speed.step_s(len(upstream.permits) + 1)
         if upstream.prefill_free_at > self._now:
             total_s += upstream.prefill_free_at - self._now
-        self._compare(upstream, total_s, uncached, is_long)
+        delay_s = prefill_s * self._upper_running(upstream) if is_long else 0.0
+        self._compare(upstream, total_s, uncached, is_long, delay_s)
+
+    def _upper_running(self, upstream: TrackedUpstream) -> int:
+        # An engine decodes slowly while it prefills: a chat of 30 tokens that
+        # runs beside a long prompt of a lower tier stands still for all of it.
+        rank = self._ask.tier_rank
+        return sum(permit.tier_rank < rank for permit in upstream.permits.values())
 
     def _long_fits(self, upstream: TrackedUpstream, prefill_s: float) -> bool:
         if prefill_s > MOST_LOW_PREFILL_S and not self._another_long_prefill():
@@ -123,7 +130,12 @@
         return self._long_allowed
 
     def _compare(
-        self, upstream: TrackedUpstream, total_s: float, uncached: int, is_long: bool
+        self,
+        upstream: TrackedUpstream,
+        total_s: float,
+        uncached: int,
+        is_long: bool,
+        delay_s: float = 0.0,
     ) -> None:
         if total_s > self._slack_s:
             # Too slow even when idle, it is no loss to this ask if another
@@ -133,7 +145,7 @@
             too_slow = idle_s > self._slack_s
             self._hinder(Hindrance.UNUSABLE if too_slow else Hindrance.BUSY)
             return
-        total_s += _CROWDING_S * len(upstream.permits)
+        total_s += _CROWDING_S * len(upstream.permits) + delay_s
         if total_s < self._best_s:
             self._best = upstream
             self._best_s = total_s
--- a/tests/pools/test_headroom.py
+++ b/tests/pools/test_headroom.py
@@ -140,3 +140,19 @@
     assert bench.order == ["draw0"]
     bench.end("draw0", outcome=Outcome.CANCELLED, tokens=0)
     assert bench.order == ["draw0", "chat", "note"]
+
+
+def test_long_prompt_goes_where_no_chat_would_stand_still(make_bench, engines):
+    """A chat runs on the faster engine when a season draw comes.
+
+    There the draw would end sooner, but the chat would get no token while the
+    draw is prefilled, and be late although there is room for both.
+    """
+    upstreams = [
+        *engines(1, capacity=8, step_ms=8.0),
+        *[u for u in engines(2, capacity=8, step_ms=12.0) if u.name == "u1"],
+    ]
+    bench = make_bench(upstreams=upstreams)
+    assert bench.ask("chat").upstream == "u0"
+    ask_draws(bench, 1)
+    assert bench.running["draw0"].upstream == "u1"
