--- a/baobabwing/homes/cells.py
+++ b/baobabwing/homes/cells.py
@@ -18,6 +18,12 @@
 from baobabwing.fleet.homes import home_of
 from baobabwing.fleet.host import Host, MemberState
 from baobabwing.fleet.view import FleetView
+from baobabwing.homes.conversion import (
+    to_ask,
+    to_done,
+    to_inflight,
+    to_message,
+)
 from baobabwing.homes.events import HOME_REBUILT, HOME_TAKEN
 from baobabwing.homes.floors import (
     PERCENT,
@@ -37,7 +43,6 @@
     Decision,
     Done,
     Grant,
-    Inflight,
     LoadReport,
     Refusal,
     RefusalCode,
@@ -195,7 +200,7 @@
             return
         recent = message.tried[len(message.tried) - message.recent :]
         self._floors.heard_refused(recent, message.tier_rank)
-        ask = _to_ask(identity, message, time.monotonic())
+        ask = to_ask(identity, message, time.monotonic())
         with self._lock:
             self._waiting[identity, message.request_id] = _Waiting(
                 cell=message.cell,
@@ -222,7 +227,7 @@
         """Take a permit back."""
         cell = self._cells.get(message.cell)
         if cell is not None:
-            self._send(cell, cell.done(_to_done(message), time.monotonic()))
+            self._send(cell, cell.done(to_done(message), time.monotonic()))
 
     def where(self, key: str, pool: str) -> WhereAnswer:
         """Return where the request with a key was permitted to go.
@@ -427,19 +432,7 @@
 
     def _adopt(self, cell: Cell, host: Host, answer: InflightAnswer) -> None:
         identity = f"{host.name}#{host.incarnation}"
-        items = [
-            Inflight(
-                request_id=item.request_id,
-                entry=identity,
-                upstream=item.upstream,
-                key=item.key,
-                prompt_tokens=item.prompt_tokens,
-                output_tokens=item.output_tokens,
-                organisation=item.organisation,
-                tier_rank=item.tier_rank,
-            )
-            for item in answer.items
-        ]
+        items = to_inflight(identity, answer)
         self._send(cell, cell.adopt(items, time.monotonic()))
 
     def _take_load(self, report: LoadReport) -> None:
@@ -521,14 +514,14 @@
     def _deliver(self, decision: Decision, waiting: _Waiting) -> bool:
         """Pass a decision on; one that is due to load, once others were asked."""
         if not isinstance(decision, Refusal) or decision.code not in FOR_LOAD:
-            return waiting.respond(_to_message(decision))
+            return waiting.respond(to_message(decision))
         if not self._floors.has_others(waiting.cell):
-            return waiting.respond(_to_message(decision))
+            return waiting.respond(to_message(decision))
 
         self._floors.refused(waiting.cell, waiting.rank)
 
         def hand_to(target: str) -> None:
-            waiting.respond(_to_message(replace(decision, hand_to=target)))
+            waiting.respond(to_message(replace(decision, hand_to=target)))
 
         self._floors.find(
             cell=waiting.cell, rank=waiting.rank, tried=waiting.tried, then=hand_to
@@ -545,50 +538,3 @@
         if pool.kind is kind
         for one in upstreams
     ]
-
-
-def _to_ask(identity: str, message: PermitRequest, now: float) -> Ask:
-    return Ask(
-        request_id=message.request_id,
-        entry=identity,
-        pool=message.cell.rpartition("/")[0],
-        organisation=message.organisation,
-        weight=message.weight,
-        tier_rank=message.tier_rank,
-        deadline=now + message.budget_ms / 1000,
-        prompt_tokens=message.prompt_tokens,
-        output_tokens=message.output_tokens,
-        prefix=message.prefix,
-        key=message.key,
-        exclude=message.exclude,
-    )
-
-
-def _to_done(message: PermitDone) -> Done:
-    return Done(
-        request_id=message.request_id,
-        upstream=message.upstream,
-        outcome=message.outcome,
-        first_token_s=message.first_token_ms / 1000,
-        tokens=message.tokens,
-        duration_s=message.duration_ms / 1000,
-        prompt_tokens=message.prompt_tokens,
-        cached_tokens=message.cached_tokens,
-    )
-
-
-def _to_message(decision: Decision) -> PermitDecision:
-    if isinstance(decision, Refusal):
-        return PermitDecision(
-            request_id=decision.request_id,
-            granted=False,
-            code=decision.code,
-            retry_after_ms=int(decision.retry_after_s * 1000),
-            hand_to=decision.hand_to,
-        )
-    return PermitDecision(
-        request_id=decision.request_id,
-        granted=True,
-        upstream=decision.upstream,
-        attempt=decision.attempt,
-    )
