End a node that cannot start

Cause: a start that fails half-way, as for want of threads, left a process that neither served nor ended, since threads that had started kept it. Change: the failure is logged as 8011 and the process ends with 1.

--- a/baobabwing/cli/node.py
+++ b/baobabwing/cli/node.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import threading
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
 from baobabwing.cli.config import exit_on_error
-from baobabwing.reports.events import configure_logging
+from baobabwing.node.events import NODE_START_FAILED
+from baobabwing.reports.events import configure_logging, log
 from baobabwing.settings.loader import load_settings
 
+if TYPE_CHECKING:
+    from baobabwing.node.node import Node
+
 __all__ = ["node"]
 
+EXIT_FAILED = 1
+
 
 def node(
     settings: Annotated[
@@ -46,6 +53,20 @@
 
         signal.signal(signal.SIGTERM, on_signal)
         signal.signal(signal.SIGINT, on_signal)
-        running.start()
+        _start(running)
         asked.wait()
         running.stop()
+
+
+def _start(running: Node) -> None:
+    """Start the node, or end the process.
+
+    A start that fails half-way, as when the host gives no more threads, leaves
+    threads that keep the process from ending. It would neither serve nor be
+    replaced by the platform, which sees it run.
+    """
+    try:
+        running.start()
+    except Exception as exc:
+        log(NODE_START_FAILED, error=type(exc).__name__)
+        os._exit(EXIT_FAILED)
--- a/baobabwing/node/events.py
+++ b/baobabwing/node/events.py
@@ -10,6 +10,7 @@
     "NODE_CUT_SHORT",
     "NODE_LEAVING",
     "NODE_READY",
+    "NODE_START_FAILED",
     "NODE_STOPPED",
     "THREAD_FAILED",
 ]
@@ -58,3 +59,10 @@
     "A configuration document from the store or a peer could not be read.",
     level="error",
 )
+NODE_START_FAILED = define(
+    8011,
+    "node_start_failed",
+    "The node could not start and its process ended; see the error, such as a "
+    "lack of threads or an address in use.",
+    level="error",
+)
