Count the bytes between nodes in the gauge that was never set

Change: both ends of the peer connections are counted, without the headers of IP and TCP and without the membership's datagrams.

--- a/baobabwing/wire/peers.py
+++ b/baobabwing/wire/peers.py
@@ -79,6 +79,7 @@
         self._open: set[FrameSocket] = set()
         self._lock = threading.Lock()
         self._stopping = False
+        self._closed_bytes = 0
         self._listener = _listening_socket(listen)
         self._thread = threading.Thread(
             target=self._accept, name="peer-accept", daemon=True
@@ -100,6 +101,12 @@
         for frames in connections:
             frames.close()
 
+    def control_bytes(self) -> int:
+        """Return the bytes sent and received so far on all connections."""
+        with self._lock:
+            live = sum(one.bytes_sent + one.bytes_received for one in self._open)
+            return self._closed_bytes + live
+
     def _accept(self) -> None:
         while not self._stopping:
             try:
@@ -131,6 +138,7 @@
         finally:
             with self._lock:
                 self._open.discard(frames)
+                self._closed_bytes += frames.bytes_sent + frames.bytes_received
             frames.close()
             self._on_lost(identity, frames)
 
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -90,6 +90,8 @@
     first = peers.call(address, WhereQuery(key="one", pool="p"))
     second = peers.call(address, WhereQuery(key="two", pool="p"))
     assert both.wait(5)
+    assert server.control_bytes() > 0
+    assert peers.control_bytes() > 0
     assert first.result(5).upstream == "one"
     assert second.result(5).upstream == "two"
     peers.close()
