--- a/baobabwing/wire/framing.py
+++ b/baobabwing/wire/framing.py
@@ -119,22 +119,11 @@
     """
     frames = FrameSocket(sock=sock)
     nonce = secrets.token_bytes(_NONCE_BYTES)
-    mine = Hello(
-        name=name, incarnation=incarnation, protocol=PROTOCOL_VERSION, nonce=nonce
-    )
-    frames.send(mine)
+    frames.send(_hello(name, incarnation, nonce))
     theirs = _expect_hello(frames)
     key = _key_that_proves(keys, b"accept", nonce, theirs)
     proof = _proof(key, b"open", theirs.nonce, name, incarnation)
-    frames.send(
-        Hello(
-            name=name,
-            incarnation=incarnation,
-            protocol=PROTOCOL_VERSION,
-            nonce=nonce,
-            proof=proof,
-        )
-    )
+    frames.send(_hello(name, incarnation, nonce, proof))
     opened, accepted = _direction_keys(key, nonce, theirs.nonce)
     frames.rekey(send_key=opened, receive_key=accepted)
     return frames, theirs
@@ -155,15 +144,7 @@
     theirs = _expect_hello(frames)
     nonce = secrets.token_bytes(_NONCE_BYTES)
     proof = _proof(keys[0], b"accept", theirs.nonce, name, incarnation)
-    frames.send(
-        Hello(
-            name=name,
-            incarnation=incarnation,
-            protocol=PROTOCOL_VERSION,
-            nonce=nonce,
-            proof=proof,
-        )
-    )
+    frames.send(_hello(name, incarnation, nonce, proof))
     final = _expect_hello(frames)
     key = _key_that_proves(keys, b"open", nonce, final)
     opened, accepted = _direction_keys(key, theirs.nonce, nonce)
@@ -171,6 +152,16 @@
     return frames, final
 
 
+def _hello(name: str, incarnation: int, nonce: bytes, proof: bytes = b"") -> Hello:
+    return Hello(
+        name=name,
+        incarnation=incarnation,
+        protocol=PROTOCOL_VERSION,
+        nonce=nonce,
+        proof=proof,
+    )
+
+
 def _expect_hello(frames: FrameSocket) -> Hello:
     _, message = frames.receive()
     if not isinstance(message, Hello):
