Wait for the hung insert before asking who has the claim

Change: the test waits until the row of the hung insert is there, which is what its story says; what it asserts is the same.

--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from baobabwing.bench.processes import wait_until
 from baobabwing.exceptions import PlatformUnavailableError
 from baobabwing.platform.memory import Fault, MemoryTables
 from baobabwing.requests.claims import Claim, ClaimKeeper
@@ -126,6 +127,7 @@
     with pytest.raises(PlatformUnavailableError):
         keeper.claim("salon", "k", _claim("a"))
     going_on.set()
+    assert wait_until(lambda: bool(tables.list_items("claims")), timeout_s=10.0)
     assert keepers(tables).claim("salon", "k", _claim("b")) == _claim("a")
 
 
