Leave an upstream for silence only when all of it is mute

Ruled out: upstreams that crashed (18 lost connections only). Change: the limit is twice the pause in time, counted over all streams from that upstream, and nothing is broken off that may not be repeated.

--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -62,6 +62,7 @@
         self.pace_s: float | None = None
         self.failed_share = 0.0
         self.eject_until = 0.0
+        self.heard_at = 0.0
         self._eject_s = _EJECT_S
         self.gone = False
 
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from http import HTTPStatus
+from typing import TypeVar
 
 from baobabwing.exceptions import BaobabwingError, ConnectionLostError, MalformedError
 from baobabwing.gateway.answers import CallerAnswer, Refusal
@@ -37,15 +39,18 @@
 # elsewhere; below the floor, ordinary queueing would do it.
 _SILENT_RATIO = 6.0
 _SILENT_FLOOR_S = 0.12
-# A resumable stream leaves a silent upstream after this share of the longest
-# pause that is still in time, so that the next one can go on within the rest.
-_PAUSE_SHARE = 0.7
-# Before the first event: long prompts ahead make it wait; twice the objective
-# shows a silent upstream.
-_FIRST_EVENT_RATIO = 1.5
+# A resumable stream leaves an upstream from which nothing came on any stream for
+# this many times the longest pause that is in time. Long prompts beside it make
+# one stream pause for half a second, but not all of them for twice that.
+_MUTE_PAUSES = 2.0
+# Before a first event also for this many times what was predicted.
+_MUTE_RATIO = 3.0
 _LEAST_RETRY_AFTER_S = 0.05
 
 
+_Read = TypeVar("_Read")
+
+
 class Step(Enum):
     """How a try at an upstream ended."""
 
@@ -239,7 +244,7 @@
         whole = False
         try:
             async with asyncio.timeout_at(call.ends_at - _RETURN_S):
-                step = await self._exchange(call, grant, kept)
+                step = await self._exchange(call, pool, grant, kept)
             whole = step is not Step.FAILED
         except TimeoutError:
             step = Step.FAILED
@@ -257,7 +262,7 @@
         return step
 
     async def _exchange(
-        self, call: Call, grant: Grant, kept: UpstreamConnection
+        self, call: Call, pool: PoolRuntime, grant: Grant, kept: UpstreamConnection
     ) -> Step:
         headers = upstream_headers(
             call.envelope,
@@ -271,10 +276,8 @@
         call.runs += 1
         sent_at = time.monotonic()
         envelope = call.envelope
-        silence_s = self._silence_s(call, grant)
-        async with _silence(silence_s):
-            await kept.send(envelope.method, envelope.target, headers, call.body)
-            head = await kept.head()
+        await kept.send(envelope.method, envelope.target, headers, call.body)
+        head = await self._listen(call, pool, grant, kept.head)
         if head.request_id and head.request_id != envelope.request_id:
             raise MalformedError(
                 "answer of another request", step="head", peer=kept.conn.peer
@@ -282,7 +285,7 @@
         if head.not_executed or head.status == HTTPStatus.MISDIRECTED_REQUEST:
             return await self._not_run(call, grant, kept, head)
         if call.route.streams and head.status == HTTPStatus.OK:
-            return await self._relay(call, grant, kept, head, sent_at)
+            return await self._relay(call, pool, grant, kept, head)
         return await self._whole(call, grant, kept, head, sent_at)
 
     async def _not_run(
@@ -336,10 +339,10 @@
     async def _relay(
         self,
         call: Call,
+        pool: PoolRuntime,
         grant: Grant,
         kept: UpstreamConnection,
         head: AnswerHead,
-        sent_at: float,
     ) -> Step:
         """Hand events on as they come."""
         last_at: float | None = None
@@ -347,9 +350,9 @@
         call.splitter.drop()
         before = call.splitter.events
         while True:
-            async with _silence(self._silence_s(call, grant, first=last_at is None)):
-                piece = await kept.body_piece()
+            piece = await self._listen(call, pool, grant, kept.body_piece)
             now = time.monotonic()
+            grant.track.heard_at = now
             if piece is None:
                 break
             whole = call.splitter.feed(piece)
@@ -372,7 +375,32 @@
         await call.answer.end()
         return Step.DONE
 
-    def _silence_s(self, call: Call, grant: Grant, *, first: bool = True) -> float | None:
+    async def _listen(
+        self,
+        call: Call,
+        pool: PoolRuntime,
+        grant: Grant,
+        read: Callable[[], Awaitable[_Read]],
+    ) -> _Read:
+        """Wait for an upstream, but not for one that has gone mute.
+
+        :raises ConnectionLostError: if it is mute and another may be tried.
+        """
+        limit_s = self._silence_s(call, grant)
+        while True:
+            try:
+                async with asyncio.timeout(limit_s):
+                    return await read()
+            except TimeoutError as exc:
+                quiet_s = time.monotonic() - max(grant.track.heard_at, grant.since)
+                mute = limit_s is not None and quiet_s >= limit_s
+                # Nothing is broken off that could not go on elsewhere.
+                if mute and pool.budget.left(self._state.nodes) >= 1:
+                    raise ConnectionLostError(
+                        "mute", step="wait", peer=grant.track.entry.address
+                    ) from exc
+
+    def _silence_s(self, call: Call, grant: Grant) -> float | None:
         """Return how long an upstream may be silent before another is tried."""
         route = call.route
         if not route.repeatable or call.runs >= route.attempts:
@@ -380,9 +408,10 @@
         if not route.streams:
             pace = grant.track.pace_s or _SILENT_FLOOR_S / _SILENT_RATIO
             return max(_SILENT_RATIO * pace, _SILENT_FLOOR_S)
-        if first:
-            return max(_FIRST_EVENT_RATIO * route.objective_s, 3 * grant.predicted_s)
-        return _PAUSE_SHARE * route.gap_objective_s
+        pause_s = _MUTE_PAUSES * route.gap_objective_s
+        if call.first_event_at is None:
+            return max(pause_s, _MUTE_RATIO * grant.predicted_s)
+        return pause_s
 
     async def _fail(self, call: Call, pool: PoolRuntime, step: Step) -> None:
         """Give the final answer to a request that no upstream answered."""
@@ -457,19 +486,3 @@
             events=call.splitter.events,
             sends=call.sends,
         )
-
-
-class _silence:  # noqa: N801
-    """Bounds one wait for an upstream; ``None`` leaves it to the deadline."""
-
-    def __init__(self, seconds: float | None) -> None:
-        self._timeout = asyncio.timeout(seconds)
-
-    async def __aenter__(self) -> None:
-        await self._timeout.__aenter__()
-
-    async def __aexit__(self, *exc_info: object) -> None:
-        try:
-            await self._timeout.__aexit__(*exc_info)
-        except TimeoutError as exc:
-            raise ConnectionLostError("silent", step="wait") from exc
