Give up a queued stream before its caller's patience ends

Cause: callers leave a stream that has not begun after four objectives; a place given at that moment was prefill for nobody and the wait was held to the end. Change: a stream waits three quarters of that patience for its place.

--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -31,6 +31,9 @@
 __all__ = ["Forwarder"]
 
 # A caller that gives no deadline waits as long as its route's timeout.
+# Share of a caller's patience that a request may wait for its place; the rest is
+# for the first event.
+_PATIENCE_SHARE = 0.75
 # Time that an answer needs from us to the caller, kept off what upstreams get.
 _RETURN_S = 0.01
 # Sends of one request at the most, proven refusals included.
@@ -202,7 +205,7 @@
             rank=call.rank,
             arrived=call.arrived,
             objective_at=objective,
-            deadline_at=call.ends_at - _RETURN_S,
+            deadline_at=self._place_until(call),
             prompt_tokens=call.envelope.tokens_in or 0,
             exclude=call.excluded,
         )
@@ -219,6 +222,16 @@
         )
         return grant
 
+    def _place_until(self, call: Call) -> float:
+        """Return until when a place is still of use to the caller."""
+        until = call.ends_at - _RETURN_S
+        if call.route.streams and call.first_event_at is None:
+            # A caller that has heard nothing leaves; a place that comes just
+            # before would be wasted, and the wait as well.
+            patience_s = _PATIENCE_SHARE * call.route.patience_s
+            until = min(until, call.arrived + patience_s)
+        return until
+
     def _may_repeat(self, call: Call, pool: PoolRuntime, step: Step) -> bool:
         now = time.monotonic()
         if call.sends >= _MOST_SENDS or now >= call.ends_at - _RETURN_S:
--- a/baobabwing/gateway/model.py
+++ b/baobabwing/gateway/model.py
@@ -55,6 +55,7 @@
     :param timeout_s: longest time that a caller is kept waiting.
     :param objective_s: time to the whole answer, or to a stream's first event.
     :param gap_objective_s: longest pause between a stream's events.
+    :param patience_s: how long callers wait for a stream's first event.
     :param rank: urgency; 0 is the most urgent.
     :param attempts: most upstreams that may run one request.
     :param public: whether requests need no key.
@@ -69,6 +70,7 @@
     timeout_s: float = 30.0
     objective_s: float = 1.0
     gap_objective_s: float = 0.5
+    patience_s: float = 30.0
     rank: int = 0
     attempts: int = 1
     public: bool = False
