Order the queue by what can still be in time, and keep slots for the urgent routes

Cause: a strict queue by organisation served late requests of one before those of others that could still be in time; chats held all slots for seconds. Change: in time first, then the organisation's rank, then the route's; the least urgent route leaves a quarter of an engine's slots free; long outputs go to fast engines.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -20,6 +20,13 @@
 # Requests beyond its slots that an engine gets: the next one starts as soon as
 # one ends, without the way to us and back (3 to 5 ms) in which it would idle.
 _SPARE = 0
+# Part of an engine's slots that the least urgent requests leave free. They hold a
+# slot for seconds, the more urgent ones for a few hundred ms; with all slots
+# taken by the former, the latter wait for one while their objective runs out.
+_RESERVED_SHARE = 0.25
+# Weight of the time that a request's output takes, against the time to its first
+# event: long outputs go to fast engines, as far as these are not behind.
+_OUTPUT_WEIGHT = 0.15
 # Plain services answer within some 20 ms; twice their slots keeps their own
 # queue short enough that nothing in it misses an objective of 100 ms.
 _PLAIN_DEPTH = 2
@@ -33,18 +40,22 @@
 class Ask:
     """A request that wants an upstream.
 
-    :param rank: urgency; 0 is the most urgent.
+    :param rank: urgency of its organisation, or else of its route; 0 goes first.
+    :param route_rank: urgency of its route, between requests of equal rank.
     :param objective_at: when its answer, or first event, ceases to be in time.
     :param deadline_at: when nobody waits for it any more.
     :param prompt_tokens: tokens to be read before the first event.
+    :param expected_out: tokens that it will probably generate.
     :param exclude: incarnations that it must not go to again.
     """
 
     rank: int
+    route_rank: int = 0
     arrived: float
     objective_at: float
     deadline_at: float
     prompt_tokens: int = 0
+    expected_out: int = 0
     exclude: set[str] = field(default_factory=set)
     number: int = field(default_factory=itertools.count(1).__next__)
 
@@ -76,6 +87,7 @@
         self._rng = rng
         self._typical_s: float | None = None
         self.holding_s = _HOLDING_S
+        self._least_rank = 0
 
     def set_engine(self, engine: EngineSpec) -> None:
         """Take changed figures of the pool's engines."""
@@ -104,6 +116,7 @@
 
     def submit(self, ask: Ask) -> None:
         """Queue a request; :meth:`grants` places it, now or later."""
+        self._least_rank = max(self._least_rank, ask.route_rank)
         self.waiting.append(ask)
 
     def withdraw(self, ask: Ask) -> None:
@@ -151,11 +164,11 @@
         """Take a sample of how long a request keeps its place."""
         self.holding_s += _HOLDING_ALPHA * (seconds - self.holding_s)
 
-    def _order(self, ask: Ask, now: float) -> tuple[int, bool, float]:
+    def _order(self, ask: Ask, now: float) -> tuple:
         late = now + self._soonest_s(ask) > ask.objective_at
         # Of those in time the one that would miss first, of the late ones the
         # newest: the oldest are the first to be given up by their callers.
-        return ask.rank, late, -ask.arrived if late else ask.objective_at
+        return late, ask.rank, ask.route_rank, -ask.arrived if late else ask.objective_at
 
     def _soonest_s(self, ask: Ask) -> float:
         if self.engine is None:
@@ -176,19 +189,14 @@
         sound = [track for track in usable if track.usable(now)]
         # Where all were set aside, being set aside says nothing any more.
         pool = sound or [track for track in usable if not track.entry.draining]
-        free = [track for track in pool if self._room(track) > 0]
+        kept_free = self._kept_free(ask)
+        free = [track for track in pool if self._room(track) > kept_free(track)]
         if not free:
             return None
-        predicted, _, track = min(
-            (
-                track.predict_s(
-                    ask.prompt_tokens, track.slowness(self._typical_s), now
-                ),
-                self._rng.random(),
-                track,
-            )
-            for track in free
+        best = min(
+            free, key=lambda track: (self._cost_s(ask, track, now), self._rng.random())
         )
+        track, predicted = best, self._first_s(ask, best, now)
         track.begin(
             ask.number,
             Outstanding(
@@ -197,6 +205,26 @@
         )
         return Grant(ask=ask, track=track, predicted_s=predicted, since=now)
 
+    def _kept_free(self, ask: Ask) -> Callable[[UpstreamTrack], int]:
+        """Return how many slots of an engine a request must leave free."""
+        if self.engine is None or ask.route_rank < self._least_rank:
+            return lambda track: 0
+        if not self._least_rank:
+            return lambda track: 0
+        return lambda track: int(track.slots * _RESERVED_SHARE)
+
+    def _first_s(self, ask: Ask, track: UpstreamTrack, now: float) -> float:
+        slowness = track.slowness(self._typical_s)
+        return track.predict_s(ask.prompt_tokens, slowness, now)
+
+    def _cost_s(self, ask: Ask, track: UpstreamTrack, now: float) -> float:
+        first = self._first_s(ask, track, now)
+        if self.engine is None:
+            return first
+        pace = track.pace_s or self._typical_s or 0.0
+        output = ask.expected_out * pace / self.engine.tokens_per_event
+        return first + _OUTPUT_WEIGHT * output
+
     def _learn_typical(self) -> None:
         paces = sorted(
             track.pace_s for track in self.tracks.values() if track.pace_s is not None
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -203,10 +203,12 @@
         objective = call.arrived + call.route.objective_s
         ask = Ask(
             rank=call.rank,
+            route_rank=call.route.rank,
             arrived=call.arrived,
             objective_at=objective,
             deadline_at=self._place_until(call),
             prompt_tokens=call.envelope.tokens_in or 0,
+            expected_out=call.envelope.expected_out or call.envelope.tokens_out,
             exclude=call.excluded,
         )
         grant = await pool.place(ask)
