--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -14,6 +15,12 @@
 
 # Unread bytes beyond which the peer is not read from; a few events or one prompt.
 _HIGH_WATER_BYTES = 64 * 1024
+# A peer that does not acknowledge is taken for gone after about two seconds: one
+# idle second, then a probe a second. Whole seconds are the least that the kernel
+# takes.
+_PROBE_S = 1
+_PROBES = 2
+_SILENT_MS = 2000
 
 
 class HttpConnection(asyncio.Protocol):
@@ -180,6 +187,20 @@
         return ConnectionLostError(reason, step="exchange", peer=self.peer)
 
 
+def _probe_when_idle(transport: asyncio.Transport) -> None:
+    """Have the kernel notice a peer that is gone without a word.
+
+    A connection whose peer lost power, or whose path is cut, stays open and
+    silent for good; a reader would wait on it for ever.
+    """
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _SILENT_MS)
+
+
 async def open_connection(
     address: str, *, timeout_s: float, head_bytes: int
 ) -> HttpConnection:
@@ -201,4 +222,5 @@
         raise ConnectionLostError(
             f"no connection: {exc!r}", step="connect", peer=address
         ) from exc
+    _probe_when_idle(conn.transport)
     return conn
