Weigh long outputs against the deadline; forgive upstreams a request's own failure

Cause: chats of 2,000 tokens on slow engines were cut at their deadline; requests that fail everywhere counted against each upstream they ran on.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -43,7 +43,8 @@
     :param rank: urgency of its organisation, or else of its route; 0 goes first.
     :param route_rank: urgency of its route, between requests of equal rank.
     :param objective_at: when its answer, or first event, ceases to be in time.
-    :param deadline_at: when nobody waits for it any more.
+    :param deadline_at: until when a place is of use to it.
+    :param ends_at: when nobody waits for the end of its answer any more.
     :param prompt_tokens: tokens to be read before the first event.
     :param expected_out: tokens that it will probably generate.
     :param exclude: incarnations that it must not go to again.
@@ -54,6 +55,7 @@
     arrived: float
     objective_at: float
     deadline_at: float
+    ends_at: float = float("inf")
     prompt_tokens: int = 0
     expected_out: int = 0
     exclude: set[str] = field(default_factory=set)
@@ -223,7 +225,9 @@
             return first
         pace = track.pace_s or self._typical_s or 0.0
         output = ask.expected_out * pace / self.engine.tokens_per_event
-        return first + _OUTPUT_WEIGHT * output
+        # What can't end in time there is cut off after all its work.
+        cut = max(now + first + output - ask.ends_at, 0.0)
+        return first + _OUTPUT_WEIGHT * output + cut
 
     def _learn_typical(self) -> None:
         paces = sorted(
--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -117,6 +117,13 @@
             self.eject_until = max(self.eject_until, now + self._eject_s)
             self._eject_s = min(self._eject_s * 2, _EJECT_MOST_S)
 
+    def forgive(self) -> None:
+        """Take back the last failure: it was the request's own."""
+        self.failed_share = max(
+            (self.failed_share - _FAIL_ALPHA) / (1 - _FAIL_ALPHA), 0.0
+        )
+        self.eject_until = 0.0
+
     def refused(self, now: float) -> None:
         """Note that it was full; it gets nothing new for a moment."""
         self.eject_until = max(self.eject_until, now + _FULL_S)
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from baobabwing.exceptions import BaobabwingError, ConnectionLostError, MalformedError
 from baobabwing.gateway.answers import CallerAnswer, Refusal
 from baobabwing.gateway.decisions.scheduling import Ask, Grant
+from baobabwing.gateway.decisions.tracking import UpstreamTrack
 from baobabwing.gateway.envelope import Envelope, upstream_headers
 from baobabwing.gateway.events import (
     LIMIT_REACHED,
@@ -89,6 +90,7 @@
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_event_at: float | None = None
     failure: tuple[AnswerHead, bytes] | None = None
+    failed_at: UpstreamTrack | None = None
 
     @property
     def rank(self) -> int:
@@ -229,6 +231,7 @@
             arrived=call.arrived,
             objective_at=objective,
             deadline_at=self._place_until(call),
+            ends_at=call.ends_at,
             prompt_tokens=call.envelope.tokens_in or 0,
             expected_out=call.envelope.expected_out or call.envelope.tokens_out,
             exclude=call.excluded,
@@ -353,7 +356,7 @@
         body = b"".join(pieces)
         now = time.monotonic()
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            grant.track.failed(now)
+            self._note_answered_failure(call, grant, now)
             call.failure = (head, body)
             return Step.ANSWERED_FAILURE
         grant.track.succeeded()
@@ -362,6 +365,18 @@
         await self._pass_on(call, head, body)
         return Step.DONE
 
+    def _note_answered_failure(self, call: Call, grant: Grant, now: float) -> None:
+        """Hold a failure against the upstream, unless it is the request's own.
+
+        Some requests fail wherever they run; a few of them would set aside every
+        upstream that serves the others well.
+        """
+        if call.failed_at is None:
+            call.failed_at = grant.track
+            grant.track.failed(now)
+        else:
+            call.failed_at.forgive()
+
     async def _pass_on(self, call: Call, head: AnswerHead, body: bytes) -> None:
         headers = [
             (name, value)
