--- a/baobabwing/bench/changes.py
+++ b/baobabwing/bench/changes.py
@@ -28,9 +28,9 @@
 from baobabwing.brands.operators import Operator, Role, token_digest
 from baobabwing.cli.node_client import hand_over
 from baobabwing.exceptions import BaobabwingError
-from baobabwing.platform.tables import TableClient
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.plans import confirm, plan
+from baobabwing.store.tables import TableClient
 
 __all__ = ["Figures", "Reach", "main", "measure"]
 
--- a/baobabwing/bench/deployments.py
+++ b/baobabwing/bench/deployments.py
@@ -19,10 +19,10 @@
 from baobabwing.fleet.homes import home_of
 from baobabwing.fleet.host import Host, Member, MemberState
 from baobabwing.fleet.view import FleetView
-from baobabwing.platform.tables import TableClient
 from baobabwing.pools.catalogue import PoolKind, Upstream
 from baobabwing.pools.partition import cell_names, cell_resource
 from baobabwing.settings.publish import publish
+from baobabwing.store.tables import TableClient
 
 __all__ = ["Deployment"]
 
--- a/baobabwing/bench/matrix/site.py
+++ b/baobabwing/bench/matrix/site.py
@@ -21,13 +21,13 @@
 from baobabwing.fleet.homes import ranking
 from baobabwing.fleet.host import Host, Member, MemberState
 from baobabwing.fleet.view import FleetView
-from baobabwing.platform.tables import TableClient
 from baobabwing.pools.partition import cell_resource
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.fetch import fetch_configuration
 from baobabwing.settings.publish import publish
 from baobabwing.standins.engine.parameters import EngineParameters
 from baobabwing.standins.service import ServiceParameters
+from baobabwing.store.tables import TableClient
 
 __all__ = ["BOOKING", "CHAT_MODEL", "ENGINES", "SERVICES", "Site", "trial_shape"]
 
--- a/baobabwing/bench/slopes/configurations.py
+++ b/baobabwing/bench/slopes/configurations.py
@@ -18,7 +18,6 @@
 from baobabwing.entry.context import Catalogue
 from baobabwing.homes.cells import CellHomes
 from baobabwing.homes.limits import SliceDesk
-from baobabwing.platform.memory import MemoryTables
 from baobabwing.pools.catalogue import Pool, PoolKind, Upstream
 from baobabwing.settings.configuration import Configuration, ModelRoute
 from baobabwing.settings.deltas import (
@@ -30,6 +29,7 @@
 )
 from baobabwing.settings.documents import deflate, dump_configuration, inflate
 from baobabwing.settings.publish import publish
+from baobabwing.store.memory import MemoryTables
 from baobabwing.wire.messages import InflightAnswer
 
 __all__ = ["configuration_of", "measure_configurations"]
--- a/baobabwing/bench/slopes/fleets.py
+++ b/baobabwing/bench/slopes/fleets.py
@@ -15,7 +15,7 @@
 from baobabwing.fleet.homes import carry_homes, home_of
 from baobabwing.fleet.host import Host, Member, MemberState
 from baobabwing.fleet.view import FleetView
-from baobabwing.platform.hosts import ListedHost
+from baobabwing.store.hosts import ListedHost
 
 __all__ = ["host_of", "measure_fleets", "view_of"]
 
--- a/baobabwing/cli/access.py
+++ b/baobabwing/cli/access.py
@@ -13,9 +13,9 @@
 import typer
 
 from baobabwing.brands.operators import AccessError, Operator, Role, find_operator
-from baobabwing.platform.tables import Tables
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.fetch import fetch_configuration
+from baobabwing.store.tables import Tables
 
 __all__ = [
     "TOKEN_VARIABLE",
--- a/baobabwing/cli/config.py
+++ b/baobabwing/cli/config.py
@@ -21,7 +21,6 @@
     SettingsError,
 )
 from baobabwing.orders.errors import LeaseLostError, OrderError
-from baobabwing.platform.tables import TableClient
 from baobabwing.settings.access import check_changes, visible_part
 from baobabwing.settings.changes import changes_between
 from baobabwing.settings.configuration import Configuration
@@ -29,6 +28,7 @@
 from baobabwing.settings.fetch import fetch_configuration, fetch_version
 from baobabwing.settings.loader import load_configuration, load_file
 from baobabwing.settings.publish import publish as publish_configuration
+from baobabwing.store.tables import TableClient
 
 __all__ = [
     "EXIT_CONFLICT",
--- a/baobabwing/cli/plan.py
+++ b/baobabwing/cli/plan.py
@@ -27,7 +27,6 @@
 from baobabwing.orders.desk import OrderDesk
 from baobabwing.orders.engines import HttpEngines
 from baobabwing.orders.execution import OrderTiming
-from baobabwing.platform.hosts import list_hosts
 from baobabwing.settings.access import scope_of, visible_entry
 from baobabwing.settings.changes import describe
 from baobabwing.settings.configuration import Configuration
@@ -44,6 +43,7 @@
 from baobabwing.settings.plans import plan as make_plan
 from baobabwing.settings.plans.intents import intent_class
 from baobabwing.settings.plans.store import unknown_plan
+from baobabwing.store.hosts import list_hosts
 
 __all__ = ["app", "confirm", "history"]
 
--- a/baobabwing/cli/report.py
+++ b/baobabwing/cli/report.py
@@ -11,7 +11,6 @@
 
 from baobabwing.cli.config import exit_on_error
 from baobabwing.exceptions import BaobabwingError, PeerError
-from baobabwing.platform.tables import TableClient
 from baobabwing.reports.burn import build_report
 from baobabwing.reports.burn_samples import (
     Sample,
@@ -26,6 +25,7 @@
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.fetch import fetch_configuration
 from baobabwing.settings.loader import load_configuration
+from baobabwing.store.tables import TableClient
 
 __all__ = ["app"]
 
--- a/baobabwing/gateway/callers.py
+++ b/baobabwing/gateway/callers.py
@@ -23,6 +23,8 @@
 
 _BACKLOG = 1024
 _LINGER_S = 0.05
+# Colon, space and line end of a header.
+_HEADER_EXTRA_BYTES = 4
 
 
 class CallerServer:
@@ -47,6 +49,11 @@
             self._connection, host, int(port), backlog=_BACKLOG
         )
 
+    @property
+    def listening(self) -> bool:
+        """Whether callers can connect."""
+        return self._server is not None and self._server.is_serving()
+
     @property
     def open_connections(self) -> int:
         """Connections of callers that are open."""
@@ -99,6 +106,7 @@
             arrived = time.monotonic()
             headers: Headers = list(request.headers.raw_items())
             _check_framing(headers, conn.peer)
+            _check_size(request, limits.head_bytes, conn.peer)
             body = await self._body(conn, limits)
         except MalformedError as exc:
             return await self._reject(conn, answer, exc)
@@ -179,9 +187,7 @@
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(pieces)
             if not isinstance(event, h11.Data):
-                raise ConnectionLostError(
-                    "caller left", step="body", peer=conn.peer
-                )
+                raise ConnectionLostError("caller left", step="body", peer=conn.peer)
             size += len(event.data)
             if size > limits.body_bytes:
                 raise MalformedError(
@@ -201,6 +207,18 @@
         return False
 
 
+def _check_size(request: h11.Request, most: int, peer: str) -> None:
+    """Refuse a head over its bound that came in one piece.
+
+    The parser bounds a head only while parts of it are missing.
+    """
+    size = len(request.target) + sum(
+        len(name) + len(value) + _HEADER_EXTRA_BYTES for name, value in request.headers
+    )
+    if size > most:
+        raise MalformedError("head too long", status=431, step="head", peer=peer)
+
+
 def _check_framing(headers: Headers, peer: str) -> None:
     """Refuse a request whose length can be read in two ways.
 
--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -59,7 +59,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the socket."""
         self.transport = transport
-        self.peer = "%s:%s" % (transport.get_extra_info("peername") or ("?", 0))[:2]
+        host, port, *_ = transport.get_extra_info("peername") or ("?", 0)
+        self.peer = f"{host}:{port}"
         if self._on_open is not None:
             self._on_open(self)
 
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -170,7 +170,12 @@
         late = now + self._soonest_s(ask) > ask.objective_at
         # Of those in time the one that would miss first, of the late ones the
         # newest: the oldest are the first to be given up by their callers.
-        return late, ask.rank, ask.route_rank, -ask.arrived if late else ask.objective_at
+        return (
+            late,
+            ask.rank,
+            ask.route_rank,
+            -ask.arrived if late else ask.objective_at,
+        )
 
     def _soonest_s(self, ask: Ask) -> float:
         if self.engine is None:
--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -130,7 +130,9 @@
 
     def prompt_ahead(self) -> int:
         """Return the prompt tokens that wait to be read there."""
-        return sum(item.prompt_tokens for item in self.own.values()) + self.others_prompt
+        return (
+            sum(item.prompt_tokens for item in self.own.values()) + self.others_prompt
+        )
 
     def stalled_s(self, now: float) -> float:
         """Return how long it has been silent beyond what was predicted."""
@@ -148,7 +150,9 @@
         reading = (self.prompt_ahead() + prompt_tokens) / PREFILL_TOKENS_PER_S
         sharing = _SEQUENCE_S * self.in_flight
         over = max(self.in_flight - self.slots + 1, 0) * _SEQUENCE_S * self.slots
-        return slowness * (FIRST_EVENT_S + reading + sharing + over) + self.stalled_s(now)
+        return slowness * (FIRST_EVENT_S + reading + sharing + over) + self.stalled_s(
+            now
+        )
 
     def slowness(self, typical_s: float | None) -> float:
         """Return its pace against that of its pool; 1 where nothing is known."""
--- a/baobabwing/gateway/exchange.py
+++ b/baobabwing/gateway/exchange.py
@@ -198,5 +198,3 @@
         return None
     running, waiting, slots = (int(field) for field in fields)
     return running, waiting, slots
-
-
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -265,9 +265,10 @@
             return False
         if step is Step.UNSENT:
             return True
-        if step is not Step.NOT_RUN:
-            if not call.route.repeatable or call.runs >= call.route.attempts:
-                return False
+        ran = step is not Step.NOT_RUN
+        may_run_again = call.route.repeatable and call.runs < call.route.attempts
+        if ran and not may_run_again:
+            return False
         return pool.budget.take(now, self._state.nodes)
 
     async def _try(self, call: Call, pool: PoolRuntime, grant: Grant) -> Step:
@@ -479,7 +480,9 @@
             return
         if call.runs == 0:
             refusal = Refusal(
-                status=503, code="not_run", retry_after_s=self._retry_after_s(call, pool)
+                status=503,
+                code="not_run",
+                retry_after_s=self._retry_after_s(call, pool),
             )
         elif time.monotonic() >= call.ends_at - _RETURN_S:
             refusal = Refusal(status=504, code="timeout")
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -79,9 +79,7 @@
         self.settings = settings
         self.rng = rng
         self.table: RouteTable | None = None
-        self.quotas = QuotaBook(
-            tolerance=settings.tolerance, now=time.monotonic()
-        )
+        self.quotas = QuotaBook(tolerance=settings.tolerance, now=time.monotonic())
         self.pools: dict[str, PoolRuntime] = {}
         self.leaving_since: float | None = None
         self.nodes = 1
--- a/baobabwing/node/node.py
+++ b/baobabwing/node/node.py
@@ -37,8 +37,6 @@
 from baobabwing.node.spread import ConfigurationSpreader
 from baobabwing.orders.desk import OrderDesk
 from baobabwing.orders.engines import HttpEngines
-from baobabwing.platform.hosts import ListedHost, list_hosts, register_host
-from baobabwing.platform.tables import TableClient
 from baobabwing.reports.events import log
 from baobabwing.reports.metrics import NodeMetrics
 from baobabwing.requests.claims import ClaimKeeper
@@ -48,6 +46,8 @@
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.keeper import ConfigurationKeeper
 from baobabwing.settings.schema import NodeSettings
+from baobabwing.store.hosts import ListedHost, list_hosts, register_host
+from baobabwing.store.tables import TableClient
 from baobabwing.wire.messages import (
     FloorAnswer,
     FloorQuery,
--- a/baobabwing/node/spread.py
+++ b/baobabwing/node/spread.py
@@ -27,7 +27,6 @@
 from baobabwing.fleet.view import FleetView
 from baobabwing.node.events import CONFIGURATION_UNREADABLE
 from baobabwing.node.packing import PackedConfiguration
-from baobabwing.platform.tables import TableClient
 from baobabwing.reports.events import log
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.deltas import DeltaLog, apply_deltas, pack, unpack
@@ -38,6 +37,7 @@
     history_key,
 )
 from baobabwing.settings.keeper import ConfigurationKeeper
+from baobabwing.store.tables import TableClient
 from baobabwing.wire.messages import ConfigurationAnswer, ConfigurationQuery
 from baobabwing.wire.peers import PeerClients
 
--- a/baobabwing/orders/correction.py
+++ b/baobabwing/orders/correction.py
@@ -7,10 +7,10 @@
 from baobabwing.orders.execution import OrderExecution
 from baobabwing.orders.moves import MoveStore
 from baobabwing.orders.targets import engine_targets
-from baobabwing.platform.tables import Tables
 from baobabwing.reports.events import log
 from baobabwing.settings.fetch import fetch_configuration
 from baobabwing.settings.plans.store import load_plan
+from baobabwing.store.tables import Tables
 
 __all__ = ["correct_engines"]
 
--- a/baobabwing/orders/desk.py
+++ b/baobabwing/orders/desk.py
@@ -13,9 +13,9 @@
 from baobabwing.orders.execution import OrderExecution, OrderTiming
 from baobabwing.orders.lease import Leaseholder
 from baobabwing.orders.mover import Mover
-from baobabwing.platform.tables import Tables
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.plans.record import Plan
+from baobabwing.store.tables import Tables
 
 __all__ = ["ORDERS_LEASE", "OrderDesk", "OrderWork"]
 
--- a/baobabwing/orders/lease.py
+++ b/baobabwing/orders/lease.py
@@ -21,8 +21,8 @@
 )
 from baobabwing.orders.errors import LeaseLostError
 from baobabwing.orders.events import LEASE_LOST, LEASE_TAKEN
-from baobabwing.platform.tables import Row, Tables
 from baobabwing.reports.events import log
+from baobabwing.store.tables import Row, Tables
 
 __all__ = ["LEASES_TABLE", "Lease", "Leaseholder"]
 
--- a/baobabwing/orders/mover.py
+++ b/baobabwing/orders/mover.py
@@ -15,7 +15,6 @@
 from baobabwing.orders.lease import Leaseholder
 from baobabwing.orders.moves import Move, MoveState, MoveStore
 from baobabwing.orders.targets import EngineTarget, engine_targets
-from baobabwing.platform.tables import Tables
 from baobabwing.pools.catalogue import Upstream
 from baobabwing.reports.events import log
 from baobabwing.settings.configuration import Configuration
@@ -24,6 +23,7 @@
 from baobabwing.settings.plans.record import Plan
 from baobabwing.settings.plans.steps import Step, StepKind
 from baobabwing.settings.plans.store import load_plan
+from baobabwing.store.tables import Tables
 
 __all__ = ["Mover"]
 
--- a/baobabwing/orders/moves.py
+++ b/baobabwing/orders/moves.py
@@ -10,8 +10,8 @@
 
 from baobabwing.exceptions import ConflictError, PlatformUncertainError, SettingsError
 from baobabwing.orders.errors import LeaseLostError
-from baobabwing.platform.tables import Insert, Row, Tables
 from baobabwing.settings.checker import build
+from baobabwing.store.tables import Insert, Row, Tables
 
 __all__ = ["MOVES_TABLE", "Move", "MoveState", "MoveStore"]
 
--- a/baobabwing/requests/claims.py
+++ b/baobabwing/requests/claims.py
@@ -22,7 +22,7 @@
     PlatformUnavailableError,
     PlatformUncertainError,
 )
-from baobabwing.platform.tables import Insert, Tables
+from baobabwing.store.tables import Insert, Tables
 
 __all__ = ["Claim", "ClaimKeeper"]
 
--- a/baobabwing/settings/fetch.py
+++ b/baobabwing/settings/fetch.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from baobabwing.platform.tables import Tables
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.documents import parse_configuration
+from baobabwing.store.tables import Tables
 
 __all__ = [
     "CONFIGURATION_TABLE",
--- a/baobabwing/settings/history.py
+++ b/baobabwing/settings/history.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
-from baobabwing.platform.tables import Tables
 from baobabwing.settings.changes import Change, changes_between
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.fetch import fetch_configuration, fetch_version
+from baobabwing.store.tables import Tables
 
 __all__ = ["HistoryEntry", "read_history"]
 
--- a/baobabwing/settings/plans/confirm.py
+++ b/baobabwing/settings/plans/confirm.py
@@ -7,7 +7,6 @@
 
 from baobabwing.brands.operators import Operator
 from baobabwing.exceptions import ConflictError, SettingsError
-from baobabwing.platform.tables import Tables
 from baobabwing.settings.access import check_changes
 from baobabwing.settings.changes import apply_changes
 from baobabwing.settings.configuration import Configuration
@@ -15,6 +14,7 @@
 from baobabwing.settings.plans.record import Plan
 from baobabwing.settings.plans.store import load_plan
 from baobabwing.settings.publish import publish
+from baobabwing.store.tables import Tables
 
 __all__ = ["confirm", "publish_plan"]
 
--- a/baobabwing/settings/plans/drain.py
+++ b/baobabwing/settings/plans/drain.py
@@ -5,11 +5,11 @@
 from collections.abc import Container
 from dataclasses import dataclass, replace
 
-from baobabwing.platform.hosts import ListedHost
 from baobabwing.pools.catalogue import UpstreamState
 from baobabwing.settings.checker import rule
 from baobabwing.settings.configuration import Configuration, LeavingHost
 from baobabwing.settings.plans.intents import PlanContext, register, unknown_name
+from baobabwing.store.hosts import ListedHost
 
 __all__ = ["DrainHost", "DrainUpstream"]
 
--- a/baobabwing/settings/plans/intents.py
+++ b/baobabwing/settings/plans/intents.py
@@ -7,9 +7,9 @@
 from typing import Any, Protocol, TypeVar
 
 from baobabwing.exceptions import SettingsError
-from baobabwing.platform.hosts import ListedHost
 from baobabwing.settings.checker import build
 from baobabwing.settings.configuration import Configuration
+from baobabwing.store.hosts import ListedHost
 
 __all__ = [
     "Intent",
--- a/baobabwing/settings/plans/plan.py
+++ b/baobabwing/settings/plans/plan.py
@@ -8,7 +8,6 @@
 
 from baobabwing.brands.operators import AccessError, Operator
 from baobabwing.exceptions import BaobabwingError, SettingsError
-from baobabwing.platform.tables import Tables
 from baobabwing.settings.access import check_changes, visible_part
 from baobabwing.settings.changes import apply_changes, changes_between
 from baobabwing.settings.configuration import Configuration
@@ -20,6 +19,7 @@
 from baobabwing.settings.plans.steps import derive_steps
 from baobabwing.settings.plans.store import save_plan
 from baobabwing.settings.publish import new_attempt
+from baobabwing.store.tables import Tables
 
 __all__ = ["plan"]
 
--- a/baobabwing/settings/plans/store.py
+++ b/baobabwing/settings/plans/store.py
@@ -6,9 +6,9 @@
 import json
 
 from baobabwing.exceptions import PlatformUncertainError, SettingsError
-from baobabwing.platform.tables import Insert, Tables
 from baobabwing.settings.checker import build
 from baobabwing.settings.plans.record import Plan
+from baobabwing.store.tables import Insert, Tables
 
 __all__ = ["PLANS_TABLE", "list_plans", "load_plan", "save_plan", "unknown_plan"]
 
--- a/baobabwing/settings/publish.py
+++ b/baobabwing/settings/publish.py
@@ -12,7 +12,6 @@
     PlatformUnavailableError,
     PlatformUncertainError,
 )
-from baobabwing.platform.tables import Insert, Tables
 from baobabwing.settings.configuration import Configuration
 from baobabwing.settings.documents import (
     check_administrators,
@@ -27,6 +26,7 @@
     fetch_version,
     history_key,
 )
+from baobabwing.store.tables import Insert, Tables
 
 __all__ = ["find_attempt", "new_attempt", "publish"]
 
--- a/baobabwing/platform/hosts.py
+++ b/baobabwing/store/hosts.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from baobabwing.platform.http import PlatformHttp, quote
+from baobabwing.store.http import PlatformHttp, quote
 
 __all__ = ["HostState", "ListedHost", "list_hosts", "register_host"]
 
--- a/baobabwing/platform/memory.py
+++ b/baobabwing/store/memory.py
@@ -14,7 +14,7 @@
     PlatformUnavailableError,
     PlatformUncertainError,
 )
-from baobabwing.platform.tables import Insert, InsertResult, Row
+from baobabwing.store.tables import Insert, InsertResult, Row
 
 __all__ = ["Call", "Fault", "MemoryTables"]
 
--- a/baobabwing/platform/objects.py
+++ b/baobabwing/store/objects.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from baobabwing.platform.http import PlatformHttp, quote
+from baobabwing.store.http import PlatformHttp, quote
 
 __all__ = ["read_object", "write_object"]
 
--- a/baobabwing/platform/tables.py
+++ b/baobabwing/store/tables.py
@@ -9,7 +9,7 @@
 from urllib.parse import urlencode
 
 from baobabwing.exceptions import ConflictError, PlatformError
-from baobabwing.platform.http import Exchange, PlatformHttp, quote
+from baobabwing.store.http import Exchange, PlatformHttp, quote
 
 __all__ = ["Insert", "InsertResult", "Row", "TableClient", "Tables"]
 
--- a/baobabwing/platform/weights.py
+++ b/baobabwing/store/weights.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from baobabwing.platform.http import PlatformHttp, quote
+from baobabwing.store.http import PlatformHttp, quote
 
 __all__ = ["WeightGrant", "request_weights"]
 
--- /dev/null
+++ b/tests/gateway/test_callers.py
@@ -0,0 +1,253 @@
+"""What callers send: bounds, framing, and bytes that are no request."""
+
+import asyncio
+
+import pytest
+
+from baobabwing.gateway.model import CallerLimits
+from baobabwing.standins.gateway_upstream import Behaviour
+from tests.gateway.bed import (
+    NAMES,
+    Bed,
+    ask,
+    default_configuration,
+    eventually,
+    organisation,
+)
+
+_STREAM = Behaviour(events=20, gap_s=0.02)
+SMUGGLED = b"GET /safe/smuggled HTTP/1.1\r\nHost: api.example\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"Content-Length: 4\r\nContent-Length: 60\r\n", b"400"),
+        (b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", b"400"),
+        (b"Content-Length: 4, 60\r\n", b"400"),
+        (b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", b"501"),
+        (b"Content-Length: +4\r\n", b"400"),
+        (b"Host: other.example\r\n", b"400"),
+    ],
+)
+def test_request_whose_length_can_be_read_in_two_ways_is_refused(run, head, status):
+    """A caller states two lengths, and hides a request in the difference.
+
+    Whoever read the other length would run the hidden request. The connection
+    ends with a refusal, and nothing of it reaches an upstream.
+    """
+
+    async def story():
+        async with Bed() as bed:
+            start = b"POST /safe/x HTTP/1.1\r\nHost: api.example\r\n"
+            conn = await bed.caller()
+            await conn.write(start + head + b"\r\nbody" + SMUGGLED)
+            await eventually(lambda: conn.gone, "end of the connection")
+            assert conn.http.trailing_data[0].split(b" ")[1] == status
+            assert not [one for up, _ in bed.upstreams.values() for one in up.seen]
+
+    run(story())
+
+
+def test_body_over_its_bound(run):
+    async def story():
+        limits = CallerLimits(body_bytes=1000)
+        async with Bed(default_configuration(limits=limits)) as bed:
+            conn = await bed.caller()
+            answer = await ask(conn, "/safe/x", "b1", body=b"x" * 1001)
+            assert answer.status == 413
+            assert bed.seen("b1") == []
+            conn = await bed.caller()
+            assert (await ask(conn, "/safe/x", "b2", body=b"x" * 1000)).status == 200
+
+    run(story())
+
+
+def test_head_over_its_bound(run):
+    async def story():
+        limits = CallerLimits(head_bytes=1000)
+        async with Bed(default_configuration(limits=limits)) as bed:
+            conn = await bed.caller()
+            answer = await ask(
+                conn, "/safe/x", "h1", headers=[(b"X-Long", b"x" * 2000)]
+            )
+            assert answer.status == 431
+            assert bed.seen("h1") == []
+
+    run(story())
+
+
+def test_head_that_takes_too_long(run):
+    """A caller sends half a head and stops.
+
+    It holds a connection for nothing; it is told so after the time that heads
+    have, and the connection ends.
+    """
+
+    async def story():
+        limits = CallerLimits(head_timeout_s=0.2, idle_timeout_s=0.2)
+        async with Bed(default_configuration(limits=limits)) as bed:
+            conn = await bed.caller()
+            await conn.write(b"GET /safe/x HTTP/1.1\r\nHost:")
+            await eventually(lambda: conn.gone, "end of the connection")
+            assert b" 408 " in conn.http.trailing_data[0].split(b"\r\n")[0]
+
+    run(story())
+
+
+def test_idle_connection_ends_without_a_word(run):
+    async def story():
+        limits = CallerLimits(idle_timeout_s=0.1)
+        async with Bed(default_configuration(limits=limits)) as bed:
+            conn = await bed.caller()
+            await eventually(lambda: conn.gone, "end of the connection")
+            assert conn.received == 0
+
+    run(story())
+
+
+def test_chunked_body_is_passed_on_whole(run):
+    async def story():
+        async with Bed() as bed:
+            conn = await bed.caller()
+            await conn.write(
+                b"POST /unsafe/x HTTP/1.1\r\nHost: api.example\r\n"
+                + NAMES.request_id
+                + b": k1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n"
+            )
+            await eventually(lambda: bed.runs("k1") == 1)
+            (seen,) = bed.seen("k1")
+            assert seen.body == b"hello world"
+
+    run(story())
+
+
+def test_key_is_needed_and_never_passed_on(run):
+    """A caller's key names its organisation.
+
+    The upstream gets the name, whatever the caller says of it, and not the key.
+    An unknown key, or none, gets 401.
+    """
+
+    async def story():
+        cfg = default_configuration(
+            organisations=(organisation("acme", "secret"),), keys_required=True
+        )
+        async with Bed(cfg) as bed:
+            conn = await bed.caller()
+            headers = [(NAMES.key, b"secret"), (NAMES.organisation, b"other")]
+            assert (await ask(conn, "/safe/x", "k1", headers=headers)).status == 200
+            (seen,) = bed.seen("k1")
+            assert seen.headers[NAMES.organisation] == b"acme"
+            assert NAMES.key not in seen.headers
+            for headers in ([], [(NAMES.key, b"wrong")]):
+                answer = await ask(conn, "/safe/x", "k2", headers=headers)
+                assert answer.status == 401
+            assert bed.seen("k2") == []
+
+    run(story())
+
+
+def test_key_that_was_taken_away(run):
+    """A new configuration no longer holds a key.
+
+    A caller that is connected all the while is refused from then on.
+    """
+
+    async def story():
+        with_key = default_configuration(
+            organisations=(organisation("acme", "secret"),), keys_required=True
+        )
+        without = default_configuration(
+            2, organisations=(organisation("acme", "new"),), keys_required=True
+        )
+        async with Bed(with_key) as bed:
+            conn = await bed.caller()
+            headers = [(NAMES.key, b"secret")]
+            assert (await ask(conn, "/safe/x", "r1", headers=headers)).status == 200
+            bed.gateway.state.take_configuration(without, source="test")
+            assert (await ask(conn, "/safe/x", "r2", headers=headers)).status == 401
+
+    run(story())
+
+
+def test_older_configuration_is_not_taken(run):
+    """A lagging source offers the version before the one in force.
+
+    Routes that were removed would come back for a while; it is passed over.
+    """
+
+    async def story():
+        async with Bed(default_configuration(5)) as bed:
+            older = default_configuration(4, routes=())
+            assert not bed.gateway.state.take_configuration(older, source="test")
+            conn = await bed.caller()
+            assert (await ask(conn, "/safe/x", "v1")).status == 200
+
+    run(story())
+
+
+def test_leaving_node_answers_and_closes(run):
+    """A node is told to stop while a caller keeps a connection.
+
+    The request is still answered, with the word that the connection ends, and
+    the node is no longer ready for others.
+    """
+
+    async def story():
+        async with Bed() as bed:
+            conn = await bed.caller()
+            assert (await ask(conn, "/safe/x", "l1")).status == 200
+            bed.gateway.leave()
+            await eventually(lambda: not bed.gateway.state.ready, "leaving")
+            answer = await ask(conn, "/safe/x", "l2")
+            assert answer.status == 200
+            assert answer.headers[b"connection"] == b"close"
+            assert bed.gateway.addresses_for("") == []
+
+    run(story())
+
+
+def test_stream_goes_to_its_end_while_the_node_leaves(run):
+    """A node is told to stop in the middle of a stream.
+
+    The caller gets the rest of it; the node ends only then.
+    """
+
+    async def story():
+        async with Bed() as bed:
+            bed.behaviour["engines"] = _STREAM
+            conn = await bed.caller()
+            answer = asyncio.ensure_future(ask(conn, "/stream/x", "s1"))
+            await eventually(lambda: bed.runs("s1") == 1, "run")
+            bed.gateway.leave()
+            done = await answer
+            assert done.whole
+            assert done.body.count(b"id:") == 20
+
+    run(story())
+
+
+def test_caller_that_does_not_read_holds_nobody_up(run):
+    """A caller stops reading its stream.
+
+    The gateway stops reading from the engine in turn, and other callers are
+    served meanwhile.
+    """
+
+    async def story():
+        async with Bed() as bed:
+            bed.behaviour["engines"] = _STREAM
+            slow = await bed.caller()
+            slow.transport.pause_reading()
+            await slow.write(
+                b"POST /stream/x HTTP/1.1\r\nHost: api.example\r\n"
+                + NAMES.request_id
+                + b": slow\r\nContent-Length: 0\r\n\r\n"
+            )
+            quick = await bed.caller()
+            answer = await ask(quick, "/stream/x", "quick")
+            assert answer.whole
+
+    run(story())
