Follow the store through outages: silence, lapsed entries, peers that know more

A node that starts while the store is away knew nothing. Change: one table is asked each 2 s and has the others find out; entries that lapsed over an outage are kept for the 2.5 s in which they come back; nodes take documents from peers that have them newer; settings are read again by signal and by change.

--- a/Makefile
+++ b/Makefile
@@ -76,3 +76,8 @@
 MINUTES ?= 10
 soak: env
 	$(BIN)/python -m baobabwing.bench.soak --minutes $(MINUTES)
+
+# The whole path of the users' platform against our own stand-ins.
+.PHONY: platform-demo
+platform-demo: env
+	PYTHONPATH=platform $(BIN)/python -m baobabwing_platform.demo
--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -132,6 +132,10 @@
         self._share = 1.0
         self._shares: deque[tuple[float, float]] = deque()
 
+    def reload(self, tolerance: Tolerance) -> None:
+        """Take a changed tolerance."""
+        self._tolerance = tolerance
+
     def configure(self, organisations: Iterable[OrganisationSpec], now: float) -> None:
         """Take the limits of a new configuration; a lower one binds at once."""
         known = {}
--- a/baobabwing/gateway/decisions/repeats.py
+++ b/baobabwing/gateway/decisions/repeats.py
@@ -28,6 +28,10 @@
         self._firsts: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
+    def reload(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Take changed bounds; what was counted stays."""
+        self._ratio, self._slack, self._window_s = ratio, slack, window_s
+
     def first(self, now: float) -> None:
         """Count a request of a caller."""
         self._firsts.append(now)
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -9,7 +9,9 @@
     "GATEWAY_STARTED",
     "GATEWAY_STOPPED",
     "LIMIT_REACHED",
+    "PEER_ASKED",
     "PEER_CHANGED",
+    "SETTINGS_RELOADED",
     "REQUEST_ENDED",
     "REQUEST_REFUSED",
     "REQUEST_REPEATED",
@@ -52,6 +54,14 @@
 PEER_CHANGED = define(
     3101, "peer_changed", "Another node is heard, is no longer heard, or is leaving."
 )
+PEER_ASKED = define(
+    3102,
+    "peer_asked",
+    "A document that the store did not give was taken from another node, or not.",
+)
+SETTINGS_RELOADED = define(
+    4102, "settings_reloaded", "The settings file was read again; what changed."
+)
 CONFIGURATION_TAKEN = define(
     4101, "configuration_taken", "A configuration is in force at this node from now on."
 )
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 import time
 from collections.abc import Awaitable, Callable
@@ -14,12 +15,14 @@
     GATEWAY_LEAVING,
     GATEWAY_STARTED,
     GATEWAY_STOPPED,
+    SETTINGS_RELOADED,
 )
 from baobabwing.gateway.exchange import ConnectionPool
 from baobabwing.gateway.forwarding import Forwarder
 from baobabwing.gateway.plain_http import PlainAnswer, PlainServer
-from baobabwing.gateway.reports import PeerNode, Peers
+from baobabwing.gateway.reports import Peers
 from baobabwing.gateway.settings import GatewaySettings
+from baobabwing.gateway.sharing import Document, DocumentName, Sharing
 from baobabwing.gateway.state import GatewayState
 from baobabwing.reports.events import log
 
@@ -38,7 +41,7 @@
 
     :param settings: addresses and times.
     :param rng: draws pools and breaks ties.
-    :param on_peer_version: called with a peer that has a newer configuration.
+    :param on_document: takes documents that a peer had newer than the store gave.
     """
 
     def __init__(
@@ -46,7 +49,7 @@
         *,
         settings: GatewaySettings,
         rng: Random,
-        on_peer_version: Callable[[PeerNode], None] = lambda peer: None,
+        on_document: Callable[[DocumentName, Document], None] = lambda name, doc: None,
     ) -> None:
         self.settings = settings
         self._rng = rng
@@ -57,8 +60,9 @@
         self.peers = Peers(
             state=self.state,
             incarnation=time.time_ns() // 1_000_000,
-            on_version=on_peer_version,
+            versions=lambda: self.sharing.versions(),
         )
+        self.sharing = Sharing(peers=self.peers, on_document=on_document)
         self._servers: list[PlainServer] = []
         self._leave = asyncio.Event()
 
@@ -68,6 +72,24 @@
         await server.start(address)
         self._servers.append(server)
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed settings; addresses stay until the next start."""
+        before = dataclasses.asdict(self.settings)
+        changed = [
+            name
+            for name, value in dataclasses.asdict(settings).items()
+            if value != before[name]
+        ]
+        log(SETTINGS_RELOADED, changed=changed)
+        self.settings = dataclasses.replace(
+            self.settings,
+            stop_s=settings.stop_s,
+            address_keep_s=settings.address_keep_s,
+            repeats=settings.repeats,
+            tolerance=settings.tolerance,
+        )
+        self.state.reload(self.settings)
+
     def leave(self) -> None:
         """Begin a graceful shutdown."""
         self._leave.set()
@@ -77,9 +99,11 @@
         await self.peers.start()
         if self.settings.readiness:
             await self.serve(self.settings.readiness, self._answer_ready)
+        await self.serve(self.settings.peers, self.sharing.answer)
         await self.callers.start(self.settings.callers)
         tasks = [
             asyncio.ensure_future(self.peers.run()),
+            asyncio.ensure_future(self.sharing.run()),
             asyncio.ensure_future(self._sweep()),
         ]
         log(GATEWAY_STARTED, name=self.settings.name, callers=self.settings.callers)
--- a/baobabwing/gateway/reports.py
+++ b/baobabwing/gateway/reports.py
@@ -33,6 +33,7 @@
     :param callers: its address for callers.
     :param reports: its UDP address.
     :param incarnation: differs for each start of its process.
+    :param versions: versions of the documents that it has.
     :param loads: requests and unread prompt tokens by upstream.
     """
 
@@ -44,7 +45,7 @@
     incarnation: int = 0
     number: int = 0
     ready: bool = False
-    version: int = 0
+    versions: dict[str, int] = field(default_factory=dict)
     heard_at: float = 0.0
     listed_at: float = 0.0
     loads: dict[str, tuple[int, int]] = field(default_factory=dict)
@@ -59,7 +60,7 @@
 
     :param state: takes the reports in.
     :param incarnation: this process' own.
-    :param on_version: called with a peer that has a newer configuration.
+    :param versions: tells which documents this node has, for the peers.
     """
 
     def __init__(
@@ -67,11 +68,11 @@
         *,
         state: GatewayState,
         incarnation: int,
-        on_version: Callable[[PeerNode], None],
+        versions: Callable[[], dict[str, int]],
     ) -> None:
         self._state = state
         self._incarnation = incarnation
-        self._on_version = on_version
+        self._versions = versions
         self._nodes: dict[str, PeerNode] = {}
         self._number = 0
         self._transport: asyncio.DatagramTransport | None = None
@@ -152,7 +153,7 @@
             "peers": cfg.peers,
             "zone": cfg.zone,
             "ready": self._state.ready,
-            "version": self._state.version,
+            "versions": self._versions(),
             "loads": loads,
             "spent": {
                 name: (int(one.units), int(one.excess))
@@ -186,7 +187,8 @@
         node.incarnation, node.number = order
         node.callers, node.reports = report["callers"], report["reports"]
         node.peers, node.zone = report["peers"], report["zone"]
-        node.ready, node.version = bool(report["ready"]), int(report["version"])
+        node.ready = bool(report["ready"])
+        node.versions = report["versions"]
         node.loads = {key: tuple(one) for key, one in report["loads"].items()}
         node.heard_at = now
         spent = {
@@ -194,8 +196,6 @@
             for organisation, (units, excess) in report["spent"].items()
         }
         self._state.quotas.hear(f"{node.name}#{order[0]}", spent, now)
-        if node.version > self._state.version:
-            self._on_version(node)
 
     def _take_stock(self) -> None:
         """Sum up the loads of those that are heard, and count them."""
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -85,6 +85,17 @@
         self.nodes = 1
         self._entries: dict[str, tuple[UpstreamEntry, ...]] = {}
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed bounds on second tries and limits."""
+        self.settings = settings
+        self.quotas.reload(settings.tolerance)
+        for pool in self.pools.values():
+            pool.budget.reload(
+                ratio=settings.repeats.ratio,
+                slack=settings.repeats.slack,
+                window_s=settings.repeats.window_s,
+            )
+
     @property
     def ready(self) -> bool:
         """Whether this node takes new callers."""
--- /dev/null
+++ b/tests/platform_adapter/test_processes.py
@@ -0,0 +1,135 @@
+"""Nodes as real processes, against stand-ins of the store and the workers."""
+
+import asyncio
+import signal
+import time
+
+from baobabwing_platform import demo
+from baobabwing_platform.dialect import HEADERS
+from baobabwing_platform.standin_store import StoreFault
+
+WAIT_S = 20.0
+
+
+async def ask(address, number, kind="safe", key="demo-key"):
+    conn = await demo.open_connection(address, timeout_s=5.0, head_bytes=65_536)
+    headers = [
+        (b"Host", b"demo.example"),
+        (HEADERS.request_id, b"%d" % number),
+        (HEADERS.deadline, b"8000"),
+        (HEADERS.key, key.encode()),
+    ]
+    answer = await demo.exchange(conn, "POST", f"/{kind}/x", headers, b"x")
+    conn.close()
+    return answer
+
+
+async def eventually(condition, what="condition"):
+    until = time.monotonic() + WAIT_S
+    while not await condition():
+        assert time.monotonic() < until, f"{what} did not come true"
+        await asyncio.sleep(0.05)
+
+
+def with_deployment(tmp_path, story, nodes=2):
+    async def play():
+        deployment = demo.Deployment(nodes=nodes, folder=tmp_path)
+        try:
+            await deployment.start()
+            await story(deployment)
+        finally:
+            await deployment.stop()
+
+    asyncio.run(play())
+
+
+def test_whole_path(tmp_path):
+    async def story(deployment):
+        for address in await demo.resolve(deployment.directories[0]):
+            assert await ask(address, 1) == (200, b"answer to 1")
+            status, body = await ask(address, 3, "stream")
+            assert (status, body.count(b"id:")) == (200, 12)
+
+    with_deployment(tmp_path, story)
+
+
+def test_configuration_comes_into_force_and_stays_through_an_outage(tmp_path):
+    """The operator takes a key away; then the store goes down.
+
+    Both nodes refuse the key soon after, and go on serving others without the
+    store.
+    """
+
+    async def story(deployment):
+        addresses = await demo.resolve(deployment.directories[0])
+        changed = demo.configuration(2)
+        changed["tenants"] = [{"name": "demo", "api_keys": ["other-key"]}]
+        deployment.store.write("op", "config", changed)
+        for address in addresses:
+
+            async def refused(address=address):
+                return (await ask(address, 5))[0] == 401
+
+            await eventually(refused, "the key is refused")
+        deployment.store.fault = StoreFault.SILENT
+        deployment.store.cut_connections()
+        for address in addresses:
+            assert (await ask(address, 6, key="other-key"))[0] == 200
+            assert (await ask(address, 7))[0] == 401
+
+    with_deployment(tmp_path, story)
+
+
+def test_node_that_starts_without_the_store_takes_the_configuration_from_a_peer(
+    tmp_path,
+):
+    """A node is killed and started again while the store is down.
+
+    It knows no configuration and no upstreams. It finds a peer that does, by the
+    reports that peers go on sending to its address, and serves.
+    """
+
+    async def story(deployment):
+        addresses = await demo.resolve(deployment.directories[0])
+        deployment.store.fault = StoreFault.BUSY
+        deployment.store.cut_connections()
+        victim = deployment.processes[1]
+        victim.send_signal(signal.SIGKILL)
+        await victim.wait()
+        await deployment.restart(1)
+
+        async def serves():
+            try:
+                answers = [(await ask(one, 9))[0] for one in addresses]
+            except demo.ConnectionLostError:
+                return False
+            return answers == [200] * len(addresses)
+
+        await eventually(serves, "the restarted node serves")
+
+    with_deployment(tmp_path, story)
+
+
+def test_planned_stop_costs_no_answer(tmp_path):
+    """A node is told to stop while callers stream through it.
+
+    Each stream ends whole; the node leaves the directory and then ends by itself.
+    """
+
+    async def story(deployment):
+        addresses = await demo.resolve(deployment.directories[0])
+        streams = [
+            asyncio.ensure_future(ask(one, number, "stream"))
+            for number, one in enumerate(addresses * 6, 100)
+        ]
+        deployment.processes[0].send_signal(signal.SIGTERM)
+        for status, body in await asyncio.gather(*streams):
+            assert (status, body.count(b"id:")) == (200, 12)
+
+        async def gone():
+            return len(await demo.resolve(deployment.directories[1])) == 1
+
+        await eventually(gone, "the node leaves the directory")
+        assert await deployment.processes[0].wait() == 0
+
+    with_deployment(tmp_path, story)
--- /dev/null
+++ b/tests/platform_adapter/test_settings_file.py
@@ -0,0 +1,40 @@
+"""The settings file of the platform."""
+
+from baobabwing_platform import settings_file
+
+TEXT = """\
+node=front-a-1
+zone=a
+region=r
+listen.front=10.1.0.25:8221
+listen.ready=10.1.0.25:8224
+listen.directory=10.1.0.25:8220
+ip=10.1.0.25
+internal_ports=7600,7615
+some.new.field=1,2,3
+bounds.grace_s=8
+bounds.ttl_max_s=5
+bounds.retry_budget_ratio=0.2
+bounds.budget_slack=52
+bounds.quota_slack=72000
+bounds.quota_over=not-a-number
+platform.address=10.200.1.7:8225
+"""
+
+
+def test_fields_that_are_known(tmp_path):
+    file = tmp_path / "boot.conf"
+    file.write_text(TEXT)
+    found = settings_file.load(file)
+    assert found.store == "10.200.1.7:8225"
+    assert found.gateway.callers == "10.1.0.25:8221"
+    assert found.gateway.reports == "10.1.0.25:7600"
+    assert found.gateway.peers == "10.1.0.25:7601"
+    assert found.gateway.address_keep_s == 1.0
+    assert found.gateway.repeats.slack == 52
+    assert found.gateway.tolerance.over == 0
+
+
+def test_path_comes_from_the_environment(monkeypatch):
+    monkeypatch.setenv("BAOBABWING_SETTINGS", "/somewhere/else")
+    assert str(settings_file.path()) == "/somewhere/else"
--- /dev/null
+++ b/tests/platform_adapter/test_store.py
@@ -0,0 +1,172 @@
+"""The client of the platform's store, and tables that are followed."""
+
+import asyncio
+import time
+
+import pytest
+
+from baobabwing.exceptions import PlatformUnavailableError, PlatformUncertainError
+from baobabwing_platform.standin_store import StandinStore, StoreFault
+from baobabwing_platform.store import HistoryLostError, StoreClient
+from baobabwing_platform.watching import TableWatch
+
+WAIT_S = 10.0
+
+
+async def eventually(condition, what="condition"):
+    until = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < until, f"{what} did not come true"
+        await asyncio.sleep(0.005)
+
+
+class Followed:
+    """A store, and one table of it as a watch sees it."""
+
+    async def __aenter__(self):
+        self.store = StandinStore()
+        await self.store.start()
+        self.rows = None
+        self.after_outage = []
+        client = StoreClient(address=self.store.address, timeout_s=0.2)
+        self.watch = TableWatch(table="servers", client=client, on_look=self.take)
+        self._task = asyncio.ensure_future(self.watch.run())
+        await eventually(lambda: self.rows is not None, "first look")
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._task.cancel()
+        self.store.stop()
+        await asyncio.sleep(0)
+
+    def take(self, look):
+        self.rows = {key: row.value for key, row in look.rows.items()}
+        self.after_outage.append(look.was_lost)
+
+
+def test_changes_and_removals_are_seen():
+    async def story():
+        async with Followed() as one:
+            one.store.write("servers", "i-1", {"n": 1})
+            await eventually(lambda: one.rows == {"i-1": {"n": 1}})
+            one.store.write("servers", "i-1", {"n": 2})
+            await eventually(lambda: one.rows == {"i-1": {"n": 2}})
+            one.store.write("servers", "i-1", None)
+            await eventually(lambda: one.rows == {})
+
+    asyncio.run(story())
+
+
+def test_quiet_table_costs_one_call():
+    """Calls to the store are priced; nothing changes for a while.
+
+    One call is kept waiting all the time, instead of one after the other.
+    """
+
+    async def story():
+        async with Followed() as one:
+            await eventually(lambda: any("feed" in call for call in one.store.calls))
+            before = len(one.store.calls)
+            await asyncio.sleep(0.5)
+            assert len(one.store.calls) == before
+
+    asyncio.run(story())
+
+
+def test_lost_history_is_read_anew():
+    """The store forgets its history while the watch is away from it.
+
+    A row was removed meanwhile: following on would keep it for ever. The watch
+    reads the whole table again.
+    """
+
+    async def story():
+        async with Followed() as one:
+            one.store.write("servers", "i-1", {"n": 1})
+            await eventually(lambda: "i-1" in one.rows)
+            one.store.fault = StoreFault.BUSY
+            one.store.cut_connections()
+            one.store.write("servers", "i-1", None)
+            one.store.write("servers", "i-2", {"n": 2})
+            one.store.forget_history()
+            one.store.fault = StoreFault.NONE
+            await eventually(lambda: one.rows == {"i-2": {"n": 2}})
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [StoreFault.BUSY, StoreFault.MANY, StoreFault.RESET, StoreFault.SILENT],
+)
+def test_outage_keeps_what_was_read_last(fault):
+    """The store is away for a while, in one of several ways.
+
+    The rows stay as they were, and the watch says that it was away once it is
+    back, since rows may have lapsed for no other reason.
+    """
+
+    async def story():
+        async with Followed() as one:
+            one.store.write("servers", "i-1", {"n": 1})
+            await eventually(lambda: "i-1" in one.rows)
+            calls = len(one.store.calls)
+            one.store.fault = fault
+            one.store.cut_connections()
+            # The table that is asked for more often has noticed it.
+            one.watch.interrupt()
+            await eventually(lambda: len(one.store.calls) > calls + 1, "tries")
+            assert one.rows == {"i-1": {"n": 1}}
+            one.store.fault = StoreFault.NONE
+            one.store.cut_connections()
+            one.store.write("servers", "i-2", {"n": 2})
+            await eventually(lambda: set(one.rows) == {"i-1", "i-2"})
+            assert True in one.after_outage
+
+    asyncio.run(story())
+
+
+def test_failures_are_told_apart_by_effect():
+    """A write is refused, or its answer is lost.
+
+    Only the first is known to have had no effect.
+    """
+
+    async def story():
+        store = StandinStore()
+        await store.start()
+        client = StoreClient(address=store.address, timeout_s=0.2)
+        await client.put("nodes", "a", {"n": 1})
+        store.fault = StoreFault.BUSY
+        with pytest.raises(PlatformUnavailableError):
+            await client.put("nodes", "a", {"n": 2})
+        assert store.read("nodes", "a") == {"n": 1}
+        store.fault = StoreFault.LOSE_ANSWERS
+        with pytest.raises(PlatformUncertainError):
+            await client.put("nodes", "a", {"n": 3})
+        assert store.read("nodes", "a") == {"n": 3}
+        with pytest.raises(PlatformUnavailableError):
+            await client.read_all("nodes")
+        store.fault = StoreFault.NONE
+        store.forget_history()
+        with pytest.raises(HistoryLostError):
+            await client.changes("nodes", 0, 0.1)
+        store.stop()
+        await asyncio.sleep(0)
+
+    asyncio.run(story())
+
+
+def test_tables_of_many_rows_are_read_in_pages():
+    async def story():
+        store = StandinStore()
+        await store.start()
+        for number in range(1203):
+            store.write("servers", f"i-{number:05}", {"n": number})
+        client = StoreClient(address=store.address)
+        found = await client.read_all("servers")
+        assert [row.value["n"] for row in found.rows] == list(range(1203))
+        store.stop()
+        await asyncio.sleep(0)
+
+    asyncio.run(story())
