--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -24,8 +24,6 @@
 # A peer's count that comes after a longer silence is a new baseline: what it
 # admitted meanwhile came out of its own side's share.
 _STALE_S = 1.0
-# A node that starts does not know what was admitted before it came.
-_START_SHARE = 0.25
 _LEAST_RETRY_S = 0.05
 # Part of the tolerance that is used. Reports of peers are up to 0.2 s old, a
 # fortieth of the window, and until then each node may use the same rest.
@@ -47,8 +45,20 @@
 
     def excess(self, spec: OrganisationSpec) -> float:
         """Return the units beyond the limit that are used in one window."""
+        return _TOLERANCE_USED * self._whole(spec)
+
+    def start_level(self, spec: OrganisationSpec) -> float:
+        """Return what a bucket holds at the start.
+
+        A node that starts does not know what was admitted before it came. The part
+        of the tolerance that is never used otherwise covers it, also where all
+        nodes start at once.
+        """
+        return min(spec.burst, (1 - _TOLERANCE_USED) * self._whole(spec))
+
+    def _whole(self, spec: OrganisationSpec) -> float:
         limit = spec.rate_per_s * self.window_s + spec.burst
-        return _TOLERANCE_USED * (limit * self.over + self.slack)
+        return limit * self.over + self.slack
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -144,7 +154,7 @@
                 continue
             bucket = self._buckets.get(spec.name)
             if bucket is None:
-                level = spec.burst * self._share * _START_SHARE
+                level = self._tolerance.start_level(spec) * self._share
                 bucket = _Bucket(spec=spec, level=level, updated=now)
             else:
                 bucket.fill(now, self._share)
