Keep a slot of each fast engine for long outputs; log the longest pause

Cause: outputs of 1,400 tokens and more were placed on slow engines while short ones filled the fast ones, and were cut at their deadline. Change: an engine below 0.7 of the typical pace keeps a slot for outputs that would take 0.4 of their time elsewhere.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -27,6 +27,13 @@
 # Weight of the time that a request's output takes, against the time to its first
 # event: long outputs go to fast engines, as far as these are not behind.
 _OUTPUT_WEIGHT = 0.15
+# An engine below this pace, against the typical one, is fast; each keeps this many
+# slots for outputs that would take more than this share of their time elsewhere.
+# Without, short requests fill the fast engines, and long outputs are cut at their
+# deadline on the others.
+_FAST = 0.7
+_LONG_SLOTS = 1
+_LONG_SHARE = 0.4
 # Plain services answer within some 20 ms; twice their slots keeps their own
 # queue short enough that nothing in it misses an objective of 100 ms.
 _PLAIN_DEPTH = 2
@@ -196,7 +203,7 @@
         sound = [track for track in usable if track.usable(now)]
         # Where all were set aside, being set aside says nothing any more.
         pool = sound or [track for track in usable if not track.entry.draining]
-        kept_free = self._kept_free(ask)
+        kept_free = self._kept_free(ask, now)
         free = [track for track in pool if self._room(track) > kept_free(track)]
         if not free:
             return None
@@ -212,13 +219,25 @@
         )
         return Grant(ask=ask, track=track, predicted_s=predicted, since=now)
 
-    def _kept_free(self, ask: Ask) -> Callable[[UpstreamTrack], int]:
+    def _kept_free(self, ask: Ask, now: float) -> Callable[[UpstreamTrack], int]:
         """Return how many slots of an engine a request must leave free."""
-        if self.engine is None or ask.route_rank < self._least_rank:
-            return lambda track: 0
-        if not self._least_rank:
+        if self.engine is None:
             return lambda track: 0
-        return lambda track: int(track.slots * _RESERVED_SHARE)
+        least_urgent = 0 < self._least_rank <= ask.route_rank
+        is_long = self._is_long(ask, now)
+
+        def kept(track: UpstreamTrack) -> int:
+            slots = int(track.slots * _RESERVED_SHARE) if least_urgent else 0
+            fast = track.slowness(self._typical_s) < _FAST
+            return slots + (_LONG_SLOTS if fast and not is_long else 0)
+
+        return kept
+
+    def _is_long(self, ask: Ask, now: float) -> bool:
+        """Whether an output would hardly end in time at a typical engine."""
+        pace = self._typical_s or 0.0
+        output = ask.expected_out * pace / (self.engine.tokens_per_event or 1)
+        return output > _LONG_SHARE * (ask.ends_at - now)
 
     def _first_s(self, ask: Ask, track: UpstreamTrack, now: float) -> float:
         slowness = track.slowness(self._typical_s)
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -90,6 +90,7 @@
     runs: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_event_at: float | None = None
+    longest_pause_s: float = 0.0
     failure: tuple[AnswerHead, bytes] | None = None
     failed_at: UpstreamTrack | None = None
 
@@ -422,6 +423,7 @@
                 call.first_event_at = call.first_event_at or now
             else:
                 grant.track.paced(now - last_at)
+                call.longest_pause_s = max(call.longest_pause_s, now - last_at)
             last_at = now
             if not call.answer.started:
                 await call.answer.start(head.status, head.reason, head.headers)
@@ -553,5 +555,6 @@
             first_ms=round((first - call.arrived) * 1000, 1),
             whole_ms=round((now - call.arrived) * 1000, 1),
             events=call.splitter.events,
+            longest_pause_ms=round(call.longest_pause_s * 1000, 1),
             sends=call.sends,
         )
