--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -116,13 +116,6 @@
         for instance in [one for one in self.tracks if one not in listed]:
             self.tracks.pop(instance).gone = True
 
-    def hear(self, instance: str, in_flight: int, prompt_tokens: int) -> None:
-        """Take what all other nodes together have at an upstream."""
-        track = self.tracks.get(instance)
-        if track is not None:
-            track.others = in_flight
-            track.others_prompt = prompt_tokens
-
     def submit(self, ask: Ask) -> None:
         """Queue a request; :meth:`grants` places it, now or later."""
         self._least_rank = max(self._least_rank, ask.route_rank)
--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -54,6 +54,7 @@
 
     :param entry: what the platform lists.
     :param engine: figures of its pool if it is a model engine.
+    :ivar crc: short form of its incarnation, for reports between nodes.
     """
 
     def __init__(self, *, entry: UpstreamEntry, engine: EngineSpec | None) -> None:
@@ -68,18 +69,13 @@
         self.heard_at = 0.0
         self._eject_s = _EJECT_S
         self.gone = False
-        self._crc = zlib.crc32(entry.instance.encode())
+        self.crc = zlib.crc32(entry.instance.encode())
 
     @property
     def slots(self) -> int:
         """Requests that it works on at one time."""
         return max(self.entry.slots, 1)
 
-    @property
-    def crc(self) -> int:
-        """Short form of its incarnation, for reports between nodes."""
-        return self._crc
-
     @property
     def nearly_full(self) -> bool:
         """Whether a slot more or less may decide where a request goes."""
--- a/baobabwing/gateway/reports.py
+++ b/baobabwing/gateway/reports.py
@@ -1,6 +1,6 @@
 """Load reports: what each node has at each upstream, told to the others by UDP.
 
-A full report goes out at a slow pace and heals whatever was lost. Between two of
+A whole report goes out at a slow pace and heals whatever was lost. Between two of
 them, what changes at an upstream that is nearly full is told at once: two nodes
 that both see its last free slot would both use it, and one of the two requests
 would wait inside the upstream, where nothing can overtake or take it back.
@@ -9,37 +9,43 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import struct
 import time
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
+from baobabwing.exceptions import WireError
 from baobabwing.gateway.decisions.quotas import Spent
 from baobabwing.gateway.decisions.tracking import UpstreamTrack
 from baobabwing.gateway.events import PEER_CHANGED
+from baobabwing.gateway.report_codec import (
+    Hello,
+    Load,
+    LoadReport,
+    Used,
+    crc,
+    decode,
+    encode_hello,
+    encode_report,
+    wrapped_difference,
+)
 from baobabwing.gateway.state import GatewayState, PoolRuntime
 from baobabwing.reports.events import log
 
 __all__ = ["PeerNode", "Peers"]
 
-# Between two full reports to each peer.
-_REPORT_S = 0.2
+# Between two whole reports to each peer, and how many of them come with a hello.
+_REPORT_S = 0.25
+_HELLO_EACH = 4
 # Changes of this long are told together; the way to a peer takes 1 to 3 ms.
 _BATCH_S = 0.005
-# A peer that is silent this long does not count as heard: three reports lost.
+# A peer that is silent this long does not count as heard: two reports lost.
 _SILENT_S = 0.7
-# Of a short report: mark, crc of the node's name, incarnation and number; then for
-# each upstream crc of its instance, requests there, and prompt tokens unread / 16.
-_SHORT_MARK = b"S"
-_SHORT_HEAD = struct.Struct("!cIQI")
-_SHORT_ENTRY = struct.Struct("!IBH")
-_TOKEN_UNIT = 16
 # A peer that is silent this long is taken for gone by all who share limits.
 _GONE_S = 20.0
-_MAX_DATAGRAM_BYTES = 8192
+# Reports that name an organisation after its counts changed, so that one gets
+# through; organisations that send nothing are not named.
+_USED_TOLD = 4
+_MOST_USED = 64
 
 
 @dataclass(kw_only=True)
@@ -50,7 +56,8 @@
     :param reports: its UDP address.
     :param incarnation: differs for each start of its process.
     :param versions: versions of the documents that it has.
-    :param loads: requests and unread prompt tokens by upstream.
+    :param loads: requests and unread prompt tokens by crc of the upstream.
+    :param used: counts of organisations by crc of the name.
     """
 
     name: str
@@ -64,7 +71,9 @@
     versions: dict[str, int] = field(default_factory=dict)
     heard_at: float = 0.0
     listed_at: float = 0.0
-    loads: dict[str, tuple[int, int]] = field(default_factory=dict)
+    loads: dict[int, Load] = field(default_factory=dict)
+    used: dict[int, Used] = field(default_factory=dict)
+    totals: dict[str, Spent] = field(default_factory=dict)
 
     def heard(self, now: float) -> bool:
         """Whether it reported just now."""
@@ -90,12 +99,13 @@
         self._incarnation = incarnation
         self._versions = versions
         self._nodes: dict[str, PeerNode] = {}
+        self._by_crc: dict[int, PeerNode] = {}
         self._number = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._was_heard: frozenset[str] = frozenset()
         self._changed: set[str] = set()
         self._flush: asyncio.TimerHandle | None = None
-        self._by_crc: dict[int, PeerNode] = {}
+        self._used_told: dict[str, tuple[Spent, int]] = {}
         self.sent_bytes = 0
         state.on_load = self._note_change
 
@@ -121,7 +131,7 @@
             known = self._nodes.get(node.name)
             if known is None or known.reports != node.reports:
                 node.listed_at = now
-                self._nodes[node.name] = node
+                self._add(node)
         listed = {node.name for node in nodes}
         for name, node in tuple(self._nodes.items()):
             if name not in listed and not node.heard(now):
@@ -143,15 +153,28 @@
 
     async def run(self) -> None:
         """Report to all peers, and take stock of who is heard."""
+        turn = 0
         while True:
-            self._report()
+            if turn % _HELLO_EACH == 0:
+                self._tell(encode_hello(self._hello()))
+            self._tell(encode_report(self._whole_report()))
             self._take_stock()
+            turn += 1
             await asyncio.sleep(_REPORT_S)
 
-    def _report(self) -> None:
-        if self._transport is None:
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take a peer's word; what is older than the last is dropped."""
+        try:
+            message = decode(data)
+        except WireError:
+            return
+        if isinstance(message, Hello):
+            self._take_hello(message)
             return
-        self._tell(self._encode())
+        node = self._by_crc.get(message.node)
+        order = (message.incarnation, message.number)
+        if node is not None and order > (node.incarnation, node.number):
+            self._take_report(node, message)
 
     def _tell(self, data: bytes) -> None:
         if self._transport is None:
@@ -161,6 +184,59 @@
             self._transport.sendto(data, (host, int(port)))
             self.sent_bytes += len(data)
 
+    def _add(self, node: PeerNode) -> None:
+        self._nodes[node.name] = node
+        self._by_crc[crc(node.name)] = node
+
+    # What this node tells.
+
+    def _hello(self) -> Hello:
+        cfg = self._state.settings
+        return Hello(
+            name=cfg.name,
+            incarnation=self._incarnation,
+            callers=cfg.callers,
+            reports=cfg.reports,
+            peers=cfg.peers,
+            zone=cfg.zone,
+        )
+
+    def _whole_report(self) -> LoadReport:
+        versions = self._versions()
+        return LoadReport(
+            node=crc(self._state.settings.name),
+            incarnation=self._incarnation,
+            number=self._next_number(),
+            whole=True,
+            ready=self._state.ready,
+            configuration=versions.get("configuration", 0),
+            upstreams=versions.get("upstreams", 0),
+            loads=tuple(
+                _load(track)
+                for pool in self._state.pools.values()
+                for track in pool.scheduler.tracks.values()
+                if track.own
+            ),
+            used=self._used_now(),
+        )
+
+    def _used_now(self) -> tuple[Used, ...]:
+        """Return the counts that changed in the last few reports."""
+        told = []
+        for name, spent in self._state.quotas.spent().items():
+            before, times = self._used_told.get(name, (Spent(), 0))
+            times = _USED_TOLD if spent != before else times - 1
+            self._used_told[name] = (spent, times)
+            if times > 0 and len(told) < _MOST_USED:
+                told.append(
+                    Used(
+                        organisation=crc(name),
+                        units=int(spent.units),
+                        excess=int(spent.excess),
+                    )
+                )
+        return tuple(told)
+
     def _note_change(self, track: UpstreamTrack) -> None:
         """Tell peers soon of a change at an upstream that is nearly full."""
         if not track.nearly_full:
@@ -172,120 +248,92 @@
 
     def _tell_changes(self) -> None:
         self._flush = None
-        self._number += 1
-        name = zlib.crc32(self._state.settings.name.encode())
-        parts = [_SHORT_HEAD.pack(_SHORT_MARK, name, self._incarnation, self._number)]
-        for pool in self._state.pools.values():
-            for instance in self._changed & pool.scheduler.tracks.keys():
-                track = pool.scheduler.tracks[instance]
-                parts.append(
-                    _SHORT_ENTRY.pack(
-                        zlib.crc32(instance.encode()),
-                        min(len(track.own), 0xFF),
-                        min(track.own_prompt() // _TOKEN_UNIT, 0xFFFF),
-                    )
-                )
+        report = LoadReport(
+            node=crc(self._state.settings.name),
+            incarnation=self._incarnation,
+            number=self._next_number(),
+            whole=False,
+            loads=tuple(
+                _load(pool.scheduler.tracks[instance])
+                for pool in self._state.pools.values()
+                for instance in self._changed & pool.scheduler.tracks.keys()
+            ),
+        )
         self._changed.clear()
-        self._tell(b"".join(parts))
+        self._tell(encode_report(report))
 
-    def _take_short(self, data: bytes) -> None:
-        """Take what a peer has at some upstreams; the rest stays as it was."""
-        if len(data) < _SHORT_HEAD.size:
-            return
-        _, name, incarnation, number = _SHORT_HEAD.unpack_from(data)
-        node = self._by_crc.get(name)
-        if node is None or incarnation != node.incarnation or number <= node.number:
+    def _next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    # What others tell.
+
+    def _take_hello(self, hello: Hello) -> None:
+        if hello.name == self._state.settings.name:
             return
-        node.number = number
+        node = self._nodes.get(hello.name)
+        if node is None or node.reports != hello.reports:
+            node = PeerNode(
+                name=hello.name, callers=hello.callers, reports=hello.reports
+            )
+            node.listed_at = time.monotonic()
+            self._add(node)
+        node.callers, node.peers, node.zone = hello.callers, hello.peers, hello.zone
+
+    def _take_report(self, node: PeerNode, report: LoadReport) -> None:
+        if report.incarnation != node.incarnation:
+            node.loads, node.used, node.totals = {}, {}, {}
+        node.incarnation, node.number = report.incarnation, report.number
         node.heard_at = time.monotonic()
-        body = data[_SHORT_HEAD.size :]
-        if len(body) % _SHORT_ENTRY.size:
+        told = {load.upstream: load for load in report.loads}
+        if not report.whole:
+            for pool in self._state.pools.values():
+                self._take_changes(node, told, pool)
             return
-        told = {
-            crc: (count, unread * _TOKEN_UNIT)
-            for crc, count, unread in _SHORT_ENTRY.iter_unpack(body)
+        node.loads = told
+        node.ready = report.ready
+        node.versions = {
+            "configuration": report.configuration,
+            "upstreams": report.upstreams,
         }
-        for pool in self._state.pools.values():
-            self._take_loads(node, told, pool)
+        self._take_used(node, report)
 
-    def _take_loads(
-        self, node: PeerNode, told: dict[int, tuple[int, int]], pool: PoolRuntime
+    def _take_changes(
+        self, node: PeerNode, told: dict[int, Load], pool: PoolRuntime
     ) -> None:
-        for instance, track in pool.scheduler.tracks.items():
+        for track in pool.scheduler.tracks.values():
             now = told.get(track.crc)
             if now is None:
                 continue
-            before = node.loads.get(instance, (0, 0))
-            node.loads[instance] = now
-            track.others += now[0] - before[0]
-            track.others_prompt += now[1] - before[1]
+            before = node.loads.get(track.crc)
+            track.others += now.requests - (before.requests if before else 0)
+            unread = before.prompt_tokens if before else 0
+            track.others_prompt += now.prompt_tokens - unread
+            node.loads[track.crc] = now
         if pool.queued:
             pool.pump()
 
-    def _encode(self) -> bytes:
-        self._number += 1
-        cfg = self._state.settings
-        loads = {}
-        for pool in self._state.pools.values():
-            for instance, track in pool.scheduler.tracks.items():
-                if track.own:
-                    loads[instance] = (len(track.own), track.own_prompt())
-        report = {
-            "name": cfg.name,
-            "incarnation": self._incarnation,
-            "number": self._number,
-            "callers": cfg.callers,
-            "reports": cfg.reports,
-            "peers": cfg.peers,
-            "zone": cfg.zone,
-            "ready": self._state.ready,
-            "versions": self._versions(),
-            "loads": loads,
-            "spent": {
-                name: (int(one.units), int(one.excess))
-                for name, one in self._state.quotas.spent().items()
-            },
-        }
-        return json.dumps(report, separators=(",", ":")).encode()
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take a peer's report; one that is older than the last is dropped."""
-        if data[:1] == _SHORT_MARK:
-            self._take_short(data)
-            return
-        try:
-            report = json.loads(data)
-            name, incarnation = report["name"], int(report["incarnation"])
-            order = (incarnation, int(report["number"]))
-        except (ValueError, KeyError, TypeError):
-            return
-        if name == self._state.settings.name:
-            return
-        node = self._nodes.get(name)
-        if node is None:
-            node = PeerNode(
-                name=name, callers=report["callers"], reports=report["reports"]
-            )
-            self._nodes[name] = node
-        if order <= (node.incarnation, node.number):
-            return
-        self._take(node, order, report)
-
-    def _take(self, node: PeerNode, order: tuple[int, int], report: Any) -> None:
-        now = time.monotonic()
-        node.incarnation, node.number = order
-        self._by_crc[zlib.crc32(node.name.encode())] = node
-        node.callers, node.reports = report["callers"], report["reports"]
-        node.peers, node.zone = report["peers"], report["zone"]
-        node.ready = bool(report["ready"])
-        node.versions = report["versions"]
-        node.loads = {key: tuple(one) for key, one in report["loads"].items()}
-        node.heard_at = now
-        spent = {
-            organisation: Spent(units=units, excess=excess)
-            for organisation, (units, excess) in report["spent"].items()
-        }
-        self._state.quotas.hear(f"{node.name}#{order[0]}", spent, now)
+    def _take_used(self, node: PeerNode, report: LoadReport) -> None:
+        """Unwrap a peer's counts and hand them to the limits."""
+        names = {crc(name): name for name in self._state.quotas.spent()}
+        for used in report.used:
+            name = names.get(used.organisation)
+            if name is None:
+                continue
+            before = node.used.get(used.organisation)
+            total = node.totals.get(name, Spent())
+            if before is not None:
+                total = Spent(
+                    units=total.units + wrapped_difference(used.units, before.units),
+                    excess=total.excess
+                    + wrapped_difference(used.excess, before.excess),
+                )
+            else:
+                total = Spent(units=used.units, excess=used.excess)
+            node.used[used.organisation] = used
+            node.totals[name] = total
+        peer = f"{node.name}#{node.incarnation}"
+        self._state.quotas.hear(peer, node.totals, node.heard_at)
 
     def _take_stock(self) -> None:
         """Sum up the loads of those that are heard, and count them."""
@@ -300,15 +348,18 @@
             )
             self._was_heard = names
         self._state.set_nodes(len(heard) + 1, len(self.known()) + 1)
-        totals: dict[str, list[int]] = {}
-        for node in heard:
-            for instance, (count, unread) in node.loads.items():
-                total = totals.setdefault(instance, [0, 0])
-                total[0] += count
-                total[1] += unread
         for pool in self._state.pools.values():
-            for instance in pool.scheduler.tracks:
-                count, unread = totals.get(instance, (0, 0))
-                pool.scheduler.hear(instance, count, unread)
+            for track in pool.scheduler.tracks.values():
+                loads = [
+                    one.loads[track.crc] for one in heard if track.crc in one.loads
+                ]
+                track.others = sum(load.requests for load in loads)
+                track.others_prompt = sum(load.prompt_tokens for load in loads)
             if pool.queued:
                 pool.pump()
+
+
+def _load(track: UpstreamTrack) -> Load:
+    return Load(
+        upstream=track.crc, requests=len(track.own), prompt_tokens=track.own_prompt()
+    )
