Give engines one request beyond their slots

Cause: an engine idles a slot for the 3 to 5 ms between an answer's end and the next request, and longer where several nodes hold back for the same slot.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -19,7 +19,7 @@
 
 # Requests beyond its slots that an engine gets: the next one starts as soon as
 # one ends, without the way to us and back (3 to 5 ms) in which it would idle.
-_SPARE = 0
+_SPARE = 1
 # Part of an engine's slots that the least urgent requests leave free. They hold a
 # slot for seconds, the more urgent ones for a few hundred ms; with all slots
 # taken by the former, the latter wait for one while their objective runs out.
