Move a long stream from a slow engine to a fast one that has slots to spare

Ruled out: placing by the hint alone, which is often far too low. Change: from a fifth of its time on, a resumable stream whose rest would take more than 0.6 of what is left goes on at an engine of less than 0.6 of the pace, if nothing waits and a slot stays free there; it counts as a second try.

--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -7,6 +7,7 @@
 
 from baobabwing.gateway.answers import CallerAnswer
 from baobabwing.gateway.decisions.quotas import Charge
+from baobabwing.gateway.decisions.scheduling import Grant
 from baobabwing.gateway.decisions.tracking import UpstreamTrack
 from baobabwing.gateway.envelope import Envelope
 from baobabwing.gateway.exchange import AnswerHead
@@ -24,6 +25,7 @@
     NOT_RUN = "not_run"
     FAILED = "failed"
     ANSWERED_FAILURE = "answered_failure"
+    MOVED = "moved"
 
 
 @dataclass(kw_only=True)
@@ -54,6 +56,7 @@
 
     :param charge: what it cost its organisation.
     :param arrived: when its head was whole.
+    :param next_grant: the place that a stream moves to.
     :param counted: whether its outcome is in the metrics already.
     :param ends_at: when nobody waits any more, or the route's timeout is over.
     """
@@ -76,6 +79,8 @@
     failure: tuple[AnswerHead, bytes] | None = None
     tries: list[Try] = field(default_factory=list)
     counted: bool = False
+    next_grant: Grant | None = None
+    move_checked_at: float = 0.0
     failed_at: UpstreamTrack | None = None
 
     @property
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -34,6 +34,10 @@
 _FAST = 0.7
 _LONG_SLOTS = 1
 _LONG_SHARE = 0.4
+# A stream goes on at another engine only if that one has this many slots to spare
+# and takes less than this share of the time.
+_MOVE_SLOTS = 1
+_MOVE_GAIN = 0.6
 # Plain services answer within some 20 ms; twice their slots keeps their own
 # queue short enough that nothing in it misses an objective of 100 ms.
 _PLAIN_DEPTH = 2
@@ -144,6 +148,33 @@
         self.waiting.extend(blocked)
         return granted
 
+    def faster(self, ask: Ask, than: UpstreamTrack, now: float) -> Grant | None:
+        """Place a request that runs already at a much faster upstream, if one is free.
+
+        Nothing that waits may be overtaken by it.
+        """
+        pace = than.pace_s
+        if self.waiting or pace is None:
+            return None
+        free = [
+            track
+            for track in self.tracks.values()
+            if track.usable(now)
+            and self._room(track) > _SPARE + _MOVE_SLOTS
+            and track.pace_s is not None
+            and track.pace_s < _MOVE_GAIN * pace
+        ]
+        if not free:
+            return None
+        return self._grant(ask, min(free, key=lambda track: track.in_flight), now)
+
+    def output_s(self, tokens: int, track: UpstreamTrack) -> float:
+        """Return how long an upstream takes to generate so many tokens."""
+        if self.engine is None:
+            return 0.0
+        pace = track.pace_s or self._typical_s or 0.0
+        return tokens * pace / self.engine.tokens_per_event
+
     def free_places(self, now: float) -> int:
         """Return the requests that could start at once."""
         return sum(
@@ -203,7 +234,10 @@
         best = min(
             free, key=lambda track: (self._cost_s(ask, track, now), self._rng.random())
         )
-        track, predicted = best, self._first_s(ask, best, now)
+        return self._grant(ask, best, now)
+
+    def _grant(self, ask: Ask, track: UpstreamTrack, now: float) -> Grant:
+        predicted = self._first_s(ask, track, now)
         track.begin(
             ask.number,
             Outstanding(
@@ -240,8 +274,7 @@
         first = self._first_s(ask, track, now)
         if self.engine is None:
             return first
-        pace = track.pace_s or self._typical_s or 0.0
-        output = ask.expected_out * pace / self.engine.tokens_per_event
+        output = self.output_s(ask.expected_out, track)
         # What can't end in time there is cut off after all its work.
         cut = max(now + first + output - ask.ends_at, 0.0)
         return first + _OUTPUT_WEIGHT * output + cut
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -41,6 +41,14 @@
 # Before a first event also for this many times what was predicted.
 _MUTE_RATIO = 3.0
 _LEAST_RETRY_AFTER_S = 0.05
+# A stream is looked at this often, from this share of its time on; it moves if the
+# rest of it would take this share of the time that is left, and if so many second
+# tries are left for those that fail.
+_MOVE_CHECK_S = 0.25
+_MOVE_AFTER = 0.2
+_MOVE_GROWTH = 1.5
+_MOVE_LEFT = 0.6
+_MOVE_BUDGET = 3
 
 
 _Read = TypeVar("_Read")
@@ -85,10 +93,12 @@
     async def _serve(self, call: Call, pool: PoolRuntime) -> None:
         while True:
             try:
-                grant = await self._place(call, pool)
+                grant = call.next_grant or await self._place(call, pool)
             except TimeoutError:
                 await self._give_up(call, pool)
                 return
+            call.next_grant = None
+            self._accounts.placed(call, grant, pool)
             try:
                 step = await self._try(call, pool, grant)
             finally:
@@ -98,28 +108,33 @@
             if step is Step.DONE:
                 self._accounts.ended(call)
                 return
-            if not self._may_repeat(call, pool, step):
+            moved = step is Step.MOVED
+            if not moved and not self._may_repeat(call, pool, step):
                 await self._fail(call, pool, step)
                 return
             call.excluded.add(grant.track.entry.instance)
             self._accounts.repeated(call, step, pool)
 
     async def _place(self, call: Call, pool: PoolRuntime) -> Grant:
+        return await pool.place(self._ask(call))
+
+    def _ask(self, call: Call, made: int = 0) -> Ask:
+        """Return what a request wants.
+
+        :param made: tokens that were generated already and have to be read again.
+        """
         objective = call.arrived + call.route.objective_s
-        ask = Ask(
+        return Ask(
             rank=call.rank,
             route_rank=call.route.rank,
             arrived=call.arrived,
             objective_at=objective,
             deadline_at=self._place_until(call),
             ends_at=call.ends_at,
-            prompt_tokens=call.envelope.tokens_in or 0,
+            prompt_tokens=(call.envelope.tokens_in or 0) + made,
             expected_out=call.envelope.expected_out or call.envelope.tokens_out,
             exclude=call.excluded,
         )
-        grant = await pool.place(ask)
-        self._accounts.placed(call, grant, pool)
-        return grant
 
     def _place_until(self, call: Call) -> float:
         """Return until when a place is still of use to the caller."""
@@ -158,7 +173,7 @@
         try:
             async with asyncio.timeout_at(call.ends_at - _RETURN_S):
                 step = await self._exchange(call, pool, grant, kept)
-            whole = step is not Step.FAILED
+            whole = step not in (Step.FAILED, Step.MOVED)
         except TimeoutError:
             step = Step.FAILED
         except (ConnectionLostError, MalformedError) as exc:
@@ -292,6 +307,8 @@
             if not call.answer.started:
                 await call.answer.start(head.status, head.reason, head.headers)
             await call.answer.data(whole)
+            if self._moves(call, pool, grant, now):
+                return Step.MOVED
         if not call.answer.started:
             await call.answer.start(head.status, head.reason, head.headers)
         await call.answer.data(call.splitter.rest())
@@ -300,6 +317,37 @@
         await call.answer.end()
         return Step.DONE
 
+    def _moves(self, call: Call, pool: PoolRuntime, grant: Grant, now: float) -> bool:
+        """Whether a stream goes on at a faster engine from here on.
+
+        An output that is longer than its caller guessed would be cut at its deadline
+        on a slow engine, after all the work for it. Reading its prompt and what it
+        has generated again takes some 50 ms.
+        """
+        route = call.route
+        if not route.resumable or call.runs >= route.attempts:
+            return False
+        if now - call.move_checked_at < _MOVE_CHECK_S:
+            return False
+        call.move_checked_at = now
+        left_s = call.ends_at - now
+        if now - call.arrived < _MOVE_AFTER * (left_s + now - call.arrived):
+            return False
+        per_event = pool.scheduler.engine.tokens_per_event
+        made = call.splitter.events * per_event
+        # Half as much again is the least that an output goes on which has gone on
+        # for so long already.
+        whole = max(call.envelope.expected_out, int(_MOVE_GROWTH * made))
+        if pool.scheduler.output_s(whole - made, grant.track) < _MOVE_LEFT * left_s:
+            return False
+        if pool.budget.left(self._state.nodes) < _MOVE_BUDGET:
+            return False
+        call.next_grant = pool.move(self._ask(call, made), grant.track)
+        if call.next_grant is None:
+            return False
+        pool.budget.take(now, self._state.nodes)
+        return True
+
     async def _listen(
         self,
         call: Call,
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -59,6 +59,13 @@
             self._waiters.pop(ask.number, None)
             self.scheduler.withdraw(ask)
 
+    def move(self, ask: Ask, than: UpstreamTrack) -> Grant | None:
+        """Place a running request at a much faster upstream, if one is free."""
+        grant = self.scheduler.faster(ask, than, time.monotonic())
+        if grant is not None:
+            self.on_load(grant.track)
+        return grant
+
     def free(self, grant: Grant) -> None:
         """Give a place back and hand it on."""
         self.on_load(grant.track)
