Predict plain services in seconds, so that one that hangs is left alone at once

Cause: what was predicted for a service was a bare ratio; the wait that shows a stalled upstream was three of its units, so three seconds (the test failed first). Change: the service's own pace times its load.

--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -14,6 +14,8 @@
 # a prompt, and the first token of an empty one.
 PREFILL_TOKENS_PER_S = 39_300.0
 FIRST_EVENT_S = 0.045
+# A plain service's whole answer, until its own pace is known.
+_PLAIN_S = 0.02
 # A sequence more in the batch costs each step this much; 0.036 ms a step of
 # 6.3 ms and the share of prefill that each sequence brings.
 _SEQUENCE_S = 0.02
@@ -160,7 +162,8 @@
     def predict_s(self, prompt_tokens: int, slowness: float, now: float) -> float:
         """Return when the first event, or the whole answer, is to be expected."""
         if self.engine is None:
-            return slowness * (1 + self.in_flight / self.slots) + self.stalled_s(now)
+            pace = self.pace_s or _PLAIN_S
+            return pace * (1 + self.in_flight / self.slots) + self.stalled_s(now)
         reading = (self.prompt_ahead() + prompt_tokens) / PREFILL_TOKENS_PER_S
         sharing = _SEQUENCE_S * self.in_flight
         over = max(self.in_flight - self.slots + 1, 0) * _SEQUENCE_S * self.slots
--- a/tests/gateway/decisions/test_scheduling.py
+++ b/tests/gateway/decisions/test_scheduling.py
@@ -199,3 +199,16 @@
     made.tracks["b"].paced(0.02)
     names = [place(made)[0].track.entry.instance for _ in range(3)]
     assert names.count("b") >= 2
+
+
+def test_stalled_service_is_avoided_within_half_a_second():
+    """A plain service hangs. Its answers take 20 ms otherwise.
+
+    The next lookups go to the other one before the first gives up.
+    """
+    made = scheduler(engine=None)
+    (first,) = place(made)
+    assert first.predicted_s < 0.1
+    stalled = first.track.entry.instance
+    others = {place(made, now=0.6)[0].track.entry.instance for _ in range(4)}
+    assert stalled not in others
