--- a/baobabwing/reports/reference.py
+++ b/baobabwing/reports/reference.py
@@ -16,6 +16,7 @@
 from enum import StrEnum
 
 import baobabwing.settings.rules  # noqa: F401  (gives the fields their rules)
+from baobabwing.gateway.metrics import GatewayMetrics
 from baobabwing.reports.metrics import NodeMetrics
 from baobabwing.settings.checker import Rule, rule_of
 from baobabwing.settings.configuration import Configuration
@@ -45,6 +46,15 @@
 one node and begin anew when it restarts. A histogram has the series `_bucket`,
 `_sum` and `_count`.
 
+| metric | type | labels | meaning | buckets |
+|---|---|---|---|---|
+"""
+_GATEWAY_HEAD = """
+## Gateway
+
+A gateway offers these on its metrics address. Each request is counted once in
+`baobabwing_gateway_requests_total`.
+
 | metric | type | labels | meaning | buckets |
 |---|---|---|---|---|
 """
@@ -77,8 +87,13 @@
 
 def render_metrics() -> str:
     """Return the page of all metrics as Markdown."""
-    metrics = [one for one in vars(NodeMetrics()).values() if hasattr(one, "describe")]
-    return _METRICS_HEAD + "".join(map(_metric_row, metrics))
+    node = "".join(map(_metric_row, _metrics_of(NodeMetrics())))
+    gateway = "".join(map(_metric_row, _metrics_of(GatewayMetrics())))
+    return _METRICS_HEAD + node + _GATEWAY_HEAD + gateway
+
+
+def _metrics_of(metrics: object) -> list[typing.Any]:
+    return [one for one in vars(metrics).values() if hasattr(one, "describe")]
 
 
 def _classes(cls: type, path: str) -> Iterator[tuple[type, str]]:
--- a/tests/reports/test_reference.py
+++ b/tests/reports/test_reference.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from baobabwing.gateway.metrics import GatewayMetrics
 from baobabwing.reports.metrics import NodeMetrics
 from baobabwing.reports.reference import PAGES
 
@@ -34,6 +35,7 @@
 
 def test_every_metric_that_a_node_offers_is_listed():
     """A node offers a series that the page does not name."""
-    offered = re.findall(r"^# HELP (\S+) ", NodeMetrics().render().decode(), re.M)
+    text = NodeMetrics().render() + GatewayMetrics().render()
+    offered = re.findall(r"^# HELP (\S+) ", text.decode(), re.M)
     listed = rows(PAGES["metrics"]())
     assert [name for name in offered if not name.endswith("_created")] == list(listed)
