--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -22,7 +22,6 @@
 
 __all__ = ["Forwarder"]
 
-# A caller that gives no deadline waits as long as its route's timeout.
 # Share of a caller's patience that a request may wait for its place; the rest is
 # for the first event.
 _PATIENCE_SHARE = 0.75
