--- a/baobabwing/gateway/accounts.py
+++ b/baobabwing/gateway/accounts.py
@@ -19,7 +19,8 @@
     UPSTREAM_FAILED,
 )
 from baobabwing.gateway.metrics import GatewayMetrics, Outcome
-from baobabwing.gateway.state import GatewayState, PoolRuntime
+from baobabwing.gateway.pool import PoolRuntime
+from baobabwing.gateway.state import GatewayState
 from baobabwing.reports.events import log
 
 __all__ = ["Accounts"]
--- a/baobabwing/gateway/admission.py
+++ b/baobabwing/gateway/admission.py
@@ -76,8 +76,7 @@
             tokens = envelope.tokens_in + envelope.tokens_out
         units = self._state.quotas.charge(organisation, tokens)
         now = time.monotonic()
-        runtime = self._state.pool(pool)
-        places_free = not runtime.queued and runtime.scheduler.free_places(now) > 0
+        places_free = self._state.pool(pool).places_free()
         charge = self._state.quotas.admit(
             organisation.name, units, now, places_free=places_free
         )
--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from baobabwing.gateway.answers import CallerAnswer
+from baobabwing.gateway.decisions.cell_queue import NoteKind
 from baobabwing.gateway.decisions.quotas import Charge
 from baobabwing.gateway.decisions.scheduling import Grant
 from baobabwing.gateway.decisions.tracking import UpstreamTrack
@@ -57,6 +58,10 @@
     :param charge: what it cost its organisation.
     :param arrived: when its head was whole.
     :param next_grant: the place that a stream moves to.
+    :param move_asked: whether a place to move to has been asked for.
+    :param verdict: what the present try tells of its upstream.
+    :param pace_s: mean time between the events of the present try.
+    :param over: whether it has ended.
     :param counted: whether its outcome is in the metrics already.
     :param ends_at: when nobody waits any more, or the route's timeout is over.
     """
@@ -80,6 +85,10 @@
     tries: list[Try] = field(default_factory=list)
     counted: bool = False
     next_grant: Grant | None = None
+    move_asked: bool = False
+    over: bool = False
+    verdict: NoteKind = NoteKind.RELEASED
+    pace_s: float | None = None
     move_checked_at: float = 0.0
     failed_at: UpstreamTrack | None = None
 
--- /dev/null
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -0,0 +1,280 @@
+"""Queue and places of one cell, as its home knows them.
+
+The home orders the requests of all nodes and counts what each has at each engine. It
+keeps nothing that the nodes could not tell it again: each node repeats what it holds
+and what waits, so that a new home knows all of it after one round.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import IntEnum
+from random import Random
+from typing import NamedTuple
+
+from baobabwing.gateway.decisions.scheduling import Ask, Grant, PoolScheduler
+from baobabwing.gateway.decisions.tracking import UpstreamTrack
+from baobabwing.gateway.model import EngineSpec, UpstreamEntry
+
+__all__ = ["CellQueue", "HeldPlace", "Holder", "NoteKind", "Taken"]
+
+# A home that was just taken over knows of no request at any engine. Nodes tell it
+# with their first question; those with traffic ask within some 50 ms.
+_GATHER_S = 0.06
+# A node that repeats nothing for this long is gone, and what it held with it: it
+# tells each 0.4 s what it holds.
+_SILENT_S = 1.5
+# What a node says that it holds was written before it had the grants of this time.
+_IN_TRANSIT_S = 0.25
+
+
+class Holder(NamedTuple):
+    """A request: the node that has it, and the node's number for it."""
+
+    node: int
+    number: int
+
+
+class NoteKind(IntEnum):
+    """What a node tells of a request; the numbers travel between nodes.
+
+    ``LOST`` means that the engine is not there at all, ``RELEASED`` that the request
+    ended for reasons that say nothing of the engine.
+    """
+
+    FIRST = 1
+    DONE = 2
+    FAILED = 3
+    LOST = 4
+    FULL = 5
+    RELEASED = 6
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HeldPlace:
+    """A request that a node has at an engine.
+
+    :param upstream: crc of the engine's incarnation.
+    :param unread: prompt tokens that wait to be read there.
+    """
+
+    number: int
+    upstream: int
+    unread: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Taken:
+    """What a home makes of a node's report.
+
+    :param unknown: requests that wait at the node and not here.
+    :param granted: places whose grant the node seems to have missed.
+    """
+
+    unknown: tuple[int, ...] = ()
+    granted: tuple[tuple[Holder, Grant], ...] = ()
+
+
+class CellQueue:
+    """All requests of one cell. Knows no network and no clock.
+
+    :param engine: figures of the cell's engines.
+    :param rng: breaks ties.
+    :param now: when this node became the cell's home.
+    """
+
+    def __init__(self, *, engine: EngineSpec | None, rng: Random, now: float) -> None:
+        self.scheduler = PoolScheduler(engine=engine, rng=rng)
+        self.opens_at = now + _GATHER_S
+        self.used_at = now
+        self._asked: dict[Holder, Ask] = {}
+        self._held: dict[Holder, Grant] = {}
+        self._holders: dict[int, Holder] = {}
+        self._heard: dict[int, float] = {}
+
+    def list_upstreams(self, entries: Iterable[UpstreamEntry]) -> None:
+        """Take the engines of the cell."""
+        self.scheduler.list_upstreams(entries)
+
+    def ask(self, holder: Holder, ask: Ask, now: float) -> Grant | None:
+        """Queue a request; one that has its place already gets it again."""
+        self._hear(holder.node, now)
+        held = self._held.get(holder)
+        if held is not None or holder in self._asked:
+            return held
+        self._asked[holder] = ask
+        self._holders[ask.number] = holder
+        self.scheduler.submit(ask)
+        return None
+
+    def move(self, holder: Holder, ask: Ask, upstream: int, now: float) -> Grant | None:
+        """Place a running request at a much faster engine, if one is free.
+
+        :param upstream: crc of the engine where it runs.
+        """
+        self._hear(holder.node, now)
+        than = self._track(upstream)
+        grant = self.scheduler.faster(ask, than, now) if than is not None else None
+        if grant is not None:
+            self._holders[ask.number] = holder
+            self._held[holder] = grant
+        return grant
+
+    def grants(self, now: float) -> list[tuple[Holder, Grant]]:
+        """Place what can be placed now."""
+        if now < self.opens_at:
+            return []
+        granted = []
+        for grant in self.scheduler.grants(now):
+            holder = self._holders[grant.ask.number]
+            del self._asked[holder]
+            self._held[holder] = grant
+            granted.append((holder, grant))
+        return granted
+
+    def note(
+        self, holder: Holder, kind: NoteKind, pace_s: float | None, now: float
+    ) -> None:
+        """Take what a node tells of its request."""
+        self._hear(holder.node, now)
+        if holder in self._asked:
+            self._withdraw(holder)
+            return
+        grant = self._held.get(holder)
+        if grant is None:
+            return
+        if kind is NoteKind.FIRST:
+            grant.track.first_event(grant.ask.number)
+            return
+        self._judge(grant.track, kind, pace_s, now)
+        self.scheduler.held(now - grant.since)
+        self._end(holder)
+
+    def report(
+        self,
+        node: int,
+        held: Iterable[HeldPlace],
+        waiting: Iterable[int],
+        now: float,
+        *,
+        whole: bool = True,
+    ) -> Taken:
+        """Take what a node has in this cell.
+
+        What it does not name any more has ended, and the word of it was lost.
+
+        :param whole: whether it names all requests that wait.
+        """
+        self._hear(node, now)
+        named = set()
+        for place in held:
+            holder = Holder(node, place.number)
+            named.add(holder)
+            self._adopt(holder, place, now)
+        asked = {Holder(node, number) for number in waiting}
+        self._drop_unnamed(node, named | asked, now, whole=whole)
+        missed = [holder for holder in asked if holder in self._held]
+        return Taken(
+            unknown=tuple(
+                holder.number
+                for holder in asked
+                if holder not in self._asked and holder not in self._held
+            ),
+            granted=tuple((holder, self._held[holder]) for holder in missed),
+        )
+
+    def forget(self, now: float) -> None:
+        """Drop requests that nobody waits for, and all of nodes that are silent."""
+        for holder, ask in tuple(self._asked.items()):
+            if ask.deadline_at <= now:
+                self._withdraw(holder)
+        silent = {
+            node for node, heard in self._heard.items() if now - heard > _SILENT_S
+        }
+        for node in silent:
+            del self._heard[node]
+        for holder in [one for one in self._asked if one.node in silent]:
+            self._withdraw(holder)
+        for holder in [one for one in self._held if one.node in silent]:
+            self._end(holder)
+
+    def waits(self, holder: Holder) -> bool:
+        """Whether a request has no place yet."""
+        return holder in self._asked
+
+    def learn(self, seen: Mapping[str, UpstreamTrack]) -> None:
+        """Take over the pace of engines that this node has seen itself."""
+        for instance, track in self.scheduler.tracks.items():
+            if instance in seen:
+                track.pace_s = seen[instance].pace_s
+
+    @property
+    def idle(self) -> bool:
+        """Whether no node has anything here."""
+        return not self._asked and not self._held
+
+    def _hear(self, node: int, now: float) -> None:
+        self._heard[node] = now
+        self.used_at = now
+
+    def _judge(
+        self, track: UpstreamTrack, kind: NoteKind, pace_s: float | None, now: float
+    ) -> None:
+        if pace_s is not None:
+            track.paced(pace_s)
+        if kind is NoteKind.DONE:
+            track.succeeded()
+        elif kind in (NoteKind.FAILED, NoteKind.LOST):
+            track.failed(now, hard=kind is NoteKind.LOST)
+        elif kind is NoteKind.FULL:
+            track.refused(now)
+
+    def _adopt(self, holder: Holder, place: HeldPlace, now: float) -> None:
+        """Count a request that another home placed before."""
+        known = self._held.get(holder)
+        if known is not None:
+            if place.unread == 0:
+                known.track.first_event(known.ask.number)
+            return
+        track = self._track(place.upstream)
+        if track is None or holder in self._asked:
+            return
+        ask = Ask(
+            rank=0,
+            arrived=now,
+            objective_at=now,
+            deadline_at=now,
+            prompt_tokens=place.unread,
+        )
+        grant = self.scheduler.adopt(ask, track, now, started=place.unread == 0)
+        self._holders[ask.number] = holder
+        self._held[holder] = grant
+
+    def _drop_unnamed(
+        self, node: int, named: set[Holder], now: float, *, whole: bool
+    ) -> None:
+        settled = now - _IN_TRANSIT_S
+        for holder, ask in tuple(self._asked.items()):
+            ended = whole and holder.node == node and holder not in named
+            if ended and ask.asked_at < settled:
+                self._withdraw(holder)
+        for holder, grant in tuple(self._held.items()):
+            if holder.node == node and holder not in named and grant.since < settled:
+                self._end(holder)
+
+    def _withdraw(self, holder: Holder) -> None:
+        ask = self._asked.pop(holder)
+        del self._holders[ask.number]
+        self.scheduler.withdraw(ask)
+
+    def _end(self, holder: Holder) -> None:
+        grant = self._held.pop(holder)
+        del self._holders[grant.ask.number]
+        grant.track.end(grant.ask.number)
+
+    def _track(self, upstream: int) -> UpstreamTrack | None:
+        for track in self.scheduler.tracks.values():
+            if track.crc == upstream:
+                return track
+        return None
--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -25,8 +25,12 @@
 # admitted meanwhile came out of its own side's share.
 _STALE_S = 1.0
 _LEAST_RETRY_S = 0.05
-# Part of the tolerance that is used. Reports of peers are up to 0.2 s old, a
-# fortieth of the window, and until then each node may use the same rest.
+# Age of the counts in a sum when it arrives: half a report's interval, and the way.
+_COUNT_AGE_S = 0.15
+# Two sums that come at almost the same time say nothing of a rate.
+_LEAST_HEARD_S = 0.05
+# Part of the tolerance that is used. What peers admitted is known up to half a
+# second late, a sixteenth of the window, and until then each may use the same rest.
 _TOLERANCE_USED = 0.75
 
 
@@ -103,6 +107,29 @@
             self.total -= self.entries.popleft()[1]
 
 
+@dataclass(kw_only=True)
+class _Forecast:
+    """What others are admitting since they were last heard, going by the last rate.
+
+    All nodes see the same rest of a limit until they hear of each other, and each would
+    use it: at four times the limit and counts half a second old, by an eighth of the
+    window's units too many.
+    """
+
+    rate_per_s: float = 0.0
+    at: float = 0.0
+
+    def take(self, units: float, seconds: float, now: float) -> None:
+        self.rate_per_s = max(units / max(seconds, _LEAST_HEARD_S), 0.0)
+        self.at = now
+
+    def unheard(self, now: float) -> float:
+        seconds = now - self.at
+        if seconds > _STALE_S:
+            return 0.0
+        return self.rate_per_s * (seconds + _COUNT_AGE_S)
+
+
 @dataclass(kw_only=True)
 class _Bucket:
     spec: OrganisationSpec
@@ -111,6 +138,9 @@
     spent: float = 0.0
     spent_excess: float = 0.0
     excess: _Window = field(default_factory=_Window)
+    others: _Forecast = field(default_factory=_Forecast)
+    excess_now: float = 0.0
+    excess_before: float = 0.0
 
     def fill(self, now: float, share: float) -> None:
         passed = max(now - self.updated, 0.0)
@@ -141,6 +171,7 @@
         self._heard: dict[str, _Heard] = {}
         self._share = 1.0
         self._shares: deque[tuple[float, float]] = deque()
+        self._nodes = 1
 
     def reload(self, tolerance: Tolerance) -> None:
         """Take a changed tolerance."""
@@ -163,11 +194,13 @@
             known[spec.name] = bucket
         self._buckets = known
 
-    def set_share(self, share: float, now: float) -> None:
+    def set_share(self, share: float, now: float, *, nodes: int = 1) -> None:
         """Take the part of all nodes that hear each other on this side.
 
         :param share: nodes heard, this one included, of all that may be running.
+        :param nodes: how many may be running.
         """
+        self._nodes = nodes
         if share == self._share:
             return
         for bucket in self._buckets.values():
@@ -197,16 +230,18 @@
         bucket.fill(now, self._share)
         # A request larger than the whole bucket passes when the bucket is full.
         needed = min(units, bucket.spec.burst * self._share)
-        if bucket.level >= needed:
+        level = bucket.level - bucket.others.unheard(now)
+        if level >= needed:
             bucket.level -= units
             bucket.spent += units
             return Charge(units=units)
         if places_free and self._tolerated(bucket, units, now):
             bucket.spent_excess += units
+            bucket.excess_now += units
             bucket.excess.count(units, now)
             return Charge(units=units, excess=True)
         rate = bucket.spec.rate_per_s * self._share
-        wait_s = (needed - bucket.level) / rate
+        wait_s = (needed - level) / rate
         return Charge(retry_after_s=max(wait_s, _LEAST_RETRY_S))
 
     def give_back(self, name: str, charge: Charge, now: float) -> None:
@@ -228,23 +263,38 @@
             for name, one in self._buckets.items()
         }
 
-    def hear(self, peer: str, counts: Mapping[str, Spent], now: float) -> None:
+    def hear(
+        self,
+        peer: str,
+        counts: Mapping[str, Spent],
+        now: float,
+        *,
+        counted: bool = True,
+    ) -> None:
         """Take a peer's counts.
 
         :param peer: name and incarnation; counts start anew with each.
+        :param counted: whether what it adds is taken off here; if not, it only is
+            what later counts of this peer are compared with.
         """
         before = self._heard.get(peer)
         self._heard[peer] = _Heard(counts=dict(counts), at=now)
-        if before is None or now - before.at > _STALE_S:
+        if not counted or before is None or now - before.at > _STALE_S:
             return
         for name, count in counts.items():
             bucket = self._buckets.get(name)
             if bucket is not None:
                 last = before.counts.get(name, Spent())
                 bucket.fill(now, self._share)
-                level = bucket.level - (count.units - last.units)
-                bucket.level = max(level, -bucket.spec.burst)
-                bucket.excess.count(count.excess - last.excess, now)
+                units = count.units - last.units
+                excess = count.excess - last.excess
+                # What was too much is paid back, but not for longer than it counts.
+                least = -bucket.spec.rate_per_s * self._tolerance.window_s
+                bucket.level = max(bucket.level - units, least)
+                bucket.excess.count(excess, now)
+                bucket.others.take(units, now - before.at, now)
+                bucket.excess_before = bucket.excess_now
+                bucket.excess_now = 0.0
                 bucket.excess.forget(now - self._tolerance.window_s)
 
     def describe(self, name: str) -> dict[str, float]:
@@ -264,7 +314,11 @@
             return False
         bucket.excess.forget(now - self._tolerance.window_s)
         most = self._tolerance.excess(bucket.spec) * self._least_share(now)
-        return bucket.excess.total + units <= most
+        # Until the others have heard of it, each node keeps to its part of what is
+        # left: two sums, since each is half a report old when it arrives.
+        own = bucket.excess_now + bucket.excess_before
+        left = most - bucket.excess.total + own
+        return own + units <= left / self._nodes
 
     def _least_share(self, now: float) -> float:
         """Return the smallest share within a window.
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -59,6 +59,8 @@
     :param prompt_tokens: tokens to be read before the first event.
     :param expected_out: tokens that it will probably generate.
     :param exclude: incarnations that it must not go to again.
+    :param unusable: crcs of incarnations that the asking node can't use.
+    :param asked_at: when it was asked for here.
     """
 
     rank: int
@@ -70,6 +72,8 @@
     prompt_tokens: int = 0
     expected_out: int = 0
     exclude: set[str] = field(default_factory=set)
+    unusable: set[int] = field(default_factory=set)
+    asked_at: float = 0.0
     number: int = field(default_factory=itertools.count(1).__next__)
 
 
@@ -91,6 +95,7 @@
 
     :param engine: figures of the pool's engines, if they are engines.
     :param rng: breaks ties.
+    :ivar most_own: bound on what this node places, where it places without a home.
     """
 
     def __init__(self, *, engine: EngineSpec | None, rng: Random) -> None:
@@ -100,6 +105,7 @@
         self._rng = rng
         self._typical_s: float | None = None
         self.holding_s = _HOLDING_S
+        self.most_own: int | None = None
         self._least_rank = 0
 
     def set_engine(self, engine: EngineSpec) -> None:
@@ -132,8 +138,10 @@
 
     def grants(self, now: float) -> list[Grant]:
         """Place what can be placed now, the most urgent first."""
-        self._learn_typical()
         granted: list[Grant] = []
+        if not self._any_room(now):
+            return granted
+        self._learn_typical()
         blocked: list[Ask] = []
         while self.waiting:
             ask = min(self.waiting, key=lambda one: self._order(one, now))
@@ -148,6 +156,18 @@
         self.waiting.extend(blocked)
         return granted
 
+    def adopt(
+        self, ask: Ask, track: UpstreamTrack, now: float, *, started: bool
+    ) -> Grant:
+        """Count a request that was placed by another node before.
+
+        :param started: whether its first event has been seen.
+        """
+        grant = self._grant(ask, track, now)
+        if started:
+            track.first_event(ask.number)
+        return grant
+
     def faster(self, ask: Ask, than: UpstreamTrack, now: float) -> Grant | None:
         """Place a request that runs already at a much faster upstream, if one is free.
 
@@ -213,6 +233,18 @@
             return 0.0
         return FIRST_EVENT_S + ask.prompt_tokens / PREFILL_TOKENS_PER_S
 
+    def _any_room(self, now: float) -> bool:
+        """Whether any upstream has a place, for whichever request.
+
+        With hundreds of requests that wait, this is asked for each message; putting
+        them in order first took a tenth of a core.
+        """
+        if self.most_own is not None:
+            own = sum(len(track.own) for track in self.tracks.values())
+            if own >= self.most_own:
+                return False
+        return any(self._room(track) > 0 for track in self.tracks.values())
+
     def _room(self, track: UpstreamTrack) -> int:
         if self.engine is None:
             return track.slots * _PLAIN_DEPTH - track.in_flight
--- a/baobabwing/gateway/directory.py
+++ b/baobabwing/gateway/directory.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from random import Random
 
-from baobabwing.gateway.reports import PeerNode
+from baobabwing.fleet.host import Host
 from baobabwing.gateway.settings import GatewaySettings
 
 __all__ = ["addresses"]
@@ -18,20 +18,20 @@
     settings: GatewaySettings,
     *,
     ready: bool,
-    heard: Iterable[PeerNode],
+    others: Iterable[Host],
     zone: str,
     rng: Random,
 ) -> list[str]:
     """Return the callers' addresses of nodes that are ready, nearest first.
 
-    A node that is leaving, or that is no longer heard, is left out, so that
-    callers go elsewhere before it ends.
+    A node that is leaving, or that is held for dead, is left out, so that callers go
+    elsewhere before it ends.
 
     :param ready: whether this node takes callers itself.
-    :param heard: the peers that reported just now.
+    :param others: the other nodes that may get new work.
     :param zone: where the caller is.
     """
-    found = [(node.zone != zone, node.callers) for node in heard if node.ready]
+    found = [(host.zone != zone, host.http) for host in others]
     if ready:
         found.append((settings.zone != zone, settings.callers))
     rng.shuffle(found)
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -5,21 +5,29 @@
 __all__ = [
     "CALLER_LEFT",
     "CONFIGURATION_TAKEN",
+    "CELL_DROPPED",
+    "CELL_TAKEN",
     "CONNECTION_FAULT",
+    "DOCUMENT_TAKEN",
     "GATEWAY_LEAVING",
     "GATEWAY_STARTED",
     "GATEWAY_STOPPED",
+    "HOME_SILENT",
+    "INCARNATION_RAISED",
     "LIMIT_REACHED",
     "LINES_LEFT_OUT",
-    "PEER_ASKED",
-    "PEER_CHANGED",
+    "MESSAGE_DROPPED",
+    "NODES_UNREAD",
+    "PLACED_ALONE",
     "SETTINGS_RELOADED",
+    "SHARE_CHANGED",
     "REQUEST_ENDED",
     "REQUEST_FAILED",
     "REQUEST_REFUSED",
     "REQUEST_REPEATED",
     "REQUEST_SENT",
     "SOURCE_LOST",
+    "SOURCE_PEER_LOST",
     "SOURCE_REGAINED",
     "UPSTREAMS_CHANGED",
     "UPSTREAM_FAILED",
@@ -81,13 +89,49 @@
 UPSTREAMS_CHANGED = define(
     2502, "upstreams_changed", "The list of upstreams changed; how many there are."
 )
-PEER_CHANGED = define(
-    3501, "peer_changed", "Another node is heard, is no longer heard, or is leaving."
+SHARE_CHANGED = define(
+    3501,
+    "share_changed",
+    "How many nodes add up their limits together, of all that may be running.",
 )
-PEER_ASKED = define(
-    3502,
-    "peer_asked",
-    "A document that the store did not give was taken from another node, or not.",
+DOCUMENT_TAKEN = define(
+    3502, "document_taken", "A newer document was taken from another node."
+)
+SOURCE_PEER_LOST = define(
+    3503,
+    "source_peer_lost",
+    "A node whose documents this one follows does not answer; another is chosen.",
+)
+HOME_SILENT = define(
+    3504,
+    "home_silent",
+    "The home of a cell does not answer; requests that wait there ask the next one.",
+)
+CELL_TAKEN = define(
+    3505, "cell_taken", "This node is asked for a cell's places from now on."
+)
+CELL_DROPPED = define(
+    3506, "cell_dropped", "Nobody asks this node for a cell's places any more."
+)
+MESSAGE_DROPPED = define(
+    3507, "message_dropped", "A datagram that is none of a gateway's was dropped."
+)
+INCARNATION_RAISED = define(
+    3508,
+    "incarnation_raised",
+    "The others hold an earlier run of this node for newer, since the time of day went "
+    "back; it joins again with a higher number.",
+    level="warning",
+)
+NODES_UNREAD = define(
+    5503,
+    "nodes_unread",
+    "The rows of the other nodes could not be read, or the own one not written.",
+)
+PLACED_ALONE = define(
+    1509,
+    "placed_alone",
+    "No home of the cell answers; the request is placed by what this node knows.",
 )
 SETTINGS_RELOADED = define(
     4502, "settings_reloaded", "The settings file was read again; what changed."
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -13,12 +13,14 @@
 from baobabwing.gateway.admission import Admission
 from baobabwing.gateway.answers import CallerAnswer, Refusal
 from baobabwing.gateway.call import Call, Step
+from baobabwing.gateway.decisions.cell_queue import NoteKind
 from baobabwing.gateway.decisions.quotas import Charge
 from baobabwing.gateway.decisions.scheduling import Ask, Grant
 from baobabwing.gateway.envelope import Envelope, upstream_headers
 from baobabwing.gateway.exchange import AnswerHead, ConnectionPool, UpstreamConnection
 from baobabwing.gateway.metrics import Outcome
-from baobabwing.gateway.state import GatewayState, PoolRuntime
+from baobabwing.gateway.pool import PoolRuntime
+from baobabwing.gateway.state import GatewayState
 
 __all__ = ["Forwarder"]
 
@@ -87,6 +89,9 @@
             self._accounts.left(call)
             raise
         finally:
+            call.over = True
+            if call.next_grant is not None:
+                pool.free(call.next_grant, NoteKind.RELEASED)
             self._give_units_back(call)
 
     async def _serve(self, call: Call, pool: PoolRuntime) -> None:
@@ -97,12 +102,12 @@
                 await self._give_up(call, pool)
                 return
             call.next_grant = None
+            call.verdict, call.pace_s = NoteKind.RELEASED, None
             self._accounts.placed(call, grant, pool)
             try:
                 step = await self._try(call, pool, grant)
             finally:
-                pool.scheduler.held(time.monotonic() - grant.since)
-                pool.free(grant)
+                pool.free(grant, call.verdict, call.pace_s)
             self._accounts.tried(call, step)
             if step is Step.DONE:
                 self._accounts.ended(call)
@@ -115,7 +120,7 @@
             self._accounts.repeated(call, step, pool)
 
     async def _place(self, call: Call, pool: PoolRuntime) -> Grant:
-        return await pool.place(self._ask(call))
+        return await pool.place(self._ask(call), self._state.nodes)
 
     def _ask(self, call: Call, made: int = 0) -> Ask:
         """Return what a request wants.
@@ -164,6 +169,7 @@
             kept = await self._connections.acquire(entry.address, entry.instance)
         except ConnectionLostError as exc:
             grant.track.failed(time.monotonic(), hard=True)
+            call.verdict = NoteKind.LOST
             self._accounts.try_failed(call, grant, exc)
             return Step.UNSENT
         # Whatever ends this try other than a whole answer closes the connection:
@@ -179,6 +185,7 @@
             if call.answer.conn.gone:
                 raise
             grant.track.failed(time.monotonic())
+            call.verdict = NoteKind.FAILED
             self._accounts.try_failed(call, grant, exc)
             step = Step.FAILED
         finally:
@@ -223,8 +230,10 @@
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             # Another upstream has the address; the one that is listed is gone.
             grant.track.failed(now, hard=True)
+            call.verdict = NoteKind.LOST
         else:
             grant.track.refused(now)
+            call.verdict = NoteKind.FULL
         while await kept.body_piece() is not None:
             pass
         return Step.NOT_RUN
@@ -246,12 +255,16 @@
             self._note_answered_failure(call, grant, now)
             call.failure = (head, body)
             return Step.ANSWERED_FAILURE
-        grant.track.succeeded()
+        self._note_success(call, grant)
         if not call.route.streams:
             grant.track.paced(now - sent_at)
         await self._pass_on(call, head, body)
         return Step.DONE
 
+    def _note_success(self, call: Call, grant: Grant) -> None:
+        grant.track.succeeded()
+        call.verdict = NoteKind.DONE
+
     def _note_answered_failure(self, call: Call, grant: Grant, now: float) -> None:
         """Hold a failure against the upstream, unless it is the request's own.
 
@@ -260,6 +273,7 @@
         """
         if call.failed_at is None:
             call.failed_at = grant.track
+            call.verdict = NoteKind.FAILED
             grant.track.failed(now)
         else:
             call.failed_at.forgive()
@@ -284,7 +298,7 @@
         head: AnswerHead,
     ) -> Step:
         """Hand events on as they come."""
-        last_at: float | None = None
+        first_at = last_at = None
         call.splitter.drop()
         before = call.splitter.events
         while True:
@@ -299,9 +313,12 @@
             if last_at is None:
                 pool.first_event(grant)
                 call.first_event_at = call.first_event_at or now
+                first_at = now
             else:
                 grant.track.paced(now - last_at)
                 call.longest_pause_s = max(call.longest_pause_s, now - last_at)
+                gaps = call.splitter.events - before - 1
+                call.pace_s = (now - first_at) / max(gaps, 1)
             last_at = now
             if not call.answer.started:
                 await call.answer.start(head.status, head.reason, head.headers)
@@ -312,7 +329,7 @@
             await call.answer.start(head.status, head.reason, head.headers)
         await call.answer.data(call.splitter.rest())
         if call.splitter.events > before:
-            grant.track.succeeded()
+            self._note_success(call, grant)
         await call.answer.end()
         return Step.DONE
 
@@ -324,7 +341,10 @@
         has generated again takes some 50 ms.
         """
         route = call.route
-        if not route.resumable or call.runs >= route.attempts:
+        if call.next_grant is not None:
+            pool.budget.take(now, self._state.nodes)
+            return True
+        if not route.resumable or call.runs >= route.attempts or call.move_asked:
             return False
         if now - call.move_checked_at < _MOVE_CHECK_S:
             return False
@@ -341,11 +361,20 @@
             return False
         if pool.budget.left(self._state.nodes) < _MOVE_BUDGET:
             return False
-        call.next_grant = pool.move(self._ask(call, made), grant.track)
-        if call.next_grant is None:
-            return False
-        pool.budget.take(now, self._state.nodes)
-        return True
+        call.move_asked = True
+        ask = self._ask(call, made)
+        pool.move(ask, grant, lambda place: self._take_move(call, pool, place))
+        return False
+
+    def _take_move(self, call: Call, pool: PoolRuntime, place: Grant | None) -> None:
+        """Take the answer to the question for a faster engine."""
+        call.move_asked = False
+        if place is None:
+            return
+        if call.over or call.next_grant is not None:
+            pool.free(place, NoteKind.RELEASED)
+            return
+        call.next_grant = place
 
     async def _listen(
         self,
@@ -422,7 +451,7 @@
         await call.answer.refuse(refusal)
 
     def _retry_after_s(self, call: Call, pool: PoolRuntime) -> float:
-        wait_s = pool.queued * pool.scheduler.turnover_s()
+        wait_s = pool.queued * pool.turnover_s
         return max(wait_s, _LEAST_RETRY_AFTER_S) * self._state.rng.uniform(1.0, 1.5)
 
     def _give_units_back(self, call: Call) -> None:
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -20,9 +20,13 @@
 )
 from baobabwing.gateway.exchange import ConnectionPool
 from baobabwing.gateway.forwarding import Forwarder
+from baobabwing.gateway.limits import LimitsExchange
+from baobabwing.gateway.members import Members
 from baobabwing.gateway.metrics import GatewayMetrics
+from baobabwing.gateway.placement.asking import Placer
+from baobabwing.gateway.placement.homes import CellHomes
+from baobabwing.gateway.placement.link import WorkLink
 from baobabwing.gateway.plain_http import PlainAnswer, PlainServer
-from baobabwing.gateway.reports import Peers
 from baobabwing.gateway.settings import GatewaySettings
 from baobabwing.gateway.sharing import Document, DocumentName, Sharing
 from baobabwing.gateway.state import GatewayState
@@ -56,6 +60,15 @@
         self.settings = settings
         self._rng = rng
         self.state = GatewayState(settings=settings, rng=rng)
+        self.members = Members(settings=settings, work=settings.work)
+        self.link = WorkLink()
+        self._homes = CellHomes(link=self.link, rng=rng)
+        self._placer = Placer(link=self.link, members=self.members, rng=rng)
+        self.state.placer = self._placer
+        self.state.on_pool = self._homes.list_pool
+        self._limits = LimitsExchange(
+            state=self.state, members=self.members, link=self.link, rng=rng
+        )
         self.connections = ConnectionPool(names=settings.names)
         self.metrics = GatewayMetrics()
         forwarder = Forwarder(
@@ -64,12 +77,7 @@
             accounts=Accounts(state=self.state, metrics=self.metrics),
         )
         self.callers = CallerServer(state=self.state, forwarder=forwarder)
-        self.peers = Peers(
-            state=self.state,
-            incarnation=time.time_ns() // 1_000_000,
-            versions=lambda: self.sharing.versions(),
-        )
-        self.sharing = Sharing(peers=self.peers, on_document=on_document)
+        self.sharing = Sharing(members=self.members, on_document=on_document)
         self._servers: list[PlainServer] = []
         self._leave = asyncio.Event()
 
@@ -99,11 +107,13 @@
 
     def leave(self) -> None:
         """Begin a graceful shutdown."""
+        self.members.leave()
         self._leave.set()
 
     async def run(self) -> None:
         """Serve until :meth:`leave`, then drain and end."""
-        await self.peers.start()
+        await self.link.start(self.settings.work)
+        self.members.start()
         if self.settings.readiness:
             await self.serve(self.settings.readiness, self._answer_ready)
         await self.serve(self.settings.peers, self.sharing.answer)
@@ -111,9 +121,15 @@
             await self.serve(self.settings.metrics, self._answer_metrics)
         await self.callers.start(self.settings.callers)
         tasks = [
-            asyncio.ensure_future(self.peers.run()),
-            asyncio.ensure_future(self.sharing.run()),
-            asyncio.ensure_future(self._sweep()),
+            asyncio.ensure_future(one)
+            for one in (
+                self.members.run(),
+                self._homes.run(),
+                self._placer.run(),
+                self._limits.run(),
+                self.sharing.run(),
+                self._sweep(),
+            )
         ]
         log(GATEWAY_STARTED, name=self.settings.name, callers=self.settings.callers)
         await self._leave.wait()
@@ -132,13 +148,15 @@
         self.callers.stop()
         for server in self._servers:
             server.stop()
+        self.members.stop()
+        self.link.stop()
 
     def addresses_for(self, zone: str) -> list[str]:
         """Return the addresses that a caller in a zone should use."""
         return addresses(
             self.settings,
             ready=self.state.ready,
-            heard=self.peers.heard(),
+            others=self.members.others(),
             zone=zone,
             rng=self._rng,
         )
@@ -171,8 +189,8 @@
         metrics.open_requests.set(self.callers.open_requests)
         metrics.queued.set(sum(pool.queued for pool in self.state.pools.values()))
         metrics.version.set(self.state.version)
-        metrics.peers.set(len(self.peers.heard()))
-        metrics.report_bytes.set(self.peers.sent_bytes)
+        metrics.peers.set(len(self.members.others()))
+        metrics.work_bytes.set(self.link.sent_bytes)
         metrics.store_away.set(self.sharing.store_away)
         return PlainAnswer(
             status=200, body=metrics.render(), content_type=b"text/plain"
--- /dev/null
+++ b/baobabwing/gateway/limits.py
@@ -0,0 +1,249 @@
+"""Counts of limits, exchanged by way of two nodes that add them up.
+
+Each node tells the first two of a ranking what it has admitted, and each of these
+tells it what all others have. Two, so that one may end without anybody noticing. What
+a node sends and takes does not grow with the fleet, and a node that hears neither
+keeps to its own share of each limit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import defaultdict
+from dataclasses import dataclass, field
+from random import Random
+
+from baobabwing.gateway.decisions.quotas import Spent
+from baobabwing.gateway.members import Members
+from baobabwing.gateway.placement.codec import crc, wrapped_difference
+from baobabwing.gateway.placement.link import WorkLink
+from baobabwing.gateway.placement.messages import Totals, Used, UsedReport
+from baobabwing.gateway.state import GatewayState
+
+__all__ = ["LimitsExchange"]
+
+_RESOURCE = "limits"
+_SUMMERS = 2
+# Between two reports. What all nodes admit in this time comes on top of a limit; the
+# excess that operators tolerate in 8 s covers it.
+_REPORT_S = 0.25
+# From this many nodes on a summer would get too much; the time grows with them.
+_NODES_AT_FULL_PACE = 36
+# A node, or a summer, that is silent for this many reports does not count.
+_SILENT_REPORTS = 3
+# Reports that name an organisation after its count changed, so that one gets through.
+_USED_TOLD = 4
+_MOST_USED = 64
+
+
+@dataclass(kw_only=True)
+class _Reporter:
+    """A node that reports to this one.
+
+    :param counts: as it last told them, by crc of the organisation's name.
+    """
+
+    address: str
+    heard_at: float
+    number: int
+    counts: dict[int, Used] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True)
+class _Sum:
+    """Units that all nodes have admitted since this node adds them up."""
+
+    units: int = 0
+    excess: int = 0
+    changed_at: float = 0.0
+    by_node: dict[int, tuple[int, int]] = field(default_factory=dict)
+
+    def add(self, node: int, units: int, excess: int, now: float) -> None:
+        self.units += units
+        self.excess += excess
+        self.changed_at = now
+        own = self.by_node.get(node, (0, 0))
+        self.by_node[node] = (own[0] + units, own[1] + excess)
+
+    def without(self, node: int) -> tuple[int, int]:
+        own = self.by_node.get(node, (0, 0))
+        return self.units - own[0], self.excess - own[1]
+
+
+@dataclass(kw_only=True)
+class _Summer:
+    """A node that adds up, as it last told."""
+
+    heard_at: float = 0.0
+    number: int = -1
+    nodes: int = 0
+    last: dict[int, Used] = field(default_factory=dict)
+    totals: dict[str, Spent] = field(default_factory=dict)
+
+
+class LimitsExchange:
+    """Tells what this node admits, adds up what others do, and takes the sums.
+
+    :param state: holds the limits.
+    """
+
+    def __init__(
+        self, *, state: GatewayState, members: Members, link: WorkLink, rng: Random
+    ) -> None:
+        self._state = state
+        self._members = members
+        self._link = link
+        self._node = rng.getrandbits(32)
+        self._number = 0
+        self._told: dict[str, tuple[Spent | None, int]] = {}
+        self._reporters: dict[int, _Reporter] = {}
+        self._sums: dict[int, _Sum] = defaultdict(_Sum)
+        self._summers: dict[int, _Summer] = {}
+        self._taken_from: int | None = None
+        link.handle(UsedReport, self._take_report)
+        link.handle(Totals, self._take_totals)
+
+    async def run(self) -> None:
+        """Report for as long as the node runs."""
+        while True:
+            self._report()
+            self._count_nodes()
+            await asyncio.sleep(self._pace_s())
+
+    def _pace_s(self) -> float:
+        return _REPORT_S * max(1.0, self._members.total / _NODES_AT_FULL_PACE)
+
+    def _silent_s(self) -> float:
+        return _SILENT_REPORTS * self._pace_s()
+
+    # What this node tells.
+
+    def _report(self) -> None:
+        self._number += 1
+        report = UsedReport(node=self._node, number=self._number, used=self._changed())
+        for address in self._members.homes(_RESOURCE, _SUMMERS):
+            self._link.send(address, report)
+
+    def _changed(self) -> tuple[Used, ...]:
+        """Return the counts that are new or changed in the last few reports.
+
+        The first word of an organisation is what later ones are compared with.
+        """
+        changed = []
+        for name, spent in self._state.quotas.spent().items():
+            before, times = self._told.get(name, (None, 0))
+            times = _USED_TOLD if spent != before else times - 1
+            self._told[name] = (spent, times)
+            if times > 0 and len(changed) < _MOST_USED:
+                changed.append(
+                    Used(
+                        organisation=crc(name),
+                        units=int(spent.units),
+                        excess=int(spent.excess),
+                    )
+                )
+        return tuple(changed)
+
+    # What this node adds up for others.
+
+    def _take_report(self, message: UsedReport, address: str) -> None:
+        now = time.monotonic()
+        known = self._reporters.get(message.node)
+        if known is None:
+            known = _Reporter(address=address, heard_at=now, number=message.number)
+            self._reporters[message.node] = known
+        elif message.number <= known.number:
+            return
+        fresh = now - known.heard_at <= self._silent_s()
+        known.heard_at, known.number = now, message.number
+        for used in message.used:
+            before = known.counts.get(used.organisation)
+            known.counts[used.organisation] = used
+            # What was admitted over a silence came out of the other side's share.
+            if before is not None and fresh:
+                self._sums[used.organisation].add(
+                    message.node,
+                    wrapped_difference(used.units, before.units),
+                    wrapped_difference(used.excess, before.excess),
+                    now,
+                )
+        self._forget_silent(now)
+        self._link.send(address, self._totals_for(message, now))
+
+    def _totals_for(self, message: UsedReport, now: float) -> Totals:
+        recently = now - _USED_TOLD * self._pace_s()
+        used = []
+        for organisation, total in self._sums.items():
+            if total.changed_at < recently:
+                continue
+            units, excess = total.without(message.node)
+            used.append(Used(organisation=organisation, units=units, excess=excess))
+        return Totals(
+            home=self._node,
+            number=message.number,
+            heard=len(self._reporters),
+            used=tuple(used[:_MOST_USED]),
+        )
+
+    def _forget_silent(self, now: float) -> None:
+        limit_s = self._silent_s()
+        for node, known in tuple(self._reporters.items()):
+            if now - known.heard_at > limit_s:
+                del self._reporters[node]
+                for total in self._sums.values():
+                    total.by_node.pop(node, None)
+
+    # What others have added up.
+
+    def _take_totals(self, message: Totals, address: str) -> None:
+        summer = self._summers.setdefault(message.home, _Summer())
+        if message.number <= summer.number:
+            return
+        now = time.monotonic()
+        summer.heard_at, summer.number = now, message.number
+        summer.nodes = message.heard
+        names = {crc(name): name for name in self._state.quotas.spent()}
+        for used in message.used:
+            name = names.get(used.organisation)
+            if name is not None:
+                self._unwrap(summer, name, used)
+        self._choose(message.home, now)
+        # The other one's sums hold the same units; counted twice they would halve
+        # each limit. They are followed, so that its differences count from here on.
+        self._state.quotas.hear(
+            str(message.home),
+            summer.totals,
+            now,
+            counted=message.home == self._taken_from,
+        )
+
+    def _choose(self, home: int, now: float) -> None:
+        """Take the sums of the one that hears most nodes, and stay with it."""
+        taken = self._summers.get(self._taken_from) if self._taken_from else None
+        silent = taken is None or now - taken.heard_at > self._silent_s()
+        if silent or self._summers[home].nodes > taken.nodes:
+            self._taken_from = home
+
+    def _unwrap(self, summer: _Summer, name: str, used: Used) -> None:
+        before = summer.last.get(used.organisation)
+        summer.last[used.organisation] = used
+        total = summer.totals.get(name, Spent())
+        if before is None:
+            summer.totals[name] = Spent(units=used.units, excess=used.excess)
+            return
+        summer.totals[name] = Spent(
+            units=total.units + wrapped_difference(used.units, before.units),
+            excess=total.excess + wrapped_difference(used.excess, before.excess),
+        )
+
+    def _count_nodes(self) -> None:
+        """Take the share of all nodes that are on this side."""
+        now = time.monotonic()
+        limit_s = self._silent_s()
+        for home, summer in tuple(self._summers.items()):
+            if now - summer.heard_at > limit_s:
+                del self._summers[home]
+        taken = self._summers.get(self._taken_from) if self._taken_from else None
+        heard = taken.nodes if taken is not None else 1
+        self._state.set_nodes(heard, self._members.total)
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -77,10 +77,11 @@
             "baobabwing_gateway_configuration_version", "Version in force; 0 for none."
         )
         self.peers = self._gauge(
-            "baobabwing_gateway_peers_heard", "Other nodes that reported just now."
+            "baobabwing_gateway_peers", "Other nodes that may get new work."
         )
-        self.report_bytes = self._gauge(
-            "baobabwing_gateway_report_bytes", "Bytes of load reports sent to peers."
+        self.work_bytes = self._gauge(
+            "baobabwing_gateway_work_bytes",
+            "Bytes of messages on places and limits sent to other nodes.",
         )
         self.store_away = self._gauge(
             "baobabwing_gateway_store_away", "1 while the store does not answer."
--- /dev/null
+++ b/baobabwing/gateway/placement/asking.py
@@ -0,0 +1,509 @@
+"""Asking the home of a cell for a place, and doing without one that is silent."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from baobabwing.gateway.decisions.cell_queue import HeldPlace, NoteKind
+from baobabwing.gateway.decisions.scheduling import Ask, Grant
+from baobabwing.gateway.decisions.tracking import Outstanding, UpstreamTrack
+from baobabwing.gateway.events import HOME_SILENT
+from baobabwing.gateway.members import Members
+from baobabwing.gateway.placement.codec import crc
+from baobabwing.gateway.placement.homes import CellPool
+from baobabwing.gateway.placement.link import WorkLink
+from baobabwing.gateway.placement.messages import (
+    AskMessage,
+    CellKey,
+    CellState,
+    Granted,
+    Holdings,
+    HoldingsTaken,
+    Note,
+    Notes,
+    Queued,
+    Refused,
+)
+from baobabwing.reports.events import log
+
+__all__ = ["Placer", "Ticket"]
+
+# A home answers each question at once, within some 5 ms between zones. After this a
+# datagram was lost, or the home is gone.
+_ANSWER_S = 0.04
+_SENDS = 2
+# Nodes that are asked for a cell, one after the other, before a request is placed
+# without any of them.
+_HOMES = 3
+# A home that was silent is asked again after this, longer each time.
+_AVOID_S = 0.5
+_AVOID_MOST_S = 4.0
+# What a node holds is repeated this often, and more often while requests wait, since
+# only the answers show that the home is still there.
+_REPEAT_S = 0.1
+_HELD_EACH = 4
+# From this many nodes on the homes would get too much of it; the times grow with it.
+_NODES_AT_FULL_PACE = 12
+# Answers to repeats that may be lost before a home counts as silent.
+_LOST_REPEATS = 4
+# Notes of this long go out together.
+_NOTES_S = 0.002
+# What a home said of its cell is used for the choice between cells for this long.
+_STATE_KEPT_S = 1.0
+# Requests that wait and are named in one datagram.
+_MOST_NAMED = 200
+_NOBODY_WAITS_S = 3600.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ticket:
+    """Where a request has its place."""
+
+    cell: CellKey
+    pool: CellPool
+    track: UpstreamTrack
+
+
+@dataclass(kw_only=True, eq=False)
+class _Waiting:
+    """A request that waits for its place.
+
+    :param done: called with the place, with ``None`` where there is none to be had
+        from this home.
+    """
+
+    message: AskMessage
+    home: str
+    ask: Ask
+    pool: CellPool
+    done: Callable[[Grant | None], None]
+    since: float
+    sends: int = 0
+    heard: bool = False
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(kw_only=True)
+class _Silence:
+    until: float
+    pause_s: float
+
+
+class Placer:
+    """Gets places for this node's requests.
+
+    :param link: carries the messages.
+    :param members: tell which nodes there are.
+    :param rng: draws between cells.
+    """
+
+    def __init__(self, *, link: WorkLink, members: Members, rng: Random) -> None:
+        self._link = link
+        self._members = members
+        self._rng = rng
+        self._node = rng.getrandbits(32)
+        self._waiting: dict[int, _Waiting] = {}
+        self._tickets: dict[int, Ticket] = {}
+        self._notes: dict[tuple[str, CellKey], list[Note]] = defaultdict(list)
+        self._told: set[CellKey] = set()
+        self._served_by: dict[CellKey, str] = {}
+        self._states: dict[CellKey, tuple[CellState, float]] = {}
+        self._heard: dict[str, float] = {}
+        self._silent: dict[str, _Silence] = {}
+        self._flush: asyncio.TimerHandle | None = None
+        link.handle(Queued, self._take_queued)
+        link.handle(Granted, self._take_granted)
+        link.handle(Refused, self._take_refused)
+        link.handle(HoldingsTaken, self._take_holdings_taken)
+        members.on_change = self._rehome
+
+    async def place(self, pool: CellPool, ask: Ask) -> Grant | None:
+        """Get a place from the home of a cell.
+
+        :returns: ``None`` if no home answers; the node is on its own then.
+        """
+        for _ in range(_HOMES):
+            key = self._choose(pool)
+            home = self._home_of(key, pool)
+            if home is None:
+                return None
+            grant = await self._ask(home, key, pool, ask)
+            if grant is not None:
+                return grant
+        return None
+
+    def move(
+        self,
+        pool: CellPool,
+        ask: Ask,
+        grant: Grant,
+        done: Callable[[Grant | None], None],
+    ) -> None:
+        """Ask for a place at a much faster engine for a request that runs.
+
+        :param done: called with the place, or with ``None``.
+        """
+        ticket = self._tickets.get(grant.ask.number)
+        home = self._home_of(ticket.cell, pool) if ticket else None
+        if home is None:
+            done(None)
+            return
+        self._begin(
+            _Waiting(
+                message=self._message(ask, ticket.cell, moves_from=grant.track.crc),
+                home=home,
+                ask=ask,
+                pool=pool,
+                done=done,
+                since=time.monotonic(),
+            )
+        )
+
+    def note(self, grant: Grant, kind: NoteKind, pace_s: float | None = None) -> None:
+        """Tell the home what became of a request that has its place from there."""
+        number = grant.ask.number
+        ticket = self._tickets.get(number)
+        if ticket is None:
+            return
+        home = self._home_of(ticket.cell, ticket.pool)
+        if home is not None:
+            self._note(home, ticket.cell, number, kind, pace_s)
+        if kind is not NoteKind.FIRST:
+            del self._tickets[number]
+
+    def state_of(self, pool: CellPool) -> CellState | None:
+        """Return how full a pool is, as its homes said lately."""
+        now = time.monotonic()
+        fresh = [
+            state
+            for key, (state, at) in self._states.items()
+            if key.pool == pool.crc and now - at < _STATE_KEPT_S
+        ]
+        if not fresh:
+            return None
+        return CellState(
+            queued=sum(state.queued for state in fresh),
+            free=sum(state.free for state in fresh),
+            turnover_s=min(state.turnover_s for state in fresh) / len(fresh),
+        )
+
+    def places(self, grant: Grant) -> bool:
+        """Whether a place was given by a home."""
+        return grant.ask.number in self._tickets
+
+    async def run(self) -> None:
+        """Repeat to the homes what this node holds, and notice silent ones."""
+        turn = 0
+        while True:
+            began = time.monotonic()
+            pause_s = _REPEAT_S * max(1.0, self._members.total / _NODES_AT_FULL_PACE)
+            await asyncio.sleep(pause_s)
+            if time.monotonic() - began > 2 * pause_s + _ANSWER_S:
+                # This process stood still; the answers wait in its socket.
+                self._excuse_all()
+                continue
+            turn += 1
+            self._notice_silence(_LOST_REPEATS * pause_s)
+            self._repeat(with_held=turn % _HELD_EACH == 0)
+
+    # Questions and their answers.
+
+    async def _ask(
+        self, home: str, key: CellKey, pool: CellPool, ask: Ask
+    ) -> Grant | None:
+        fut: asyncio.Future[Grant | None] = asyncio.get_running_loop().create_future()
+
+        def done(grant: Grant | None) -> None:
+            if not fut.done():
+                fut.set_result(grant)
+            elif grant is not None:
+                self.note(grant, NoteKind.RELEASED)
+
+        waiting = _Waiting(
+            message=self._message(ask, key),
+            home=home,
+            ask=ask,
+            pool=pool,
+            done=done,
+            since=time.monotonic(),
+        )
+        self._begin(waiting)
+        try:
+            return await fut
+        except asyncio.CancelledError:
+            self._withdraw(waiting, fut)
+            raise
+
+    def _begin(self, waiting: _Waiting) -> None:
+        self._waiting[waiting.message.number] = waiting
+        self._send(waiting)
+
+    def _send(self, waiting: _Waiting) -> None:
+        waiting.sends += 1
+        key = waiting.message.cell
+        if self._served_by.get(key) != waiting.home:
+            # A new home knows nothing of what this node has at the cell's engines.
+            self._served_by[key] = waiting.home
+            self._tell_holdings(key, waiting.home)
+        # A request that gave its place back and asks again would get the same one.
+        self._send_notes()
+        self._link.send(waiting.home, waiting.message)
+        loop = asyncio.get_running_loop()
+        waiting.timer = loop.call_later(_ANSWER_S, self._unanswered, waiting)
+
+    def _unanswered(self, waiting: _Waiting) -> None:
+        if waiting.heard or waiting.message.number not in self._waiting:
+            return
+        if waiting.sends < _SENDS:
+            self._send(waiting)
+        else:
+            self._avoid(waiting.home)
+
+    def _finish(self, waiting: _Waiting, grant: Grant | None) -> None:
+        self._waiting.pop(waiting.message.number, None)
+        if waiting.timer is not None:
+            waiting.timer.cancel()
+        waiting.done(grant)
+
+    def _withdraw(self, waiting: _Waiting, fut: asyncio.Future[Grant | None]) -> None:
+        """Give up a question whose request has ended, or the place it got."""
+        if self._waiting.pop(waiting.message.number, None) is not None:
+            if waiting.timer is not None:
+                waiting.timer.cancel()
+            key, number = waiting.message.cell, waiting.message.number
+            self._note(waiting.home, key, number, NoteKind.RELEASED, None)
+        elif fut.done() and not fut.cancelled() and fut.result() is not None:
+            self.note(fut.result(), NoteKind.RELEASED)
+
+    def _take_queued(self, message: Queued, address: str) -> None:
+        self._hear(address, message.cell, message.state)
+        waiting = self._waiting.get(message.number)
+        if waiting is not None:
+            waiting.heard = True
+
+    def _take_granted(self, message: Granted, address: str) -> None:
+        self._hear(address, message.cell, message.state)
+        waiting = self._waiting.get(message.number)
+        if waiting is None or waiting.home != address:
+            if message.number not in self._tickets:
+                # The request has ended, or was placed by another home.
+                kind = NoteKind.RELEASED
+                self._note(address, message.cell, message.number, kind, None)
+            return
+        track = _track(waiting.pool, message.upstream)
+        if track is None or track.gone or track.entry.draining:
+            # The home has not heard yet what this node has. It is asked again, with
+            # the engine left out.
+            waiting.ask.unusable.add(message.upstream)
+            kind = NoteKind.RELEASED
+            self._note(address, message.cell, message.number, kind, None)
+            self._finish(waiting, None)
+            return
+        now = time.monotonic()
+        predicted_s = message.predicted_s
+        grant = Grant(ask=waiting.ask, track=track, predicted_s=predicted_s, since=now)
+        self._tickets[message.number] = Ticket(
+            cell=message.cell, pool=waiting.pool, track=track
+        )
+        track.begin(
+            message.number,
+            Outstanding(
+                prompt_tokens=waiting.ask.prompt_tokens,
+                since=now,
+                predicted_s=predicted_s,
+            ),
+        )
+        self._finish(waiting, grant)
+
+    def _take_refused(self, message: Refused, address: str) -> None:
+        self._hear(address, message.cell, message.state)
+        waiting = self._waiting.get(message.number)
+        if waiting is not None:
+            self._finish(waiting, None)
+
+    def _take_holdings_taken(self, message: HoldingsTaken, address: str) -> None:
+        self._hear(address, message.cell, message.state)
+        for number in message.unknown:
+            waiting = self._waiting.get(number)
+            if waiting is not None and waiting.home == address:
+                self._link.send(address, self._renewed(waiting))
+
+    def _message(self, ask: Ask, key: CellKey, *, moves_from: int = 0) -> AskMessage:
+        now = time.monotonic()
+        return AskMessage(
+            node=self._node,
+            number=ask.number,
+            cell=key,
+            rank=ask.rank,
+            route_rank=ask.route_rank,
+            waited_s=now - ask.arrived,
+            objective_s=ask.objective_at - now,
+            deadline_s=ask.deadline_at - now,
+            ends_s=min(ask.ends_at - now, _NOBODY_WAITS_S),
+            prompt_tokens=ask.prompt_tokens,
+            expected_out=ask.expected_out,
+            excluded=(*map(crc, ask.exclude), *ask.unusable),
+            moves_from=moves_from,
+        )
+
+    def _renewed(self, waiting: _Waiting) -> AskMessage:
+        """Return a question as it is to be asked now; its times are from now."""
+        return self._message(
+            waiting.ask, waiting.message.cell, moves_from=waiting.message.moves_from
+        )
+
+    # Which cell, and which node is its home.
+
+    def _choose(self, pool: CellPool) -> CellKey:
+        """Choose of two cells, drawn by their size, the one with the shorter wait."""
+        keys = [
+            CellKey(pool=pool.crc, index=index) for index in range(len(pool.layout))
+        ]
+        if len(keys) == 1:
+            return keys[0]
+        sizes = [len(cell) for cell in pool.layout]
+        drawn = self._rng.choices(keys, sizes, k=2)
+        return min(drawn, key=self._wait_s)
+
+    def _wait_s(self, key: CellKey) -> tuple[float, float]:
+        state, at = self._states.get(key, (None, 0.0))
+        if state is None or time.monotonic() - at > _STATE_KEPT_S:
+            return 0.0, 0.0
+        return state.queued * state.turnover_s, -state.free
+
+    def _home_of(self, key: CellKey, pool: CellPool) -> str | None:
+        """Return the first node of the cell's ranking that is not silent."""
+        now = time.monotonic()
+        for address in self._members.homes(f"cell/{pool.name}/{key.index}", _HOMES):
+            silence = self._silent.get(address)
+            if silence is None or silence.until <= now:
+                return address
+        return None
+
+    def _hear(self, address: str, key: CellKey, state: CellState) -> None:
+        now = time.monotonic()
+        self._heard[address] = now
+        self._states[key] = (state, now)
+        self._silent.pop(address, None)
+
+    def _avoid(self, address: str) -> None:
+        """Ask others instead of a home that is silent, for a while."""
+        before = self._silent.get(address)
+        pause_s = _AVOID_S
+        if before is not None:
+            pause_s = min(2 * before.pause_s, _AVOID_MOST_S)
+        now = time.monotonic()
+        self._silent[address] = _Silence(until=now + pause_s, pause_s=pause_s)
+        asked = [one for one in self._waiting.values() if one.home == address]
+        log(
+            HOME_SILENT,
+            peer=address,
+            asked=len(asked),
+            heard_s=round(now - self._heard.get(address, now), 3),
+            avoided_s=pause_s,
+        )
+        for waiting in asked:
+            self._finish(waiting, None)
+
+    def _notice_silence(self, limit_s: float) -> None:
+        now = time.monotonic()
+        asked = {one.home for one in self._waiting.values() if one.heard}
+        for address in asked:
+            if now - self._heard.get(address, now) > limit_s:
+                self._avoid(address)
+
+    def _excuse_all(self) -> None:
+        now = time.monotonic()
+        for address in self._heard:
+            self._heard[address] = now
+
+    def _rehome(self) -> None:
+        """Have requests that wait ask again where their cell's home is another now."""
+        for waiting in tuple(self._waiting.values()):
+            home = self._home_of(waiting.message.cell, waiting.pool)
+            if home is not None and home != waiting.home:
+                key, number = waiting.message.cell, waiting.message.number
+                self._note(waiting.home, key, number, NoteKind.RELEASED, None)
+                self._finish(waiting, None)
+
+    # What homes are told unasked.
+
+    def _note(
+        self,
+        home: str,
+        key: CellKey,
+        number: int,
+        kind: NoteKind,
+        pace_s: float | None,
+    ) -> None:
+        self._notes[home, key].append(Note(number=number, kind=kind, pace_s=pace_s))
+        if self._flush is None:
+            loop = asyncio.get_running_loop()
+            self._flush = loop.call_later(_NOTES_S, self._send_notes)
+
+    def _send_notes(self) -> None:
+        if self._flush is not None:
+            self._flush.cancel()
+            self._flush = None
+        for (home, key), notes in self._notes.items():
+            self._link.send(home, Notes(node=self._node, cell=key, notes=tuple(notes)))
+        self._notes.clear()
+
+    def _repeat(self, *, with_held: bool) -> None:
+        cells = {
+            one.message.cell: one.home for one in self._waiting.values() if one.heard
+        }
+        if with_held:
+            held = {ticket.cell: ticket.pool for ticket in self._tickets.values()}
+            for key, pool in held.items():
+                cells.setdefault(key, self._home_of(key, pool))
+            # Once more after the last one has ended, in case that word was lost.
+            for key in self._told - set(held):
+                cells.setdefault(key, self._served_by.get(key))
+            self._told = set(held)
+        for key, home in cells.items():
+            if home is not None:
+                self._tell_holdings(key, home)
+
+    def _tell_holdings(self, key: CellKey, home: str) -> None:
+        held = [
+            _held_place(number, ticket)
+            for number, ticket in self._tickets.items()
+            if ticket.cell == key
+        ]
+        waiting = [
+            number
+            for number, one in self._waiting.items()
+            if one.home == home and one.heard and one.message.cell == key
+        ]
+        self._link.send(
+            home,
+            Holdings(
+                node=self._node,
+                cell=key,
+                held=tuple(held),
+                waiting=tuple(waiting[:_MOST_NAMED]),
+                whole=len(waiting) <= _MOST_NAMED,
+            ),
+        )
+
+
+def _held_place(number: int, ticket: Ticket) -> HeldPlace:
+    item = ticket.track.own.get(number)
+    return HeldPlace(
+        number=number,
+        upstream=ticket.track.crc,
+        unread=item.prompt_tokens if item else 0,
+    )
+
+
+def _track(pool: CellPool, upstream: int) -> UpstreamTrack | None:
+    for track in pool.scheduler.tracks.values():
+        if track.crc == upstream:
+            return track
+    return None
--- /dev/null
+++ b/baobabwing/gateway/placement/homes.py
@@ -0,0 +1,235 @@
+"""The cells whose home this node is: answers those that ask for places."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Iterable
+from random import Random
+
+from baobabwing.gateway.decisions.cell_queue import CellQueue, Holder
+from baobabwing.gateway.decisions.cells import cell_layout
+from baobabwing.gateway.decisions.scheduling import Ask, Grant, PoolScheduler
+from baobabwing.gateway.events import CELL_DROPPED, CELL_TAKEN
+from baobabwing.gateway.model import UpstreamEntry
+from baobabwing.gateway.placement.codec import crc
+from baobabwing.gateway.placement.link import WorkLink
+from baobabwing.gateway.placement.messages import (
+    AskMessage,
+    CellKey,
+    CellState,
+    Granted,
+    Holdings,
+    HoldingsTaken,
+    Notes,
+    Queued,
+    Refused,
+)
+from baobabwing.reports.events import log
+
+__all__ = ["CellHomes", "CellPool"]
+
+# Silent nodes, requests whose time is over, and engines that were set aside for a
+# while are looked at this often.
+_TICK_S = 0.1
+# A cell that nobody asks for is forgotten; another node is its home now.
+_IDLE_S = 60.0
+
+
+class CellPool:
+    """The engines of one pool, divided into cells.
+
+    :param name: the pool's.
+    :param scheduler: what this node itself has seen of the engines.
+    """
+
+    def __init__(self, *, name: str, scheduler: PoolScheduler) -> None:
+        self.name = name
+        self.crc = crc(name)
+        self.scheduler = scheduler
+        self.layout: tuple[tuple[str, ...], ...] = ((),)
+        self._entries: dict[str, UpstreamEntry] = {}
+
+    def list_upstreams(self, entries: Iterable[UpstreamEntry]) -> None:
+        """Take the engines that are listed now."""
+        self._entries = {entry.instance: entry for entry in entries}
+        self.layout = cell_layout(self._entries)
+
+    def entries(self, index: int) -> tuple[UpstreamEntry, ...]:
+        """Return the engines of a cell; none if there is no such cell."""
+        if index >= len(self.layout):
+            return ()
+        return tuple(self._entries[name] for name in self.layout[index])
+
+
+class CellHomes:
+    """Queues of the cells that other nodes, or this one, ask here for.
+
+    Whoever is asked for a cell acts as its home. Two nodes may do so at the same
+    time, while the members do not agree yet on who is there: each then counts a part
+    of what the engines have, and these queue what is too much for them. Nothing else
+    rests on there being one home only.
+
+    :param link: carries the messages.
+    :param rng: breaks ties.
+    """
+
+    def __init__(self, *, link: WorkLink, rng: Random) -> None:
+        self._link = link
+        self._rng = rng
+        self._pools: dict[int, CellPool] = {}
+        self._queues: dict[CellKey, CellQueue] = {}
+        self._addresses: dict[int, str] = {}
+        self._due: set[CellKey] = set()
+        link.handle(AskMessage, self._take_ask)
+        link.handle(Notes, self._take_notes)
+        link.handle(Holdings, self._take_holdings)
+
+    def list_pool(self, pool: CellPool) -> None:
+        """Take a pool whose engines, or their figures, changed."""
+        self._pools[pool.crc] = pool
+        for key, queue in self._queues.items():
+            if key.pool == pool.crc:
+                queue.scheduler.set_engine(pool.scheduler.engine)
+                queue.list_upstreams(pool.entries(key.index))
+                self._pump_soon(key)
+
+    async def run(self) -> None:
+        """Look after the queues for as long as the node runs."""
+        while True:
+            await asyncio.sleep(_TICK_S)
+            now = time.monotonic()
+            for key, queue in tuple(self._queues.items()):
+                queue.forget(now)
+                if queue.idle and now - queue.used_at > _IDLE_S:
+                    del self._queues[key]
+                    log(CELL_DROPPED, pool=self._pool_name(key), cell=key.index)
+                else:
+                    self._pump(key)
+
+    def _take_ask(self, message: AskMessage, address: str) -> None:
+        now = time.monotonic()
+        key = message.cell
+        queue = self._queue(key, now)
+        self._addresses[message.node] = address
+        holder = Holder(message.node, message.number)
+        ask = _ask(message, queue, now)
+        if message.moves_from:
+            grant = queue.move(holder, ask, message.moves_from, now)
+            if grant is None:
+                state = self._state(queue, now)
+                refused = Refused(number=message.number, cell=key, state=state)
+                self._link.send(address, refused)
+                return
+        else:
+            grant = queue.ask(holder, ask, now)
+        if grant is not None:
+            self._tell_grant(key, queue, holder, grant, now)
+            return
+        self._pump(key)
+        if queue.waits(holder):
+            state = self._state(queue, now)
+            queued = Queued(number=message.number, cell=key, state=state)
+            self._link.send(address, queued)
+
+    def _take_notes(self, message: Notes, address: str) -> None:
+        now = time.monotonic()
+        queue = self._queue(message.cell, now)
+        self._addresses[message.node] = address
+        for note in message.notes:
+            holder = Holder(message.node, note.number)
+            queue.note(holder, note.kind, note.pace_s, now)
+        self._pump_soon(message.cell)
+
+    def _take_holdings(self, message: Holdings, address: str) -> None:
+        now = time.monotonic()
+        key = message.cell
+        queue = self._queue(key, now)
+        self._addresses[message.node] = address
+        taken = queue.report(
+            message.node, message.held, message.waiting, now, whole=message.whole
+        )
+        for holder, grant in taken.granted:
+            self._tell_grant(key, queue, holder, grant, now)
+        state = self._state(queue, now)
+        answer = HoldingsTaken(cell=key, unknown=taken.unknown, state=state)
+        self._link.send(address, answer)
+        self._pump_soon(key)
+
+    def _queue(self, key: CellKey, now: float) -> CellQueue:
+        queue = self._queues.get(key)
+        if queue is not None:
+            return queue
+        pool = self._pools.get(key.pool)
+        engine = pool.scheduler.engine if pool else None
+        queue = CellQueue(engine=engine, rng=self._rng, now=now)
+        self._queues[key] = queue
+        if pool is not None:
+            queue.list_upstreams(pool.entries(key.index))
+            queue.learn(pool.scheduler.tracks)
+        log(CELL_TAKEN, pool=self._pool_name(key), cell=key.index)
+        loop = asyncio.get_running_loop()
+        loop.call_later(queue.opens_at - now, self._pump, key)
+        return queue
+
+    def _pump_soon(self, key: CellKey) -> None:
+        """Place what waits, once for all messages that are here already."""
+        if key not in self._due:
+            self._due.add(key)
+            asyncio.get_running_loop().call_soon(self._pump_due, key)
+
+    def _pump_due(self, key: CellKey) -> None:
+        self._due.discard(key)
+        self._pump(key)
+
+    def _pump(self, key: CellKey) -> None:
+        queue = self._queues.get(key)
+        if queue is None:
+            return
+        now = time.monotonic()
+        for holder, grant in queue.grants(now):
+            self._tell_grant(key, queue, holder, grant, now)
+
+    def _tell_grant(
+        self, key: CellKey, queue: CellQueue, holder: Holder, grant: Grant, now: float
+    ) -> None:
+        granted = Granted(
+            number=holder.number,
+            cell=key,
+            upstream=grant.track.crc,
+            predicted_s=grant.predicted_s,
+            state=self._state(queue, now),
+        )
+        self._link.send(self._addresses[holder.node], granted)
+
+    def _state(self, queue: CellQueue, now: float) -> CellState:
+        scheduler = queue.scheduler
+        return CellState(
+            queued=len(scheduler.waiting),
+            free=scheduler.free_places(now),
+            turnover_s=scheduler.turnover_s(),
+        )
+
+    def _pool_name(self, key: CellKey) -> str:
+        pool = self._pools.get(key.pool)
+        return pool.name if pool else f"crc {key.pool}"
+
+
+def _ask(message: AskMessage, queue: CellQueue, now: float) -> Ask:
+    excluded = {
+        track.entry.instance
+        for track in queue.scheduler.tracks.values()
+        if track.crc in message.excluded
+    }
+    return Ask(
+        rank=message.rank,
+        route_rank=message.route_rank,
+        arrived=now - message.waited_s,
+        objective_at=now + message.objective_s,
+        deadline_at=now + message.deadline_s,
+        ends_at=now + message.ends_s,
+        prompt_tokens=message.prompt_tokens,
+        expected_out=message.expected_out,
+        exclude=excluded,
+        asked_at=now,
+    )
--- /dev/null
+++ b/baobabwing/gateway/pool.py
@@ -0,0 +1,151 @@
+"""One pool at one node: how its requests get their places, and give them back."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from baobabwing.gateway.decisions.cell_queue import NoteKind
+from baobabwing.gateway.decisions.repeats import RepeatBudget
+from baobabwing.gateway.decisions.scheduling import Ask, Grant, PoolScheduler
+from baobabwing.gateway.events import PLACED_ALONE
+from baobabwing.gateway.placement.asking import Placer
+from baobabwing.gateway.placement.homes import CellPool
+from baobabwing.reports.events import log
+
+__all__ = ["PoolRuntime"]
+
+# A node that no home answers places by itself for this long before it asks again.
+_ALONE_S = 0.25
+
+
+class PoolRuntime:
+    """One pool at this node.
+
+    Requests for engines are placed by the home of a cell, which sees those of all
+    nodes: engines admit in order of arrival, so what waits must wait where it can be
+    ordered. Requests for plain services are placed here: they take some ms, and the
+    way to a home and back would be a good part of that.
+
+    :param scheduler: what this node itself has seen of the upstreams; places the
+        requests for plain services, and all where no home answers.
+    :param placer: asks homes; ``None`` for a node that is to do without.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        scheduler: PoolScheduler,
+        budget: RepeatBudget,
+        placer: Placer | None,
+    ) -> None:
+        self.scheduler = scheduler
+        self.budget = budget
+        self.cells = CellPool(name=name, scheduler=scheduler)
+        self._placer = placer
+        self._waiters: dict[int, asyncio.Future[Grant]] = {}
+
+    async def place(self, ask: Ask, nodes: int) -> Grant:
+        """Wait for a place at an upstream.
+
+        :param nodes: nodes that share the pool.
+        :raises TimeoutError: if there was none before the request's deadline.
+        """
+        async with asyncio.timeout_at(ask.deadline_at):
+            if self.scheduler.engine is None or self._placer is None:
+                return await self._place_here(ask)
+            while True:
+                grant = await self._placer.place(self.cells, ask)
+                if grant is None:
+                    grant = await self._place_alone(ask, nodes)
+                if grant is not None:
+                    return grant
+
+    def move(
+        self, ask: Ask, grant: Grant, done: Callable[[Grant | None], None]
+    ) -> None:
+        """Ask for a place at a much faster upstream for a request that runs.
+
+        :param done: called with the place, or with ``None`` where none is free.
+        """
+        if self._placer is not None:
+            self._placer.move(self.cells, ask, grant, done)
+
+    def free(self, grant: Grant, kind: NoteKind, pace_s: float | None = None) -> None:
+        """Give a place back.
+
+        :param kind: how the request ended there.
+        :param pace_s: mean time between the events that came.
+        """
+        self._tell(grant, kind, pace_s)
+        grant.track.end(grant.ask.number)
+        self.scheduler.held(time.monotonic() - grant.since)
+        self.pump()
+
+    def first_event(self, grant: Grant) -> None:
+        """Note that a request's prompt has been read."""
+        grant.track.first_event(grant.ask.number)
+        self._tell(grant, NoteKind.FIRST)
+
+    def pump(self) -> None:
+        """Place what waits here, where there is room now."""
+        for grant in self.scheduler.grants(time.monotonic()):
+            fut = self._waiters.get(grant.ask.number)
+            if fut is not None and not fut.done():
+                fut.set_result(grant)
+            else:
+                grant.track.end(grant.ask.number)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a place, at all nodes as far as this one heard."""
+        state = self._placer.state_of(self.cells) if self._placer else None
+        return state.queued if state else len(self.scheduler.waiting)
+
+    @property
+    def turnover_s(self) -> float:
+        """Mean time between two places that become free."""
+        state = self._placer.state_of(self.cells) if self._placer else None
+        return state.turnover_s if state else self.scheduler.turnover_s()
+
+    def places_free(self) -> bool:
+        """Whether a request now takes its place from nobody."""
+        state = self._placer.state_of(self.cells) if self._placer else None
+        if state is not None:
+            return state.queued == 0 and state.free > 0
+        free = self.scheduler.free_places(time.monotonic())
+        return not self.scheduler.waiting and free > 0
+
+    def _tell(self, grant: Grant, kind: NoteKind, pace_s: float | None = None) -> None:
+        if self._placer is not None:
+            self._placer.note(grant, kind, pace_s)
+
+    async def _place_alone(self, ask: Ask, nodes: int) -> Grant | None:
+        """Place without a home, within this node's part of the places."""
+        tracks = self.scheduler.tracks.values()
+        places = sum(track.slots for track in tracks)
+        self.scheduler.most_own = max(places // max(nodes, 1), 1)
+        log(PLACED_ALONE, pool=self.cells.name, most=self.scheduler.most_own)
+        try:
+            async with asyncio.timeout(_ALONE_S):
+                return await self._place_here(ask)
+        except TimeoutError:
+            return None
+
+    async def _place_here(self, ask: Ask) -> Grant:
+        fut: asyncio.Future[Grant] = asyncio.get_running_loop().create_future()
+        self._waiters[ask.number] = fut
+        self.scheduler.submit(ask)
+        self.pump()
+        try:
+            return await asyncio.shield(fut)
+        except asyncio.CancelledError:
+            # The place may have been given in the very moment the caller left.
+            if fut.done():
+                fut.result().track.end(ask.number)
+            raise
+        finally:
+            self._waiters.pop(ask.number, None)
+            self.scheduler.withdraw(ask)
--- a/baobabwing/gateway/settings.py
+++ b/baobabwing/gateway/settings.py
@@ -33,8 +33,8 @@
     :param callers: where callers connect, ``ip:port``.
     :param readiness: where the platform asks whether this node is ready.
     :param directory: where callers ask for addresses; empty to serve none.
-    :param reports: UDP address for load reports between nodes.
-    :param peers: TCP address for other nodes.
+    :param peers: address for other nodes: TCP for documents, UDP for membership.
+    :param work: UDP address for what gateways ask of each other.
     :param metrics: where metrics are served; empty for nowhere.
     :param stop_s: time from the signal to the end of a graceful shutdown.
     :param address_keep_s: how long callers may use an address answer.
@@ -53,8 +53,8 @@
     callers: str
     readiness: str = ""
     directory: str = ""
-    reports: str
     peers: str
+    work: str
     metrics: str = ""
     stop_s: float = 8.0
     address_keep_s: float = 1.0
--- a/baobabwing/gateway/sharing.py
+++ b/baobabwing/gateway/sharing.py
@@ -1,33 +1,52 @@
-"""What nodes tell each other of the store, for those that can't reach it.
+"""Documents of the store, handed on between nodes.
 
-A node that is cut off from the store, or that starts while it is away, takes the
-newest documents from a peer that has them. Documents are opaque here: whoever
-feeds the gateway encodes and decodes them.
+A few nodes follow the store; all nodes follow two of these, by calls that are kept
+waiting until there is something newer. So a change reaches a fleet within some ms at a
+cost to the store that does not grow with it, and a node that is cut off from the store,
+or that starts while it is away, takes what others have. Documents are opaque here:
+whoever feeds the gateway encodes and decodes them.
 """
 
 from __future__ import annotations
 
 import asyncio
+import random
+import time
 import urllib.parse
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
 import h11
 
-from baobabwing.exceptions import BaobabwingError, ConnectionLostError
+from baobabwing.exceptions import BaobabwingError, ConnectionLostError, WireError
+from baobabwing.fleet.host import Host
 from baobabwing.gateway.connection import HttpConnection, open_connection
-from baobabwing.gateway.events import PEER_ASKED
+from baobabwing.gateway.events import DOCUMENT_TAKEN, SOURCE_PEER_LOST
+from baobabwing.gateway.members import Members
 from baobabwing.gateway.plain_http import PlainAnswer
-from baobabwing.gateway.reports import PeerNode, Peers
 from baobabwing.reports.events import log
 
 __all__ = ["Document", "DocumentName", "Sharing"]
 
-# A change reaches all nodes from the store within some 50 ms; one that is still
-# missing after this is taken from a peer.
-_CHECK_S = 0.25
-_FETCH_TIMEOUT_S = 0.5
+_RESOURCE = "store"
+# In fleets up to this size every node follows the store itself. In larger ones one in
+# so many does, and at least so many: any three hosts may go at the same time.
+_ALL_FOLLOW = 8
+_ONE_IN = 8
+_LEAST_FOLLOWERS = 4
+# Nodes that each node follows. With one, its end would cost as long as it takes to
+# notice; a change binds everywhere within 2 s.
+_SOURCES = 2
+# A call is kept waiting this long, so that its answer shows that the peer is there.
+_WAIT_S = 1.0
+_TIMEOUT_S = 0.5
+_RETRY_S = 0.25
+# A node whose sources have shown no path to the store for this long follows it
+# itself: longer than a call is kept waiting, short enough that a change still binds
+# in time.
+_NO_SOURCE_S = 1.7
 _HEAD_BYTES = 8192
 
 
@@ -49,118 +68,236 @@
     data: bytes
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Delivery:
+    """What a source answers.
+
+    :param follows: whether it has a path to the store.
+    """
+
+    follows: bool
+    documents: dict[DocumentName, Document]
+
+
 class Sharing:
     """Documents of this node, and those that peers have newer.
 
-    :param peers: tell which versions they have.
+    :param members: tell which nodes there are.
     :param on_document: takes a document that a peer had newer.
+    :ivar on_regained: called when a peer has a path to the store again after none had.
     """
 
     def __init__(
-        self, *, peers: Peers, on_document: Callable[[DocumentName, Document], None]
+        self,
+        *,
+        members: Members,
+        on_document: Callable[[DocumentName, Document], None],
     ) -> None:
-        self._peers = peers
+        self._members = members
         self._on_document = on_document
+        self.on_regained: Callable[[], None] = lambda: None
         self._documents: dict[DocumentName, Document] = {}
-        self.store_away = True
+        self._changed = asyncio.Event()
+        self._served_at = time.monotonic()
+        self._store_away = True
+
+    @property
+    def store_away(self) -> bool:
+        """Whether this node has no path to the store of its own."""
+        return self._store_away
+
+    @store_away.setter
+    def store_away(self, away: bool) -> None:
+        changed = away != self._store_away
+        self._store_away = away
+        if changed:
+            self._wake()
+
+    @property
+    def follows_store(self) -> bool:
+        """Whether this node is to follow the store itself."""
+        total = len(self._members.serving())
+        if total <= _ALL_FOLLOW:
+            return True
+        if self._members.settings.name in {host.name for host in self._followers()}:
+            return True
+        return time.monotonic() - self._served_at > _NO_SOURCE_S
 
     def keep(self, name: DocumentName, document: Document) -> None:
         """Keep a document for peers that ask; an older one is passed over."""
         if document.version > self.version(name):
             self._documents[name] = document
+            self._wake()
 
     def version(self, name: DocumentName) -> int:
         """Return the version that this node has; 0 for none."""
         document = self._documents.get(name)
         return document.version if document else 0
 
-    def versions(self) -> dict[str, int]:
-        """Return all versions, for the reports to peers."""
-        return {name.value: self.version(name) for name in DocumentName}
-
     async def run(self) -> None:
-        """Take from peers what is newer there and does not come from the store."""
-        behind: frozenset[DocumentName] = frozenset()
+        """Follow so many other nodes for as long as this one runs."""
+        await asyncio.gather(*(self._follow(turn) for turn in range(_SOURCES)))
+
+    async def answer(self, method: str, target: str) -> PlainAnswer:
+        """Answer a peer that follows this node: with what is newer, or after a while.
+
+        The query names the versions that the peer has.
+        """
+        url = urllib.parse.urlsplit(target)
+        if url.path != "/documents":
+            return PlainAnswer(status=404)
+        known = _versions(url.query)
+        until = time.monotonic() + _WAIT_S
+        follows = not self._store_away
+        while not self._newer(known) and follows == (not self._store_away):
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                break
+        body = _pack(not self._store_away, self._newer(known))
+        return PlainAnswer(status=200, body=body, content_type=b"text/plain")
+
+    # Following others.
+
+    def _followers(self) -> list[Host]:
+        total = len(self._members.serving())
+        count = max(-(-total // _ONE_IN), _LEAST_FOLLOWERS)
+        return self._members.ranked(_RESOURCE, count)
+
+    def _source(self, turn: int) -> Host | None:
+        """Return the node to follow, another for each turn.
+
+        Those that follow the store go in a ring, so that what one of them reads
+        reaches all; the rest spread over them.
+        """
+        name = self._members.settings.name
+        followers = self._followers()
+        names = [host.name for host in followers]
+        if name in names:
+            at = names.index(name) + 1
+            sources = followers[at:] + followers[: at - 1]
+        else:
+            sources = followers
+            random.Random(f"{name}/{len(followers)}").shuffle(sources)
+        return sources[turn] if turn < len(sources) else None
+
+    async def _follow(self, turn: int) -> None:
         while True:
-            await asyncio.sleep(_CHECK_S)
-            before, behind = behind, self._behind()
-            # Twice in a row: what was just changed comes from the store itself.
-            for name in sorted(before & behind):
-                await self._fetch(name)
-
-    def _behind(self) -> frozenset[DocumentName]:
-        names = set()
-        for name in DocumentName:
-            newest = self._newest(name)
-            # The list of upstreams changes all the time, at the store's pace.
-            needed = name is DocumentName.CONFIGURATION or self.store_away
-            if needed and newest and newest.versions[name] > self.version(name):
-                names.add(name)
-        return frozenset(names)
-
-    def _newest(self, name: DocumentName) -> PeerNode | None:
-        heard = [peer for peer in self._peers.heard() if name in peer.versions]
-        return max(heard, key=lambda peer: peer.versions[name], default=None)
-
-    async def _fetch(self, name: DocumentName) -> None:
-        peer = self._newest(name)
-        if peer is None or peer.versions[name] <= self.version(name):
-            return
+            source = self._source(turn)
+            if source is None:
+                await asyncio.sleep(_RETRY_S)
+                continue
+            try:
+                await self._follow_source(turn, source)
+            except (BaobabwingError, TimeoutError) as exc:
+                log(SOURCE_PEER_LOST, peer=source.name, reason=repr(exc))
+                await asyncio.sleep(_RETRY_S)
+
+    async def _follow_source(self, turn: int, source: Host) -> None:
+        conn = await open_connection(
+            source.peer, timeout_s=_TIMEOUT_S, head_bytes=_HEAD_BYTES
+        )
         try:
-            async with asyncio.timeout(_FETCH_TIMEOUT_S):
-                document = await _ask(peer.peers, name)
-        except (BaobabwingError, TimeoutError) as exc:
-            log(PEER_ASKED, peer=peer.name, document=name.value, failed=repr(exc))
+            while self._source(turn) == source:
+                async with asyncio.timeout(_WAIT_S + _TIMEOUT_S):
+                    delivery = await self._call(conn, source)
+                if delivery.follows:
+                    self._note_path()
+                for name, document in delivery.documents.items():
+                    self._take(source, name, document)
+        finally:
+            conn.close()
+
+    def _note_path(self) -> None:
+        now = time.monotonic()
+        if now - self._served_at > _NO_SOURCE_S:
+            self.on_regained()
+        self._served_at = now
+
+    async def _call(self, conn: HttpConnection, source: Host) -> _Delivery:
+        known = {name.value: self.version(name) for name in DocumentName}
+        target = f"/documents?{urllib.parse.urlencode(known)}"
+        headers = [(b"Host", source.peer.encode())]
+        await conn.send(h11.Request(method="GET", target=target, headers=headers))
+        await conn.send(h11.EndOfMessage())
+        status, body = 0, b""
+        while not isinstance(event := await conn.next_event(), h11.EndOfMessage):
+            if isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            else:
+                raise ConnectionLostError("cut", step="documents", peer=source.peer)
+        if status != 200:
+            raise ConnectionLostError(
+                f"status {status}", step="documents", peer=source.peer
+            )
+        conn.http.start_next_cycle()
+        return _unpack(body, source.peer)
+
+    def _take(self, source: Host, name: DocumentName, document: Document) -> None:
+        before = self.version(name)
+        if document.version <= before:
             return
         log(
-            PEER_ASKED,
-            peer=peer.name,
+            DOCUMENT_TAKEN,
+            peer=source.name,
             document=name.value,
             version=document.version,
-            before=self.version(name),
+            before=before,
         )
         self.keep(name, document)
         self._on_document(name, document)
 
-    async def answer(self, method: str, target: str) -> PlainAnswer:
-        """Answer a peer that asks for a document."""
-        path = urllib.parse.urlsplit(target).path
-        name = path.removeprefix("/documents/")
-        if name not in set(DocumentName):
-            return PlainAnswer(status=404)
-        document = self._documents.get(DocumentName(name))
-        if document is None:
-            return PlainAnswer(status=503)
-        head = b"%d\n" % document.version
-        return PlainAnswer(
-            status=200, body=head + document.data, content_type=b"text/plain"
-        )
+    def _newer(self, known: dict[DocumentName, int]) -> dict[DocumentName, Document]:
+        return {
+            name: document
+            for name, document in self._documents.items()
+            if document.version > known.get(name, 0)
+        }
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
 
+def _versions(query: str) -> dict[DocumentName, int]:
+    found = dict(urllib.parse.parse_qsl(query))
+    return {
+        name: int(found[name.value])
+        for name in DocumentName
+        if found.get(name.value, "").isdigit()
+    }
 
-async def _ask(address: str, name: DocumentName) -> Document:
-    conn = await open_connection(
-        address, timeout_s=_FETCH_TIMEOUT_S, head_bytes=_HEAD_BYTES
-    )
+
+def _pack(follows: bool, documents: dict[DocumentName, Document]) -> bytes:
+    """Return a line of what follows, and the documents deflated."""
+    bodies = {name: zlib.compress(one.data, 1) for name, one in documents.items()}
+    words = [
+        f"{name.value}:{documents[name].version}:{len(body)}"
+        for name, body in bodies.items()
+    ]
+    head = " ".join([str(int(follows)), *words]).encode()
+    return head + b"\n" + b"".join(bodies.values())
+
+
+def _unpack(body: bytes, peer: str) -> _Delivery:
+    head, _, rest = body.partition(b"\n")
     try:
-        return await _exchange(conn, address, name)
-    finally:
-        conn.close()
-
-
-async def _exchange(conn: HttpConnection, address: str, name: DocumentName) -> Document:
-    headers = [(b"Host", address.encode())]
-    target = f"/documents/{name.value}"
-    await conn.send(h11.Request(method="GET", target=target, headers=headers))
-    await conn.send(h11.EndOfMessage())
-    status, body = 0, b""
-    while not isinstance(event := await conn.next_event(), h11.EndOfMessage):
-        if isinstance(event, h11.Response):
-            status = event.status_code
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        else:
-            raise ConnectionLostError("cut", step="document", peer=address)
-    version, newline, data = body.partition(b"\n")
-    if status != 200 or not newline or not version.isdigit():
-        raise ConnectionLostError(f"status {status}", step="document", peer=address)
-    return Document(version=int(version), data=data)
+        if not head:
+            raise ValueError("empty")
+        follows, *words = head.decode().split(" ")
+        documents = {}
+        for word in words:
+            name, version, size = word.split(":")
+            data, rest = rest[: int(size)], rest[int(size) :]
+            documents[DocumentName(name)] = Document(
+                version=int(version), data=zlib.decompress(data)
+            )
+        return _Delivery(follows=follows == "1", documents=documents)
+    except (ValueError, zlib.error) as exc:
+        raise WireError(f"no documents: {exc!r}", step="documents", peer=peer) from exc
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -2,96 +2,26 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from collections.abc import Callable, Iterable
 from random import Random
 
 from baobabwing.gateway.decisions.policies import make_scheduler
 from baobabwing.gateway.decisions.quotas import QuotaBook
-from baobabwing.gateway.decisions.repeats import RepeatBudget
-from baobabwing.gateway.decisions.scheduling import Ask, Grant, PoolScheduler
-from baobabwing.gateway.decisions.tracking import UpstreamTrack
-from baobabwing.gateway.events import CONFIGURATION_TAKEN, UPSTREAMS_CHANGED
+from baobabwing.gateway.events import (
+    CONFIGURATION_TAKEN,
+    SHARE_CHANGED,
+    UPSTREAMS_CHANGED,
+)
 from baobabwing.gateway.model import GatewayConfiguration, UpstreamEntry
+from baobabwing.gateway.placement.asking import Placer
+from baobabwing.gateway.placement.homes import CellPool
+from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.routing import RouteTable
 from baobabwing.gateway.settings import GatewaySettings
 from baobabwing.reports.events import log
 
-__all__ = ["GatewayState", "PoolRuntime"]
-
-
-class PoolRuntime:
-    """One pool at this node: its scheduler, and the requests that wait for it.
-
-    :param on_load: called with an upstream at which this node's load changed.
-    """
-
-    def __init__(
-        self,
-        *,
-        scheduler: PoolScheduler,
-        budget: RepeatBudget,
-        on_load: Callable[[UpstreamTrack], None],
-    ) -> None:
-        self.scheduler = scheduler
-        self.budget = budget
-        self.on_load = on_load
-        self._waiters: dict[int, asyncio.Future[Grant]] = {}
-
-    async def place(self, ask: Ask) -> Grant:
-        """Wait for a place at an upstream.
-
-        :raises TimeoutError: if there was none before the request's deadline.
-        """
-        fut: asyncio.Future[Grant] = asyncio.get_running_loop().create_future()
-        self._waiters[ask.number] = fut
-        self.scheduler.submit(ask)
-        self.pump()
-        try:
-            async with asyncio.timeout_at(ask.deadline_at):
-                return await asyncio.shield(fut)
-        except (asyncio.CancelledError, TimeoutError):
-            # The place may have been given in the very moment the caller left.
-            if fut.done():
-                self.free(fut.result())
-            raise
-        finally:
-            self._waiters.pop(ask.number, None)
-            self.scheduler.withdraw(ask)
-
-    def move(self, ask: Ask, than: UpstreamTrack) -> Grant | None:
-        """Place a running request at a much faster upstream, if one is free."""
-        grant = self.scheduler.faster(ask, than, time.monotonic())
-        if grant is not None:
-            self.on_load(grant.track)
-        return grant
-
-    def free(self, grant: Grant) -> None:
-        """Give a place back and hand it on."""
-        self.on_load(grant.track)
-        grant.track.end(grant.ask.number)
-        self.pump()
-
-    def first_event(self, grant: Grant) -> None:
-        """Note that a request's prompt has been read."""
-        grant.track.first_event(grant.ask.number)
-        self.on_load(grant.track)
-
-    def pump(self) -> None:
-        """Place what waits, where there is room now."""
-        for grant in self.scheduler.grants(time.monotonic()):
-            self.on_load(grant.track)
-            fut = self._waiters.get(grant.ask.number)
-            if fut is not None and not fut.done():
-                fut.set_result(grant)
-            else:
-                grant.track.end(grant.ask.number)
-
-    @property
-    def queued(self) -> int:
-        """Requests that wait for a place."""
-        return len(self.scheduler.waiting)
+__all__ = ["GatewayState"]
 
 
 class GatewayState:
@@ -108,8 +38,10 @@
         self.quotas = QuotaBook(tolerance=settings.tolerance, now=time.monotonic())
         self.pools: dict[str, PoolRuntime] = {}
         self.leaving_since: float | None = None
-        self.on_load: Callable[[UpstreamTrack], None] = lambda track: None
+        self.placer: Placer | None = None
+        self.on_pool: Callable[[CellPool], None] = lambda pool: None
         self.nodes = 1
+        self._heard = 1
         self._entries: dict[str, tuple[UpstreamEntry, ...]] = {}
 
     def reload(self, settings: GatewaySettings) -> None:
@@ -154,8 +86,7 @@
             by_pool.setdefault(entry.pool, []).append(entry)
         self._entries = {name: tuple(some) for name, some in by_pool.items()}
         for name in set(by_pool) | set(self.pools):
-            self._pool(name).scheduler.list_upstreams(self._entries.get(name, ()))
-            self.pools[name].pump()
+            self._list(self._pool(name))
         log(
             UPSTREAMS_CHANGED,
             by=source,
@@ -178,8 +109,12 @@
 
     def set_nodes(self, heard: int, total: int) -> None:
         """Take how many nodes there are, and how many are heard, with this one."""
-        self.nodes = max(total, 1)
-        self.quotas.set_share(min(heard / self.nodes, 1.0), time.monotonic())
+        total = max(total, 1)
+        if (heard, total) != (self._heard, self.nodes):
+            log(SHARE_CHANGED, heard=heard, total=total, before=self._heard)
+        self._heard, self.nodes = heard, total
+        share = min(heard / total, 1.0)
+        self.quotas.set_share(share, time.monotonic(), nodes=total)
 
     def pool(self, name: str) -> PoolRuntime:
         """Return a pool; one that nobody told of has no upstreams."""
@@ -191,14 +126,23 @@
         engine = spec.engine if spec else None
         if found is None:
             found = PoolRuntime(
+                name=name,
                 scheduler=make_scheduler(
                     self.settings.policy, engine=engine, rng=self.rng
                 ),
                 budget=self.settings.budget(),
-                on_load=lambda track: self.on_load(track),
+                placer=self.placer,
             )
             self.pools[name] = found
-            found.scheduler.list_upstreams(self._entries.get(name, ()))
+            self._list(found)
         if engine is not None and found.scheduler.engine != engine:
             found.scheduler.set_engine(engine)
+            self.on_pool(found.cells)
         return found
+
+    def _list(self, pool: PoolRuntime) -> None:
+        entries = self._entries.get(pool.cells.name, ())
+        pool.scheduler.list_upstreams(entries)
+        pool.cells.list_upstreams(entries)
+        self.on_pool(pool.cells)
+        pool.pump()
--- a/tests/gateway/bed.py
+++ b/tests/gateway/bed.py
@@ -30,9 +30,14 @@
 
 
 def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return an address of loopback that is free for both TCP and UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            address = tcp.getsockname()
+            with contextlib.suppress(OSError):
+                udp.bind(address)
+                return f"127.0.0.1:{address[1]}"
 
 
 async def eventually(condition, what="condition"):
@@ -86,13 +91,14 @@
         settings = GatewaySettings(
             name="node-1",
             callers=free_address(),
-            reports=free_address(),
             peers=free_address(),
+            work=free_address(),
             stop_s=3.0,
             address_keep_s=0.1,
             names=NAMES,
         )
         self.gateway = Gateway(settings=settings, rng=random.Random(7))
+        self.gateway.members.list_candidates([])
         for pool in ("services", "engines"):
             for number in (1, 2):
                 await self.add(f"{pool}-{number}", pool)
--- a/tests/gateway/decisions/test_quotas.py
+++ b/tests/gateway/decisions/test_quotas.py
@@ -1,10 +1,11 @@
 """Limits of organisations hold over all nodes, whoever hears whom."""
 
 import itertools
+import random
 
 import pytest
 
-from baobabwing.gateway.decisions.quotas import QuotaBook, Tolerance
+from baobabwing.gateway.decisions.quotas import QuotaBook, Spent, Tolerance
 from baobabwing.gateway.model import OrganisationSpec, QuotaUnit
 
 SPEC = OrganisationSpec(
@@ -39,28 +40,44 @@
         self.sides = sides
         for side in sides:
             for name in side:
-                self.books[name].set_share(len(side) / len(self.names), self.now)
+                self.set_share(name, side)
+
+    def set_share(self, name, side):
+        share = len(side) / len(self.names)
+        self.books[name].set_share(share, self.now, nodes=len(self.names))
 
     def restart(self, name):
         self.books[name] = QuotaBook(tolerance=TOLERANCE, now=self.now)
-        side = next(one for one in self.sides if name in one)
-        self.books[name].set_share(len(side) / len(self.names), self.now)
+        self.set_share(name, next(one for one in self.sides if name in one))
         self.books[name].configure([SPEC], self.now)
 
+    def admit(self, name, *, places_free):
+        charge = self.books[name].admit(
+            "acme", UNITS, self.now, places_free=places_free
+        )
+        if charge.admitted:
+            self.admitted.append((self.now, UNITS))
+
     def tick(self, *, demand, places_free=False):
         for name in self.names:
             for _ in range(demand):
-                charge = self.books[name].admit(
-                    "acme", UNITS, self.now, places_free=places_free
-                )
-                if charge.admitted:
-                    self.admitted.append((self.now, UNITS))
+                self.admit(name, places_free=places_free)
         self.now += TICK_S
         for side in self.sides:
             for teller, hearer in itertools.permutations(side, 2):
                 counts = self.books[teller].spent()
                 self.books[hearer].hear(f"n{teller}", counts, self.now)
 
+    def hear_late(self, told):
+        """Have each node hear, as one sum, what the others had told some time ago."""
+        for hearer in self.names:
+            others = [told[name] for name in self.names if name != hearer]
+            total = Spent(
+                units=sum(one["acme"].units for one in others),
+                excess=sum(one["acme"].excess for one in others),
+            )
+            self.books[hearer].hear("sum", {"acme": total}, self.now)
+
     def most_in_a_window(self):
         most = inside = first = 0
         for at, units in self.admitted:
@@ -118,6 +135,29 @@
     assert fleet.most_in_a_window() <= BOUND
 
 
+@pytest.mark.parametrize("places_free", [False, True])
+@pytest.mark.parametrize("nodes", [7, 70])
+def test_bound_holds_with_counts_of_others_half_a_second_old(nodes, places_free):
+    """An organisation sends five times its limit to all nodes while engines are free.
+
+    Each node learns what the others admitted as a sum, twice a second, a quarter of a
+    second late. Until then all of them see the same rest of the limit, and of the
+    tolerance, and each would use it.
+    """
+    fleet = Fleet(nodes)
+    rng = random.Random(nodes)
+    told = [book.spent() for book in fleet.books]
+    for tick in range(300):
+        for _ in range(int(5 * SPEC.rate_per_s * TICK_S / UNITS)):
+            fleet.admit(rng.randrange(nodes), places_free=places_free)
+        fleet.now += TICK_S
+        if tick % 5 == 2:
+            told = [book.spent() for book in fleet.books]
+        if tick % 5 == 4:
+            fleet.hear_late(told)
+    assert fleet.most_in_a_window() <= BOUND
+
+
 def test_lowered_limit_binds_within_a_window():
     """The operator lowers a limit far below what the organisation sends.
 
--- /dev/null
+++ b/tests/gateway/placement/test_codec.py
@@ -0,0 +1,120 @@
+"""Messages between gateways: packed, cut, damaged, and counters that wrap."""
+
+import contextlib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from baobabwing.exceptions import WireError
+from baobabwing.gateway.decisions.cell_queue import HeldPlace, NoteKind
+from baobabwing.gateway.placement.codec import decode, encode, wrapped_difference
+from baobabwing.gateway.placement.messages import (
+    AskMessage,
+    CellKey,
+    CellState,
+    Granted,
+    Holdings,
+    HoldingsTaken,
+    Note,
+    Notes,
+    Queued,
+    Refused,
+    Totals,
+    Used,
+    UsedReport,
+)
+
+CELL = CellKey(pool=2**32 - 1, index=3)
+STATE = CellState(queued=12, free=0, turnover_s=0.0125)
+ASK = AskMessage(
+    node=2**32 - 1,
+    number=7,
+    cell=CELL,
+    rank=1,
+    route_rank=2,
+    waited_s=0.25,
+    objective_s=-1.5,
+    deadline_s=3.0,
+    ends_s=15.0,
+    prompt_tokens=2890,
+    expected_out=120,
+    excluded=(5, 6),
+    moves_from=9,
+)
+USED = (Used(organisation=1, units=2, excess=2**32 - 1),)
+EXAMPLES = [
+    ASK,
+    Queued(number=1, cell=CELL, state=STATE),
+    Granted(number=1, cell=CELL, upstream=8, predicted_s=0.125, state=STATE),
+    Refused(number=1, cell=CELL, state=STATE),
+    Notes(
+        node=4,
+        cell=CELL,
+        notes=(
+            Note(number=1, kind=NoteKind.FIRST),
+            Note(number=2, kind=NoteKind.DONE, pace_s=0.02),
+        ),
+    ),
+    Holdings(
+        node=4,
+        cell=CELL,
+        held=(HeldPlace(number=1, upstream=2, unread=300),),
+        waiting=(3, 4),
+        whole=False,
+    ),
+    HoldingsTaken(cell=CELL, unknown=(3,), state=STATE),
+    UsedReport(node=1, number=2, used=USED),
+    Totals(home=1, number=2, heard=72, used=USED),
+]
+
+
+@pytest.mark.parametrize("message", EXAMPLES, ids=lambda one: type(one).__name__)
+def test_what_is_packed_is_unpacked(message):
+    assert decode(encode(message)) == message
+
+
+@pytest.mark.parametrize("message", EXAMPLES, ids=lambda one: type(one).__name__)
+def test_cut_messages_are_refused(message):
+    data = encode(message)
+    for size in range(len(data)):
+        with pytest.raises(WireError):
+            decode(data[:size])
+    with pytest.raises(WireError):
+        decode(data + b"x")
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(mark=st.sampled_from(b"AQGNEHKUT?"), rest=st.binary(max_size=120))
+def test_other_bytes_are_read_or_refused(mark, rest):
+    with contextlib.suppress(WireError):
+        decode(bytes([mark]) + rest)
+
+
+def test_figures_beyond_their_fields_are_cut():
+    """An output of a million tokens, and a caller that waits for days."""
+    far = 10.0**7
+    message = AskMessage(
+        node=1,
+        number=2**40 + 3,
+        cell=CELL,
+        rank=999,
+        route_rank=999,
+        waited_s=far,
+        objective_s=-far,
+        deadline_s=far,
+        ends_s=far,
+        prompt_tokens=10**12,
+        expected_out=10**6,
+    )
+    found = decode(encode(message))
+    assert (found.number, found.rank, found.expected_out) == (3, 255, 65_535)
+    assert found.ends_s >= 4_000_000
+
+
+@pytest.mark.parametrize(
+    ("now", "before", "difference"),
+    [(10, 4, 6), (4, 10, -6), (3, 2**32 - 2, 5), (2**32 - 2, 3, -5)],
+)
+def test_counters_that_wrap(now, before, difference):
+    assert wrapped_difference(now, before) == difference
--- /dev/null
+++ b/tests/gateway/test_sharing.py
@@ -0,0 +1,153 @@
+"""Documents that nodes take from each other."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from baobabwing.exceptions import WireError
+from baobabwing.fleet.host import Host
+from baobabwing.gateway import sharing
+from baobabwing.gateway.plain_http import PlainServer
+from baobabwing.gateway.sharing import Document, DocumentName, Sharing
+from tests.gateway.bed import eventually, free_address
+
+CFG = DocumentName.CONFIGURATION
+
+
+class FixedMembers:
+    """Members that a test sets."""
+
+    def __init__(self, name, hosts):
+        self.settings = SimpleNamespace(name=name)
+        self.hosts = hosts
+
+    def serving(self):
+        return tuple(self.hosts)
+
+    def others(self):
+        return [host for host in self.hosts if host.name != self.settings.name]
+
+    def ranked(self, resource, count):
+        return self.hosts[:count]
+
+
+class Fleet:
+    """Nodes that follow each other; those before ``followers`` follow the store."""
+
+    def __init__(self, count):
+        self.hosts = [
+            Host(
+                name=f"n{number:02}",
+                incarnation=1,
+                zone="z",
+                region="r",
+                peer=free_address(),
+                http="",
+            )
+            for number in range(count)
+        ]
+        self.nodes = [
+            Sharing(
+                members=FixedMembers(host.name, self.hosts),
+                on_document=lambda name, document: None,
+            )
+            for host in self.hosts
+        ]
+        self.servers = [PlainServer(answer=node.answer) for node in self.nodes]
+        self.tasks = []
+
+    async def __aenter__(self):
+        for server, host in zip(self.servers, self.hosts, strict=True):
+            await server.start(host.peer)
+        self.tasks = [asyncio.ensure_future(node.run()) for node in self.nodes]
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for task in self.tasks:
+            task.cancel()
+        for server in self.servers:
+            server.stop()
+        await asyncio.sleep(0)
+
+
+def test_change_reaches_all_from_one_that_has_it(run):
+    """Only one node reads a change from the store. All have it soon, and whole."""
+
+    async def story():
+        async with Fleet(12) as fleet:
+            document = Document(version=7, data=b"{}" * 5000)
+            fleet.nodes[0].keep(CFG, document)
+            for node in fleet.nodes:
+                await eventually(lambda node=node: node.version(CFG) == 7)
+                assert node._documents[CFG] == document
+
+    run(story())
+
+
+def test_older_document_changes_nothing(run):
+    async def story():
+        async with Fleet(3) as fleet:
+            fleet.nodes[0].keep(CFG, Document(version=7, data=b"new"))
+            await eventually(lambda: fleet.nodes[2].version(CFG) == 7)
+            fleet.nodes[1].keep(CFG, Document(version=6, data=b"old"))
+            fleet.nodes[1].keep(CFG, Document(version=8, data=b"newest"))
+            await eventually(lambda: fleet.nodes[2].version(CFG) == 8)
+
+    run(story())
+
+
+def test_few_nodes_all_follow_the_store_and_many_do_not(run):
+    async def story():
+        small, large = Fleet(7), Fleet(72)
+        assert all(node.follows_store for node in small.nodes)
+        following = [node.follows_store for node in large.nodes]
+        assert following == [True] * 9 + [False] * 63
+
+    run(story())
+
+
+def test_node_whose_sources_lost_the_store_follows_it_itself(run, monkeypatch):
+    """The nodes that follow the store are cut off from it, and this one is not.
+
+    It must not miss a change: after a while it looks for itself.
+    """
+    monkeypatch.setattr(sharing, "_NO_SOURCE_S", 0.3)
+    monkeypatch.setattr(sharing, "_WAIT_S", 0.1)
+
+    async def story():
+        async with Fleet(12) as fleet:
+            for node in fleet.nodes[:4]:
+                node.store_away = False
+            await asyncio.sleep(0.5)
+            assert not fleet.nodes[11].follows_store
+            for node in fleet.nodes[:4]:
+                node.store_away = True
+            await eventually(lambda: fleet.nodes[11].follows_store)
+
+    run(story())
+
+
+def test_source_that_ends_is_replaced(run):
+    """A node that others follow is killed. A change still reaches them."""
+
+    async def story():
+        async with Fleet(12) as fleet:
+            fleet.nodes[1].keep(CFG, Document(version=1, data=b"a"))
+            await eventually(lambda: fleet.nodes[11].version(CFG) == 1)
+            for node in fleet.nodes:
+                node._members.hosts = [one for one in fleet.hosts if one.name != "n00"]
+            fleet.servers[0].stop()
+            fleet.nodes[1].keep(CFG, Document(version=2, data=b"b"))
+            for node in fleet.nodes[1:]:
+                await eventually(lambda node=node: node.version(CFG) == 2)
+
+    run(story())
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"1 configuration:7", b"1 other:1:0\n", b"1 configuration:7:3\nabc"]
+)
+def test_answers_of_another_form_are_refused(body):
+    with pytest.raises(WireError):
+        sharing._unpack(body, "peer")
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -28,8 +28,8 @@
     found = settings_file.load(file)
     assert found.store == "10.200.1.7:8225"
     assert found.gateway.callers == "10.1.0.25:8221"
-    assert found.gateway.reports == "10.1.0.25:7600"
-    assert found.gateway.peers == "10.1.0.25:7601"
+    assert found.gateway.peers == "10.1.0.25:7600"
+    assert found.gateway.work == "10.1.0.25:7601"
     assert found.gateway.address_keep_s == 1.0
     assert found.gateway.repeats.slack == 52
     assert found.gateway.tolerance.over == 0
