Let a node that starts find its peers at once

Change: the list of candidates is read when it is there instead of at the next turn, and a new view has the counts of limits told at once.

--- a/baobabwing/fleet/joining.py
+++ b/baobabwing/fleet/joining.py
@@ -40,8 +40,10 @@
         self._seeds = seeds
         self._interval_s = cfg.seed_interval_ms * _MS
         self._retry_s = cfg.join_interval_ms * _MS
-        self._stopping = threading.Event()
+        self._stopping = False
+        self._woken = threading.Event()
         self._candidates: tuple[Host, ...] = ()
+        self.on_first: Callable[[], None] = lambda: None
 
     def candidates(self) -> tuple[Host, ...]:
         """Return the hosts of the last list that could be read."""
@@ -49,22 +51,31 @@
 
     def run(self) -> None:
         """Read the list until stopped."""
-        while not self._stopping.is_set():
+        while not self._stopping:
             self._read()
             pause_s = self._interval_s if self._candidates else self._retry_s
-            self._stopping.wait(pause_s)
+            self._woken.wait(pause_s)
+            self._woken.clear()
+
+    def wake(self) -> None:
+        """Have the list read at once."""
+        self._woken.set()
 
     def stop(self) -> None:
         """Have the thread end after the read that it is in."""
-        self._stopping.set()
+        self._stopping = True
+        self.wake()
 
     def _read(self) -> None:
+        before = self._candidates
         try:
             self._candidates = tuple(self._seeds())
         except Exception as exc:
             # Whatever the platform's client raises, membership lives on without
             # the list; the thread must be there when the platform is back.
             log(SEEDS_FAILED, error=repr(exc))
+        if self._candidates and not before:
+            self.on_first()
 
 
 class Joining:
@@ -109,6 +120,10 @@
             return min(self._join_at, self._asked_at + _PAGE_TIMEOUT_S)
         return self._join_at
 
+    def hurry(self) -> None:
+        """Try candidates at once."""
+        self._join_at = 0.0
+
     def met(self, host: Host) -> None:
         """Note a live member; the first one is asked for all others."""
         with self._lock:
--- a/baobabwing/fleet/membership.py
+++ b/baobabwing/fleet/membership.py
@@ -106,6 +106,8 @@
             rng=rng,
         )
         self._news.on_fresh(self._prober.wake)
+        self._joining = joining
+        self._seeds.on_first = self._join_now
         self._receiver = Receiver(
             table=self._table,
             link=self._link,
@@ -160,6 +162,10 @@
         """Wait until a view meets a condition; return whether one did."""
         return self._news.wait_for(predicate, timeout_s)
 
+    def look_for_seeds(self) -> None:
+        """Have the list of hosts read at once, since it may name some now."""
+        self._seeds.wake()
+
     def announce(self) -> None:
         """Tell a few members at once that this node's configuration changed."""
         self._news.refresh()
@@ -190,6 +196,10 @@
                 thread.join(_STOP_TIMEOUT_S)
         self._link.close()
 
+    def _join_now(self) -> None:
+        self._joining.hurry()
+        self._prober.wake()
+
     def _say_left(self) -> None:
         self._speaker.spread(self._table.mark_left())
         hosts = live_others(self._table.view(), self.me.name)
--- a/baobabwing/gateway/limits.py
+++ b/baobabwing/gateway/limits.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -30,6 +31,7 @@
 _REPORT_S = 0.25
 # From this many nodes on a summer would get too much; the time grows with them.
 _NODES_AT_FULL_PACE = 36
+_GATHER_S = 0.03
 # A node, or a summer, that is silent for this many reports does not count.
 _SILENT_REPORTS = 3
 # Reports that name an organisation after its count changed, so that one gets through.
@@ -101,6 +103,8 @@
         self._sums: dict[int, _Sum] = defaultdict(_Sum)
         self._summers: dict[int, _Summer] = {}
         self._taken_from: int | None = None
+        self._hurry = asyncio.Event()
+        members.on_change(self._hurry.set)
         link.handle(UsedReport, self._take_report)
         link.handle(Totals, self._take_totals)
 
@@ -109,7 +113,12 @@
         while True:
             self._report()
             self._count_nodes()
-            await asyncio.sleep(self._pace_s())
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._pace_s()):
+                    await self._hurry.wait()
+            self._hurry.clear()
+            # Members that come at about the same time are one change.
+            await asyncio.sleep(_GATHER_S)
 
     def _pace_s(self) -> float:
         return _REPORT_S * max(1.0, self._members.total / _NODES_AT_FULL_PACE)
@@ -217,6 +226,7 @@
             now,
             counted=message.home == self._taken_from,
         )
+        self._count_nodes()
 
     def _choose(self, home: int, now: float) -> None:
         """Take the sums of the one that hears most nodes, and stay with it."""
--- a/baobabwing/gateway/members.py
+++ b/baobabwing/gateway/members.py
@@ -59,7 +59,7 @@
         self._gone_at: dict[str, float] = {}
         self._homes: dict[str, tuple[Host, ...]] = {}
         self.view: FleetView | None = None
-        self.on_change: Callable[[], None] = lambda: None
+        self._listeners: list[Callable[[], None]] = []
 
     def start(self) -> None:
         """Begin to probe and to join."""
@@ -89,9 +89,15 @@
         if self._membership is not None:
             self._membership.stop()
 
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Have a function called with each new view."""
+        self._listeners.append(listener)
+
     def list_candidates(self, hosts: Iterable[Host]) -> None:
         """Take hosts that may be members."""
         self._candidates = tuple(hosts)
+        if self._membership is not None and not self.others():
+            self._membership.look_for_seeds()
 
     @property
     def total(self) -> int:
@@ -174,4 +180,5 @@
         self._gone_at = {name: self._gone_at.get(name, now) for name in gone}
         self.view = view
         self._homes.clear()
-        self.on_change()
+        for listener in self._listeners:
+            listener()
--- a/baobabwing/gateway/placement/asking.py
+++ b/baobabwing/gateway/placement/asking.py
@@ -120,7 +120,7 @@
         link.handle(Granted, self._take_granted)
         link.handle(Refused, self._take_refused)
         link.handle(HoldingsTaken, self._take_holdings_taken)
-        members.on_change = self._rehome
+        members.on_change(self._rehome)
 
     async def place(self, pool: CellPool, ask: Ask) -> Grant | None:
         """Get a place from the home of a cell.
--- a/tests/gateway/placement/test_asking.py
+++ b/tests/gateway/placement/test_asking.py
@@ -22,7 +22,9 @@
     def __init__(self):
         self.addresses = []
         self.total = 3
-        self.on_change = lambda: None
+
+    def on_change(self, listener):
+        """Tests change the homes without telling."""
 
     def homes(self, resource, count):
         return self.addresses[:count]
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -19,7 +19,11 @@
 class Node:
     def __init__(self, seed):
         self.link = WorkLink()
-        self.members = SimpleNamespace(total=4, homes=lambda resource, count: [])
+        self.members = SimpleNamespace(
+            total=4,
+            homes=lambda resource, count: [],
+            on_change=lambda listener: None,
+        )
         self.quotas = QuotaBook(
             tolerance=Tolerance(window_s=8.0, slack=40_000.0),
             now=time.monotonic(),
