Tell late requests at once that they will get no place, and keep those that come back

Change: late requests beyond what the rate of the last second will serve are refused at once, with the time until their turn; one that has asked before, told by the time it has left, is kept as long as a place is of use.

--- a/baobabwing/exceptions.py
+++ b/baobabwing/exceptions.py
@@ -6,6 +6,7 @@
     "ConflictError",
     "ConnectionLostError",
     "MalformedError",
+    "NoPlaceError",
     "NotAdmittedError",
     "PeerError",
     "PlatformError",
@@ -88,6 +89,19 @@
     """An upstream refused a request explicitly, before running any of it."""
 
 
+class NoPlaceError(BaobabwingError):
+    """A request would not get its place at an upstream while it is of use.
+
+    :param retry_after_s: when there will probably be places again.
+    """
+
+    def __init__(
+        self, message: str, *, retry_after_s: float, step: str = "", peer: str = ""
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
+
+
 class PeerError(BaobabwingError):
     """Another node could not be reached or did not answer in time."""
 
--- a/baobabwing/gateway/admission.py
+++ b/baobabwing/gateway/admission.py
@@ -9,7 +9,7 @@
 from baobabwing.gateway.decisions.quotas import Charge
 from baobabwing.gateway.envelope import Envelope
 from baobabwing.gateway.events import LIMIT_REACHED
-from baobabwing.gateway.model import OrganisationSpec
+from baobabwing.gateway.model import OrganisationSpec, Route
 from baobabwing.gateway.routing import RouteTable, pick_pool
 from baobabwing.gateway.state import GatewayState
 from baobabwing.reports.events import log
@@ -28,6 +28,7 @@
 
     def __init__(self, *, state: GatewayState) -> None:
         self._state = state
+        self._longest_s: dict[str, float] = {}
 
     def admit(
         self, envelope: Envelope, body: bytes, arrived: float, answer: CallerAnswer
@@ -57,10 +58,23 @@
             pool=pool,
             charge=charged,
             arrived=arrived,
+            asked_before_s=self._asked_before_s(envelope, route),
             ends_at=arrived + waits_s,
             answer=answer,
         )
 
+    def _asked_before_s(self, envelope: Envelope, route: Route) -> float:
+        """Return how long ago the caller has asked for the same, as far as can be told.
+
+        Callers of a route start with the same time to wait. One that has less left has
+        asked before: its objective runs since then, and a refusal would be its second.
+        """
+        if envelope.deadline_s is None:
+            return 0.0
+        longest_s = max(self._longest_s.get(route.name, 0.0), envelope.deadline_s)
+        self._longest_s[route.name] = longest_s
+        return longest_s - envelope.deadline_s
+
     def _charge(
         self,
         table: RouteTable,
--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -57,6 +57,7 @@
 
     :param charge: what it cost its organisation.
     :param arrived: when its head was whole.
+    :param asked_before_s: how long ago its caller asked first; 0 if this is the first.
     :param next_grant: the place that a stream moves to.
     :param move_asked: whether a place to move to has been asked for.
     :param verdict: what the present try tells of its upstream.
@@ -74,6 +75,7 @@
     charge: Charge
     arrived: float
     ends_at: float
+    asked_before_s: float
     answer: CallerAnswer
     excluded: set[str] = field(default_factory=set)
     sends: int = 0
--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -22,6 +22,8 @@
 # A home that was just taken over knows of no request at any engine. Nodes tell it
 # with their first question; those with traffic ask within some 50 ms.
 _GATHER_S = 0.06
+# A new home has not given any places yet, which says nothing of how many there are.
+_SETTLED_S = 1.0
 # A node that repeats nothing for this long is gone, and what it held with it: it
 # tells each 0.4 s what it holds.
 _SILENT_S = 1.5
@@ -133,6 +135,20 @@
             granted.append((holder, grant))
         return granted
 
+    def hopeless(self, now: float) -> list[tuple[Holder, float]]:
+        """Take out of the queue what will hardly get a place while it is of use.
+
+        :returns: the requests, and when each would probably have its place.
+        """
+        if now < self.opens_at + _SETTLED_S:
+            return []
+        given_up = []
+        for ask, wait_s in self.scheduler.hopeless(now):
+            holder = self._holders.pop(ask.number)
+            del self._asked[holder]
+            given_up.append((holder, wait_s))
+        return given_up
+
     def note(
         self, holder: Holder, kind: NoteKind, pace_s: float | None, now: float
     ) -> None:
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -41,6 +42,11 @@
 # Plain services answer within some 20 ms; twice their slots keeps their own
 # queue short enough that nothing in it misses an objective of 100 ms.
 _PLAIN_DEPTH = 2
+# Places that late requests got are counted over this time: some ten of them at a full
+# cell, and short against the 3 s for which callers wait.
+_LATE_RATE_S = 1.0
+# Callers are not sent away for longer: bursts last 2 to 5 s.
+_LONGEST_WAIT_S = 4.0
 # How long a request keeps its place, until it has been measured.
 _HOLDING_S = 0.5
 # Weight of a new sample of that.
@@ -58,6 +64,8 @@
     :param ends_at: when nobody waits for the end of its answer any more.
     :param prompt_tokens: tokens to be read before the first event.
     :param expected_out: tokens that it will probably generate.
+    :param committed: whether work was done for it, or it was refused before, so that it
+        is kept for as long as a place is of any use.
     :param exclude: incarnations that it must not go to again.
     :param unusable: crcs of incarnations that the asking node can't use.
     :param asked_at: when it was asked for here.
@@ -71,6 +79,7 @@
     ends_at: float = float("inf")
     prompt_tokens: int = 0
     expected_out: int = 0
+    committed: bool = False
     exclude: set[str] = field(default_factory=set)
     unusable: set[int] = field(default_factory=set)
     asked_at: float = 0.0
@@ -107,6 +116,7 @@
         self.holding_s = _HOLDING_S
         self.most_own: int | None = None
         self._least_rank = 0
+        self._late_grants: deque[float] = deque()
 
     def set_engine(self, engine: EngineSpec) -> None:
         """Take changed figures of the pool's engines."""
@@ -153,9 +163,35 @@
                     break
                 continue
             granted.append(grant)
+            if self._is_late(ask, now):
+                self._late_grants.append(now)
         self.waiting.extend(blocked)
         return granted
 
+    def hopeless(self, now: float) -> list[tuple[Ask, float]]:
+        """Take out of the queue what will hardly get a place while it is of use.
+
+        Requests that are late get what those in time leave, the newest of them first.
+        At the rate of the last second the older ones would wait until their callers
+        leave; told at once, these can come back when there are places again.
+
+        :returns: the requests, and when each would probably have its place.
+        """
+        while self._late_grants and self._late_grants[0] < now - _LATE_RATE_S:
+            self._late_grants.popleft()
+        late = [ask for ask in self.waiting if self._is_late(ask, now)]
+        late.sort(key=lambda ask: self._order(ask, now))
+        places_per_s = len(self._late_grants) / _LATE_RATE_S
+        given_up = []
+        for ahead, ask in enumerate(late, 1):
+            left_s = ask.deadline_at - now
+            if not ask.committed and ahead > places_per_s * left_s:
+                wait_s = ahead / places_per_s if places_per_s else left_s
+                given_up.append((ask, min(wait_s, _LONGEST_WAIT_S)))
+        for ask, _ in given_up:
+            self.waiting.remove(ask)
+        return given_up
+
     def adopt(
         self, ask: Ask, track: UpstreamTrack, now: float, *, started: bool
     ) -> Grant:
@@ -218,7 +254,7 @@
         self.holding_s += _HOLDING_ALPHA * (seconds - self.holding_s)
 
     def _order(self, ask: Ask, now: float) -> tuple:
-        late = now + self._soonest_s(ask) > ask.objective_at
+        late = self._is_late(ask, now)
         # Of those in time the one that would miss first, of the late ones the
         # newest: the oldest are the first to be given up by their callers.
         return (
@@ -228,6 +264,9 @@
             -ask.arrived if late else ask.objective_at,
         )
 
+    def _is_late(self, ask: Ask, now: float) -> bool:
+        return now + self._soonest_s(ask) > ask.objective_at
+
     def _soonest_s(self, ask: Ask) -> float:
         if self.engine is None:
             return 0.0
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -8,7 +8,11 @@
 from http import HTTPStatus
 from typing import TypeVar
 
-from baobabwing.exceptions import ConnectionLostError, MalformedError
+from baobabwing.exceptions import (
+    ConnectionLostError,
+    MalformedError,
+    NoPlaceError,
+)
 from baobabwing.gateway.accounts import Accounts
 from baobabwing.gateway.admission import Admission
 from baobabwing.gateway.answers import CallerAnswer, Refusal
@@ -42,6 +46,9 @@
 # Before a first event also for this many times what was predicted.
 _MUTE_RATIO = 3.0
 _LEAST_RETRY_AFTER_S = 0.05
+# A caller with this much less time than others of its route has asked before; clocks
+# and roundings differ by less.
+_ASKED_BEFORE_S = 0.05
 # A stream is looked at this often, from this share of its time on; it moves if the
 # rest of it would take this share of the time that is left, and if so many second
 # tries are left for those that fail.
@@ -99,7 +106,10 @@
             try:
                 grant = call.next_grant or await self._place(call, pool)
             except TimeoutError:
-                await self._give_up(call, pool)
+                await self._give_up(call, pool, self._retry_after_s(call, pool))
+                return
+            except NoPlaceError as exc:
+                await self._give_up(call, pool, exc.retry_after_s)
                 return
             call.next_grant = None
             call.verdict, call.pace_s = NoteKind.RELEASED, None
@@ -127,14 +137,15 @@
 
         :param made: tokens that were generated already and have to be read again.
         """
-        objective = call.arrived + call.route.objective_s
+        first_asked = call.arrived - call.asked_before_s
         return Ask(
             rank=call.rank,
             route_rank=call.route.rank,
             arrived=call.arrived,
-            objective_at=objective,
+            objective_at=first_asked + call.route.objective_s,
             deadline_at=self._place_until(call),
             ends_at=call.ends_at,
+            committed=call.runs > 0 or call.asked_before_s > _ASKED_BEFORE_S,
             prompt_tokens=(call.envelope.tokens_in or 0) + made,
             expected_out=call.envelope.expected_out or call.envelope.tokens_out,
             exclude=call.excluded,
@@ -366,10 +377,12 @@
         pool.move(ask, grant, lambda place: self._take_move(call, pool, place))
         return False
 
-    def _take_move(self, call: Call, pool: PoolRuntime, place: Grant | None) -> None:
+    def _take_move(
+        self, call: Call, pool: PoolRuntime, place: Grant | NoPlaceError | None
+    ) -> None:
         """Take the answer to the question for a faster engine."""
         call.move_asked = False
-        if place is None:
+        if not isinstance(place, Grant):
             return
         if call.over or call.next_grant is not None:
             pool.free(place, NoteKind.RELEASED)
@@ -439,14 +452,14 @@
         self._accounts.refused(call, refusal)
         await call.answer.refuse(refusal)
 
-    async def _give_up(self, call: Call, pool: PoolRuntime) -> None:
-        """Answer a request that found no place before its deadline."""
+    async def _give_up(
+        self, call: Call, pool: PoolRuntime, retry_after_s: float
+    ) -> None:
+        """Answer a request that gets no place."""
         if call.runs or call.answer.started:
             await self._fail(call, pool, Step.FAILED)
             return
-        refusal = Refusal(
-            status=503, code="no_place", retry_after_s=self._retry_after_s(call, pool)
-        )
+        refusal = Refusal(status=503, code="no_place", retry_after_s=retry_after_s)
         self._accounts.refused(call, refusal)
         await call.answer.refuse(refusal)
 
--- a/baobabwing/gateway/placement/asking.py
+++ b/baobabwing/gateway/placement/asking.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from baobabwing.exceptions import NoPlaceError
 from baobabwing.gateway.decisions.cell_queue import HeldPlace, NoteKind
 from baobabwing.gateway.decisions.scheduling import Ask, Grant
 from baobabwing.gateway.decisions.tracking import Outstanding, UpstreamTrack
@@ -73,15 +74,15 @@
 class _Waiting:
     """A request that waits for its place.
 
-    :param done: called with the place, with ``None`` where there is none to be had
-        from this home.
+    :param done: called with the place; with ``None`` where this home does not answer,
+        with an error where it has no place.
     """
 
     message: AskMessage
     home: str
     ask: Ask
     pool: CellPool
-    done: Callable[[Grant | None], None]
+    done: Callable[[Grant | NoPlaceError | None], None]
     since: float
     sends: int = 0
     heard: bool = False
@@ -126,6 +127,7 @@
         """Get a place from the home of a cell.
 
         :returns: ``None`` if no home answers; the node is on its own then.
+        :raises NoPlaceError: if there will be none while it is of use.
         """
         for _ in range(_HOMES):
             key = self._choose(pool)
@@ -142,11 +144,11 @@
         pool: CellPool,
         ask: Ask,
         grant: Grant,
-        done: Callable[[Grant | None], None],
+        done: Callable[[Grant | NoPlaceError | None], None],
     ) -> None:
         """Ask for a place at a much faster engine for a request that runs.
 
-        :param done: called with the place, or with ``None``.
+        :param done: called with the place, or with anything else where there is none.
         """
         ticket = self._tickets.get(grant.ask.number)
         home = self._home_of(ticket.cell, pool) if ticket else None
@@ -218,11 +220,13 @@
     ) -> Grant | None:
         fut: asyncio.Future[Grant | None] = asyncio.get_running_loop().create_future()
 
-        def done(grant: Grant | None) -> None:
-            if not fut.done():
-                fut.set_result(grant)
-            elif grant is not None:
-                self.note(grant, NoteKind.RELEASED)
+        def done(result: Grant | NoPlaceError | None) -> None:
+            if isinstance(result, NoPlaceError) and not fut.done():
+                fut.set_exception(result)
+            elif not fut.done():
+                fut.set_result(result)
+            elif isinstance(result, Grant):
+                self.note(result, NoteKind.RELEASED)
 
         waiting = _Waiting(
             message=self._message(ask, key),
@@ -264,11 +268,11 @@
         else:
             self._avoid(waiting.home)
 
-    def _finish(self, waiting: _Waiting, grant: Grant | None) -> None:
+    def _finish(self, waiting: _Waiting, result: Grant | NoPlaceError | None) -> None:
         self._waiting.pop(waiting.message.number, None)
         if waiting.timer is not None:
             waiting.timer.cancel()
-        waiting.done(grant)
+        waiting.done(result)
 
     def _withdraw(self, waiting: _Waiting, fut: asyncio.Future[Grant | None]) -> None:
         """Give up a question whose request has ended, or the place it got."""
@@ -277,7 +281,10 @@
                 waiting.timer.cancel()
             key, number = waiting.message.cell, waiting.message.number
             self._note(waiting.home, key, number, NoteKind.RELEASED, None)
-        elif fut.done() and not fut.cancelled() and fut.result() is not None:
+            return
+        got = fut.done() and not fut.cancelled() and fut.exception() is None
+        # The place may have been given in the very moment the caller left.
+        if got and fut.result() is not None:
             self.note(fut.result(), NoteKind.RELEASED)
 
     def _take_queued(self, message: Queued, address: str) -> None:
@@ -323,8 +330,14 @@
     def _take_refused(self, message: Refused, address: str) -> None:
         self._hear(address, message.cell, message.state)
         waiting = self._waiting.get(message.number)
-        if waiting is not None:
-            self._finish(waiting, None)
+        if waiting is not None and waiting.home == address:
+            no_place = NoPlaceError(
+                "no place while it is of use",
+                retry_after_s=message.retry_after_s,
+                step="place",
+                peer=address,
+            )
+            self._finish(waiting, no_place)
 
     def _take_holdings_taken(self, message: HoldingsTaken, address: str) -> None:
         self._hear(address, message.cell, message.state)
@@ -347,6 +360,7 @@
             ends_s=min(ask.ends_at - now, _NOBODY_WAITS_S),
             prompt_tokens=ask.prompt_tokens,
             expected_out=ask.expected_out,
+            committed=ask.committed,
             excluded=(*map(crc, ask.exclude), *ask.unusable),
             moves_from=moves_from,
         )
--- a/baobabwing/gateway/placement/codec.py
+++ b/baobabwing/gateway/placement/codec.py
@@ -44,11 +44,13 @@
 # Queued, free, turnover in tenths of a ms.
 _STATE = struct.Struct("!HHH")
 # Node, number, rank, rank of the route; waited, to the objective (may be past), to
-# the deadline, to the end, in ms; prompt, output, moves from, excluded.
-_ASK = struct.Struct("!IIBBHhHIIHIB")
+# the deadline, to the end, in ms; prompt, output, committed, moves from, excluded.
+_ASK = struct.Struct("!IIBBHhHIIHBIB")
 _NUMBER = struct.Struct("!I")
 # Number, upstream, predicted ms.
 _GRANT = struct.Struct("!IIH")
+# Number, ms to come back after.
+_REFUSAL = struct.Struct("!IH")
 # Number, kind, pace in us; 0 for none.
 _NOTE = struct.Struct("!IBI")
 # Number, upstream, unread tokens.
@@ -192,6 +194,7 @@
         _ms(message.ends_s, _U32),
         min(message.prompt_tokens, _U32),
         min(message.expected_out, _U16),
+        message.committed,
         message.moves_from,
         len(message.excluded),
     )
@@ -213,6 +216,7 @@
         ends,
         prompt,
         out,
+        committed,
         moves_from,
         count,
     ) = reader.take(_ASK)
@@ -228,14 +232,14 @@
         ends_s=ends / _MS,
         prompt_tokens=prompt,
         expected_out=out,
+        committed=bool(committed),
         excluded=reader.numbers(count),
         moves_from=moves_from,
     )
 
 
 @_packs(Queued, b"Q")
-@_packs(Refused, b"N")
-def _pack_place_answer(message: Queued | Refused) -> bytes:
+def _pack_queued(message: Queued) -> bytes:
     number = _NUMBER.pack(message.number % _WRAP)
     return _cell(message.cell) + number + _state(message.state)
 
@@ -246,10 +250,21 @@
     return Queued(number=number, cell=cell, state=reader.state())
 
 
+@_packs(Refused, b"N")
+def _pack_refused(message: Refused) -> bytes:
+    refusal = _REFUSAL.pack(message.number % _WRAP, _ms(message.retry_after_s))
+    return _cell(message.cell) + refusal + _state(message.state)
+
+
 @_reads(b"N")
 def _read_refused(reader: _Reader) -> Refused:
-    cell, (number,) = reader.cell(), reader.take(_NUMBER)
-    return Refused(number=number, cell=cell, state=reader.state())
+    cell, (number, retry_after) = reader.cell(), reader.take(_REFUSAL)
+    return Refused(
+        number=number,
+        cell=cell,
+        retry_after_s=retry_after / _MS,
+        state=reader.state(),
+    )
 
 
 @_packs(Granted, b"G")
--- a/baobabwing/gateway/placement/homes.py
+++ b/baobabwing/gateway/placement/homes.py
@@ -32,6 +32,8 @@
 # Silent nodes, requests whose time is over, and engines that were set aside for a
 # while are looked at this often.
 _TICK_S = 0.1
+# Sooner nobody should come back: a place becomes free each few tens of ms.
+_LEAST_RETRY_AFTER_S = 0.2
 # A cell that nobody asks for is forgotten; another node is its home now.
 _IDLE_S = 60.0
 
@@ -101,6 +103,8 @@
             now = time.monotonic()
             for key, queue in tuple(self._queues.items()):
                 queue.forget(now)
+                for holder, wait_s in queue.hopeless(now):
+                    self._refuse(key, queue, holder, wait_s, now)
                 if queue.idle and now - queue.used_at > _IDLE_S:
                     del self._queues[key]
                     log(CELL_DROPPED, pool=self._pool_name(key), cell=key.index)
@@ -117,9 +121,7 @@
         if message.moves_from:
             grant = queue.move(holder, ask, message.moves_from, now)
             if grant is None:
-                state = self._state(queue, now)
-                refused = Refused(number=message.number, cell=key, state=state)
-                self._link.send(address, refused)
+                self._refuse(key, queue, holder, 0.0, now)
                 return
         else:
             grant = queue.ask(holder, ask, now)
@@ -202,6 +204,19 @@
         )
         self._link.send(self._addresses[holder.node], granted)
 
+    def _refuse(
+        self, key: CellKey, queue: CellQueue, holder: Holder, wait_s: float, now: float
+    ) -> None:
+        wait_s = max(wait_s, _LEAST_RETRY_AFTER_S)
+        refused = Refused(
+            number=holder.number,
+            cell=key,
+            # Spread, so that those that were refused together do not come together.
+            retry_after_s=wait_s * self._rng.uniform(0.8, 1.2),
+            state=self._state(queue, now),
+        )
+        self._link.send(self._addresses[holder.node], refused)
+
     def _state(self, queue: CellQueue, now: float) -> CellState:
         scheduler = queue.scheduler
         return CellState(
@@ -230,6 +245,7 @@
         ends_at=now + message.ends_s,
         prompt_tokens=message.prompt_tokens,
         expected_out=message.expected_out,
+        committed=message.committed,
         exclude=excluded,
         asked_at=now,
     )
--- a/baobabwing/gateway/placement/messages.py
+++ b/baobabwing/gateway/placement/messages.py
@@ -55,6 +55,7 @@
 
     :param node: drawn by each process at its start.
     :param number: the node's own; the same when it asks again.
+    :param committed: whether work was done for it already.
     :param excluded: crcs of incarnations that it must not go to.
     :param moves_from: crc of the engine where it runs, if it wants a faster one.
     """
@@ -70,6 +71,7 @@
     ends_s: float
     prompt_tokens: int
     expected_out: int
+    committed: bool = False
     excluded: tuple[int, ...] = ()
     moves_from: int = 0
 
@@ -99,10 +101,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Refused:
-    """There is no place of the kind that was asked for."""
+    """There is no place, or will be none while it is of use.
+
+    :param retry_after_s: when there will probably be places again.
+    """
 
     number: int
     cell: CellKey
+    retry_after_s: float
     state: CellState
 
 
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+from baobabwing.exceptions import NoPlaceError
 from baobabwing.gateway.decisions.cell_queue import NoteKind
 from baobabwing.gateway.decisions.repeats import RepeatBudget
 from baobabwing.gateway.decisions.scheduling import Ask, Grant, PoolScheduler
@@ -52,6 +53,7 @@
 
         :param nodes: nodes that share the pool.
         :raises TimeoutError: if there was none before the request's deadline.
+        :raises NoPlaceError: if there will be none while it is of use.
         """
         async with asyncio.timeout_at(ask.deadline_at):
             if self.scheduler.engine is None or self._placer is None:
@@ -64,11 +66,14 @@
                     return grant
 
     def move(
-        self, ask: Ask, grant: Grant, done: Callable[[Grant | None], None]
+        self,
+        ask: Ask,
+        grant: Grant,
+        done: Callable[[Grant | NoPlaceError | None], None],
     ) -> None:
         """Ask for a place at a much faster upstream for a request that runs.
 
-        :param done: called with the place, or with ``None`` where none is free.
+        :param done: called with the place, or with anything else where none is free.
         """
         if self._placer is not None:
             self._placer.move(self.cells, ask, grant, done)
--- a/tests/gateway/decisions/test_scheduling.py
+++ b/tests/gateway/decisions/test_scheduling.py
@@ -212,3 +212,49 @@
     stalled = first.track.entry.instance
     others = {place(made, now=0.6)[0].track.entry.instance for _ in range(4)}
     assert stalled not in others
+
+
+def late(number, now=10.0, **values):
+    """Return a request whose objective is past, and that waits for two more seconds."""
+    arrived = now - 1.0 - number / 100
+    return ask(
+        arrived=arrived, objective_at=arrived + 0.8, deadline_at=now + 2.0, **values
+    )
+
+
+def crowded(count, *, places_given):
+    """Return a full pool with late requests, some of which got places just now."""
+    made = scheduler(("a",))
+    requests = [late(number) for number in range(count + places_given)]
+    for request in requests[:places_given]:
+        made.submit(request)
+        made.grants(9.9)
+    fill(made, "a", 5 - places_given)
+    for request in requests[places_given:]:
+        made.submit(request)
+    return made
+
+
+def test_late_requests_beyond_what_will_be_free_are_told_at_once():
+    """Engines are full, and in the last second three places went to late requests.
+
+    In the two seconds that the others still wait some six more will. Those behind
+    are told now, with a time to come back, instead of when their callers leave.
+    """
+    made = crowded(10, places_given=3)
+    given_up = made.hopeless(10.0)
+    assert len(given_up) == 4
+    assert len(made.waiting) == 6
+    kept = {one.arrived for one in made.waiting}
+    assert all(one.arrived < min(kept) for one, _ in given_up)
+    assert all(2.0 < wait_s <= 4.0 for _, wait_s in given_up)
+
+
+def test_requests_in_time_and_those_refused_before_are_kept():
+    """Nothing is free at all. Who may still be in time waits on; who was sent away
+    once, or has had work done, waits as long as a place is of any use."""
+    made = crowded(3, places_given=0)
+    made.submit(late(50, committed=True))
+    made.submit(ask(arrived=9.9, objective_at=10.7, deadline_at=12.9))
+    assert len(made.hopeless(10.0)) == 3
+    assert len(made.waiting) == 2
--- a/tests/gateway/placement/test_codec.py
+++ b/tests/gateway/placement/test_codec.py
@@ -39,6 +39,7 @@
     ends_s=15.0,
     prompt_tokens=2890,
     expected_out=120,
+    committed=True,
     excluded=(5, 6),
     moves_from=9,
 )
@@ -47,7 +48,7 @@
     ASK,
     Queued(number=1, cell=CELL, state=STATE),
     Granted(number=1, cell=CELL, upstream=8, predicted_s=0.125, state=STATE),
-    Refused(number=1, cell=CELL, state=STATE),
+    Refused(number=1, cell=CELL, retry_after_s=0.75, state=STATE),
     Notes(
         node=4,
         cell=CELL,
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -410,3 +410,35 @@
             assert [bed.runs(f"p{number}") for number in range(3)] == [1, 1, 1]
 
     run(story())
+
+
+def test_caller_with_less_time_than_others_has_asked_before(run):
+    """A caller is refused and comes back with the rest of its time.
+
+    Its objective runs from its first try. A second refusal would be its last, so it
+    waits for a place as long as one is of use.
+    """
+
+    async def story():
+        async with Bed() as bed:
+            asks = []
+            pool = bed.gateway.state.pool("engines")
+            place = pool.place
+
+            def seen(ask, nodes):
+                asks.append(ask)
+                return place(ask, nodes)
+
+            pool.place = seen
+            conn = await bed.caller()
+            for number, deadline in enumerate((b"5000", b"5000", b"3800")):
+                headers = [(NAMES.deadline, deadline)]
+                await ask(conn, "/stream/x", f"b{number}", headers=headers)
+            assert [one.committed for one in asks] == [False, False, True]
+            first, _, again = asks
+            objective_s = first.objective_at - first.arrived
+            assert again.objective_at - again.arrived == pytest.approx(
+                objective_s - 1.2
+            )
+
+    run(story())
