Bound what a node tells the homes of cells at any size; label metrics by tier

Cause: nodes repeated what they hold less and less often in larger fleets (2.4 s at 72 nodes), while a home forgets a node after 1.5 s: long streams of quiet nodes were not counted. Change: one pace for both sides (0.4 s, 0.5 s at 72 nodes), and a node uses at most eight cells of a pool. Cells are divided by jump hashing, one hash an engine.

--- a/baobabwing/gateway/accounts.py
+++ b/baobabwing/gateway/accounts.py
@@ -25,6 +25,9 @@
 
 __all__ = ["Accounts"]
 
+# Tiers beyond are counted with this one, so that labels stay few.
+_LAST_TIER = 9
+
 
 class Accounts:
     """Logs decisions on requests and counts how they ended.
@@ -39,7 +42,7 @@
 
     def refused_at_once(self, envelope: Envelope, refusal: Refusal) -> None:
         """Note a request that went nowhere."""
-        self._metrics.requests.labels("", Outcome.REFUSED).inc()
+        self._metrics.requests.labels("", "", Outcome.REFUSED).inc()
         self._metrics.refusals.labels(refusal.code).inc()
         log(
             REQUEST_REFUSED,
@@ -61,7 +64,7 @@
                 predicted_s=grant.predicted_s,
             )
         )
-        self._metrics.queue.labels(call.pool).observe(waited_s)
+        self._metrics.queue.labels(call.pool, _tier(call)).observe(waited_s)
         log(
             REQUEST_SENT,
             request=call.envelope.request_id,
@@ -73,11 +76,15 @@
             expected_out=ask.expected_out,
             pace_ms=_ms(track.pace_s or 0.0),
             own=len(track.own),
-            others=track.others,
-            queued=pool.queued,
+            failed_share=round(track.failed_share, 2),
             version=self._state.version,
+            **pool.describe(grant),
         )
 
+    def connected(self, call: Call, seconds: float) -> None:
+        """Note how long a new connection to an upstream took."""
+        self._metrics.connect.labels(call.pool).observe(seconds)
+
     def tried(self, call: Call, step: Step) -> None:
         """Note how a try ended."""
         call.tries[-1].ended = call.tries[-1].ended or step.value
@@ -128,8 +135,8 @@
         first_s = (call.first_event_at or now) - call.arrived
         if outcome is None:
             outcome = self._judge(call, first_s)
-        self._metrics.first.labels(call.pool).observe(first_s)
-        self._metrics.whole.labels(call.pool).observe(now - call.arrived)
+        self._metrics.first.labels(call.pool, _tier(call)).observe(first_s)
+        self._metrics.whole.labels(call.pool, _tier(call)).observe(now - call.arrived)
         self._count(call, outcome)
         if outcome is not Outcome.IN_TIME or len(call.tries) > 1:
             self._tell(call, outcome, status=call.answer.status)
@@ -167,7 +174,7 @@
 
     def _count(self, call: Call, outcome: Outcome) -> None:
         call.counted = True
-        self._metrics.requests.labels(call.pool, outcome).inc()
+        self._metrics.requests.labels(call.pool, _tier(call), outcome).inc()
 
     def _tell(self, call: Call, outcome: Outcome, **fields: object) -> None:
         now = time.monotonic()
@@ -189,5 +196,9 @@
         )
 
 
+def _tier(call: Call) -> str:
+    return str(min(call.rank, _LAST_TIER))
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * 1000, 1)
--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -24,9 +24,9 @@
 _GATHER_S = 0.06
 # A new home has not given any places yet, which says nothing of how many there are.
 _SETTLED_S = 1.0
-# A node that repeats nothing for this long is gone, and what it held with it: it
-# tells each 0.4 s what it holds.
-_SILENT_S = 1.5
+# A node that has not repeated what it holds for this many times is gone, and its
+# requests with it.
+_LOST_REPEATS = 3.5
 # What a node says that it holds was written before it had the grants of this time.
 _IN_TRANSIT_S = 0.25
 
@@ -116,7 +116,7 @@
         :param upstream: crc of the engine where it runs.
         """
         self._hear(holder.node, now)
-        than = self._track(upstream)
+        than = self.scheduler.track(upstream)
         grant = self.scheduler.faster(ask, than, now) if than is not None else None
         if grant is not None:
             self._holders[ask.number] = holder
@@ -200,14 +200,16 @@
             granted=tuple((holder, self._held[holder]) for holder in missed),
         )
 
-    def forget(self, now: float) -> None:
-        """Drop requests that nobody waits for, and all of nodes that are silent."""
+    def forget(self, now: float, *, repeat_s: float) -> None:
+        """Drop requests that nobody waits for, and all of nodes that are silent.
+
+        :param repeat_s: how often nodes repeat what they hold.
+        """
+        silent_s = _LOST_REPEATS * repeat_s
         for holder, ask in tuple(self._asked.items()):
             if ask.deadline_at <= now:
                 self._withdraw(holder)
-        silent = {
-            node for node, heard in self._heard.items() if now - heard > _SILENT_S
-        }
+        silent = {node for node, heard in self._heard.items() if now - heard > silent_s}
         for node in silent:
             del self._heard[node]
         for holder in [one for one in self._asked if one.node in silent]:
@@ -253,7 +255,7 @@
             if place.unread == 0:
                 known.track.first_event(known.ask.number)
             return
-        track = self._track(place.upstream)
+        track = self.scheduler.track(place.upstream)
         if track is None or holder in self._asked:
             return
         ask = Ask(
@@ -288,9 +290,3 @@
         grant = self._held.pop(holder)
         del self._holders[grant.ask.number]
         grant.track.end(grant.ask.number)
-
-    def _track(self, upstream: int) -> UpstreamTrack | None:
-        for track in self.scheduler.tracks.values():
-            if track.crc == upstream:
-                return track
-        return None
--- a/baobabwing/gateway/decisions/cells.py
+++ b/baobabwing/gateway/decisions/cells.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterable
 
-from baobabwing.fleet.draw import weighted_draw
-
 __all__ = ["CELL_SIZE", "cell_layout"]
 
 # Most upstreams of a cell, on average. One node orders the requests of a cell: at 16
 # engines that is some 110 requests a second, 5 to 10% of a small host's core. Larger
 # cells share their places better, smaller ones spread that work over more nodes.
 CELL_SIZE = 16
+_HASH_BYTES = 8
+# Multiplier of a 64-bit linear congruential generator, and its modulus.
+_LCG = 2862933555777941757
+_MODULUS = 1 << 64
+_JUMP = 1 << 31
 
 
 def cell_layout(
@@ -20,14 +24,20 @@
     """Divide the incarnations of a pool into cells.
 
     Nodes that see the same list divide it alike. One that comes or goes moves no
-    other, as long as the number of cells stays.
+    other, as long as the number of cells stays; with one cell more, only as many move
+    as belong there.
 
     :param size: upstreams of a cell on average, at the most.
     :returns: incarnations of each cell, sorted; at least one cell.
 
     Notes
     -----
-    Takes time in proportion to instances times cells.
+    Takes time in proportion to instances, times the logarithm of cells.
+
+    References
+    ----------
+    .. [1] J. Lamping and E. Veach, "A fast, minimal memory, consistent hash
+       algorithm", arXiv:1406.2294, 2014.
 
     Examples
     --------
@@ -39,6 +49,20 @@
     count = max(-(-len(names) // size), 1)
     cells: list[list[str]] = [[] for _ in range(count)]
     for name in names:
-        draws = [weighted_draw(str(cell), name, weight=1.0) for cell in range(count)]
-        cells[draws.index(max(draws))].append(name)
+        cells[_jump(_hash(name), count)].append(name)
     return tuple(tuple(cell) for cell in cells)
+
+
+def _hash(name: str) -> int:
+    digest = hashlib.blake2b(name.encode(), digest_size=_HASH_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _jump(key: int, buckets: int) -> int:
+    """Return the bucket of a key by jump consistent hashing."""
+    bucket, following = 0, 0
+    while following < buckets:
+        bucket = following
+        key = (key * _LCG + 1) % _MODULUS
+        following = int((bucket + 1) * (_JUMP / ((key >> 33) + 1)))
+    return bucket
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -110,6 +110,7 @@
     def __init__(self, *, engine: EngineSpec | None, rng: Random) -> None:
         self.engine = engine
         self.tracks: dict[str, UpstreamTrack] = {}
+        self._by_crc: dict[int, UpstreamTrack] = {}
         self.waiting: list[Ask] = []
         self._rng = rng
         self._typical_s: float | None = None
@@ -135,6 +136,11 @@
                 track.entry = entry
         for instance in [one for one in self.tracks if one not in listed]:
             self.tracks.pop(instance).gone = True
+        self._by_crc = {track.crc: track for track in self.tracks.values()}
+
+    def track(self, crc: int) -> UpstreamTrack | None:
+        """Return a listed upstream by the short form of its incarnation."""
+        return self._by_crc.get(crc)
 
     def submit(self, ask: Ask) -> None:
         """Queue a request; :meth:`grants` places it, now or later."""
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -176,6 +176,7 @@
     async def _try(self, call: Call, pool: PoolRuntime, grant: Grant) -> Step:
         entry = grant.track.entry
         call.sends += 1
+        began = time.monotonic()
         try:
             kept = await self._connections.acquire(entry.address, entry.instance)
         except ConnectionLostError as exc:
@@ -183,6 +184,8 @@
             call.verdict = NoteKind.LOST
             self._accounts.try_failed(call, grant, exc)
             return Step.UNSENT
+        if not kept.used:
+            self._accounts.connected(call, time.monotonic() - began)
         # Whatever ends this try other than a whole answer closes the connection:
         # the upstream stops its work, and nothing late can reach another caller.
         whole = False
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -62,7 +62,7 @@
         self.state = GatewayState(settings=settings, rng=rng)
         self.members = Members(settings=settings, work=settings.work)
         self.link = WorkLink()
-        self._homes = CellHomes(link=self.link, rng=rng)
+        self._homes = CellHomes(link=self.link, members=self.members, rng=rng)
         self._placer = Placer(link=self.link, members=self.members, rng=rng)
         self.state.placer = self._placer
         self.state.on_pool = self._homes.list_pool
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -28,8 +28,8 @@
 class GatewayMetrics(MetricSet):
     """All metrics of one gateway, in one registry.
 
-    Labels are pools, outcomes and reasons: as many as the configuration has pools,
-    times a handful.
+    Labels are pools, tiers, outcomes and reasons: as many as the configuration has
+    pools, times some tens.
     """
 
     def __init__(self) -> None:
@@ -37,7 +37,7 @@
         self.requests = self._counter(
             "baobabwing_gateway_requests_total",
             "Requests by how they ended.",
-            ("pool", "outcome"),
+            ("pool", "tier", "outcome"),
         )
         self.refusals = self._counter(
             "baobabwing_gateway_refusals_total",
@@ -52,21 +52,27 @@
         self.queue = self._histogram(
             "baobabwing_gateway_queue_seconds",
             "From a request's arrival to its place at an upstream.",
-            "pool",
+            ("pool", "tier"),
             _WAIT_BUCKETS_S,
         )
         self.first = self._histogram(
             "baobabwing_gateway_first_seconds",
             "From a request's arrival to the first event or the answer.",
-            "pool",
+            ("pool", "tier"),
             _ANSWER_BUCKETS_S,
         )
         self.whole = self._histogram(
             "baobabwing_gateway_whole_seconds",
             "From a request's arrival to the end of its answer.",
-            "pool",
+            ("pool", "tier"),
             _ANSWER_BUCKETS_S,
         )
+        self.connect = self._histogram(
+            "baobabwing_gateway_connect_seconds",
+            "Time that a new connection to an upstream took.",
+            ("pool",),
+            _WAIT_BUCKETS_S,
+        )
         self.open_requests = self._gauge(
             "baobabwing_gateway_open_requests", "Requests without an answer yet."
         )
--- a/baobabwing/gateway/placement/asking.py
+++ b/baobabwing/gateway/placement/asking.py
@@ -16,7 +16,7 @@
 from baobabwing.gateway.events import HOME_SILENT
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.placement.codec import crc
-from baobabwing.gateway.placement.homes import CellPool
+from baobabwing.gateway.placement.homes import CellPool, held_pause_s
 from baobabwing.gateway.placement.link import WorkLink
 from baobabwing.gateway.placement.messages import (
     AskMessage,
@@ -44,12 +44,14 @@
 # A home that was silent is asked again after this, longer each time.
 _AVOID_S = 0.5
 _AVOID_MOST_S = 4.0
-# What a node holds is repeated this often, and more often while requests wait, since
-# only the answers show that the home is still there.
+# Requests that wait are repeated this often, since only the answers show that the home
+# is still there.
 _REPEAT_S = 0.1
-_HELD_EACH = 4
-# From this many nodes on the homes would get too much of it; the times grow with it.
+# From this many nodes on the homes would get too much of it; the time grows with it.
 _NODES_AT_FULL_PACE = 12
+# A node uses so many cells of a pool, others than other nodes: what it repeats to
+# their homes would grow with the fleet otherwise.
+_CELLS_USED = 8
 # Answers to repeats that may be lost before a home counts as silent.
 _LOST_REPEATS = 4
 # Notes of this long go out together.
@@ -63,11 +65,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Ticket:
-    """Where a request has its place."""
+    """Where a request has its place.
+
+    :param home: address of the home that gave it.
+    :param state: how full the cell was then.
+    """
 
     cell: CellKey
     pool: CellPool
     track: UpstreamTrack
+    home: str
+    state: CellState
 
 
 @dataclass(kw_only=True, eq=False)
@@ -194,13 +202,13 @@
             turnover_s=min(state.turnover_s for state in fresh) / len(fresh),
         )
 
-    def places(self, grant: Grant) -> bool:
-        """Whether a place was given by a home."""
-        return grant.ask.number in self._tickets
+    def ticket(self, grant: Grant) -> Ticket | None:
+        """Return where a request has its place, if a home gave it."""
+        return self._tickets.get(grant.ask.number)
 
     async def run(self) -> None:
         """Repeat to the homes what this node holds, and notice silent ones."""
-        turn = 0
+        held_at = 0.0
         while True:
             began = time.monotonic()
             pause_s = _REPEAT_S * max(1.0, self._members.total / _NODES_AT_FULL_PACE)
@@ -209,9 +217,10 @@
                 # This process stood still; the answers wait in its socket.
                 self._excuse_all()
                 continue
-            turn += 1
             self._notice_silence(_LOST_REPEATS * pause_s)
-            self._repeat(with_held=turn % _HELD_EACH == 0)
+            with_held = began - held_at >= held_pause_s(self._members.total) - pause_s
+            held_at = began if with_held else held_at
+            self._repeat(with_held=with_held)
 
     # Questions and their answers.
 
@@ -302,7 +311,7 @@
                 kind = NoteKind.RELEASED
                 self._note(address, message.cell, message.number, kind, None)
             return
-        track = _track(waiting.pool, message.upstream)
+        track = waiting.pool.scheduler.track(message.upstream)
         if track is None or track.gone or track.entry.draining:
             # The home has not heard yet what this node has. It is asked again, with
             # the engine left out.
@@ -315,7 +324,11 @@
         predicted_s = message.predicted_s
         grant = Grant(ask=waiting.ask, track=track, predicted_s=predicted_s, since=now)
         self._tickets[message.number] = Ticket(
-            cell=message.cell, pool=waiting.pool, track=track
+            cell=message.cell,
+            pool=waiting.pool,
+            track=track,
+            home=address,
+            state=message.state,
         )
         track.begin(
             message.number,
@@ -375,15 +388,21 @@
 
     def _choose(self, pool: CellPool) -> CellKey:
         """Choose of two cells, drawn by their size, the one with the shorter wait."""
-        keys = [
-            CellKey(pool=pool.crc, index=index) for index in range(len(pool.layout))
-        ]
+        indices = self._cells_used(pool)
+        keys = [CellKey(pool=pool.crc, index=index) for index in indices]
         if len(keys) == 1:
             return keys[0]
-        sizes = [len(cell) for cell in pool.layout]
+        sizes = [max(len(pool.layout[index]), 1) for index in indices]
         drawn = self._rng.choices(keys, sizes, k=2)
         return min(drawn, key=self._wait_s)
 
+    def _cells_used(self, pool: CellPool) -> list[int]:
+        """Return the cells of a pool that this node uses."""
+        indices = list(range(len(pool.layout)))
+        if len(indices) > _CELLS_USED:
+            Random(self._node).shuffle(indices)
+        return indices[:_CELLS_USED]
+
     def _wait_s(self, key: CellKey) -> tuple[float, float]:
         state, at = self._states.get(key, (None, 0.0))
         if state is None or time.monotonic() - at > _STATE_KEPT_S:
@@ -514,10 +533,3 @@
         upstream=ticket.track.crc,
         unread=item.prompt_tokens if item else 0,
     )
-
-
-def _track(pool: CellPool, upstream: int) -> UpstreamTrack | None:
-    for track in pool.scheduler.tracks.values():
-        if track.crc == upstream:
-            return track
-    return None
--- a/baobabwing/gateway/placement/homes.py
+++ b/baobabwing/gateway/placement/homes.py
@@ -11,6 +11,7 @@
 from baobabwing.gateway.decisions.cells import cell_layout
 from baobabwing.gateway.decisions.scheduling import Ask, Grant, PoolScheduler
 from baobabwing.gateway.events import CELL_DROPPED, CELL_TAKEN
+from baobabwing.gateway.members import Members
 from baobabwing.gateway.model import UpstreamEntry
 from baobabwing.gateway.placement.codec import crc
 from baobabwing.gateway.placement.link import WorkLink
@@ -27,17 +28,27 @@
 )
 from baobabwing.reports.events import log
 
-__all__ = ["CellHomes", "CellPool"]
+__all__ = ["CellHomes", "CellPool", "held_pause_s"]
 
 # Silent nodes, requests whose time is over, and engines that were set aside for a
 # while are looked at this often.
 _TICK_S = 0.1
+# What a node holds at the engines of a cell is repeated this often, so that a home
+# that was just taken over knows it soon; in large fleets less often, so that it stays
+# some 2 KB/s.
+_HELD_PAUSE_S = 0.4
+_NODES_AT_FULL_PACE = 60
 # Sooner nobody should come back: a place becomes free each few tens of ms.
 _LEAST_RETRY_AFTER_S = 0.2
 # A cell that nobody asks for is forgotten; another node is its home now.
 _IDLE_S = 60.0
 
 
+def held_pause_s(nodes: int) -> float:
+    """Return how often each of so many nodes repeats what it holds."""
+    return _HELD_PAUSE_S * max(1.0, nodes / _NODES_AT_FULL_PACE)
+
+
 class CellPool:
     """The engines of one pool, divided into cells.
 
@@ -73,11 +84,13 @@
     rests on there being one home only.
 
     :param link: carries the messages.
+    :param members: tell how many nodes there are.
     :param rng: breaks ties.
     """
 
-    def __init__(self, *, link: WorkLink, rng: Random) -> None:
+    def __init__(self, *, link: WorkLink, members: Members, rng: Random) -> None:
         self._link = link
+        self._members = members
         self._rng = rng
         self._pools: dict[int, CellPool] = {}
         self._queues: dict[CellKey, CellQueue] = {}
@@ -102,7 +115,7 @@
             await asyncio.sleep(_TICK_S)
             now = time.monotonic()
             for key, queue in tuple(self._queues.items()):
-                queue.forget(now)
+                queue.forget(now, repeat_s=held_pause_s(self._members.total))
                 for holder, wait_s in queue.hopeless(now):
                     self._refuse(key, queue, holder, wait_s, now)
                 if queue.idle and now - queue.used_at > _IDLE_S:
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -89,6 +89,18 @@
         self.scheduler.held(time.monotonic() - grant.since)
         self.pump()
 
+    def describe(self, grant: Grant) -> dict[str, object]:
+        """Return for the log who gave a place, and how full it was there."""
+        ticket = self._placer.ticket(grant) if self._placer else None
+        if ticket is None:
+            return {"home": "", "queued": len(self.scheduler.waiting)}
+        return {
+            "home": ticket.home,
+            "cell": ticket.cell.index,
+            "queued": ticket.state.queued,
+            "free": ticket.state.free,
+        }
+
     def first_event(self, grant: Grant) -> None:
         """Note that a request's prompt has been read."""
         grant.track.first_event(grant.ask.number)
--- a/baobabwing/reports/metric_set.py
+++ b/baobabwing/reports/metric_set.py
@@ -25,8 +25,10 @@
         return Gauge(name, meaning, registry=self.registry)
 
     def _histogram(
-        self, name: str, meaning: str, label: str, buckets: tuple[float, ...]
+        self,
+        name: str,
+        meaning: str,
+        labels: tuple[str, ...],
+        buckets: tuple[float, ...],
     ) -> Histogram:
-        return Histogram(
-            name, meaning, (label,), buckets=buckets, registry=self.registry
-        )
+        return Histogram(name, meaning, labels, buckets=buckets, registry=self.registry)
--- a/baobabwing/reports/metrics.py
+++ b/baobabwing/reports/metrics.py
@@ -48,19 +48,19 @@
         self.first_token = self._histogram(
             "baobabwing_first_token_seconds",
             "From the request's arrival to its first token.",
-            "tier",
+            ("tier",),
             _FIRST_TOKEN_BUCKETS_S,
         )
         self.between_tokens = self._histogram(
             "baobabwing_between_tokens_seconds",
             "Mean time between two tokens of a request.",
-            "tier",
+            ("tier",),
             _BETWEEN_BUCKETS_S,
         )
         self.permit_wait = self._histogram(
             "baobabwing_permit_wait_seconds",
             "From asking for a permit to the decision.",
-            "tier",
+            ("tier",),
             _PERMIT_BUCKETS_S,
         )
         self.open_requests = self._gauge(
--- a/tests/gateway/decisions/test_cell_queue.py
+++ b/tests/gateway/decisions/test_cell_queue.py
@@ -128,9 +128,9 @@
     for number in range(PLACES + 1):
         put(made, 1, number)
     assert len(placed(made)) == PLACES
-    made.forget(OPEN + 1.0)
+    made.forget(OPEN + 1.0, repeat_s=0.4)
     put(made, 2, 1, now=OPEN + 2.0)
-    made.forget(OPEN + 2.0)
+    made.forget(OPEN + 2.0, repeat_s=0.4)
     assert placed(made, OPEN + 2.0) == [Holder(2, 1)]
 
 
@@ -140,7 +140,7 @@
         put(made, 1, number)
     placed(made)
     made.report(1, [], [PLACES], OPEN + 2.9)
-    made.forget(OPEN + 3.1)
+    made.forget(OPEN + 3.1, repeat_s=0.4)
     assert not made.waits(Holder(1, PLACES))
 
 
--- a/tests/gateway/decisions/test_cells.py
+++ b/tests/gateway/decisions/test_cells.py
@@ -27,3 +27,11 @@
     after = cell_layout(names(45)[:-1])
     gone = {"i-0044"}
     assert [set(cell) - gone for cell in before] == [set(cell) for cell in after]
+
+
+def test_one_cell_more_takes_only_what_belongs_there():
+    before = cell_layout(names(48))
+    after = cell_layout([*names(48), "new"])
+    assert (len(before), len(after)) == (3, 4)
+    for was, now in zip(before, after, strict=False):
+        assert set(now) - {"new"} <= set(was)
--- a/tests/gateway/placement/test_asking.py
+++ b/tests/gateway/placement/test_asking.py
@@ -36,7 +36,7 @@
     def __init__(self, seed, members, engines):
         rng = random.Random(seed)
         self.link = WorkLink()
-        self.homes = CellHomes(link=self.link, rng=rng)
+        self.homes = CellHomes(link=self.link, members=members, rng=rng)
         self.placer = Placer(link=self.link, members=members, rng=rng)
         self.pool = CellPool(name="p", scheduler=PoolScheduler(engine=ENGINE, rng=rng))
         entries = [
--- a/tests/gateway/test_accounts.py
+++ b/tests/gateway/test_accounts.py
@@ -108,6 +108,11 @@
             await ask(conn, "/safe/x", "m1")
             await asyncio.sleep(0)
             text = bed.gateway.metrics.render().decode()
-            assert 'baobabwing_gateway_requests_total{outcome="in_time"' in text
+            name = "baobabwing_gateway_requests_total"
+            labels = 'outcome="in_time",pool="services",tier="0"'
+            assert f"{name}{{{labels}}} 1.0" in text
+            assert (
+                'baobabwing_gateway_connect_seconds_count{pool="services"} 1.0' in text
+            )
 
     run(story())
