--- a/Makefile
+++ b/Makefile
@@ -81,3 +81,10 @@
 .PHONY: platform-demo
 platform-demo: env
 	PYTHONPATH=platform $(BIN)/python -m baobabwing_platform.demo
+
+# Faults from outside against real nodes, drawn by seeds; SEEDS=50 takes 8 minutes.
+SEEDS ?= 50
+.PHONY: platform-soak
+platform-soak: env
+	PYTHONPATH=platform $(BIN)/python -m baobabwing_platform.soak --first $(SEED) \
+		--seeds $(SEEDS)
--- /dev/null
+++ b/baobabwing/standins/loopback_proxy.py
@@ -0,0 +1,129 @@
+"""A TCP proxy on loopback that harms the connections through it, from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from enum import Enum
+
+__all__ = ["LoopbackProxy", "PathFault"]
+
+_CHUNK_BYTES = 65_536
+_CHECK_S = 0.02
+_DELAY_S = 0.05
+# Switched on, zero seconds: closing sends a reset.
+_LINGER_NOT = struct.pack("ii", 1, 0)
+
+
+class PathFault(Enum):
+    """What happens to connections and their bytes.
+
+    ``SILENT`` holds everything both ways and takes no new connection through,
+    ``DEAF`` holds what goes to the target, ``DUMB`` what comes back, ``REFUSE`` resets
+    new connections. What is held goes on when the fault ends.
+    """
+
+    NONE = "none"
+    DELAY = "delay"
+    SILENT = "silent"
+    DEAF = "deaf"
+    DUMB = "dumb"
+    REFUSE = "refuse"
+
+
+class LoopbackProxy:
+    """Passes connections on to one target.
+
+    :param target: ``ip:port``.
+    """
+
+    def __init__(self, *, target: str) -> None:
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.fault = PathFault.NONE
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Listen no more and cut all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        for writer in self._writers:
+            writer.close()
+
+    def reset_all(self) -> None:
+        """Reset all connections that are open."""
+        for writer in tuple(self._writers):
+            _reset(writer)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if self.fault is PathFault.REFUSE:
+            _reset(writer)
+            return
+        await self._while_held(PathFault.SILENT)
+        host, _, port = self._target.rpartition(":")
+        try:
+            there, back = await asyncio.open_connection(host, int(port))
+        except OSError:
+            _reset(writer)
+            return
+        self._writers |= {writer, back}
+        try:
+            # Only the end of the proxy cancels it.
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(
+                    self._pass(reader, back, PathFault.DEAF),
+                    self._pass(there, writer, PathFault.DUMB),
+                )
+        finally:
+            self._writers -= {writer, back}
+            for one in (writer, back):
+                one.close()
+
+    async def _pass(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        held_by: PathFault,
+    ) -> None:
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                await self._while_held(PathFault.SILENT, held_by)
+                if self.fault is PathFault.DELAY:
+                    await asyncio.sleep(_DELAY_S)
+                writer.write(data)
+                await writer.drain()
+            await self._while_held(PathFault.SILENT, held_by)
+            with contextlib.suppress(OSError):
+                writer.write_eof()
+        except OSError:
+            # A reset on one side is one on the other: an end could pass for the whole
+            # of an answer.
+            _reset(writer)
+
+    async def _while_held(self, *faults: PathFault) -> None:
+        while self.fault in faults:
+            await asyncio.sleep(_CHECK_S)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
+    writer.transport.abort()
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import time
+from pathlib import Path
 
 from baobabwing_platform import demo
 from baobabwing_platform.dialect import HEADERS
@@ -133,3 +134,36 @@
         assert await deployment.processes[0].wait() == 0
 
     with_deployment(tmp_path, story)
+
+
+def test_settings_that_change_during_a_start_do_not_end_the_node(tmp_path):
+    """A node is restarted, and its settings file changes while it loads its modules.
+
+    The signal that says so came before anybody listened to it, and ended the process:
+    callers lost the node for the time of another start.
+    """
+
+    async def story(deployment):
+        victim = deployment.processes[0]
+        victim.send_signal(signal.SIGKILL)
+        await victim.wait()
+        await deployment.restart(0)
+        started = deployment.processes[0]
+
+        async def is_ignored():
+            status = Path(f"/proc/{started.pid}/status").read_text()
+            ignored = next(
+                line for line in status.splitlines() if line.startswith("SigIgn")
+            )
+            return int(ignored.split()[1], 16) & (1 << (signal.SIGHUP - 1))
+
+        await eventually(is_ignored, "the signal does no harm")
+        started.send_signal(signal.SIGHUP)
+
+        async def is_back():
+            return len(await demo.resolve(deployment.directories[0])) == 2
+
+        await eventually(is_back, "the node serves")
+        assert started.returncode is None
+
+    with_deployment(tmp_path, story)
