Tell starts of an upstream apart by their time; pass over rows of other writers

Cause: an upstream was known by its key in the store alone. One that started again under it kept its failures, its pace and its queue here, a late row of the earlier start took the later one's place, and requests at the earlier start waited on silent connections. A row that was no JSON ended the task that follows the table, and with it all news.

Ruled out: a second store of starts (each node orders rows by start and count itself); counting by sequence alone (it starts anew with each start).

Change: an incarnation is the key and the time of the start; what is keyed by it (tracks, exclusions, cells, connections, messages, logs) follows. StartBook keeps the newest row of each name. Connections to a replaced start are closed at once.

--- /dev/null
+++ b/baobabwing/gateway/decisions/starts.py
@@ -0,0 +1,76 @@
+"""Which start of an upstream is the latest, whatever order its rows arrive in."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from baobabwing.gateway.model import UpstreamEntry
+
+__all__ = ["StartBook"]
+
+# Upstreams that are gone and whose last start is remembered; a late row of one comes
+# within seconds, in which a few dozen go at the most.
+_MOST_GONE = 1024
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Known:
+    entry: UpstreamEntry
+    listed: bool
+
+
+class StartBook:
+    """Last known entry of each upstream, by name.
+
+    An upstream that starts again keeps its name. A write of its earlier start that was
+    on its way may land after the first of the later one, and would bring back an
+    address, a state or a number of slots that are no longer true; requests would be
+    sent to a process that has ended, or not to one that runs. The time of the start
+    tells starts apart, and the count of an upstream's own writes tells rows of one
+    start apart, so that only what is newer is taken.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+
+    def settle(self, listed: Iterable[UpstreamEntry]) -> list[UpstreamEntry]:
+        """Return the entries to use, given those that are listed.
+
+        :param listed: at most one entry for each name.
+
+        Notes
+        -----
+        Takes time in proportion to the entries listed and remembered.
+
+        """
+        current: dict[str, UpstreamEntry] = {}
+        for entry in listed:
+            before = self._known.get(entry.name)
+            if before is None or not _older(entry, before.entry):
+                current[entry.name] = entry
+            elif before.listed:
+                current[entry.name] = before.entry
+        self._remember(current)
+        return list(current.values())
+
+    def _remember(self, current: dict[str, UpstreamEntry]) -> None:
+        gone = {
+            name: _Known(entry=known.entry, listed=False)
+            for name, known in self._known.items()
+            if name not in current
+        }
+        for name in list(gone)[: max(len(gone) - _MOST_GONE, 0)]:
+            del gone[name]
+        self._known = gone | {
+            name: _Known(entry=entry, listed=True) for name, entry in current.items()
+        }
+
+
+def _older(entry: UpstreamEntry, known: UpstreamEntry) -> bool:
+    """Whether an entry was written before the known one."""
+    if not entry.started_ms or not known.started_ms:
+        # Where upstreams do not tell when they started, each start has its own name.
+        return False
+    order = (entry.started_ms, entry.sequence)
+    return order < (known.started_ms, known.sequence)
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -31,6 +31,8 @@
     "SOURCE_REGAINED",
     "UPSTREAMS_CHANGED",
     "UPSTREAM_FAILED",
+    "UPSTREAM_START_REPLACED",
+    "UPSTREAM_UNREADABLE",
 ]
 
 REQUEST_REFUSED = define(
@@ -89,6 +91,18 @@
 UPSTREAMS_CHANGED = define(
     2502, "upstreams_changed", "The list of upstreams changed; how many there are."
 )
+UPSTREAM_START_REPLACED = define(
+    2503,
+    "upstream_start_replaced",
+    "An upstream has started again under its name; what was sent to its earlier start "
+    "has ended there.",
+)
+UPSTREAM_UNREADABLE = define(
+    2504,
+    "upstream_unreadable",
+    "The entry of an upstream can't be read, and names none; the others hold.",
+    level="warning",
+)
 SHARE_CHANGED = define(
     3501,
     "share_changed",
--- a/baobabwing/gateway/exchange.py
+++ b/baobabwing/gateway/exchange.py
@@ -136,6 +136,7 @@
     def __init__(self, *, names: HeaderNames) -> None:
         self._names = names
         self._idle: dict[tuple[str, str], deque[UpstreamConnection]] = {}
+        self._busy: dict[tuple[str, str], set[UpstreamConnection]] = {}
 
     async def acquire(
         self, address: str, instance: str, *, new: bool = False
@@ -151,21 +152,48 @@
             kept = idle.pop()
             if kept.fresh(now):
                 kept.wake()
+                self._busy.setdefault((address, instance), set()).add(kept)
                 return kept
             kept.conn.close()
         conn = await open_connection(
             address, timeout_s=CONNECT_TIMEOUT_S, head_bytes=_HEAD_BYTES
         )
-        return UpstreamConnection(conn=conn, names=self._names)
+        kept = UpstreamConnection(conn=conn, names=self._names)
+        self._busy.setdefault((address, instance), set()).add(kept)
+        return kept
 
     def release(self, address: str, instance: str, kept: UpstreamConnection) -> None:
         """Take a connection back; one that is not clean is closed."""
         if not kept.reusable:
-            kept.conn.abort()
+            self.discard(address, instance, kept)
             return
+        self._forget((address, instance), kept)
         kept.rest(time.monotonic())
         self._idle.setdefault((address, instance), deque()).append(kept)
 
+    def discard(self, address: str, instance: str, kept: UpstreamConnection) -> None:
+        """Close a connection at once, so that the upstream stops its work."""
+        self._forget((address, instance), kept)
+        kept.conn.abort()
+
+    def abandon(self, address: str, instance: str) -> None:
+        """Close all connections to an incarnation that has ended.
+
+        One that fell silent sends no reset when it starts again: without this, its
+        requests would wait until their callers leave. Those who read from these
+        connections find them lost, as after a crash.
+        """
+        key = (address, instance)
+        for kept in (*self._busy.pop(key, ()), *self._idle.pop(key, ())):
+            kept.conn.abort()
+
+    def _forget(self, key: tuple[str, str], kept: UpstreamConnection) -> None:
+        busy = self._busy.get(key)
+        if busy is not None:
+            busy.discard(kept)
+            if not busy:
+                del self._busy[key]
+
     def retain(self, instances: set[tuple[str, str]]) -> None:
         """Close idle connections to all upstreams but these, and stale ones."""
         now = time.monotonic()
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -206,7 +206,7 @@
             if whole:
                 self._connections.release(entry.address, entry.instance, kept)
             else:
-                kept.conn.abort()
+                self._connections.discard(entry.address, entry.instance, kept)
         return step
 
     async def _exchange(
@@ -216,7 +216,7 @@
             call.envelope,
             self._names,
             left_s=call.ends_at - time.monotonic() - _RETURN_S,
-            instance=grant.track.entry.instance,
+            instance=grant.track.entry.name,
             organisation=call.organisation.name if call.organisation else "",
             body_bytes=len(call.body),
             last_event=call.last_event,
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -70,6 +70,9 @@
             state=self.state, members=self.members, link=self.link, rng=rng
         )
         self.connections = ConnectionPool(names=settings.names)
+        self.state.on_restarted = lambda entry: self.connections.abandon(
+            entry.address, entry.instance
+        )
         self.metrics = GatewayMetrics()
         forwarder = Forwarder(
             state=self.state,
--- a/baobabwing/gateway/model.py
+++ b/baobabwing/gateway/model.py
@@ -169,13 +169,25 @@
     """One incarnation of an upstream, as the platform lists it.
 
     :param instance: differs for each start of an upstream.
+    :param name: what the upstream calls itself, the same over its starts; the instance
+        where it is not given.
     :param slots: requests it works on at one time.
     :param draining: whether it takes no new work.
+    :param started_ms: Unix time of its start; 0 where the platform does not tell.
+    :param sequence: rises with each of its own writes, from each start on.
     """
 
     instance: str
     pool: str
     address: str
+    name: str = ""
     zone: str = ""
     slots: int = 1
     draining: bool = False
+    started_ms: int = 0
+    sequence: int = 0
+
+    def __post_init__(self) -> None:
+        """Name it by its instance where it has no other name."""
+        if not self.name:
+            object.__setattr__(self, "name", self.instance)
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -11,6 +11,7 @@
 from baobabwing.gateway.events import (
     CONFIGURATION_TAKEN,
     SHARE_CHANGED,
+    UPSTREAM_START_REPLACED,
     UPSTREAMS_CHANGED,
 )
 from baobabwing.gateway.model import GatewayConfiguration, UpstreamEntry
@@ -29,6 +30,7 @@
 
     :param settings: the gateway's settings.
     :param rng: draws pools and breaks ties.
+    :ivar on_restarted: called with the entry of an upstream that has started again.
     """
 
     def __init__(self, *, settings: GatewaySettings, rng: Random) -> None:
@@ -40,6 +42,7 @@
         self.leaving_since: float | None = None
         self.placer: Placer | None = None
         self.on_pool: Callable[[CellPool], None] = lambda pool: None
+        self.on_restarted: Callable[[UpstreamEntry], None] = lambda entry: None
         self.nodes = 1
         self._heard = 1
         self._entries: dict[str, tuple[UpstreamEntry, ...]] = {}
@@ -82,11 +85,18 @@
     def take_upstreams(self, entries: Iterable[UpstreamEntry], *, source: str) -> None:
         """Take the whole list of upstreams."""
         by_pool: dict[str, list[UpstreamEntry]] = {}
+        instances: dict[str, str] = {}
         for entry in entries:
             by_pool.setdefault(entry.pool, []).append(entry)
+            instances[entry.name] = entry.instance
+        before = [entry for some in self._entries.values() for entry in some]
         self._entries = {name: tuple(some) for name, some in by_pool.items()}
         for name in set(by_pool) | set(self.pools):
             self._list(self._pool(name))
+        for entry in before:
+            if instances.get(entry.name, entry.instance) != entry.instance:
+                log(UPSTREAM_START_REPLACED, upstream=entry.instance, by=source)
+                self.on_restarted(entry)
         log(
             UPSTREAMS_CHANGED,
             by=source,
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -1,9 +1,12 @@
 """Each request once, whole and truthfully, whatever the upstream does."""
 
+import time
+
 import pytest
 
+from baobabwing.gateway.model import UpstreamEntry
 from baobabwing.standins.gateway_upstream import Behaviour
-from tests.gateway.bed import NAMES, Bed, ask, eventually, send
+from tests.gateway.bed import NAMES, Bed, ask, eventually, read, send
 
 
 def events(request_id, first, last):
@@ -442,3 +445,96 @@
             )
 
     run(story())
+
+
+def restart(bed, name):
+    """List an upstream as one that has started again under its name."""
+    entries = []
+    for one, (upstream, pool) in bed.upstreams.items():
+        started_ms = 2000 if one == name else 1000
+        entries.append(
+            UpstreamEntry(
+                instance=f"{one}@{started_ms}",
+                name=one,
+                pool=pool,
+                address=upstream.address,
+                slots=4,
+                started_ms=started_ms,
+            )
+        )
+    bed.gateway.state.take_upstreams(entries, source="test")
+
+
+def test_stream_goes_on_when_its_engine_started_again(run):
+    """An engine falls silent in a stream and starts again under its name.
+
+    No reset comes from a host that lost power. Its new entry shows that the earlier
+    start is over; the caller gets the rest elsewhere at once, not after a timeout.
+    """
+
+    async def story():
+        async with Bed() as bed:
+            restart(bed, "")
+            bed.behaviour["engines"] = Behaviour(events=5, gap_s=30.0)
+            conn = await bed.caller()
+            await send(conn, "/resumable/x", "s1")
+            await eventually(lambda: bed.runs("s1") == 1)
+            (seen,) = bed.seen("s1")
+            (held,) = [
+                name
+                for name, (one, _) in bed.upstreams.items()
+                if any(each.request_id == "s1" for each in one.seen)
+            ]
+            assert seen.headers[NAMES.expected_instance] == held.encode()
+            bed.behaviour["engines"] = Behaviour(events=5)
+            restart(bed, held)
+            answer = await read(conn)
+            assert (answer.status, answer.whole) == (200, True)
+            assert answer.body == events("s1", 1, 5)
+
+    run(story())
+
+
+def test_unsafe_request_does_not_run_again_when_its_upstream_started_again(run):
+    """A service goes down with a call that may run once, and starts again.
+
+    Whether it ran can't be known; the caller is told at once, and truly.
+    """
+
+    async def story():
+        async with Bed() as bed:
+            restart(bed, "")
+            bed.behaviour["services"] = Behaviour(mute=True)
+            conn = await bed.caller()
+            await send(conn, "/unsafe/x", "u1")
+            await eventually(lambda: bed.seen("u1"))
+            (held,) = [
+                name
+                for name, (one, _) in bed.upstreams.items()
+                if any(each.request_id == "u1" for each in one.seen)
+            ]
+            restart(bed, held)
+            answer = await read(conn)
+            assert answer.status == 502
+            assert len(bed.seen("u1")) == 1
+
+    run(story())
+
+
+def test_upstream_that_started_again_is_not_held_for_its_past(run):
+    """What was learned of the earlier start says nothing of the later one."""
+
+    async def story():
+        async with Bed() as bed:
+            restart(bed, "")
+            pool = bed.gateway.state.pool("services")
+            before = pool.scheduler.tracks["services-1@1000"]
+            before.failed(time.monotonic(), hard=True)
+            before.paced(9.0)
+            restart(bed, "services-1")
+            track = pool.scheduler.tracks["services-1@2000"]
+            assert "services-1@1000" not in pool.scheduler.tracks
+            assert track.usable(time.monotonic())
+            assert track.pace_s is None
+
+    run(story())
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -1,6 +1,8 @@
 """Rows of the platform's store, decoded."""
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from baobabwing.exceptions import ConfigurationError
 from baobabwing.gateway.model import QuotaUnit, RouteKind
@@ -100,6 +102,10 @@
         {**CONFIG, "version": "seven"},
         {**CONFIG, "routes": [{**ROUTE, "kind": "other"}]},
         {**CONFIG, "routes": None},
+        {**CONFIG, "routes": [["r-1"]]},
+        {**CONFIG, "limits": [1]},
+        [],
+        None,
     ],
 )
 def test_unreadable_configuration_is_an_error_of_its_own(value):
@@ -120,3 +126,80 @@
         },
     )
     assert (entry.pool, entry.slots, entry.draining) == ("s", 6, True)
+
+
+WORKER = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 4,
+    "born": 1_790_000_000_123,
+}
+
+
+def test_start_is_part_of_what_an_upstream_is():
+    """A worker starts again under its key: another incarnation of the same name."""
+    first = documents.upstream("i-1", WORKER)
+    again = documents.upstream("i-1", {**WORKER, "born": WORKER["born"] + 1})
+    assert first.name == again.name == "i-1"
+    assert first.instance != again.instance
+
+
+TEXT = st.text("a1é ", max_size=3)
+NUMBERS = st.one_of(
+    TEXT,
+    st.booleans(),
+    st.none(),
+    st.floats(),
+    st.integers(max_value=-1),
+    st.integers(min_value=1 << 70),
+    st.lists(st.integers(), max_size=2),
+)
+NO_TEXT = st.one_of(st.integers(), st.none(), st.booleans(), st.just(""), st.just([]))
+WRONG = {
+    "service": NO_TEXT,
+    "zone": NO_TEXT,
+    "address": st.one_of(
+        NO_TEXT,
+        st.sampled_from(
+            ["10.0.0.1", "x:80", "10.0.0.1:0", "10.0.0.1:99999", ":", "10.0.0.1:8x"]
+        ),
+    ),
+    "state": st.one_of(NO_TEXT, st.sampled_from(["gone", "READY", "starting"])),
+    "slots": st.one_of(NUMBERS, st.just(0)),
+    "sequence": NUMBERS,
+    "born": st.one_of(NUMBERS, st.just(0)),
+}
+
+
+@st.composite
+def foreign_rows(draw):
+    """Return what another writer may have left under a key."""
+    how = draw(st.sampled_from(["field", "missing", "other"]))
+    if how == "other":
+        return draw(st.one_of(st.none(), TEXT, st.lists(st.none()), st.just({})))
+    field = draw(st.sampled_from(sorted(WRONG)))
+    row = dict(WORKER)
+    if how == "missing":
+        del row[field]
+    else:
+        row[field] = draw(WRONG[field])
+    return row
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.dictionaries(st.integers(0, 30), foreign_rows(), max_size=8))
+def test_rows_of_other_writers_name_no_upstream(foreign):
+    """Somebody else writes into the table of the workers.
+
+    A row that is not as a worker writes it is passed over; all others hold.
+    """
+    sound = {f"i-{number}": WORKER for number in range(10)}
+    rows = {**sound, **{f"x-{number}": row for number, row in foreign.items()}}
+    found = documents.upstreams(rows)
+    assert {entry.name for entry in found.entries} == set(sound)
+    assert set(found.unreadable) == rows.keys() - sound.keys()
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -170,3 +170,26 @@
         await asyncio.sleep(0)
 
     asyncio.run(story())
+
+
+@pytest.mark.parametrize(
+    "data", [b"no json", b"\xff\xfe", b"[" * 100_000, b'{"n": NaN}', b""]
+)
+def test_row_that_is_no_json_hides_no_other(data):
+    """Another writer leaves bytes under a key that no worker would write.
+
+    The watch went down with them, and nothing was heard of any worker any more. The
+    row is known to be there and can't be read; all others are followed on.
+    """
+
+    async def story():
+        async with Followed() as one:
+            one.store.write("servers", "i-1", {"n": 1})
+            one.store.write_bytes("servers", "i-2", data)
+            await eventually(lambda: one.rows == {"i-1": {"n": 1}, "i-2": None})
+            one.store.write("servers", "i-1", {"n": 2})
+            await eventually(lambda: one.rows == {"i-1": {"n": 2}, "i-2": None})
+            one.store.write("servers", "i-2", None)
+            await eventually(lambda: one.rows == {"i-1": {"n": 2}})
+
+    asyncio.run(story())
