Deal out a limit by urgency and by what all nodes are asked for

Cause: nodes hear of each other 0.1 to 0.5 s late. Over its limit, an organisation's bucket was overdrawn by all of them, then nothing passed until it was paid back; what was left was enough for small requests only, so that large urgent ones were refused most.

Ruled out: a central bucket (a round trip on each request, and it dies with its home); charging each node's guess of the others by its own requests (refuses below the limit where requests are large and few).

Change: counts of units asked for go along with those admitted; a bucket that is not nearly full passes a part of the requests, the more urgent routes first, as large as the rate is against what is asked for; what peers admit unheard is estimated, and charged when they fall silent.

--- a/baobabwing/gateway/admission.py
+++ b/baobabwing/gateway/admission.py
@@ -10,7 +10,7 @@
 from baobabwing.gateway.envelope import Envelope
 from baobabwing.gateway.events import LIMIT_REACHED
 from baobabwing.gateway.model import OrganisationSpec, Route
-from baobabwing.gateway.routing import RouteTable, pick_pool
+from baobabwing.gateway.routing import pick_pool
 from baobabwing.gateway.state import GatewayState
 from baobabwing.reports.events import log
 
@@ -46,7 +46,7 @@
         if table.cfg.keys_required and not route.public and organisation is None:
             return Refusal(status=401, code="unknown_key")
         pool = pick_pool(route, self._state.rng)
-        charged = self._charge(table, envelope, organisation, pool)
+        charged = self._charge(envelope, route, organisation, pool)
         if isinstance(charged, Refusal):
             return charged
         waits_s = min(envelope.deadline_s or route.timeout_s, route.timeout_s)
@@ -77,8 +77,8 @@
 
     def _charge(
         self,
-        table: RouteTable,
         envelope: Envelope,
+        route: Route,
         organisation: OrganisationSpec | None,
         pool: str,
     ) -> Refusal | Charge:
@@ -92,7 +92,7 @@
         now = time.monotonic()
         places_free = self._state.pool(pool).places_free()
         charge = self._state.quotas.admit(
-            organisation.name, units, now, places_free=places_free
+            organisation.name, units, now, rank=route.rank, places_free=places_free
         )
         if charge.admitted:
             return charge
--- /dev/null
+++ b/baobabwing/gateway/decisions/demand.py
@@ -0,0 +1,108 @@
+"""How much is asked for of one limit, over all nodes and by urgency."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+__all__ = ["Demand"]
+
+# Own requests are added up for this long to a sample; as long as between two words of
+# the other nodes.
+_SLOT_S = 0.25
+# Weight of a new sample of a rate: after three of them seven eighths of it are known.
+_RATE_ALPHA = 0.5
+# Weight of a new sample of the mix of ranks, of which one node sees a part: some ten
+# samples, 2.5 s.
+_MIX_ALPHA = 0.1
+# A peer that has said nothing for longer is not counted.
+_STALE_S = 1.0
+# Two words that come at almost the same time say nothing of a rate.
+_LEAST_HEARD_S = 0.05
+
+
+@dataclass(kw_only=True)
+class _PeerRate:
+    asked_per_s: float = 0.0
+    admitted_per_s: float = 0.0
+    heard_at: float = 0.0
+
+
+@dataclass(kw_only=True)
+class Demand:
+    """Units a second that are asked for, and those that others admit.
+
+    :param since: when this node began to count.
+    """
+
+    since: float
+    _slot: dict[int, float] = field(default_factory=dict)
+    _own_per_s: float = 0.0
+    _mix: dict[int, float] = field(default_factory=dict)
+    _peers: dict[str, _PeerRate] = field(default_factory=dict)
+
+    def ask(self, units: float, rank: int, now: float) -> None:
+        """Count a request of this node."""
+        self._end_slot(now)
+        self._slot[rank] = self._slot.get(rank, 0.0) + units
+
+    def hear(
+        self, peer: str, *, asked: float, admitted: float, seconds: float, now: float
+    ) -> None:
+        """Take what a peer was asked for, and admitted, in a time."""
+        seconds = max(seconds, _LEAST_HEARD_S)
+        rate = self._peers.setdefault(peer, _PeerRate())
+        rate.asked_per_s += _RATE_ALPHA * (asked / seconds - rate.asked_per_s)
+        rate.admitted_per_s += _RATE_ALPHA * (admitted / seconds - rate.admitted_per_s)
+        rate.heard_at = now
+
+    def forget(self, peer: str) -> None:
+        """Count a peer no more."""
+        self._peers.pop(peer, None)
+
+    def total_per_s(self, now: float) -> float:
+        """Return the units a second that all nodes are asked for; 0 if not known."""
+        self._end_slot(now)
+        return self._own_per_s + sum(one.asked_per_s for one in self._fresh(now))
+
+    def unheard(self, now: float, age_s: float) -> float:
+        """Return the units that peers have probably admitted since their last words.
+
+        :param age_s: age of their counts when they came.
+        """
+        return sum(
+            max(one.admitted_per_s, 0.0) * (now - one.heard_at + age_s)
+            for one in self._fresh(now)
+        )
+
+    def part(self, rank: int, allowed_per_s: float, now: float) -> float:
+        """Return the part of the requests of a rank that a rate has room for.
+
+        The more urgent ranks get theirs first, by the mix that this node sees.
+        """
+        total = self.total_per_s(now)
+        if total <= 0:
+            return 1.0
+        whole = sum(self._mix.values())
+        before = sum(part for one, part in self._mix.items() if one < rank)
+        own = self._mix.get(rank, 0.0)
+        if whole <= 0 or own <= 0:
+            return allowed_per_s / total
+        return (allowed_per_s / total * whole - before) / own
+
+    def _fresh(self, now: float) -> list[_PeerRate]:
+        return [one for one in self._peers.values() if now - one.heard_at <= _STALE_S]
+
+    def _end_slot(self, now: float) -> None:
+        passed = now - self.since
+        if passed < _SLOT_S:
+            return
+        sample = sum(self._slot.values()) / passed
+        # A pause of many slots leaves nothing of what was before.
+        kept = (1 - _RATE_ALPHA) ** min(passed / _SLOT_S, 64)
+        self._own_per_s = kept * self._own_per_s + (1 - kept) * sample
+        for rank in self._mix.keys() | self._slot.keys():
+            before = self._mix.get(rank, 0.0)
+            asked = self._slot.get(rank, 0.0)
+            self._mix[rank] = before + _MIX_ALPHA * (asked - before)
+        self._slot.clear()
+        self.since = now
--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -16,7 +16,9 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from random import Random
 
+from baobabwing.gateway.decisions.demand import Demand
 from baobabwing.gateway.model import OrganisationSpec, QuotaUnit
 
 __all__ = ["Charge", "QuotaBook", "Spent", "Tolerance"]
@@ -25,6 +27,20 @@
 # admitted meanwhile came out of its own side's share.
 _STALE_S = 1.0
 _LEAST_RETRY_S = 0.05
+# Age of the counts in a sum when it arrives: half a report's interval, and the way.
+_COUNT_AGE_S = 0.15
+# Below this part of its burst a bucket is dealt out by urgency, and this part it is
+# held at: deep enough for a large request, and so that late counts do not overdraw it.
+_DEALT_SHARE = 0.6
+_HELD_SHARE = 0.4
+# A request that takes more than this part of a bucket passes like one that does.
+_LARGE_SHARE = 0.25
+# A bucket that is dealt out comes back to its held part within this time; counts of
+# others are up to 0.5 s old, and a correction must not be faster than what it is for.
+_LEVEL_S = 2.0
+# An organisation over its limit: callers that are refused by urgency come back spread
+# over this time, in which half of a burst's traffic is over.
+_SPREAD_S = 1.0
 # Part of the tolerance that is kept back at least, and the seconds of the limit's rate.
 # What peers admitted is known 0.1 to 0.5 s late; until then all nodes see the same
 # rest. At five times the limit they admit up to 2 s of its rate too much meanwhile, out
@@ -91,10 +107,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Spent:
-    """What one node has admitted for an organisation since it started."""
+    """What one node has admitted for an organisation since it started.
+
+    :param asked: units that were asked for, admitted or not.
+    """
 
     units: float = 0.0
     excess: float = 0.0
+    asked: float = 0.0
 
 
 @dataclass(kw_only=True)
@@ -118,8 +138,10 @@
     spec: OrganisationSpec
     level: float
     updated: float
+    demand: Demand
     spent: float = 0.0
     spent_excess: float = 0.0
+    asked: float = 0.0
     excess: _Window = field(default_factory=_Window)
 
     def fill(self, now: float, share: float) -> None:
@@ -141,10 +163,14 @@
 
     :param tolerance: excess that is allowed while upstreams have free places.
     :param now: when this node started.
+    :param rng: draws which requests of an organisation over its limit pass.
     """
 
-    def __init__(self, *, tolerance: Tolerance, now: float) -> None:
+    def __init__(
+        self, *, tolerance: Tolerance, now: float, rng: Random | None = None
+    ) -> None:
         self._tolerance = tolerance
+        self._rng = rng or Random()
         # A node that has just started does not know what its last run admitted.
         self._started = now
         self._excess_from = now + tolerance.window_s
@@ -166,7 +192,9 @@
             bucket = self._buckets.get(spec.name)
             if bucket is None:
                 level = self._tolerance.start_level(spec) * self._share
-                bucket = _Bucket(spec=spec, level=level, updated=now)
+                bucket = _Bucket(
+                    spec=spec, level=level, updated=now, demand=Demand(since=now)
+                )
             else:
                 bucket.fill(now, self._share)
                 bucket.spec = spec
@@ -183,6 +211,10 @@
             return
         for bucket in self._buckets.values():
             bucket.fill(now, self._share)
+            if share < self._share:
+                # What nodes admitted between their last words and their silence is
+                # never heard; without this, each cut adds that to the limit.
+                bucket.level -= bucket.demand.unheard(now, _COUNT_AGE_S)
             if share < self._share or now - self._started < _FINDING_S:
                 bucket.level *= share / self._share
         self._shares.append((now, self._share))
@@ -195,10 +227,17 @@
         return float(tokens) if tokens is not None else spec.plain_units
 
     def admit(
-        self, name: str, units: float, now: float, *, places_free: bool = False
+        self,
+        name: str,
+        units: float,
+        now: float,
+        *,
+        rank: int = 0,
+        places_free: bool = False,
     ) -> Charge:
         """Take units from an organisation's bucket.
 
+        :param rank: urgency among the organisation's requests; 0 goes first.
         :param places_free: whether the request takes a place from nobody; it may
             then use the tolerance, which costs no other organisation anything.
         """
@@ -206,9 +245,9 @@
         if bucket is None:
             return Charge()
         bucket.fill(now, self._share)
-        # A request larger than the whole bucket passes when the bucket is full.
-        needed = min(units, bucket.spec.burst * self._share)
-        if bucket.level >= needed:
+        bucket.asked += units
+        bucket.demand.ask(units, rank, now)
+        if self._passes(bucket, units, rank, now):
             bucket.level -= units
             bucket.spent += units
             return Charge(units=units)
@@ -216,9 +255,7 @@
             bucket.spent_excess += units
             bucket.excess.count(units, now)
             return Charge(units=units, excess=True)
-        rate = bucket.spec.rate_per_s * self._share
-        wait_s = (needed - bucket.level) / rate
-        return Charge(retry_after_s=max(wait_s, _LEAST_RETRY_S))
+        return Charge(retry_after_s=self._wait_s(bucket, units))
 
     def give_back(self, name: str, charge: Charge, now: float) -> None:
         """Return units of a request that did not run."""
@@ -235,7 +272,7 @@
     def spent(self) -> dict[str, Spent]:
         """Return what this node has admitted since it started, for its peers."""
         return {
-            name: Spent(units=one.spent, excess=one.spent_excess)
+            name: Spent(units=one.spent, excess=one.spent_excess, asked=one.asked)
             for name, one in self._buckets.items()
         }
 
@@ -256,6 +293,8 @@
         before = self._heard.get(peer)
         self._heard[peer] = _Heard(counts=dict(counts), at=now)
         if not counted or before is None or now - before.at > _STALE_S:
+            for bucket in self._buckets.values():
+                bucket.demand.forget(peer)
             return
         for name, count in counts.items():
             bucket = self._buckets.get(name)
@@ -268,6 +307,13 @@
                 least = -bucket.spec.rate_per_s * self._tolerance.window_s
                 bucket.level = max(bucket.level - units, least)
                 bucket.excess.count(excess, now)
+                bucket.demand.hear(
+                    peer,
+                    asked=count.asked - last.asked,
+                    admitted=units,
+                    seconds=now - before.at,
+                    now=now,
+                )
                 bucket.excess.forget(now - self._tolerance.window_s)
 
     def describe(self, name: str) -> dict[str, float]:
@@ -282,6 +328,37 @@
             "spent": round(bucket.spent, 1),
         }
 
+    def _passes(self, bucket: _Bucket, units: float, rank: int, now: float) -> bool:
+        """Whether the limit lets a request pass.
+
+        Where more is asked for than the limit allows, all nodes would use the same
+        rest of the bucket before they hear of each other, and then refuse all until it
+        is paid back; and since the rest is small then, large requests would be refused
+        while small, less urgent ones pass. So a bucket that is not nearly full is
+        dealt out: each node lets a part of its requests pass, the more urgent ones
+        first, as large as the limit is against what all nodes are asked for.
+        """
+        if bucket.level < self._needed(bucket, units):
+            return False
+        full = bucket.spec.burst * self._share
+        level = bucket.level - bucket.demand.unheard(now, _COUNT_AGE_S)
+        if level >= _DEALT_SHARE * full:
+            return True
+        allowed = bucket.spec.rate_per_s * self._share
+        allowed += (level - _HELD_SHARE * full) / _LEVEL_S
+        return self._rng.random() < bucket.demand.part(rank, allowed, now)
+
+    def _needed(self, bucket: _Bucket, units: float) -> float:
+        return min(units, _LARGE_SHARE * bucket.spec.burst * self._share)
+
+    def _wait_s(self, bucket: _Bucket, units: float) -> float:
+        """Return when a request that is refused is to come back."""
+        lacking = self._needed(bucket, units) - bucket.level
+        wait_s = lacking / (bucket.spec.rate_per_s * self._share)
+        if wait_s > 0:
+            return max(wait_s, _LEAST_RETRY_S)
+        return _SPREAD_S * self._rng.uniform(0.5, 1.5)
+
     def _tolerated(self, bucket: _Bucket, units: float, now: float) -> bool:
         if now < self._excess_from:
             return False
--- a/baobabwing/gateway/limits.py
+++ b/baobabwing/gateway/limits.py
@@ -30,7 +30,7 @@
 # excess that operators tolerate in 8 s covers it.
 _REPORT_S = 0.25
 # From this many nodes on a summer would get too much; the time grows with them.
-_NODES_AT_FULL_PACE = 36
+_NODES_AT_FULL_PACE = 72
 _GATHER_S = 0.03
 # A node, or a summer, that is silent for this many reports does not count.
 _SILENT_REPORTS = 3
@@ -52,25 +52,40 @@
     counts: dict[int, Used] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Units:
+    units: int = 0
+    excess: int = 0
+    asked: int = 0
+
+    def plus(self, other: _Units, *, sign: int = 1) -> _Units:
+        return _Units(
+            units=self.units + sign * other.units,
+            excess=self.excess + sign * other.excess,
+            asked=self.asked + sign * other.asked,
+        )
+
+
 @dataclass(kw_only=True)
 class _Sum:
     """Units that all nodes have admitted since this node adds them up."""
 
-    units: int = 0
-    excess: int = 0
+    total: _Units = field(default_factory=_Units)
     changed_at: float = 0.0
-    by_node: dict[int, tuple[int, int]] = field(default_factory=dict)
+    by_node: dict[int, _Units] = field(default_factory=dict)
 
-    def add(self, node: int, units: int, excess: int, now: float) -> None:
-        self.units += units
-        self.excess += excess
+    def add(self, node: int, now_told: Used, before: Used, now: float) -> None:
+        change = _Units(
+            units=wrapped_difference(now_told.units, before.units),
+            excess=wrapped_difference(now_told.excess, before.excess),
+            asked=wrapped_difference(now_told.asked, before.asked),
+        )
+        self.total = self.total.plus(change)
+        self.by_node[node] = self.by_node.get(node, _Units()).plus(change)
         self.changed_at = now
-        own = self.by_node.get(node, (0, 0))
-        self.by_node[node] = (own[0] + units, own[1] + excess)
 
-    def without(self, node: int) -> tuple[int, int]:
-        own = self.by_node.get(node, (0, 0))
-        return self.units - own[0], self.excess - own[1]
+    def without(self, node: int) -> _Units:
+        return self.total.plus(self.by_node.get(node, _Units()), sign=-1)
 
 
 @dataclass(kw_only=True)
@@ -150,6 +165,7 @@
                         organisation=crc(name),
                         units=int(spent.units),
                         excess=int(spent.excess),
+                        asked=int(spent.asked),
                     )
                 )
         return tuple(changed)
@@ -171,12 +187,7 @@
             known.counts[used.organisation] = used
             # What was admitted over a silence came out of the other side's share.
             if before is not None and fresh:
-                self._sums[used.organisation].add(
-                    message.node,
-                    wrapped_difference(used.units, before.units),
-                    wrapped_difference(used.excess, before.excess),
-                    now,
-                )
+                self._sums[used.organisation].add(message.node, used, before, now)
         self._forget_silent(now)
         self._link.send(address, self._totals_for(message, now))
 
@@ -186,8 +197,15 @@
         for organisation, total in self._sums.items():
             if total.changed_at < recently:
                 continue
-            units, excess = total.without(message.node)
-            used.append(Used(organisation=organisation, units=units, excess=excess))
+            others = total.without(message.node)
+            used.append(
+                Used(
+                    organisation=organisation,
+                    units=others.units,
+                    excess=others.excess,
+                    asked=others.asked,
+                )
+            )
         return Totals(
             home=self._node,
             number=message.number,
@@ -240,11 +258,14 @@
         summer.last[used.organisation] = used
         total = summer.totals.get(name, Spent())
         if before is None:
-            summer.totals[name] = Spent(units=used.units, excess=used.excess)
+            summer.totals[name] = Spent(
+                units=used.units, excess=used.excess, asked=used.asked
+            )
             return
         summer.totals[name] = Spent(
             units=total.units + wrapped_difference(used.units, before.units),
             excess=total.excess + wrapped_difference(used.excess, before.excess),
+            asked=total.asked + wrapped_difference(used.asked, before.asked),
         )
 
     def _count_nodes(self) -> None:
--- a/baobabwing/gateway/placement/codec.py
+++ b/baobabwing/gateway/placement/codec.py
@@ -61,7 +61,7 @@
 # Node, number, nodes heard.
 _TOTALS = struct.Struct("!IIH")
 _REPORT = struct.Struct("!II")
-_USED = struct.Struct("!III")
+_USED = struct.Struct("!IIII")
 
 _PACKERS: dict[type, tuple[bytes, Callable[[Any], bytes]]] = {}
 _READERS: dict[bytes, Callable[[_Reader], Message]] = {}
@@ -147,8 +147,8 @@
     def used(self) -> tuple[Used, ...]:
         (count,) = self.take(_COUNT)
         return tuple(
-            Used(organisation=name, units=units, excess=excess)
-            for name, units, excess in self.many(_USED, count)
+            Used(organisation=name, units=units, excess=excess, asked=asked)
+            for name, units, excess, asked in self.many(_USED, count)
         )
 
     def end(self) -> None:
@@ -174,7 +174,12 @@
 
 def _used(used: tuple[Used, ...]) -> bytes:
     packed = [
-        _USED.pack(one.organisation, one.units % _WRAP, one.excess % _WRAP)
+        _USED.pack(
+            one.organisation,
+            one.units % _WRAP,
+            one.excess % _WRAP,
+            one.asked % _WRAP,
+        )
         for one in used
     ]
     return _COUNT.pack(len(packed)) + b"".join(packed)
--- a/baobabwing/gateway/placement/messages.py
+++ b/baobabwing/gateway/placement/messages.py
@@ -161,15 +161,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Used:
-    """Units of an organisation; both counts wrap around at 2**32.
+    """Units of an organisation; all counts wrap around at 2**32.
 
     :param organisation: crc of the name.
     :param excess: units out of the tolerance.
+    :param asked: units that were asked for, admitted or not.
     """
 
     organisation: int
     units: int
     excess: int
+    asked: int
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -37,7 +37,9 @@
         self.settings = settings
         self.rng = rng
         self.table: RouteTable | None = None
-        self.quotas = QuotaBook(tolerance=settings.tolerance, now=time.monotonic())
+        self.quotas = QuotaBook(
+            tolerance=settings.tolerance, now=time.monotonic(), rng=rng
+        )
         self.pools: dict[str, PoolRuntime] = {}
         self.leaving_since: float | None = None
         self.placer: Placer | None = None
--- a/tests/gateway/decisions/test_quotas.py
+++ b/tests/gateway/decisions/test_quotas.py
@@ -26,9 +26,12 @@
 class Fleet:
     """Books of several nodes, their reports, and who hears whom."""
 
-    def __init__(self, count):
+    def __init__(self, count, tolerance=TOLERANCE):
         self.names = range(count)
-        self.books = [QuotaBook(tolerance=TOLERANCE, now=0.0) for _ in self.names]
+        self.books = [
+            QuotaBook(tolerance=tolerance, now=0.0, rng=random.Random(name))
+            for name in self.names
+        ]
         for book in self.books:
             book.configure([SPEC], 0.0)
         self.sides = [set(self.names)]
@@ -51,12 +54,12 @@
         self.set_share(name, next(one for one in self.sides if name in one))
         self.books[name].configure([SPEC], self.now)
 
-    def admit(self, name, *, places_free):
+    def admit(self, name, *, places_free, units=UNITS):
         charge = self.books[name].admit(
-            "acme", UNITS, self.now, places_free=places_free
+            "acme", units, self.now, places_free=places_free
         )
         if charge.admitted:
-            self.admitted.append((self.now, UNITS))
+            self.admitted.append((self.now, units))
 
     def tick(self, *, demand, places_free=False):
         for name in self.names:
@@ -75,9 +78,23 @@
             total = Spent(
                 units=sum(one["acme"].units for one in others),
                 excess=sum(one["acme"].excess for one in others),
+                asked=sum(one["acme"].asked for one in others),
             )
             self.books[hearer].hear("sum", {"acme": total}, self.now)
 
+    def hear_sides(self, told):
+        """Have each node hear, as one sum, what its side had told some time ago."""
+        for side in self.sides:
+            for hearer in side:
+                others = [told[name]["acme"] for name in side if name != hearer]
+                total = Spent(
+                    units=sum(one.units for one in others),
+                    excess=sum(one.excess for one in others),
+                    asked=sum(one.asked for one in others),
+                )
+                peer = f"sum of {sorted(side)}"
+                self.books[hearer].hear(peer, {"acme": total}, self.now)
+
     def most_in_a_window(self):
         most = inside = first = 0
         for at, units in self.admitted:
@@ -158,6 +175,81 @@
     assert fleet.most_in_a_window() <= BOUND
 
 
+TIGHT = Tolerance(window_s=WINDOW_S, over=0.1, slack=850.0)
+TIGHT_BOUND = (SPEC.rate_per_s * WINDOW_S + SPEC.burst) * 1.1 + 850.0
+NOTICED_TICKS = 8
+LASTING_TICKS = 80
+
+
+def requests(rng, total):
+    """Draw sizes of requests up to a total: most are small, a few take a lot."""
+    while total > 0:
+        units = min(rng.lognormvariate(3.5, 1.0), 0.4 * SPEC.burst)
+        total -= units
+        yield units
+
+
+@pytest.mark.parametrize("seed", range(25))
+@pytest.mark.parametrize("places_free", [False, True])
+def test_bound_holds_when_nodes_are_cut_off_right_after_a_rush(seed, places_free):
+    """An organisation turns to four times its limit, and then two of six nodes are cut.
+
+    Each side takes most of a second to notice, and fills the bucket meanwhile as if it
+    had the others' part; what was admitted just before the cut is never heard. The
+    tolerance is less than two seconds of the limit's rate.
+    """
+    rng = random.Random(seed)
+    fleet = Fleet(6, TIGHT)
+    hot_at = 40 + rng.randrange(20)
+    cut_at = hot_at + rng.randrange(15)
+    healed_at = cut_at + 70
+    told = [book.spent() for book in fleet.books]
+    for tick in range(250):
+        hot = hot_at <= tick < hot_at + LASTING_TICKS
+        total = (4.4 if hot else 0.5) * SPEC.rate_per_s * TICK_S
+        for units in requests(rng, total):
+            fleet.admit(rng.randrange(6), units=units, places_free=places_free)
+        fleet.now += TICK_S
+        if tick == cut_at:
+            fleet.sides = [{0, 1}, {2, 3, 4, 5}]
+        if tick == healed_at:
+            fleet.sides = [set(fleet.names)]
+        if tick in (cut_at + NOTICED_TICKS, healed_at + NOTICED_TICKS):
+            fleet.split(fleet.sides)
+        if tick % 3 == 1:
+            told = [book.spent() for book in fleet.books]
+        if tick % 3 == 2:
+            fleet.hear_sides(told)
+    assert fleet.most_in_a_window() <= TIGHT_BOUND
+
+
+def test_urgent_requests_go_first_within_a_limit():
+    """An organisation sends four times its limit: large urgent requests among others.
+
+    The rest of a bucket that is nearly empty was enough for small requests only, so
+    that the large ones, the most urgent, were refused most often. What is urgent would
+    fit the limit: nearly all of the limit goes to it.
+    """
+    fleet = Fleet(7)
+    rng = random.Random(3)
+    told = [book.spent() for book in fleet.books]
+    asked, admitted = {0: 0.0, 1: 0.0}, {0: 0.0, 1: 0.0}
+    for tick in range(300):
+        kinds = [(0, 180.0)] * (rng.random() < 0.33) + [(1, 30.0)] * 11
+        for rank, units in kinds:
+            book = fleet.books[rng.randrange(7)]
+            charge = book.admit("acme", units, fleet.now, rank=rank)
+            asked[rank] += units
+            admitted[rank] += units * charge.admitted
+        fleet.now += TICK_S
+        if tick % 3 == 1:
+            told = [book.spent() for book in fleet.books]
+        if tick % 3 == 2:
+            fleet.hear_late(told)
+    assert admitted[0] / asked[0] > 0.8
+    assert admitted[0] + admitted[1] > 0.9 * SPEC.rate_per_s * fleet.now
+
+
 def test_lowered_limit_binds_within_a_window():
     """The operator lowers a limit far below what the organisation sends.
 
@@ -249,3 +341,48 @@
     assert book.spent()["acme"].units == 400.0
     book.give_back("acme", charge, 1.0)
     assert book.spent()["acme"].units == 0.0
+
+
+def test_organisation_far_over_its_limit_gets_its_limit_evenly():
+    """An organisation sends six times its limit to seventy nodes.
+
+    Each hears of the others late. If all used the same rest, they would admit for a
+    second and then refuse everything for many; its callers, and the engines, would
+    see nothing but bursts. In each second it gets about its limit.
+    """
+    fleet = Fleet(70)
+    rng = random.Random(1)
+    told = [book.spent() for book in fleet.books]
+    for tick in range(200):
+        for _ in range(int(6 * SPEC.rate_per_s * TICK_S / UNITS)):
+            fleet.admit(rng.randrange(70), places_free=False)
+        fleet.now += TICK_S
+        if tick % 3 == 1:
+            told = [book.spent() for book in fleet.books]
+        if tick % 3 == 2:
+            fleet.hear_late(told)
+    by_second = [0.0] * 20
+    for at, units in fleet.admitted:
+        by_second[int(at)] += units
+    for units in by_second[5:]:
+        assert 0.4 * SPEC.rate_per_s <= units <= 1.8 * SPEC.rate_per_s
+    assert sum(by_second[5:]) == pytest.approx(15 * SPEC.rate_per_s, rel=0.15)
+
+
+@pytest.mark.parametrize("nodes", [7, 70])
+def test_below_the_limit_nothing_is_refused_with_late_counts(nodes):
+    """An organisation sends two thirds of its limit, spread over all nodes."""
+    fleet = Fleet(nodes)
+    rng = random.Random(2)
+    told = [book.spent() for book in fleet.books]
+    sent = 0
+    for tick in range(300):
+        for _ in range(int(0.67 * SPEC.rate_per_s * TICK_S / UNITS)):
+            fleet.admit(rng.randrange(nodes), places_free=False)
+            sent += 1
+        fleet.now += TICK_S
+        if tick % 3 == 1:
+            told = [book.spent() for book in fleet.books]
+        if tick % 3 == 2:
+            fleet.hear_late(told)
+    assert len(fleet.admitted) == sent
--- a/tests/gateway/placement/test_codec.py
+++ b/tests/gateway/placement/test_codec.py
@@ -43,7 +43,7 @@
     excluded=(5, 6),
     moves_from=9,
 )
-USED = (Used(organisation=1, units=2, excess=2**32 - 1),)
+USED = (Used(organisation=1, units=2, excess=2**32 - 1, asked=9),)
 EXAMPLES = [
     ASK,
     Queued(number=1, cell=CELL, state=STATE),
