Tell callers over a limit to come back when the limit has caught up

Hypothesis: what was asked for beyond the limit is a queue that the limit's rate works off; its length is when a place comes. Ruled out: letting those who come back pass first (they are as many as all others in a rush, and large ones are refused again then).

Change: each node follows how far the limit is behind, by what all nodes are asked for, 4 s at the most; Retry-After is half to all of it.

--- a/baobabwing/gateway/decisions/demand.py
+++ b/baobabwing/gateway/decisions/demand.py
@@ -18,6 +18,9 @@
 _STALE_S = 1.0
 # Two words that come at almost the same time say nothing of a rate.
 _LEAST_HEARD_S = 0.05
+# Longest time that callers are told to stay away: bursts and organisations far over
+# their limit last 3 to 10 s, and callers keep to a third of their time at the most.
+_MOST_BEHIND_S = 4.0
 
 
 @dataclass(kw_only=True)
@@ -39,6 +42,8 @@
     _own_per_s: float = 0.0
     _mix: dict[int, float] = field(default_factory=dict)
     _peers: dict[str, _PeerRate] = field(default_factory=dict)
+    _behind_s: float = 0.0
+    _followed_at: float = 0.0
 
     def ask(self, units: float, rank: int, now: float) -> None:
         """Count a request of this node."""
@@ -89,6 +94,20 @@
             return allowed_per_s / total
         return (allowed_per_s / total * whole - before) / own
 
+    def behind_s(self, rate_per_s: float, now: float) -> float:
+        """Return how long the limit would take for what was asked for beyond it.
+
+        Callers that come back sooner meet those that were refused before them, and
+        are refused again.
+
+        :param rate_per_s: the limit's rate.
+        """
+        passed = now - self._followed_at if self._followed_at else 0.0
+        self._followed_at = now
+        grown = self._behind_s + passed * (self.total_per_s(now) / rate_per_s - 1)
+        self._behind_s = min(max(grown, 0.0), _MOST_BEHIND_S)
+        return self._behind_s
+
     def _fresh(self, now: float) -> list[_PeerRate]:
         return [one for one in self._peers.values() if now - one.heard_at <= _STALE_S]
 
--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -38,9 +38,9 @@
 # A bucket that is dealt out comes back to its held part within this time; counts of
 # others are up to 0.5 s old, and a correction must not be faster than what it is for.
 _LEVEL_S = 2.0
-# An organisation over its limit: callers that are refused by urgency come back spread
-# over this time, in which half of a burst's traffic is over.
-_SPREAD_S = 1.0
+# Callers that are refused come back spread over this part of the time that the limit
+# is behind, so that they do not all meet again.
+_SPREAD = (0.5, 1.0)
 # Part of the tolerance that is kept back at least, and the seconds of the limit's rate.
 # What peers admitted is known 0.1 to 0.5 s late; until then all nodes see the same
 # rest. At five times the limit they admit up to 2 s of its rate too much meanwhile, out
@@ -142,6 +142,7 @@
     spent: float = 0.0
     spent_excess: float = 0.0
     asked: float = 0.0
+    behind_s: float = 0.0
     excess: _Window = field(default_factory=_Window)
 
     def fill(self, now: float, share: float) -> None:
@@ -247,6 +248,8 @@
         bucket.fill(now, self._share)
         bucket.asked += units
         bucket.demand.ask(units, rank, now)
+        rate = bucket.spec.rate_per_s * self._share
+        bucket.behind_s = bucket.demand.behind_s(rate, now)
         if self._passes(bucket, units, rank, now):
             bucket.level -= units
             bucket.spent += units
@@ -353,11 +356,10 @@
 
     def _wait_s(self, bucket: _Bucket, units: float) -> float:
         """Return when a request that is refused is to come back."""
-        lacking = self._needed(bucket, units) - bucket.level
-        wait_s = lacking / (bucket.spec.rate_per_s * self._share)
-        if wait_s > 0:
-            return max(wait_s, _LEAST_RETRY_S)
-        return _SPREAD_S * self._rng.uniform(0.5, 1.5)
+        rate = bucket.spec.rate_per_s * self._share
+        lacking_s = (self._needed(bucket, units) - bucket.level) / rate
+        behind_s = bucket.behind_s * self._rng.uniform(*_SPREAD)
+        return max(lacking_s, behind_s, _LEAST_RETRY_S)
 
     def _tolerated(self, bucket: _Bucket, units: float, now: float) -> bool:
         if now < self._excess_from:
--- a/tests/gateway/decisions/test_quotas.py
+++ b/tests/gateway/decisions/test_quotas.py
@@ -326,6 +326,27 @@
     assert book.admit("acme", UNITS, 1.0 + charge.retry_after_s).admitted
 
 
+def test_refused_callers_are_told_to_come_back_when_the_limit_has_caught_up():
+    """An organisation sends four times its limit for seconds.
+
+    Told to come back as soon as the bucket has a rest, callers met all the others and
+    were refused again. The longer it goes on, the later they are to come back.
+    """
+    book = QuotaBook(tolerance=TOLERANCE, now=0.0, rng=random.Random(4))
+    book.configure([SPEC], 0.0)
+    waits = {1: [], 4: []}
+    for step in range(500):
+        now = step / 100
+        charge = book.admit("acme", UNITS, now)
+        if not charge.admitted and int(now) in waits:
+            waits[int(now)].append(charge.retry_after_s)
+    early, later = (sum(one) / len(one) for one in waits.values())
+    assert early < 1.5
+    assert later > 2.0
+    # After a pause the limit has caught up, and nothing is held against the caller.
+    assert book.admit("acme", UNITS, 20.0).admitted
+
+
 def test_charge_by_unit():
     book = QuotaBook(tolerance=TOLERANCE, now=0.0)
     by_request = OrganisationSpec(name="x", keys=())
