Say how late a process runs, what a cell costs its home, and how long homes take

Cause: 1,916 lines said that a home was silent, and nothing told a busy home from a late asker or from lost datagrams. Change: 3504 carries the home's usual time to answer and the asker's own delay; 3509 says each second what a home did for a cell; 8505 says when a process runs late, and the processor time it used; two gauges.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -232,6 +232,11 @@
         """Whether no node has anything here."""
         return not self._asked and not self._held
 
+    @property
+    def held(self) -> int:
+        """Requests that have their place."""
+        return len(self._held)
+
     def _hear(self, node: int, now: float) -> None:
         self._heard[node] = now
         self.used_at = now
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -6,6 +6,7 @@
     "CALLER_LEFT",
     "CONFIGURATION_TAKEN",
     "CELL_DROPPED",
+    "CELL_LOAD",
     "CELL_TAKEN",
     "CONNECTION_FAULT",
     "DOCUMENT_TAKEN",
@@ -19,6 +20,7 @@
     "MESSAGE_DROPPED",
     "NODES_UNREAD",
     "PLACED_ALONE",
+    "PROCESS_LATE",
     "SETTINGS_RELOADED",
     "SHARE_CHANGED",
     "REQUEST_ENDED",
@@ -127,6 +129,13 @@
 CELL_DROPPED = define(
     3506, "cell_dropped", "Nobody asks this node for a cell's places any more."
 )
+CELL_LOAD = define(
+    3509,
+    "cell_load",
+    "What this node did in a second as the home of a cell: messages, the processor "
+    "time they took, and the requests that wait and run.",
+    routine=True,
+)
 MESSAGE_DROPPED = define(
     3507, "message_dropped", "A datagram that is none of a gateway's was dropped."
 )
@@ -166,6 +175,12 @@
 GATEWAY_LEAVING = define(
     8502, "gateway_leaving", "A graceful shutdown began; callers are sent elsewhere."
 )
+PROCESS_LATE = define(
+    8505,
+    "process_late",
+    "The process ran its timers late; by how much at the worst, and the processor "
+    "time that it used meanwhile. Little of it: it was kept from running.",
+)
 GATEWAY_STOPPED = define(
     8503, "gateway_stopped", "The gateway ended; requests that were still open."
 )
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -20,6 +20,7 @@
 )
 from baobabwing.gateway.exchange import ConnectionPool
 from baobabwing.gateway.forwarding import Forwarder
+from baobabwing.gateway.lateness import LoopWatch
 from baobabwing.gateway.limits import LimitsExchange
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.metrics import GatewayMetrics
@@ -63,7 +64,10 @@
         self.members = Members(settings=settings, work=settings.work)
         self.link = WorkLink()
         self._homes = CellHomes(link=self.link, members=self.members, rng=rng)
-        self._placer = Placer(link=self.link, members=self.members, rng=rng)
+        self._watch = LoopWatch()
+        self._placer = Placer(
+            link=self.link, members=self.members, rng=rng, watch=self._watch
+        )
         self.state.placer = self._placer
         self.state.on_pool = self._homes.list_pool
         self._limits = LimitsExchange(
@@ -126,6 +130,7 @@
         tasks = [
             asyncio.ensure_future(one)
             for one in (
+                self._watch.run(),
                 self.members.run(),
                 self._homes.run(),
                 self._placer.run(),
@@ -194,6 +199,8 @@
         metrics.version.set(self.state.version)
         metrics.peers.set(len(self.members.others()))
         metrics.work_bytes.set(self.link.sent_bytes)
+        metrics.late.set(self._watch.late_s)
+        metrics.home_answer.set(self._placer.slowest_answer_s)
         metrics.store_away.set(self.sharing.store_away)
         return PlainAnswer(
             status=200, body=metrics.render(), content_type=b"text/plain"
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -89,6 +89,14 @@
             "baobabwing_gateway_work_bytes",
             "Bytes of messages on places and limits sent to other nodes.",
         )
+        self.late = self._gauge(
+            "baobabwing_gateway_loop_late_seconds",
+            "Worst delay of the process's timers in the last one to two seconds.",
+        )
+        self.home_answer = self._gauge(
+            "baobabwing_gateway_home_answer_seconds",
+            "Usual time to the answer of the slowest home that is asked.",
+        )
         self.store_away = self._gauge(
             "baobabwing_gateway_store_away", "1 while the store does not answer."
         )
--- a/baobabwing/gateway/placement/asking.py
+++ b/baobabwing/gateway/placement/asking.py
@@ -14,6 +14,7 @@
 from baobabwing.gateway.decisions.scheduling import Ask, Grant
 from baobabwing.gateway.decisions.tracking import Outstanding, UpstreamTrack
 from baobabwing.gateway.events import HOME_SILENT
+from baobabwing.gateway.lateness import LoopWatch
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.placement.codec import crc
 from baobabwing.gateway.placement.homes import CellPool, held_pause_s
@@ -68,6 +69,8 @@
 # Requests that wait and are named in one datagram.
 _MOST_NAMED = 200
 _NOBODY_WAITS_S = 3600.0
+# Weight of a new sample of the time that a home takes to answer.
+_ANSWER_ALPHA = 0.1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -116,9 +119,13 @@
     :param link: carries the messages.
     :param members: tell which nodes there are.
     :param rng: draws between cells.
+    :param watch: tells how late this process itself is.
     """
 
-    def __init__(self, *, link: WorkLink, members: Members, rng: Random) -> None:
+    def __init__(
+        self, *, link: WorkLink, members: Members, rng: Random, watch: LoopWatch
+    ) -> None:
+        self._watch = watch
         self._link = link
         self._members = members
         self._rng = rng
@@ -131,6 +138,7 @@
         self._states: dict[CellKey, tuple[CellState, float]] = {}
         self._heard: dict[str, float] = {}
         self._asked: dict[str, float] = {}
+        self._answer_s: dict[str, float] = {}
         self._silent: dict[str, _Silence] = {}
         self._flush: asyncio.TimerHandle | None = None
         link.handle(Queued, self._take_queued)
@@ -435,10 +443,23 @@
     def _hear(self, address: str, key: CellKey, state: CellState) -> None:
         now = time.monotonic()
         self._heard[address] = now
-        self._asked.pop(address, None)
+        self._sample_answer(address, now)
         self._states[key] = (state, now)
         self._silent.pop(address, None)
 
+    def _sample_answer(self, address: str, now: float) -> None:
+        """Take how long the oldest question without an answer has waited for one."""
+        asked_at = self._asked.pop(address, None)
+        if asked_at is None:
+            return
+        usual_s = self._answer_s.setdefault(address, now - asked_at)
+        self._answer_s[address] += _ANSWER_ALPHA * (now - asked_at - usual_s)
+
+    @property
+    def slowest_answer_s(self) -> float:
+        """Usual time to the answer of the slowest home that was asked."""
+        return max(self._answer_s.values(), default=0.0)
+
     def _avoid(self, address: str) -> None:
         """Ask others instead of a home that is silent, for a while."""
         before = self._silent.get(address)
@@ -455,6 +476,8 @@
             asked=len(asked),
             heard_s=round(now - self._heard.get(address, now), 3),
             avoided_s=pause_s,
+            answer_ms=round(1000 * self._answer_s.get(address, 0.0), 1),
+            own_late_ms=round(1000 * self._watch.late_s, 1),
         )
         for waiting in asked:
             self._finish(waiting, None)
--- a/baobabwing/gateway/placement/homes.py
+++ b/baobabwing/gateway/placement/homes.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import time
-from collections.abc import Iterable
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 from baobabwing.gateway.decisions.cell_queue import CellQueue, Holder
 from baobabwing.gateway.decisions.cells import cell_layout
 from baobabwing.gateway.decisions.scheduling import Ask, Grant, PoolScheduler
-from baobabwing.gateway.events import CELL_DROPPED, CELL_TAKEN
+from baobabwing.gateway.events import CELL_DROPPED, CELL_LOAD, CELL_TAKEN
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.model import UpstreamEntry
 from baobabwing.gateway.placement.codec import crc
@@ -42,6 +45,7 @@
 _LEAST_RETRY_AFTER_S = 0.2
 # A cell that nobody asks for is forgotten; another node is its home now.
 _IDLE_S = 60.0
+_TELL_LOAD_S = 1.0
 
 
 def held_pause_s(nodes: int) -> float:
@@ -75,6 +79,17 @@
         return tuple(self._entries[name] for name in self.layout[index])
 
 
+@dataclass(kw_only=True)
+class _Work:
+    """What a cell has cost its home since the last line about it.
+
+    :param spent_s: processor time.
+    """
+
+    messages: int = 0
+    spent_s: float = 0.0
+
+
 class CellHomes:
     """Queues of the cells that other nodes, or this one, ask here for.
 
@@ -96,9 +111,10 @@
         self._queues: dict[CellKey, CellQueue] = {}
         self._addresses: dict[int, str] = {}
         self._due: set[CellKey] = set()
-        link.handle(AskMessage, self._take_ask)
-        link.handle(Notes, self._take_notes)
-        link.handle(Holdings, self._take_holdings)
+        self._work: dict[CellKey, _Work] = defaultdict(_Work)
+        link.handle(AskMessage, self._counted(self._take_ask))
+        link.handle(Notes, self._counted(self._take_notes))
+        link.handle(Holdings, self._counted(self._take_holdings))
 
     def list_pool(self, pool: CellPool) -> None:
         """Take a pool whose engines, or their figures, changed."""
@@ -111,9 +127,13 @@
 
     async def run(self) -> None:
         """Look after the queues for as long as the node runs."""
+        told_at = time.monotonic()
         while True:
             await asyncio.sleep(_TICK_S)
             now = time.monotonic()
+            if now - told_at >= _TELL_LOAD_S:
+                told_at = now
+                self._tell_load()
             for key, queue in tuple(self._queues.items()):
                 queue.forget(now, repeat_s=held_pause_s(self._members.total))
                 for holder, wait_s in queue.hopeless(now):
@@ -124,6 +144,36 @@
                 else:
                     self._pump(key)
 
+    def _counted(
+        self, handler: Callable[[Any, str], None]
+    ) -> Callable[[Any, str], None]:
+        """Have a cell's messages counted, and the processor time that they take."""
+
+        def take(message: Any, address: str) -> None:
+            before = time.thread_time()
+            handler(message, address)
+            work = self._work[message.cell]
+            work.messages += 1
+            work.spent_s += time.thread_time() - before
+
+        return take
+
+    def _tell_load(self) -> None:
+        for key, work in self._work.items():
+            queue = self._queues.get(key)
+            if queue is None:
+                continue
+            log(
+                CELL_LOAD,
+                pool=self._pool_name(key),
+                cell=key.index,
+                messages=work.messages,
+                spent_ms=round(1000 * work.spent_s, 1),
+                waiting=len(queue.scheduler.waiting),
+                held=queue.held,
+            )
+        self._work.clear()
+
     def _take_ask(self, message: AskMessage, address: str) -> None:
         now = time.monotonic()
         key = message.cell
@@ -195,7 +245,9 @@
 
     def _pump_due(self, key: CellKey) -> None:
         self._due.discard(key)
+        before = time.thread_time()
         self._pump(key)
+        self._work[key].spent_s += time.thread_time() - before
 
     def _pump(self, key: CellKey) -> None:
         queue = self._queues.get(key)
--- a/tests/gateway/placement/test_asking.py
+++ b/tests/gateway/placement/test_asking.py
@@ -6,6 +6,7 @@
 
 from baobabwing.gateway.decisions.cell_queue import NoteKind
 from baobabwing.gateway.decisions.scheduling import Ask, PoolScheduler
+from baobabwing.gateway.lateness import LoopWatch
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 from baobabwing.gateway.placement.asking import Placer
 from baobabwing.gateway.placement.homes import CellHomes, CellPool
@@ -37,7 +38,9 @@
         rng = random.Random(seed)
         self.link = WorkLink()
         self.homes = CellHomes(link=self.link, members=members, rng=rng)
-        self.placer = Placer(link=self.link, members=members, rng=rng)
+        self.placer = Placer(
+            link=self.link, members=members, rng=rng, watch=LoopWatch()
+        )
         self.pool = CellPool(name="p", scheduler=PoolScheduler(engine=ENGINE, rng=rng))
         entries = [
             UpstreamEntry(instance=name, pool="p", address="a", slots=2)
