--- /dev/null
+++ b/tests/gateway/placement/fleet_model.py
@@ -0,0 +1,266 @@
+"""A fleet in simulated time: real placers and homes, processors that take their time.
+
+Each node reads its datagrams one after the other, and each takes processor time, so
+that a home with more messages than it can read answers late. Nothing waits for real
+time; a minute of fleet takes some seconds.
+"""
+
+import asyncio
+import selectors
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+
+from baobabwing.exceptions import NoPlaceError
+from baobabwing.gateway.decisions.cell_queue import NoteKind
+from baobabwing.gateway.decisions.repeats import RepeatBudget
+from baobabwing.gateway.decisions.scheduling import Ask, PoolScheduler
+from baobabwing.gateway.lateness import LoopWatch
+from baobabwing.gateway.model import EngineSpec, UpstreamEntry
+from baobabwing.gateway.placement import asking
+from baobabwing.gateway.placement.asking import Placer
+from baobabwing.gateway.placement.codec import decode, encode
+from baobabwing.gateway.placement.homes import CellHomes
+from baobabwing.gateway.pool import PoolRuntime
+
+# One way between two nodes.
+WAY_S = 0.001
+# Datagrams that a socket keeps, some 200 KB with what the kernel adds to each.
+SOCKET_KEEPS = 250
+
+
+class Clock:
+    """The time of all nodes; passes only while every one of them waits."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+class _Selector(selectors.SelectSelector):
+    def __init__(self, clock):
+        super().__init__()
+        self._clock = clock
+
+    def select(self, timeout=None):
+        events = super().select(0)
+        if not events:
+            assert timeout is not None, "everything waits, and nothing is due"
+            self._clock.now += timeout
+        return events
+
+
+class SimulatedLoop(asyncio.SelectorEventLoop):
+    """A loop whose time jumps to what is due next."""
+
+    def __init__(self, clock):
+        super().__init__(_Selector(clock))
+        self._simulated = clock
+
+    def time(self):
+        return self._simulated.now
+
+
+class SimulatedLink:
+    """Datagrams to nodes whose processors read them in turn."""
+
+    def __init__(self, fleet, address, message_s):
+        self.address = address
+        self.lost = 0
+        self.handled = 0
+        self._fleet = fleet
+        self._message_s = message_s
+        self._handlers = {}
+        self._inbox = deque()
+        self._reading = False
+        self.stopped = False
+
+    def handle(self, kind, handler):
+        self._handlers[kind] = handler
+
+    def send(self, address, message):
+        data = encode(message)
+        loop = asyncio.get_running_loop()
+        target = self._fleet.links.get(address)
+        if target is not None and not self.stopped:
+            loop.call_later(WAY_S, target.arrive, data, self.address)
+
+    def arrive(self, data, sender):
+        if self.stopped:
+            return
+        if len(self._inbox) >= SOCKET_KEEPS:
+            self.lost += 1
+            return
+        self._inbox.append((data, sender))
+        if not self._reading:
+            self._reading = True
+            self._read_next()
+
+    def _read_next(self):
+        if not self._inbox or self.stopped:
+            self._reading = False
+            return
+        asyncio.get_running_loop().call_later(self._message_s, self._read)
+
+    def _read(self):
+        if self._inbox and not self.stopped:
+            data, sender = self._inbox.popleft()
+            message = decode(data)
+            self.handled += 1
+            self._handlers[type(message)](message, sender)
+        self._read_next()
+
+
+class RankedMembers:
+    """All nodes, in one ranking that stays as it is."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+
+    @property
+    def total(self):
+        return len(self._fleet.links)
+
+    def on_change(self, listener):
+        """Nobody comes and nobody goes."""
+
+    def homes(self, resource, count):
+        return list(self._fleet.links)[:count]
+
+
+@dataclass
+class Second:
+    """What happened to the requests of one second."""
+
+    asked: int = 0
+    by_home: int = 0
+    alone: int = 0
+    no_place: int = 0
+    waits_s: list = field(default_factory=list)
+
+
+class ModelFleet:
+    """Nodes with one cell of engines.
+
+    :param message_s: processor time of a node for one datagram.
+    """
+
+    def __init__(self, monkeypatch, *, nodes, engines, slots, message_s, seed=1):
+        self.clock = Clock()
+        for module in (
+            "baobabwing.gateway.placement.asking",
+            "baobabwing.gateway.placement.homes",
+            "baobabwing.gateway.pool",
+            "baobabwing.gateway.lateness",
+        ):
+            monkeypatch.setattr(f"{module}.time.monotonic", self.clock)
+        self.silences = []
+        monkeypatch.setattr(asking, "log", self._hear_log)
+        self.rng = Random(seed)
+        self.links = {}
+        self.seconds = {}
+        self.in_flight = {f"e{index}": 0 for index in range(engines)}
+        self.most_in_flight = 0
+        self._slots = slots
+        self._nodes = nodes
+        self._message_s = message_s
+
+    def _hear_log(self, event, **fields):
+        if event.name == "home_silent":
+            self.silences.append(self.clock.now)
+
+    async def start(self):
+        members = RankedMembers(self)
+        spec = EngineSpec(slots=self._slots, kv_tokens=1_000_000)
+        entries = [
+            UpstreamEntry(instance=name, pool="p", address="a", slots=self._slots)
+            for name in self.in_flight
+        ]
+        self.tasks, self.pools = [], []
+        for number in range(self._nodes):
+            address = f"10.0.0.{number}:1"
+            link = SimulatedLink(self, address, self._message_s)
+            self.links[address] = link
+            rng = Random(self.rng.random())
+            homes = CellHomes(link=link, members=members, rng=rng)
+            placer = Placer(link=link, members=members, rng=rng, watch=LoopWatch())
+            pool = PoolRuntime(
+                name="p",
+                scheduler=PoolScheduler(engine=spec, rng=rng),
+                budget=RepeatBudget(ratio=0.2, slack=50.0, window_s=10.0),
+                placer=placer,
+            )
+            pool.scheduler.list_upstreams(entries)
+            pool.cells.list_upstreams(entries)
+            homes.list_pool(pool.cells)
+            self.pools.append(pool)
+            self.tasks += [
+                asyncio.ensure_future(homes.run()),
+                asyncio.ensure_future(placer.run()),
+            ]
+
+    def stop(self):
+        for task in self.tasks:
+            task.cancel()
+
+    async def load(self, per_s, seconds, *, first_s=0.2, holding_s=0.5):
+        """Send requests to nodes by chance, and wait for the time to be over."""
+        until = self.clock.now + seconds
+        while self.clock.now < until:
+            await asyncio.sleep(self.rng.expovariate(per_s))
+            pool = self.rng.choice(self.pools)
+            self.tasks.append(
+                asyncio.ensure_future(self._request(pool, first_s, holding_s))
+            )
+
+    async def _request(self, pool, first_s, holding_s):
+        began = self.clock.now
+        second = self.seconds.setdefault(int(began), Second())
+        second.asked += 1
+        ask = Ask(
+            rank=0,
+            arrived=began,
+            objective_at=began + 0.8,
+            deadline_at=began + 3.0,
+            ends_at=began + 6.0,
+            prompt_tokens=1000,
+            expected_out=40,
+        )
+        try:
+            grant = await pool.place(ask, self._nodes)
+        except (TimeoutError, NoPlaceError):
+            second.no_place += 1
+            return
+        second.waits_s.append(self.clock.now - began)
+        if pool.describe(grant)["home"]:
+            second.by_home += 1
+        else:
+            second.alone += 1
+        engine = grant.track.entry.instance
+        self.in_flight[engine] += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight[engine])
+        await asyncio.sleep(first_s)
+        pool.first_event(grant)
+        await asyncio.sleep(self.rng.uniform(0.5, 1.5) * holding_s - first_s / 2)
+        self.in_flight[engine] -= 1
+        pool.free(grant, NoteKind.DONE, 0.03)
+
+
+def play(fleet, story):
+    """Run a story in the fleet's time."""
+    loop = SimulatedLoop(fleet.clock)
+
+    async def whole():
+        await fleet.start()
+        try:
+            await story()
+        finally:
+            fleet.stop()
+            await asyncio.sleep(0)
+
+    try:
+        loop.run_until_complete(whole())
+    finally:
+        loop.close()
