Let the limit on a home's silence follow its answers

Cause: homes were left after 80 ms without a word, whatever their answers took; a rush makes these slower, all nodes leave at once, tell the next home all they hold, and put that one behind. Ruled out: late askers (9 of 2,018 verdicts), lost datagrams (none). Change: time to an answer and its deviation, as in TCP's retransmission timer (placement/patience.py); questions are asked again after that, homes left after twice that, 80 ms to 0.5 s. Answers after a verdict count as well. A home that is gone is left as before (80 ms where answers are fast).

--- a/baobabwing/gateway/placement/asking.py
+++ b/baobabwing/gateway/placement/asking.py
@@ -31,27 +31,16 @@
     Queued,
     Refused,
 )
+from baobabwing.gateway.placement.patience import HomePatience
 from baobabwing.reports.events import log
 
 __all__ = ["Placer", "Ticket"]
 
-# A home answers each question at once, within some 5 ms between zones. After this a
-# datagram was lost, or the home is gone or busy; the question is asked again, and then
-# after twice as long each time.
-_ANSWER_S = 0.04
-# A home from which nothing came on any question for this long is gone. One that is
-# only busy answers some: leaving it sends everything to the next one, and makes that
-# one busy in turn. With homes by processor time, it serves 4.7 of 100 requests more on
-# a day of overload at 86 nodes.
-_SILENT_S = 0.08
-# Questions that are sent once more while a home answers others.
+# A question that a home does not answer while it answers others is sent so many times.
 _SENDS = 4
 # Nodes that are asked for a cell, one after the other, before a request is placed
 # without any of them.
 _HOMES = 3
-# A home that was silent is asked again after this, longer each time.
-_AVOID_S = 0.5
-_AVOID_MOST_S = 4.0
 # Requests that wait are repeated this often, since only the answers show that the home
 # is still there.
 _REPEAT_S = 0.1
@@ -69,8 +58,8 @@
 # Requests that wait and are named in one datagram.
 _MOST_NAMED = 200
 _NOBODY_WAITS_S = 3600.0
-# Weight of a new sample of the time that a home takes to answer.
-_ANSWER_ALPHA = 0.1
+# A pause longer by this was no pause between repeats: the process did not run.
+_STOOD_STILL_S = 0.04
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -107,12 +96,6 @@
     timer: asyncio.TimerHandle | None = None
 
 
-@dataclass(kw_only=True)
-class _Silence:
-    until: float
-    pause_s: float
-
-
 class Placer:
     """Gets places for this node's requests.
 
@@ -136,10 +119,7 @@
         self._told: set[CellKey] = set()
         self._served_by: dict[CellKey, str] = {}
         self._states: dict[CellKey, tuple[CellState, float]] = {}
-        self._heard: dict[str, float] = {}
-        self._asked: dict[str, float] = {}
-        self._answer_s: dict[str, float] = {}
-        self._silent: dict[str, _Silence] = {}
+        self._patience = HomePatience()
         self._flush: asyncio.TimerHandle | None = None
         link.handle(Queued, self._take_queued)
         link.handle(Granted, self._take_granted)
@@ -229,9 +209,9 @@
             began = time.monotonic()
             pause_s = _REPEAT_S * max(1.0, self._members.total / _NODES_AT_FULL_PACE)
             await asyncio.sleep(pause_s)
-            if time.monotonic() - began > 2 * pause_s + _ANSWER_S:
+            if time.monotonic() - began > 2 * pause_s + _STOOD_STILL_S:
                 # This process stood still; the answers wait in its socket.
-                self._excuse_all()
+                self._patience.excuse(time.monotonic())
                 continue
             self._notice_silence(_LOST_REPEATS * pause_s)
             with_held = began - held_at >= held_pause_s(self._members.total) - pause_s
@@ -282,20 +262,20 @@
         # A request that gave its place back and asks again would get the same one.
         self._send_notes()
         self._link.send(waiting.home, waiting.message)
-        self._asked.setdefault(waiting.home, time.monotonic())
-        pause_s = _ANSWER_S * 2 ** max(waiting.sends - 2, 0)
+        self._patience.asked(waiting.home, time.monotonic())
+        repeat_s = self._patience.repeat_s(waiting.home)
+        pause_s = repeat_s * 2 ** max(waiting.sends - 2, 0)
         loop = asyncio.get_running_loop()
         waiting.timer = loop.call_later(pause_s, self._unanswered, waiting)
 
     def _unanswered(self, waiting: _Waiting) -> None:
         if waiting.heard or waiting.message.number not in self._waiting:
             return
-        now = time.monotonic()
-        heard_at = self._heard.get(waiting.home, 0.0)
-        # Since its last word, or since it was asked first without one.
-        quiet_s = now - max(heard_at, self._asked.get(waiting.home, now))
-        if quiet_s >= _SILENT_S or waiting.sends >= _SENDS:
+        quiet_s = self._patience.quiet_s(waiting.home, time.monotonic())
+        if quiet_s >= self._patience.limit_s(waiting.home):
             self._avoid(waiting.home)
+        elif waiting.sends >= _SENDS:
+            self._finish(waiting, None)
         else:
             self._send(waiting)
 
@@ -319,15 +299,13 @@
             self.note(fut.result(), NoteKind.RELEASED)
 
     def _take_queued(self, message: Queued, address: str) -> None:
-        self._hear(address, message.cell, message.state)
-        waiting = self._waiting.get(message.number)
+        waiting = self._hear_answer(address, message)
         if waiting is not None:
             waiting.heard = True
 
     def _take_granted(self, message: Granted, address: str) -> None:
-        self._hear(address, message.cell, message.state)
-        waiting = self._waiting.get(message.number)
-        if waiting is None or waiting.home != address:
+        waiting = self._hear_answer(address, message)
+        if waiting is None:
             if message.number not in self._tickets:
                 # The request has ended, or was placed by another home.
                 kind = NoteKind.RELEASED
@@ -363,9 +341,8 @@
         self._finish(waiting, grant)
 
     def _take_refused(self, message: Refused, address: str) -> None:
-        self._hear(address, message.cell, message.state)
-        waiting = self._waiting.get(message.number)
-        if waiting is not None and waiting.home == address:
+        waiting = self._hear_answer(address, message)
+        if waiting is not None:
             no_place = NoPlaceError(
                 "no place while it is of use",
                 retry_after_s=message.retry_after_s,
@@ -435,49 +412,52 @@
         """Return the first node of the cell's ranking that is not silent."""
         now = time.monotonic()
         for address in self._members.homes(f"cell/{pool.name}/{key.index}", _HOMES):
-            silence = self._silent.get(address)
-            if silence is None or silence.until <= now:
+            if not self._patience.left(address, now):
                 return address
         return None
 
-    def _hear(self, address: str, key: CellKey, state: CellState) -> None:
+    def _hear_answer(
+        self, address: str, message: Queued | Granted | Refused
+    ) -> _Waiting | None:
+        """Return the question that a home answers, if it still waits there."""
+        waiting = self._waiting.get(message.number)
+        if waiting is not None and waiting.home != address:
+            waiting = None
+        answer_s = None
+        if waiting is not None and not waiting.heard:
+            answer_s = time.monotonic() - waiting.since
+        self._hear(address, message.cell, message.state, answer_s)
+        return waiting
+
+    def _hear(
+        self,
+        address: str,
+        key: CellKey,
+        state: CellState,
+        answer_s: float | None = None,
+    ) -> None:
         now = time.monotonic()
-        self._heard[address] = now
-        self._sample_answer(address, now)
+        self._patience.heard(address, now, answer_s)
         self._states[key] = (state, now)
-        self._silent.pop(address, None)
-
-    def _sample_answer(self, address: str, now: float) -> None:
-        """Take how long the oldest question without an answer has waited for one."""
-        asked_at = self._asked.pop(address, None)
-        if asked_at is None:
-            return
-        usual_s = self._answer_s.setdefault(address, now - asked_at)
-        self._answer_s[address] += _ANSWER_ALPHA * (now - asked_at - usual_s)
 
     @property
     def slowest_answer_s(self) -> float:
         """Usual time to the answer of the slowest home that was asked."""
-        return max(self._answer_s.values(), default=0.0)
+        return self._patience.slowest_s
 
     def _avoid(self, address: str) -> None:
         """Ask others instead of a home that is silent, for a while."""
-        before = self._silent.get(address)
-        pause_s = _AVOID_S
-        if before is not None:
-            pause_s = min(2 * before.pause_s, _AVOID_MOST_S)
         now = time.monotonic()
-        self._silent[address] = _Silence(until=now + pause_s, pause_s=pause_s)
-        self._asked.pop(address, None)
         asked = [one for one in self._waiting.values() if one.home == address]
         log(
             HOME_SILENT,
             peer=address,
             asked=len(asked),
-            heard_s=round(now - self._heard.get(address, now), 3),
-            avoided_s=pause_s,
-            answer_ms=round(1000 * self._answer_s.get(address, 0.0), 1),
+            heard_s=round(self._patience.unheard_s(address, now), 3),
+            limit_s=round(self._patience.limit_s(address), 3),
+            answer_ms=round(1000 * self._patience.answer_s(address), 1),
             own_late_ms=round(1000 * self._watch.late_s, 1),
+            avoided_s=self._patience.leave(address, now),
         )
         for waiting in asked:
             self._finish(waiting, None)
@@ -486,14 +466,9 @@
         now = time.monotonic()
         asked = {one.home for one in self._waiting.values() if one.heard}
         for address in asked:
-            if now - self._heard.get(address, now) > limit_s:
+            if self._patience.unheard_s(address, now) > limit_s:
                 self._avoid(address)
 
-    def _excuse_all(self) -> None:
-        now = time.monotonic()
-        for address in self._heard:
-            self._heard[address] = now
-
     def _rehome(self) -> None:
         """Have requests that wait ask again where their cell's home is another now."""
         for waiting in tuple(self._waiting.values()):
--- a/tests/gateway/placement/test_asking.py
+++ b/tests/gateway/placement/test_asking.py
@@ -155,15 +155,15 @@
             (waiting,) = placer._waiting.values()
             waiting.timer.cancel()
             waiting.sends = 2
-            placer._heard[waiting.home] = time.monotonic()
+            placer._patience.heard(waiting.home, time.monotonic())
             placer._unanswered(waiting)
-            assert waiting.home not in placer._silent
+            assert not placer._patience.left(waiting.home, time.monotonic())
             assert waiting.sends == 3
             waiting.timer.cancel()
-            placer._heard[waiting.home] = time.monotonic() - 1.0
-            placer._asked[waiting.home] = time.monotonic() - 1.0
+            placer._patience.heard(waiting.home, time.monotonic() - 1.0)
+            placer._patience.asked(waiting.home, time.monotonic() - 1.0)
             placer._unanswered(waiting)
-            assert waiting.home in placer._silent
+            assert placer._patience.left(waiting.home, time.monotonic())
             grant = await asyncio.wait_for(asked, 10.0)
             assert placer.ticket(grant).home == fleet.nodes[1].link.address
 
