Have a home look at its queue once for all messages that are there

Cause: each message, also those that free no place (first events, reports of what is held), made the home look for places. Change: questions are answered after one look for all messages of a turn of the loop; words of first events and reports without an ending cause none.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -73,10 +73,12 @@
 
     :param unknown: requests that wait at the node and not here.
     :param granted: places whose grant the node seems to have missed.
+    :param dropped: whether something has ended that the node did not say before.
     """
 
     unknown: tuple[int, ...] = ()
     granted: tuple[tuple[Holder, Grant], ...] = ()
+    dropped: bool = False
 
 
 class CellQueue:
@@ -191,7 +193,7 @@
             named.add(holder)
             self._adopt(holder, place, now)
         asked = {Holder(node, number) for number in waiting}
-        self._drop_unnamed(node, named | asked, now, whole=whole)
+        dropped = self._drop_unnamed(node, named | asked, now, whole=whole)
         missed = [holder for holder in asked if holder in self._held]
         return Taken(
             unknown=tuple(
@@ -200,6 +202,7 @@
                 if holder not in self._asked and holder not in self._held
             ),
             granted=tuple((holder, self._held[holder]) for holder in missed),
+            dropped=dropped,
         )
 
     def forget(self, now: float, *, repeat_s: float) -> None:
@@ -278,8 +281,9 @@
 
     def _drop_unnamed(
         self, node: int, named: set[Holder], now: float, *, whole: bool
-    ) -> None:
+    ) -> bool:
         settled = now - _IN_TRANSIT_S
+        dropped = False
         for holder in tuple(self._by_node.get(node, ())):
             if holder in named:
                 continue
@@ -288,6 +292,8 @@
                 self._withdraw(holder)
             if grant is not None and grant.since < settled:
                 self._end(holder)
+                dropped = True
+        return dropped
 
     def _withdraw(self, holder: Holder) -> None:
         ask = self._asked.pop(holder)
--- a/baobabwing/gateway/placement/homes.py
+++ b/baobabwing/gateway/placement/homes.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import Any
 
-from baobabwing.gateway.decisions.cell_queue import CellQueue, Holder
+from baobabwing.gateway.decisions.cell_queue import CellQueue, Holder, NoteKind
 from baobabwing.gateway.decisions.cells import cell_layout
 from baobabwing.gateway.decisions.scheduling import Ask, Grant, PoolScheduler
 from baobabwing.gateway.events import CELL_DROPPED, CELL_LOAD, CELL_TAKEN
@@ -111,6 +111,7 @@
         self._queues: dict[CellKey, CellQueue] = {}
         self._addresses: dict[int, str] = {}
         self._due: set[CellKey] = set()
+        self._fresh: dict[CellKey, set[Holder]] = defaultdict(set)
         self._work: dict[CellKey, _Work] = defaultdict(_Work)
         link.handle(AskMessage, self._counted(self._take_ask))
         link.handle(Notes, self._counted(self._take_notes))
@@ -191,20 +192,20 @@
         if grant is not None:
             self._tell_grant(key, queue, holder, grant, now)
             return
-        self._pump(key)
-        if queue.waits(holder):
-            state = self._state(queue, now)
-            queued = Queued(number=message.number, cell=key, state=state)
-            self._link.send(address, queued)
+        self._fresh[key].add(holder)
+        self._pump_soon(key)
 
     def _take_notes(self, message: Notes, address: str) -> None:
         now = time.monotonic()
         queue = self._queue(message.cell, now)
         self._addresses[message.node] = address
+        ended = False
         for note in message.notes:
             holder = Holder(message.node, note.number)
             queue.note(holder, note.kind, note.pace_s, now)
-        self._pump_soon(message.cell)
+            ended = ended or note.kind is not NoteKind.FIRST
+        if ended:
+            self._pump_soon(message.cell)
 
     def _take_holdings(self, message: Holdings, address: str) -> None:
         now = time.monotonic()
@@ -219,7 +220,8 @@
         state = self._state(queue, now)
         answer = HoldingsTaken(cell=key, unknown=taken.unknown, state=state)
         self._link.send(address, answer)
-        self._pump_soon(key)
+        if taken.dropped:
+            self._pump_soon(key)
 
     def _queue(self, key: CellKey, now: float) -> CellQueue:
         queue = self._queues.get(key)
@@ -247,8 +249,24 @@
         self._due.discard(key)
         before = time.thread_time()
         self._pump(key)
+        self._tell_queued(key)
         self._work[key].spent_s += time.thread_time() - before
 
+    def _tell_queued(self, key: CellKey) -> None:
+        """Tell requests that were asked for just now, and got no place, that they wait.
+
+        Otherwise whoever asked would take the question, or the home, for lost.
+        """
+        fresh = self._fresh.pop(key, ())
+        queue = self._queues.get(key)
+        if queue is None:
+            return
+        state = self._state(queue, time.monotonic())
+        for holder in fresh:
+            if queue.waits(holder):
+                queued = Queued(number=holder.number, cell=key, state=state)
+                self._link.send(self._addresses[holder.node], queued)
+
     def _pump(self, key: CellKey) -> None:
         queue = self._queues.get(key)
         if queue is None:
