Let words of first events go along with others, and say how long they took

Cause: a third of the datagrams that a home reads in a rush told of first events, which free no place; a home that is behind also learned its own delay as the engines' reading speed. Change: they ride with the next words, or go after 0.1 s, and carry the time from the place to the event as the node saw it.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -156,7 +156,11 @@
     def note(
         self, holder: Holder, kind: NoteKind, pace_s: float | None, now: float
     ) -> None:
-        """Take what a node tells of its request."""
+        """Take what a node tells of its request.
+
+        :param pace_s: mean time between its events; of a first event the time that it
+            took, as the node saw it: a home that is behind reads of it late.
+        """
         self._hear(holder.node, now)
         if holder in self._asked:
             self._withdraw(holder)
@@ -165,7 +169,8 @@
         if grant is None:
             return
         if kind is NoteKind.FIRST:
-            grant.track.first_event(grant.ask.number, now)
+            first_at = now if pace_s is None else grant.since + pace_s
+            grant.track.first_event(grant.ask.number, first_at)
             return
         self._judge(grant.track, kind, pace_s, now)
         self.scheduler.held(now - grant.since)
--- a/baobabwing/gateway/placement/asking.py
+++ b/baobabwing/gateway/placement/asking.py
@@ -53,6 +53,9 @@
 _LOST_REPEATS = 4
 # Notes of this long go out together.
 _NOTES_S = 0.002
+# Words of first events free no place. They go along with the next words or question to
+# any home, or after this: a third of what nodes say to a home came by itself otherwise.
+_RIDE_S = 0.1
 # What a home said of its cell is used for the choice between cells for this long.
 _STATE_KEPT_S = 1.0
 # Requests that wait and are named in one datagram.
@@ -121,6 +124,7 @@
         self._states: dict[CellKey, tuple[CellState, float]] = {}
         self._patience = HomePatience()
         self._flush: asyncio.TimerHandle | None = None
+        self._flush_at = float("inf")
         link.handle(Queued, self._take_queued)
         link.handle(Granted, self._take_granted)
         link.handle(Refused, self._take_refused)
@@ -489,14 +493,23 @@
         pace_s: float | None,
     ) -> None:
         self._notes[home, key].append(Note(number=number, kind=kind, pace_s=pace_s))
-        if self._flush is None:
-            loop = asyncio.get_running_loop()
-            self._flush = loop.call_later(_NOTES_S, self._send_notes)
+        self._flush_within(_RIDE_S if kind is NoteKind.FIRST else _NOTES_S)
+
+    def _flush_within(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + seconds
+        if due_at >= self._flush_at:
+            return
+        if self._flush is not None:
+            self._flush.cancel()
+        self._flush_at = due_at
+        self._flush = loop.call_at(due_at, self._send_notes)
 
     def _send_notes(self) -> None:
         if self._flush is not None:
             self._flush.cancel()
             self._flush = None
+            self._flush_at = float("inf")
         for (home, key), notes in self._notes.items():
             self._link.send(home, Notes(node=self._node, cell=key, notes=tuple(notes)))
         self._notes.clear()
--- a/baobabwing/gateway/placement/messages.py
+++ b/baobabwing/gateway/placement/messages.py
@@ -116,7 +116,8 @@
 class Note:
     """What became of a request.
 
-    :param pace_s: mean time between its events, where it had several.
+    :param pace_s: mean time between its events, where it had several; of a first event
+        the time from the place to it.
     """
 
     number: int
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -103,8 +103,9 @@
 
     def first_event(self, grant: Grant) -> None:
         """Note that a request's prompt has been read."""
-        grant.track.first_event(grant.ask.number, time.monotonic())
-        self._tell(grant, NoteKind.FIRST)
+        now = time.monotonic()
+        grant.track.first_event(grant.ask.number, now)
+        self._tell(grant, NoteKind.FIRST, now - grant.since)
 
     def pump(self) -> None:
         """Place what waits here, where there is room now."""
