Read all datagrams that are there before timers judge who is silent

Cause: asyncio's own transport reads one datagram a turn of the loop, and all timers that are due run after it: a node that was late left homes whose answers lay in its socket, and a busy home read its messages no faster than its callers' connections had their turns. Change: the link reads up to 64 datagrams a turn with a reader of its own.

--- a/baobabwing/gateway/placement/link.py
+++ b/baobabwing/gateway/placement/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -16,12 +17,21 @@
 
 Handler = Callable[[Any, str], None]
 
+# Datagrams that are read in one turn of the loop, some 5 ms of work; connections of
+# callers have their turn between.
+_MOST_READ = 64
+_LARGEST = 65_536
 
-class WorkLink(asyncio.DatagramProtocol):
+
+class WorkLink:
     """Sends messages to nodes and hands on what arrives, by its type.
 
     Datagrams are lost now and then; whoever sends one repeats it or can do without.
     A message to the own address takes no way over the network.
+
+    All datagrams that are there are read before the loop goes on. With one a turn, as
+    asyncio's own transport reads, a node that was late for a moment ran its timers
+    before it had read the answers that they wait for, and took homes for silent.
     """
 
     def __init__(self) -> None:
@@ -29,7 +39,7 @@
         self.sent_bytes = 0
         self.sent = 0
         self._handlers: dict[type, Handler] = {}
-        self._transport: asyncio.DatagramTransport | None = None
+        self._sock: socket.socket | None = None
 
     def handle(self, kind: type, handler: Handler) -> None:
         """Have messages of a type handed to a function, with the sender's address."""
@@ -38,33 +48,39 @@
     async def start(self, address: str) -> None:
         """Bind to ``ip:port``; with port 0 to a free one."""
         host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, int(port)))
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind((host, int(port)))
+        self._sock = sock
+        bound, port = sock.getsockname()
+        self.address = f"{bound}:{port}"
+        asyncio.get_running_loop().add_reader(sock, self._read)
 
     def stop(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
+        if self._sock is not None:
+            asyncio.get_running_loop().remove_reader(self._sock)
+            self._sock.close()
+            self._sock = None
 
     def send(self, address: str, message: Message) -> None:
         """Send a message to a node."""
         if address == self.address:
             asyncio.get_running_loop().call_soon(self._dispatch, message, address)
             return
-        if self._transport is None or self._transport.is_closing():
+        if self._sock is None:
             return
         data = encode(message)
         host, _, port = address.rpartition(":")
-        self._transport.sendto(data, (host, int(port)))
+        try:
+            self._sock.sendto(data, (host, int(port)))
+        except OSError as exc:
+            # The network is away, or takes no more for the moment.
+            log(MESSAGE_DROPPED, peer=address, reason=f"not sent: {exc}")
+            return
         self.sent_bytes += len(data)
         self.sent += 1
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Take the socket."""
-        self._transport = transport
-        host, port = transport.get_extra_info("sockname")[:2]
-        self.address = f"{host}:{port}"
-
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Hand a message on; bytes that are none are dropped."""
         try:
@@ -74,6 +90,20 @@
             return
         self._dispatch(message, f"{addr[0]}:{addr[1]}")
 
+    def _read(self) -> None:
+        for _ in range(_MOST_READ):
+            if self._sock is None:
+                return
+            try:
+                data, addr = self._sock.recvfrom(_LARGEST)
+            except BlockingIOError:
+                return
+            except OSError as exc:
+                # The kernel tells of a peer whose port is closed.
+                log(MESSAGE_DROPPED, peer="", reason=f"not read: {exc}")
+                continue
+            self.datagram_received(data, addr)
+
     def _dispatch(self, message: Message, address: str) -> None:
         handler = self._handlers.get(type(message))
         if handler is not None:
