--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -46,7 +46,7 @@
 # Before a first event also for this many times what was predicted.
 _MUTE_RATIO = 3.0
 # Before an upstream counts as mute, its connection is read once more for this long: if
-# this node itself stood still, the answer may lie there unread while its timers are due.
+# this node itself stood still, the answer may lie there unread while timers are due.
 _LAST_LOOK_S = 0.005
 _LEAST_RETRY_AFTER_S = 0.05
 # A caller with this much less time than others of its route has asked before; clocks
