Tell callers that came back as well when there will be no place; let them go first

Change: among late requests they go first, and they are told at once too when not even so there will be a place. The test that kept them is replaced: those in time are kept, those that came back go first and are told only beyond the places that will be free.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -158,7 +158,7 @@
         given_up = []
         for ahead, ask in enumerate(late, 1):
             left_s = ask.deadline_at - now
-            if not ask.committed and ahead > places_per_s * left_s:
+            if ahead > places_per_s * left_s:
                 wait_s = ahead / places_per_s if places_per_s else left_s
                 given_up.append((ask, min(wait_s, _LONGEST_WAIT_S)))
         for ask, _ in given_up:
--- a/baobabwing/gateway/decisions/waiting.py
+++ b/baobabwing/gateway/decisions/waiting.py
@@ -26,7 +26,7 @@
     :param prompt_tokens: tokens to be read before the first event.
     :param expected_out: tokens that it will probably generate.
     :param committed: whether work was done for it, or it was refused before, so that it
-        is kept for as long as a place is of any use.
+        goes first among those that are late.
     :param exclude: incarnations that it must not go to again.
     :param unusable: crcs of incarnations that the asking node can't use.
     :param asked_at: when it was asked for here.
@@ -50,9 +50,9 @@
 class WaitingRequests:
     """A queue of requests: those that can still be in time go first.
 
-    Of those in time the one that would miss first, of the late ones the newest: the
-    oldest are the first to be given up by their callers. Within either, urgency goes
-    first.
+    Of those in time the one that would miss first. Of the late ones those that were
+    refused before, whose next refusal is the last, and then the newest: the oldest are
+    the first to be given up by their callers. Within either, urgency goes first.
 
     Taking the first one takes time in proportion to the logarithm of those that wait.
     Looking through all of them for each message made a home's work for one message
@@ -101,8 +101,7 @@
                 continue
             if not self._is_late(ask, now):
                 return self._asks.pop(ask.number)
-            key = (ask.rank, ask.route_rank, -ask.arrived, ask.number)
-            heapq.heappush(self._late, key)
+            heapq.heappush(self._late, (*_late_key(ask), ask.number))
         while self._late:
             ask = self._asks.pop(heapq.heappop(self._late)[-1], None)
             if ask is not None:
@@ -112,7 +111,7 @@
     def late(self, now: float) -> list[Ask]:
         """Return the requests that can't be in time, in their order."""
         late = [ask for ask in self._asks.values() if self._is_late(ask, now)]
-        late.sort(key=lambda ask: (ask.rank, ask.route_rank, -ask.arrived))
+        late.sort(key=_late_key)
         return late
 
     def _swept(
@@ -121,3 +120,7 @@
         kept = [key for key in heap if key[-1] in self._asks]
         heapq.heapify(kept)
         return kept
+
+
+def _late_key(ask: Ask) -> tuple[int, int, bool, float]:
+    return ask.rank, ask.route_rank, not ask.committed, -ask.arrived
