--- a/baobabwing/gateway/decisions/policies.py
+++ b/baobabwing/gateway/decisions/policies.py
@@ -64,7 +64,7 @@
     def _room(self, track: UpstreamTrack) -> int:
         return 1
 
-    def _kept_free(self, ask: Ask, now: float) -> Callable[[UpstreamTrack], int]:
+    def _kept_free(self, ask: Ask) -> Callable[[UpstreamTrack], int]:
         return lambda track: 0
 
     def _cost_s(self, ask: Ask, track: UpstreamTrack, now: float) -> float:
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -28,13 +28,6 @@
 # Weight of the time that a request's output takes, against the time to its first
 # event: long outputs go to fast engines, as far as these are not behind.
 _OUTPUT_WEIGHT = 0.15
-# An engine below this pace, against the typical one, is fast; each keeps this many
-# slots for outputs that would take more than this share of their time elsewhere.
-# Without, short requests fill the fast engines, and long outputs are cut at their
-# deadline on the others.
-_FAST = 0.7
-_LONG_SLOTS = 1
-_LONG_SHARE = 0.4
 # A stream goes on at another engine only if that one has this many slots to spare
 # and takes less than this share of the time.
 _MOVE_SLOTS = 1
@@ -249,7 +242,7 @@
         return track.slots + _SPARE - track.in_flight
 
     def _place(self, ask: Ask, now: float) -> Grant | None:
-        kept_free = self._kept_free(ask, now)
+        kept_free = self._kept_free(ask)
         free = [
             track
             for track in self._pool(ask, now)
@@ -287,26 +280,17 @@
         )
         return Grant(ask=ask, track=track, predicted_s=predicted, since=now)
 
-    def _kept_free(self, ask: Ask, now: float) -> Callable[[UpstreamTrack], int]:
+    def _kept_free(self, ask: Ask) -> Callable[[UpstreamTrack], int]:
         """Return how many slots of an engine a request must leave free."""
         if self.engine is None:
             return lambda track: 0
         least_urgent = 0 < self._least_rank <= ask.route_rank
-        is_long = self._is_long(ask, now)
 
         def kept(track: UpstreamTrack) -> int:
-            slots = int(track.slots * _RESERVED_SHARE) if least_urgent else 0
-            fast = track.slowness(self._typical_s) < _FAST
-            return slots + (_LONG_SLOTS if fast and not is_long else 0)
+            return int(track.slots * _RESERVED_SHARE) if least_urgent else 0
 
         return kept
 
-    def _is_long(self, ask: Ask, now: float) -> bool:
-        """Whether an output would hardly end in time at a typical engine."""
-        pace = self._typical_s or 0.0
-        output = ask.expected_out * pace / (self.engine.tokens_per_event or 1)
-        return output > _LONG_SHARE * (ask.ends_at - now)
-
     def _first_s(self, ask: Ask, track: UpstreamTrack, now: float) -> float:
         usual_s = track.usual_s(ask.prompt_tokens)
         return track.predict_s(usual_s, self._ratio(track), now)
