Judge a home that was gone anew when it is asked again

Cause, found by reading: the time since a question that a home never answered stayed when it was left; asked again after half a second it was judged by that time, and left after 40 ms; its first word after seconds counted as an answer that took as long. Change: what was unanswered when a home was left counts for an answer within 0.5 s only. The test failed before (quiet for 3.04 s instead of 0.04 s).

--- a/baobabwing/gateway/placement/patience.py
+++ b/baobabwing/gateway/placement/patience.py
@@ -32,12 +32,14 @@
 
     :param heard_at: when its last word came.
     :param unanswered_since: when it was asked first of all that nothing came upon.
+    :param left_since: the same when it was left, in case that its answer is only late.
     :param mean_s: mean time to an answer; ``None`` before the first.
     :param left_until: when it may be asked again, if it was left.
     """
 
     heard_at: float = 0.0
     unanswered_since: float | None = None
+    left_since: float | None = None
     mean_s: float | None = None
     deviation_s: float = 0.0
     left_until: float = 0.0
@@ -75,11 +77,14 @@
             that answers none which this node still has.
         """
         home = self._homes.setdefault(address, _Home())
-        if answer_s is None and home.avoid_s and home.unanswered_since is not None:
-            answer_s = now - home.unanswered_since
+        if answer_s is None and home.left_since is not None:
+            late_s = now - home.left_since
+            # Later still it was gone, and what it says now is no late answer.
+            answer_s = late_s if late_s < _QUIET_MOST_S else None
         if answer_s is not None:
             self._sample(home, answer_s)
-        home.heard_at, home.unanswered_since = now, None
+        home.heard_at = now
+        home.unanswered_since = home.left_since = None
         home.left_until = home.avoid_s = 0.0
 
     def excuse(self, now: float) -> None:
@@ -124,6 +129,7 @@
         :returns: how long it is to be left alone.
         """
         home = self._homes.setdefault(address, _Home())
+        home.left_since, home.unanswered_since = home.unanswered_since, None
         home.avoid_s = min(2 * home.avoid_s, _AVOID_MOST_S) or _AVOID_S
         home.left_until = now + home.avoid_s
         return home.avoid_s
--- a/tests/gateway/placement/test_patience.py
+++ b/tests/gateway/placement/test_patience.py
@@ -65,6 +65,23 @@
     assert patience.limit_s(HOME) > 0.12
 
 
+def test_a_home_that_was_gone_is_judged_anew():
+    """A home loses power and starts again; its first word comes seconds later.
+
+    That word is no answer to the questions of before: it makes nobody wait longer for
+    the home's next answers, and the time before it is not held against them.
+    """
+    patience = HomePatience()
+    now = answered(patience, 0.005, 20)
+    limit_s = patience.limit_s(HOME)
+    patience.asked(HOME, now)
+    patience.leave(HOME, now + 0.08)
+    patience.asked(HOME, now + 3.0)
+    assert patience.quiet_s(HOME, now + 3.04) == pytest.approx(0.04)
+    patience.heard(HOME, now + 3.05)
+    assert patience.limit_s(HOME) == limit_s
+
+
 def test_a_home_that_stays_silent_is_asked_less_and_less_often():
     patience = HomePatience()
     pauses = [patience.leave(HOME, 100.0) for _ in range(5)]
