--- a/tests/gateway/placement/fleet_model.py
+++ b/tests/gateway/placement/fleet_model.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import selectors
+import zlib
 from collections import deque
 from dataclasses import dataclass, field
 from random import Random
@@ -27,6 +28,8 @@
 WAY_S = 0.001
 # Datagrams that a socket keeps, some 200 KB with what the kernel adds to each.
 SOCKET_KEEPS = 250
+# Of IP and UDP, a datagram.
+HEADERS_BYTES = 28
 
 
 class Clock:
@@ -69,6 +72,7 @@
     def __init__(self, fleet, address, message_s):
         self.address = address
         self.lost = 0
+        self.bytes = 0
         self.handled = 0
         self._fleet = fleet
         self._message_s = message_s
@@ -85,6 +89,9 @@
         loop = asyncio.get_running_loop()
         target = self._fleet.links.get(address)
         if target is not None and not self.stopped:
+            if target is not self:
+                self.bytes += len(data) + HEADERS_BYTES
+                target.bytes += len(data) + HEADERS_BYTES
             loop.call_later(WAY_S, target.arrive, data, self.address)
 
     def arrive(self, data, sender):
@@ -130,6 +137,15 @@
         return list(self._fleet.links)[:count]
 
 
+class SpreadMembers(RankedMembers):
+    """All nodes; each resource has a ranking of its own."""
+
+    def homes(self, resource, count):
+        names = list(self._fleet.links)
+        first = zlib.crc32(resource.encode()) % len(names)
+        return (names[first:] + names[:first])[:count]
+
+
 @dataclass
 class Second:
     """What happened to the requests of one second."""
@@ -145,9 +161,20 @@
     """Nodes with one cell of engines.
 
     :param message_s: processor time of a node for one datagram.
+    :param members: class of those who tell the homes.
     """
 
-    def __init__(self, monkeypatch, *, nodes, engines, slots, message_s, seed=1):
+    def __init__(
+        self,
+        monkeypatch,
+        *,
+        nodes,
+        engines,
+        slots,
+        message_s,
+        seed=1,
+        members=RankedMembers,
+    ):
         self.clock = Clock()
         for module in (
             "baobabwing.gateway.placement.asking",
@@ -165,6 +192,7 @@
         self.most_in_flight = 0
         self._slots = slots
         self._nodes = nodes
+        self._members = members
         self._message_s = message_s
 
     def _hear_log(self, event, **fields):
@@ -172,7 +200,7 @@
             self.silences.append(self.clock.now)
 
     async def start(self):
-        members = RankedMembers(self)
+        members = self._members(self)
         spec = EngineSpec(slots=self._slots, kv_tokens=1_000_000)
         entries = [
             UpstreamEntry(instance=name, pool="p", address="a", slots=self._slots)
