Wait until listeners were told of a death before comparing what they saw

Seen in two runs of all tests at the same time: test_death_is_seen_by_all failed in both. Cause: the test waits for the published view and then reads what listeners were told, which comes a moment later; the log of the failed run has four of five lines of the death. Shown: with listeners told 50 ms late, three of three fail before and three of three pass now. What is compared is unchanged; the same race stood in the test of the lone node.

--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from baobabwing.bench.processes import wait_until
 from baobabwing.fleet.host import Host, MemberState
 from baobabwing.fleet.link import open_udp_socket
 from baobabwing.fleet.membership import Membership
@@ -121,6 +122,13 @@
             lambda view: view.find(name) is not None and view.find(name).state is state
         )
 
+    def comes_to_see(self, state):
+        """Wait until any member was told of in a state.
+
+        A view is there for those who ask a moment before it is told to listeners.
+        """
+        return wait_until(lambda: self.ever_saw(state), timeout_s=PATIENCE_S)
+
     def ever_saw(self, state):
         return {
             member.host.name
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -33,6 +33,7 @@
     view = nodes[0].membership.view()
     assert not view.is_current("b1", 1)
     assert "b1" not in {host.name for host in view.serving()}
+    assert all(node.comes_to_see(DEAD) for node in rest)
     assert all(node.ever_saw(DEAD) == {"b1"} for node in rest)
 
 
@@ -85,6 +86,7 @@
     assert fleet.all_serve()
     assert lone.waits(lambda view: not view.isolated)
     assert lone.ever_saw(DEAD) == set()
+    assert all(node.comes_to_see(DEAD) for node in rest)
     assert all(node.ever_saw(DEAD) == {"a0"} for node in rest)
 
 
