Tell of each failed try which request it was, and how far it had come

What could not be told from the logs: whether requests that failed at several engines and nodes are the same, and which of those under an engine that ended had begun. Line 2501 has a digest of caller, path and body, the age of the try, since when it had events and how many.

--- a/baobabwing/gateway/accounts.py
+++ b/baobabwing/gateway/accounts.py
@@ -91,7 +91,13 @@
         self._metrics.tries.labels(call.pool, step.value).inc()
 
     def try_failed(self, call: Call, grant: Grant, exc: BaobabwingError) -> None:
-        """Note why a try failed."""
+        """Note why a try failed, and how far it had come there.
+
+        The digest shows that requests which failed at several upstreams are the same,
+        whatever node they came to.
+        """
+        now = time.monotonic()
+        begun_s = None if call.begun_at is None else now - call.begun_at
         call.tries[-1].ended = f"{exc.step}: {exc.message}"
         log(
             UPSTREAM_FAILED,
@@ -100,6 +106,10 @@
             step=exc.step,
             peer=exc.peer,
             reason=exc.message,
+            digest=f"{call.digest:016x}",
+            age_ms=_ms(now - grant.since),
+            begun_ms=None if begun_s is None else _ms(begun_s),
+            events=call.splitter.events - call.events_before,
             failed_share=round(grant.track.failed_share, 2),
         )
 
--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -4,12 +4,14 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from baobabwing.gateway.answers import CallerAnswer
 from baobabwing.gateway.decisions.cell_queue import NoteKind
 from baobabwing.gateway.decisions.quotas import Charge
 from baobabwing.gateway.decisions.scheduling import Grant
 from baobabwing.gateway.decisions.tracking import UpstreamTrack
+from baobabwing.gateway.digest import request_digest
 from baobabwing.gateway.envelope import Envelope
 from baobabwing.gateway.exchange import AnswerHead
 from baobabwing.gateway.model import OrganisationSpec, Route
@@ -60,6 +62,8 @@
     :param asked_before_s: how long ago its caller asked first; 0 if this is the first.
     :param next_grant: the place that a stream moves to.
     :param move_asked: whether a place to move to has been asked for.
+    :param begun_at: when the present try had its first event.
+    :param events_before: events that tries before the present one had.
     :param verdict: what the present try tells of its upstream.
     :param pace_s: mean time between the events of the present try.
     :param over: whether it has ended.
@@ -89,11 +93,18 @@
     next_grant: Grant | None = None
     move_asked: bool = False
     over: bool = False
+    begun_at: float | None = None
+    events_before: int = 0
     verdict: NoteKind = NoteKind.RELEASED
     pace_s: float | None = None
     move_checked_at: float = 0.0
     failed_at: UpstreamTrack | None = None
 
+    @cached_property
+    def digest(self) -> int:
+        """Short form of what is asked for, the same when it comes again."""
+        return request_digest(self.envelope, self.body)
+
     @property
     def rank(self) -> int:
         """Urgency: the organisation's goes before the route's."""
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -89,7 +89,11 @@
     level="error",
 )
 UPSTREAM_FAILED = define(
-    2501, "upstream_failed", "A try at an upstream failed; see the step and the reason."
+    2501,
+    "upstream_failed",
+    "A try at an upstream failed; see the step and the reason, how long the request "
+    "was there (`age_ms`), since when it had events (`begun_ms`) and how many. The "
+    "`digest` is the same each time that the same request comes again.",
 )
 UPSTREAMS_CHANGED = define(
     2502, "upstreams_changed", "The list of upstreams changed; how many there are."
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -116,6 +116,7 @@
                 return
             call.next_grant = None
             call.verdict, call.pace_s = NoteKind.RELEASED, None
+            call.begun_at, call.events_before = None, call.splitter.events
             self._accounts.placed(call, grant, pool)
             try:
                 step = await self._try(call, pool, grant)
@@ -315,9 +316,9 @@
         head: AnswerHead,
     ) -> Step:
         """Hand events on as they come."""
-        first_at = last_at = None
+        last_at = None
         call.splitter.drop()
-        before = call.splitter.events
+        before = call.events_before
         while True:
             piece = await self._listen(call, pool, grant, kept.body_piece)
             now = time.monotonic()
@@ -330,12 +331,12 @@
             if last_at is None:
                 pool.first_event(grant)
                 call.first_event_at = call.first_event_at or now
-                first_at = now
+                call.begun_at = now
             else:
                 grant.track.paced(now - last_at)
                 call.longest_pause_s = max(call.longest_pause_s, now - last_at)
                 gaps = call.splitter.events - before - 1
-                call.pace_s = (now - first_at) / max(gaps, 1)
+                call.pace_s = (now - call.begun_at) / max(gaps, 1)
             last_at = now
             if not call.answer.started:
                 await call.answer.start(head.status, head.reason, head.headers)
