Failing test: a request that crashes its upstreams comes again and again

Callers saw: engines end one after the other, each with up to eight streams. Three nodes before four engines and three services that come back after 0.3 s; a request comes 12 times, to each node in turn.

--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -41,6 +41,8 @@
     :param extra: send a second answer after the first.
     :param wrong_id: answer with another request's id.
     :param close: end the connection after the answer.
+    :param crash: end the whole upstream, with all that it works on, as soon as the
+        request begins to run.
     """
 
     status: int = 200
@@ -55,6 +57,7 @@
     extra: bool = False
     wrong_id: bool = False
     close: bool = False
+    crash: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -74,6 +77,7 @@
     :param instance: its incarnation; a request that is meant for another gets 421.
     :param names: headers in use.
     :param behave: chooses how a request is answered.
+    :param on_crash: called when a request has ended this upstream.
     """
 
     def __init__(
@@ -82,10 +86,12 @@
         instance: str,
         names: HeaderNames,
         behave: Callable[[SeenRequest], Behaviour] = lambda seen: Behaviour(),
+        on_crash: Callable[[], None] = lambda: None,
     ) -> None:
         self.instance = instance
         self.names = names
         self.behave = behave
+        self.on_crash = on_crash
         self.seen: list[SeenRequest] = []
         self.runs: Counter[str] = Counter()
         self.working = 0
@@ -159,6 +165,10 @@
         if how.mute:
             await self._wait(conn, float("inf"))
         await self._wait(conn, how.delay_s)
+        if how.crash:
+            self.stop()
+            self.on_crash()
+            return False
         if how.events:
             return await self._stream(conn, seen, how)
         body = b"answer to " + seen.request_id.encode()
