--- a/Makefile
+++ b/Makefile
@@ -79,5 +79,5 @@
 SEEDS ?= 50
 .PHONY: platform-soak
 platform-soak: env
-	PYTHONPATH=platform $(BIN)/python -m baobabwing_platform.soak --first $(SEED) \
+	PYTHONPATH=platform $(BIN)/python -m tests.platform_adapter.soak.run --first $(SEED) \
 		--seeds $(SEEDS)
--- a/platform/baobabwing_platform/soak.py
+++ b/tests/platform_adapter/soak/run.py
@@ -5,7 +5,7 @@
 that their settings changed; connections to workers and to the store that are delayed,
 reset, held one way or both; a store that refuses, loses answers or forgets its history;
 workers that drain, go or come; configurations that take a key away. Callers keep their
-connections until these end. Seeds that ever failed are in ``soak_seeds.py``.
+connections until these end. Seeds that ever failed are in ``seeds.py``.
 """
 
 from __future__ import annotations
@@ -26,9 +26,9 @@
 from baobabwing.gateway.connection import HttpConnection, open_connection
 from baobabwing.standins.loopback_proxy import PathFault
 from baobabwing_platform.demo import KEY, Deployment, configuration, resolve
-from baobabwing_platform.soak_checks import Kind, Outcome, Records, Reply, ask
-from baobabwing_platform.soak_seeds import FAILED_ONCE
 from baobabwing_platform.standin_store import StoreFault
+from tests.platform_adapter.soak.checks import Kind, Outcome, Records, Reply, ask
+from tests.platform_adapter.soak.seeds import FAILED_ONCE
 
 __all__ = ["Soak", "main"]
 
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from baobabwing_platform.soak import Soak
-from baobabwing_platform.soak_seeds import FAILED_ONCE
+from tests.platform_adapter.soak.run import Soak
+from tests.platform_adapter.soak.seeds import FAILED_ONCE
 
 
 @pytest.mark.parametrize("seed", [1, *FAILED_ONCE])
