Count upstreams that fall silent under a request, as weak evidence

Looked for the same cause in another form: a host that dies under a request sends nothing, and its upstream comes back as another incarnation; such a request was never held back. Now six such ends do it, two where the connection was closed. Mute upstreams that live keep their incarnation, so that a request that only hangs at few upstreams is not held back for it. Tests: the decision, and that a mute upstream counts once.

--- a/baobabwing/gateway/decisions/quarantine.py
+++ b/baobabwing/gateway/decisions/quarantine.py
@@ -13,6 +13,7 @@
 # that ends long after tells little: several requests run there then, most of them long.
 # So does one that may have been gone before: behind a proxy of its own it still accepts
 # connections, and resets each of them at once, as it does with too many connections.
+# And one that just fell silent, which may have ended, or have too much to do.
 _STRONG_WEIGHT = 3
 _WEAK_WEIGHT = 1
 # Weight at which a request is held back: two strong ends, or six weak ones. A request
@@ -130,7 +131,7 @@
         *,
         now: float,
         begun_s: float | None = None,
-        at_once: bool = False,
+        sure: bool = True,
     ) -> None:
         """Take that an upstream ended under a request of this node.
 
@@ -139,13 +140,13 @@
 
         :param upstream: crc of the upstream's incarnation.
         :param begun_s: time since its first event; ``None`` if it had none.
-        :param at_once: whether the upstream may have ended before it was sent.
+        :param sure: whether the upstream was there when it was sent, and has ended.
         """
         if digest in self._served:
             del self._served[digest]
             return
         begins = begun_s is None or begun_s < _BEGUN_S
-        weight = _STRONG_WEIGHT if begins and not at_once else _WEAK_WEIGHT
+        weight = _STRONG_WEIGHT if begins and sure else _WEAK_WEIGHT
         suspect = self._suspect(digest, now)
         if self._add(digest, suspect, upstream, weight, now):
             verdict = now < suspect.until
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -314,13 +314,14 @@
         grant.track.failed(now)
         call.verdict = NoteKind.FAILED
         self._accounts.try_failed(call, grant, exc)
-        if isinstance(exc, PeerClosedError):
+        if isinstance(exc, ConnectionLostError):
+            closed = isinstance(exc, PeerClosedError)
             self._state.quarantine.lost(
                 call.digest,
                 grant.track.crc,
                 now=now,
                 begun_s=None if call.begun_at is None else now - call.begun_at,
-                at_once=kept.ended_at_once(now),
+                sure=closed and not kept.ended_at_once(now),
             )
 
     def _note_answered_failure(self, call: Call, grant: Grant, now: float) -> None:
--- a/tests/gateway/decisions/test_quarantine.py
+++ b/tests/gateway/decisions/test_quarantine.py
@@ -59,10 +59,19 @@
     """
     book = Quarantine()
     for upstream in range(5):
-        lost(book, upstream, at_once=True)
+        lost(book, upstream, sure=False)
     assert book.held_s(BAD, 0.0) == 0.0
 
 
+def test_request_that_makes_upstreams_end_in_silence_is_held_back_at_last():
+    """Hosts that die under it send nothing; each comes back as another incarnation."""
+    book = Quarantine()
+    for upstream in range(6):
+        assert book.held_s(BAD, 0.0) == 0.0
+        lost(book, upstream, sure=False)
+    assert book.held_s(BAD, 0.0) > 0.0
+
+
 def test_request_that_is_answered_meanwhile_is_sound():
     """Many callers ask for the same, and upstreams crash for reasons of their own."""
     book = Quarantine()
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -123,8 +123,8 @@
     run(story())
 
 
-def test_mute_upstreams_and_lost_paths_are_not_held_against_a_request(run):
-    """Nothing shows that an upstream has ended there."""
+def test_mute_upstreams_hold_no_request_back(run):
+    """Nothing shows that an upstream has ended there; it tells little."""
 
     async def story():
         async with FleetBed() as bed:
@@ -137,6 +137,9 @@
                     headers=[(NAMES.deadline, b"400")],
                 )
                 assert answer.status in (502, 503, 504)
+            (digest,) = bed.gateways[0].state.quarantine.digests()
+            found = bed.gateways[0].state.quarantine.findings(digest, 0.0)
+            assert {one.weight for one in found} == {1}
             bed.usual["services"] = Behaviour()
             answer = await bed.ask(0, "/safe/m", "m9")
             assert answer.status == 200
