--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -38,6 +38,7 @@
     "SOURCE_REGAINED",
     "UPSTREAMS_CHANGED",
     "UPSTREAM_FAILED",
+    "UPSTREAM_SAID_LEAVING",
     "UPSTREAM_START_REPLACED",
     "UPSTREAM_UNREADABLE",
 ]
@@ -127,6 +128,12 @@
     "request_cleared",
     "A request that had been held back was served, and is not suspected any more.",
 )
+UPSTREAM_SAID_LEAVING = define(
+    2507,
+    "upstream_said_leaving",
+    "An answer said that its upstream is leaving, the first of its start here; whether "
+    "the list says so as well.",
+)
 SHARE_CHANGED = define(
     3501,
     "share_changed",
--- a/baobabwing/gateway/exchange.py
+++ b/baobabwing/gateway/exchange.py
@@ -33,7 +33,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AnswerHead:
-    """Status and headers of an upstream's answer, and what they state."""
+    """Status and headers of an upstream's answer, and what they state.
+
+    :param leaving: whether the upstream says that it is leaving.
+    """
 
     status: int
     reason: bytes
@@ -41,6 +44,7 @@
     request_id: str
     signed: bool
     not_executed: bool
+    leaving: bool
     load: tuple[int, int, int] | None
 
 
@@ -138,6 +142,7 @@
             request_id=found.get(names.request_id, b"").decode("latin-1"),
             signed=names.signature in found,
             not_executed=names.not_executed in found,
+            leaving=found.get(names.leaving, b"0").strip() not in (b"", b"0"),
             load=_load(found.get(names.load)),
         )
 
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -244,6 +244,8 @@
         envelope = call.envelope
         await kept.send(envelope.method, envelope.target, headers, call.body)
         head = await self._listen(call, pool, grant, kept.head)
+        if head.leaving:
+            self._state.note_leaving(grant.track.entry)
         if head.request_id and head.request_id != envelope.request_id:
             raise MalformedError(
                 "answer of another request", step="head", peer=kept.conn.peer
--- a/baobabwing/gateway/headers.py
+++ b/baobabwing/gateway/headers.py
@@ -33,6 +33,7 @@
     :param expected_instance: the upstream incarnation that a request is meant for.
     :param instance: the incarnation that answered.
     :param not_executed: states that a request was not run.
+    :param leaving: states that the upstream that answers is leaving.
     :param signature: shows that an answer is an upstream's own.
     :param load: running, waiting and slots of an upstream.
     :param tokens: prompt tokens and most output tokens, separated by a comma.
@@ -49,6 +50,7 @@
     expected_instance: bytes = b"x-expected-instance"
     instance: bytes = b"x-instance"
     not_executed: bytes = b"x-not-executed"
+    leaving: bytes = b"x-leaving"
     signature: bytes = b"x-signature"
     load: bytes = b"x-load"
     tokens: bytes = b"x-tokens"
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -12,6 +12,7 @@
 from baobabwing.gateway.events import (
     CONFIGURATION_TAKEN,
     SHARE_CHANGED,
+    UPSTREAM_SAID_LEAVING,
     UPSTREAM_START_REPLACED,
     UPSTREAMS_CHANGED,
 )
@@ -50,6 +51,7 @@
         self.nodes = 1
         self._heard = 1
         self._entries: dict[str, tuple[UpstreamEntry, ...]] = {}
+        self._leaving: set[str] = set()
 
     def reload(self, settings: GatewaySettings) -> None:
         """Take changed bounds on second tries and limits."""
@@ -113,6 +115,18 @@
             ],
         )
 
+    def note_leaving(self, entry: UpstreamEntry) -> None:
+        """Take that an upstream said in an answer that it is leaving."""
+        if entry.instance in self._leaving:
+            return
+        self._leaving.add(entry.instance)
+        log(
+            UPSTREAM_SAID_LEAVING,
+            upstream=entry.instance,
+            pool=entry.pool,
+            listed_draining=entry.draining,
+        )
+
     def listed(self) -> set[tuple[str, str]]:
         """Return address and instance of all listed upstreams."""
         return {
--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 import h11
@@ -41,6 +41,8 @@
     :param extra: send a second answer after the first.
     :param wrong_id: answer with another request's id.
     :param close: end the connection after the answer.
+    :param leaving: say that the upstream is leaving.
+    :param retry_after: with ``refuse``, seconds for which it wants nothing more.
     :param crash: end the whole upstream, with all that it works on, as soon as the
         request begins to run.
     """
@@ -57,6 +59,8 @@
     extra: bool = False
     wrong_id: bool = False
     close: bool = False
+    leaving: bool = False
+    retry_after: bytes = b""
     crash: bool = False
 
 
@@ -147,7 +151,8 @@
             return True
         how = self.behave(seen)
         if how.refuse:
-            await self._whole(conn, seen, 503, b"", not_run=True)
+            more = [(b"Retry-After", how.retry_after)] if how.retry_after else []
+            await self._whole(conn, seen, 503, b"", not_run=True, more=more)
             return True
         self.runs[seen.request_id] += 1
         self.working += 1
@@ -239,10 +244,12 @@
         *,
         not_run: bool = False,
         wrong_id: bool = False,
+        more: Iterable[tuple[bytes, bytes]] = (),
     ) -> None:
         headers = self._headers(seen, wrong_id=wrong_id)
         if not_run:
             headers = [(self.names.not_executed, b"1")]
+        headers.extend(more)
         headers.append((b"Content-Length", b"%d" % len(body)))
         await conn.send(h11.Response(status_code=status, headers=headers))
         await conn.send(h11.Data(data=body))
@@ -252,10 +259,13 @@
         self, seen: SeenRequest, *, wrong_id: bool = False
     ) -> list[tuple[bytes, bytes]]:
         identity = b"another" if wrong_id else seen.request_id.encode()
-        return [
+        headers = [
             (self.names.request_id, identity),
             (self.names.signature, b"signed-" + self.instance.encode()),
         ]
+        if self.behave(seen).leaving:
+            headers.append((self.names.leaving, b"1"))
+        return headers
 
     async def _wait(self, conn: HttpConnection, seconds: float) -> None:
         """Work for a while, or until the gateway closes the connection."""
