--- a/tests/gateway/fleet_bed.py
+++ b/tests/gateway/fleet_bed.py
@@ -37,16 +37,17 @@
         self.gateways = []
         self.upstreams = {}
         self.crashed = []
+        self.by_name = {}
         self.usual = {"engines": Behaviour(events=5), "services": Behaviour()}
         self._counts = {"engines": engines, "services": services}
         self._nodes = nodes
-        self._numbers = itertools.count(1)
+        self._numbers = itertools.count(101)
         self._tasks = []
 
     async def __aenter__(self):
         for pool, count in self._counts.items():
-            for _ in range(count):
-                await self.add(pool)
+            for number in range(1, count + 1):
+                await self.add(pool, number)
         self.gateways = [self._gateway(f"node-{n}") for n in range(self._nodes)]
         hosts = [
             Host(
@@ -96,15 +97,15 @@
         )
         return Gateway(settings=settings, rng=random.Random(name))
 
-    async def add(self, pool):
+    async def add(self, pool, number=None):
         """Start one more upstream of a pool."""
-        name = f"{pool}-{next(self._numbers)}"
+        name = f"{pool}-{number or next(self._numbers)}"
 
         def behave(seen):
             crashes = b"crash" in seen.body
             # It is read before it begins to run.
             how = Behaviour(delay_s=READING_S, crash=True)
-            return how if crashes else self.usual[pool]
+            return how if crashes else self.by_name.get(name, self.usual[pool])
 
         upstream = GatewayUpstream(
             instance=name,
@@ -121,6 +122,10 @@
         self.upstreams[name][0].stop()
         self._crashed(name, pool)
 
+    def at(self, name):
+        """Return the requests that reached an upstream."""
+        return self.upstreams[name][0].seen
+
     def runs(self, request_id):
         return sum(one.runs[request_id] for one, _ in self.upstreams.values())
 
