Heed what upstreams say of themselves in their answers

Cause: only the store's list was read for it. Class: first-hand news that comes with the answers is passed over for a list that may be old. Ruled out: that a newer list took the word back (there was none), that only the homes of cells did not know (services got requests as well). Change: once an answer says that its upstream leaves, that incarnation counts as draining at the node, whatever lists say, and the home of its cell is told. An upstream that turns a request away with a time gets nothing from that node for so long, also where all of the pool do so; callers are then told at once when to come back. Lines 2507, 2508.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -43,7 +43,8 @@
     """What a node tells of a request; the numbers travel between nodes.
 
     ``LOST`` means that the engine is not there at all, ``RELEASED`` that the request
-    ended for reasons that say nothing of the engine.
+    ended for reasons that say nothing of the engine. After ``FIRST``, and after
+    ``LEAVING``, which means that the engine said that it leaves, the request goes on.
     """
 
     FIRST = 1
@@ -52,6 +53,12 @@
     LOST = 4
     FULL = 5
     RELEASED = 6
+    LEAVING = 7
+
+    @property
+    def ends(self) -> bool:
+        """Whether the request gives its place back."""
+        return self not in (NoteKind.FIRST, NoteKind.LEAVING)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -168,6 +175,8 @@
         grant = self._held.get(holder)
         if grant is None:
             return
+        if kind is NoteKind.LEAVING:
+            return
         if kind is NoteKind.FIRST:
             first_at = now if pace_s is None else grant.since + pace_s
             grant.track.first_event(grant.ask.number, first_at)
@@ -241,6 +250,11 @@
                 self._end(holder)
         return bool(had)
 
+    def engine_of(self, holder: Holder) -> UpstreamEntry | None:
+        """Return the engine at which a request has its place."""
+        grant = self._held.get(holder)
+        return grant.track.entry if grant is not None else None
+
     def waits(self, holder: Holder) -> bool:
         """Whether a request has no place yet."""
         return holder in self._asked
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -83,6 +83,7 @@
         self.holding_s = _HOLDING_S
         self.most_own: int | None = None
         self._least_rank = 0
+        self._closed: set[str] = set()
         self._late_grants: deque[float] = deque()
 
     def set_engine(self, engine: EngineSpec) -> None:
@@ -104,6 +105,28 @@
             self.tracks.pop(instance).gone = True
         self._by_crc = {track.crc: track for track in self.tracks.values()}
 
+    def close(self, track: UpstreamTrack, until: float) -> None:
+        """Send an upstream nothing until then: it said that it wants nothing."""
+        track.closed_until = max(track.closed_until, until)
+        self._closed.add(track.entry.instance)
+
+    def closed(self, now: float) -> list[UpstreamTrack]:
+        """Return the upstreams that want nothing now."""
+        tracks = [self.tracks.get(instance) for instance in self._closed]
+        found = [one for one in tracks if one is not None and now < one.closed_until]
+        self._closed = {one.entry.instance for one in found}
+        return found
+
+    def opens_at(self, now: float) -> float:
+        """Return when one of the upstreams wants work again; now, if one does.
+
+        Where there are none, or all leave, nobody knows when there will be one.
+        """
+        closed = self.closed(now)
+        if not closed or any(track.open(now) for track in self.tracks.values()):
+            return now
+        return min(track.closed_until for track in closed)
+
     def track(self, crc: int) -> UpstreamTrack | None:
         """Return a listed upstream by the short form of its incarnation."""
         return self._by_crc.get(crc)
@@ -269,7 +292,7 @@
         ]
         sound = [track for track in listed if track.usable(now)]
         # Where all were set aside, being set aside says nothing any more.
-        return sound or [track for track in listed if not track.entry.draining]
+        return sound or [track for track in listed if track.open(now)]
 
     def _grant(self, ask: Ask, track: UpstreamTrack, now: float) -> Grant:
         usual_s = track.usual_s(ask.prompt_tokens)
--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -78,6 +78,7 @@
         self._first_usual_s = 0.0
         self.failed_share = 0.0
         self.eject_until = 0.0
+        self.closed_until = 0.0
         self.heard_at = 0.0
         self._eject_s = _EJECT_S
         self.gone = False
@@ -102,9 +103,13 @@
         """Requests that all nodes have there, as far as they told."""
         return len(self.own) + self.others
 
+    def open(self, now: float) -> bool:
+        """Whether it wants new work: it does not leave, and has not said otherwise."""
+        return not (self.gone or self.entry.draining or now < self.closed_until)
+
     def usable(self, now: float) -> bool:
         """Whether it may get new work."""
-        return not (self.gone or self.entry.draining or now < self.eject_until)
+        return self.open(now) and now >= self.eject_until
 
     def begin(self, number: int, item: Outstanding) -> None:
         """Note a request that is sent there."""
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -37,6 +37,7 @@
     "SOURCE_PEER_LOST",
     "SOURCE_REGAINED",
     "UPSTREAMS_CHANGED",
+    "UPSTREAM_CLOSED",
     "UPSTREAM_FAILED",
     "UPSTREAM_SAID_LEAVING",
     "UPSTREAM_START_REPLACED",
@@ -131,8 +132,14 @@
 UPSTREAM_SAID_LEAVING = define(
     2507,
     "upstream_said_leaving",
-    "An answer said that its upstream is leaving, the first of its start here; whether "
-    "the list says so as well.",
+    "An answer said that its upstream is leaving, the first of its start here (`by` "
+    "answer) or at another node (`by` peer); nothing new is sent there. Whether the "
+    "list says so as well.",
+)
+UPSTREAM_CLOSED = define(
+    2508,
+    "upstream_closed",
+    "An upstream turned a request away and wants nothing from this node for a while.",
 )
 SHARE_CHANGED = define(
     3501,
--- a/baobabwing/gateway/exchange.py
+++ b/baobabwing/gateway/exchange.py
@@ -13,7 +13,7 @@
 from baobabwing.gateway.envelope import Headers
 from baobabwing.gateway.headers import HOP_BY_HOP, HeaderNames
 
-__all__ = ["AnswerHead", "ConnectionPool", "UpstreamConnection"]
+__all__ = ["AnswerHead", "ConnectionPool", "UpstreamConnection", "retry_after_s"]
 
 # An upstream in another availability zone accepts within a few round trips of
 # 3 ms; a lost opening packet is sent again only after 1 s, so that a new try
@@ -23,6 +23,8 @@
 # A reset that comes this much later than a round trip was not caused by the request: it
 # comes from an upstream, or from a proxy before it, that accepts no more.
 _AT_ONCE_S = 0.005
+# An upstream that wants nothing for a while is taken at its word up to this.
+_LONGEST_CLOSED_S = 3600.0
 # An upstream that says how long it keeps idle connections closes them about
 # then; a request that crosses the close is lost.
 _KEEP_ALIVE_MARGIN_S = 0.5
@@ -36,6 +38,7 @@
     """Status and headers of an upstream's answer, and what they state.
 
     :param leaving: whether the upstream says that it is leaving.
+    :param retry_after_s: for how long it wants nothing more; 0 if it does not say.
     """
 
     status: int
@@ -45,6 +48,7 @@
     signed: bool
     not_executed: bool
     leaving: bool
+    retry_after_s: float
     load: tuple[int, int, int] | None
 
 
@@ -143,6 +147,7 @@
             signed=names.signature in found,
             not_executed=names.not_executed in found,
             leaving=found.get(names.leaving, b"0").strip() not in (b"", b"0"),
+            retry_after_s=retry_after_s(found.get(b"retry-after", b"")),
             load=_load(found.get(names.load)),
         )
 
@@ -241,6 +246,18 @@
     return _IDLE_DEFAULT_S
 
 
+def retry_after_s(value: bytes) -> float:
+    """Return for how long an upstream wants nothing.
+
+    :returns: seconds; 0 for a date, or anything else that is no number.
+    """
+    try:
+        seconds = float(value)
+    except ValueError:
+        return 0.0
+    return min(seconds, _LONGEST_CLOSED_S) if seconds > 0 else 0.0
+
+
 def _load(value: bytes | None) -> tuple[int, int, int] | None:
     fields = (value or b"").split(b",")
     if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -22,10 +22,12 @@
 from baobabwing.gateway.decisions.quotas import Charge
 from baobabwing.gateway.decisions.scheduling import Ask, Grant
 from baobabwing.gateway.envelope import Envelope, upstream_headers
+from baobabwing.gateway.events import UPSTREAM_CLOSED
 from baobabwing.gateway.exchange import AnswerHead, ConnectionPool, UpstreamConnection
 from baobabwing.gateway.metrics import Outcome
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.state import GatewayState
+from baobabwing.reports.events import log
 
 __all__ = ["Forwarder"]
 
@@ -244,8 +246,7 @@
         envelope = call.envelope
         await kept.send(envelope.method, envelope.target, headers, call.body)
         head = await self._listen(call, pool, grant, kept.head)
-        if head.leaving:
-            self._state.note_leaving(grant.track.entry)
+        self._heed(pool, grant, head)
         if head.request_id and head.request_id != envelope.request_id:
             raise MalformedError(
                 "answer of another request", step="head", peer=kept.conn.peer
@@ -256,6 +257,15 @@
             return await self._relay(call, pool, grant, kept, head)
         return await self._whole(call, grant, kept, head, sent_at)
 
+    def _heed(self, pool: PoolRuntime, grant: Grant, head: AnswerHead) -> None:
+        """Take what an answer says of its upstream, besides the answer."""
+        entry = grant.track.entry
+        if head.leaving and self._state.note_leaving(entry, source="answer"):
+            pool.said_leaving(grant)
+        if head.status == HTTPStatus.SERVICE_UNAVAILABLE and head.retry_after_s:
+            log(UPSTREAM_CLOSED, upstream=entry.instance, seconds=head.retry_after_s)
+            pool.close(grant, head.retry_after_s)
+
     async def _not_run(
         self, call: Call, grant: Grant, kept: UpstreamConnection, head: AnswerHead
     ) -> Step:
@@ -522,7 +532,7 @@
         await call.answer.refuse(refusal)
 
     def _retry_after_s(self, call: Call, pool: PoolRuntime) -> float:
-        wait_s = pool.queued * pool.turnover_s
+        wait_s = max(pool.queued * pool.turnover_s, pool.opens_in_s())
         return max(wait_s, _LEAST_RETRY_AFTER_S) * self._state.rng.uniform(1.0, 1.5)
 
     def _give_units_back(self, call: Call) -> None:
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -71,6 +71,9 @@
         )
         self.state.placer = self._placer
         self.state.on_pool = self._homes.list_pool
+        self._homes.on_leaving = lambda entry: self.state.note_leaving(
+            entry, source="peer"
+        )
         self._limits = LimitsExchange(
             state=self.state, members=self.members, link=self.link, rng=rng
         )
--- a/baobabwing/gateway/placement/asking.py
+++ b/baobabwing/gateway/placement/asking.py
@@ -165,7 +165,9 @@
             return
         self._begin(
             _Waiting(
-                message=self._message(ask, ticket.cell, moves_from=grant.track.crc),
+                message=self._message(
+                    ask, ticket.cell, pool, moves_from=grant.track.crc
+                ),
                 home=home,
                 ask=ask,
                 pool=pool,
@@ -183,7 +185,7 @@
         home = self._home_of(ticket.cell, ticket.pool)
         if home is not None:
             self._note(home, ticket.cell, number, kind, pace_s)
-        if kind is not NoteKind.FIRST:
+        if kind.ends:
             del self._tickets[number]
 
     def state_of(self, pool: CellPool) -> CellState | None:
@@ -238,7 +240,7 @@
                 self.note(result, NoteKind.RELEASED)
 
         waiting = _Waiting(
-            message=self._message(ask, key),
+            message=self._message(ask, key, pool),
             home=home,
             ask=ask,
             pool=pool,
@@ -316,15 +318,15 @@
                 self._note(address, message.cell, message.number, kind, None)
             return
         track = waiting.pool.scheduler.track(message.upstream)
-        if track is None or track.gone or track.entry.draining:
-            # The home has not heard yet what this node has. It is asked again, with
-            # the engine left out.
+        now = time.monotonic()
+        if track is None or not track.open(now):
+            # The home has not heard yet what this node has, or the engine wants
+            # nothing from this node. It is asked again, with the engine left out.
             waiting.ask.unusable.add(message.upstream)
             kind = NoteKind.RELEASED
             self._note(address, message.cell, message.number, kind, None)
             self._finish(waiting, None)
             return
-        now = time.monotonic()
         predicted_s = message.predicted_s
         grant = Grant(ask=waiting.ask, track=track, predicted_s=predicted_s, since=now)
         self._tickets[message.number] = Ticket(
@@ -362,8 +364,11 @@
             if waiting is not None and waiting.home == address:
                 self._link.send(address, self._renewed(waiting))
 
-    def _message(self, ask: Ask, key: CellKey, *, moves_from: int = 0) -> AskMessage:
+    def _message(
+        self, ask: Ask, key: CellKey, pool: CellPool, *, moves_from: int = 0
+    ) -> AskMessage:
         now = time.monotonic()
+        closed = (track.crc for track in pool.scheduler.closed(now))
         return AskMessage(
             node=self._node,
             number=ask.number,
@@ -377,14 +382,17 @@
             prompt_tokens=ask.prompt_tokens,
             expected_out=ask.expected_out,
             committed=ask.committed,
-            excluded=(*map(crc, ask.exclude), *ask.unusable),
+            excluded=tuple({*map(crc, ask.exclude), *ask.unusable, *closed}),
             moves_from=moves_from,
         )
 
     def _renewed(self, waiting: _Waiting) -> AskMessage:
         """Return a question as it is to be asked now; its times are from now."""
         return self._message(
-            waiting.ask, waiting.message.cell, moves_from=waiting.message.moves_from
+            waiting.ask,
+            waiting.message.cell,
+            waiting.pool,
+            moves_from=waiting.message.moves_from,
         )
 
     # Which cell, and which node is its home.
@@ -493,7 +501,7 @@
         pace_s: float | None,
     ) -> None:
         self._notes[home, key].append(Note(number=number, kind=kind, pace_s=pace_s))
-        self._flush_within(_RIDE_S if kind is NoteKind.FIRST else _NOTES_S)
+        self._flush_within(_NOTES_S if kind.ends else _RIDE_S)
 
     def _flush_within(self, seconds: float) -> None:
         loop = asyncio.get_running_loop()
--- a/baobabwing/gateway/placement/homes.py
+++ b/baobabwing/gateway/placement/homes.py
@@ -101,6 +101,7 @@
     :param link: carries the messages.
     :param members: tell how many nodes there are.
     :param rng: breaks ties.
+    :ivar on_leaving: called with an engine that another node heard is leaving.
     """
 
     def __init__(self, *, link: WorkLink, members: Members, rng: Random) -> None:
@@ -113,6 +114,7 @@
         self._due: set[CellKey] = set()
         self._fresh: dict[CellKey, set[Holder]] = defaultdict(set)
         self._work: dict[CellKey, _Work] = defaultdict(_Work)
+        self.on_leaving: Callable[[UpstreamEntry], object] = lambda entry: None
         members.on_change(self._drop_gone)
         link.handle(AskMessage, self._counted(self._take_ask))
         link.handle(Notes, self._counted(self._take_notes))
@@ -204,10 +206,18 @@
         for note in message.notes:
             holder = Holder(message.node, note.number)
             queue.note(holder, note.kind, note.pace_s, now)
-            ended = ended or note.kind is not NoteKind.FIRST
+            ended = ended or note.kind.ends
+            if note.kind is NoteKind.LEAVING:
+                self._note_leaving(queue, holder)
         if ended:
             self._pump_soon(message.cell)
 
+    def _note_leaving(self, queue: CellQueue, holder: Holder) -> None:
+        """Give no more places at an engine that another node heard is leaving."""
+        entry = queue.engine_of(holder)
+        if entry is not None:
+            self.on_leaving(entry)
+
     def _take_holdings(self, message: Holdings, address: str) -> None:
         now = time.monotonic()
         key = message.cell
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -55,6 +55,7 @@
         :raises TimeoutError: if there was none before the request's deadline.
         :raises NoPlaceError: if there will be none while it is of use.
         """
+        await self._wait_open(ask)
         async with asyncio.timeout_at(ask.deadline_at):
             if self.scheduler.engine is None or self._placer is None:
                 return await self._place_here(ask)
@@ -65,6 +66,17 @@
                 if grant is not None:
                     return grant
 
+    def close(self, grant: Grant, seconds: float) -> None:
+        """Send an upstream nothing for a while: it said that it wants nothing."""
+        until = time.monotonic() + seconds
+        self.scheduler.close(grant.track, until)
+        loop = asyncio.get_running_loop()
+        loop.call_later(seconds, self.pump)
+
+    def said_leaving(self, grant: Grant) -> None:
+        """Tell the home of a cell that an engine says that it is leaving."""
+        self._tell(grant, NoteKind.LEAVING)
+
     def move(
         self,
         ask: Ask,
@@ -128,6 +140,11 @@
         state = self._placer.state_of(self.cells) if self._placer else None
         return state.turnover_s if state else self.scheduler.turnover_s()
 
+    def opens_in_s(self) -> float:
+        """Return when an upstream wants work again, if now none does."""
+        now = time.monotonic()
+        return self.scheduler.opens_at(now) - now
+
     def places_free(self) -> bool:
         """Whether a request now takes its place from nobody."""
         state = self._placer.state_of(self.cells) if self._placer else None
@@ -136,6 +153,20 @@
         free = self.scheduler.free_places(time.monotonic())
         return not self.scheduler.waiting and free > 0
 
+    async def _wait_open(self, ask: Ask) -> None:
+        """Wait while no upstream of the pool wants anything.
+
+        :raises NoPlaceError: if that is so for longer than the request is of use.
+        """
+        wait_s = self.opens_in_s()
+        if wait_s <= 0:
+            return
+        if time.monotonic() + wait_s >= ask.deadline_at:
+            raise NoPlaceError(
+                "all upstreams are closed", retry_after_s=wait_s, step="place"
+            )
+        await asyncio.sleep(wait_s)
+
     def _tell(self, grant: Grant, kind: NoteKind, pace_s: float | None = None) -> None:
         if self._placer is not None:
             self._placer.note(grant, kind, pace_s)
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from random import Random
 
 from baobabwing.gateway.decisions.policies import make_scheduler
@@ -26,6 +28,9 @@
 
 __all__ = ["GatewayState"]
 
+# Upstreams that said that they leave and are remembered; they are gone within seconds.
+_MOST_LEAVING = 1024
+
 
 class GatewayState:
     """Beliefs of one gateway, changed by those who watch and read by requests.
@@ -51,7 +56,7 @@
         self.nodes = 1
         self._heard = 1
         self._entries: dict[str, tuple[UpstreamEntry, ...]] = {}
-        self._leaving: set[str] = set()
+        self._leaving: OrderedDict[str, None] = OrderedDict()
 
     def reload(self, settings: GatewaySettings) -> None:
         """Take changed bounds on second tries and limits."""
@@ -96,7 +101,9 @@
             by_pool.setdefault(entry.pool, []).append(entry)
             instances[entry.name] = entry.instance
         before = [entry for some in self._entries.values() for entry in some]
-        self._entries = {name: tuple(some) for name, some in by_pool.items()}
+        self._entries = {
+            name: tuple(map(self._as_known, some)) for name, some in by_pool.items()
+        }
         for name in set(by_pool) | set(self.pools):
             self._list(self._pool(name))
         for entry in before:
@@ -109,23 +116,45 @@
             listed={name: len(some) for name, some in self._entries.items()},
             draining=[
                 entry.instance
-                for some in by_pool.values()
+                for some in self._entries.values()
                 for entry in some
                 if entry.draining
             ],
         )
 
-    def note_leaving(self, entry: UpstreamEntry) -> None:
-        """Take that an upstream said in an answer that it is leaving."""
+    def note_leaving(self, entry: UpstreamEntry, *, source: str) -> bool:
+        """Take that an upstream said in an answer that it is leaving.
+
+        That is the newest word, and its last: what the store or peers list may be from
+        before it, for as long as the store is away. An upstream that starts again is
+        another incarnation.
+
+        :param source: who heard it, for the log.
+        :returns: whether it is news.
+        """
         if entry.instance in self._leaving:
-            return
-        self._leaving.add(entry.instance)
+            return False
+        self._leaving[entry.instance] = None
+        if len(self._leaving) > _MOST_LEAVING:
+            self._leaving.popitem(last=False)
         log(
             UPSTREAM_SAID_LEAVING,
             upstream=entry.instance,
             pool=entry.pool,
+            by=source,
             listed_draining=entry.draining,
         )
+        self._entries[entry.pool] = tuple(
+            map(self._as_known, self._entries.get(entry.pool, ()))
+        )
+        self._list(self._pool(entry.pool))
+        return True
+
+    def _as_known(self, entry: UpstreamEntry) -> UpstreamEntry:
+        """Return an entry with what its upstream itself has said since."""
+        if entry.draining or entry.instance not in self._leaving:
+            return entry
+        return replace(entry, draining=True)
 
     def listed(self) -> set[tuple[str, str]]:
         """Return address and instance of all listed upstreams."""
--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -82,6 +82,7 @@
     :param names: headers in use.
     :param behave: chooses how a request is answered.
     :param on_crash: called with a request that has ended this upstream.
+    :ivar leaving: whether all its answers say that it is leaving.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         self.names = names
         self.behave = behave
         self.on_crash = on_crash
+        self.leaving = False
         self.seen: list[SeenRequest] = []
         self.runs: Counter[str] = Counter()
         self.working = 0
@@ -263,7 +265,7 @@
             (self.names.request_id, identity),
             (self.names.signature, b"signed-" + self.instance.encode()),
         ]
-        if self.behave(seen).leaving:
+        if self.leaving or self.behave(seen).leaving:
             headers.append((self.names.leaving, b"1"))
         return headers
 
--- a/tests/gateway/decisions/test_cell_queue.py
+++ b/tests/gateway/decisions/test_cell_queue.py
@@ -41,6 +41,18 @@
     return [holder for holder, _ in made.grants(now)]
 
 
+def test_request_goes_on_at_an_engine_that_said_it_leaves():
+    made = queue()
+    put(made, 1, 7)
+    placed(made)
+    made.note(Holder(1, 7), NoteKind.LEAVING, None, OPEN)
+    assert made.held == 1
+    assert made.engine_of(Holder(1, 7)).instance == "e1"
+    assert made.engine_of(Holder(1, 8)) is None
+    made.note(Holder(1, 7), NoteKind.DONE, None, OPEN)
+    assert made.held == 0
+
+
 def test_requests_of_all_nodes_are_in_one_order():
     """Three nodes ask; the place goes to the most urgent, whoever asked first."""
     made = queue()
--- a/tests/gateway/decisions/test_scheduling.py
+++ b/tests/gateway/decisions/test_scheduling.py
@@ -73,6 +73,33 @@
     assert place(made, now=0.1) != []
 
 
+def test_closed_upstreams_get_nothing_also_where_all_are():
+    """Set aside is what we make of failures; closed is what the upstream asked for."""
+    made = scheduler()
+    made.close(made.tracks["a"], 2.0)
+    assert [grant.track.entry.instance for grant in place(made)] == ["b"]
+    made.close(made.tracks["b"], 1.5)
+    assert place(made) == []
+    assert made.opens_at(0.0) == 1.5
+    assert [grant.track.entry.instance for grant in made.grants(1.6)] == ["b"]
+    assert made.opens_at(1.6) == 1.6
+    assert [one.entry.instance for one in made.closed(1.6)] == ["a"]
+    assert made.closed(2.1) == []
+
+
+def test_shorter_word_does_not_open_an_upstream_sooner():
+    made = scheduler(("a",))
+    made.close(made.tracks["a"], 5.0)
+    made.close(made.tracks["a"], 1.0)
+    assert made.opens_at(0.0) == 5.0
+
+
+def test_where_all_leave_nobody_knows_when_there_will_be_one():
+    made = scheduler(("a",))
+    made.list_upstreams([entry("a", draining=True)])
+    assert made.opens_at(3.0) == 3.0
+
+
 def test_failing_upstream_is_set_aside_and_taken_back():
     made = scheduler()
     for _ in range(3):
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/test_leaving_upstreams.py
@@ -6,8 +6,9 @@
 import pytest
 import structlog
 
+from baobabwing.gateway.exchange import retry_after_s
 from baobabwing.standins.gateway_upstream import Behaviour
-from tests.gateway.bed import NAMES, Bed, ask
+from tests.gateway.bed import NAMES, Bed, ask, eventually
 from tests.gateway.fleet_bed import FleetBed
 
 
@@ -56,8 +57,9 @@
     """The store is away while an engine says that it leaves, in its answers only.
 
     Nodes went on sending to it for 6 s and more, until the store was back and took the
-    engine's row: the list was all that told them. Evidence: requests reached it long
-    after line 2507 of the node that sent them; the list said "ready" all the while.
+    engine's row: the list was all that told them. Cause: the word in the answer was not
+    read. Evidence: requests reached it long after line 2507 of the node that sent them,
+    while the list said "ready"; services, which have no home, got them as well.
     """
 
     async def story():
@@ -77,6 +79,42 @@
     run(story())
 
 
+def test_home_gives_no_more_places_at_an_engine_that_one_node_heard_leaves(run):
+    """The other nodes had no answer of it, and their lists say that it is ready."""
+
+    async def story():
+        async with FleetBed() as bed:
+            bed.by_name["engines-1"] = Behaviour(leaving=True, events=5)
+            await until_reached(bed, "engines-1", "/stream/x")
+
+            def known():
+                entries = [
+                    entry
+                    for one in bed.gateways
+                    for queue in one._homes._queues.values()
+                    for entry in (queue.scheduler.tracks["engines-1"].entry,)
+                ]
+                return entries and all(entry.draining for entry in entries)
+
+            await eventually(known, "homes know")
+            before = len(bed.at("engines-1"))
+            for node in (1, 2):
+                answers = await ask_together(bed, node, "/stream/x", f"n{node}")
+                assert [one.status for one in answers] == [200] * 12
+            assert len(bed.at("engines-1")) == before
+
+    run(story())
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds"),
+    [(b"1.5", 1.5), (b"2", 2.0), (b"0", 0.0), (b"-3", 0.0), (b"nan", 0.0)]
+    + [(b"inf", 3600.0), (b"Wed, 21 Oct 2026 07:28:00 GMT", 0.0), (b"", 0.0)],
+)
+def test_time_for_which_an_upstream_wants_nothing(value, seconds):
+    assert retry_after_s(value) == seconds
+
+
 @pytest.mark.parametrize(
     ("pool", "target"), [("services", "/unsafe/x"), ("engines", "/stream/x")]
 )
--- a/tests/platform_adapter/soak/checks.py
+++ b/tests/platform_adapter/soak/checks.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -12,6 +14,7 @@
 from baobabwing.exceptions import ConnectionLostError, MalformedError
 from baobabwing.gateway.connection import HttpConnection
 from baobabwing_platform.demo import request_headers
+from baobabwing_platform.dialect import HEADERS
 
 __all__ = ["Kind", "Outcome", "Records", "Reply", "ask", "expected"]
 
@@ -22,6 +25,8 @@
 _OK = 200
 # Workers that one request may end: three until the cause is clear, three in retries.
 _MOST_CRASHED = 6
+# Time from an answer that says that its worker leaves until nothing more is sent there.
+_DRAIN_S = 2.0
 
 
 class Kind(StrEnum):
@@ -38,9 +43,11 @@
 
     :param status: 0 if it got no head of an answer.
     :param whole: whether the answer came to its end.
+    :param leaving: the worker that says in it that it leaves, if it does.
     """
 
     status: int = 0
+    leaving: str = ""
     body: bytes = field(default=b"", repr=False)
     whole: bool = False
 
@@ -72,6 +79,9 @@
         self.wrong: list[str] = []
         self.outcomes: Counter[str] = Counter()
         self._ended: dict[str, _Ended] = {}
+        self._sent: dict[str, tuple[int, float]] = {}
+        self._told: dict[tuple[int, str], float] = {}
+        self._disturbed: dict[int, float] = {}
 
     def ended(self, number: str, kind: Kind, reply: Reply, events: int) -> Outcome:
         """Take a reply and judge it by itself.
@@ -94,6 +104,33 @@
             if ended > _MOST_CRASHED:
                 self.wrong.append(f"{target}: ended {ended} workers")
 
+    def sent(self, number: str, node: int) -> None:
+        """Note which node a request is sent to."""
+        self._sent[number] = (node, time.monotonic())
+
+    def disturbed(self, node: int) -> None:
+        """Note that a node is killed, stopped or stands still."""
+        self._disturbed[node] = time.monotonic()
+
+    def told(self, number: str, instance: str) -> None:
+        """Note that a node has passed on that a worker leaves."""
+        node, _ = self._sent[number]
+        self._told.setdefault((node, instance), time.monotonic())
+
+    def judge_leaving(self, ran_at: Iterable[tuple[str, str]]) -> None:
+        """Compare what nodes knew of workers that leave with what they sent there.
+
+        :param ran_at: requests and the workers that they reached.
+        """
+        for number, instance in ran_at:
+            node, sent_at = self._sent.get(number, (-1, 0.0))
+            told_at = self._told.get((node, instance))
+            if told_at is None or sent_at - told_at <= _DRAIN_S:
+                continue
+            if self._disturbed.get(node, 0.0) < told_at:
+                after_s = sent_at - told_at
+                self.wrong.append(f"{number}: at {instance} {after_s:.1f} s after")
+
     def judge_runs(self, runs: Counter[str]) -> None:
         """Compare all replies with what the workers ran."""
         for number, ended in self._ended.items():
@@ -131,7 +168,7 @@
     text: bytes = b"x",
 ) -> Reply:
     """Send a request and read its answer, as far as it comes."""
-    status, body = 0, b""
+    status, body, leaving = 0, b"", ""
     length = (b"Content-Length", b"%d" % len(text))
     headers = [*request_headers(number, key), length]
     try:
@@ -143,13 +180,22 @@
             while not isinstance(event := await conn.next_event(), h11.EndOfMessage):
                 if isinstance(event, h11.Response):
                     status = event.status_code
+                    leaving = _leaving(event)
                 elif isinstance(event, h11.Data):
                     body += bytes(event.data)
                 else:
-                    return Reply(status=status, body=body)
+                    return Reply(status=status, body=body, leaving=leaving)
     except (ConnectionLostError, MalformedError, TimeoutError):
-        return Reply(status=status, body=body)
-    return Reply(status=status, body=body, whole=True)
+        return Reply(status=status, body=body, leaving=leaving)
+    return Reply(status=status, body=body, whole=True, leaving=leaving)
+
+
+def _leaving(event: h11.Response) -> str:
+    """Return the worker that answers, if it says that it is leaving."""
+    found = {name.lower(): value for name, value in event.headers}
+    if HEADERS.leaving not in found:
+        return ""
+    return found[HEADERS.signature].decode().removeprefix("signed-")
 
 
 def _outcome(reply: Reply) -> Outcome:
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -4,9 +4,9 @@
 close together and overlap: nodes that are killed, stood still, told to stop, or told
 that their settings changed; connections to workers and to the store that are delayed,
 reset, held one way or both; a store that refuses, loses answers or forgets its history;
-workers that drain, go or come; requests that end each worker that runs them, again and
-again; configurations that take a key away. Callers keep their connections until these
-end. Seeds that ever failed are in ``seeds.py``.
+workers that drain, go or come, or say so in their answers alone; requests that end each
+worker that runs them, again and again; configurations that take a key away. Callers
+keep their connections until these end. Seeds that ever failed are in ``seeds.py``.
 """
 
 from __future__ import annotations
@@ -45,10 +45,9 @@
 _Action = Callable[["Soak"], Awaitable[None]]
 _UNPLANNED: list[_Action] = []
 _PLANNED: list[_Action] = []
-# Faults that came later are drawn from this seed on: seeds that failed before keep the
-# series of faults that they failed with.
-_LATER: list[_Action] = []
-_FIRST_WITH_LATER = 10_000
+# Faults that came later, and the first seed that draws each: seeds that failed before
+# keep the series of faults that they failed with.
+_LATER: list[tuple[int, _Action]] = []
 
 
 def _unplanned(action: _Action) -> _Action:
@@ -57,10 +56,14 @@
     return action
 
 
-def _later(action: _Action) -> _Action:
+def _later(first_seed: int) -> Callable[[_Action], _Action]:
     """Register a fault for seeds that were never played without it."""
-    _LATER.append(action)
-    return action
+
+    def register(action: _Action) -> _Action:
+        _LATER.append((first_seed, action))
+        return action
+
+    return register
 
 
 def _planned(action: _Action) -> _Action:
@@ -112,6 +115,7 @@
         finally:
             await self.deployment.stop()
         self.records.judge_crashes(self.deployment.crashed)
+        self.records.judge_leaving(self.deployment.ran_at())
         self.records.judge_runs(self.deployment.runs())
         return self.records.wrong
 
@@ -134,6 +138,7 @@
     async def stop_node(self, number: int) -> None:
         """Tell a node to stop, and start it again when it has ended."""
         self._stopping.add(number)
+        self.records.disturbed(number)
         process = self.deployment.processes[number]
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGTERM)
@@ -141,8 +146,8 @@
     async def _play(self) -> None:
         running: set[asyncio.Task[None]] = set()
         actions = _PLANNED if self.planned_only else _PLANNED + _UNPLANNED
-        if not self.planned_only and self.seed >= _FIRST_WITH_LATER:
-            actions = actions + _LATER
+        if not self.planned_only:
+            actions = actions + [one for first, one in _LATER if self.seed >= first]
         while time.monotonic() - self._began < _FAULT_S:
             action = self.rng.choice(actions)
             self.note(action.__name__.strip("_"))
@@ -212,27 +217,35 @@
 
     async def ask_anywhere(self, kind: Kind, path: str, text: bytes) -> None:
         """Ask some node; what it answers is judged by what the workers ran."""
-        number = str(next(self._numbers))
         address = self.rng.choice(self.deployment.callers)
         try:
             conn = await open_connection(address, timeout_s=1.0, head_bytes=_HEAD_BYTES)
         except ConnectionLostError:
             return
-        reply = await ask(conn, number, kind, KEY, path=path, text=text)
+        await self._ask(conn, kind, KEY, path=path, text=text)
         conn.close()
-        self.records.ended(number, kind, reply, _EVENTS)
 
     async def _ask_once(self, address: str, kind: Kind, key: str = KEY) -> Reply:
-        number = str(next(self._numbers))
         try:
             conn = await open_connection(address, timeout_s=1.0, head_bytes=_HEAD_BYTES)
         except ConnectionLostError:
             return Reply()
-        reply = await ask(conn, number, kind, key)
+        reply, _ = await self._ask(conn, kind, key)
         conn.close()
-        self.records.ended(number, kind, reply, _EVENTS)
         return reply
 
+    async def _ask(
+        self, conn: HttpConnection, kind: Kind, key: str, **text
+    ) -> tuple[Reply, Outcome]:
+        """Send a request and record all about it."""
+        number = str(next(self._numbers))
+        node = self.deployment.callers.index(conn.peer)
+        self.records.sent(number, node)
+        reply = await ask(conn, number, kind, key, **text)
+        if reply.leaving:
+            self.records.told(number, reply.leaving)
+        return reply, self.records.ended(number, kind, reply, _EVENTS)
+
     async def _call(self) -> None:
         """Ask over kept connections, as callers do, until the run ends."""
         rng = random.Random(next(self._numbers))
@@ -258,10 +271,9 @@
             return None
 
     async def _one(self, conn: HttpConnection, rng: random.Random) -> bool:
-        number, kind = str(next(self._numbers)), rng.choice(list(Kind))
+        kind = rng.choice(list(Kind))
         key = _SPARE_KEY if rng.random() < 0.1 else KEY
-        reply = await ask(conn, number, kind, key)
-        outcome = self.records.ended(number, kind, reply, _EVENTS)
+        _, outcome = await self._ask(conn, kind, key)
         if outcome is Outcome.CUT:
             return False
         try:
@@ -362,7 +374,7 @@
     await soak.deployment.replace_worker(soak.rng.choice(soak.deployment.names))
 
 
-@_later
+@_later(10_000)
 async def _crash_by_request(soak: Soak) -> None:
     """Have one request come again and again that no worker stands."""
     kind = soak.rng.choice(list(Kind))
@@ -372,7 +384,18 @@
         await asyncio.sleep(soak.rng.uniform(0.05, 0.6))
 
 
+@_later(10_100)
+async def _leave_in_answers(soak: Soak) -> None:
+    """Have a worker say in its answers that it leaves, and the store never hear it."""
+    name = soak.rng.choice(soak.deployment.names)
+    soak.deployment.worker(name).leaving = True
+    await asyncio.sleep(soak.rng.uniform(2.5, 5.0))
+    await soak.deployment.replace_worker(name)
+
+
 def _signal(soak: Soak, number: int, what: signal.Signals) -> None:
+    if what is not signal.SIGHUP:
+        soak.records.disturbed(number)
     with contextlib.suppress(ProcessLookupError):
         soak.deployment.processes[number].send_signal(what)
 
