Keep the exit status of nodes that are signalled while they end

Cause: the soak had killed the node, and sent it another signal while it ended. The process object's send_signal polls first, which may reap the process before the event loop's waiting thread does; the loop then makes up 255. Ruled out: that a node exits with 255 (none has such a path), and that load alone does it: four processes at once, each killed and then signalled 200 times, give 255 in 160 of 240 cases with send_signal and in none of 240 with os.kill. Change: the deployment of nodes sends signals itself; soak and tests use that.

--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -13,7 +13,6 @@
 
 import argparse
 import asyncio
-import contextlib
 import itertools
 import random
 import signal
@@ -139,9 +138,7 @@
         """Tell a node to stop, and start it again when it has ended."""
         self._stopping.add(number)
         self.records.disturbed(number)
-        process = self.deployment.processes[number]
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGTERM)
+        self.deployment.send_signal(number, signal.SIGTERM)
 
     async def _play(self) -> None:
         running: set[asyncio.Task[None]] = set()
@@ -396,8 +393,7 @@
 def _signal(soak: Soak, number: int, what: signal.Signals) -> None:
     if what is not signal.SIGHUP:
         soak.records.disturbed(number)
-    with contextlib.suppress(ProcessLookupError):
-        soak.deployment.processes[number].send_signal(what)
+    soak.deployment.send_signal(number, what)
 
 
 def _listens(pid: int, what: signal.Signals) -> bool:
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Requests that are held back stay so when all nodes have ended."""
 
 import asyncio
+import signal
 
 from baobabwing_platform import demo
 from baobabwing_platform.standin_store import StoreFault
@@ -39,8 +40,8 @@
             )
 
         await eventually(is_kept, "the store has it")
-        for process in deployment.processes:
-            process.kill()
+        for number in range(len(deployment.processes)):
+            deployment.send_signal(number, signal.SIGKILL)
         for number, process in enumerate(deployment.processes):
             await process.wait()
             await deployment.restart(number)
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -95,7 +95,7 @@
         deployment.store.fault = StoreFault.BUSY
         deployment.store.cut_connections()
         victim = deployment.processes[1]
-        victim.send_signal(signal.SIGKILL)
+        deployment.send_signal(1, signal.SIGKILL)
         await victim.wait()
         await deployment.restart(1)
 
@@ -123,7 +123,7 @@
             asyncio.ensure_future(ask(one, number, "stream"))
             for number, one in enumerate(addresses * 6, 100)
         ]
-        deployment.processes[0].send_signal(signal.SIGTERM)
+        deployment.send_signal(0, signal.SIGTERM)
         for status, body in await asyncio.gather(*streams):
             assert (status, body.count(b"id:")) == (200, 12)
 
@@ -145,7 +145,7 @@
 
     async def story(deployment):
         victim = deployment.processes[0]
-        victim.send_signal(signal.SIGKILL)
+        deployment.send_signal(0, signal.SIGKILL)
         await victim.wait()
         await deployment.restart(0)
         started = deployment.processes[0]
@@ -158,7 +158,7 @@
             return int(ignored.split()[1], 16) & (1 << (signal.SIGHUP - 1))
 
         await eventually(is_ignored, "the signal does no harm")
-        started.send_signal(signal.SIGHUP)
+        deployment.send_signal(0, signal.SIGHUP)
 
         async def is_back():
             return len(await demo.resolve(deployment.directories[0])) == 2
@@ -178,7 +178,7 @@
     """
 
     async def story(deployment):
-        deployment.processes[9].kill()
+        deployment.send_signal(9, signal.SIGKILL)
         await deployment.processes[9].wait()
         await asyncio.sleep(3.0)
         before = len(deployment.store.calls)
