Order what the store told by era and version, and doubt what a copy revives

Callers saw: after the store had come back from an older copy, an upstream that came got no request for as long as versions were lower than before, and one that had left got 30 of 60; a node that started then served a key that had been revoked. Cause: versions of the store were taken for an order of its states; they are one only between two returns from a copy. Class: a number of another process's life, compared without that life. Change: a position is (era, version), one type, compared in one place, with documents that nodes hand on as well. Answers of an earlier era are dropped, answers without one count as unanswered where others name one. After a step all tables are read anew; upstreams that the copy lacks stay in service for the 2.5 s of an outage; those that had left, or were leaving, and that it shows again get nothing new until their row changes or three and a half heartbeats are over. A node that starts asks two others before it puts the store's configuration in force. Own rows and held requests are written again, by each node at a time drawn from 0.04 s for each node that there is. Found while building: a call for changes that is opened anew right after a return waits for its whole time, 15 s for the configuration, since the store answers nothing older than the version asked for; the first call of a connection does not wait now. And a row that a copy shows with an older count would have counted as older than itself for good. Lines 2509, 4503, 5507 to 5509; metric baobabwing_gateway_store_era. One premise changed: test_list_of_the_restored_store_is_taken asks 20 at a time, since a node that is asked one at a time may find two upstreams enough; it fails on the code before.

--- a/baobabwing/gateway/decisions/starts.py
+++ b/baobabwing/gateway/decisions/starts.py
@@ -54,6 +54,14 @@
         self._remember(current)
         return list(current.values())
 
+    def forget_gone(self) -> None:
+        """Forget upstreams that are not listed.
+
+        Counts of a store that came back from an older copy start again from there: one
+        that is listed again would count as older than itself, for good.
+        """
+        self._known = {name: one for name, one in self._known.items() if one.listed}
+
     def _remember(self, current: dict[str, UpstreamEntry]) -> None:
         gone = {
             name: _Known(entry=known.entry, listed=False)
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "CALLER_LEFT",
+    "CONFIGURATION_HELD",
     "CONFIGURATION_TAKEN",
     "CELL_DROPPED",
     "CELL_LOAD",
@@ -28,6 +29,9 @@
     "ROW_UNREADABLE",
     "SETTINGS_RELOADED",
     "SHARE_CHANGED",
+    "STORE_ANSWER_STALE",
+    "STORE_ERA_UNREADABLE",
+    "STORE_RESTORED",
     "REQUEST_ENDED",
     "REQUEST_FAILED",
     "REQUEST_REFUSED",
@@ -37,6 +41,7 @@
     "SOURCE_PEER_LOST",
     "SOURCE_REGAINED",
     "UPSTREAMS_CHANGED",
+    "UPSTREAMS_RESTORED",
     "UPSTREAM_CLOSED",
     "UPSTREAM_FAILED",
     "UPSTREAM_SAID_LEAVING",
@@ -141,6 +146,14 @@
     "upstream_closed",
     "An upstream turned a request away and wants nothing from this node for a while.",
 )
+UPSTREAMS_RESTORED = define(
+    2509,
+    "upstreams_restored",
+    "The first list of upstreams after the store came back from an older copy. Those "
+    "that it lacks stay in service for a moment (`kept`); those that had left and that "
+    "it shows again get nothing until they have written anew (`doubted`).",
+    level="warning",
+)
 SHARE_CHANGED = define(
     3501,
     "share_changed",
@@ -225,6 +238,32 @@
     "The store has forgotten the changes since the version that this node has; the "
     "table is read as a whole.",
 )
+STORE_RESTORED = define(
+    5507,
+    "store_restored",
+    "The store came back from an older copy, as the era in its answers or in a peer's "
+    "documents says. All is read anew, and what this node wrote is written again.",
+    level="warning",
+)
+STORE_ANSWER_STALE = define(
+    5508,
+    "store_answer_stale",
+    "An answer from before the store came back from a copy arrived after it, and was "
+    "dropped.",
+)
+STORE_ERA_UNREADABLE = define(
+    5509,
+    "store_era_unreadable",
+    "An answer of the store does not say which era it is of, though others do, or not "
+    "as a number. The call counts as unanswered.",
+    level="error",
+)
+CONFIGURATION_HELD = define(
+    4503,
+    "configuration_held",
+    "This node starts, and the store may have come back from a copy: other nodes are "
+    "asked for a newer configuration before the store's is put in force.",
+)
 GATEWAY_STARTED = define(8501, "gateway_started", "The gateway listens for callers.")
 GATEWAY_LEAVING = define(
     8502, "gateway_leaving", "A graceful shutdown began; callers are sent elsewhere."
--- a/baobabwing/gateway/findings.py
+++ b/baobabwing/gateway/findings.py
@@ -91,6 +91,15 @@
             if finding.left_s > 0:
                 self._book.hear(finding, now)
 
+    def keep_verdicts(self) -> None:
+        """Have ``on_verdict`` called anew with each request that is held back."""
+        if self._members.work not in self._collectors():
+            return
+        now = monotonic()
+        for digest in self._book.digests():
+            for finding in self._book.findings(digest, now, verdict_only=True):
+                self.on_verdict(finding)
+
     def _take_news(self, news: News) -> None:
         collectors = self._collectors()
         if self._members.work not in collectors:
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -210,6 +210,7 @@
         metrics.late.set(self._watch.late_s)
         metrics.home_answer.set(self._placer.slowest_answer_s)
         metrics.store_away.set(self.sharing.store_away)
+        metrics.store_era.set(self.sharing.position(DocumentName.UPSTREAMS).era)
         metrics.held.set(self.state.quarantine.held(time.monotonic()))
         # The first one loads a library, 0.2 s on half a core; requests go on meanwhile.
         body = await asyncio.to_thread(metrics.render)
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -111,6 +111,10 @@
             name="baobabwing_gateway_store_away",
             meaning="1 while the store does not answer.",
         )
+        self.store_era = LightGauge(
+            name="baobabwing_gateway_store_era",
+            meaning="Era of the list of upstreams; rises when an older copy is back.",
+        )
         self.held = LightGauge(
             name="baobabwing_gateway_held_requests",
             meaning="Requests that are refused because upstreams ended under them.",
--- a/baobabwing/gateway/sharing.py
+++ b/baobabwing/gateway/sharing.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 import urllib.parse
@@ -26,6 +27,7 @@
 from baobabwing.gateway.events import DOCUMENT_TAKEN, SOURCE_PEER_LOST
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.plain_http import PlainAnswer
+from baobabwing.gateway.position import NOWHERE, Position
 from baobabwing.reports.events import log
 
 __all__ = ["Document", "DocumentName", "Sharing"]
@@ -68,10 +70,10 @@
 class Document:
     """One document as the store had it.
 
-    :param version: rises with each change.
+    :param position: rises with each change.
     """
 
-    version: int
+    position: Position
     data: bytes
 
 
@@ -92,6 +94,8 @@
     :param members: tell which nodes there are.
     :param on_document: takes a document that a peer had newer.
     :ivar on_regained: called when a peer has a path to the store again after none had.
+    :ivar heard: set once each node that this one follows has answered, or once it is
+        known that there is none.
     """
 
     def __init__(
@@ -105,6 +109,8 @@
         self.on_regained: Callable[[], None] = lambda: None
         self._documents: dict[DocumentName, Document] = {}
         self._changed = asyncio.Event()
+        self._answered: set[int] = set()
+        self.heard = asyncio.Event()
         self._served_at = time.monotonic()
         self._store_away = True
 
@@ -129,7 +135,7 @@
         made in vain by nearly all.
         """
         if self._members.joining and time.monotonic() - self._served_at < _NO_SOURCE_S:
-            return not all(map(self.version, DocumentName))
+            return any(self.position(name) == NOWHERE for name in DocumentName)
         total = len(self._members.serving())
         if total <= _ALL_FOLLOW:
             return True
@@ -139,14 +145,14 @@
 
     def keep(self, name: DocumentName, document: Document) -> None:
         """Keep a document for peers that ask; an older one is passed over."""
-        if document.version > self.version(name):
+        if document.position > self.position(name):
             self._documents[name] = document
             self._wake()
 
-    def version(self, name: DocumentName) -> int:
-        """Return the version that this node has; 0 for none."""
+    def position(self, name: DocumentName) -> Position:
+        """Return the position of what this node has."""
         document = self._documents.get(name)
-        return document.version if document else 0
+        return document.position if document else NOWHERE
 
     async def run(self) -> None:
         """Follow so many other nodes for as long as this one runs."""
@@ -155,12 +161,12 @@
     async def answer(self, method: str, target: str) -> PlainAnswer:
         """Answer a peer that follows this node: with what is newer, or after a while.
 
-        The query names the versions that the peer has.
+        The query names the positions of what the peer has.
         """
         url = urllib.parse.urlsplit(target)
         if url.path != "/documents":
             return PlainAnswer(status=404)
-        known = _versions(url.query)
+        known = _positions(url.query)
         until = time.monotonic() + _WAIT_S
         follows = not self._store_away
         while not self._newer(known) and follows == (not self._store_away):
@@ -203,6 +209,8 @@
         while True:
             source = self._source(turn)
             if source is None:
+                if not self._members.joining:
+                    self._note_heard(turn)
                 await asyncio.sleep(_RETRY_S)
                 continue
             try:
@@ -223,11 +231,17 @@
                     self._note_path()
                 for name, document in delivery.documents.items():
                     self._take(source, name, document)
+                self._note_heard(turn)
                 if delivery.documents:
                     await asyncio.sleep(_GATHER_S)
         finally:
             conn.close()
 
+    def _note_heard(self, turn: int) -> None:
+        self._answered.add(turn)
+        if len(self._answered) == _SOURCES:
+            self.heard.set()
+
     def _note_path(self) -> None:
         now = time.monotonic()
         if now - self._served_at > _NO_SOURCE_S:
@@ -235,7 +249,7 @@
         self._served_at = now
 
     async def _call(self, conn: HttpConnection, source: Host) -> _Delivery:
-        known = {name.value: self.version(name) for name in DocumentName}
+        known = {name.value: self.position(name) for name in DocumentName}
         target = f"/documents?{urllib.parse.urlencode(known)}"
         headers = [(b"Host", source.peer.encode())]
         await conn.send(h11.Request(method="GET", target=target, headers=headers))
@@ -253,27 +267,29 @@
                 f"status {status}", step="documents", peer=source.peer
             )
         conn.http.start_next_cycle()
-        return _unpack(body, source.peer, have=self.version)
+        return _unpack(body, source.peer, have=self.position)
 
     def _take(self, source: Host, name: DocumentName, document: Document) -> None:
-        before = self.version(name)
-        if document.version <= before:
+        before = self.position(name)
+        if document.position <= before:
             return
         log(
             DOCUMENT_TAKEN,
             peer=source.name,
             document=name.value,
-            version=document.version,
-            before=before,
+            position=str(document.position),
+            before=str(before),
         )
         self.keep(name, document)
         self._on_document(name, document)
 
-    def _newer(self, known: dict[DocumentName, int]) -> dict[DocumentName, Document]:
+    def _newer(
+        self, known: dict[DocumentName, Position]
+    ) -> dict[DocumentName, Document]:
         return {
             name: document
             for name, document in self._documents.items()
-            if document.version > known.get(name, 0)
+            if document.position > known.get(name, NOWHERE)
         }
 
     def _wake(self) -> None:
@@ -281,20 +297,21 @@
         self._changed = asyncio.Event()
 
 
-def _versions(query: str) -> dict[DocumentName, int]:
+def _positions(query: str) -> dict[DocumentName, Position]:
+    """Read what a peer has; what can't be read counts as nothing."""
     found = dict(urllib.parse.parse_qsl(query))
-    return {
-        name: int(found[name.value])
-        for name in DocumentName
-        if found.get(name.value, "").isdigit()
-    }
+    positions = {}
+    for name in DocumentName:
+        with contextlib.suppress(KeyError, ValueError):
+            positions[name] = Position.parse(found[name.value])
+    return positions
 
 
 def _pack(follows: bool, documents: dict[DocumentName, Document]) -> bytes:
     """Return a line of what follows, and the documents deflated."""
     bodies = {name: zlib.compress(one.data, 1) for name, one in documents.items()}
     words = [
-        f"{name.value}:{documents[name].version}:{len(body)}"
+        f"{name.value}:{documents[name].position}:{len(body)}"
         for name, body in bodies.items()
     ]
     head = " ".join([str(int(follows)), *words]).encode()
@@ -302,11 +319,14 @@
 
 
 def _unpack(
-    body: bytes, peer: str, *, have: Callable[[DocumentName], int] = lambda name: 0
+    body: bytes,
+    peer: str,
+    *,
+    have: Callable[[DocumentName], Position] = lambda name: NOWHERE,
 ) -> _Delivery:
     """Read an answer; documents that came by the other source stay packed.
 
-    :param have: returns the version that this node has by now.
+    :param have: returns the position of what this node has by now.
     """
     head, _, rest = body.partition(b"\n")
     try:
@@ -315,11 +335,12 @@
         follows, *words = head.decode().split(" ")
         documents = {}
         for word in words:
-            name, version, size = word.split(":")
+            name, text, size = word.split(":")
+            position = Position.parse(text)
             data, rest = rest[: int(size)], rest[int(size) :]
-            if int(version) > have(DocumentName(name)):
+            if position > have(DocumentName(name)):
                 documents[DocumentName(name)] = Document(
-                    version=int(version), data=zlib.decompress(data)
+                    position=position, data=zlib.decompress(data)
                 )
         return _Delivery(follows=follows == "1", documents=documents)
     except (ValueError, zlib.error) as exc:
--- /dev/null
+++ b/tests/gateway/test_position.py
@@ -0,0 +1,27 @@
+"""Positions order the states of a store."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from baobabwing.gateway.position import NOWHERE, Position
+
+POSITIONS = st.builds(Position, era=st.integers(0, 9), version=st.integers(0, 10**12))
+
+
+def test_era_goes_before_version():
+    before = Position(era=1, version=900)
+    assert before < Position(era=2, version=300)
+    assert before < Position(era=1, version=901)
+    assert before > NOWHERE
+
+
+@given(POSITIONS)
+def test_text_says_all(position):
+    assert Position.parse(str(position)) == position
+
+
+@pytest.mark.parametrize("text", ["", "7", "1.", ".1", "1.2.3", "-1.2", "a.b", "1.²"])
+def test_text_that_is_no_position_is_refused(text):
+    with pytest.raises(ValueError, match="no position"):
+        Position.parse(text)
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -10,12 +10,17 @@
 from baobabwing.fleet.host import Host
 from baobabwing.gateway import sharing
 from baobabwing.gateway.plain_http import PlainServer
+from baobabwing.gateway.position import Position
 from baobabwing.gateway.sharing import Document, DocumentName, Sharing
 from tests.gateway.bed import eventually, free_address
 
 CFG = DocumentName.CONFIGURATION
 
 
+def document_of(version, data):
+    return Document(position=Position(version=version), data=data)
+
+
 class FixedMembers:
     """Members that a test sets."""
 
@@ -78,10 +83,10 @@
 
     async def story():
         async with Fleet(12) as fleet:
-            document = Document(version=7, data=b"{}" * 5000)
+            document = document_of(7, b"{}" * 5000)
             fleet.nodes[0].keep(CFG, document)
             for node in fleet.nodes:
-                await eventually(lambda node=node: node.version(CFG) == 7)
+                await eventually(lambda node=node: node.position(CFG).version == 7)
                 assert node._documents[CFG] == document
 
     run(story())
@@ -97,13 +102,15 @@
     async def story():
         async with Fleet(12) as fleet:
             taken = []
-            fleet.nodes[11]._on_document = lambda name, one: taken.append(one.version)
+            fleet.nodes[11]._on_document = lambda name, one: taken.append(
+                one.position.version
+            )
             began = time.monotonic()
             for version in range(1, 101):
                 for node in fleet.nodes[:4]:
-                    node.keep(CFG, Document(version=version, data=b"{}"))
+                    node.keep(CFG, document_of(version, b"{}"))
                 await asyncio.sleep(0.01)
-            await eventually(lambda: fleet.nodes[11].version(CFG) == 100)
+            await eventually(lambda: fleet.nodes[11].position(CFG).version == 100)
             turns = (time.monotonic() - began) / sharing._GATHER_S + 1
             assert len(taken) <= sharing._SOURCES * turns
             assert len(taken) < 100
@@ -114,11 +121,11 @@
 def test_older_document_changes_nothing(run):
     async def story():
         async with Fleet(3) as fleet:
-            fleet.nodes[0].keep(CFG, Document(version=7, data=b"new"))
-            await eventually(lambda: fleet.nodes[2].version(CFG) == 7)
-            fleet.nodes[1].keep(CFG, Document(version=6, data=b"old"))
-            fleet.nodes[1].keep(CFG, Document(version=8, data=b"newest"))
-            await eventually(lambda: fleet.nodes[2].version(CFG) == 8)
+            fleet.nodes[0].keep(CFG, document_of(7, b"new"))
+            await eventually(lambda: fleet.nodes[2].position(CFG).version == 7)
+            fleet.nodes[1].keep(CFG, document_of(6, b"old"))
+            fleet.nodes[1].keep(CFG, document_of(8, b"newest"))
+            await eventually(lambda: fleet.nodes[2].position(CFG).version == 8)
 
     run(story())
 
@@ -155,7 +162,7 @@
         node._members.joining = True
         assert node.follows_store
         for name in DocumentName:
-            node.keep(name, Document(version=1, data=b"{}"))
+            node.keep(name, document_of(1, b"{}"))
         assert not node.follows_store
         node._members.hosts = node._members.hosts[11:]
         await eventually(lambda: node.follows_store)
@@ -189,14 +196,14 @@
 
     async def story():
         async with Fleet(12) as fleet:
-            fleet.nodes[1].keep(CFG, Document(version=1, data=b"a"))
-            await eventually(lambda: fleet.nodes[11].version(CFG) == 1)
+            fleet.nodes[1].keep(CFG, document_of(1, b"a"))
+            await eventually(lambda: fleet.nodes[11].position(CFG).version == 1)
             for node in fleet.nodes:
                 node._members.hosts = [one for one in fleet.hosts if one.name != "n00"]
             fleet.servers[0].stop()
-            fleet.nodes[1].keep(CFG, Document(version=2, data=b"b"))
+            fleet.nodes[1].keep(CFG, document_of(2, b"b"))
             for node in fleet.nodes[1:]:
-                await eventually(lambda node=node: node.version(CFG) == 2)
+                await eventually(lambda node=node: node.position(CFG).version == 2)
 
     run(story())
 
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -5,21 +5,13 @@
 
 from baobabwing_platform import demo
 from baobabwing_platform.standin_store import StoreFault
-from tests.platform_adapter.test_processes import eventually, with_deployment
+from tests.platform_adapter.test_processes import ask, eventually, with_deployment
 
 CRASH = demo.CRASH
 # Two show the cause; a third may end under a copy that came at the same moment.
 MOST_ENDED = 3
 
 
-async def ask(address, number, kind="safe", text=CRASH):
-    conn = await demo.open_connection(address, timeout_s=5.0, head_bytes=65_536)
-    headers = demo.request_headers(str(number), demo.KEY)
-    answer = await demo.exchange(conn, "POST", f"/{kind}/x", headers, text)
-    conn.close()
-    return answer
-
-
 def test_request_is_still_held_back_after_all_nodes_were_killed(tmp_path):
     """A request ends two services and is held back; then all nodes lose power.
 
@@ -29,7 +21,7 @@
 
     async def story(deployment):
         for number in range(1, 4):
-            status, _ = await ask(deployment.callers[number % 2], number)
+            status, _ = await ask(deployment.callers[number % 2], number, text=CRASH)
             assert status in (502, 503)
         ended = deployment.crashed.total()
         assert ended <= MOST_ENDED
@@ -51,7 +43,7 @@
 
         await eventually(is_back, "both serve")
         for number in range(10, 14):
-            status, _ = await ask(deployment.callers[number % 2], number)
+            status, _ = await ask(deployment.callers[number % 2], number, text=CRASH)
             assert status == 503
         assert deployment.crashed.total() == ended
         assert await ask(deployment.callers[0], 20, text=b"x") == (
@@ -67,10 +59,12 @@
         deployment.store.fault = StoreFault.SILENT
         deployment.store.cut_connections()
         for number in range(1, 4):
-            await ask(deployment.callers[number % 2], number, "stream")
+            await ask(deployment.callers[number % 2], number, "stream", text=CRASH)
         await asyncio.sleep(0.5)
         for number in range(10, 14):
-            status, _ = await ask(deployment.callers[number % 2], number, "stream")
+            status, _ = await ask(
+                deployment.callers[number % 2], number, "stream", text=CRASH
+            )
             assert status == 503
         assert deployment.crashed.total() <= MOST_ENDED
 
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -12,7 +12,7 @@
 WAIT_S = 20.0
 
 
-async def ask(address, number, kind="safe", key="demo-key"):
+async def ask(address, number, kind="safe", key="demo-key", text=b"x"):
     conn = await demo.open_connection(address, timeout_s=5.0, head_bytes=65_536)
     headers = [
         (b"Host", b"demo.example"),
@@ -20,7 +20,7 @@
         (HEADERS.deadline, b"8000"),
         (HEADERS.key, key.encode()),
     ]
-    answer = await demo.exchange(conn, "POST", f"/{kind}/x", headers, b"x")
+    answer = await demo.exchange(conn, "POST", f"/{kind}/x", headers, text)
     conn.close()
     return answer
 
--- a/tests/platform_adapter/test_restored_store.py
+++ b/tests/platform_adapter/test_restored_store.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import itertools
+import signal
 
+from baobabwing_platform import demo
 from tests.platform_adapter.test_processes import ask, eventually, with_deployment
 from tests.platform_adapter.test_store import Followed
 from tests.platform_adapter.test_store import eventually as soon
@@ -11,6 +13,8 @@
 OTHERS = 40
 # Long enough for a node to take in what it will use at once.
 SETTLED_S = 1.0
+# Requests of one node at the same time.
+BESIDE = 10
 
 
 def write_others(store, count=OTHERS):
@@ -60,8 +64,13 @@
         numbers = itertools.count(1)
 
         async def is_used():
-            for address in deployment.callers:
-                await ask(address, next(numbers))
+            # More at the same time than two upstreams have places for.
+            asked = [
+                ask(address, next(numbers))
+                for address in deployment.callers
+                for _ in range(BESIDE)
+            ]
+            await asyncio.gather(*asked)
             return bool(deployment.worker("service-0").seen)
 
         await eventually(is_used, "the upstream that came is used")
@@ -94,3 +103,146 @@
         assert len(gone.seen) == before
 
     with_deployment(tmp_path, story)
+
+
+def test_key_that_was_revoked_stays_so_at_a_node_that_starts(tmp_path):
+    """A key is revoked, then the store comes back from a copy that still has it.
+
+    A node starts before the operator has written the configuration again. It read the
+    older one and served the key, until another node told it of the newer one.
+    """
+
+    async def story(deployment):
+        copy = deployment.store.take_copy()
+        changed = demo.configuration(5)
+        changed["tenants"] = [{"name": "demo", "api_keys": ["other-key"]}]
+        deployment.store.write("op", "config", changed)
+        address = deployment.callers[0]
+
+        async def refused():
+            return (await ask(address, 5))[0] == 401
+
+        await eventually(refused, "the key is refused")
+        deployment.store.restore(copy)
+        assert deployment.store.read("op", "config")["version"] == 1
+        deployment.send_signal(1, signal.SIGKILL)
+        await deployment.processes[1].wait()
+        await deployment.restart(1)
+        statuses = []
+
+        async def serves():
+            try:
+                statuses.append((await ask(deployment.callers[1], 6))[0])
+            except demo.ConnectionLostError:
+                return False
+            return statuses[-1] == 401
+
+        await eventually(serves, "the node that started knows the newer one")
+        assert 200 not in statuses
+
+    with_deployment(tmp_path, story)
+
+
+def test_change_is_seen_although_calls_wait_over_the_step(tmp_path):
+    """The store comes back from a copy without any connection being cut.
+
+    Calls that wait for changes since a version of before would go on waiting for it.
+    The one that is asked for more often hears of the new era and has all look again.
+    """
+
+    async def story(deployment):
+        copy = deployment.store.take_copy()
+        write_others(deployment.store)
+        deployment.list_worker("service-1")
+        await asyncio.sleep(SETTLED_S)
+        deployment.store.restore(copy, keep_calls=True)
+        changed = demo.configuration(2)
+        changed["tenants"] = [{"name": "demo", "api_keys": ["other-key"]}]
+        deployment.store.write("op", "config", changed)
+        write_others(deployment.store, 2 * OTHERS)
+        for address in deployment.callers:
+
+            async def refused(address=address):
+                return (await ask(address, 5))[0] == 401
+
+            await eventually(refused, "the key is refused")
+
+    with_deployment(tmp_path, story)
+
+
+def test_own_rows_are_written_again(tmp_path):
+    """The copy lacks the nodes' own rows, and a request that is held back.
+
+    Nobody else writes them: a node that starts would find no other, and all nodes
+    together would forget the request when they lose power.
+    """
+
+    async def story(deployment):
+        store = deployment.store
+        copy = store.take_copy()
+        rows = [key for key in store.keys("fleet") if key.startswith("node/")]
+        for key in rows:
+            copy.rows.pop(("fleet", key))
+        for number in range(1, 4):
+            await ask(deployment.callers[number % 2], number, text=demo.CRASH)
+
+        async def is_kept():
+            return any(key.startswith("held/") for key in store.keys("fleet"))
+
+        await eventually(is_kept, "the request is held back")
+        held = store.keys("fleet")
+        store.restore(copy)
+        assert store.keys("fleet") == []
+
+        async def all_there():
+            return store.keys("fleet") == held
+
+        await eventually(all_there, "all rows are back")
+
+    with_deployment(tmp_path, story)
+
+
+def test_store_comes_back_from_copies_twice_in_a_row(tmp_path):
+    """What the first return brought is undone by the second; a worker came between."""
+
+    async def story(deployment):
+        copy = deployment.store.take_copy()
+        for _ in range(2):
+            write_others(deployment.store)
+            await deployment.replace_worker("service-0")
+            await asyncio.sleep(SETTLED_S / 2)
+            deployment.store.restore(copy)
+        deployment.list_worker("service-0")
+        numbers = itertools.count(1)
+
+        async def is_used():
+            asked = [
+                ask(address, next(numbers))
+                for address in deployment.callers
+                for _ in range(BESIDE)
+            ]
+            answers = await asyncio.gather(*asked)
+            assert {status for status, _ in answers} == {200}
+            return bool(deployment.worker("service-0").seen)
+
+        await eventually(is_used, "the upstream that came is used")
+
+    with_deployment(tmp_path, story)
+
+
+def test_store_that_names_no_era_is_served_from_as_before(tmp_path):
+    async def story(deployment):
+        deployment.store.era_text = lambda era: None
+        deployment.send_signal(1, signal.SIGKILL)
+        await deployment.processes[1].wait()
+        await deployment.restart(1)
+
+        async def serves():
+            try:
+                return (await ask(deployment.callers[1], 6))[0] == 200
+            except demo.ConnectionLostError:
+                return False
+
+        await eventually(serves, "a node that starts serves")
+
+    with_deployment(tmp_path, story)
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -7,6 +7,7 @@
 
 from baobabwing.exceptions import PlatformUnavailableError, PlatformUncertainError
 from baobabwing_platform import watching
+from baobabwing_platform.eras import StoreEras
 from baobabwing_platform.standin_store import StandinStore, StoreFault
 from baobabwing_platform.store import HistoryLostError, StoreClient
 from baobabwing_platform.watching import TableWatch
@@ -29,7 +30,9 @@
         await self.store.start()
         self.rows = None
         self.after_outage = []
-        client = StoreClient(address=self.store.address, timeout_s=0.2)
+        client = StoreClient(
+            address=self.store.address, eras=StoreEras(), timeout_s=0.2
+        )
         self.watch = TableWatch(table="servers", client=client, on_look=self.take)
         self._task = asyncio.ensure_future(self.watch.run())
         await eventually(lambda: self.rows is not None, "first look")
@@ -136,7 +139,7 @@
     async def story():
         store = StandinStore()
         await store.start()
-        client = StoreClient(address=store.address, timeout_s=0.2)
+        client = StoreClient(address=store.address, eras=StoreEras(), timeout_s=0.2)
         await client.put("nodes", "a", {"n": 1})
         store.fault = StoreFault.BUSY
         with pytest.raises(PlatformUnavailableError):
@@ -164,7 +167,7 @@
         await store.start()
         for number in range(1203):
             store.write("servers", f"i-{number:05}", {"n": number})
-        client = StoreClient(address=store.address)
+        client = StoreClient(address=store.address, eras=StoreEras())
         found = await client.read_all("servers")
         assert [row.value["n"] for row in found.rows] == list(range(1203))
         store.stop()
@@ -243,7 +246,7 @@
         store = StandinStore()
         await store.start()
         looks = []
-        client = StoreClient(address=store.address, timeout_s=0.2)
+        client = StoreClient(address=store.address, eras=StoreEras(), timeout_s=0.2)
         watch = TableWatch(table="servers", client=client, on_look=looks.append)
         if not read_before:
             store.fault = StoreFault.BUSY
