--- a/tests/platform_adapter/soak/checks.py
+++ b/tests/platform_adapter/soak/checks.py
@@ -23,6 +23,7 @@
 # Statuses that promise that a request has not run and never will.
 _NOT_RUN = (408, 421, 429, 503)
 _OK = 200
+_UNAUTHORIZED = 401
 # Workers that one request may end: three until the cause is clear, three in retries.
 _MOST_CRASHED = 6
 # Time from an answer that says that its worker leaves until nothing more is sent there.
@@ -82,6 +83,7 @@
         self._sent: dict[str, tuple[int, float]] = {}
         self._told: dict[tuple[int, str], float] = {}
         self._disturbed: dict[int, float] = {}
+        self._refused_key: dict[int, float] = {}
 
     def ended(self, number: str, kind: Kind, reply: Reply, events: int) -> Outcome:
         """Take a reply and judge it by itself.
@@ -109,7 +111,7 @@
         self._sent[number] = (node, time.monotonic())
 
     def disturbed(self, node: int) -> None:
-        """Note that a node is killed, stopped or stands still."""
+        """Note that a node is killed, stopped, started or stands still."""
         self._disturbed[node] = time.monotonic()
 
     def told(self, number: str, instance: str) -> None:
@@ -117,6 +119,17 @@
         node, _ = self._sent[number]
         self._told.setdefault((node, instance), time.monotonic())
 
+    def spare_key_used(self, number: str, status: int) -> None:
+        """Judge the answer to a key that is taken away once, and never given back."""
+        node, sent_at = self._sent[number]
+        refused_at = self._refused_key.get(node)
+        if status == _UNAUTHORIZED:
+            self._refused_key[node] = time.monotonic()
+        elif status == _OK and refused_at is not None:
+            started = self._disturbed.get(node, 0.0) > refused_at
+            if sent_at > refused_at and not started:
+                self.wrong.append(f"{number}: node {node} serves a key it had refused")
+
     def judge_leaving(self, ran_at: Iterable[tuple[str, str]]) -> None:
         """Compare what nodes knew of workers that leave with what they sent there.
 
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -3,10 +3,11 @@
 ``make platform-soak SEEDS=50`` runs it. Each seed draws a series of faults that come
 close together and overlap: nodes that are killed, stood still, told to stop, or told
 that their settings changed; connections to workers and to the store that are delayed,
-reset, held one way or both; a store that refuses, loses answers or forgets its history;
-workers that drain, go or come, or say so in their answers alone; requests that end each
-worker that runs them, again and again; configurations that take a key away. Callers
-keep their connections until these end. Seeds that ever failed are in ``seeds.py``.
+reset, held one way or both; a store that refuses, loses answers, forgets its history
+or comes back from an older copy; workers that drain, go or come, or say so in their
+answers alone; requests that end each worker that runs them, again and again;
+configurations that take a key away. Callers keep their connections until these end.
+Seeds that ever failed are in ``seeds.py``.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 
 from baobabwing.exceptions import BaobabwingError, ConnectionLostError
@@ -40,6 +42,8 @@
 _CONFIRMATIONS = 12
 _HEAD_BYTES = 65_536
 _SPARE_KEY = "spare-key"
+# Three heartbeats, as the nodes' settings have them by default.
+_SILENT_S = 3.6
 
 _Action = Callable[["Soak"], Awaitable[None]]
 _UNPLANNED: list[_Action] = []
@@ -121,6 +125,10 @@
     def write_configuration(self) -> None:
         """Write the next version, with the spare key until it is taken away."""
         self.version += self.rng.randint(1, 3)
+        self.write_configuration_again()
+
+    def write_configuration_again(self) -> None:
+        """Write the newest version, which the store may have lost."""
         changed = configuration(self.version)
         if not self.revoked:
             changed["tenants"][0]["api_keys"].append(_SPARE_KEY)
@@ -175,6 +183,7 @@
                     )
                 self._stopping.discard(number)
                 await self.deployment.restart(number)
+                self.records.disturbed(number)
 
     async def _recovers(self) -> None:
         """Wait until each node serves each kind of request, again and again."""
@@ -241,6 +250,8 @@
         reply = await ask(conn, number, kind, key, **text)
         if reply.leaving:
             self.records.told(number, reply.leaving)
+        if key == _SPARE_KEY:
+            self.records.spare_key_used(number, reply.status)
         return reply, self.records.ended(number, kind, reply, _EVENTS)
 
     async def _call(self) -> None:
@@ -390,6 +401,37 @@
     await soak.deployment.replace_worker(name)
 
 
+@_later(10_200)
+async def _restore_older_copy(soak: Soak) -> None:
+    """Have the store go away for a moment, and come back without its last writes.
+
+    The operator and the workers write theirs again within two seconds, in any order;
+    rows that nobody renews are dropped after three heartbeats.
+    """
+    store = soak.deployment.store
+    copy = store.take_copy()
+    await asyncio.sleep(soak.rng.uniform(0.2, 3.0))
+    store.fault = soak.rng.choice([StoreFault.RESET, StoreFault.SILENT])
+    await asyncio.sleep(soak.rng.uniform(0.05, 1.0))
+    store.restore(copy, keep_calls=soak.rng.random() < 0.3)
+    store.fault = StoreFault.NONE
+    await asyncio.gather(
+        _after(soak.rng.uniform(0.0, 2.0), soak.write_configuration_again),
+        *(
+            _after(
+                soak.rng.uniform(0.0, 2.0), partial(soak.deployment.list_again, name)
+            )
+            for name in soak.deployment.names
+        ),
+        _after(_SILENT_S, soak.deployment.drop_silent),
+    )
+
+
+async def _after(pause_s: float, action: Callable[[], None]) -> None:
+    await asyncio.sleep(pause_s)
+    action()
+
+
 def _signal(soak: Soak, number: int, what: signal.Signals) -> None:
     if what is not signal.SIGHUP:
         soak.records.disturbed(number)
