Split the way of a request: waiting for upstreams, and streams that move

What decides that an upstream is mute is listening.py, what moves a stream to a faster engine is moving.py; both can be read by themselves. No decision changes.

--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import TypeVar
 
 from baobabwing.exceptions import (
     ConnectionLostError,
@@ -24,7 +22,9 @@
 from baobabwing.gateway.envelope import Envelope, upstream_headers
 from baobabwing.gateway.events import UPSTREAM_CLOSED
 from baobabwing.gateway.exchange import AnswerHead, ConnectionPool, UpstreamConnection
+from baobabwing.gateway.listening import listen
 from baobabwing.gateway.metrics import Outcome
+from baobabwing.gateway.moving import StreamMoves
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.state import GatewayState
 from baobabwing.reports.events import log
@@ -38,34 +38,10 @@
 _RETURN_S = 0.01
 # Sends of one request at the most, proven refusals included.
 _MOST_SENDS = 4
-# A repeatable call whose upstream is silent this many times its usual time goes
-# elsewhere; below the floor, ordinary queueing would do it.
-_SILENT_RATIO = 6.0
-_SILENT_FLOOR_S = 0.12
-# A resumable stream leaves an upstream from which nothing came on any stream for
-# this many times the longest pause that is in time. Long prompts beside it make
-# one stream pause for half a second, but not all of them for twice that.
-_MUTE_PAUSES = 2.0
-# Before a first event also for this many times what was predicted.
-_MUTE_RATIO = 3.0
-# Before an upstream counts as mute, its connection is read once more for this long: if
-# this node itself stood still, the answer may lie there unread while timers are due.
-_LAST_LOOK_S = 0.005
 _LEAST_RETRY_AFTER_S = 0.05
 # A caller with this much less time than others of its route has asked before; clocks
 # and roundings differ by less.
 _ASKED_BEFORE_S = 0.05
-# A stream is looked at this often, from this share of its time on; it moves if the
-# rest of it would take this share of the time that is left, and if so many second
-# tries are left for those that fail.
-_MOVE_CHECK_S = 0.25
-_MOVE_AFTER = 0.2
-_MOVE_GROWTH = 1.5
-_MOVE_LEFT = 0.6
-_MOVE_BUDGET = 3
-
-
-_Read = TypeVar("_Read")
 
 
 class Forwarder:
@@ -83,6 +59,7 @@
         self._connections = connections
         self._accounts = accounts
         self._admission = Admission(state=state)
+        self._moves = StreamMoves(state=state, ask=self._ask)
         self._names = state.settings.names
 
     async def handle(
@@ -245,7 +222,7 @@
         sent_at = time.monotonic()
         envelope = call.envelope
         await kept.send(envelope.method, envelope.target, headers, call.body)
-        head = await self._listen(call, pool, grant, kept.head)
+        head = await listen(call, pool, grant, kept.head, state=self._state)
         self._heed(pool, grant, head)
         if head.request_id and head.request_id != envelope.request_id:
             raise MalformedError(
@@ -373,7 +350,7 @@
         call.splitter.drop()
         before = call.events_before
         while True:
-            piece = await self._listen(call, pool, grant, kept.body_piece)
+            piece = await listen(call, pool, grant, kept.body_piece, state=self._state)
             now = time.monotonic()
             grant.track.heard_at = now
             if piece is None:
@@ -394,7 +371,7 @@
             if not call.answer.started:
                 await call.answer.start(head.status, head.reason, head.headers)
             await call.answer.data(whole)
-            if self._moves(call, pool, grant, now):
+            if self._moves.goes_on_elsewhere(call, pool, grant, now):
                 return Step.MOVED
         if not call.answer.started:
             await call.answer.start(head.status, head.reason, head.headers)
@@ -404,93 +381,6 @@
         await call.answer.end()
         return Step.DONE
 
-    def _moves(self, call: Call, pool: PoolRuntime, grant: Grant, now: float) -> bool:
-        """Whether a stream goes on at a faster engine from here on.
-
-        An output that is longer than its caller guessed would be cut at its deadline
-        on a slow engine, after all the work for it. Reading its prompt and what it
-        has generated again takes some 50 ms.
-        """
-        route = call.route
-        if call.next_grant is not None:
-            pool.budget.take(now, self._state.nodes)
-            return True
-        if not route.resumable or call.runs >= route.attempts or call.move_asked:
-            return False
-        if now - call.move_checked_at < _MOVE_CHECK_S:
-            return False
-        call.move_checked_at = now
-        left_s = call.ends_at - now
-        if now - call.arrived < _MOVE_AFTER * (left_s + now - call.arrived):
-            return False
-        per_event = pool.scheduler.engine.tokens_per_event
-        made = call.splitter.events * per_event
-        # Half as much again is the least that an output goes on which has gone on
-        # for so long already.
-        whole = max(call.envelope.expected_out, int(_MOVE_GROWTH * made))
-        if pool.scheduler.output_s(whole - made, grant.track) < _MOVE_LEFT * left_s:
-            return False
-        if pool.budget.left(self._state.nodes) < _MOVE_BUDGET:
-            return False
-        call.move_asked = True
-        ask = self._ask(call, made)
-        pool.move(ask, grant, lambda place: self._take_move(call, pool, place))
-        return False
-
-    def _take_move(
-        self, call: Call, pool: PoolRuntime, place: Grant | NoPlaceError | None
-    ) -> None:
-        """Take the answer to the question for a faster engine."""
-        call.move_asked = False
-        if not isinstance(place, Grant):
-            return
-        if call.over or call.next_grant is not None:
-            pool.free(place, NoteKind.RELEASED)
-            return
-        call.next_grant = place
-
-    async def _listen(
-        self,
-        call: Call,
-        pool: PoolRuntime,
-        grant: Grant,
-        read: Callable[[], Awaitable[_Read]],
-    ) -> _Read:
-        """Wait for an upstream, but not for one that has gone mute.
-
-        :raises ConnectionLostError: if it is mute and another may be tried.
-        """
-        limit_s = wait_s = self._silence_s(call, grant)
-        while True:
-            try:
-                async with asyncio.timeout(wait_s):
-                    return await read()
-            except TimeoutError as exc:
-                quiet_s = time.monotonic() - max(grant.track.heard_at, grant.since)
-                mute = limit_s is not None and quiet_s >= limit_s
-                # Nothing is broken off that could not go on elsewhere.
-                if not mute or pool.budget.left(self._state.nodes) < 1:
-                    wait_s = limit_s
-                elif wait_s != _LAST_LOOK_S:
-                    wait_s = _LAST_LOOK_S
-                else:
-                    raise ConnectionLostError(
-                        "mute", step="wait", peer=grant.track.entry.address
-                    ) from exc
-
-    def _silence_s(self, call: Call, grant: Grant) -> float | None:
-        """Return how long an upstream may be silent before another is tried."""
-        route = call.route
-        if not route.repeatable or call.runs >= route.attempts:
-            return None
-        if not route.streams:
-            pace = grant.track.pace_s or _SILENT_FLOOR_S / _SILENT_RATIO
-            return max(_SILENT_RATIO * pace, _SILENT_FLOOR_S)
-        pause_s = _MUTE_PAUSES * route.gap_objective_s
-        if call.first_event_at is None:
-            return max(pause_s, _MUTE_RATIO * grant.predicted_s)
-        return pause_s
-
     async def _fail(self, call: Call, pool: PoolRuntime, step: Step) -> None:
         """Give the final answer to a request that no upstream answered."""
         if call.answer.started:
