Split asking homes for places: choice of a cell, and notes that go out together

No decision changes. One test names the object that now chooses. Suite of placement green but for that name before, whole after.

--- a/baobabwing/gateway/placement/asking.py
+++ b/baobabwing/gateway/placement/asking.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -16,6 +15,7 @@
 from baobabwing.gateway.events import HOME_SILENT
 from baobabwing.gateway.lateness import LoopWatch
 from baobabwing.gateway.members import Members
+from baobabwing.gateway.placement.choosing import CellChoice
 from baobabwing.gateway.placement.codec import crc
 from baobabwing.gateway.placement.homes import CellPool, held_pause_s
 from baobabwing.gateway.placement.link import WorkLink
@@ -26,11 +26,10 @@
     Granted,
     Holdings,
     HoldingsTaken,
-    Note,
-    Notes,
     Queued,
     Refused,
 )
+from baobabwing.gateway.placement.notes import NoteBox
 from baobabwing.gateway.placement.patience import HomePatience
 from baobabwing.reports.events import log
 
@@ -46,18 +45,8 @@
 _REPEAT_S = 0.1
 # From this many nodes on the homes would get too much of it; the time grows with it.
 _NODES_AT_FULL_PACE = 12
-# A node uses so many cells of a pool, others than other nodes: what it repeats to
-# their homes would grow with the fleet otherwise.
-_CELLS_USED = 8
 # Answers to repeats that may be lost before a home counts as silent.
 _LOST_REPEATS = 4
-# Notes of this long go out together.
-_NOTES_S = 0.002
-# Words of first events free no place. They go along with the next words or question to
-# any home, or after this: a third of what nodes say to a home came by itself otherwise.
-_RIDE_S = 0.1
-# What a home said of its cell is used for the choice between cells for this long.
-_STATE_KEPT_S = 1.0
 # Requests that wait and are named in one datagram.
 _MOST_NAMED = 200
 _NOBODY_WAITS_S = 3600.0
@@ -114,17 +103,14 @@
         self._watch = watch
         self._link = link
         self._members = members
-        self._rng = rng
         self._node = rng.getrandbits(32)
         self._waiting: dict[int, _Waiting] = {}
         self._tickets: dict[int, Ticket] = {}
-        self._notes: dict[tuple[str, CellKey], list[Note]] = defaultdict(list)
+        self._notes = NoteBox(link=link, node=self._node)
         self._told: set[CellKey] = set()
         self._served_by: dict[CellKey, str] = {}
-        self._states: dict[CellKey, tuple[CellState, float]] = {}
+        self._cells = CellChoice(node=self._node, rng=rng)
         self._patience = HomePatience()
-        self._flush: asyncio.TimerHandle | None = None
-        self._flush_at = float("inf")
         link.handle(Queued, self._take_queued)
         link.handle(Granted, self._take_granted)
         link.handle(Refused, self._take_refused)
@@ -138,7 +124,7 @@
         :raises NoPlaceError: if there will be none while it is of use.
         """
         for _ in range(_HOMES):
-            key = self._choose(pool)
+            key = self._cells.choose(pool)
             home = self._home_of(key, pool)
             if home is None:
                 return None
@@ -184,25 +170,13 @@
             return
         home = self._home_of(ticket.cell, ticket.pool)
         if home is not None:
-            self._note(home, ticket.cell, number, kind, pace_s)
+            self._notes.add(home, ticket.cell, number, kind, pace_s)
         if kind.ends:
             del self._tickets[number]
 
     def state_of(self, pool: CellPool) -> CellState | None:
         """Return how full a pool is, as its homes said lately."""
-        now = time.monotonic()
-        fresh = [
-            state
-            for key, (state, at) in self._states.items()
-            if key.pool == pool.crc and now - at < _STATE_KEPT_S
-        ]
-        if not fresh:
-            return None
-        return CellState(
-            queued=sum(state.queued for state in fresh),
-            free=sum(state.free for state in fresh),
-            turnover_s=min(state.turnover_s for state in fresh) / len(fresh),
-        )
+        return self._cells.state_of(pool)
 
     def ticket(self, grant: Grant) -> Ticket | None:
         """Return where a request has its place, if a home gave it."""
@@ -266,7 +240,7 @@
             self._served_by[key] = waiting.home
             self._tell_holdings(key, waiting.home)
         # A request that gave its place back and asks again would get the same one.
-        self._send_notes()
+        self._notes.send()
         self._link.send(waiting.home, waiting.message)
         self._patience.asked(waiting.home, time.monotonic())
         repeat_s = self._patience.repeat_s(waiting.home)
@@ -297,7 +271,7 @@
             if waiting.timer is not None:
                 waiting.timer.cancel()
             key, number = waiting.message.cell, waiting.message.number
-            self._note(waiting.home, key, number, NoteKind.RELEASED, None)
+            self._notes.add(waiting.home, key, number, NoteKind.RELEASED, None)
             return
         got = fut.done() and not fut.cancelled() and fut.exception() is None
         # The place may have been given in the very moment the caller left.
@@ -315,7 +289,7 @@
             if message.number not in self._tickets:
                 # The request has ended, or was placed by another home.
                 kind = NoteKind.RELEASED
-                self._note(address, message.cell, message.number, kind, None)
+                self._notes.add(address, message.cell, message.number, kind, None)
             return
         track = waiting.pool.scheduler.track(message.upstream)
         now = time.monotonic()
@@ -324,7 +298,7 @@
             # nothing from this node. It is asked again, with the engine left out.
             waiting.ask.unusable.add(message.upstream)
             kind = NoteKind.RELEASED
-            self._note(address, message.cell, message.number, kind, None)
+            self._notes.add(address, message.cell, message.number, kind, None)
             self._finish(waiting, None)
             return
         predicted_s = message.predicted_s
@@ -395,30 +369,7 @@
             moves_from=waiting.message.moves_from,
         )
 
-    # Which cell, and which node is its home.
-
-    def _choose(self, pool: CellPool) -> CellKey:
-        """Choose of two cells, drawn by their size, the one with the shorter wait."""
-        indices = self._cells_used(pool)
-        keys = [CellKey(pool=pool.crc, index=index) for index in indices]
-        if len(keys) == 1:
-            return keys[0]
-        sizes = [max(len(pool.layout[index]), 1) for index in indices]
-        drawn = self._rng.choices(keys, sizes, k=2)
-        return min(drawn, key=self._wait_s)
-
-    def _cells_used(self, pool: CellPool) -> list[int]:
-        """Return the cells of a pool that this node uses."""
-        indices = list(range(len(pool.layout)))
-        if len(indices) > _CELLS_USED:
-            Random(self._node).shuffle(indices)
-        return indices[:_CELLS_USED]
-
-    def _wait_s(self, key: CellKey) -> tuple[float, float]:
-        state, at = self._states.get(key, (None, 0.0))
-        if state is None or time.monotonic() - at > _STATE_KEPT_S:
-            return 0.0, 0.0
-        return state.queued * state.turnover_s, -state.free
+    # Which node is the home of a cell.
 
     def _home_of(self, key: CellKey, pool: CellPool) -> str | None:
         """Return the first node of the cell's ranking that is not silent."""
@@ -450,7 +401,7 @@
     ) -> None:
         now = time.monotonic()
         self._patience.heard(address, now, answer_s)
-        self._states[key] = (state, now)
+        self._cells.hear(key, state, now)
 
     @property
     def slowest_answer_s(self) -> float:
@@ -487,41 +438,11 @@
             home = self._home_of(waiting.message.cell, waiting.pool)
             if home is not None and home != waiting.home:
                 key, number = waiting.message.cell, waiting.message.number
-                self._note(waiting.home, key, number, NoteKind.RELEASED, None)
+                self._notes.add(waiting.home, key, number, NoteKind.RELEASED, None)
                 self._finish(waiting, None)
 
     # What homes are told unasked.
 
-    def _note(
-        self,
-        home: str,
-        key: CellKey,
-        number: int,
-        kind: NoteKind,
-        pace_s: float | None,
-    ) -> None:
-        self._notes[home, key].append(Note(number=number, kind=kind, pace_s=pace_s))
-        self._flush_within(_NOTES_S if kind.ends else _RIDE_S)
-
-    def _flush_within(self, seconds: float) -> None:
-        loop = asyncio.get_running_loop()
-        due_at = loop.time() + seconds
-        if due_at >= self._flush_at:
-            return
-        if self._flush is not None:
-            self._flush.cancel()
-        self._flush_at = due_at
-        self._flush = loop.call_at(due_at, self._send_notes)
-
-    def _send_notes(self) -> None:
-        if self._flush is not None:
-            self._flush.cancel()
-            self._flush = None
-            self._flush_at = float("inf")
-        for (home, key), notes in self._notes.items():
-            self._link.send(home, Notes(node=self._node, cell=key, notes=tuple(notes)))
-        self._notes.clear()
-
     def _repeat(self, *, with_held: bool) -> None:
         cells = {
             one.message.cell: one.home for one in self._waiting.values() if one.heard
--- /dev/null
+++ b/baobabwing/gateway/placement/choosing.py
@@ -0,0 +1,73 @@
+"""Which cell of a pool a request is to wait in."""
+
+from __future__ import annotations
+
+import time
+from random import Random
+
+from baobabwing.gateway.placement.homes import CellPool
+from baobabwing.gateway.placement.messages import CellKey, CellState
+
+__all__ = ["CellChoice"]
+
+# A node uses so many cells of a pool, others than other nodes: what it repeats to
+# their homes would grow with the fleet otherwise.
+_CELLS_USED = 8
+# What a home said of its cell is used for the choice between cells for this long.
+_STATE_KEPT_S = 1.0
+
+
+class CellChoice:
+    """Chooses between the cells of a pool, by what their homes said lately.
+
+    :param node: number of this node; decides which cells of large pools it uses.
+    :param rng: draws between cells.
+    """
+
+    def __init__(self, *, node: int, rng: Random) -> None:
+        self._node = node
+        self._rng = rng
+        self._states: dict[CellKey, tuple[CellState, float]] = {}
+
+    def hear(self, key: CellKey, state: CellState, now: float) -> None:
+        """Take how full a cell is."""
+        self._states[key] = (state, now)
+
+    def choose(self, pool: CellPool) -> CellKey:
+        """Choose of two cells, drawn by their size, the one with the shorter wait."""
+        indices = self._used(pool)
+        keys = [CellKey(pool=pool.crc, index=index) for index in indices]
+        if len(keys) == 1:
+            return keys[0]
+        sizes = [max(len(pool.layout[index]), 1) for index in indices]
+        drawn = self._rng.choices(keys, sizes, k=2)
+        return min(drawn, key=self._wait_s)
+
+    def state_of(self, pool: CellPool) -> CellState | None:
+        """Return how full a pool is; ``None`` if nothing was heard lately."""
+        now = time.monotonic()
+        fresh = [
+            state
+            for key, (state, at) in self._states.items()
+            if key.pool == pool.crc and now - at < _STATE_KEPT_S
+        ]
+        if not fresh:
+            return None
+        return CellState(
+            queued=sum(state.queued for state in fresh),
+            free=sum(state.free for state in fresh),
+            turnover_s=min(state.turnover_s for state in fresh) / len(fresh),
+        )
+
+    def _used(self, pool: CellPool) -> list[int]:
+        """Return the cells of a pool that this node uses."""
+        indices = list(range(len(pool.layout)))
+        if len(indices) > _CELLS_USED:
+            Random(self._node).shuffle(indices)
+        return indices[:_CELLS_USED]
+
+    def _wait_s(self, key: CellKey) -> tuple[float, float]:
+        state, at = self._states.get(key, (None, 0.0))
+        if state is None or time.monotonic() - at > _STATE_KEPT_S:
+            return 0.0, 0.0
+        return state.queued * state.turnover_s, -state.free
--- a/tests/gateway/placement/test_asking.py
+++ b/tests/gateway/placement/test_asking.py
@@ -132,7 +132,7 @@
             assert time.monotonic() - before < 2.0
             # The next one does not wait for the silent home again.
             homes = fleet.nodes[2].placer._home_of
-            key = fleet.nodes[2].placer._choose(fleet.nodes[2].pool)
+            key = fleet.nodes[2].placer._cells.choose(fleet.nodes[2].pool)
             assert homes(key, fleet.nodes[2].pool) == fleet.nodes[1].link.address
 
     run(story())
