Let nodes that start long after a return serve at once; soak: all workers are used

Callers would have seen: after all nodes had lost power, each waited for the others for up to a second, at any time, as soon as the store names an era at all. Now the nodes' own rows say since when an era has been known, by the store's steady clock; after 10 s nobody need be asked. Where no era is named, rows are as before. No further call.

--- a/tests/platform_adapter/soak/checks.py
+++ b/tests/platform_adapter/soak/checks.py
@@ -110,6 +110,10 @@
         """Note which node a request is sent to."""
         self._sent[number] = (node, time.monotonic())
 
+    def node_of(self, number: str) -> int:
+        """Return the node that a request was sent to; -1 for none."""
+        return self._sent.get(number, (-1, 0.0))[0]
+
     def disturbed(self, node: int) -> None:
         """Note that a node is killed, stopped, started or stands still."""
         self._disturbed[node] = time.monotonic()
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -42,6 +42,8 @@
 _CONFIRMATIONS = 12
 _HEAD_BYTES = 65_536
 _SPARE_KEY = "spare-key"
+# Requests at the same time that two workers of a kind are too few for.
+_BESIDE = 24
 # Three heartbeats, as the nodes' settings have them by default.
 _SILENT_S = 3.6
 
@@ -210,6 +212,37 @@
                 served = 0
                 await asyncio.sleep(0.2)
         await self._revoked_everywhere()
+        await self._uses_all_workers()
+
+    async def _uses_all_workers(self) -> None:
+        """Check that each node gives work to each worker that is there.
+
+        One that missed a row serves all the same, with fewer workers, for good.
+        """
+        first = next(self._numbers)
+        until = time.monotonic() + _RECOVERY_S
+        for node, address in enumerate(self.deployment.callers):
+            while unused := self._unused_by(node, first):
+                if time.monotonic() > until:
+                    self.records.wrong.append(f"node {node} does not use {unused}")
+                    break
+                await asyncio.gather(
+                    *(
+                        self._ask_once(address, kind)
+                        for kind in (Kind.SAFE, Kind.STREAM)
+                        for _ in range(_BESIDE)
+                    )
+                )
+
+    def _unused_by(self, node: int, first: int) -> list[str]:
+        """Return workers that no request of a node has reached from a number on."""
+        workers = map(self.deployment.worker, self.deployment.names)
+        used = {
+            instance
+            for number, instance in self.deployment.ran_at()
+            if int(number) >= first and self.records.node_of(number) == node
+        }
+        return sorted({worker.instance for worker in workers} - used)
 
     async def _revoked_everywhere(self) -> None:
         """Check that a key that was taken away is refused, and no other."""
--- a/tests/platform_adapter/test_fleet_rows.py
+++ b/tests/platform_adapter/test_fleet_rows.py
@@ -2,10 +2,17 @@
 
 from collections import Counter
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
-from baobabwing_platform.fleet_rows import spread_s
+from baobabwing_platform.fleet_rows import (
+    era_is_settled,
+    node_row,
+    read_rows,
+    spread_s,
+)
+from baobabwing_platform.store import Row
 
 # A read, and a write where the row is gone.
 CALLS = 2
@@ -21,3 +28,51 @@
     a_second = Counter(int(at) for at in times)
     assert CALLS * max(a_second.values()) <= WRITES_PER_S / 4
     assert max(times) <= 15.0
+
+
+NODE = SimpleNamespace(peers="10.0.0.1:7600", zone="z")
+
+
+def table(**values):
+    rows = [
+        Row(key=f"node/{name}", version=1, value=one) for name, one in values.items()
+    ]
+    return read_rows(rows)
+
+
+def test_row_says_since_when_a_node_knows_of_the_era():
+    first = node_row(NODE, era=3, store_s=100.0, before=None)
+    assert node_row(NODE, era=3, store_s=160.0, before=first) == first
+    later = node_row(NODE, era=4, store_s=170.0, before=first)
+    assert (later["era"], later["seen_s"]) == (4, 170.0)
+    assert node_row(NODE, era=0, store_s=1.0, before=None) == {
+        "peer": "10.0.0.1:7600",
+        "zone": "z",
+    }
+
+
+def test_node_that_starts_long_after_the_last_return_need_not_ask_others():
+    """All nodes lose power. With the store's era named, each would wait for the others.
+
+    The first that knew of the era says for how long it has lasted; callers are served
+    as soon as the store is read.
+    """
+    rows = {
+        "a": node_row(NODE, era=3, store_s=100.0, before=None),
+        "b": node_row(NODE, era=3, store_s=140.0, before=None),
+        "c": node_row(NODE, era=2, store_s=20.0, before=None),
+    }
+    found = table(**rows)
+    assert len(found.nodes) == 3
+    assert not era_is_settled(found, 3, 109.9)
+    assert era_is_settled(found, 3, 110.0)
+    assert not era_is_settled(found, 4, 500.0)
+    assert not era_is_settled(table(), 3, 500.0)
+
+
+@pytest.mark.parametrize(
+    "wrong", [{"era": "3"}, {"era": 3, "seen_s": "x"}, {"era": True}, {"era": None}]
+)
+def test_row_of_another_writer_says_nothing_of_eras(wrong):
+    found = table(a={"peer": "10.0.0.1:7600", "zone": "z"} | wrong)
+    assert found.seen_s == {}
