--- a/tests/gateway/test_findings.py
+++ b/tests/gateway/test_findings.py
@@ -132,6 +132,24 @@
     simulated(count, story)
 
 
+def test_two_nodes_tell_all_verdicts_anew_where_they_may_be_lost(simulated):
+    """The store came back from a copy that lacks them; nodes that start read it."""
+
+    async def story(fleet, clock):
+        fleet.lost("n003", 1, clock())
+        fleet.lost("n004", 2, clock())
+        await asyncio.sleep(0.5)
+        for node in fleet.nodes.values():
+            node.verdicts.clear()
+            node.exchange.keep_verdicts()
+        told = {work for work, one in fleet.nodes.items() if one.verdicts}
+        assert told == {"n000", "n001"}
+        (verdict,) = fleet.nodes["n000"].verdicts
+        assert (verdict.digest, verdict.times) == (BAD, 1)
+
+    simulated(5, story)
+
+
 def test_collectors_that_found_one_end_each_add_them_up(simulated):
     async def story(fleet, clock):
         fleet.lost("n000", 1, clock())
--- a/tests/gateway/test_sharing.py
+++ b/tests/gateway/test_sharing.py
@@ -191,6 +191,65 @@
     run(story())
 
 
+def test_node_knows_when_all_that_it_follows_have_answered(run):
+    """It waits for that before it believes that nobody has a newer configuration.
+
+    Its two sources hang at first; then one answers, and then the other.
+    """
+
+    async def story():
+        async with Fleet(3) as fleet:
+            for server in fleet.servers[:2]:
+                server.stop()
+            node = Sharing(
+                members=FixedMembers("n02", fleet.hosts),
+                on_document=lambda name, document: None,
+            )
+            task = asyncio.ensure_future(node.run())
+            await eventually(lambda: not node._answered)
+            for server, host in zip(fleet.servers[:2], fleet.hosts, strict=False):
+                assert not node.heard.is_set()
+                await server.start(host.peer)
+            await eventually(node.heard.is_set)
+            task.cancel()
+
+    run(story())
+
+
+def test_node_without_others_waits_for_nobody_once_it_knows_that(run):
+    async def story():
+        node = Fleet(1).nodes[0]
+        node._members.joining = True
+        task = asyncio.ensure_future(node.run())
+        await asyncio.sleep(2 * sharing._RETRY_S)
+        assert not node.heard.is_set()
+        node._members.joining = False
+        await eventually(node.heard.is_set)
+        task.cancel()
+
+    run(story())
+
+
+def test_list_of_a_later_era_replaces_one_of_a_higher_version(run):
+    """The store came back from an older copy, as one node has read.
+
+    Lists of others have higher versions, which mean nothing any more.
+    """
+
+    async def story():
+        async with Fleet(12) as fleet:
+            name = DocumentName.UPSTREAMS
+            old = Document(position=Position(era=1, version=900), data=b"old")
+            new = Document(position=Position(era=2, version=300), data=b"new")
+            for node in fleet.nodes:
+                node.keep(name, old)
+            fleet.nodes[0].keep(name, new)
+            for node in fleet.nodes:
+                await eventually(lambda node=node: node._documents[name] == new)
+
+    run(story())
+
+
 def test_source_that_ends_is_replaced(run):
     """A node that others follow is killed. A change still reaches them."""
 
