--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -44,6 +44,8 @@
 _SPARE_KEY = "spare-key"
 # Requests at the same time that two workers of a kind are too few for.
 _BESIDE = 24
+# Writes of others that a copy may lack.
+_MOST_OTHERS = 200
 # Three heartbeats, as the nodes' settings have them by default.
 _SILENT_S = 3.6
 
@@ -439,11 +441,14 @@
 async def _restore_older_copy(soak: Soak) -> None:
     """Have the store go away for a moment, and come back without its last writes.
 
-    The operator and the workers write theirs again within two seconds, in any order;
-    rows that nobody renews are dropped after three heartbeats.
+    Others write there as well, so that versions may go back far. The operator and the
+    workers write theirs again within two seconds, in any order; rows that nobody renews
+    are dropped after three heartbeats.
     """
     store = soak.deployment.store
     copy = store.take_copy()
+    for number in range(soak.rng.randrange(_MOST_OTHERS)):
+        store.write("others", f"o-{number}", {})
     await asyncio.sleep(soak.rng.uniform(0.2, 3.0))
     store.fault = soak.rng.choice([StoreFault.RESET, StoreFault.SILENT])
     await asyncio.sleep(soak.rng.uniform(0.05, 1.0))
