--- a/tests/platform_adapter/test_restored_store.py
+++ b/tests/platform_adapter/test_restored_store.py
@@ -246,3 +246,34 @@
         await eventually(serves, "a node that starts serves")
 
     with_deployment(tmp_path, story)
+
+
+def test_versions_in_a_row_do_not_hold_a_node_that_starts(tmp_path):
+    """A node starts while another that is listed does not answer.
+
+    The operator writes one version after the other. Each made the node wait for the
+    other anew, and callers got no answer until he had done.
+    """
+
+    async def story(deployment):
+        store = deployment.store
+        for number in range(2):
+            deployment.send_signal(number, signal.SIGKILL)
+            await deployment.processes[number].wait()
+        for key in store.keys("fleet"):
+            row = store.read("fleet", key)
+            store.write("fleet", key, {"peer": row["peer"], "zone": row["zone"]})
+        await deployment.restart(0)
+        versions = itertools.count(10)
+
+        async def serves():
+            store.write("op", "config", demo.configuration(next(versions)))
+            try:
+                return (await ask(deployment.callers[0], 6))[0] == 200
+            except demo.ConnectionLostError:
+                return False
+
+        await eventually(serves, "the node serves")
+        await deployment.restart(1)
+
+    with_deployment(tmp_path, story)
