--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -200,6 +200,33 @@
     """
     sound = {f"i-{number}": WORKER for number in range(10)}
     rows = {**sound, **{f"x-{number}": row for number, row in foreign.items()}}
-    found = documents.upstreams(rows)
+    found = documents.UpstreamDecoder().decode(rows)
     assert {entry.name for entry in found.entries} == set(sound)
     assert set(found.unreadable) == rows.keys() - sound.keys()
+
+
+def test_rows_that_changed_are_decoded_anew():
+    decoder = documents.UpstreamDecoder()
+    row = {**WORKER, "slots": 1}
+    assert decoder.decode({"i-1": row}).entries[0].slots == 1
+    assert decoder.decode({"i-1": {**row, "slots": 2}}).entries[0].slots == 2
+    assert decoder.decode({"i-1": {**row, "slots": True}}).entries == ()
+    assert decoder.decode({"i-1": row}).unreadable == {}
+    assert decoder.decode({}).entries == ()
+
+
+def test_rows_that_stay_are_decoded_once(monkeypatch):
+    """Workers register one after the other, and each time the whole list comes."""
+    decoded = []
+    decode = documents.upstream
+
+    def note(name, value):
+        decoded.append(name)
+        return decode(name, value)
+
+    monkeypatch.setattr(documents, "upstream", note)
+    decoder = documents.UpstreamDecoder()
+    for count in range(1, 41):
+        rows = {f"i-{n}": {**WORKER, "sequence": n} for n in range(count)}
+        assert len(decoder.decode(rows).entries) == count
+    assert len(decoded) == 40
