--- /dev/null
+++ b/tests/platform_adapter/soak/faults.py
@@ -0,0 +1,212 @@
+"""Faults and planned work that the soak draws, each a short story of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from baobabwing.standins.loopback_proxy import PathFault
+from baobabwing_platform.demo import CRASH
+from baobabwing_platform.standin_store import StoreFault
+from tests.platform_adapter.soak.checks import Kind
+
+if TYPE_CHECKING:
+    from tests.platform_adapter.soak.run import Soak
+
+__all__ = ["LATER", "PLANNED", "UNPLANNED", "Action"]
+
+# Writes of others that a copy may lack.
+_MOST_OTHERS = 200
+# Three heartbeats, as the nodes' settings have them by default.
+_SILENT_S = 3.6
+
+Action = Callable[["Soak"], Awaitable[None]]
+UNPLANNED: list[Action] = []
+PLANNED: list[Action] = []
+# Faults that came later, and the first seed that draws each: seeds that failed before
+# keep the series of faults that they failed with.
+LATER: list[tuple[int, Action]] = []
+
+
+def _unplanned(action: Action) -> Action:
+    """Register a fault; each is drawn as often as any other."""
+    UNPLANNED.append(action)
+    return action
+
+
+def _later(first_seed: int) -> Callable[[Action], Action]:
+    """Register a fault for seeds that were never played without it."""
+
+    def register(action: Action) -> Action:
+        LATER.append((first_seed, action))
+        return action
+
+    return register
+
+
+def _planned(action: Action) -> Action:
+    """Register planned work; callers must lose nothing by it."""
+    PLANNED.append(action)
+    return action
+
+
+@_unplanned
+async def _kill_node(soak: Soak) -> None:
+    _signal(soak, soak.node(), signal.SIGKILL)
+
+
+@_unplanned
+async def _kill_all(soak: Soak) -> None:
+    for number in range(soak.nodes):
+        _signal(soak, number, signal.SIGKILL)
+
+
+@_unplanned
+async def _freeze_node(soak: Soak) -> None:
+    number = soak.node()
+    _signal(soak, number, signal.SIGSTOP)
+    await asyncio.sleep(soak.rng.uniform(0.2, 2.5))
+    _signal(soak, number, signal.SIGCONT)
+
+
+@_planned
+async def _stop_node(soak: Soak) -> None:
+    await soak.stop_node(soak.node())
+
+
+@_planned
+async def _stop_several(soak: Soak) -> None:
+    for number in soak.rng.sample(range(soak.nodes), 2):
+        await soak.stop_node(number)
+        await asyncio.sleep(soak.rng.uniform(0.0, 0.5))
+
+
+@_planned
+async def _change_settings(soak: Soak) -> None:
+    number = soak.node()
+    soak.deployment.change_settings(
+        number, f"bounds.budget_slack={50 + soak.rng.random()}"
+    )
+    if _listens(soak.deployment.processes[number].pid, signal.SIGHUP):
+        _signal(soak, number, signal.SIGHUP)
+
+
+@_unplanned
+async def _harm_path(soak: Soak) -> None:
+    proxy = soak.rng.choice(list(soak.deployment.proxies.values()))
+    proxy.fault = soak.rng.choice(list(PathFault))
+    await asyncio.sleep(soak.rng.uniform(0.1, 2.5))
+    proxy.fault = PathFault.NONE
+
+
+@_unplanned
+async def _reset_path(soak: Soak) -> None:
+    soak.rng.choice(list(soak.deployment.proxies.values())).reset_all()
+
+
+@_unplanned
+async def _harm_store(soak: Soak) -> None:
+    store = soak.deployment.store
+    store.fault = soak.rng.choice(list(StoreFault))
+    if soak.rng.random() < 0.5:
+        store.cut_connections()
+    await asyncio.sleep(soak.rng.uniform(0.2, 3.0))
+    store.fault = StoreFault.NONE
+
+
+@_planned
+async def _forget_history(soak: Soak) -> None:
+    soak.deployment.store.forget_history()
+
+
+@_planned
+async def _change_configuration(soak: Soak) -> None:
+    soak.revoked = soak.revoked or soak.rng.random() < 0.5
+    soak.write_configuration()
+
+
+@_planned
+async def _drain_worker(soak: Soak) -> None:
+    """Have a worker say that it leaves, go on for a while, and come back as another."""
+    name = soak.rng.choice(soak.deployment.names)
+    soak.deployment.list_worker(name, state="draining")
+    await asyncio.sleep(2.0)
+    await soak.deployment.replace_worker(name)
+
+
+@_unplanned
+async def _crash_worker(soak: Soak) -> None:
+    await soak.deployment.replace_worker(soak.rng.choice(soak.deployment.names))
+
+
+@_later(10_000)
+async def _crash_by_request(soak: Soak) -> None:
+    """Have one request come again and again that no worker stands."""
+    kind = soak.rng.choice(list(Kind))
+    path = f"crash-{soak.rng.random()}"
+    for _ in range(12):
+        await soak.ask_anywhere(kind, path, CRASH)
+        await asyncio.sleep(soak.rng.uniform(0.05, 0.6))
+
+
+@_later(10_100)
+async def _leave_in_answers(soak: Soak) -> None:
+    """Have a worker say in its answers that it leaves, and the store never hear it."""
+    name = soak.rng.choice(soak.deployment.names)
+    soak.deployment.worker(name).leaving = True
+    await asyncio.sleep(soak.rng.uniform(2.5, 5.0))
+    await soak.deployment.replace_worker(name)
+
+
+@_later(10_200)
+async def _restore_older_copy(soak: Soak) -> None:
+    """Have the store go away for a moment, and come back without its last writes.
+
+    Others write there as well, so that versions may go back far. The operator and the
+    workers write theirs again within two seconds, in any order; rows that nobody renews
+    are dropped after three heartbeats.
+    """
+    store = soak.deployment.store
+    copy = store.take_copy()
+    for number in range(soak.rng.randrange(_MOST_OTHERS)):
+        store.write("others", f"o-{number}", {})
+    await asyncio.sleep(soak.rng.uniform(0.2, 3.0))
+    store.fault = soak.rng.choice([StoreFault.RESET, StoreFault.SILENT])
+    await asyncio.sleep(soak.rng.uniform(0.05, 1.0))
+    store.restore(copy, keep_calls=soak.rng.random() < 0.3)
+    store.fault = StoreFault.NONE
+    await asyncio.gather(
+        _after(soak.rng.uniform(0.0, 2.0), soak.write_configuration_again),
+        *(
+            _after(
+                soak.rng.uniform(0.0, 2.0), partial(soak.deployment.list_again, name)
+            )
+            for name in soak.deployment.names
+        ),
+        _after(_SILENT_S, soak.deployment.drop_silent),
+    )
+
+
+async def _after(pause_s: float, action: Callable[[], None]) -> None:
+    await asyncio.sleep(pause_s)
+    action()
+
+
+def _signal(soak: Soak, number: int, what: signal.Signals) -> None:
+    if what is not signal.SIGHUP:
+        soak.records.disturbed(number)
+    soak.deployment.send_signal(number, what)
+
+
+def _listens(pid: int, what: signal.Signals) -> bool:
+    """Whether a process has come so far that a signal does not just end it."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return False
+    masks = [line.split()[1] for line in lines if line.startswith(("SigIgn", "SigCgt"))]
+    return any(int(mask, 16) & (1 << (what - 1)) for mask in masks)
