--- a/tests/platform_adapter/test_restored_store.py
+++ b/tests/platform_adapter/test_restored_store.py
@@ -22,6 +22,23 @@
         store.write("others", f"o-{number}", {"n": number})
 
 
+async def until_used(deployment, name):
+    """Ask all nodes, more at the same time than two upstreams have places for."""
+    numbers = itertools.count(1)
+
+    async def is_used():
+        asked = [
+            ask(address, next(numbers))
+            for address in deployment.callers
+            for _ in range(BESIDE)
+        ]
+        answers = await asyncio.gather(*asked)
+        assert {status for status, _ in answers} == {200}
+        return bool(deployment.worker(name).seen)
+
+    await eventually(is_used, "the upstream that came is used")
+
+
 def test_rows_under_versions_that_are_given_out_again_are_read():
     """The store is away for a moment and comes back from a copy.
 
@@ -60,20 +77,7 @@
         await asyncio.sleep(SETTLED_S)
         deployment.store.restore(copy)
         await deployment.replace_worker("service-0")
-
-        numbers = itertools.count(1)
-
-        async def is_used():
-            # More at the same time than two upstreams have places for.
-            asked = [
-                ask(address, next(numbers))
-                for address in deployment.callers
-                for _ in range(BESIDE)
-            ]
-            await asyncio.gather(*asked)
-            return bool(deployment.worker("service-0").seen)
-
-        await eventually(is_used, "the upstream that came is used")
+        await until_used(deployment, "service-0")
 
     with_deployment(tmp_path, story)
 
@@ -213,19 +217,7 @@
             await asyncio.sleep(SETTLED_S / 2)
             deployment.store.restore(copy)
         deployment.list_worker("service-0")
-        numbers = itertools.count(1)
-
-        async def is_used():
-            asked = [
-                ask(address, next(numbers))
-                for address in deployment.callers
-                for _ in range(BESIDE)
-            ]
-            answers = await asyncio.gather(*asked)
-            assert {status for status, _ in answers} == {200}
-            return bool(deployment.worker("service-0").seen)
-
-        await eventually(is_used, "the upstream that came is used")
+        await until_used(deployment, "service-0")
 
     with_deployment(tmp_path, story)
 
