Logs and metrics that tell the hypotheses on limits apart

Runs that nobody charges show in baobabwing_gateway_limit_units_total by kind, counts that are lost in event 3511, replaced sums in 3510, a changed limit with its bucket in 4504, the age of others' counts in 1506, each node's part in baobabwing_gateway_limits_share. No decision changes.

--- a/baobabwing/gateway/accounts.py
+++ b/baobabwing/gateway/accounts.py
@@ -18,7 +18,7 @@
     REQUEST_SENT,
     UPSTREAM_FAILED,
 )
-from baobabwing.gateway.metrics import GatewayMetrics, Outcome
+from baobabwing.gateway.metrics import GatewayMetrics, Outcome, Units
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.state import GatewayState
 from baobabwing.reports.events import log
@@ -81,6 +81,15 @@
             **pool.describe(grant),
         )
 
+    def sent(self, call: Call) -> None:
+        """Count what a send takes of an organisation's limit."""
+        kind = Units.FIRST if call.runs == 1 else Units.AGAIN
+        self._metrics.limit_units.labels(kind).inc(call.charge.units)
+
+    def not_run(self, call: Call) -> None:
+        """Count what a send took that its upstream turned away."""
+        self._metrics.limit_units.labels(Units.NOT_RUN).inc(call.charge.units)
+
     def connected(self, call: Call, seconds: float) -> None:
         """Note how long a new connection to an upstream took."""
         self._metrics.connect.labels(call.pool).observe(seconds)
--- a/baobabwing/gateway/admission.py
+++ b/baobabwing/gateway/admission.py
@@ -119,6 +119,7 @@
             request=envelope.request_id,
             organisation=organisation.name,
             units=units,
+            counts_age_s=self._state.quotas.counts_age_s(now),
             **self._state.quotas.describe(organisation.name),
         )
         return Refusal(
--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -21,7 +21,7 @@
 from baobabwing.gateway.decisions.demand import Demand
 from baobabwing.gateway.model import OrganisationSpec, QuotaUnit
 
-__all__ = ["Charge", "QuotaBook", "Spent", "Tolerance"]
+__all__ = ["Charge", "LimitChange", "QuotaBook", "Spent", "Tolerance"]
 
 # Between two words of a peer, until :meth:`QuotaBook.set_pace` says otherwise.
 _PACE_S = 0.25
@@ -133,6 +133,14 @@
     asked: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class LimitChange:
+    """A limit that another configuration states otherwise."""
+
+    before: OrganisationSpec
+    now: OrganisationSpec
+
+
 @dataclass(kw_only=True)
 class _Window:
     """Units of the last seconds."""
@@ -161,6 +169,10 @@
     behind_s: float = 0.0
     excess: _Window = field(default_factory=_Window)
 
+    @property
+    def limit(self) -> tuple[float, float]:
+        return self.spec.rate_per_s, self.spec.burst
+
     def fill(self, now: float, share: float, age_s: float) -> None:
         """Add what the limit has allowed since the last time.
 
@@ -202,6 +214,7 @@
         self._share = 1.0
         self._shares: deque[tuple[float, float]] = deque()
         self._pace_s = _PACE_S
+        self._counted_at: float | None = None
 
     def set_pace(self, seconds: float) -> None:
         """Take the time between two words of a peer."""
@@ -219,9 +232,15 @@
         """Take a changed tolerance."""
         self._tolerance = tolerance
 
-    def configure(self, organisations: Iterable[OrganisationSpec], now: float) -> None:
-        """Take the limits of a new configuration; a lower one binds at once."""
+    def configure(
+        self, organisations: Iterable[OrganisationSpec], now: float
+    ) -> list[LimitChange]:
+        """Take the limits of a new configuration; a lower one binds at once.
+
+        :returns: organisations that were limited before, and are otherwise now.
+        """
         known = {}
+        changes = []
         for spec in organisations:
             if spec.rate_per_s <= 0:
                 continue
@@ -233,10 +252,13 @@
                 )
             else:
                 bucket.fill(now, self._share, self._age_s)
+                if bucket.limit != (spec.rate_per_s, spec.burst):
+                    changes.append(LimitChange(before=bucket.spec, now=spec))
                 bucket.spec = spec
                 bucket.level = min(bucket.level, spec.burst * self._share)
             known[spec.name] = bucket
         self._buckets = known
+        return changes
 
     def set_share(self, share: float, now: float) -> None:
         """Take the part of all nodes that hear each other on this side.
@@ -335,6 +357,8 @@
         :param counted: whether what it adds is taken off here; if not, it only is
             what later counts of this peer are compared with.
         """
+        if counted:
+            self._counted_at = now
         before = self._heard.get(peer)
         self._heard[peer] = _Heard(counts=dict(counts), at=now)
         if before is None or now - before.at > self._stale_s:
@@ -368,6 +392,15 @@
         bucket.excess.count(count.excess - last.excess, now)
         bucket.excess.forget(now - self._tolerance.window_s)
 
+    @property
+    def share(self) -> float:
+        """Part of all nodes that hear each other on this side."""
+        return self._share
+
+    def counts_age_s(self, now: float) -> float | None:
+        """Return how long ago others' counts were last taken; none if never."""
+        return None if self._counted_at is None else now - self._counted_at
+
     def describe(self, name: str) -> dict[str, float]:
         """Return a bucket's figures for the log."""
         bucket = self._buckets[name]
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -10,6 +10,7 @@
     "CELL_LOAD",
     "CELL_TAKEN",
     "CONNECTION_FAULT",
+    "COUNTS_LATE",
     "DOCUMENT_TAKEN",
     "GATEWAY_LEAVING",
     "GATEWAY_STARTED",
@@ -18,6 +19,7 @@
     "HISTORY_LOST",
     "HOME_SILENT",
     "INCARNATION_RAISED",
+    "LIMIT_CHANGED",
     "LIMIT_REACHED",
     "LINES_LEFT_OUT",
     "MESSAGE_DROPPED",
@@ -32,6 +34,7 @@
     "STORE_ANSWER_STALE",
     "STORE_ERA_UNREADABLE",
     "STORE_RESTORED",
+    "SUMS_TAKEN_FROM",
     "REQUEST_ENDED",
     "REQUEST_FAILED",
     "REQUEST_REFUSED",
@@ -159,6 +162,18 @@
     "share_changed",
     "How many nodes add up their limits together, of all that may be running.",
 )
+SUMS_TAKEN_FROM = define(
+    3510,
+    "sums_taken_from",
+    "The sums of limits are taken from another node from now on; how many nodes report "
+    "to it, and whether the one before was silent.",
+)
+COUNTS_LATE = define(
+    3511,
+    "counts_late",
+    "A node's counts of limits came for the first time, or after a silence. What it "
+    "had admitted until then (`units`, over all organisations) was unknown here.",
+)
 DOCUMENT_TAKEN = define(
     3502, "document_taken", "A newer document was taken from another node."
 )
@@ -264,6 +279,12 @@
     "This node starts, and the store may have come back from a copy: other nodes are "
     "asked for a newer configuration before the store's is put in force.",
 )
+LIMIT_CHANGED = define(
+    4504,
+    "limit_changed",
+    "An organisation's limit is another from now on; rate and burst before, and its "
+    "bucket as this node knows it.",
+)
 GATEWAY_STARTED = define(8501, "gateway_started", "The gateway listens for callers.")
 GATEWAY_LEAVING = define(
     8502, "gateway_leaving", "A graceful shutdown began; callers are sent elsewhere."
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -219,6 +219,7 @@
             last_event=call.last_event,
         )
         call.runs += 1
+        self._accounts.sent(call)
         sent_at = time.monotonic()
         envelope = call.envelope
         await kept.send(envelope.method, envelope.target, headers, call.body)
@@ -247,6 +248,7 @@
         self, call: Call, grant: Grant, kept: UpstreamConnection, head: AnswerHead
     ) -> Step:
         call.runs -= 1
+        self._accounts.not_run(call)
         now = time.monotonic()
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             # Another upstream has the address; the one that is listed is gone.
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -204,6 +204,7 @@
         metrics = self.metrics
         metrics.open_requests.set(self.callers.open_requests)
         metrics.queued.set(sum(pool.queued for pool in self.state.pools.values()))
+        metrics.limits_share.set(self.state.quotas.share)
         metrics.version.set(self.state.version)
         metrics.peers.set(len(self.members.others()))
         metrics.work_bytes.set(self.link.sent_bytes)
--- a/baobabwing/gateway/limits.py
+++ b/baobabwing/gateway/limits.py
@@ -16,11 +16,13 @@
 from random import Random
 
 from baobabwing.gateway.decisions.quotas import Spent
+from baobabwing.gateway.events import COUNTS_LATE, SUMS_TAKEN_FROM
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.placement.codec import crc, wrapped_difference
 from baobabwing.gateway.placement.link import WorkLink
 from baobabwing.gateway.placement.messages import Totals, Used, UsedReport
 from baobabwing.gateway.state import GatewayState
+from baobabwing.reports.events import log
 
 __all__ = ["LimitsExchange"]
 
@@ -188,14 +190,20 @@
             self._reporters[message.node] = known
         elif message.number <= known.number:
             return
-        fresh = now - known.heard_at <= self._silent_s()
+        silent_s = now - known.heard_at
+        fresh = silent_s <= self._silent_s()
         known.heard_at, known.number = now, message.number
+        late = 0
         for used in message.used:
             before = known.counts.get(used.organisation)
             known.counts[used.organisation] = used
             # What was admitted over a silence came out of the other side's share.
             if before is not None and fresh:
                 self._sums[used.organisation].add(message.node, used, before, now)
+            else:
+                late += _grown(used, before)
+        if late > 0:
+            log(COUNTS_LATE, peer=address, units=late, silent_s=round(silent_s, 2))
         self._forget_silent(now)
         self._link.send(address, self._totals_for(message, now))
 
@@ -243,7 +251,7 @@
             name = names.get(used.organisation)
             if name is not None:
                 self._unwrap(summer, name, used)
-        self._choose(message.home, now)
+        self._choose(message.home, address, now)
         # The other one's sums hold the same units; counted twice they would halve
         # each limit. They are followed, so that its differences count from here on.
         self._state.quotas.hear(
@@ -254,11 +262,14 @@
         )
         self._count_nodes()
 
-    def _choose(self, home: int, now: float) -> None:
+    def _choose(self, home: int, address: str, now: float) -> None:
         """Take the sums of the one that hears most nodes, and stay with it."""
         taken = self._summers.get(self._taken_from) if self._taken_from else None
         silent = taken is None or now - taken.heard_at > self._silent_s()
         if silent or self._summers[home].nodes > taken.nodes:
+            if home != self._taken_from:
+                heard = self._summers[home].nodes
+                log(SUMS_TAKEN_FROM, peer=address, heard=heard, others_silent=silent)
             self._taken_from = home
 
     def _unwrap(self, summer: _Summer, name: str, used: Used) -> None:
@@ -286,3 +297,10 @@
         taken = self._summers.get(self._taken_from) if self._taken_from else None
         heard = taken.nodes if taken is not None else 1
         self._state.set_nodes(heard, self._members.total)
+
+
+def _grown(used: Used, before: Used | None) -> int:
+    """Return the units that a count has grown by since the last one, or in all."""
+    if before is None:
+        return used.units
+    return wrapped_difference(used.units, before.units)
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -11,7 +11,7 @@
     LightMetricSet,
 )
 
-__all__ = ["GatewayMetrics", "Outcome"]
+__all__ = ["GatewayMetrics", "Outcome", "Units"]
 
 # Around the objectives of 0.1 s for calls and 0.8 s for streams.
 _WAIT_BUCKETS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
@@ -30,6 +30,14 @@
     CALLER_LEFT = "caller_left"
 
 
+class Units(StrEnum):
+    """What became of an organisation's units when a request was sent."""
+
+    FIRST = "first"
+    AGAIN = "again"
+    NOT_RUN = "not_run"
+
+
 class GatewayMetrics(LightMetricSet):
     """All metrics of one gateway.
 
@@ -53,6 +61,18 @@
             meaning="Tries at upstreams by how they ended.",
             label_names=("pool", "step"),
         )
+        self.limit_units = LightCounter(
+            name="baobabwing_gateway_limit_units_total",
+            meaning=(
+                "Units that limited organisations' requests took to upstreams: with "
+                "their first send, with further ones, and without being run."
+            ),
+            label_names=("kind",),
+        )
+        self.limits_share = LightGauge(
+            name="baobabwing_gateway_limits_share",
+            meaning="Part of each limit that the nodes on this side share.",
+        )
         self.queue = LightHistogram(
             name="baobabwing_gateway_queue_seconds",
             meaning="From a request's arrival to its place at an upstream.",
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -13,12 +13,17 @@
 from baobabwing.gateway.decisions.quotas import QuotaBook
 from baobabwing.gateway.events import (
     CONFIGURATION_TAKEN,
+    LIMIT_CHANGED,
     SHARE_CHANGED,
     UPSTREAM_SAID_LEAVING,
     UPSTREAM_START_REPLACED,
     UPSTREAMS_CHANGED,
 )
-from baobabwing.gateway.model import GatewayConfiguration, UpstreamEntry
+from baobabwing.gateway.model import (
+    GatewayConfiguration,
+    OrganisationSpec,
+    UpstreamEntry,
+)
 from baobabwing.gateway.placement.asking import Placer
 from baobabwing.gateway.placement.homes import CellPool
 from baobabwing.gateway.pool import PoolRuntime
@@ -88,11 +93,21 @@
             return False
         log(CONFIGURATION_TAKEN, version=cfg.version, before=self.version, by=source)
         self.table = RouteTable(cfg=cfg)
-        self.quotas.configure(cfg.organisations, time.monotonic())
+        self._configure_limits(cfg.organisations)
         for name in self.table.pools:
             self._pool(name)
         return True
 
+    def _configure_limits(self, organisations: Iterable[OrganisationSpec]) -> None:
+        for change in self.quotas.configure(organisations, time.monotonic()):
+            log(
+                LIMIT_CHANGED,
+                organisation=change.now.name,
+                rate_before=change.before.rate_per_s,
+                burst_before=change.before.burst,
+                **self.quotas.describe(change.now.name),
+            )
+
     def take_upstreams(self, entries: Iterable[UpstreamEntry], *, source: str) -> None:
         """Take the whole list of upstreams."""
         by_pool: dict[str, list[UpstreamEntry]] = {}
