Keep limits by windows and an escrow, not by words that come in time

Cause, as a class: the bound rested on others' counts coming whole and in time. A first word, a silence, a summing node that is replaced and a limit that goes and comes back each lost counts for good; nodes that had just started took an eighth of each limit apiece; the dead were forgotten after 20 s by those who were cut off from them; units that came back late were used a second time.

Reports now say by themselves what counts in the operator's window, and a node may have admitted only a part of the rest of which it has no confirmation; what goes beyond is counted first and runs once it is confirmed, or is refused.

--- a/baobabwing/gateway/accounts.py
+++ b/baobabwing/gateway/accounts.py
@@ -84,11 +84,11 @@
     def sent(self, call: Call) -> None:
         """Count what a send takes of an organisation's limit."""
         kind = Units.FIRST if call.runs == 1 else Units.AGAIN
-        self._metrics.limit_units.labels(kind).inc(call.charge.units)
+        self._metrics.limit_units.labels(kind).inc(call.charges[0].units)
 
     def not_run(self, call: Call) -> None:
         """Count what a send took that its upstream turned away."""
-        self._metrics.limit_units.labels(Units.NOT_RUN).inc(call.charge.units)
+        self._metrics.limit_units.labels(Units.NOT_RUN).inc(call.charges[0].units)
 
     def connected(self, call: Call, seconds: float) -> None:
         """Note how long a new connection to an upstream took."""
--- a/baobabwing/gateway/admission.py
+++ b/baobabwing/gateway/admission.py
@@ -6,7 +6,8 @@
 
 from baobabwing.gateway.answers import CallerAnswer, Refusal
 from baobabwing.gateway.call import Call
-from baobabwing.gateway.decisions.quotas import Charge
+from baobabwing.gateway.charging import charge_request
+from baobabwing.gateway.decisions.charges import Charge
 from baobabwing.gateway.digest import request_digest
 from baobabwing.gateway.envelope import Envelope
 from baobabwing.gateway.events import LIMIT_REACHED
@@ -34,7 +35,7 @@
         self._state = state
         self._longest_s: dict[str, float] = {}
 
-    def admit(
+    async def admit(
         self, envelope: Envelope, body: bytes, arrived: float, answer: CallerAnswer
     ) -> Call | Refusal:
         """Return the request as it goes on, or why it does not."""
@@ -53,7 +54,7 @@
         if held_s > 0:
             return Refusal(status=503, code="crashes_upstreams", retry_after_s=held_s)
         pool = pick_pool(route, self._state.rng)
-        charged = self._charge(envelope, route, organisation, pool)
+        charged = await self._charge(envelope, route, organisation, pool)
         if isinstance(charged, Refusal):
             return charged
         waits_s = min(envelope.deadline_s or route.timeout_s, route.timeout_s)
@@ -63,7 +64,7 @@
             route=route,
             organisation=organisation,
             pool=pool,
-            charge=charged,
+            charges=[charged],
             arrived=arrived,
             asked_before_s=self._asked_before_s(envelope, route),
             ends_at=arrived + waits_s,
@@ -90,7 +91,7 @@
         self._longest_s[route.name] = longest_s
         return longest_s - envelope.deadline_s
 
-    def _charge(
+    async def _charge(
         self,
         envelope: Envelope,
         route: Route,
@@ -104,13 +105,12 @@
         if envelope.tokens_in is not None:
             tokens = envelope.tokens_in + envelope.tokens_out
         units = self._state.quotas.charge(organisation, tokens)
-        now = time.monotonic()
         runtime = self._state.pool(pool)
         places_free = runtime.places_free()
         engine = runtime.scheduler.engine
         rank = route.rank if engine is not None else _PLAIN_RANK
-        charge = self._state.quotas.admit(
-            organisation.name, units, now, rank=rank, places_free=places_free
+        charge = await charge_request(
+            self._state, organisation.name, units, rank=rank, places_free=places_free
         )
         if charge.admitted:
             return charge
@@ -119,7 +119,7 @@
             request=envelope.request_id,
             organisation=organisation.name,
             units=units,
-            counts_age_s=self._state.quotas.counts_age_s(now),
+            counts_age_s=self._state.quotas.counts_age_s(time.monotonic()),
             **self._state.quotas.describe(organisation.name),
         )
         return Refusal(
--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -8,7 +8,7 @@
 
 from baobabwing.gateway.answers import CallerAnswer
 from baobabwing.gateway.decisions.cell_queue import NoteKind
-from baobabwing.gateway.decisions.quotas import Charge
+from baobabwing.gateway.decisions.charges import Charge
 from baobabwing.gateway.decisions.scheduling import Grant
 from baobabwing.gateway.decisions.tracking import UpstreamTrack
 from baobabwing.gateway.digest import request_digest
@@ -57,7 +57,8 @@
 class Call:
     """One request of a caller on its way.
 
-    :param charge: what it cost its organisation.
+    :param charges: what it cost its organisation: when it was admitted, and with each
+        further send.
     :param arrived: when its head was whole.
     :param asked_before_s: how long ago its caller asked first; 0 if this is the first.
     :param next_grant: the place that a stream moves to.
@@ -76,7 +77,7 @@
     route: Route
     organisation: OrganisationSpec | None
     pool: str
-    charge: Charge
+    charges: list[Charge]
     arrived: float
     ends_at: float
     asked_before_s: float
--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -1,34 +1,43 @@
 """Limits of organisations over all nodes, without asking any of them.
 
-Each node keeps a copy of each organisation's token bucket and takes from it
-what it admits itself and what the others report. A node that hears only some of
-the others lets its bucket fill in proportion to those it hears, so that the
-sides of a partition never admit more than the limit together.
+Each node keeps a copy of each organisation's token bucket and takes from it what it
+admits itself and what the others report. The bucket paces: it spreads a limit over
+time, nodes and ranks. A node that hears only some of the others lets it fill in
+proportion to those it hears.
+
+The bound is kept by the window: what all nodes have admitted in it, as far as it is
+known, and an escrow for what is not (:mod:`baobabwing.gateway.decisions.escrow`).
 
 Beyond the bucket, the operator tolerates an excess in any window. It is used only
-for requests that take a place from nobody, and counted by itself: what the bucket
-admits in a window never exceeds its rate times the window plus the burst, so that
-the sum stays below the bound whatever order the two come in.
+for requests that take a place from nobody, and counted by itself.
 """
 
 from __future__ import annotations
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 from random import Random
 
+from baobabwing.gateway.decisions.bucket import Bucket
+from baobabwing.gateway.decisions.charges import (
+    Charge,
+    LimitChange,
+    Spent,
+    Tolerance,
+)
 from baobabwing.gateway.decisions.demand import Demand
+from baobabwing.gateway.decisions.escrow import Escrow, Side, Verdict
+from baobabwing.gateway.decisions.window import SlidingSum
 from baobabwing.gateway.model import OrganisationSpec, QuotaUnit
 
-__all__ = ["Charge", "LimitChange", "QuotaBook", "Spent", "Tolerance"]
+__all__ = ["QuotaBook"]
 
 # Between two words of a peer, until :meth:`QuotaBook.set_pace` says otherwise.
 _PACE_S = 0.25
-# A peer's count that comes after a silence of more words than this is a new baseline:
-# what it admitted meanwhile came out of its own side's share. Reckoned in words and not
-# in seconds: with a fixed second, one lost word at 195 nodes, or none at 300, left what
-# all others had admitted out of the bucket, and a limit was exceeded four times over.
+# A count that comes after a silence of more words than this is a new baseline for
+# the bucket: what it admitted meanwhile came out of its own side's share. Reckoned in
+# words, which come less often in larger fleets.
 _SILENT_WORDS = 3
 _LEAST_STALE_S = 1.0
 _LEAST_RETRY_S = 0.05
@@ -47,144 +56,20 @@
 # A bucket that is dealt out comes back to its held part within this time, and within so
 # many words of others: a correction must not be faster than what shows whether it has
 # been enough. Down to that part it comes back faster, since what runs over its brim is
-# lost to the organisation: 3 in 100 of its limit at 195 nodes (simulated).
+# lost to the organisation.
 _LEVEL_S = 2.0
 _LEVEL_WORDS = 6
 _LEAST_LEVEL_S = 0.5
 # Callers that are refused come back spread over this part of the time that the limit
 # is behind, so that they do not all meet again.
 _SPREAD = (0.5, 1.0)
-# Part of the tolerance that is kept back at least, and the seconds of the limit's rate.
-# What peers admitted is known 0.1 to 0.5 s late; until then all nodes see the same
-# rest. At five times the limit they admit up to 2 s of its rate too much meanwhile, out
-# of the bucket and out of the tolerance (simulated with 7 and 70 nodes).
-_KEPT_BACK = 0.25
-_KEPT_BACK_S = 2.0
 # A node that started just now finds the others within this time. What it held until
 # then grows with the number of nodes that it knows to share the limit.
 _FINDING_S = 2.0
-
-
-@dataclass(frozen=True, kw_only=True)
-class Tolerance:
-    """How far all nodes together may exceed a limit, as the operator states it.
-
-    :param window_s: any span of this length is counted.
-    :param over: part of the limit.
-    :param slack: units beyond that.
-    """
-
-    window_s: float = 8.0
-    over: float = 0.0
-    slack: float = 0.0
-
-    def excess(self, spec: OrganisationSpec) -> float:
-        """Return the units beyond the limit that are used in one window."""
-        return max(self._whole(spec) - self._kept_back(spec), 0.0)
-
-    def start_level(self, spec: OrganisationSpec) -> float:
-        """Return what a bucket holds at the start.
-
-        A node that starts does not know what was admitted before it came. The part
-        of the tolerance that is never used otherwise covers it, also where all
-        nodes start at once.
-        """
-        return min(spec.burst, _KEPT_BACK * self._whole(spec))
-
-    def _kept_back(self, spec: OrganisationSpec) -> float:
-        least = _KEPT_BACK * self._whole(spec)
-        return max(least, _KEPT_BACK_S * spec.rate_per_s)
-
-    def _whole(self, spec: OrganisationSpec) -> float:
-        limit = spec.rate_per_s * self.window_s + spec.burst
-        return limit * self.over + self.slack
-
-
-@dataclass(frozen=True, kw_only=True)
-class Charge:
-    """What a request cost, or how long it has to wait.
-
-    :param excess: whether the units came out of the tolerance.
-    :param rank: urgency with which it was asked for.
-    :param retry_after_s: seconds until the units are there; 0 if it was admitted.
-    """
-
-    units: float = 0.0
-    excess: bool = False
-    rank: int = 0
-    retry_after_s: float = 0.0
-
-    @property
-    def admitted(self) -> bool:
-        """Whether the request may go on."""
-        return self.retry_after_s <= 0
-
-
-@dataclass(frozen=True, kw_only=True)
-class Spent:
-    """What one node has admitted for an organisation since it started.
-
-    :param asked: units that were asked for: those admitted, and those refused for the
-        limit.
-    """
-
-    units: float = 0.0
-    excess: float = 0.0
-    asked: float = 0.0
-
-
-@dataclass(frozen=True, kw_only=True)
-class LimitChange:
-    """A limit that another configuration states otherwise."""
-
-    before: OrganisationSpec
-    now: OrganisationSpec
-
-
-@dataclass(kw_only=True)
-class _Window:
-    """Units of the last seconds."""
-
-    entries: deque[tuple[float, float]] = field(default_factory=deque)
-    total: float = 0.0
-
-    def count(self, units: float, now: float) -> None:
-        self.entries.append((now, units))
-        self.total += units
-
-    def forget(self, before: float) -> None:
-        while self.entries and self.entries[0][0] < before:
-            self.total -= self.entries.popleft()[1]
-
-
-@dataclass(kw_only=True)
-class _Bucket:
-    spec: OrganisationSpec
-    level: float
-    updated: float
-    demand: Demand
-    spent: float = 0.0
-    spent_excess: float = 0.0
-    asked: float = 0.0
-    behind_s: float = 0.0
-    excess: _Window = field(default_factory=_Window)
-
-    @property
-    def limit(self) -> tuple[float, float]:
-        return self.spec.rate_per_s, self.spec.burst
-
-    def fill(self, now: float, share: float, age_s: float) -> None:
-        """Add what the limit has allowed since the last time.
-
-        What others have probably admitted, and have not told yet, is taken off when
-        they tell it. Until then it is room in the bucket: filled up only to its brim,
-        a bucket out of which others take all the time seemed to hold less than half of
-        what it did, and requests far below their limit were refused.
-        """
-        passed = max(now - self.updated, 0.0)
-        self.updated = now
-        most = self.spec.burst * share + self.demand.unheard(now, age_s)
-        self.level = min(self.level + passed * self.spec.rate_per_s * share, most)
+# A confirmation is recent if the words that it confirms were sent at most so many words
+# ago.
+_FRESH_WORDS = 1.25
+_FRESH_S = 0.05
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -209,12 +94,19 @@
         # A node that has just started does not know what its last run admitted.
         self._started = now
         self._excess_from = now + tolerance.window_s
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, Bucket] = {}
         self._heard: dict[str, _Heard] = {}
         self._share = 1.0
         self._shares: deque[tuple[float, float]] = deque()
+        self._nodes = 1
         self._pace_s = _PACE_S
         self._counted_at: float | None = None
+        self._followed = ""
+        self._followed_at = now
+        self._confirmed_at = now
+        # Organisations without a limit. Their counts go on where they were: peers take
+        # a count that falls for units that came back.
+        self._unlimited: dict[str, Bucket] = {}
 
     def set_pace(self, seconds: float) -> None:
         """Take the time between two words of a peer."""
@@ -246,25 +138,46 @@
                 continue
             bucket = self._buckets.get(spec.name)
             if bucket is None:
-                level = self._tolerance.start_level(spec) * self._share
-                bucket = _Bucket(
-                    spec=spec, level=level, updated=now, demand=Demand(since=now)
-                )
-            else:
-                bucket.fill(now, self._share, self._age_s)
-                if bucket.limit != (spec.rate_per_s, spec.burst):
-                    changes.append(LimitChange(before=bucket.spec, now=spec))
-                bucket.spec = spec
-                bucket.level = min(bucket.level, spec.burst * self._share)
+                bucket = self._begin(spec, now)
+            elif bucket.limit != (spec.rate_per_s, spec.burst):
+                changes.append(LimitChange(before=bucket.spec, now=spec))
+                self._change(bucket, spec, now)
             known[spec.name] = bucket
+        gone = self._buckets.keys() - known.keys()
+        self._unlimited.update({name: self._buckets[name] for name in gone})
         self._buckets = known
         return changes
 
-    def set_share(self, share: float, now: float) -> None:
+    def _begin(self, spec: OrganisationSpec, now: float) -> Bucket:
+        level = self._tolerance.start_level(spec) * self._share
+        bucket = self._unlimited.pop(spec.name, None)
+        if bucket is not None:
+            bucket.spec, bucket.level, bucket.updated = spec, level, now
+            return bucket
+        window_s = self._tolerance.window_s
+        return Bucket(
+            spec=spec,
+            level=level,
+            updated=now,
+            demand=Demand(since=now),
+            escrow=Escrow(window_s=window_s),
+            excess=SlidingSum(window_s=window_s),
+        )
+
+    def _change(self, bucket: Bucket, spec: OrganisationSpec, now: float) -> None:
+        bucket.fill(now, self._share, self._age_s)
+        if self._tolerance.limit(spec) < self._tolerance.limit(bucket.spec):
+            bucket.escrow.forgive(now)
+        bucket.spec = spec
+        bucket.level = min(bucket.level, spec.burst * self._share)
+
+    def set_share(self, share: float, now: float, *, nodes: int = 1) -> None:
         """Take the part of all nodes that hear each other on this side.
 
         :param share: nodes heard, this one included, of all that may be running.
+        :param nodes: the nodes heard, this one included.
         """
+        self._nodes = nodes
         if share == self._share:
             return
         for bucket in self._buckets.values():
@@ -307,16 +220,53 @@
         bucket.demand.ask(units, rank, now)
         rate = bucket.spec.rate_per_s * self._share
         bucket.behind_s = bucket.demand.behind_s(rate, now)
-        if self._passes(bucket, units, rank, now):
-            bucket.level -= units
-            bucket.spent += units
-            return Charge(units=units, rank=rank)
-        if places_free and self._tolerated(bucket, units, now):
-            bucket.spent_excess += units
-            bucket.excess.count(units, now)
-            return Charge(units=units, rank=rank, excess=True)
+        passes = self._passes(bucket, units, rank, now)
+        if passes or (places_free and self._tolerated(bucket, units, now)):
+            return self._settle(bucket, units, rank, now, excess=not passes)
         return Charge(retry_after_s=self._wait_s(bucket, units))
 
+    def admit_confirmed(
+        self, name: str, waiting: Charge, now: float, *, confirmed: bool
+    ) -> Charge:
+        """Admit a request that has waited for others to know of it, or refuse it.
+
+        :param confirmed: whether they know of it.
+        """
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return Charge()
+        bucket.fill(now, self._share, self._age_s)
+        side = self._side(bucket.spec, now)
+        if (confirmed or side.alone) and bucket.escrow.fits(side, now):
+            return replace(waiting, retry_after_s=0.0, unconfirmed=False)
+        bucket.give_back(waiting)
+        return Charge(retry_after_s=self._wait_s(bucket, waiting.units))
+
+    def _settle(
+        self, bucket: Bucket, units: float, rank: int, now: float, *, excess: bool
+    ) -> Charge:
+        """Admit a request if the window has room for it, or count it until it may."""
+        verdict = bucket.escrow.judge(units, self._side(bucket.spec, now), now)
+        if verdict is Verdict.FULL:
+            return Charge(retry_after_s=self._wait_s(bucket, units))
+        take = bucket.take_excess if excess else bucket.take
+        charge = take(units, rank, now)
+        if verdict is Verdict.ADMITTED:
+            return charge
+        retry_after_s = self._wait_s(bucket, units)
+        return replace(charge, retry_after_s=retry_after_s, unconfirmed=True)
+
+    def charge_again(self, name: str, charge: Charge, now: float) -> Charge:
+        """Charge a request that is sent to one more upstream.
+
+        It is not refused: its work has begun. Later requests get less instead.
+        """
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            return Charge()
+        bucket.fill(now, self._share, self._age_s)
+        return bucket.take(charge.units, charge.rank, now)
+
     def give_back(self, name: str, charge: Charge, now: float) -> None:
         """Return units of a request that did not run.
 
@@ -329,19 +279,31 @@
             return
         bucket.asked -= charge.units
         bucket.demand.ask(-charge.units, charge.rank, now)
-        if charge.excess:
-            bucket.spent_excess -= charge.units
-            bucket.excess.count(-charge.units, now)
-        else:
-            bucket.spent -= charge.units
-            bucket.level += charge.units
+        bucket.give_back(charge)
 
-    def spent(self) -> dict[str, Spent]:
-        """Return what this node has admitted since it started, for its peers."""
-        return {
-            name: Spent(units=one.spent, excess=one.spent_excess, asked=one.asked)
-            for name, one in self._buckets.items()
-        }
+    def give_back_again(self, name: str, charge: Charge) -> None:
+        """Return units of a further send that did not run."""
+        bucket = self._buckets.get(name)
+        if bucket is not None:
+            bucket.give_back(charge)
+
+    def spent(self, now: float | None = None) -> dict[str, Spent]:
+        """Return what this node has admitted, for its peers."""
+        return {name: one.told(now) for name, one in self._buckets.items()}
+
+    def names(self) -> tuple[str, ...]:
+        """Return the organisations that have a limit."""
+        return tuple(self._buckets)
+
+    @property
+    def window_s(self) -> float:
+        """Length of the window in which the operator counts."""
+        return self._tolerance.window_s
+
+    def ceiling(self, name: str) -> float:
+        """Return what all nodes may know to be used in a window; 0 if unlimited."""
+        bucket = self._buckets.get(name)
+        return self._tolerance.ceiling(bucket.spec) if bucket else 0.0
 
     def hear(
         self,
@@ -359,6 +321,11 @@
         """
         if counted:
             self._counted_at = now
+            settled = now - self._followed_at > self._stale_s
+            for name, bucket in self._buckets.items():
+                bucket.escrow.hear(peer, counts[name].recent if name in counts else 0.0)
+                if settled:
+                    bucket.escrow.settle()
         before = self._heard.get(peer)
         self._heard[peer] = _Heard(counts=dict(counts), at=now)
         if before is None or now - before.at > self._stale_s:
@@ -383,14 +350,37 @@
             if counted:
                 self._take_off(bucket, count, last, now)
 
-    def _take_off(self, bucket: _Bucket, count: Spent, last: Spent, now: float) -> None:
+    def confirm(self, peer: str, charged: Mapping[str, float], sent_at: float) -> None:
+        """Take that a peer knows what this node had admitted at a time.
+
+        :param charged: units since this node started, by organisation.
+        """
+        if peer == self._followed:
+            self._confirmed_at = sent_at
+        for name, units in charged.items():
+            bucket = self._buckets.get(name)
+            if bucket is not None:
+                bucket.escrow.confirm(peer, units)
+
+    def forget(self, peer: str) -> None:
+        """Do without a peer that is silent."""
+        for bucket in self._buckets.values():
+            bucket.escrow.forget(peer)
+
+    def follow(self, peer: str, now: float) -> None:
+        """Take what others have admitted from this peer alone."""
+        self._followed = peer
+        self._followed_at = now
+        for bucket in self._buckets.values():
+            bucket.escrow.follow(peer, now)
+
+    def _take_off(self, bucket: Bucket, count: Spent, last: Spent, now: float) -> None:
         """Take out of a bucket what others have admitted since their last word."""
         # What was too much is paid back, but not for longer than it counts.
         least = -bucket.spec.rate_per_s * self._tolerance.window_s
-        bucket.level = max(bucket.level - (count.units - last.units), least)
-        bucket.fill(now, self._share, self._age_s)
-        bucket.excess.count(count.excess - last.excess, now)
-        bucket.excess.forget(now - self._tolerance.window_s)
+        bucket.take_off(
+            count.units - last.units, count.excess - last.excess, least, now
+        )
 
     @property
     def share(self) -> float:
@@ -408,12 +398,15 @@
             "bucket": round(bucket.level, 1),
             "rate_per_s": bucket.spec.rate_per_s,
             "burst": bucket.spec.burst,
-            "excess": round(bucket.excess.total, 1),
+            "excess": round(bucket.excess.total(bucket.updated), 1),
+            "used": round(bucket.escrow.known(bucket.updated), 1),
+            "unconfirmed": round(bucket.escrow.unconfirmed(bucket.updated), 1),
+            "ceiling": round(self._tolerance.ceiling(bucket.spec), 1),
             "share": round(self._share, 3),
             "spent": round(bucket.spent, 1),
         }
 
-    def _passes(self, bucket: _Bucket, units: float, rank: int, now: float) -> bool:
+    def _passes(self, bucket: Bucket, units: float, rank: int, now: float) -> bool:
         """Whether the limit lets a request pass.
 
         Where more is asked for than the limit allows, all nodes would use the same
@@ -438,22 +431,32 @@
         allowed = rate + room / level_s
         return self._rng.random() < bucket.demand.part(rank, allowed, now)
 
-    def _needed(self, bucket: _Bucket, units: float) -> float:
+    def _side(self, spec: OrganisationSpec, now: float) -> Side:
+        """Return what the nodes on this side may use of a limit's window."""
+        tolerance, share = self._tolerance, self._share
+        age_s = now - self._confirmed_at
+        return Side(
+            nodes=self._nodes,
+            ceiling=tolerance.ceiling(spec) * share,
+            reserve=tolerance.kept_back(spec) * share,
+            alone=self._nodes <= 1 or age_s > _FRESH_WORDS * self._pace_s + _FRESH_S,
+        )
+
+    def _needed(self, bucket: Bucket, units: float) -> float:
         return min(units, _LARGE_SHARE * bucket.spec.burst * self._share)
 
-    def _wait_s(self, bucket: _Bucket, units: float) -> float:
+    def _wait_s(self, bucket: Bucket, units: float) -> float:
         """Return when a request that is refused is to come back."""
         rate = bucket.spec.rate_per_s * self._share
         lacking_s = (self._needed(bucket, units) - bucket.level) / rate
         behind_s = bucket.behind_s * self._rng.uniform(*_SPREAD)
         return max(lacking_s, behind_s, _LEAST_RETRY_S)
 
-    def _tolerated(self, bucket: _Bucket, units: float, now: float) -> bool:
+    def _tolerated(self, bucket: Bucket, units: float, now: float) -> bool:
         if now < self._excess_from:
             return False
-        bucket.excess.forget(now - self._tolerance.window_s)
         most = self._tolerance.excess(bucket.spec) * self._least_share(now)
-        return bucket.excess.total + units <= most
+        return bucket.excess.total(now) + units <= most
 
     def _least_share(self, now: float) -> float:
         """Return the smallest share within a window.
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -16,8 +16,8 @@
 from baobabwing.gateway.admission import Admission
 from baobabwing.gateway.answers import CallerAnswer, Refusal
 from baobabwing.gateway.call import Call, Step
+from baobabwing.gateway.charging import Charging
 from baobabwing.gateway.decisions.cell_queue import NoteKind
-from baobabwing.gateway.decisions.quotas import Charge
 from baobabwing.gateway.decisions.scheduling import Ask, Grant
 from baobabwing.gateway.envelope import Envelope, upstream_headers
 from baobabwing.gateway.events import UPSTREAM_CLOSED
@@ -59,6 +59,7 @@
         self._connections = connections
         self._accounts = accounts
         self._admission = Admission(state=state)
+        self._charging = Charging(state=state, accounts=accounts)
         self._moves = StreamMoves(state=state, ask=self._ask)
         self._names = state.settings.names
 
@@ -66,7 +67,7 @@
         self, envelope: Envelope, body: bytes, arrived: float, answer: CallerAnswer
     ) -> None:
         """Answer one request."""
-        call = self._admission.admit(envelope, body, arrived, answer)
+        call = await self._admission.admit(envelope, body, arrived, answer)
         if isinstance(call, Refusal):
             self._accounts.refused_at_once(envelope, call)
             await answer.refuse(call)
@@ -82,7 +83,7 @@
             call.over = True
             if call.next_grant is not None:
                 pool.free(call.next_grant, NoteKind.RELEASED)
-            self._give_units_back(call)
+            self._charging.over(call)
 
     async def _serve(self, call: Call, pool: PoolRuntime) -> None:
         while True:
@@ -218,8 +219,7 @@
             body_bytes=len(call.body),
             last_event=call.last_event,
         )
-        call.runs += 1
-        self._accounts.sent(call)
+        self._charging.sending(call)
         sent_at = time.monotonic()
         envelope = call.envelope
         await kept.send(envelope.method, envelope.target, headers, call.body)
@@ -247,8 +247,7 @@
     async def _not_run(
         self, call: Call, grant: Grant, kept: UpstreamConnection, head: AnswerHead
     ) -> Step:
-        call.runs -= 1
-        self._accounts.not_run(call)
+        self._charging.not_run(call)
         now = time.monotonic()
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
             # Another upstream has the address; the one that is listed is gone.
@@ -426,11 +425,3 @@
     def _retry_after_s(self, call: Call, pool: PoolRuntime) -> float:
         wait_s = max(pool.queued * pool.turnover_s, pool.opens_in_s())
         return max(wait_s, _LEAST_RETRY_AFTER_S) * self._state.rng.uniform(1.0, 1.5)
-
-    def _give_units_back(self, call: Call) -> None:
-        """What did not run does not count against its organisation's limit."""
-        if call.organisation is not None and not call.runs:
-            self._state.quotas.give_back(
-                call.organisation.name, call.charge, time.monotonic()
-            )
-            call.charge = Charge()
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -77,6 +77,7 @@
         self._limits = LimitsExchange(
             state=self.state, members=self.members, link=self.link, rng=rng
         )
+        self.state.confirm_limits = self._limits.confirm
         self.findings = FindingsExchange(
             book=self.state.quarantine, members=self.members, link=self.link
         )
--- a/baobabwing/gateway/limits.py
+++ b/baobabwing/gateway/limits.py
@@ -10,13 +10,15 @@
 
 import asyncio
 import contextlib
+import math
 import time
-from collections import defaultdict
-from dataclasses import dataclass, field
+from collections import deque
+from dataclasses import dataclass, field, replace
 from random import Random
 
-from baobabwing.gateway.decisions.quotas import Spent
+from baobabwing.gateway.decisions.charges import Spent
 from baobabwing.gateway.events import COUNTS_LATE, SUMS_TAKEN_FROM
+from baobabwing.gateway.limit_sums import MOST_USED, LimitSums
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.placement.codec import crc, wrapped_difference
 from baobabwing.gateway.placement.link import WorkLink
@@ -42,56 +44,26 @@
 _SILENT_REPORTS = 3
 # Reports that name an organisation after its count changed, so that one gets through.
 _USED_TOLD = 4
-_MOST_USED = 64
+# A summer that hears so many times the nodes of the other is taken instead of it.
+_MORE_NODES = 1.1
+# Requests that wait for a confirmation within this time share one report.
+_TOGETHER_S = 0.003
+# A confirmation takes some ms; a request waits for it for so long at the most.
+_CONFIRM_S = 0.15
+# Reports whose confirmation may still come.
+_SENT_KEPT = 32
 
 
-@dataclass(kw_only=True)
-class _Reporter:
-    """A node that reports to this one.
+@dataclass(frozen=True, kw_only=True)
+class _Sent:
+    """A report of this node.
 
-    :param counts: as it last told them, by crc of the organisation's name.
+    :param charged: units that it names, by organisation.
     """
 
-    address: str
-    heard_at: float
     number: int
-    counts: dict[int, Used] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, kw_only=True)
-class _Units:
-    units: int = 0
-    excess: int = 0
-    asked: int = 0
-
-    def plus(self, other: _Units, *, sign: int = 1) -> _Units:
-        return _Units(
-            units=self.units + sign * other.units,
-            excess=self.excess + sign * other.excess,
-            asked=self.asked + sign * other.asked,
-        )
-
-
-@dataclass(kw_only=True)
-class _Sum:
-    """Units that all nodes have admitted since this node adds them up."""
-
-    total: _Units = field(default_factory=_Units)
-    changed_at: float = 0.0
-    by_node: dict[int, _Units] = field(default_factory=dict)
-
-    def add(self, node: int, now_told: Used, before: Used, now: float) -> None:
-        change = _Units(
-            units=wrapped_difference(now_told.units, before.units),
-            excess=wrapped_difference(now_told.excess, before.excess),
-            asked=wrapped_difference(now_told.asked, before.asked),
-        )
-        self.total = self.total.plus(change)
-        self.by_node[node] = self.by_node.get(node, _Units()).plus(change)
-        self.changed_at = now
-
-    def without(self, node: int) -> _Units:
-        return self.total.plus(self.by_node.get(node, _Units()), sign=-1)
+    at: float
+    charged: dict[str, float]
 
 
 @dataclass(kw_only=True)
@@ -104,6 +76,12 @@
     last: dict[int, Used] = field(default_factory=dict)
     totals: dict[str, Spent] = field(default_factory=dict)
 
+    def forget_recent(self, told: set[str | None]) -> None:
+        """Take that nothing counts any more of organisations that are not told."""
+        for name, total in self.totals.items():
+            if name not in told and total.recent:
+                self.totals[name] = replace(total, recent=0.0)
+
 
 class LimitsExchange:
     """Tells what this node admits, adds up what others do, and takes the sums.
@@ -120,14 +98,21 @@
         self._node = rng.getrandbits(32)
         self._number = 0
         self._told: dict[str, tuple[Spent | None, int]] = {}
-        self._reporters: dict[int, _Reporter] = {}
-        self._sums: dict[int, _Sum] = defaultdict(_Sum)
+        self._sent: deque[_Sent] = deque(maxlen=_SENT_KEPT)
+        self._sums = LimitSums(
+            node=self._node,
+            window_s=state.quotas.window_s,
+            fair_units=self._fair_units,
+        )
         self._summers: dict[int, _Summer] = {}
         self._taken_from: int | None = None
         self._hurry = asyncio.Event()
+        self._asked = False
+        self._waiting: dict[int, list[asyncio.Future[None]]] = {}
         members.on_change(self._hurry.set)
         link.handle(UsedReport, self._take_report)
         link.handle(Totals, self._take_totals)
+        self._count_nodes()
 
     async def run(self) -> None:
         """Report for as long as the node runs."""
@@ -141,6 +126,26 @@
             self._hurry.clear()
             await asyncio.sleep(self._gather_s())
 
+    async def confirm(self) -> bool:
+        """Wait until those that add up know what this node has admitted until now.
+
+        Requests that wait at almost the same time share one report.
+
+        :returns: whether they know; false if they do not say so in time.
+        """
+        loop = asyncio.get_running_loop()
+        if not self._asked:
+            self._asked = True
+            loop.call_later(_TOGETHER_S, self._report_now)
+        known = loop.create_future()
+        self._waiting.setdefault(self._number + 1, []).append(known)
+        await asyncio.wait([known], timeout=_CONFIRM_S)
+        return known.done()
+
+    def _report_now(self) -> None:
+        self._asked = False
+        self._report()
+
     def _pace_s(self) -> float:
         return _REPORT_S * max(1.0, self._members.total / _NODES_AT_FULL_PACE)
 
@@ -155,87 +160,58 @@
 
     def _report(self) -> None:
         self._number += 1
-        report = UsedReport(node=self._node, number=self._number, used=self._changed())
+        now = time.monotonic()
+        told = self._to_tell(now)
+        self._sent.append(
+            _Sent(
+                number=self._number,
+                at=now,
+                charged={name: spent.charged for name, spent in told},
+            )
+        )
+        used = tuple(_used(name, spent) for name, spent in told)
+        report = UsedReport(node=self._node, number=self._number, used=used)
         for address in self._members.homes(_RESOURCE, _SUMMERS):
             self._link.send(address, report)
 
-    def _changed(self) -> tuple[Used, ...]:
-        """Return the counts that are new or changed in the last few reports.
+    def _to_tell(self, now: float) -> list[tuple[str, Spent]]:
+        """Return the counts that changed in the last few reports or that count still.
 
-        The first word of an organisation is what later ones are compared with.
+        The first word of an organisation is what later differences are taken from.
         """
-        changed = []
-        for name, spent in self._state.quotas.spent().items():
+        told = []
+        for name, spent in self._state.quotas.spent(now).items():
             before, times = self._told.get(name, (None, 0))
             times = _USED_TOLD if spent != before else times - 1
             self._told[name] = (spent, times)
-            if times > 0 and len(changed) < _MOST_USED:
-                changed.append(
-                    Used(
-                        organisation=crc(name),
-                        units=int(spent.units),
-                        excess=int(spent.excess),
-                        asked=int(spent.asked),
-                    )
-                )
-        return tuple(changed)
+            if times > 0 or spent.recent > 0:
+                told.append((name, spent))
+        if len(told) > MOST_USED:
+            told.sort(key=lambda one: one[1].recent, reverse=True)
+        return told[:MOST_USED]
 
     # What this node adds up for others.
 
     def _take_report(self, message: UsedReport, address: str) -> None:
-        now = time.monotonic()
-        known = self._reporters.get(message.node)
-        if known is None:
-            known = _Reporter(address=address, heard_at=now, number=message.number)
-            self._reporters[message.node] = known
-        elif message.number <= known.number:
+        if self._sums.is_overtaken(message):
             return
-        silent_s = now - known.heard_at
-        fresh = silent_s <= self._silent_s()
-        known.heard_at, known.number = now, message.number
-        late = 0
-        for used in message.used:
-            before = known.counts.get(used.organisation)
-            known.counts[used.organisation] = used
-            # What was admitted over a silence came out of the other side's share.
-            if before is not None and fresh:
-                self._sums[used.organisation].add(message.node, used, before, now)
-            else:
-                late += _grown(used, before)
-        if late > 0:
-            log(COUNTS_LATE, peer=address, units=late, silent_s=round(silent_s, 2))
-        self._forget_silent(now)
-        self._link.send(address, self._totals_for(message, now))
-
-    def _totals_for(self, message: UsedReport, now: float) -> Totals:
-        recently = now - _USED_TOLD * self._pace_s()
-        used = []
-        for organisation, total in self._sums.items():
-            if total.changed_at < recently:
-                continue
-            others = total.without(message.node)
-            used.append(
-                Used(
-                    organisation=organisation,
-                    units=others.units,
-                    excess=others.excess,
-                    asked=others.asked,
-                )
-            )
-        return Totals(
-            home=self._node,
-            number=message.number,
-            heard=len(self._reporters),
-            used=tuple(used[:_MOST_USED]),
+        now = time.monotonic()
+        self._sums.set_pace(
+            silent_s=self._silent_s(), told_s=_USED_TOLD * self._pace_s()
         )
-
-    def _forget_silent(self, now: float) -> None:
-        limit_s = self._silent_s()
-        for node, known in tuple(self._reporters.items()):
-            if now - known.heard_at > limit_s:
-                del self._reporters[node]
-                for total in self._sums.values():
-                    total.by_node.pop(node, None)
+        late = self._sums.take(message, address, now)
+        if late is not None:
+            silent_s = round(late.silent_s, 2)
+            log(COUNTS_LATE, peer=address, units=late.units, silent_s=silent_s)
+        self._link.send(address, self._sums.totals_for(message, now))
+
+    def _fair_units(self, organisation: int) -> float:
+        """Return what each node may use of an organisation's window."""
+        quotas = self._state.quotas
+        for name in quotas.names():
+            if crc(name) == organisation:
+                return quotas.ceiling(name) / self._members.total
+        return 0.0
 
     # What others have added up.
 
@@ -246,30 +222,47 @@
         now = time.monotonic()
         summer.heard_at, summer.number = now, message.number
         summer.nodes = message.heard
-        names = {crc(name): name for name in self._state.quotas.spent()}
+        names = {crc(name): name for name in self._state.quotas.names()}
         for used in message.used:
             name = names.get(used.organisation)
             if name is not None:
                 self._unwrap(summer, name, used)
+        told = {names.get(used.organisation) for used in message.used}
+        if len(message.used) < MOST_USED:
+            summer.forget_recent(told)
         self._choose(message.home, address, now)
         # The other one's sums hold the same units; counted twice they would halve
         # each limit. They are followed, so that its differences count from here on.
-        self._state.quotas.hear(
-            str(message.home),
-            summer.totals,
-            now,
-            counted=message.home == self._taken_from,
-        )
+        peer = str(message.home)
+        counted = message.home == self._taken_from
+        self._state.quotas.hear(peer, summer.totals, now, counted=counted)
+        self._confirm(peer, message.number)
         self._count_nodes()
 
+    def _confirm(self, peer: str, number: int) -> None:
+        """Note what a node that adds up knows of this one."""
+        for sent in self._sent:
+            if sent.number == number:
+                self._state.quotas.confirm(peer, sent.charged, sent.at)
+                break
+        confirmed = min((one.number for one in self._summers.values()), default=number)
+        for waiting in [one for one in self._waiting if one <= confirmed]:
+            for known in self._waiting.pop(waiting):
+                if not known.done():
+                    known.set_result(None)
+
     def _choose(self, home: int, address: str, now: float) -> None:
-        """Take the sums of the one that hears most nodes, and stay with it."""
+        """Take the sums of the one that hears most nodes, and stay with it.
+
+        Both hear about the same; a few nodes more are no reason to change.
+        """
         taken = self._summers.get(self._taken_from) if self._taken_from else None
         silent = taken is None or now - taken.heard_at > self._silent_s()
-        if silent or self._summers[home].nodes > taken.nodes:
+        if silent or self._summers[home].nodes > _MORE_NODES * taken.nodes:
             if home != self._taken_from:
                 heard = self._summers[home].nodes
                 log(SUMS_TAKEN_FROM, peer=address, heard=heard, others_silent=silent)
+                self._state.quotas.follow(str(home), now)
             self._taken_from = home
 
     def _unwrap(self, summer: _Summer, name: str, used: Used) -> None:
@@ -278,13 +271,17 @@
         total = summer.totals.get(name, Spent())
         if before is None:
             summer.totals[name] = Spent(
-                units=used.units, excess=used.excess, asked=used.asked
+                units=used.units,
+                excess=used.excess,
+                asked=used.asked,
+                recent=used.recent,
             )
             return
         summer.totals[name] = Spent(
             units=total.units + wrapped_difference(used.units, before.units),
             excess=total.excess + wrapped_difference(used.excess, before.excess),
             asked=total.asked + wrapped_difference(used.asked, before.asked),
+            recent=used.recent,
         )
 
     def _count_nodes(self) -> None:
@@ -294,13 +291,17 @@
         for home, summer in tuple(self._summers.items()):
             if now - summer.heard_at > limit_s:
                 del self._summers[home]
+                self._state.quotas.forget(str(home))
         taken = self._summers.get(self._taken_from) if self._taken_from else None
         heard = taken.nodes if taken is not None else 1
         self._state.set_nodes(heard, self._members.total)
 
 
-def _grown(used: Used, before: Used | None) -> int:
-    """Return the units that a count has grown by since the last one, or in all."""
-    if before is None:
-        return used.units
-    return wrapped_difference(used.units, before.units)
+def _used(name: str, spent: Spent) -> Used:
+    return Used(
+        organisation=crc(name),
+        units=int(spent.units),
+        excess=int(spent.excess),
+        asked=int(spent.asked),
+        recent=math.ceil(spent.recent),
+    )
--- a/baobabwing/gateway/members.py
+++ b/baobabwing/gateway/members.py
@@ -18,8 +18,8 @@
 __all__ = ["Members"]
 
 # A member that was declared dead may run on behind a cut, and takes its share of
-# limits, for this long. Longer than any graceful stop and start of a host takes.
-_GONE_S = 20.0
+# limits, for this long: as long as a cut between regions may last.
+_GONE_S = 3_600.0
 # Members that are dead are probed again this often, so that the sides of a cut find
 # each other; the default of 5 s is made for fleets that need no reports from them.
 _RECONNECT_MS = 500
@@ -30,9 +30,9 @@
 # A node that started just now may not know yet who else runs; for this long it counts
 # all that are listed. Members answer within some 100 ms.
 _JOINED_S = 3.0
-# Nodes that it counts before it has any list: each of several that start together
-# would otherwise take all of every limit for itself.
-_UNKNOWN_NODES = 8
+# Nodes that it counts before it has any list, as many as a fleet may have: all that
+# start together share each limit.
+_UNKNOWN_NODES = 460
 _WATCH_S = 0.5
 # The count of nodes is asked for some fifty times a second; it is made anew after this
 # time, in which no node is taken for gone. Made each time, it took 0.6% of a core with
--- a/baobabwing/gateway/placement/codec.py
+++ b/baobabwing/gateway/placement/codec.py
@@ -63,7 +63,7 @@
 # Node, number, nodes heard.
 _TOTALS = struct.Struct("!IIH")
 _REPORT = struct.Struct("!II")
-_USED = struct.Struct("!IIII")
+_USED = struct.Struct("!IIIII")
 # Digest, kind, upstream, weight, times, ms left.
 _FINDING = struct.Struct("!QBIBBI")
 
@@ -151,8 +151,14 @@
     def used(self) -> tuple[Used, ...]:
         (count,) = self.take(_COUNT)
         return tuple(
-            Used(organisation=name, units=units, excess=excess, asked=asked)
-            for name, units, excess, asked in self.many(_USED, count)
+            Used(
+                organisation=name,
+                units=units,
+                excess=excess,
+                asked=asked,
+                recent=recent,
+            )
+            for name, units, excess, asked, recent in self.many(_USED, count)
         )
 
     def end(self) -> None:
@@ -183,6 +189,7 @@
             one.units % _WRAP,
             one.excess % _WRAP,
             one.asked % _WRAP,
+            min(one.recent, _U32),
         )
         for one in used
     ]
--- a/baobabwing/gateway/placement/messages.py
+++ b/baobabwing/gateway/placement/messages.py
@@ -164,17 +164,19 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Used:
-    """Units of an organisation; all counts wrap around at 2**32.
+    """Units of an organisation; counts since a start wrap around at 2**32.
 
     :param organisation: crc of the name.
     :param excess: units out of the tolerance.
     :param asked: units that were asked for, admitted or not.
+    :param recent: units of the last window, by whatever right.
     """
 
     organisation: int
     units: int
     excess: int
     asked: int
+    recent: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -4,7 +4,7 @@
 
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
 from random import Random
 
@@ -42,6 +42,8 @@
 
     :param settings: the gateway's settings.
     :param rng: draws pools and breaks ties.
+    :ivar confirm_limits: waits until others know what this node has admitted, and
+        returns whether they do.
     :ivar on_restarted: called with the entry of an upstream that has started again.
     """
 
@@ -58,6 +60,7 @@
         self.placer: Placer | None = None
         self.on_pool: Callable[[CellPool], None] = lambda pool: None
         self.on_restarted: Callable[[UpstreamEntry], None] = lambda entry: None
+        self.confirm_limits: Callable[[], Awaitable[bool]] = _confirmed_by_nobody
         self.nodes = 1
         self._heard = 1
         self._entries: dict[str, tuple[UpstreamEntry, ...]] = {}
@@ -186,7 +189,7 @@
             log(SHARE_CHANGED, heard=heard, total=total, before=self._heard)
         self._heard, self.nodes = heard, total
         share = min(heard / total, 1.0)
-        self.quotas.set_share(share, time.monotonic())
+        self.quotas.set_share(share, time.monotonic(), nodes=heard)
 
     def pool(self, name: str) -> PoolRuntime:
         """Return a pool; one that nobody told of has no upstreams."""
@@ -218,3 +221,7 @@
         pool.cells.list_upstreams(entries)
         self.on_pool(pool.cells)
         pool.pump()
+
+
+async def _confirmed_by_nobody() -> bool:
+    return False
--- a/tests/gateway/decisions/test_quotas.py
+++ b/tests/gateway/decisions/test_quotas.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from baobabwing.gateway.decisions.quotas import QuotaBook, Spent, Tolerance
+from baobabwing.gateway.decisions.charges import Spent, Tolerance
+from baobabwing.gateway.decisions.quotas import QuotaBook
 from baobabwing.gateway.model import OrganisationSpec, QuotaUnit
 
 SPEC = OrganisationSpec(
--- a/tests/gateway/limits_model.py
+++ b/tests/gateway/limits_model.py
@@ -13,7 +13,8 @@
 from baobabwing.fleet.host import Host, Member, MemberState
 from baobabwing.fleet.view import FleetView
 from baobabwing.gateway import limits, members
-from baobabwing.gateway.decisions.quotas import QuotaBook, Tolerance
+from baobabwing.gateway.decisions.charges import Tolerance
+from baobabwing.gateway.decisions.quotas import QuotaBook
 from baobabwing.gateway.limits import LimitsExchange
 from baobabwing.gateway.model import OrganisationSpec, QuotaUnit
 from baobabwing.gateway.placement.codec import decode, encode
@@ -127,7 +128,7 @@
 
     def set_nodes(self, heard, total):
         self.share = min(heard / max(total, 1), 1.0)
-        self.quotas.set_share(self.share, self.fleet.clock())
+        self.quotas.set_share(self.share, self.fleet.clock(), nodes=heard)
 
     def see(self):
         """Take the members that this node knows."""
@@ -159,6 +160,7 @@
 
     def __init__(self, monkeypatch, *, nodes, tolerance=TOLERANCE, seed=1, spec=SPEC):
         self.clock = Clock()
+        monkeypatch.setattr(limits, "log", lambda event, **fields: None)
         for module in (limits, members):
             monkeypatch.setattr(f"{module.__name__}.time.monotonic", self.clock)
         self.rng = Random(seed)
@@ -246,6 +248,7 @@
     def _meet(self, node):
         if not node.link.open:
             return
+        node.members.list_candidates(self._hosts.values())
         node.known = set(self.nodes)
         node.see()
         for other in self.nodes.values():
@@ -292,7 +295,9 @@
         while self.clock() < until:
             await asyncio.sleep(TICK_S)
             self._due += times * RATE * TICK_S
-            while self._due > 0 and self.nodes:
+            if not self.nodes:
+                self._due = 0.0
+            while self._due > 0:
                 units = min(self.rng.lognormvariate(2.8, 0.8), LARGEST_UNITS)
                 self._due -= units
                 self._ask(units, wait_s, places, free)
@@ -303,6 +308,23 @@
         charge = node.quotas.admit(
             "acme", units, now, places_free=self.rng.random() < free
         )
+        if charge.unconfirmed:
+            again = self._ask_again(node, charge, wait_s, places)
+            asyncio.ensure_future(again)
+            return
+        self._answer(node, charge, units, now, wait_s, places)
+
+    async def _ask_again(self, node, charge, wait_s, places):
+        sent_at = self.clock()
+        confirmed = await node.exchange.confirm()
+        if node.link.open:
+            units = charge.units
+            charge = node.quotas.admit_confirmed(
+                "acme", charge, self.clock(), confirmed=confirmed
+            )
+            self._answer(node, charge, units, sent_at, wait_s, places)
+
+    def _answer(self, node, charge, units, now, wait_s, places):
         if not charge.admitted:
             self.refused.append((now, units))
             return
@@ -324,6 +346,7 @@
             self.run_again(node, charge, sent_at)
 
     def run_again(self, node, charge, sent_at):
+        node.quotas.charge_again("acme", charge, self.clock())
         self.runs.append(Run(sent_at, self.clock(), charge.units))
 
     # Figures.
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -5,7 +5,8 @@
 import time
 from types import SimpleNamespace
 
-from baobabwing.gateway.decisions.quotas import QuotaBook, Tolerance
+from baobabwing.gateway.decisions.charges import Tolerance
+from baobabwing.gateway.decisions.quotas import QuotaBook
 from baobabwing.gateway.limits import LimitsExchange
 from baobabwing.gateway.model import OrganisationSpec, QuotaUnit
 from baobabwing.gateway.placement.link import WorkLink
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -74,7 +74,7 @@
     """A dead node may run on behind a cut and use its share of the limits."""
     members._take(view(4, dead=(3,)))
     assert members.total == 4
-    members.clock[0] += 19.0
+    members.clock[0] += 3_599.0
     assert members.total == 4
     members.clock[0] += 1.5
     assert members.total == 3
