Charge each send of a request that may run

Each send that may run is charged now; one that is turned away gives its units back. A request is never refused for it: its work has begun, and later ones get less.

test_each_send_of_a_request_counts_against_its_organisation failed before (6 units for 7 runs).

--- a/baobabwing/gateway/charging.py
+++ b/baobabwing/gateway/charging.py
@@ -52,12 +52,22 @@
     def sending(self, call: Call) -> None:
         """Note that an upstream gets the request now, and may run it."""
         call.runs += 1
+        if call.runs > len(call.charges) and call.organisation is not None:
+            now = time.monotonic()
+            again = self._state.quotas.charge_again(
+                call.organisation.name, call.charges[0], now
+            )
+            call.charges.append(again)
         self._accounts.sent(call)
 
     def not_run(self, call: Call) -> None:
         """Note that the upstream has turned the request away."""
         call.runs -= 1
         self._accounts.not_run(call)
+        if call.organisation is not None and len(call.charges) > max(call.runs, 1):
+            self._state.quotas.give_back_again(
+                call.organisation.name, call.charges.pop()
+            )
 
     def over(self, call: Call) -> None:
         """Return the units of a request that no upstream has run."""
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -10,6 +10,7 @@
 from baobabwing.gateway.limits import LimitsExchange
 from baobabwing.gateway.model import OrganisationSpec, QuotaUnit
 from baobabwing.gateway.placement.link import WorkLink
+from baobabwing.standins.gateway_upstream import Behaviour
 from tests.gateway.bed import (
     NAMES,
     Bed,
@@ -174,3 +175,23 @@
             assert lookup < stream
 
     run(story())
+
+
+def test_each_send_of_a_request_counts_against_its_organisation(run):
+    """A stream that goes on at a second engine takes the work of both."""
+
+    async def story():
+        acme = organisation("acme", "key", rate_per_s=1e6, burst=1e6)
+        cfg = default_configuration(organisations=(acme,), keys_required=True)
+        async with Bed(cfg) as bed:
+            for number in range(6):
+                bed.behaviour["engines-1"] = Behaviour(events=5, cut_after=2)
+                conn = await bed.caller()
+                headers = [(NAMES.key, b"key"), (NAMES.tokens, b"10,1")]
+                answer = await ask(conn, "/resumable/x", f"r{number}", headers=headers)
+                assert answer.whole
+            runs = sum(bed.runs(f"r{number}") for number in range(6))
+            assert runs > 6
+            assert bed.gateway.state.quotas.spent()["acme"].units == runs
+
+    run(story())
--- a/tests/gateway/test_limits_bound.py
+++ b/tests/gateway/test_limits_bound.py
@@ -149,6 +149,20 @@
     assert_bound_holds(fleet)
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_further_sends_of_requests_count_against_the_limit(monkeypatch, seed):
+    """Three in ten requests of a rush run at a second upstream as well."""
+    fleet = LimitsFleet(monkeypatch, nodes=NODES, seed=seed)
+    fleet.repeats = 0.3
+
+    async def story():
+        await fleet.load(4, 0.5)
+        await fleet.load(14, HOT)
+
+    play(fleet, story)
+    assert_bound_holds(fleet)
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_lowered_limit_binds_one_window_later(monkeypatch, seed):
     """A limit falls to a fifth during a rush, late at a third of the nodes."""
