Let a node that finds the others keep its debt as it is

A node that has just started admitted a request as one of 460, went below zero by its units, and that debt was multiplied by the nodes that it found then. What it finds is added now: their part of the start level.

A node also takes its part of limits as soon as it reads the list of nodes, not with its next report, and tells callers to come back after 0.3 s while it knows nobody.

test_debt_of_a_node_that_finds_the_others_stays_its_own failed before.

--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -41,6 +41,8 @@
 _SILENT_WORDS = 3
 _LEAST_STALE_S = 1.0
 _LEAST_RETRY_S = 0.05
+# A node that hears nobody has mostly just started, and knows more after this time.
+_ALONE_RETRY_S = 0.3
 # Age of the counts in a sum when it arrives: half of the time between two words, and
 # the way.
 _AGE_WORDS = 0.5
@@ -186,8 +188,11 @@
                 # What nodes admitted between their last words and their silence is
                 # never heard; without this, each cut adds that to the limit.
                 bucket.level -= bucket.demand.unheard(now, self._age_s)
-            if share < self._share or now - self._started < _FINDING_S:
+            if share < self._share:
                 bucket.level *= share / self._share
+            elif now - self._started < _FINDING_S:
+                found = share - self._share
+                bucket.level += found * self._tolerance.start_level(bucket.spec)
         self._shares.append((now, self._share))
         self._share = share
 
@@ -450,7 +455,9 @@
         rate = bucket.spec.rate_per_s * self._share
         lacking_s = (self._needed(bucket, units) - bucket.level) / rate
         behind_s = bucket.behind_s * self._rng.uniform(*_SPREAD)
-        return max(lacking_s, behind_s, _LEAST_RETRY_S)
+        alone = self._nodes <= 1 and self._share < 1
+        least_s = _ALONE_RETRY_S if alone else _LEAST_RETRY_S
+        return max(lacking_s, behind_s, least_s)
 
     def _tolerated(self, bucket: Bucket, units: float, now: float) -> bool:
         if now < self._excess_from:
--- a/baobabwing/gateway/limits.py
+++ b/baobabwing/gateway/limits.py
@@ -109,7 +109,7 @@
         self._hurry = asyncio.Event()
         self._asked = False
         self._waiting: dict[int, list[asyncio.Future[None]]] = {}
-        members.on_change(self._hurry.set)
+        members.on_change(self._take_members)
         link.handle(UsedReport, self._take_report)
         link.handle(Totals, self._take_totals)
         self._count_nodes()
@@ -142,6 +142,11 @@
         await asyncio.wait([known], timeout=_CONFIRM_S)
         return known.done()
 
+    def _take_members(self) -> None:
+        """Share limits with other nodes from now on, and tell them soon."""
+        self._count_nodes()
+        self._hurry.set()
+
     def _report_now(self) -> None:
         self._asked = False
         self._report()
--- a/baobabwing/gateway/members.py
+++ b/baobabwing/gateway/members.py
@@ -105,6 +105,7 @@
         self._total_until = 0.0
         if self._membership is not None and not self.others():
             self._membership.look_for_seeds()
+        self._tell_listeners()
 
     @property
     def total(self) -> int:
@@ -213,5 +214,8 @@
         self.view = view
         self._homes.clear()
         self._total_until = 0.0
+        self._tell_listeners()
+
+    def _tell_listeners(self) -> None:
         for listener in self._listeners:
             listener()
--- a/tests/gateway/decisions/test_quotas.py
+++ b/tests/gateway/decisions/test_quotas.py
@@ -535,3 +535,13 @@
     refused = [units for at, units in fleet.refused if at >= settled]
     admitted = [units for at, units in fleet.admitted if at >= settled]
     assert sum(refused) < 0.02 * sum(admitted)
+
+
+def test_debt_of_a_node_that_finds_the_others_stays_its_own():
+    """A node that starts admits a large request alone, and then finds the others."""
+    book = QuotaBook(tolerance=TOLERANCE, now=0.0)
+    book.set_share(0.01, 0.0)
+    book.configure([SPEC], 0.0)
+    assert book.admit("acme", 100.0, 0.1).admitted
+    book.set_share(1.0, 0.2, nodes=100)
+    assert book.admit("acme", UNITS, 0.2).admitted
