Limits: sources of sums and the pace of a bucket in modules of their own

What a node knows of those that add up, and how a limit is dealt out, are two ideas of their own. Besides: a summing node that is not asked any more does not hold confirmations up, names are looked up in a table that is kept, and who is heard is looked at twenty times in the time after which a node counts as silent, not with each report.

--- a/baobabwing/gateway/decisions/demand.py
+++ b/baobabwing/gateway/decisions/demand.py
@@ -13,7 +13,7 @@
 _RATE_ALPHA = 0.5
 # The same of what is admitted, which is even where it matters: where an organisation is
 # over its limit it is the limit's rate. Followed faster, a bucket is taken for emptier
-# after each large request, and 3 in 100 of a limit are lost at 195 nodes (simulated).
+# after each large request, and part of a limit is lost.
 _ADMITTED_ALPHA = 0.25
 # Weight of a new sample of the mix of ranks, of which one node sees a part: some ten
 # samples, 2.5 s.
--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, replace
 from random import Random
 
+from baobabwing.gateway.decisions import pacing
 from baobabwing.gateway.decisions.bucket import Bucket
 from baobabwing.gateway.decisions.charges import (
     Charge,
@@ -28,50 +29,21 @@
 )
 from baobabwing.gateway.decisions.demand import Demand
 from baobabwing.gateway.decisions.escrow import Escrow, Side, Verdict
+from baobabwing.gateway.decisions.pacing import Words
 from baobabwing.gateway.decisions.window import SlidingSum
 from baobabwing.gateway.model import OrganisationSpec, QuotaUnit
 
 __all__ = ["QuotaBook"]
 
-# Between two words of a peer, until :meth:`QuotaBook.set_pace` says otherwise.
-_PACE_S = 0.25
-# A count that comes after a silence of more words than this is a new baseline for
-# the bucket: what it admitted meanwhile came out of its own side's share. Reckoned in
-# words, which come less often in larger fleets.
-_SILENT_WORDS = 3
-_LEAST_STALE_S = 1.0
 _LEAST_RETRY_S = 0.05
 # A node that hears nobody has mostly just started, and knows more after this time.
 _ALONE_RETRY_S = 0.3
-# Age of the counts in a sum when it arrives: half of the time between two words, and
-# the way.
-_AGE_WORDS = 0.5
-_WAY_S = 0.025
-# A bucket that is dealt out is held at this part of its burst: deep enough for a large
-# request, and so that late counts do not overdraw it.
-_HELD_SHARE = 0.4
-# Until all know what all have admitted: half of the time between two words until it is
-# told, as long again until it is heard, and once more for a word that is lost.
-_KNOWN_WORDS = 2
-# A request that takes more than this part of a bucket passes like one that does.
-_LARGE_SHARE = 0.25
-# A bucket that is dealt out comes back to its held part within this time, and within so
-# many words of others: a correction must not be faster than what shows whether it has
-# been enough. Down to that part it comes back faster, since what runs over its brim is
-# lost to the organisation.
-_LEVEL_S = 2.0
-_LEVEL_WORDS = 6
-_LEAST_LEVEL_S = 0.5
 # Callers that are refused come back spread over this part of the time that the limit
 # is behind, so that they do not all meet again.
 _SPREAD = (0.5, 1.0)
 # A node that started just now finds the others within this time. What it held until
 # then grows with the number of nodes that it knows to share the limit.
 _FINDING_S = 2.0
-# A confirmation is recent if the words that it confirms were sent at most so many words
-# ago.
-_FRESH_WORDS = 1.25
-_FRESH_S = 0.05
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -101,7 +73,7 @@
         self._share = 1.0
         self._shares: deque[tuple[float, float]] = deque()
         self._nodes = 1
-        self._pace_s = _PACE_S
+        self._words = Words()
         self._counted_at: float | None = None
         self._followed = ""
         self._followed_at = now
@@ -112,15 +84,7 @@
 
     def set_pace(self, seconds: float) -> None:
         """Take the time between two words of a peer."""
-        self._pace_s = seconds
-
-    @property
-    def _stale_s(self) -> float:
-        return max(_SILENT_WORDS * self._pace_s, _LEAST_STALE_S)
-
-    @property
-    def _age_s(self) -> float:
-        return _AGE_WORDS * self._pace_s + _WAY_S
+        self._words = Words(pace_s=seconds)
 
     def reload(self, tolerance: Tolerance) -> None:
         """Take a changed tolerance."""
@@ -167,7 +131,7 @@
         )
 
     def _change(self, bucket: Bucket, spec: OrganisationSpec, now: float) -> None:
-        bucket.fill(now, self._share, self._age_s)
+        bucket.fill(now, self._share, self._words.age_s)
         if self._tolerance.limit(spec) < self._tolerance.limit(bucket.spec):
             bucket.escrow.forgive(now)
         bucket.spec = spec
@@ -183,11 +147,11 @@
         if share == self._share:
             return
         for bucket in self._buckets.values():
-            bucket.fill(now, self._share, self._age_s)
+            bucket.fill(now, self._share, self._words.age_s)
             if share < self._share:
                 # What nodes admitted between their last words and their silence is
                 # never heard; without this, each cut adds that to the limit.
-                bucket.level -= bucket.demand.unheard(now, self._age_s)
+                bucket.level -= bucket.demand.unheard(now, self._words.age_s)
             if share < self._share:
                 bucket.level *= share / self._share
             elif now - self._started < _FINDING_S:
@@ -220,12 +184,20 @@
         bucket = self._buckets.get(name)
         if bucket is None:
             return Charge()
-        bucket.fill(now, self._share, self._age_s)
+        bucket.fill(now, self._share, self._words.age_s)
         bucket.asked += units
         bucket.demand.ask(units, rank, now)
         rate = bucket.spec.rate_per_s * self._share
         bucket.behind_s = bucket.demand.behind_s(rate, now)
-        passes = self._passes(bucket, units, rank, now)
+        passes = pacing.passes(
+            bucket,
+            units,
+            rank,
+            now,
+            share=self._share,
+            words=self._words,
+            rng=self._rng,
+        )
         if passes or (places_free and self._tolerated(bucket, units, now)):
             return self._settle(bucket, units, rank, now, excess=not passes)
         return Charge(retry_after_s=self._wait_s(bucket, units))
@@ -240,7 +212,7 @@
         bucket = self._buckets.get(name)
         if bucket is None:
             return Charge()
-        bucket.fill(now, self._share, self._age_s)
+        bucket.fill(now, self._share, self._words.age_s)
         side = self._side(bucket.spec, now)
         if (confirmed or side.alone) and bucket.escrow.fits(side, now):
             return replace(waiting, retry_after_s=0.0, unconfirmed=False)
@@ -251,9 +223,11 @@
         self, bucket: Bucket, units: float, rank: int, now: float, *, excess: bool
     ) -> Charge:
         """Admit a request if the window has room for it, or count it until it may."""
-        verdict = bucket.escrow.judge(units, self._side(bucket.spec, now), now)
+        side = self._side(bucket.spec, now)
+        verdict = bucket.escrow.judge(units, side, now)
         if verdict is Verdict.FULL:
-            return Charge(retry_after_s=self._wait_s(bucket, units))
+            lacking = units - bucket.escrow.room(side, now)
+            return Charge(retry_after_s=self._wait_s(bucket, units, lacking))
         take = bucket.take_excess if excess else bucket.take
         charge = take(units, rank, now)
         if verdict is Verdict.ADMITTED:
@@ -269,7 +243,7 @@
         bucket = self._buckets.get(name)
         if bucket is None:
             return Charge()
-        bucket.fill(now, self._share, self._age_s)
+        bucket.fill(now, self._share, self._words.age_s)
         return bucket.take(charge.units, charge.rank, now)
 
     def give_back(self, name: str, charge: Charge, now: float) -> None:
@@ -326,14 +300,14 @@
         """
         if counted:
             self._counted_at = now
-            settled = now - self._followed_at > self._stale_s
+            settled = now - self._followed_at > self._words.stale_s
             for name, bucket in self._buckets.items():
                 bucket.escrow.hear(peer, counts[name].recent if name in counts else 0.0)
                 if settled:
                     bucket.escrow.settle()
         before = self._heard.get(peer)
         self._heard[peer] = _Heard(counts=dict(counts), at=now)
-        if before is None or now - before.at > self._stale_s:
+        if before is None or now - before.at > self._words.stale_s:
             for bucket in self._buckets.values():
                 bucket.demand.forget(peer)
             return
@@ -342,13 +316,13 @@
             if bucket is None:
                 continue
             last = before.counts.get(name, Spent())
-            bucket.fill(now, self._share, self._age_s)
+            bucket.fill(now, self._share, self._words.age_s)
             bucket.demand.hear(
                 peer,
                 asked=count.asked - last.asked,
                 admitted=count.units - last.units,
                 seconds=now - before.at,
-                stale_s=self._stale_s,
+                stale_s=self._words.stale_s,
                 now=now,
                 counted=counted,
             )
@@ -411,31 +385,6 @@
             "spent": round(bucket.spent, 1),
         }
 
-    def _passes(self, bucket: Bucket, units: float, rank: int, now: float) -> bool:
-        """Whether the limit lets a request pass.
-
-        Where more is asked for than the limit allows, all nodes would use the same
-        rest of the bucket before they hear of each other, and then refuse all until it
-        is paid back; and since the rest is small then, large requests would be refused
-        while small, less urgent ones pass. So a bucket that is not nearly full is
-        dealt out: each node lets a part of its requests pass, the more urgent ones
-        first, as large as the limit is against what all nodes are asked for.
-        """
-        if bucket.level < self._needed(bucket, units):
-            return False
-        rate = bucket.spec.rate_per_s * self._share
-        room = bucket.level - bucket.demand.unheard(now, self._age_s)
-        room -= _HELD_SHARE * bucket.spec.burst * self._share
-        beyond = max(bucket.demand.total_per_s(now) - rate, 0.0)
-        if room >= beyond * _KNOWN_WORDS * self._pace_s:
-            return True
-        if room >= 0:
-            level_s = max(_LEAST_LEVEL_S, _KNOWN_WORDS * self._pace_s)
-        else:
-            level_s = max(_LEVEL_S, _LEVEL_WORDS * self._pace_s)
-        allowed = rate + room / level_s
-        return self._rng.random() < bucket.demand.part(rank, allowed, now)
-
     def _side(self, spec: OrganisationSpec, now: float) -> Side:
         """Return what the nodes on this side may use of a limit's window."""
         tolerance, share = self._tolerance, self._share
@@ -444,20 +393,20 @@
             nodes=self._nodes,
             ceiling=tolerance.ceiling(spec) * share,
             reserve=tolerance.kept_back(spec) * share,
-            alone=self._nodes <= 1 or age_s > _FRESH_WORDS * self._pace_s + _FRESH_S,
+            alone=self._nodes <= 1 or age_s > self._words.fresh_s,
         )
 
-    def _needed(self, bucket: Bucket, units: float) -> float:
-        return min(units, _LARGE_SHARE * bucket.spec.burst * self._share)
+    def _wait_s(self, bucket: Bucket, units: float, lacking: float = 0.0) -> float:
+        """Return when a request that is refused is to come back.
 
-    def _wait_s(self, bucket: Bucket, units: float) -> float:
-        """Return when a request that is refused is to come back."""
+        :param lacking: units that have to leave the window first.
+        """
         rate = bucket.spec.rate_per_s * self._share
-        lacking_s = (self._needed(bucket, units) - bucket.level) / rate
+        lacking_s = (pacing.needed(bucket, units, self._share) - bucket.level) / rate
         behind_s = bucket.behind_s * self._rng.uniform(*_SPREAD)
         alone = self._nodes <= 1 and self._share < 1
         least_s = _ALONE_RETRY_S if alone else _LEAST_RETRY_S
-        return max(lacking_s, behind_s, least_s)
+        return max(lacking_s, lacking / rate, behind_s, least_s)
 
     def _tolerated(self, bucket: Bucket, units: float, now: float) -> bool:
         if now < self._excess_from:
--- a/baobabwing/gateway/limit_sums.py
+++ b/baobabwing/gateway/limit_sums.py
@@ -17,6 +17,9 @@
 
 __all__ = ["MOST_USED", "LateCounts", "LimitSums"]
 
+# Who is heard is looked at this often, as a part of the time after which a node counts
+# as silent.
+_LOOK_PART = 0.05
 # Organisations in one message.
 MOST_USED = 64
 
@@ -99,6 +102,9 @@
         self._told_s = window_s
         self._reporters: dict[int, _Reporter] = {}
         self._sums: dict[int, _Sum] = defaultdict(_Sum)
+        self._heard = 0
+        self._held: dict[int, int] = {}
+        self._looked_at = -window_s
 
     def set_pace(self, *, silent_s: float, told_s: float) -> None:
         """Take how often nodes report.
@@ -123,6 +129,7 @@
         if known is None:
             known = _Reporter(address=address, heard_at=now, number=report.number)
             self._reporters[report.node] = known
+            self._looked_at = -self._window_s
         silent_s = now - known.heard_at
         fresh = silent_s <= self._silent_s
         known.heard_at, known.number = now, report.number
@@ -131,16 +138,15 @@
             before = known.used.get(used.organisation)
             known.used[used.organisation] = used
             late += self._add(report.node, used, before, fresh=fresh, now=now)
-        self._forget_silent(now)
+        self._look(now)
         return LateCounts(units=late, silent_s=silent_s) if late > 0 else None
 
     def totals_for(self, report: UsedReport, now: float) -> Totals:
         """Return what all others have admitted, for one that reports."""
-        held = self._held_by_silent(now)
         own = self._reporters[report.node].used
         used = []
         for organisation, total in self._sums.items():
-            recent = total.recent - held.get(organisation, 0)
+            recent = total.recent - self._held.get(organisation, 0)
             if organisation in own:
                 recent -= own[organisation].recent
             if recent <= 0 and total.changed_at < now - self._told_s:
@@ -160,7 +166,7 @@
         return Totals(
             home=self._node,
             number=report.number,
-            heard=self._heard(now),
+            heard=self._heard,
             used=tuple(used[:MOST_USED]),
         )
 
@@ -186,8 +192,14 @@
         total.add(node, change, now)
         return 0
 
-    def _heard(self, now: float) -> int:
-        return sum(self._is_heard(one, now) for one in self._reporters.values())
+    def _look(self, now: float) -> None:
+        """See who is heard, from time to time: each report asks for it."""
+        if now - self._looked_at < _LOOK_PART * self._silent_s:
+            return
+        self._looked_at = now
+        self._forget_silent(now)
+        self._heard = sum(self._is_heard(one, now) for one in self._reporters.values())
+        self._held = self._held_by_silent(now)
 
     def _is_heard(self, reporter: _Reporter, now: float) -> bool:
         return now - reporter.heard_at <= self._silent_s
--- a/baobabwing/gateway/limits.py
+++ b/baobabwing/gateway/limits.py
@@ -13,14 +13,15 @@
 import math
 import time
 from collections import deque
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 from random import Random
 
 from baobabwing.gateway.decisions.charges import Spent
 from baobabwing.gateway.events import COUNTS_LATE, SUMS_TAKEN_FROM
+from baobabwing.gateway.limit_sources import SumSources
 from baobabwing.gateway.limit_sums import MOST_USED, LimitSums
 from baobabwing.gateway.members import Members
-from baobabwing.gateway.placement.codec import crc, wrapped_difference
+from baobabwing.gateway.placement.codec import crc
 from baobabwing.gateway.placement.link import WorkLink
 from baobabwing.gateway.placement.messages import Totals, Used, UsedReport
 from baobabwing.gateway.state import GatewayState
@@ -44,8 +45,6 @@
 _SILENT_REPORTS = 3
 # Reports that name an organisation after its count changed, so that one gets through.
 _USED_TOLD = 4
-# A summer that hears so many times the nodes of the other is taken instead of it.
-_MORE_NODES = 1.1
 # Requests that wait for a confirmation within this time share one report.
 _TOGETHER_S = 0.003
 # A confirmation takes some ms; a request waits for it for so long at the most.
@@ -66,23 +65,6 @@
     charged: dict[str, float]
 
 
-@dataclass(kw_only=True)
-class _Summer:
-    """A node that adds up, as it last told."""
-
-    heard_at: float = 0.0
-    number: int = -1
-    nodes: int = 0
-    last: dict[int, Used] = field(default_factory=dict)
-    totals: dict[str, Spent] = field(default_factory=dict)
-
-    def forget_recent(self, told: set[str | None]) -> None:
-        """Take that nothing counts any more of organisations that are not told."""
-        for name, total in self.totals.items():
-            if name not in told and total.recent:
-                self.totals[name] = replace(total, recent=0.0)
-
-
 class LimitsExchange:
     """Tells what this node admits, adds up what others do, and takes the sums.
 
@@ -104,11 +86,13 @@
             window_s=state.quotas.window_s,
             fair_units=self._fair_units,
         )
-        self._summers: dict[int, _Summer] = {}
-        self._taken_from: int | None = None
+        self._sources = SumSources()
+        self._homes: tuple[str, ...] = ()
+        self._names: dict[int, str] = {}
+        self._names_of: tuple[str, ...] = ()
         self._hurry = asyncio.Event()
-        self._asked = False
-        self._waiting: dict[int, list[asyncio.Future[None]]] = {}
+        self._report_due = False
+        self._confirmed = asyncio.Event()
         members.on_change(self._take_members)
         link.handle(UsedReport, self._take_report)
         link.handle(Totals, self._take_totals)
@@ -133,14 +117,18 @@
 
         :returns: whether they know; false if they do not say so in time.
         """
-        loop = asyncio.get_running_loop()
-        if not self._asked:
-            self._asked = True
+        if not self._report_due:
+            self._report_due = True
+            loop = asyncio.get_running_loop()
             loop.call_later(_TOGETHER_S, self._report_now)
-        known = loop.create_future()
-        self._waiting.setdefault(self._number + 1, []).append(known)
-        await asyncio.wait([known], timeout=_CONFIRM_S)
-        return known.done()
+        number = self._number + 1
+        try:
+            async with asyncio.timeout(_CONFIRM_S):
+                while self._sources.confirmed(self._homes) < number:
+                    await self._confirmed.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def _take_members(self) -> None:
         """Share limits with other nodes from now on, and tell them soon."""
@@ -148,7 +136,7 @@
         self._hurry.set()
 
     def _report_now(self) -> None:
-        self._asked = False
+        self._report_due = False
         self._report()
 
     def _pace_s(self) -> float:
@@ -176,7 +164,8 @@
         )
         used = tuple(_used(name, spent) for name, spent in told)
         report = UsedReport(node=self._node, number=self._number, used=used)
-        for address in self._members.homes(_RESOURCE, _SUMMERS):
+        self._homes = tuple(self._members.homes(_RESOURCE, _SUMMERS))
+        for address in self._homes:
             self._link.send(address, report)
 
     def _to_tell(self, now: float) -> list[tuple[str, Spent]]:
@@ -212,93 +201,56 @@
 
     def _fair_units(self, organisation: int) -> float:
         """Return what each node may use of an organisation's window."""
-        quotas = self._state.quotas
-        for name in quotas.names():
-            if crc(name) == organisation:
-                return quotas.ceiling(name) / self._members.total
-        return 0.0
+        name = self._name_of().get(organisation)
+        if name is None:
+            return 0.0
+        return self._state.quotas.ceiling(name) / self._members.total
+
+    def _name_of(self) -> dict[int, str]:
+        """Return the organisations that have a limit, by the crc of their names."""
+        names = self._state.quotas.names()
+        if names != self._names_of:
+            self._names_of = names
+            self._names = {crc(name): name for name in names}
+        return self._names
 
     # What others have added up.
 
     def _take_totals(self, message: Totals, address: str) -> None:
-        summer = self._summers.setdefault(message.home, _Summer())
-        if message.number <= summer.number:
-            return
         now = time.monotonic()
-        summer.heard_at, summer.number = now, message.number
-        summer.nodes = message.heard
-        names = {crc(name): name for name in self._state.quotas.names()}
-        for used in message.used:
-            name = names.get(used.organisation)
-            if name is not None:
-                self._unwrap(summer, name, used)
-        told = {names.get(used.organisation) for used in message.used}
-        if len(message.used) < MOST_USED:
-            summer.forget_recent(told)
-        self._choose(message.home, address, now)
+        home, sources = message.home, self._sources
+        if not sources.take(message, address, self._name_of(), now):
+            return
+        before = sources.in_use
+        if sources.choose(home, self._homes, now, self._silent_s()):
+            silent = before is None or now - before.heard_at > self._silent_s()
+            heard = message.heard
+            log(SUMS_TAKEN_FROM, peer=address, heard=heard, others_silent=silent)
+            self._state.quotas.follow(str(home), now)
         # The other one's sums hold the same units; counted twice they would halve
         # each limit. They are followed, so that its differences count from here on.
-        peer = str(message.home)
-        counted = message.home == self._taken_from
-        self._state.quotas.hear(peer, summer.totals, now, counted=counted)
-        self._confirm(peer, message.number)
+        counted = home == sources.taken
+        totals = sources[home].totals
+        self._state.quotas.hear(str(home), totals, now, counted=counted)
+        self._confirm(home, message.number)
         self._count_nodes()
 
-    def _confirm(self, peer: str, number: int) -> None:
+    def _confirm(self, home: int, number: int) -> None:
         """Note what a node that adds up knows of this one."""
         for sent in self._sent:
             if sent.number == number:
-                self._state.quotas.confirm(peer, sent.charged, sent.at)
+                self._state.quotas.confirm(str(home), sent.charged, sent.at)
                 break
-        confirmed = min((one.number for one in self._summers.values()), default=number)
-        for waiting in [one for one in self._waiting if one <= confirmed]:
-            for known in self._waiting.pop(waiting):
-                if not known.done():
-                    known.set_result(None)
-
-    def _choose(self, home: int, address: str, now: float) -> None:
-        """Take the sums of the one that hears most nodes, and stay with it.
-
-        Both hear about the same; a few nodes more are no reason to change.
-        """
-        taken = self._summers.get(self._taken_from) if self._taken_from else None
-        silent = taken is None or now - taken.heard_at > self._silent_s()
-        if silent or self._summers[home].nodes > _MORE_NODES * taken.nodes:
-            if home != self._taken_from:
-                heard = self._summers[home].nodes
-                log(SUMS_TAKEN_FROM, peer=address, heard=heard, others_silent=silent)
-                self._state.quotas.follow(str(home), now)
-            self._taken_from = home
-
-    def _unwrap(self, summer: _Summer, name: str, used: Used) -> None:
-        before = summer.last.get(used.organisation)
-        summer.last[used.organisation] = used
-        total = summer.totals.get(name, Spent())
-        if before is None:
-            summer.totals[name] = Spent(
-                units=used.units,
-                excess=used.excess,
-                asked=used.asked,
-                recent=used.recent,
-            )
-            return
-        summer.totals[name] = Spent(
-            units=total.units + wrapped_difference(used.units, before.units),
-            excess=total.excess + wrapped_difference(used.excess, before.excess),
-            asked=total.asked + wrapped_difference(used.asked, before.asked),
-            recent=used.recent,
-        )
+        self._confirmed.set()
+        self._confirmed = asyncio.Event()
 
     def _count_nodes(self) -> None:
         """Take the share of all nodes that are on this side."""
         now = time.monotonic()
-        limit_s = self._silent_s()
-        for home, summer in tuple(self._summers.items()):
-            if now - summer.heard_at > limit_s:
-                del self._summers[home]
-                self._state.quotas.forget(str(home))
-        taken = self._summers.get(self._taken_from) if self._taken_from else None
-        heard = taken.nodes if taken is not None else 1
+        for home in self._sources.drop_silent(self._homes, now, self._silent_s()):
+            self._state.quotas.forget(str(home))
+        in_use = self._sources.in_use
+        heard = in_use.nodes if in_use is not None else 1
         self._state.set_nodes(heard, self._members.total)
 
 
