Name the peer of a connection that ends as it opens

Errors of such a connection named the peer ?:0: the system no longer tells it. It is the address that was asked for.

--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -230,4 +230,5 @@
             f"no connection: {exc!r}", step="connect", peer=address
         ) from exc
     _probe_when_idle(conn.transport)
+    conn.peer = address
     return conn
