--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import struct
+import time
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -100,6 +101,7 @@
         self.leaving = False
         self.seen: list[SeenRequest] = []
         self.runs: Counter[str] = Counter()
+        self.began: list[tuple[str, float]] = []
         self.working = 0
         self.left_early = 0
         self.bodies: dict[str, bytes] = defaultdict(bytes)
@@ -157,6 +159,7 @@
             await self._whole(conn, seen, 503, b"", not_run=True, more=more)
             return True
         self.runs[seen.request_id] += 1
+        self.began.append((seen.request_id, time.monotonic()))
         self.working += 1
         try:
             return await self._run(conn, seen, how)
--- a/tests/platform_adapter/soak/checks.py
+++ b/tests/platform_adapter/soak/checks.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -28,6 +28,8 @@
 _MOST_CRASHED = 6
 # Time from an answer that says that its worker leaves until nothing more is sent there.
 _DRAIN_S = 2.0
+# The window in which the operator counts, as the nodes' settings have it.
+_LIMIT_WINDOW_S = 8.0
 
 
 class Kind(StrEnum):
@@ -148,6 +150,28 @@
                 after_s = sent_at - told_at
                 self.wrong.append(f"{number}: at {instance} {after_s:.1f} s after")
 
+    def judge_limit(
+        self, began: Iterable[tuple[str, float]], limited: set[str], most: int
+    ) -> None:
+        """Compare what an organisation got with its limit and tolerance.
+
+        :param began: requests and when they began to run, in turn.
+        :param limited: the organisation's requests.
+        :param most: requests that may be both sent and run in one window.
+        """
+        window: deque[tuple[str, float]] = deque()
+        for number, at in began:
+            if number not in limited:
+                continue
+            window.append((number, at))
+            while window[0][1] < at - _LIMIT_WINDOW_S:
+                window.popleft()
+            since = window[0][1]
+            count = sum(self._sent[one][1] >= since for one, _ in window)
+            if count > most:
+                self.wrong.append(f"{number}: {count} in a window, {most} are allowed")
+                return
+
     def judge_runs(self, runs: Counter[str]) -> None:
         """Compare all replies with what the workers ran."""
         for number, ended in self._ended.items():
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -6,7 +6,8 @@
 reset, held one way or both; a store that refuses, loses answers, forgets its history
 or comes back from an older copy; workers that drain, go or come, or say so in their
 answers alone; requests that end each worker that runs them, again and again;
-configurations that take a key away. Callers keep their connections until these end.
+configurations that take a key away. One organisation asks for far more than its limit.
+Callers keep their connections until these end.
 Seeds that ever failed are in ``seeds.py``.
 """
 
@@ -41,6 +42,20 @@
 _CONFIRMATIONS = 12
 _HEAD_BYTES = 65_536
 _SPARE_KEY = "spare-key"
+# An organisation that asks for several times its limit, from a seed on: ten requests a
+# second, ten at once, and with the nodes' settings 106 in a window of 8 s.
+_LIMITED_KEY = "limited-key"
+_LIMITED_FROM = 11_000
+_LIMITED_CALLERS = 4
+_LIMITED = {
+    "name": "limited",
+    "api_keys": [_LIMITED_KEY],
+    "unit": "tokens",
+    "plain_tokens": 10_000,
+    "rate_per_s": 100_000,
+    "burst": 100_000,
+}
+_MOST_LIMITED = 106
 # Requests at the same time that two workers of a kind have no places for: a node gives
 # one that was slow when it last heard of it nothing while others have places.
 _BESIDE = 40
@@ -70,6 +85,7 @@
         self._numbers = itertools.count(seed * 1_000_000 + 1)
         self._began = 0.0
         self._stopping: set[int] = set()
+        self._limited: set[str] = set()
         self._ended = False
 
     async def run(self) -> list[str]:
@@ -79,6 +95,11 @@
             self.write_configuration()
             self._began = time.monotonic()
             callers = [asyncio.ensure_future(self._call()) for _ in range(_CALLERS)]
+            if self.seed >= _LIMITED_FROM:
+                callers += [
+                    asyncio.ensure_future(self._call(_LIMITED_KEY))
+                    for _ in range(_LIMITED_CALLERS)
+                ]
             keeper = asyncio.ensure_future(self._keep_running())
             await self._play()
             await self._calm()
@@ -91,6 +112,7 @@
         self.records.judge_crashes(self.deployment.crashed)
         self.records.judge_leaving(self.deployment.ran_at())
         self.records.judge_runs(self.deployment.runs())
+        self.records.judge_limit(self.deployment.began(), self._limited, _MOST_LIMITED)
         return self.records.wrong
 
     def write_configuration(self) -> None:
@@ -103,6 +125,8 @@
         changed = configuration(self.version)
         if not self.revoked:
             changed["tenants"][0]["api_keys"].append(_SPARE_KEY)
+        if self.seed >= _LIMITED_FROM:
+            changed["tenants"].append(_LIMITED)
         self.deployment.store.write("op", "config", changed)
 
     def note(self, what: str) -> None:
@@ -254,6 +278,8 @@
         number = str(next(self._numbers))
         node = self.deployment.callers.index(conn.peer)
         self.records.sent(number, node)
+        if key == _LIMITED_KEY:
+            self._limited.add(number)
         revoked = self.revoked
         reply = await ask(conn, number, kind, key, **text)
         if reply.leaving:
@@ -262,8 +288,11 @@
             self.records.spare_key_used(number, reply.status)
         return reply, self.records.ended(number, kind, reply, _EVENTS)
 
-    async def _call(self) -> None:
-        """Ask over kept connections, as callers do, until the run ends."""
+    async def _call(self, key: str = "") -> None:
+        """Ask over kept connections, as callers do, until the run ends.
+
+        :param key: the only one to use; by chance without one.
+        """
         rng = random.Random(next(self._numbers))
         while not self._ended:
             conn = await self._connect(rng)
@@ -271,7 +300,7 @@
                 await asyncio.sleep(0.05)
                 continue
             while not self._ended and not conn.gone:
-                if not await self._one(conn, rng):
+                if not await self._one(conn, rng, key):
                     break
             conn.close()
 
@@ -286,9 +315,9 @@
         except ConnectionLostError:
             return None
 
-    async def _one(self, conn: HttpConnection, rng: random.Random) -> bool:
+    async def _one(self, conn: HttpConnection, rng: random.Random, key: str) -> bool:
         kind = rng.choice(list(Kind))
-        key = _SPARE_KEY if rng.random() < 0.1 else KEY
+        key = key or (_SPARE_KEY if rng.random() < 0.1 else KEY)
         _, outcome = await self._ask(conn, kind, key)
         if outcome is Outcome.CUT:
             return False
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -1,17 +1,30 @@
 """A short run of the soak, and the seeds that ever failed in it."""
 
 import asyncio
+import time
 
 import pytest
 
+from tests.platform_adapter.soak.checks import Records
 from tests.platform_adapter.soak.run import Soak
 from tests.platform_adapter.soak.seeds import FAILED_ONCE
 
 
-@pytest.mark.parametrize("seed", [1, 10_001, 10_202, *FAILED_ONCE])
+@pytest.mark.parametrize("seed", [1, 10_001, 10_202, 11_001, *FAILED_ONCE])
 def test_promises_hold_under_faults(tmp_path, seed):
     """Nodes, paths, the store and workers fail in a drawn series; see the soak."""
     soak = Soak(seed=seed, folder=tmp_path)
     wrong = asyncio.run(soak.run())
     assert wrong == [], "\n".join(soak.faults)
     assert soak.records.outcomes["stream served"] > 50
+
+
+def test_more_than_a_limit_in_one_window_is_found():
+    records = Records(planned_only=False)
+    for number in ("a", "b", "c"):
+        records.sent(number, 0)
+    began = [(number, time.monotonic()) for number in ("a", "b", "x", "c")]
+    records.judge_limit(began, {"a", "b", "c"}, 3)
+    assert records.wrong == []
+    records.judge_limit(began, {"a", "b", "c"}, 2)
+    assert records.wrong == ["c: 3 in a window, 2 are allowed"]
