--- a/tests/platform_adapter/soak/checks.py
+++ b/tests/platform_adapter/soak/checks.py
@@ -164,9 +164,9 @@
             if number not in limited:
                 continue
             window.append((number, at))
-            while window[0][1] < at - _LIMIT_WINDOW_S:
+            since = at - _LIMIT_WINDOW_S
+            while window[0][1] < since:
                 window.popleft()
-            since = window[0][1]
             count = sum(self._sent[one][1] >= since for one, _ in window)
             if count > most:
                 self.wrong.append(f"{number}: {count} in a window, {most} are allowed")
