--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -41,8 +41,8 @@
 # Callers that are refused come back spread over this part of the time that the limit
 # is behind, so that they do not all meet again.
 _SPREAD = (0.5, 1.0)
-# A node that started just now finds the others within this time. What it held until
-# then grows with the number of nodes that it knows to share the limit.
+# A node that started just now finds the others within this time, and adds their part of
+# what buckets hold at a start.
 _FINDING_S = 2.0
 
 
@@ -152,7 +152,6 @@
                 # What nodes admitted between their last words and their silence is
                 # never heard; without this, each cut adds that to the limit.
                 bucket.level -= bucket.demand.unheard(now, self._words.age_s)
-            if share < self._share:
                 bucket.level *= share / self._share
             elif now - self._started < _FINDING_S:
                 found = share - self._share
