Limits: bound how many reports are asked for by requests that wait

Each request beyond its node's credit asked for a report of its own, so that the nodes that add up got more of them the more there was to wait for, and a summing node that was late got more still. A node sends one at most in half of the pace now; requests wait that much longer for it.

--- a/baobabwing/gateway/limit_sums.py
+++ b/baobabwing/gateway/limit_sums.py
@@ -48,18 +48,19 @@
     used: dict[int, Used] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(slots=True)
 class _Units:
     units: int = 0
     excess: int = 0
     asked: int = 0
 
-    def plus(self, other: _Units, *, sign: int = 1) -> _Units:
-        return _Units(
-            units=self.units + sign * other.units,
-            excess=self.excess + sign * other.excess,
-            asked=self.asked + sign * other.asked,
-        )
+    def add(self, units: int, excess: int, asked: int) -> None:
+        self.units += units
+        self.excess += excess
+        self.asked += asked
+
+
+_NOTHING = _Units()
 
 
 @dataclass(kw_only=True)
@@ -74,14 +75,11 @@
     changed_at: float = 0.0
     by_node: dict[int, _Units] = field(default_factory=dict)
 
-    def add(self, node: int, change: _Units, now: float) -> None:
-        self.total = self.total.plus(change)
-        self.by_node[node] = self.by_node.get(node, _Units()).plus(change)
+    def add(self, node: int, units: int, excess: int, asked: int, now: float) -> None:
+        self.total.add(units, excess, asked)
+        self.by_node.setdefault(node, _Units()).add(units, excess, asked)
         self.changed_at = now
 
-    def without(self, node: int) -> _Units:
-        return self.total.plus(self.by_node.get(node, _Units()), sign=-1)
-
 
 class LimitSums:
     """Adds up what nodes report.
@@ -151,13 +149,13 @@
                 recent -= own[organisation].recent
             if recent <= 0 and total.changed_at < now - self._told_s:
                 continue
-            others = total.without(report.node)
+            whole, told = total.total, total.by_node.get(report.node, _NOTHING)
             used.append(
                 Used(
                     organisation=organisation,
-                    units=others.units,
-                    excess=others.excess,
-                    asked=others.asked,
+                    units=whole.units - told.units,
+                    excess=whole.excess - told.excess,
+                    asked=whole.asked - told.asked,
                     recent=max(recent, 0),
                 )
             )
@@ -182,14 +180,13 @@
         total.recent += used.recent - (before.recent if before else 0)
         if before is None:
             return used.recent
-        change = _Units(
-            units=wrapped_difference(used.units, before.units),
-            excess=wrapped_difference(used.excess, before.excess),
-            asked=wrapped_difference(used.asked, before.asked),
-        )
+        units = wrapped_difference(used.units, before.units)
         if not fresh:
-            return change.units
-        total.add(node, change, now)
+            return units
+        excess = wrapped_difference(used.excess, before.excess)
+        asked = wrapped_difference(used.asked, before.asked)
+        if units or excess or asked:
+            total.add(node, units, excess, asked, now)
         return 0
 
     def _look(self, now: float) -> None:
--- a/baobabwing/gateway/limits.py
+++ b/baobabwing/gateway/limits.py
@@ -45,10 +45,13 @@
 _SILENT_REPORTS = 3
 # Reports that name an organisation after its count changed, so that one gets through.
 _USED_TOLD = 4
-# Requests that wait for a confirmation within this time share one report.
+# Requests that wait for a confirmation share a report: those of some ms, and all that
+# come within this part of the pace after the last one. Without it, those that add up
+# would get more reports the more requests wait for them.
 _TOGETHER_S = 0.003
-# A confirmation takes some ms; a request waits for it for so long at the most.
-_CONFIRM_S = 0.15
+_PAUSE_PACES = 0.5
+# A confirmation takes some ms from its report on; it is waited for so long at the most.
+_CONFIRM_S = 0.1
 # Reports whose confirmation may still come.
 _SENT_KEPT = 32
 
@@ -92,6 +95,7 @@
         self._names_of: tuple[str, ...] = ()
         self._hurry = asyncio.Event()
         self._report_due = False
+        self._reported_at = 0.0
         self._confirmed = asyncio.Event()
         members.on_change(self._take_members)
         link.handle(UsedReport, self._take_report)
@@ -117,13 +121,15 @@
 
         :returns: whether they know; false if they do not say so in time.
         """
+        pause_s = _PAUSE_PACES * self._pace_s()
         if not self._report_due:
             self._report_due = True
+            due_s = self._reported_at + pause_s - time.monotonic()
             loop = asyncio.get_running_loop()
-            loop.call_later(_TOGETHER_S, self._report_now)
+            loop.call_later(max(due_s, _TOGETHER_S), self._report_now)
         number = self._number + 1
         try:
-            async with asyncio.timeout(_CONFIRM_S):
+            async with asyncio.timeout(pause_s + _CONFIRM_S):
                 while self._sources.confirmed(self._homes) < number:
                     await self._confirmed.wait()
         except TimeoutError:
@@ -153,7 +159,7 @@
 
     def _report(self) -> None:
         self._number += 1
-        now = time.monotonic()
+        now = self._reported_at = time.monotonic()
         told = self._to_tell(now)
         self._sent.append(
             _Sent(
