Compare what a starting node is told of a limit with the whole limit

A node lowered its buckets to what the window had left of its own part, since it takes its share of all a moment after it hears of all.

--- a/baobabwing/gateway/decisions/quotas.py
+++ b/baobabwing/gateway/decisions/quotas.py
@@ -361,8 +361,10 @@
             if settled:
                 bucket.escrow.settle()
             elif starts:
-                room = bucket.escrow.room(self._side(bucket.spec, now), now)
-                bucket.level = min(bucket.level, room)
+                # Its share is still that of a node alone; what is told is of all.
+                known = bucket.escrow.known(now)
+                left = self._tolerance.ceiling(bucket.spec) - known
+                bucket.level = min(bucket.level, left)
 
     def _take_off(self, bucket: Bucket, count: Spent, last: Spent, now: float) -> None:
         """Take out of a bucket what others have admitted since their last word."""
--- a/tests/gateway/decisions/test_quotas.py
+++ b/tests/gateway/decisions/test_quotas.py
@@ -545,3 +545,14 @@
     assert book.admit("acme", 100.0, 0.1).admitted
     book.set_share(1.0, 0.2, nodes=100)
     assert book.admit("acme", UNITS, 0.2).admitted
+
+
+def test_node_that_starts_is_not_in_debt_for_what_others_may_use():
+    """A node that was alone hears what others have used of a limit that has room."""
+    book = QuotaBook(tolerance=TOLERANCE, now=0.0)
+    book.set_share(0.01, 0.0)
+    book.configure([SPEC], 0.0)
+    book.follow("sums", 0.2)
+    book.hear("sums", {"acme": Spent(recent=4000.0)}, 0.2)
+    book.set_share(1.0, 0.2, nodes=100)
+    assert book.admit("acme", UNITS, 0.2).admitted
