Log why a request gets no further attempt, and what a home sheds

Between the line that says that a request is repeated and the one that says that its answer broke, no line told whether a slot, a retry, a send or the time was missing. 1507 names the reason; 2510 has the figures of an upstream that sends nothing; 3512 has those of the requests that a home refuses in a tick.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -166,10 +166,13 @@
             granted.append((holder, grant))
         return granted
 
-    def remove_unservable(self, now: float) -> list[tuple[RequestKey, float]]:
+    def remove_unservable(
+        self, now: float
+    ) -> list[tuple[RequestKey, PlacementRequest, float]]:
         """Remove queued requests that will hardly get a slot before their deadline.
 
-        :returns: the requests, each with the estimated seconds until a slot is free.
+        :returns: the requests, the most urgent first, each with the estimated seconds
+            until a slot is free.
         """
         if now < self.grants_from + _EXPIRY_DELAY_S:
             return []
@@ -177,7 +180,7 @@
         for request, wait_s in self.scheduler.remove_unservable(now):
             holder = self._unregister(request)
             del self._waiting[holder]
-            removed.append((holder, wait_s))
+            removed.append((holder, request, wait_s))
         return removed
 
     def apply_update(
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -191,10 +191,8 @@
         :returns: the requests, each with the seconds after which its caller should
             retry: the estimated wait for a slot, within bounds.
         """
-        while self._late_grants and self._late_grants[0] < now - _LATE_RATE_WINDOW_S:
-            self._late_grants.popleft()
         late = self.waiting.late(now)
-        slots_per_s = len(self._late_grants) / _LATE_RATE_WINDOW_S
+        slots_per_s = self.late_slots_per_s(now)
         removed = []
         for position, request in enumerate(late, 1):
             left_s = request.deadline_at - now
@@ -206,6 +204,12 @@
             self.waiting.remove(request)
         return removed
 
+    def late_slots_per_s(self, now: float) -> float:
+        """Return the rate at which late requests were granted slots of late."""
+        while self._late_grants and self._late_grants[0] < now - _LATE_RATE_WINDOW_S:
+            self._late_grants.popleft()
+        return len(self._late_grants) / _LATE_RATE_WINDOW_S
+
     def adopt(
         self,
         request: PlacementRequest,
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -33,6 +33,7 @@
     "REQUEST_REFUSED",
     "REQUEST_REPEATED",
     "REQUEST_SENT",
+    "REQUESTS_SHED",
     "ROW_UNREADABLE",
     "SETTINGS_RELOADED",
     "SHARE_CHANGED",
@@ -50,6 +51,7 @@
     "UPSTREAM_SAID_LEAVING",
     "UPSTREAM_START_REPLACED",
     "UPSTREAM_UNREADABLE",
+    "UPSTREAM_UNRESPONSIVE",
 ]
 
 REQUEST_REFUSED = define(
@@ -80,7 +82,8 @@
     1507,
     "request_late_or_failed",
     "A request was answered late, with a failure, only in part, or after several "
-    "attempts. `tries`: each attempt, with the upstream and how the attempt ended.",
+    "attempts. `tries`: each attempt, with the upstream and how the attempt ended. "
+    "`reason`: why it got no further attempt.",
 )
 CALLER_LEFT = define(
     1508,
@@ -113,6 +116,12 @@
     "was there (`age_ms`), how long ago its first event came (`begun_ms`) and how many "
     "events it had. The `digest` is the same each time that the same request is sent.",
 )
+UPSTREAM_UNRESPONSIVE = define(
+    2510,
+    "upstream_unresponsive",
+    "An upstream sent this node nothing for `idle_ms`, which is beyond the timeout of "
+    "a request there. `own`: this node's requests at the upstream.",
+)
 UPSTREAMS_CHANGED = define(
     2502,
     "upstreams_changed",
@@ -219,6 +228,15 @@
     "processor time they took, and the requests that wait and run.",
     routine=True,
 )
+REQUESTS_SHED = define(
+    3512,
+    "requests_shed",
+    "This node, as the home of a cell, refused late requests that would hardly get a "
+    "slot in time: how many, those of them that had been run or refused before "
+    "(`prioritized`), those that stay queued, and the slots that late requests got in "
+    "the last second. `late_ms` and `left_ms`: how far the most urgent one refused was "
+    "past its objective, and the time that it had left to get a slot.",
+)
 MESSAGE_DROPPED = define(
     3507,
     "message_dropped",
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -108,15 +108,18 @@
             try:
                 grant = call.next_grant or await self._reserve_slot(call, pool)
             except TimeoutError:
+                call.end_reason = "no slot in time"
                 await self._give_up(call, pool, self._retry_after_s(call, pool))
                 return
             except NoSlotError as exc:
+                call.end_reason = f"{exc.message} ({exc.peer})"
                 await self._give_up(call, pool, exc.retry_after_s)
                 return
             call.next_grant = None
             quarantined_s = self._quarantined_s(call)
             if quarantined_s > 0:
                 pool.free(grant, UpdateKind.RELEASED)
+                call.end_reason = "quarantined"
                 await self._give_up(call, pool, quarantined_s, code="crashes_upstreams")
                 return
             call.release_kind, call.event_interval_s = UpdateKind.RELEASED, None
@@ -185,18 +188,29 @@
         return quarantine.held_s(call.digest, now) if quarantine.any_held(now) else 0.0
 
     def _may_retry(self, call: Call, pool: PoolRuntime, result: AttemptResult) -> bool:
+        call.end_reason = self._no_retry_reason(call, pool, result)
+        return not call.end_reason
+
+    def _no_retry_reason(
+        self, call: Call, pool: PoolRuntime, result: AttemptResult
+    ) -> str:
+        """Take a retry from the budget; return why there is none, or nothing."""
         now = time.monotonic()
         if self._quarantined_s(call) > 0:
-            return False
-        if call.sends >= _MAX_SENDS or now >= call.ends_at - _RETURN_TRIP_S:
-            return False
+            return "quarantined"
+        if now >= call.ends_at - _RETURN_TRIP_S:
+            return "deadline"
+        if call.sends >= _MAX_SENDS:
+            return "all sends used"
         if result is AttemptResult.UNSENT:
-            return True
+            return ""
         ran = result is not AttemptResult.NOT_RUN
         may_run_again = call.route.repeatable and call.runs < call.route.attempts
         if ran and not may_run_again:
-            return False
-        return pool.budget.try_take(now, self._state.nodes)
+            return "all runs used"
+        if not pool.budget.try_take(now, self._state.nodes):
+            return "retry budget used up"
+        return ""
 
     async def _attempt(
         self, call: Call, pool: PoolRuntime, grant: Grant
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -17,7 +17,12 @@
     PlacementRequest,
     PoolScheduler,
 )
-from baobabwing.gateway.events import CELL_DROPPED, CELL_LOAD, CELL_TAKEN
+from baobabwing.gateway.events import (
+    CELL_DROPPED,
+    CELL_LOAD,
+    CELL_TAKEN,
+    REQUESTS_SHED,
+)
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.model import UpstreamEntry
 from baobabwing.gateway.placement.codec import name_crc
@@ -145,14 +150,32 @@
                 queue.expire(
                     now, repeat_s=reservation_report_interval_s(self._members.total)
                 )
-                for holder, wait_s in queue.remove_unservable(now):
-                    self._refuse(key, queue, holder, wait_s, now)
+                self._shed(key, queue, now)
                 if queue.idle and now - queue.last_used_at > _IDLE_TIMEOUT_S:
                     del self._queues[key]
                     log(CELL_DROPPED, pool=self._pool_name(key), cell=key.index)
                 else:
                     self._place_waiting(key)
 
+    def _shed(self, key: CellKey, queue: CellQueue, now: float) -> None:
+        """Refuse the queued requests that will hardly get a slot in time."""
+        shed = queue.remove_unservable(now)
+        for holder, _, wait_s in shed:
+            self._refuse(key, queue, holder, wait_s, now)
+        if shed:
+            _, first, _ = shed[0]
+            log(
+                REQUESTS_SHED,
+                pool=self._pool_name(key),
+                cell=key.index,
+                refused=len(shed),
+                prioritized=sum(request.prioritized for _, request, _ in shed),
+                waiting=len(queue.scheduler.waiting),
+                slots_per_s=queue.scheduler.late_slots_per_s(now),
+                late_ms=round(1000 * (now - first.objective_at), 1),
+                left_ms=round(1000 * (first.deadline_at - now), 1),
+            )
+
     def _measured(
         self, handler: Callable[[Any, str], None]
     ) -> Callable[[Any, str], None]:
--- a/baobabwing/gateway/request_recorder.py
+++ b/baobabwing/gateway/request_recorder.py
@@ -219,6 +219,7 @@
             events=call.splitter.events,
             longest_pause_ms=_ms(call.max_gap_s),
             tries=[attempt.summary() for attempt in call.attempts],
+            reason=call.end_reason,
             queued=self._state.pool(call.pool).queued,
             version=self._state.version,
             **fields,
--- a/baobabwing/gateway/upstream_timeouts.py
+++ b/baobabwing/gateway/upstream_timeouts.py
@@ -10,8 +10,10 @@
 from baobabwing.exceptions import ConnectionLostError
 from baobabwing.gateway.call import Call
 from baobabwing.gateway.decisions.scheduling import Grant
+from baobabwing.gateway.events import UPSTREAM_UNRESPONSIVE
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.state import GatewayState
+from baobabwing.reports.events import log
 
 __all__ = ["read_while_responsive"]
 
@@ -61,11 +63,29 @@
             elif wait_s != _FINAL_READ_S:
                 wait_s = _FINAL_READ_S
             else:
+                _log_unresponsive(call, grant, idle_s, timeout_s)
                 raise ConnectionLostError(
                     "mute", step="wait", peer=grant.track.entry.address
                 ) from exc
 
 
+def _log_unresponsive(
+    call: Call, grant: Grant, idle_s: float, timeout_s: float
+) -> None:
+    log(
+        UPSTREAM_UNRESPONSIVE,
+        request=call.request_head.request_id,
+        upstream=grant.track.entry.instance,
+        idle_ms=round(1000 * idle_s, 1),
+        timeout_ms=round(1000 * timeout_s, 1),
+        predicted_ms=round(1000 * grant.predicted_s, 1),
+        own=len(grant.track.own),
+        events=call.splitter.events - call.prior_events,
+        prompt_tokens=grant.request.prompt_tokens,
+        left_ms=round(1000 * (call.ends_at - time.monotonic()), 1),
+    )
+
+
 def _response_timeout_s(call: Call, grant: Grant) -> float | None:
     """Return how long to wait for an unresponsive upstream; ``None``: no limit."""
     route = call.route
--- a/tests/gateway/test_request_recorder.py
+++ b/tests/gateway/test_request_recorder.py
@@ -116,3 +116,28 @@
             )
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("target", "behaviour", "reason"),
+    [
+        ("/stream/x", Behaviour(events=9, cut_after=2), "all runs used"),
+        ("/unsafe/x", Behaviour(cut_after=0), "all runs used"),
+        ("/safe/x", Behaviour(mute=True), "deadline"),
+        ("/stream/x", Behaviour(events=3), ""),
+    ],
+)
+def test_line_of_a_failed_request_names_why_it_got_no_further_attempt(
+    run, target, behaviour, reason
+):
+    async def scenario():
+        async with GatewayHarness() as harness:
+            harness.behaviour.update(services=behaviour, engines=behaviour)
+            conn = await harness.caller()
+            with structlog.testing.capture_logs() as lines:
+                await ask(conn, target, "c1", headers=[(NAMES.deadline, b"400")])
+                await eventually(lambda: counts(harness), "a count")
+            reasons = [line["reason"] for line in lines if line["number"] == 1507]
+            assert reasons == ([reason] if reason else [])
+
+    run(scenario())
