Failing tests: answers given up before a replacement is assured

An engine pauses for 1.6 s in the middle of a stream, or before it, and goes on. Meanwhile no other engine has a slot, or the one with a slot can't be reached, or another node has quarantined the request: the gateway aborts the engine's answer first and finds that out afterwards. Callers get half a stream, or 502, with 4 of 5 s left: 6 of 8 cases. The two cases without a retry left pass already.

A stream whose engine has ended is refused by the home 1 s later as a late newcomer; it is cut although a slot comes free within its time.

--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -33,6 +33,8 @@
     :param delay_s: time before the answer.
     :param events: number of events to stream; 0 for a plain answer.
     :param gap_s: time after each event.
+    :param stall_after: send nothing for ``stall_s`` after this many events.
+    :param stall_s: see ``stall_after``.
     :param cut_after: break off within the event after this many events; for a plain
         answer, after half of its body.
     :param reset: break off with a reset instead of a regular close.
@@ -53,6 +55,8 @@
     delay_s: float = 0.0
     events: int = 0
     gap_s: float = 0.0
+    stall_after: int | None = None
+    stall_s: float = 0.0
     cut_after: int | None = None
     reset: bool = False
     refuse: bool = False
@@ -232,7 +236,10 @@
                 await self._break_off(conn, behaviour)
                 return False
             await conn.send(h11.Data(data=event))
-            await self._work_for(conn, behaviour.gap_s)
+            stalled = number == behaviour.stall_after
+            await self._work_for(
+                conn, behaviour.stall_s if stalled else behaviour.gap_s
+            )
         await conn.send(h11.EndOfMessage())
         return True
 
