Leave a running request's upstream only for a replacement in hand

What callers saw: a stream cut in the middle with most of its time left, or 502 before its first event, while its engine was still working on it.

Cause: a node that had received nothing for the timeout aborted the connection first, and only then asked for a slot, a retry, a connection, and whether the request was quarantined. Each of them can be refused; the answer was then given up, though the engine that it had would have gone on. Streams that move to a faster engine had the same order: the retry was looked at, spent without a look at the result, and the new engine was connected to last.

Now both search beside the running attempt, and leave it only for a granted slot with an open connection and a retry that is paid for. What comes first decides: if the upstream goes on meanwhile, the search is withdrawn. The silence is reported when it is noticed (update kind UNRESPONSIVE, which keeps the slot), so that a dark engine is ejected as soon as before.

test_unread_answer_does_not_count_as_unresponsive follows the new parameter; a search fails it now, where a retry did.

--- a/baobabwing/exceptions.py
+++ b/baobabwing/exceptions.py
@@ -15,6 +15,7 @@
     "PlatformUncertainError",
     "RequestError",
     "SettingsError",
+    "UnresponsiveError",
     "UpstreamError",
     "WireError",
 ]
@@ -115,6 +116,10 @@
     """The other side ended or reset a connection; it did not just fall silent."""
 
 
+class UnresponsiveError(ConnectionLostError):
+    """Nothing came on a connection for too long; it is open and may still work."""
+
+
 class MalformedError(BaobabwingError):
     """A peer sent bytes that are no message of its protocol.
 
--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import cached_property
@@ -15,9 +16,9 @@
 from baobabwing.gateway.model import OrganisationSpec, Route
 from baobabwing.gateway.request_head import RequestHead
 from baobabwing.gateway.sse import EventSplitter
-from baobabwing.gateway.upstream_connections import AnswerHead
+from baobabwing.gateway.upstream_connections import AnswerHead, UpstreamConnection
 
-__all__ = ["Attempt", "AttemptResult", "Call"]
+__all__ = ["Attempt", "AttemptResult", "Call", "Replacement"]
 
 
 class AttemptResult(Enum):
@@ -59,6 +60,18 @@
         )
 
 
+@dataclass(frozen=True, kw_only=True)
+class Replacement:
+    """Where a running request can go on at once, with a retry taken for it.
+
+    :param grant: slot at another upstream.
+    :param connection: open connection to that upstream.
+    """
+
+    grant: Grant
+    connection: UpstreamConnection
+
+
 @dataclass(kw_only=True)
 class Call:
     """State of one request of a caller.
@@ -75,12 +88,12 @@
     :param sends: attempts, including those that no upstream received or ran.
     :param runs: sends that an upstream may have run.
     :param first_event_at: when the caller's first event arrived.
+    :param last_event_at: when the last event arrived that the caller has received.
     :param max_gap_s: longest gap between two events.
     :param failure: last 5xx answer of an upstream, head and body.
     :param counted: whether its outcome is in the metrics already.
-    :param next_grant: the slot that a stream moves to.
-    :param move_requested: whether a request for a slot to move to is pending.
-    :param finished: whether it has ended.
+    :param search: search for a replacement, beside the current attempt.
+    :param replacement: where the call goes on after the current attempt.
     :param output_began_at: when the current attempt had its first event.
     :param prior_events: events received in earlier attempts.
     :param release_kind: result of the current attempt, sent with the slot's release.
@@ -104,13 +117,13 @@
     runs: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_event_at: float | None = None
+    last_event_at: float | None = None
     max_gap_s: float = 0.0
     failure: tuple[AnswerHead, bytes] | None = None
     attempts: list[Attempt] = field(default_factory=list)
     counted: bool = False
-    next_grant: Grant | None = None
-    move_requested: bool = False
-    finished: bool = False
+    search: asyncio.Task[Replacement | None] | None = None
+    replacement: Replacement | None = None
     output_began_at: float | None = None
     prior_events: int = 0
     release_kind: UpdateKind = UpdateKind.RELEASED
--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -52,7 +52,8 @@
     ``FAILED``: the engine failed the request. ``LOST``: the engine no longer runs.
     ``FULL``: the engine refused the request for load. ``RELEASED``: the request ended
     for reasons unrelated to the engine. ``LEAVING``: the engine announced that it
-    leaves. The request goes on after ``FIRST`` and ``LEAVING``.
+    leaves. ``UNRESPONSIVE``: the engine sends the node nothing. The request goes on
+    after ``FIRST``, ``LEAVING`` and ``UNRESPONSIVE``.
     """
 
     FIRST = 1
@@ -62,11 +63,15 @@
     FULL = 5
     RELEASED = 6
     LEAVING = 7
+    UNRESPONSIVE = 8
 
     @property
     def releases_slot(self) -> bool:
         """Whether the request releases its slot."""
-        return self not in (UpdateKind.FIRST, UpdateKind.LEAVING)
+        return self not in _GOES_ON
+
+
+_GOES_ON = (UpdateKind.FIRST, UpdateKind.LEAVING, UpdateKind.UNRESPONSIVE)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -201,6 +206,9 @@
             return
         if kind is UpdateKind.LEAVING:
             return
+        if kind is UpdateKind.UNRESPONSIVE:
+            grant.track.record_failure(now)
+            return
         if kind is UpdateKind.FIRST:
             first_at = now if interval_s is None else grant.granted_at + interval_s
             grant.track.record_first_event(grant.request.number, first_at)
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Set as AbstractSet
 from http import HTTPStatus
 
 from baobabwing.exceptions import (
@@ -11,6 +12,7 @@
     MalformedError,
     NoSlotError,
     PeerClosedError,
+    UnresponsiveError,
 )
 from baobabwing.gateway.admission import Admission
 from baobabwing.gateway.answers import CallerAnswer, Refusal
@@ -21,8 +23,10 @@
 from baobabwing.gateway.events import UPSTREAM_CLOSED
 from baobabwing.gateway.metrics import Outcome
 from baobabwing.gateway.pool import PoolRuntime
+from baobabwing.gateway.replacements import Replacements
 from baobabwing.gateway.request_head import RequestHead, upstream_headers
 from baobabwing.gateway.request_recorder import RequestRecorder
+from baobabwing.gateway.retries import RETURN_TRIP_S, Retries
 from baobabwing.gateway.state import GatewayState
 from baobabwing.gateway.stream_moves import StreamMoves
 from baobabwing.gateway.upstream_connections import (
@@ -38,11 +42,6 @@
 # Share of the route's longest wait for the first event that a stream may wait for its
 # slot; the rest is left for the upstream to produce that event.
 _SLOT_WAIT_SHARE = 0.75
-# Latency of an answer from this node to the caller, subtracted from the time that an
-# upstream gets.
-_RETURN_TRIP_S = 0.01
-# Limit on sends of one request, including those that upstreams provably did not run.
-_MAX_SENDS = 4
 _MIN_RETRY_AFTER_S = 0.05
 # A request whose deadline is this much shorter than that of others on its route is a
 # retry by the caller; clock differences and rounding stay below it.
@@ -69,8 +68,16 @@
         self._recorder = recorder
         self._admission = Admission(state=state)
         self._charging = Charging(state=state, recorder=recorder)
+        self._retries = Retries(state=state)
+        self._replacements = Replacements(
+            state=state,
+            connections=connections,
+            recorder=recorder,
+            retries=self._retries,
+            placement_request=self._placement_request,
+        )
         self._moves = StreamMoves(
-            state=state, placement_request=self._placement_request
+            retries=self._retries, replacements=self._replacements
         )
         self._names = state.settings.names
 
@@ -98,56 +105,71 @@
             self._recorder.caller_left(call)
             raise
         finally:
-            call.finished = True
-            if call.next_grant is not None:
-                pool.free(call.next_grant, UpdateKind.RELEASED)
             self._charging.over(call)
+            if call.replacement is not None:
+                self._replacements.give_back(pool, call.replacement)
+            await self._replacements.stop(call, pool)
 
     async def _serve(self, call: Call, pool: PoolRuntime) -> None:
         while True:
-            try:
-                grant = call.next_grant or await self._reserve_slot(call, pool)
-            except TimeoutError:
-                call.end_reason = "no slot in time"
-                await self._give_up(call, pool, self._retry_after_s(call, pool))
-                return
-            except NoSlotError as exc:
-                call.end_reason = f"{exc.message} ({exc.peer})"
-                await self._give_up(call, pool, exc.retry_after_s)
-                return
-            call.next_grant = None
-            quarantined_s = self._quarantined_s(call)
-            if quarantined_s > 0:
-                pool.free(grant, UpdateKind.RELEASED)
-                call.end_reason = "quarantined"
-                await self._give_up(call, pool, quarantined_s, code="crashes_upstreams")
+            replacement, call.replacement = call.replacement, None
+            if replacement is not None:
+                grant, connection = replacement.grant, replacement.connection
+            else:
+                grant, connection = await self._reserve_slot(call, pool), None
+            if grant is None:
                 return
             call.release_kind, call.event_interval_s = UpdateKind.RELEASED, None
             call.output_began_at, call.prior_events = None, call.splitter.events
             self._recorder.placed(call, grant, pool)
             try:
-                result = await self._attempt(call, pool, grant)
+                result = await self._attempt(call, pool, grant, connection)
             finally:
                 pool.free(grant, call.release_kind, call.event_interval_s)
             self._recorder.attempt_ended(call, result)
             if result is AttemptResult.DONE:
                 self._recorder.answered(call)
                 return
-            moved = result is AttemptResult.MOVED
-            if not moved and not self._may_retry(call, pool, result):
+            if call.replacement is None:
+                await self._replacements.stop(call, pool)
+                call.end_reason = self._retries.take(call, pool, result)
+            if call.end_reason:
                 await self._fail(call, pool, result)
                 return
             call.excluded.add(grant.track.entry.instance)
             self._recorder.retried(call, result, pool)
 
-    async def _reserve_slot(self, call: Call, pool: PoolRuntime) -> Grant:
-        return await pool.place(self._placement_request(call), self._state.nodes)
+    async def _reserve_slot(self, call: Call, pool: PoolRuntime) -> Grant | None:
+        """Reserve a slot, or give the call its final answer and return ``None``."""
+        try:
+            grant = await pool.place(self._placement_request(call), self._state.nodes)
+        except TimeoutError:
+            call.end_reason = "no slot in time"
+            await self._give_up(call, pool, self._retry_after_s(call, pool))
+            return None
+        except NoSlotError as exc:
+            call.end_reason = f"{exc.message} ({exc.peer})"
+            await self._give_up(call, pool, exc.retry_after_s)
+            return None
+        quarantined_s = self._retries.quarantined_s(call)
+        if quarantined_s > 0:
+            pool.free(grant, UpdateKind.RELEASED)
+            call.end_reason = "quarantined"
+            await self._give_up(call, pool, quarantined_s, code="crashes_upstreams")
+            return None
+        return grant
 
     def _placement_request(
-        self, call: Call, generated_tokens: int = 0
+        self,
+        call: Call,
+        *,
+        excluded: AbstractSet[str] = frozenset(),
+        generated_tokens: int = 0,
     ) -> PlacementRequest:
         """Return the placement request of a call.
 
+        :param excluded: instances of upstreams that are of no use to this request, in
+            addition to those of the call.
         :param generated_tokens: tokens already generated by earlier attempts, which
             the next upstream has to read as part of the prompt.
         """
@@ -164,12 +186,12 @@
             prompt_tokens=(call.request_head.tokens_in or 0) + generated_tokens,
             expected_output_tokens=call.request_head.expected_out
             or call.request_head.tokens_out,
-            excluded=call.excluded,
+            excluded=call.excluded | excluded,
         )
 
     def _slot_deadline(self, call: Call) -> float:
         """Return the time until which a slot is still useful to the caller."""
-        until = call.ends_at - _RETURN_TRIP_S
+        until = call.ends_at - RETURN_TRIP_S
         if call.route.streams and call.first_event_at is None:
             # A caller that has received no event leaves; a slot granted just before
             # that would be wasted, and so would the wait for it.
@@ -177,48 +199,24 @@
             until = min(until, call.arrived + max_wait_s)
         return until
 
-    def _quarantined_s(self, call: Call) -> float:
-        """Return how long a request stays quarantined; 0 if it may be sent.
-
-        While it waited, upstreams may have crashed while running the same request,
-        sent by this node or another one.
-        """
-        now = time.monotonic()
-        quarantine = self._state.quarantine
-        return quarantine.held_s(call.digest, now) if quarantine.any_held(now) else 0.0
-
-    def _may_retry(self, call: Call, pool: PoolRuntime, result: AttemptResult) -> bool:
-        call.end_reason = self._no_retry_reason(call, pool, result)
-        return not call.end_reason
-
-    def _no_retry_reason(
-        self, call: Call, pool: PoolRuntime, result: AttemptResult
-    ) -> str:
-        """Take a retry from the budget; return why there is none, or nothing."""
-        now = time.monotonic()
-        if self._quarantined_s(call) > 0:
-            return "quarantined"
-        if now >= call.ends_at - _RETURN_TRIP_S:
-            return "deadline"
-        if call.sends >= _MAX_SENDS:
-            return "all sends used"
-        if result is AttemptResult.UNSENT:
-            return ""
-        ran = result is not AttemptResult.NOT_RUN
-        may_run_again = call.route.repeatable and call.runs < call.route.attempts
-        if ran and not may_run_again:
-            return "all runs used"
-        if not pool.budget.try_take(now, self._state.nodes):
-            return "retry budget used up"
-        return ""
-
     async def _attempt(
-        self, call: Call, pool: PoolRuntime, grant: Grant
+        self,
+        call: Call,
+        pool: PoolRuntime,
+        grant: Grant,
+        connection: UpstreamConnection | None,
     ) -> AttemptResult:
+        """Send a request to the upstream of a slot and relay the answer.
+
+        :param connection: open connection to the upstream; ``None``: one from the pool.
+        """
         entry = grant.track.entry
         call.sends += 1
         try:
-            connection = await self._connections.acquire(entry.address, entry.instance)
+            if connection is None:
+                connection = await self._connections.acquire(
+                    entry.address, entry.instance
+                )
         except ConnectionLostError as exc:
             grant.track.record_failure(time.monotonic(), hard=True)
             call.release_kind = UpdateKind.LOST
@@ -230,7 +228,7 @@
         # stops its work, and no late bytes can reach another caller.
         complete = False
         try:
-            async with asyncio.timeout_at(call.ends_at - _RETURN_TRIP_S):
+            async with asyncio.timeout_at(call.ends_at - RETURN_TRIP_S):
                 result = await self._exchange(call, pool, grant, connection)
             complete = result not in (AttemptResult.FAILED, AttemptResult.MOVED)
         except TimeoutError:
@@ -257,7 +255,7 @@
         headers = upstream_headers(
             call.request_head,
             self._names,
-            left_s=call.ends_at - time.monotonic() - _RETURN_TRIP_S,
+            left_s=call.ends_at - time.monotonic() - RETURN_TRIP_S,
             instance=grant.track.entry.name,
             organisation=call.organisation.name if call.organisation else "",
             body_bytes=len(call.body),
@@ -270,7 +268,7 @@
             request_head.method, request_head.target, headers, call.body
         )
         head = await read_while_responsive(
-            call, pool, grant, connection.read_head, state=self._state
+            call, pool, grant, connection.read_head, replacements=self._replacements
         )
         self._apply_upstream_notices(pool, grant, head)
         if head.request_id and head.request_id != request_head.request_id:
@@ -353,8 +351,9 @@
         upstream that starts to run it, or any other one that ran there.
         """
         now = time.monotonic()
-        grant.track.record_failure(now)
-        call.release_kind = UpdateKind.FAILED
+        if not isinstance(exc, UnresponsiveError):
+            grant.track.record_failure(now)
+            call.release_kind = UpdateKind.FAILED
         self._recorder.attempt_failed(call, grant, exc)
         if isinstance(exc, ConnectionLostError):
             closed = isinstance(exc, PeerClosedError)
@@ -407,7 +406,7 @@
         prior_events = call.prior_events
         while True:
             piece = await read_while_responsive(
-                call, pool, grant, connection.read_body, state=self._state
+                call, pool, grant, connection.read_body, replacements=self._replacements
             )
             now = time.monotonic()
             grant.track.received_at = now
@@ -425,7 +424,7 @@
                 call.max_gap_s = max(call.max_gap_s, now - last_at)
                 gaps = call.splitter.events - prior_events - 1
                 call.event_interval_s = (now - call.output_began_at) / max(gaps, 1)
-            last_at = now
+            last_at = call.last_event_at = now
             if not call.answer.started:
                 await call.answer.start(head.status, head.reason, head.headers)
             await call.answer.data(complete)
@@ -457,7 +456,7 @@
                 code="not_run",
                 retry_after_s=self._retry_after_s(call, pool),
             )
-        elif time.monotonic() >= call.ends_at - _RETURN_TRIP_S:
+        elif time.monotonic() >= call.ends_at - RETURN_TRIP_S:
             refusal = Refusal(status=504, code="timeout")
         else:
             refusal = Refusal(status=502, code="upstream_failed")
--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -150,36 +150,24 @@
                 return grant
         return None
 
-    def move(
-        self,
-        pool: CellPool,
-        request: PlacementRequest,
-        grant: Grant,
-        done: Callable[[Grant | NoSlotError | None], None],
-    ) -> None:
+    async def move(
+        self, pool: CellPool, request: PlacementRequest, grant: Grant
+    ) -> Grant | None:
         """Request a slot at a much faster engine for a request that is running.
 
         :param grant: the slot at which it runs now.
-        :param done: called with the new grant, or with ``None`` or an error if there
-            is none.
+        :returns: the new grant; ``None`` if there is none at once.
         """
         slot = self._granted_slots.get(grant.request.number)
         home = self._home_of(slot.cell, pool) if slot else None
         if home is None:
-            done(None)
-            return
-        self._start(
-            _PendingRequest(
-                message=self._build_request(
-                    request, slot.cell, pool, moves_from=grant.track.crc
-                ),
-                home=home,
-                request=request,
-                pool=pool,
-                on_result=done,
-                requested_at=time.monotonic(),
+            return None
+        try:
+            return await self._request_slot(
+                home, slot.cell, pool, request, moves_from=grant.track.crc
             )
-        )
+        except NoSlotError:
+            return None
 
     def note(
         self, grant: Grant, kind: UpdateKind, interval_s: float | None = None
@@ -235,7 +223,13 @@
     # Slot requests and their answers.
 
     async def _request_slot(
-        self, home: str, key: CellKey, pool: CellPool, request: PlacementRequest
+        self,
+        home: str,
+        key: CellKey,
+        pool: CellPool,
+        request: PlacementRequest,
+        *,
+        moves_from: int = 0,
     ) -> Grant | None:
         fut: asyncio.Future[Grant | None] = asyncio.get_running_loop().create_future()
 
@@ -248,7 +242,7 @@
                 self.note(result, UpdateKind.RELEASED)
 
         pending = _PendingRequest(
-            message=self._build_request(request, key, pool),
+            message=self._build_request(request, key, pool, moves_from=moves_from),
             home=home,
             request=request,
             pool=pool,
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from collections.abc import Callable
 
 from baobabwing.exceptions import NoSlotError
 from baobabwing.gateway.decisions.cell_queue import UpdateKind
@@ -82,19 +81,20 @@
         """Notify the home of the cell that an engine announced that it is leaving."""
         self._notify_home(grant, UpdateKind.LEAVING)
 
-    def move(
-        self,
-        request: PlacementRequest,
-        grant: Grant,
-        done: Callable[[Grant | NoSlotError | None], None],
-    ) -> None:
+    def report_unresponsive(self, grant: Grant) -> None:
+        """Record that an upstream sends nothing, here and at the home of the cell."""
+        grant.track.record_failure(time.monotonic())
+        self._notify_home(grant, UpdateKind.UNRESPONSIVE)
+
+    async def move(self, request: PlacementRequest, grant: Grant) -> Grant | None:
         """Request a slot at a much faster upstream for a running request.
 
-        :param done: called with the grant, or with ``None`` or an error if no slot is
-            free.
+        :param grant: the slot at which it runs now.
+        :returns: the new slot; ``None`` if there is none at once.
         """
-        if self._placer is not None:
-            self._placer.move(self.cells, request, grant, done)
+        if self._placer is None:
+            return None
+        return await self._placer.move(self.cells, request, grant)
 
     def free(self, grant: Grant, kind: UpdateKind, pace_s: float | None = None) -> None:
         """Release a slot.
--- a/baobabwing/gateway/request_recorder.py
+++ b/baobabwing/gateway/request_recorder.py
@@ -105,25 +105,19 @@
         The digest identifies one request that fails at several upstreams, whichever
         nodes it was sent to.
         """
-        now = time.monotonic()
-        since_first_event_s = (
-            None if call.output_began_at is None else now - call.output_began_at
-        )
         call.attempts[-1].ended = f"{exc.step}: {exc.message}"
-        log(
-            UPSTREAM_FAILED,
-            request=call.request_head.request_id,
-            upstream=grant.track.entry.instance,
-            step=exc.step,
-            peer=exc.peer,
-            reason=exc.message,
-            digest=f"{call.digest:016x}",
-            age_ms=_ms(now - grant.granted_at),
-            begun_ms=None if since_first_event_s is None else _ms(since_first_event_s),
+        self._log_upstream_failed(
+            call,
+            grant,
+            exc,
+            began_at=call.output_began_at,
             events=call.splitter.events - call.prior_events,
-            failed_share=round(grant.track.failure_rate, 2),
         )
 
+    def unreachable(self, call: Call, grant: Grant, exc: BaobabwingError) -> None:
+        """Record that no connection to the upstream of a replacement was possible."""
+        self._log_upstream_failed(call, grant, exc, began_at=None, events=0)
+
     def retried(self, call: Call, result: AttemptResult, pool: PoolRuntime) -> None:
         """Record that a request is sent to another upstream."""
         log(
@@ -195,6 +189,30 @@
             tries=[attempt.summary() for attempt in call.attempts],
         )
 
+    def _log_upstream_failed(
+        self,
+        call: Call,
+        grant: Grant,
+        exc: BaobabwingError,
+        *,
+        began_at: float | None,
+        events: int,
+    ) -> None:
+        now = time.monotonic()
+        log(
+            UPSTREAM_FAILED,
+            request=call.request_head.request_id,
+            upstream=grant.track.entry.instance,
+            step=exc.step,
+            peer=exc.peer,
+            reason=exc.message,
+            digest=f"{call.digest:016x}",
+            age_ms=_ms(now - grant.granted_at),
+            begun_ms=None if began_at is None else _ms(now - began_at),
+            events=events,
+            failed_share=round(grant.track.failure_rate, 2),
+        )
+
     def _classify(self, call: Call, first_s: float) -> Outcome:
         route = call.route
         gap_exceeded = call.max_gap_s > route.gap_objective_s
--- a/baobabwing/gateway/stream_moves.py
+++ b/baobabwing/gateway/stream_moves.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
-from baobabwing.exceptions import NoSlotError
-from baobabwing.gateway.call import Call
-from baobabwing.gateway.decisions.cell_queue import UpdateKind
-from baobabwing.gateway.decisions.scheduling import Grant, PlacementRequest
+from baobabwing.gateway.call import AttemptResult, Call
+from baobabwing.gateway.decisions.scheduling import Grant
 from baobabwing.gateway.pool import PoolRuntime
-from baobabwing.gateway.state import GatewayState
+from baobabwing.gateway.replacements import Replacements
+from baobabwing.gateway.retries import Retries
 
 __all__ = ["StreamMoves"]
 
@@ -28,52 +25,55 @@
 
 
 class StreamMoves:
-    """Decides which streams move, and requests a slot for them.
+    """Decides which streams move, and searches for slots for them.
 
     On a slow engine an output that is longer than its caller estimated would be cut at
     its deadline, and all work on it wasted. Reading the prompt and the output so far
     again takes some 50 ms.
 
-    :param state: state of this node.
-    :param placement_request: returns the placement request of a call, given the number
-        of tokens generated so far.
+    :param retries: bounds on sends and retries.
+    :param replacements: finds slots at faster engines.
     """
 
-    def __init__(
-        self,
-        *,
-        state: GatewayState,
-        placement_request: Callable[[Call, int], PlacementRequest],
-    ) -> None:
-        self._state = state
-        self._placement_request = placement_request
+    def __init__(self, *, retries: Retries, replacements: Replacements) -> None:
+        self._retries = retries
+        self._replacements = replacements
 
     def should_move(
         self, call: Call, pool: PoolRuntime, grant: Grant, now: float
     ) -> bool:
-        """Whether the stream now continues at the upstream of ``call.next_grant``.
+        """Whether the stream now continues at ``call.replacement``.
 
-        Called after each event; requests a slot at a faster engine if the stream is
-        too slow.
+        Called after each event; searches for a slot at a faster engine if the stream
+        is too slow.
         """
-        if call.next_grant is not None:
-            pool.budget.try_take(now, self._state.nodes)
-            return True
+        if call.search is not None:
+            return call.search.done() and self._take_found(call, pool)
         if self._may_move(call, now) and self._is_too_slow(call, pool, grant, now):
-            call.move_requested = True
-            request = self._placement_request(call, _generated_tokens(call, pool))
-            pool.move(
-                request, grant, lambda result: _handle_move_grant(call, pool, result)
+            generated = _generated_tokens(call, pool)
+            self._replacements.start(
+                call,
+                self._replacements.find_faster(call, pool, grant, generated),
             )
         return False
 
+    def _take_found(self, call: Call, pool: PoolRuntime) -> bool:
+        """Take over the result of the search; return whether it can be used."""
+        found, call.search = call.search.result(), None
+        if found is not None and found.connection.conn.gone:
+            self._replacements.give_back(pool, found)
+            found = None
+        call.replacement = found
+        return found is not None
+
     def _may_move(self, call: Call, now: float) -> bool:
-        route = call.route
-        if not route.resumable or call.runs >= route.attempts or call.move_requested:
+        if not call.route.resumable:
             return False
         if now - call.move_checked_at < _CHECK_INTERVAL_S:
             return False
         call.move_checked_at = now
+        if self._retries.obstacle(call, AttemptResult.FAILED):
+            return False
         return now - call.arrived >= _MIN_ELAPSED_SHARE * (call.ends_at - call.arrived)
 
     def _is_too_slow(
@@ -90,22 +90,9 @@
             < _MAX_REMAINING_SHARE * left_s
         ):
             return False
-        return pool.budget.remaining(self._state.nodes) >= _MIN_RETRY_BUDGET
+        return self._retries.budget_left(pool) >= _MIN_RETRY_BUDGET
 
 
 def _generated_tokens(call: Call, pool: PoolRuntime) -> int:
     """Return the number of tokens generated so far."""
     return call.splitter.events * pool.scheduler.engine.tokens_per_event
-
-
-def _handle_move_grant(
-    call: Call, pool: PoolRuntime, result: Grant | NoSlotError | None
-) -> None:
-    """Handle the response to the request for a slot at a faster engine."""
-    call.move_requested = False
-    if not isinstance(result, Grant):
-        return
-    if call.finished or call.next_grant is not None:
-        pool.free(result, UpdateKind.RELEASED)
-        return
-    call.next_grant = result
--- a/baobabwing/gateway/upstream_connections.py
+++ b/baobabwing/gateway/upstream_connections.py
@@ -72,7 +72,7 @@
         self.opened_in_s = opened_in_s
         self._sent_at = 0.0
         self._keep_alive_s = _IDLE_DEFAULT_S
-        self.idle_since = 0.0
+        self.idle_since = time.monotonic()
         self.used = False
 
     async def send(self, method: str, target: str, headers: Headers, body: bytes):
@@ -138,6 +138,10 @@
         self.idle_since = now
         self.used = True
 
+    def set_unused(self) -> None:
+        """Mark as idle again; nothing was sent since it was idle or opened."""
+        self.conn.on_unsolicited_data = self.conn.abort
+
     def likely_open(self, now: float) -> bool:
         """Whether the upstream probably still keeps this idle connection open."""
         return not self.conn.gone and now - self.idle_since < self._keep_alive_s
@@ -218,6 +222,17 @@
         connection.set_idle(time.monotonic())
         self._idle.setdefault((address, instance), deque()).append(connection)
 
+    def put_back(
+        self, address: str, instance: str, connection: UpstreamConnection
+    ) -> None:
+        """Return a connection on which nothing was sent since it was acquired."""
+        if not connection.conn.clean:
+            self.discard(address, instance, connection)
+            return
+        self._remove_busy((address, instance), connection)
+        connection.set_unused()
+        self._idle.setdefault((address, instance), deque()).append(connection)
+
     def discard(
         self, address: str, instance: str, connection: UpstreamConnection
     ) -> None:
--- a/baobabwing/gateway/upstream_timeouts.py
+++ b/baobabwing/gateway/upstream_timeouts.py
@@ -7,12 +7,12 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from baobabwing.exceptions import ConnectionLostError
+from baobabwing.exceptions import UnresponsiveError
 from baobabwing.gateway.call import Call
 from baobabwing.gateway.decisions.scheduling import Grant
 from baobabwing.gateway.events import UPSTREAM_UNRESPONSIVE
 from baobabwing.gateway.pool import PoolRuntime
-from baobabwing.gateway.state import GatewayState
+from baobabwing.gateway.replacements import Replacements
 from baobabwing.reports.events import log
 
 __all__ = ["read_while_responsive"]
@@ -41,32 +41,65 @@
     grant: Grant,
     read: Callable[[], Awaitable[_Read]],
     *,
-    state: GatewayState,
+    replacements: Replacements,
 ) -> _Read:
-    """Read from an upstream; give up if it is unresponsive and a retry is possible.
+    """Read from an upstream; leave it if it is unresponsive and another one is ready.
 
-    :param read: reads the next part of the answer.
-    :param state: gives the number of nodes that share the retry budget.
-    :raises ConnectionLostError: if it is unresponsive and a retry is possible.
+    :param read: reads the next part of the answer; may be cancelled and called again.
+    :param replacements: finds the other one.
+    :raises UnresponsiveError: if the call goes on at ``call.replacement``.
     """
     timeout_s = wait_s = _response_timeout_s(call, grant)
     while True:
         try:
             async with asyncio.timeout(wait_s):
                 return await read()
-        except TimeoutError as exc:
+        except TimeoutError:
             idle_s = time.monotonic() - max(grant.track.received_at, grant.granted_at)
             unresponsive = timeout_s is not None and idle_s >= timeout_s
-            # Without a retry left, it keeps waiting instead of failing the request.
-            if not unresponsive or pool.budget.remaining(state.nodes) < 1:
+            if not unresponsive or not replacements.may_seek(call, pool):
                 wait_s = timeout_s
             elif wait_s != _FINAL_READ_S:
                 wait_s = _FINAL_READ_S
             else:
-                _log_unresponsive(call, grant, idle_s, timeout_s)
-                raise ConnectionLostError(
-                    "mute", step="wait", peer=grant.track.entry.address
-                ) from exc
+                break
+    _log_unresponsive(call, grant, idle_s, timeout_s)
+    pool.report_unresponsive(grant)
+    return await _read_until_replaced(
+        call, pool, grant, read, replacements=replacements
+    )
+
+
+async def _read_until_replaced(
+    call: Call,
+    pool: PoolRuntime,
+    grant: Grant,
+    read: Callable[[], Awaitable[_Read]],
+    *,
+    replacements: Replacements,
+) -> _Read:
+    """Read on while a replacement is sought; what comes first decides."""
+    await replacements.stop(call, pool)
+    search = replacements.start(call, replacements.find(call, pool, grant))
+    reading = asyncio.ensure_future(read())
+    try:
+        await asyncio.wait({reading, search}, return_when=asyncio.FIRST_COMPLETED)
+        if not reading.done():
+            call.replacement, call.search = search.result(), None
+        if call.replacement is None:
+            return await reading
+    finally:
+        await _cancel(reading)
+        await replacements.stop(call, pool)
+    raise UnresponsiveError("unresponsive", step="wait", peer=grant.track.entry.address)
+
+
+async def _cancel(task: asyncio.Task) -> None:
+    """Cancel a task whose result is not needed, and wait until it has ended."""
+    task.cancel()
+    await asyncio.wait({task})
+    if not task.cancelled():
+        task.exception()
 
 
 def _log_unresponsive(
--- a/tests/gateway/test_unresponsive_upstreams.py
+++ b/tests/gateway/test_unresponsive_upstreams.py
@@ -9,6 +9,7 @@
 from baobabwing.gateway.model import RouteKind, UpstreamEntry
 from baobabwing.standins.gateway_upstream import Behaviour
 from tests.gateway.harness import (
+    NAMES,
     GatewayHarness,
     ask,
     default_configuration,
@@ -152,6 +153,26 @@
     run(scenario())
 
 
+def test_service_that_pauses_is_not_left_for_a_slot_that_comes_too_late(run):
+    async def scenario():
+        async with GatewayHarness() as harness:
+            harness.list_all(without=("services-1",))
+            harness.behaviour["services-2"] = Behaviour(mute=True)
+            fillers = [await harness.caller() for _ in range(8)]
+            for number, conn in enumerate(fillers):
+                await send(conn, "/unsafe/x", f"fill{number}")
+            upstream, _ = harness.upstreams["services-2"]
+            await eventually(lambda: upstream.working == 8, "full service")
+            harness.list_all()
+            harness.behaviour["services-1"] = Behaviour(delay_s=0.8)
+            conn = await harness.caller()
+            deadline = [(NAMES.deadline, b"1500")]
+            answer = await ask(conn, "/safe/x", "s1", method="GET", headers=deadline)
+            assert (answer.status, answer.body) == (200, b"answer to s1")
+
+    run(scenario())
+
+
 def test_stream_whose_engine_ended_waits_for_a_slot_elsewhere(run):
     """A refusal would cut it, where a request that has not run comes back."""
 
--- a/tests/gateway/test_upstream_timeouts.py
+++ b/tests/gateway/test_upstream_timeouts.py
@@ -29,6 +29,7 @@
             grant = SimpleNamespace(track=track, granted_at=time.monotonic())
             call = SimpleNamespace(route=route, runs=0)
             pool = harness.gateway.state.pool("services")
+            replacements = SimpleNamespace(may_seek=lambda call, pool: True)
             with socket.create_server(("127.0.0.1", 0)) as server:
                 host, port = server.getsockname()
                 conn = await open_connection(
@@ -37,9 +38,9 @@
                 service, _ = server.accept()
                 await conn.send(h11.Request(method="GET", target="/", headers=[HOST]))
                 await conn.send(h11.EndOfMessage())
-                state = harness.gateway.state
+                # Without ``find``, a search for a replacement fails the test.
                 reading = read_while_responsive(
-                    call, pool, grant, conn.next_event, state=state
+                    call, pool, grant, conn.next_event, replacements=replacements
                 )
                 answer = asyncio.ensure_future(reading)
                 await asyncio.sleep(0)
