Don't refuse requests that have run as late newcomers

What callers saw: a stream cut in the middle, or 502, seconds before a slot came free and with most of their time left.

Cause: a home refuses late requests that will hardly get a slot in time, so that they come back when slots are free.

The placement request says whether an upstream may have run it (a further flag in the byte that says whether it is committed; a build without it reads both as committed). Such a request stays queued until its deadline and goes first among the late ones.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -187,6 +187,7 @@
         Late requests get the slots that requests in time leave over, the newest late
         request first. At the rate of the last second the older ones would wait until
         their callers give up; refused at once, these can retry when slots are free.
+        Requests that have run can't, and stay queued.
 
         :returns: the requests, each with the seconds after which its caller should
             retry: the estimated wait for a slot, within bounds.
@@ -195,6 +196,8 @@
         slots_per_s = self.late_slots_per_s(now)
         removed = []
         for position, request in enumerate(late, 1):
+            if request.has_run:
+                continue
             left_s = request.deadline_at - now
             if position > slots_per_s * left_s:
                 wait_s = position / slots_per_s if slots_per_s else left_s
--- a/baobabwing/gateway/decisions/waiting.py
+++ b/baobabwing/gateway/decisions/waiting.py
@@ -6,6 +6,7 @@
 import itertools
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 __all__ = ["PlacementRequest", "WaitingRequests"]
 
@@ -13,6 +14,8 @@
 # they hold more than twice as many keys as requests wait, plus this many.
 _MIN_SWEEP_SIZE = 64
 
+_Key = TypeVar("_Key", bound=tuple)
+
 
 @dataclass(kw_only=True, eq=False)
 class PlacementRequest:
@@ -28,6 +31,8 @@
     :param expected_output_tokens: estimated number of generated tokens.
     :param prioritized: whether work was already done for it, or it was refused before;
         such a request goes first among the late ones.
+    :param has_run: whether an upstream may have run it. Refused, its caller would get a
+        failure or an answer that ends early; others are told when to come back.
     :param excluded: incarnations that it must not be sent to again.
     :param unusable_crcs: crcs of incarnations that the requesting node can't use.
     :param requested_at: when this scheduler received the placement request.
@@ -43,6 +48,7 @@
     prompt_tokens: int = 0
     expected_output_tokens: int = 0
     prioritized: bool = False
+    has_run: bool = False
     excluded: set[str] = field(default_factory=set)
     unusable_crcs: set[int] = field(default_factory=set)
     requested_at: float = 0.0
@@ -52,8 +58,9 @@
 class WaitingRequests:
     """Queue of requests; those that can still meet their objective go first.
 
-    Requests in time are ordered by urgency, then by objective, the earliest first. Late
-    requests are ordered by urgency; then those that were refused before go first, as
+    Requests in time are ordered by urgency, then by objective, the earliest first. Of
+    the late requests, those that have run go first, as they can't come back later. The
+    others are ordered by urgency; then those that were refused before go first, as
     their next refusal is final; then the newest, as the callers of the oldest are the
     first to give up.
 
@@ -70,7 +77,7 @@
         self._is_late = is_late
         self._requests: dict[int, PlacementRequest] = {}
         self._on_time: list[tuple[int, int, float, int]] = []
-        self._late: list[tuple[int, int, float, int]] = []
+        self._late: list[tuple[bool, int, int, bool, float, int]] = []
 
     def __len__(self) -> int:
         return len(self._requests)
@@ -125,16 +132,15 @@
         late.sort(key=_late_key)
         return late
 
-    def _without_removed(
-        self, heap: list[tuple[int, int, float, int]]
-    ) -> list[tuple[int, int, float, int]]:
+    def _without_removed(self, heap: list[_Key]) -> list[_Key]:
         kept = [key for key in heap if key[-1] in self._requests]
         heapq.heapify(kept)
         return kept
 
 
-def _late_key(request: PlacementRequest) -> tuple[int, int, bool, float]:
+def _late_key(request: PlacementRequest) -> tuple[bool, int, int, bool, float]:
     return (
+        not request.has_run,
         request.rank,
         request.route_rank,
         not request.prioritized,
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -418,6 +418,7 @@
         prompt_tokens=message.prompt_tokens,
         expected_output_tokens=message.expected_out,
         prioritized=message.committed,
+        has_run=message.has_run,
         excluded=excluded,
         requested_at=now,
     )
--- a/baobabwing/gateway/placement/codec.py
+++ b/baobabwing/gateway/placement/codec.py
@@ -46,9 +46,11 @@
 # Cell state: queued, free, turnover in tenths of a ms.
 _STATE = struct.Struct("!HHH")
 # Slot request: node, number, rank, route rank; ms waited, to the objective (negative
-# once missed), to the deadline and to the end; prompt tokens, output tokens, committed,
+# once missed), to the deadline and to the end; prompt tokens, output tokens, flags,
 # moves from, count of excluded.
 _SLOT_REQUEST = struct.Struct("!IIBBHhHIIHBIB")
+_COMMITTED = 0x01
+_HAS_RUN = 0x02
 _NUMBER = struct.Struct("!I")
 # Grant: number, upstream, predicted ms.
 _GRANT = struct.Struct("!IIH")
@@ -225,7 +227,7 @@
         _to_ms(message.ends_s, _MAX_U32),
         min(message.prompt_tokens, _MAX_U32),
         min(message.expected_out, _MAX_U16),
-        message.committed,
+        _COMMITTED * message.committed | _HAS_RUN * message.has_run,
         message.moves_from,
         len(message.excluded),
     )
@@ -247,7 +249,7 @@
         ends,
         prompt,
         out,
-        committed,
+        flags,
         moves_from,
         count,
     ) = reader.unpack(_SLOT_REQUEST)
@@ -263,7 +265,8 @@
         ends_s=ends / _MS_PER_S,
         prompt_tokens=prompt,
         expected_out=out,
-        committed=bool(committed),
+        committed=bool(flags & _COMMITTED),
+        has_run=bool(flags & _HAS_RUN),
         excluded=reader.numbers(count),
         moves_from=moves_from,
     )
--- a/baobabwing/gateway/placement/messages.py
+++ b/baobabwing/gateway/placement/messages.py
@@ -66,6 +66,7 @@
     :param ends_s: time until the caller stops waiting for the whole answer.
     :param expected_out: expected output tokens.
     :param committed: whether work was already done for it, or it was refused before.
+    :param has_run: whether an upstream may have run it.
     :param excluded: CRC-32 of each incarnation at which it must not be placed.
     :param moves_from: CRC-32 of the engine at which it runs, if it is to move to a
         faster one; 0 otherwise.
@@ -83,6 +84,7 @@
     prompt_tokens: int
     expected_out: int
     committed: bool = False
+    has_run: bool = False
     excluded: tuple[int, ...] = ()
     moves_from: int = 0
 
--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -399,6 +399,7 @@
             prompt_tokens=request.prompt_tokens,
             expected_out=request.expected_output_tokens,
             committed=request.prioritized,
+            has_run=request.has_run,
             excluded=tuple(
                 {*map(name_crc, request.excluded), *request.unusable_crcs, *closed}
             ),
--- a/tests/gateway/decisions/test_scheduling.py
+++ b/tests/gateway/decisions/test_scheduling.py
@@ -385,3 +385,22 @@
     used = [place(scheduler)[0].track.entry.instance for _ in range(40)]
     assert set(used[:32]) == {"a", "b"}
     assert set(used[32:]) == {"c"}
+
+
+def test_request_that_has_run_is_not_refused_as_a_late_newcomer():
+    """Its caller has a part of the answer, and nothing to come back with."""
+    scheduler = make_crowded_scheduler(10, granted=0)
+    running = make_late_request(-5, has_run=True, excluded={"b"}, rank=3)
+    scheduler.submit(running)
+    refused = [request for request, _ in scheduler.remove_unservable(10.0)]
+    assert len(refused) == 10
+    assert list(scheduler.waiting) == [running]
+
+
+def test_request_that_has_run_gets_the_next_slot_of_the_late():
+    scheduler = make_crowded_scheduler(10, granted=3)
+    running = make_late_request(-5, has_run=True, rank=3)
+    scheduler.submit(running)
+    scheduler.tracks["a"].others_in_flight -= 1
+    (grant,) = scheduler.grants(10.0)
+    assert grant.request is running
--- a/tests/gateway/placement/test_codec.py
+++ b/tests/gateway/placement/test_codec.py
@@ -1,6 +1,7 @@
 """Encoding of messages between gateways, truncated and invalid data, and counters."""
 
 import contextlib
+import dataclasses
 
 import pytest
 from hypothesis import given, settings
@@ -42,12 +43,15 @@
     prompt_tokens=2890,
     expected_out=120,
     committed=True,
+    has_run=True,
     excluded=(5, 6),
     moves_from=9,
 )
 USED = (OrganisationUsage(organisation=1, units=2, overage=2**32 - 1, requested=9),)
 EXAMPLES = [
     SLOT_REQUEST,
+    dataclasses.replace(SLOT_REQUEST, committed=False),
+    dataclasses.replace(SLOT_REQUEST, has_run=False),
     Queued(number=1, cell=CELL, state=STATE),
     Granted(number=1, cell=CELL, upstream=8, predicted_s=0.125, state=STATE),
     Refused(number=1, cell=CELL, retry_after_s=0.75, state=STATE),
