--- a/tests/gateway/test_request_recorder.py
+++ b/tests/gateway/test_request_recorder.py
@@ -141,3 +141,25 @@
             assert reasons == ([reason] if reason else [])
 
     run(scenario())
+
+
+def test_home_logs_the_late_requests_that_it_refuses(run):
+    async def scenario():
+        async with GatewayHarness() as harness:
+            harness.list_all(without=("engines-2",))
+            harness.behaviour["engines"] = Behaviour(events=400, gap_s=0.05)
+            fillers = [await harness.caller() for _ in range(5)]
+            for number, conn in enumerate(fillers):
+                await send(conn, "/stream/x", f"fill{number}")
+            upstream, _ = harness.upstreams["engines-1"]
+            await eventually(lambda: upstream.working == 5, "full engine")
+            conn = await harness.caller()
+            with structlog.testing.capture_logs() as lines:
+                answer = await ask(conn, "/stream/x", "c1")
+            assert answer.status == 503
+            (shed,) = [line for line in lines if line["number"] == 3512]
+            assert (shed["refused"], shed["prioritized"]) == (1, 0)
+            assert (shed["waiting"], shed["slots_per_s"]) == (0, 0.0)
+            assert shed["late_ms"] > -1000 and shed["left_ms"] > 0
+
+    run(scenario())
