Remove a request from its engine if it is cancelled as its slot is granted

What callers saw: nothing while homes respond. A node that places requests itself counts them against its share of the slots, and a request that stayed on its books took a part of that until the engine left; its first event counted as overdue as well.

Cause: a request that is cancelled in the turn in which its grant arrives released the slot at the home only. Searches for replacements are cancelled as soon as the upstream goes on, so this is more frequent now.

Evidence: test_slot_of_a_cancelled_request_leaves_no_request_at_its_engine failed before. Both places at which a grant comes too late now remove the request from the track too.

--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -239,7 +239,7 @@
             elif not fut.done():
                 fut.set_result(result)
             elif isinstance(result, Grant):
-                self.note(result, UpdateKind.RELEASED)
+                self._release_unused(result)
 
         pending = _PendingRequest(
             message=self._build_request(request, key, pool, moves_from=moves_from),
@@ -309,7 +309,12 @@
         succeeded = fut.done() and not fut.cancelled() and fut.exception() is None
         # The slot may have been granted just before the request was cancelled.
         if succeeded and fut.result() is not None:
-            self.note(fut.result(), UpdateKind.RELEASED)
+            self._release_unused(fut.result())
+
+    def _release_unused(self, grant: Grant) -> None:
+        """Release a slot whose request has ended before it learned of the grant."""
+        self.note(grant, UpdateKind.RELEASED)
+        grant.track.remove_request(grant.request.number)
 
     def _handle_queued(self, message: Queued, address: str) -> None:
         pending = self._record_answer(address, message)
--- a/tests/gateway/placement/test_placer.py
+++ b/tests/gateway/placement/test_placer.py
@@ -255,3 +255,24 @@
             await eventually(lambda: track.in_flight == 0, "the slot is released")
 
     run(scenario())
+
+
+def test_slot_of_a_cancelled_request_leaves_no_request_at_its_engine(run, monkeypatch):
+    """The grant arrives in the turn in which the request is cancelled."""
+
+    async def scenario():
+        async with Fleet() as fleet:
+            node = fleet.nodes[0]
+            finish = node.placer._finish
+
+            def finish_and_cancel(*args):
+                finish(*args)
+                placing.cancel()
+
+            monkeypatch.setattr(node.placer, "_finish", finish_and_cancel)
+            placing = asyncio.ensure_future(node.place())
+            await asyncio.wait({placing})
+            assert placing.cancelled()
+            assert not node.pool.scheduler.tracks["e1"].own
+
+    run(scenario())
