Grant one slot to a move that is asked for twice

What callers saw: an engine that took fewer requests than it has slots, and longer queues.

Cause: a node asks its home again if the answer is late. For a move the home granted a second slot under the same key and forgot the first, which no release or report names any more; it stayed taken until the engine left. Requests that wait were checked for that, moves were not.

Evidence: test_move_that_is_asked_for_twice_gets_one_slot failed before. The home now answers with the slot that the request has.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -145,9 +145,13 @@
     ) -> Grant | None:
         """Reserve a slot at a much faster engine for a running request, if one is free.
 
+        A request that already has its slot keeps it: the grant was lost or is late.
+
         :param upstream: crc of the engine where it runs.
         """
         self._record_received(holder.node, now)
+        if holder in self._reserved:
+            return self._reserved[holder]
         current = self.scheduler.track(upstream)
         grant = (
             self.scheduler.grant_faster(request, current, now)
--- a/tests/gateway/decisions/test_cell_queue.py
+++ b/tests/gateway/decisions/test_cell_queue.py
@@ -203,3 +203,16 @@
         queue.grant_move(RequestKey(1, 3), make_request(), name_crc("slow"), OPEN)
         is None
     )
+
+
+def test_move_that_is_asked_for_twice_gets_one_slot():
+    """The node asks again if the grant is late."""
+    queue = make_queue(("slow", "fast"))
+    queue.scheduler.tracks["slow"].event_interval_s = 0.1
+    queue.scheduler.tracks["fast"].event_interval_s = 0.01
+    free = queue.scheduler.free_slots(OPEN)
+    move = RequestKey(1, 7), make_request(), name_crc("slow"), OPEN
+    grants = [queue.grant_move(*move), queue.grant_move(*move)]
+    assert grants[0] is grants[1] is not None
+    queue.apply_update(RequestKey(1, 7), UpdateKind.RELEASED, None, OPEN)
+    assert queue.scheduler.free_slots(OPEN) == free
