Count expired retries as left when the budget is only looked at

What callers saw: a stream whose engine sends nothing waits until its deadline at a node that gets no other requests for that pool, though its retries of the last window have expired.

Cause: only a new request or an attempt to take a retry removed what has left the window, and a search for a replacement takes a retry only once it sees one. With expired requests the figure was too high instead, and a search asked for slots in vain.

Evidence: test_retries_come_back_without_a_further_request; the former figure knew no time, so it could not change between the two looks. It takes the time now and expires first, as the taking does.

--- a/baobabwing/gateway/decisions/retry_budget.py
+++ b/baobabwing/gateway/decisions/retry_budget.py
@@ -44,17 +44,17 @@
         :param nodes: number of nodes among which the fixed allowance is split.
         :returns: whether the retry is allowed.
         """
-        self._expire(now)
-        if self.remaining(nodes) < 1:
+        if self.remaining(now, nodes) < 1:
             return False
         self._retries.append(now)
         return True
 
-    def remaining(self, nodes: int) -> float:
+    def remaining(self, now: float, nodes: int) -> float:
         """Return the retries that are left in this window; may be negative.
 
         :param nodes: number of nodes among which the fixed allowance is split.
         """
+        self._expire(now)
         allowed = self._ratio * len(self._first_attempts) + self._slack / max(nodes, 1)
         return _SAFETY_FACTOR * allowed - len(self._retries)
 
--- a/baobabwing/gateway/request_recorder.py
+++ b/baobabwing/gateway/request_recorder.py
@@ -126,7 +126,9 @@
             after=result.value,
             sends=call.sends,
             runs=call.runs,
-            budget_left=round(pool.budget.remaining(self._state.nodes), 1),
+            budget_left=round(
+                pool.budget.remaining(time.monotonic(), self._state.nodes), 1
+            ),
             last_event=call.last_event,
         )
 
--- a/baobabwing/gateway/retries.py
+++ b/baobabwing/gateway/retries.py
@@ -56,7 +56,7 @@
 
     def budget_left(self, pool: PoolRuntime) -> float:
         """Return the retries that are left for a pool at this node."""
-        return pool.budget.remaining(self._state.nodes)
+        return pool.budget.remaining(time.monotonic(), self._state.nodes)
 
     def take(self, call: Call, pool: PoolRuntime, result: AttemptResult) -> str:
         """Take a retry from the budget; return why there is none, or nothing.
--- a/tests/gateway/decisions/test_retry_budget.py
+++ b/tests/gateway/decisions/test_retry_budget.py
@@ -40,3 +40,11 @@
     budget = make_budget()
     budget.count_request(0.0)
     assert budget.try_take(0.0, nodes=6)
+
+
+def test_retries_come_back_without_a_further_request():
+    budget = make_budget()
+    while budget.try_take(0.0, nodes=1):
+        pass
+    assert budget.remaining(WINDOW_S / 2, nodes=1) < 1
+    assert budget.remaining(WINDOW_S + 1, nodes=1) >= 1
