Give back a replacement whose caller leaves as its search is ended

What callers saw: engines with fewer and fewer slots, until the node was started again.

Cause: the end of a search is awaited for at least one turn of the event loop, even if it has ended. If the caller left in that turn, or the deadline passed, what the search had found was not given back. The node went on to report the slot to the home, which kept it, and the connection stayed open. A caller that closes as soon as it has the last event of a stream that was to move hits just this turn.

Evidence: test_replacement_is_given_back_if_its_caller_leaves_meanwhile failed before with the slot still reserved 10 s later. A callback of the search gives it back now, whoever waits.

--- a/baobabwing/gateway/replacements.py
+++ b/baobabwing/gateway/replacements.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Coroutine
+from functools import partial
 from typing import Protocol
 
 from baobabwing.exceptions import ConnectionLostError, NoSlotError
@@ -77,9 +78,9 @@
         if search is None:
             return
         search.cancel()
+        # Called even if the caller leaves while the end of the search is awaited.
+        search.add_done_callback(partial(self._give_back_found, pool))
         await asyncio.wait({search})
-        if not search.cancelled() and (found := search.result()) is not None:
-            self.give_back(pool, found)
 
     def give_back(self, pool: PoolRuntime, replacement: Replacement) -> None:
         """Release the slot and the connection of a replacement that is not used."""
@@ -89,6 +90,12 @@
         )
         pool.free(replacement.grant, UpdateKind.RELEASED)
 
+    def _give_back_found(
+        self, pool: PoolRuntime, search: asyncio.Task[Replacement | None]
+    ) -> None:
+        if not search.cancelled() and (found := search.result()) is not None:
+            self.give_back(pool, found)
+
     async def find(
         self, call: Call, pool: PoolRuntime, current: Grant
     ) -> Replacement | None:
