Give back the retry of a replacement that is not used

What callers saw: answers cut, or 502, for want of a retry, after streams whose engines went on had used up the budget without one send.

Cause: a search takes a retry with the slot and the connection, and only these were given back.

Evidence: test_replacement_that_is_not_needed_is_given_back failed before: 0.4 retries left of 1.4. The budget counts no retry that was given back within its window. The oldest entry goes, so that the others count no shorter than they should, and none if it may have expired.

--- a/baobabwing/gateway/decisions/retry_budget.py
+++ b/baobabwing/gateway/decisions/retry_budget.py
@@ -49,6 +49,17 @@
         self._retries.append(now)
         return True
 
+    def give_back(self, now: float, *, since: float) -> None:
+        """Give back a retry that was taken and not sent.
+
+        The oldest one goes, so that the others count no shorter than they should.
+
+        :param since: a time after which it was taken.
+        """
+        self._expire(now)
+        if self._retries and since >= now - self._window_s:
+            self._retries.popleft()
+
     def remaining(self, now: float, nodes: int) -> float:
         """Return the retries that are left in this window; may be negative.
 
--- a/baobabwing/gateway/replacements.py
+++ b/baobabwing/gateway/replacements.py
@@ -83,12 +83,10 @@
         await asyncio.wait({search})
 
     def give_back(self, pool: PoolRuntime, replacement: Replacement) -> None:
-        """Release the slot and the connection of a replacement that is not used."""
-        entry = replacement.grant.track.entry
-        self._connections.put_back(
-            entry.address, entry.instance, replacement.connection
-        )
-        pool.free(replacement.grant, UpdateKind.RELEASED)
+        """Give back a replacement that is not used: slot, connection and retry."""
+        self._release(pool, replacement)
+        since = replacement.grant.granted_at
+        pool.budget.give_back(time.monotonic(), since=since)
 
     def _give_back_found(
         self, pool: PoolRuntime, search: asyncio.Task[Replacement | None]
@@ -96,6 +94,13 @@
         if not search.cancelled() and (found := search.result()) is not None:
             self.give_back(pool, found)
 
+    def _release(self, pool: PoolRuntime, replacement: Replacement) -> None:
+        entry = replacement.grant.track.entry
+        self._connections.put_back(
+            entry.address, entry.instance, replacement.connection
+        )
+        pool.free(replacement.grant, UpdateKind.RELEASED)
+
     async def find(
         self, call: Call, pool: PoolRuntime, current: Grant
     ) -> Replacement | None:
@@ -159,8 +164,8 @@
         return Replacement(grant=grant, connection=connection)
 
     def _take_retry(self, call: Call, pool: PoolRuntime, found: Replacement) -> bool:
-        """Pay for the use of a replacement; give it back if there is no retry."""
+        """Pay for the use of a replacement; release it if there is no retry."""
         if not self._retries.take(call, pool, AttemptResult.FAILED):
             return True
-        self.give_back(pool, found)
+        self._release(pool, found)
         return False
--- a/tests/gateway/decisions/test_retry_budget.py
+++ b/tests/gateway/decisions/test_retry_budget.py
@@ -48,3 +48,13 @@
         pass
     assert budget.remaining(WINDOW_S / 2, nodes=1) < 1
     assert budget.remaining(WINDOW_S + 1, nodes=1) >= 1
+
+
+def test_retry_that_is_given_back_may_be_taken_again_within_its_window():
+    budget = RetryBudget(ratio=0.0, slack=3.0, window_s=WINDOW_S)
+    assert budget.try_take(1.0, nodes=1)
+    assert budget.try_take(2.0, nodes=1)
+    budget.give_back(WINDOW_S, since=1.5)
+    assert budget.remaining(WINDOW_S, nodes=1) == pytest.approx(1.1)
+    budget.give_back(WINDOW_S + 2, since=1.5)
+    assert budget.remaining(WINDOW_S + 2, nodes=1) == pytest.approx(1.1)
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -41,6 +41,18 @@
     await eventually(lambda: queue.reserved_count == 0, "free slot at the home")
     assert not any(track.own for track in pool.scheduler.tracks.values())
     assert not gateway.connections._busy
+    assert pool.budget.remaining(time.monotonic(), nodes=1) >= 1
+
+
+def test_replacement_that_is_not_needed_is_given_back(run):
+    async def scenario():
+        async with GatewayHarness() as harness:
+            call = SimpleNamespace(search=None)
+            pool, replacements = await start_search(harness, call)
+            await replacements.stop(call, pool)
+            await all_given_back(harness, pool)
+
+    run(scenario())
 
 
 def test_replacement_is_given_back_if_its_caller_leaves_meanwhile(run):
