Go on at the replacement that a search has found when an attempt fails

What callers saw: a stream cut when its engine ended, or silence until the deadline, though the node held a slot, a connection and a retry for it at another engine.

Cause: what a search for a faster engine has found is used with the next event. If none came, because the engine ended or sent nothing, the replacement was given back, and a retry, a slot and a connection were asked for anew, each of which can be refused. With the last retry spent on the one in hand, an unresponsive engine was not left at all. The same happened when the reading failed in the turn in which a search ended.

Evidence: test_stream_that_is_cut_goes_on_at_the_replacement_that_was_found and test_unresponsive_engine_is_left_for_the_replacement_that_was_found failed before. A failed attempt looks at its search first. Quarantine, runs and deadline are checked once more, as they may have changed; a replacement that may not be used is given back as before. Nothing is awaited between taking a replacement and leaving the attempt, so a deadline in between can't send the request once more after its time.

--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -130,7 +130,7 @@
             if result is AttemptResult.DONE:
                 self._recorder.answered(call)
                 return
-            if call.replacement is None:
+            if call.replacement is None and not self._replacements.take_found(call):
                 await self._replacements.stop(call, pool)
                 call.end_reason = self._retries.take(call, pool, result)
             if call.end_reason:
--- a/baobabwing/gateway/replacements.py
+++ b/baobabwing/gateway/replacements.py
@@ -63,7 +63,7 @@
         """Whether a replacement would be of use now."""
         if self._retries.obstacle(call, AttemptResult.FAILED):
             return False
-        return self._retries.budget_left(pool) >= 1
+        return _found(call) is not None or self._retries.budget_left(pool) >= 1
 
     def start(
         self, call: Call, search: Coroutine[None, None, Replacement | None]
@@ -72,6 +72,16 @@
         call.search = asyncio.ensure_future(search)
         return call.search
 
+    def take_found(self, call: Call) -> bool:
+        """Have a call go on at what its search has found; return whether it can."""
+        found = _found(call)
+        if found is None or found.connection.conn.gone:
+            return False
+        if self._retries.obstacle(call, AttemptResult.FAILED):
+            return False
+        call.replacement, call.search = found, None
+        return True
+
     async def stop(self, call: Call, pool: PoolRuntime) -> None:
         """End the search of a call, and give back what it has found."""
         search, call.search = call.search, None
@@ -169,3 +179,9 @@
             return True
         self._release(pool, found)
         return False
+
+
+def _found(call: Call) -> Replacement | None:
+    """Return what the search of a call has found; ``None`` if nothing yet."""
+    search = call.search
+    return search.result() if search is not None and search.done() else None
--- a/baobabwing/gateway/stream_moves.py
+++ b/baobabwing/gateway/stream_moves.py
@@ -59,12 +59,12 @@
 
     def _take_found(self, call: Call, pool: PoolRuntime) -> bool:
         """Take over the result of the search; return whether it can be used."""
+        if self._replacements.take_found(call):
+            return True
         found, call.search = call.search.result(), None
-        if found is not None and found.connection.conn.gone:
+        if found is not None:
             self._replacements.give_back(pool, found)
-            found = None
-        call.replacement = found
-        return found is not None
+        return False
 
     def _may_move(self, call: Call, now: float) -> bool:
         if not call.route.resumable:
--- a/baobabwing/gateway/upstream_timeouts.py
+++ b/baobabwing/gateway/upstream_timeouts.py
@@ -78,28 +78,29 @@
     *,
     replacements: Replacements,
 ) -> _Read:
-    """Read on while a replacement is sought; what comes first decides."""
-    await replacements.stop(call, pool)
-    search = replacements.start(call, replacements.find(call, pool, grant))
-    reading = asyncio.ensure_future(read())
-    try:
-        await asyncio.wait({reading, search}, return_when=asyncio.FIRST_COMPLETED)
-        if not reading.done():
-            call.replacement, call.search = search.result(), None
-        if call.replacement is None:
-            return await reading
-    finally:
-        await _cancel(reading)
+    """Read on while a replacement is sought; what comes first decides.
+
+    If the reading fails, the search stays with the call.
+    """
+    if not replacements.take_found(call):
         await replacements.stop(call, pool)
+        search = replacements.start(call, replacements.find(call, pool, grant))
+        reading = asyncio.ensure_future(read())
+        try:
+            await asyncio.wait({reading, search}, return_when=asyncio.FIRST_COMPLETED)
+            if reading.done() or not replacements.take_found(call):
+                answer = await reading
+                await replacements.stop(call, pool)
+                return answer
+        finally:
+            _cancel(reading)
     raise UnresponsiveError("unresponsive", step="wait", peer=grant.track.entry.address)
 
 
-async def _cancel(task: asyncio.Task) -> None:
-    """Cancel a task whose result is not needed, and wait until it has ended."""
+def _cancel(task: asyncio.Task) -> None:
+    """Cancel a task whose result is not needed."""
     task.cancel()
-    await asyncio.wait({task})
-    if not task.cancelled():
-        task.exception()
+    task.add_done_callback(lambda ended: ended.cancelled() or ended.exception())
 
 
 def _log_unresponsive(
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -6,13 +6,69 @@
 
 from baobabwing.gateway.call import Replacement
 from baobabwing.gateway.decisions.scheduling import PlacementRequest
-from tests.gateway.harness import GatewayHarness, eventually
+from baobabwing.standins.gateway_upstream import Behaviour
+from tests.gateway.harness import GatewayHarness, ask, eventually
+from tests.gateway.test_unresponsive_upstreams import (
+    EVENTS,
+    configuration,
+    remember_calls,
+    running_call,
+    whole,
+)
 
 
 def allow_one_retry(pool):
     pool.budget.reload(ratio=0.0, slack=2.0, window_s=10.0)
 
 
+async def find_replacement(harness):
+    """Have a search find a replacement for the running stream by the last retry."""
+    forwarder = harness.gateway.callers._forwarder
+    pool = harness.gateway.state.pool("engines")
+    allow_one_retry(pool)
+    call = await running_call(harness)
+    await eventually(lambda: call.last_event_at, "an event")
+    current = SimpleNamespace(track=pool.scheduler.tracks[call.attempts[-1].upstream])
+    search = forwarder._replacements.start(
+        call, forwarder._replacements.find(call, pool, current)
+    )
+    assert await search is not None
+    pool.budget.reload(ratio=0.0, slack=0.0, window_s=10.0)
+    other = {"engines-1": "engines-2", "engines-2": "engines-1"}
+    harness.behaviour[other[current.track.entry.instance]] = Behaviour(events=EVENTS)
+
+
+async def go_on_with_a_replacement_in_hand(harness, monkeypatch, behaviour):
+    remember_calls(harness, monkeypatch)
+    harness.behaviour["engines"] = behaviour
+    conn = await harness.caller()
+    answer = asyncio.ensure_future(ask(conn, "/resumable/x", "p1"))
+    await find_replacement(harness)
+    answer = await answer
+    assert (answer.whole, answer.body) == (True, whole("p1"))
+    assert harness.runs("p1") == 2
+
+
+def test_stream_that_is_cut_goes_on_at_the_replacement_that_was_found(run, monkeypatch):
+    async def scenario():
+        async with GatewayHarness(configuration()) as harness:
+            cut = Behaviour(events=EVENTS, gap_s=0.15, cut_after=1)
+            await go_on_with_a_replacement_in_hand(harness, monkeypatch, cut)
+
+    run(scenario())
+
+
+def test_unresponsive_engine_is_left_for_the_replacement_that_was_found(
+    run, monkeypatch
+):
+    async def scenario():
+        async with GatewayHarness(configuration()) as harness:
+            stall = Behaviour(events=EVENTS, stall_after=1, stall_s=60.0)
+            await go_on_with_a_replacement_in_hand(harness, monkeypatch, stall)
+
+    run(scenario())
+
+
 async def start_search(harness, call):
     """Start a search that finds a slot, a connection and the only retry."""
     gateway = harness.gateway
