Count the silence of an upstream once for each attempt

What callers saw: new requests kept away from an engine that works, for 0.8 s and longer each time, because one of its streams paused twice, or paused once and was then cut.

Cause: each silence was reported as a failure, here and at the home, and the failure of the attempt once more; two of them exceed the share at which an upstream is ejected. Before streams were kept at a silent engine, each attempt had one silence at most and counted once.

Evidence: test_engine_is_not_ejected_for_the_silence_of_one_request failed before in both cases. The call remembers that its upstream was reported; the next attempt starts anew.

--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -98,6 +98,7 @@
     :param prior_events: events received in earlier attempts.
     :param release_kind: result of the current attempt, sent with the slot's release.
     :param event_interval_s: mean time between the events of the current attempt.
+    :param unresponsive: whether its upstream was reported as unresponsive.
     :param end_reason: why it got no further attempt; empty while it may get one.
     :param failed_track: upstream whose 5xx answer was recorded as its failure.
     """
@@ -128,6 +129,7 @@
     prior_events: int = 0
     release_kind: UpdateKind = UpdateKind.RELEASED
     event_interval_s: float | None = None
+    unresponsive: bool = False
     move_checked_at: float = 0.0
     end_reason: str = ""
     failed_track: UpstreamTrack | None = None
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -12,7 +12,6 @@
     MalformedError,
     NoSlotError,
     PeerClosedError,
-    UnresponsiveError,
 )
 from baobabwing.gateway.admission import Admission
 from baobabwing.gateway.answers import CallerAnswer, Refusal
@@ -121,6 +120,7 @@
                 return
             call.release_kind, call.event_interval_s = UpdateKind.RELEASED, None
             call.output_began_at, call.prior_events = None, call.splitter.events
+            call.unresponsive = False
             self._recorder.placed(call, grant, pool)
             try:
                 result = await self._attempt(call, pool, grant, connection)
@@ -351,7 +351,7 @@
         upstream that starts to run it, or any other one that ran there.
         """
         now = time.monotonic()
-        if not isinstance(exc, UnresponsiveError):
+        if not call.unresponsive:
             grant.track.record_failure(now)
             call.release_kind = UpdateKind.FAILED
         self._recorder.attempt_failed(call, grant, exc)
--- a/baobabwing/gateway/upstream_timeouts.py
+++ b/baobabwing/gateway/upstream_timeouts.py
@@ -64,7 +64,9 @@
             else:
                 break
     _log_unresponsive(call, grant, idle_s, timeout_s)
-    pool.report_unresponsive(grant)
+    if not call.unresponsive:
+        call.unresponsive = True
+        pool.report_unresponsive(grant)
     return await _read_until_replaced(
         call, pool, grant, read, replacements=replacements
     )
--- a/tests/gateway/test_unresponsive_upstreams.py
+++ b/tests/gateway/test_unresponsive_upstreams.py
@@ -213,3 +213,37 @@
             assert (answer.whole, answer.body) == (True, whole("p1"))
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [
+        Behaviour(events=EVENTS, gap_s=0.4),
+        Behaviour(events=EVENTS, stall_after=2, stall_s=0.4, cut_after=2),
+    ],
+)
+def test_engine_is_not_ejected_for_the_silence_of_one_request(
+    run, monkeypatch, behaviour
+):
+    """A request pauses at it several times, or once before it is cut."""
+
+    async def scenario():
+        async with GatewayHarness(configuration()) as harness:
+            remember_calls(harness, monkeypatch)
+            await fill(harness, "engines-2")
+            harness.behaviour["engines-1"] = behaviour
+            conn = await harness.caller()
+            await send(conn, "/resumable/x", "p1")
+            await eventually(lambda: len(harness.calls) == 6, "call")
+            call = harness.calls[-1]
+            await eventually(lambda: call.attempts and call.attempts[0].ended, "end")
+            await asyncio.sleep(0.2)
+            (queue,) = harness.gateway._homes._queues.values()
+            for scheduler in (
+                queue.scheduler,
+                harness.gateway.state.pool("engines").scheduler,
+            ):
+                track = scheduler.tracks["engines-1"]
+                assert (0 < track.failure_rate < 0.3, track.eject_until) == (True, 0.0)
+
+    run(scenario())
