Relay an upstream's failure if the retry after it yields no answer

What callers saw: 502 or 504 of the node's own in place of the signed 5xx answer that an upstream had given, often seconds later.

Cause: the answer of the first upstream was relayed only if the last attempt was the one that it answered. If the retry got no slot, was refused, cut or unresponsive, the answer was dropped.

Evidence: test_failure_that_was_answered_is_relayed_if_the_retry_yields_no_answer failed before in each of its three cases. The last failure that an upstream answered is what a request ends with, unless an answer has begun.

--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -134,7 +134,7 @@
                 await self._replacements.stop(call, pool)
                 call.end_reason = self._retries.take(call, pool, result)
             if call.end_reason:
-                await self._fail(call, pool, result)
+                await self._fail(call, pool)
                 return
             call.excluded.add(grant.track.entry.instance)
             self._recorder.retried(call, result, pool)
@@ -438,14 +438,14 @@
         await call.answer.end()
         return AttemptResult.DONE
 
-    async def _fail(self, call: Call, pool: PoolRuntime, result: AttemptResult) -> None:
-        """Send the final answer to a request that no upstream answered."""
+    async def _fail(self, call: Call, pool: PoolRuntime) -> None:
+        """Send the final answer to a request that no upstream answered with success."""
         if call.answer.started:
             # A truncated answer must not look complete to the caller.
             call.answer.conn.abort()
             self._recorder.answered(call, Outcome.BROKEN)
             return
-        if result is AttemptResult.ANSWERED_FAILURE and call.failure is not None:
+        if call.failure is not None:
             head, body = call.failure
             await self._send_complete(call, head, body)
             self._recorder.answered(call, Outcome.UPSTREAM_FAILURE)
@@ -472,7 +472,7 @@
     ) -> None:
         """Refuse a request that gets no slot or is quarantined."""
         if call.runs or call.answer.started:
-            await self._fail(call, pool, AttemptResult.FAILED)
+            await self._fail(call, pool)
             return
         refusal = Refusal(status=503, code=code, retry_after_s=retry_after_s)
         self._recorder.refused(call, refusal)
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -121,6 +121,29 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    "second", [Behaviour(refuse=True), Behaviour(cut_after=0), Behaviour(mute=True)]
+)
+def test_failure_that_was_answered_is_relayed_if_the_retry_yields_no_answer(
+    run, second
+):
+    async def scenario():
+        async with GatewayHarness() as harness:
+            harness.list_all(without=("services-2",))
+            harness.behaviour["services-1"] = Behaviour(status=500, delay_s=0.1)
+            harness.behaviour["services-2"] = second
+            conn = await harness.caller()
+            deadline = [(NAMES.deadline, b"1000")]
+            await send(conn, "/safe/x", "f1", method="GET", headers=deadline)
+            await eventually(lambda: harness.runs("f1"), "first run")
+            harness.list_all()
+            answer = await read(conn)
+            assert (answer.status, answer.body) == (500, b"answer to f1")
+            assert answer.headers[NAMES.signature] == b"signed-services-1"
+
+    run(scenario())
+
+
 def test_answer_of_another_request_is_dropped(run):
     """A service answers with the id of another request.
 
