Move requests that wait in a cell that is gone to another one

What callers saw: a late 503, or, where the request had run, an answer that was cut at its deadline, with free slots at the engines of the same pool.

Cause: a pool with fewer engines has fewer cells. Its former cell lost all engines, and a node kept its requests queued there: it withdraws them only when the home of a cell changes. The home refused late newcomers after a while; those that have run wait until their deadline.

Evidence: test_request_that_waits_in_a_cell_that_is_gone_moves_to_another failed before. The node withdraws these requests with the list that shortens the layout, and they choose a cell anew.

--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -28,7 +28,7 @@
 from baobabwing.gateway.loop_delay import LoopDelayMonitor
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.metrics import GatewayMetrics
-from baobabwing.gateway.placement.cell_homes import CellHomes
+from baobabwing.gateway.placement.cell_homes import CellHomes, CellPool
 from baobabwing.gateway.placement.gateway_link import GatewayLink
 from baobabwing.gateway.placement.placer import Placer
 from baobabwing.gateway.plain_http import PlainAnswer, PlainServer
@@ -78,7 +78,7 @@
             watch=self._loop_delay_monitor,
         )
         self.state.placer = self._placer
-        self.state.on_pool = self._homes.list_pool
+        self.state.on_pool = self._list_pool
         self._homes.on_leaving = lambda entry: self.state.note_leaving(
             entry, source="peer"
         )
@@ -191,6 +191,10 @@
             rng=self._rng,
         )
 
+    def _list_pool(self, pool: CellPool) -> None:
+        self._homes.list_pool(pool)
+        self._placer.list_pool(pool)
+
     async def _drain(self) -> None:
         """Keep serving while callers may still use this address, then return.
 
--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -197,6 +197,16 @@
         """Return the slot of a request, or ``None`` if no home granted it."""
         return self._granted_slots.get(grant.request.number)
 
+    def list_pool(self, pool: CellPool) -> None:
+        """Withdraw pending requests whose cell is gone with a change of its pool.
+
+        Nothing is granted there any more. Their callers try again with another cell.
+        """
+        for pending in tuple(self._pending.values()):
+            key = pending.message.cell
+            if key.pool == pool.crc and key.index >= len(pool.layout):
+                self._withdraw_pending(pending)
+
     async def run(self) -> None:
         """Report to the homes at intervals, and exclude those that do not respond."""
         reservations_sent_at = 0.0
@@ -496,9 +506,13 @@
         for pending in tuple(self._pending.values()):
             home = self._home_of(pending.message.cell, pending.pool)
             if home is not None and home != pending.home:
-                key, number = pending.message.cell, pending.message.number
-                self._updates.add(pending.home, key, number, UpdateKind.RELEASED, None)
-                self._finish(pending, None)
+                self._withdraw_pending(pending)
+
+    def _withdraw_pending(self, pending: _PendingRequest) -> None:
+        """Withdraw a request from its home; its caller may make another attempt."""
+        key, number = pending.message.cell, pending.message.number
+        self._updates.add(pending.home, key, number, UpdateKind.RELEASED, None)
+        self._finish(pending, None)
 
     # Reports to the homes.
 
--- a/tests/gateway/placement/test_placer.py
+++ b/tests/gateway/placement/test_placer.py
@@ -10,6 +10,7 @@
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 from baobabwing.gateway.placement.cell_homes import CellHomes, CellPool
 from baobabwing.gateway.placement.gateway_link import GatewayLink
+from baobabwing.gateway.placement.messages import CellKey
 from baobabwing.gateway.placement.placer import Placer
 from tests.gateway.harness import eventually
 
@@ -43,6 +44,15 @@
             link=self.link, members=members, rng=rng, watch=LoopDelayMonitor()
         )
         self.pool = CellPool(name="p", scheduler=PoolScheduler(engine=ENGINE, rng=rng))
+        self.list_engines(engines)
+        self.tasks = []
+        self.unresponsive = False
+        receive = self.link.datagram_received
+        self.link.datagram_received = lambda data, addr: (
+            None if self.unresponsive else receive(data, addr)
+        )
+
+    def list_engines(self, engines):
         entries = [
             UpstreamEntry(instance=name, pool="p", address="a", slots=2)
             for name in engines
@@ -50,12 +60,7 @@
         self.pool.scheduler.set_upstreams(entries)
         self.pool.set_upstreams(entries)
         self.homes.list_pool(self.pool)
-        self.tasks = []
-        self.unresponsive = False
-        receive = self.link.datagram_received
-        self.link.datagram_received = lambda data, addr: (
-            None if self.unresponsive else receive(data, addr)
-        )
+        self.placer.list_pool(self.pool)
 
     async def start(self):
         await self.link.start("127.0.0.1:0")
@@ -276,3 +281,28 @@
             assert not node.pool.scheduler.tracks["e1"].own
 
     run(scenario())
+
+
+def test_request_that_waits_in_a_cell_that_is_gone_moves_to_another(run):
+    """With fewer engines there are fewer cells; its former one grants nothing more."""
+    engines = [f"e{number}" for number in range(17)]
+
+    async def scenario():
+        async with Fleet(engines) as fleet:
+            node = fleet.nodes[2]
+            former = CellKey(pool=node.pool.crc, index=1)
+            choose = node.placer._cell_selector.choose
+            node.placer._cell_selector.choose = lambda pool: former
+            await asyncio.gather(
+                *(node.place() for _ in node.pool.layout[1] * ENGINE_CAPACITY)
+            )
+            waiting = asyncio.ensure_future(node.place(has_run=True))
+            await asyncio.sleep(0.2)
+            assert not waiting.done()
+            node.placer._cell_selector.choose = choose
+            for one in fleet.nodes:
+                one.list_engines(engines[:16])
+            grant = await asyncio.wait_for(waiting, 2.0)
+            assert grant.track.entry.instance in engines[:16]
+
+    run(scenario())
