--- a/baobabwing/gateway/decisions/retry_budget.py
+++ b/baobabwing/gateway/decisions/retry_budget.py
@@ -44,17 +44,28 @@
         :param nodes: number of nodes among which the fixed allowance is split.
         :returns: whether the retry is allowed.
         """
-        self._expire(now)
-        if self.remaining(nodes) < 1:
+        if self.remaining(now, nodes) < 1:
             return False
         self._retries.append(now)
         return True
 
-    def remaining(self, nodes: int) -> float:
+    def give_back(self, now: float, *, since: float) -> None:
+        """Give back a retry that was taken and not sent.
+
+        The oldest one goes, so that the others count no shorter than they should.
+
+        :param since: a time after which it was taken.
+        """
+        self._expire(now)
+        if self._retries and since >= now - self._window_s:
+            self._retries.popleft()
+
+    def remaining(self, now: float, nodes: int) -> float:
         """Return the retries that are left in this window; may be negative.
 
         :param nodes: number of nodes among which the fixed allowance is split.
         """
+        self._expire(now)
         allowed = self._ratio * len(self._first_attempts) + self._slack / max(nodes, 1)
         return _SAFETY_FACTOR * allowed - len(self._retries)
 
--- a/baobabwing/gateway/replacements.py
+++ b/baobabwing/gateway/replacements.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Coroutine
+from functools import partial
 from typing import Protocol
 
 from baobabwing.exceptions import ConnectionLostError, NoSlotError
@@ -62,7 +63,7 @@
         """Whether a replacement would be of use now."""
         if self._retries.obstacle(call, AttemptResult.FAILED):
             return False
-        return self._retries.budget_left(pool) >= 1
+        return _found(call) is not None or self._retries.budget_left(pool) >= 1
 
     def start(
         self, call: Call, search: Coroutine[None, None, Replacement | None]
@@ -71,18 +72,39 @@
         call.search = asyncio.ensure_future(search)
         return call.search
 
+    def take_found(self, call: Call) -> bool:
+        """Have a call go on at what its search has found; return whether it can."""
+        found = _found(call)
+        if found is None or found.connection.conn.gone:
+            return False
+        if self._retries.obstacle(call, AttemptResult.FAILED):
+            return False
+        call.replacement, call.search = found, None
+        return True
+
     async def stop(self, call: Call, pool: PoolRuntime) -> None:
         """End the search of a call, and give back what it has found."""
         search, call.search = call.search, None
         if search is None:
             return
         search.cancel()
+        # Called even if the caller leaves while the end of the search is awaited.
+        search.add_done_callback(partial(self._give_back_found, pool))
         await asyncio.wait({search})
+
+    def give_back(self, pool: PoolRuntime, replacement: Replacement) -> None:
+        """Give back a replacement that is not used: slot, connection and retry."""
+        self._release(pool, replacement)
+        since = replacement.grant.granted_at
+        pool.budget.give_back(time.monotonic(), since=since)
+
+    def _give_back_found(
+        self, pool: PoolRuntime, search: asyncio.Task[Replacement | None]
+    ) -> None:
         if not search.cancelled() and (found := search.result()) is not None:
             self.give_back(pool, found)
 
-    def give_back(self, pool: PoolRuntime, replacement: Replacement) -> None:
-        """Release the slot and the connection of a replacement that is not used."""
+    def _release(self, pool: PoolRuntime, replacement: Replacement) -> None:
         entry = replacement.grant.track.entry
         self._connections.put_back(
             entry.address, entry.instance, replacement.connection
@@ -152,8 +174,14 @@
         return Replacement(grant=grant, connection=connection)
 
     def _take_retry(self, call: Call, pool: PoolRuntime, found: Replacement) -> bool:
-        """Pay for the use of a replacement; give it back if there is no retry."""
+        """Pay for the use of a replacement; release it if there is no retry."""
         if not self._retries.take(call, pool, AttemptResult.FAILED):
             return True
-        self.give_back(pool, found)
+        self._release(pool, found)
         return False
+
+
+def _found(call: Call) -> Replacement | None:
+    """Return what the search of a call has found; ``None`` if nothing yet."""
+    search = call.search
+    return search.result() if search is not None and search.done() else None
