--- a/tests/gateway/test_limits_exchange.py
+++ b/tests/gateway/test_limits_exchange.py
@@ -136,6 +136,25 @@
     run(scenario())
 
 
+def test_unresponsive_aggregator_is_dropped_only_for_the_other_one(run):
+    """A node that counted only itself for a moment would lose most of its limits."""
+
+    async def scenario():
+        async with Fleet() as fleet:
+            await fleet.wait_all_reachable()
+            selected = fleet.nodes[3].exchange._aggregators.selected
+            counts = []
+            for node in fleet.nodes:
+                if node.exchange._node_id == selected:
+                    node.stop()
+                else:
+                    node.set_nodes = lambda heard, total: counts.append(heard)
+            await eventually(lambda: counts[-3:] == [3, 3, 3], "other aggregator")
+            assert min(counts) == 3
+
+    run(scenario())
+
+
 def test_node_without_totals_counts_only_itself(run):
     async def scenario():
         async with Fleet() as fleet:
