Send slot requests that exclude more than 255 upstreams

What callers saw: their connection closed without an answer, at a node for which over 255 upstreams of a pool were closed by Retry-After or tried before; a search for a replacement would have ended a running answer in the same way.

Cause: the count of excluded upstreams is one byte in the datagram, and packing a larger one raised an error that nothing expects.

Evidence: test_slot_request_that_excludes_most_of_a_large_pool_is_sent failed before with struct.error. The first 255 are sent, those that the request itself must not go to before those that are closed. The node gives back a slot at a closed one already.

--- a/baobabwing/gateway/placement/codec.py
+++ b/baobabwing/gateway/placement/codec.py
@@ -216,6 +216,7 @@
 @_encoder_for(SlotRequest, b"A")
 def _pack_slot_request(message: SlotRequest) -> bytes:
     objective = round(message.objective_s * _MS_PER_S)
+    excluded = message.excluded[:_MAX_U8]
     head = _SLOT_REQUEST.pack(
         message.node,
         message.number % _MODULUS,
@@ -229,10 +230,10 @@
         min(message.expected_out, _MAX_U16),
         _COMMITTED * message.committed | _HAS_RUN * message.has_run,
         message.moves_from,
-        len(message.excluded),
+        len(excluded),
     )
-    excluded = b"".join(_NUMBER.pack(upstream) for upstream in message.excluded)
-    return _pack_cell(message.cell) + head + excluded
+    numbers = b"".join(_NUMBER.pack(upstream) for upstream in excluded)
+    return _pack_cell(message.cell) + head + numbers
 
 
 @_decoder_for(b"A")
--- a/baobabwing/gateway/placement/messages.py
+++ b/baobabwing/gateway/placement/messages.py
@@ -67,7 +67,8 @@
     :param expected_out: expected output tokens.
     :param committed: whether work was already done for it, or it was refused before.
     :param has_run: whether an upstream may have run it.
-    :param excluded: CRC-32 of each incarnation at which it must not be placed.
+    :param excluded: CRC-32 of each incarnation at which it must not be placed, the
+        most important ones first; a datagram holds 255 of them.
     :param moves_from: CRC-32 of the engine at which it runs, if it is to move to a
         faster one; 0 otherwise.
     """
--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -400,7 +400,11 @@
         moves_from: int = 0,
     ) -> SlotRequest:
         now = time.monotonic()
-        closed = (track.crc for track in pool.scheduler.closed(now))
+        excluded = (
+            *map(name_crc, request.excluded),
+            *request.unusable_crcs,
+            *(track.crc for track in pool.scheduler.closed(now)),
+        )
         return SlotRequest(
             node=self._node,
             number=request.number,
@@ -415,9 +419,7 @@
             expected_out=request.expected_output_tokens,
             committed=request.prioritized,
             has_run=request.has_run,
-            excluded=tuple(
-                {*map(name_crc, request.excluded), *request.unusable_crcs, *closed}
-            ),
+            excluded=tuple(dict.fromkeys(excluded)),
             moves_from=moves_from,
         )
 
--- a/tests/gateway/placement/test_codec.py
+++ b/tests/gateway/placement/test_codec.py
@@ -138,3 +138,9 @@
 )
 def test_wrapped_difference(now, before, difference):
     assert wrapped_difference(now, before) == difference
+
+
+def test_slot_request_that_excludes_most_of_a_large_pool_is_sent():
+    """The home may then grant one of the last; the node gives that slot back."""
+    message = dataclasses.replace(SLOT_REQUEST, excluded=tuple(range(300)))
+    assert decode(encode(message)).excluded == tuple(range(255))
