Let requests that have run choose a cell again

What callers saw: in pools of several cells, an answer cut at its deadline while another cell had free slots.

Cause: a request waits in the cell that it chose at first. Homes used to refuse it once it was late, and a search then chose anew; requests that have run are not refused any more, so one in a cell that stays full, or whose engines it may not use, waited there to its end.

Such a request leaves its cell after 0.5 s and the time in which the home usually answers, and chooses again. It loses no place in the queue, as the order does not depend on when a request came. An answer of the cell that it left counts as late even if the same node is home of both: the slot is given back.

--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -42,6 +42,10 @@
 _MAX_SENDS = 4
 # Homes of a cell that are tried in turn before this node places a request itself.
 _MAX_HOMES = 3
+# Homes don't refuse requests that have run. In a cell that stays full such a request
+# would wait until its deadline, so it chooses a cell again after this time; the order
+# of a queue does not depend on when a request came to it.
+_MAX_CELL_WAIT_S = 0.5
 # Interval between reports of the requests that are queued at a home. Only the answers
 # to these reports show that the home still runs.
 _WAITING_REPORT_INTERVAL_S = 0.1
@@ -140,16 +144,30 @@
             caller then places the request itself.
         :raises NoSlotError: if the home expects no slot to become free in time.
         """
-        for _ in range(_MAX_HOMES):
+        attempts = 0
+        while attempts < _MAX_HOMES:
             key = self._cell_selector.choose(pool)
             home = self._home_of(key, pool)
             if home is None:
                 return None
-            grant = await self._request_slot(home, key, pool, request)
+            try:
+                async with asyncio.timeout(self._cell_wait_s(home, pool, request)):
+                    grant = await self._request_slot(home, key, pool, request)
+            except TimeoutError:
+                continue
             if grant is not None:
                 return grant
+            attempts += 1
         return None
 
+    def _cell_wait_s(
+        self, home: str, pool: CellPool, request: PlacementRequest
+    ) -> float | None:
+        """Return how long a request waits in one cell; ``None``: no limit."""
+        if not request.has_run or len(pool.layout) == 1:
+            return None
+        return _MAX_CELL_WAIT_S + self._timeouts.retry_interval_s(home)
+
     async def move(
         self, pool: CellPool, request: PlacementRequest, grant: Grant
     ) -> Grant | None:
@@ -445,9 +463,14 @@
     def _record_answer(
         self, address: str, message: Queued | Granted | Refused
     ) -> _PendingRequest | None:
-        """Record an answer; return the pending request if it was sent to this home."""
+        """Record an answer; return the pending request that it answers, if any.
+
+        A request may have left the cell of the answer, or its home.
+        """
         pending = self._pending.get(message.number)
-        if pending is not None and pending.home != address:
+        if pending is not None and (
+            pending.home != address or pending.message.cell != message.cell
+        ):
             pending = None
         answer_s = None
         if pending is not None and not pending.acknowledged:
--- a/tests/gateway/placement/test_placer.py
+++ b/tests/gateway/placement/test_placer.py
@@ -283,26 +283,43 @@
     run(scenario())
 
 
+async def wait_in_a_full_cell(fleet):
+    """Return a request that has run and waits in a cell; the other one is free."""
+    node = fleet.nodes[2]
+    full = CellKey(pool=node.pool.crc, index=1)
+    choose = node.placer._cell_selector.choose
+    node.placer._cell_selector.choose = lambda pool: full
+    await asyncio.gather(*(node.place() for _ in node.pool.layout[1] * ENGINE_CAPACITY))
+    waiting = asyncio.ensure_future(node.place(has_run=True))
+    await asyncio.sleep(0.2)
+    assert not waiting.done()
+    node.placer._cell_selector.choose = choose
+    return waiting
+
+
+def test_request_that_has_run_does_not_wait_in_one_cell_only(run):
+    """It is not refused; in a cell that stays full it would wait until its deadline."""
+    engines = [f"e{number}" for number in range(17)]
+
+    async def scenario():
+        async with Fleet(engines) as fleet:
+            waiting = await wait_in_a_full_cell(fleet)
+            grant = await asyncio.wait_for(waiting, 5.0)
+            assert grant.track.entry.instance in fleet.nodes[2].pool.layout[0]
+
+    run(scenario())
+
+
 def test_request_that_waits_in_a_cell_that_is_gone_moves_to_another(run):
     """With fewer engines there are fewer cells; its former one grants nothing more."""
     engines = [f"e{number}" for number in range(17)]
 
     async def scenario():
         async with Fleet(engines) as fleet:
-            node = fleet.nodes[2]
-            former = CellKey(pool=node.pool.crc, index=1)
-            choose = node.placer._cell_selector.choose
-            node.placer._cell_selector.choose = lambda pool: former
-            await asyncio.gather(
-                *(node.place() for _ in node.pool.layout[1] * ENGINE_CAPACITY)
-            )
-            waiting = asyncio.ensure_future(node.place(has_run=True))
-            await asyncio.sleep(0.2)
-            assert not waiting.done()
-            node.placer._cell_selector.choose = choose
+            waiting = await wait_in_a_full_cell(fleet)
             for one in fleet.nodes:
                 one.list_engines(engines[:16])
-            grant = await asyncio.wait_for(waiting, 2.0)
+            grant = await asyncio.wait_for(waiting, 0.25)
             assert grant.track.entry.instance in engines[:16]
 
     run(scenario())
