Answer queued requests of an entry that is taken for dead

What callers saw: 504 after their whole time, with free slots, at a node that others had taken for dead for a moment (frozen, or cut off for datagrams only) and that ran on.

Cause: the home drops the queued requests of a dead entry without a word. The connection between the two outlives this, so an entry that runs on waits for a decision that never comes.

Evidence: test_queued_request_of_an_entry_taken_for_dead_is_answered failed before. The requests are refused with NOT_HOME, as those of a cell that the home gives up, and the entry submits them again. A dead entry does not receive it.

--- a/baobabwing/homes/cells.py
+++ b/baobabwing/homes/cells.py
@@ -302,11 +302,15 @@
                 self._send_decisions(cell, cell.withdraw(request_id, identity, now))
 
     def forget_entry(self, identity: str) -> None:
-        """Drop the queued requests of a dead entry and free its slots."""
+        """Drop the queued requests of a dead entry and free its slots.
+
+        An entry that was taken for dead and runs on submits them again.
+        """
         self._buffer.forget_entry(identity)
         now = time.monotonic()
         for cell in tuple(self._cells.values()):
             self._send_decisions(cell, cell.remove_entry(identity, now))
+        self._refuse_pending(lambda key, _: key[0] == identity)
 
     def cells(self) -> dict[str, Cell]:
         """Return the cells whose home is this node, by name."""
@@ -356,13 +360,20 @@
         """
         del self._cells[name]
         self._buffer.discard(name)
+        self._refuse_pending(lambda _, pending: pending.cell == name)
+
+    def _refuse_pending(
+        self, selected: Callable[[tuple[str, str], _PendingRequest], bool]
+    ) -> None:
+        """Refuse undecided requests with ``NOT_HOME``; their entries submit them again.
+
+        :param selected: returns whether to refuse a request, given its key.
+        """
         with self._lock:
-            keys = [
-                key for key, pending in self._pending.items() if pending.cell == name
-            ]
+            keys = [key for key, one in self._pending.items() if selected(key, one)]
             removed = [(key, self._pending.pop(key)) for key in keys]
-        for (_, request_id), removed_request in removed:
-            removed_request.respond(
+        for (_, request_id), pending in removed:
+            pending.respond(
                 PermitDecision(request_id=request_id, granted=False, code=NOT_HOME)
             )
 
--- a/tests/homes/test_cells.py
+++ b/tests/homes/test_cells.py
@@ -6,7 +6,7 @@
 
 from baobabwing.fleet.host import Host, Member, MemberState
 from baobabwing.fleet.view import FleetView
-from baobabwing.homes.cells import CellHomes
+from baobabwing.homes.cells import NOT_HOME, CellHomes
 from baobabwing.pools.catalogue import Pool, PoolKind, Upstream
 from baobabwing.settings.configuration import Configuration
 from baobabwing.wire.messages import (
@@ -142,3 +142,14 @@
     homes._send_decisions(cell, cell.reconcile(IDENTITY, set(), now, now))
     assert second
     assert second[0].granted
+
+
+def test_queued_request_of_an_entry_taken_for_dead_is_answered(homes):
+    """An entry that runs on would wait for the decision until its deadline."""
+    first, second = [], []
+    submit(homes, "r0", first)
+    wait_for(lambda: first)
+    submit(homes, "r1", second)
+    homes.forget_entry(IDENTITY)
+    wait_for(lambda: second)
+    assert (second[0].granted, second[0].code) == (False, NOT_HOME)
