Test that a search that waits ends with its request

The caller leaves, the deadline comes, the engine goes on or ends while a search for a replacement is queued at the home. In each case the queue is empty afterwards, the run has ended and no slot, connection or retry is left over.

--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -4,13 +4,16 @@
 import time
 from types import SimpleNamespace
 
+import pytest
+
 from baobabwing.gateway.call import Replacement
 from baobabwing.gateway.decisions.scheduling import PlacementRequest
 from baobabwing.standins.gateway_upstream import Behaviour
-from tests.gateway.harness import GatewayHarness, ask, eventually
+from tests.gateway.harness import NAMES, GatewayHarness, ask, eventually, read, send
 from tests.gateway.test_unresponsive_upstreams import (
     EVENTS,
     configuration,
+    fill,
     remember_calls,
     running_call,
     whole,
@@ -125,3 +128,34 @@
             await all_given_back(harness, pool)
 
     run(scenario())
+
+
+@pytest.mark.parametrize("end", ["caller leaves", "deadline", "engine goes on", "cut"])
+def test_search_that_still_waits_is_withdrawn_with_its_request(run, end):
+    async def scenario():
+        async with GatewayHarness(configuration()) as harness:
+            fillers = await fill(harness, "engines-2")
+            (queue,) = harness.gateway._homes._queues.values()
+            harness.behaviour["engines-1"] = Behaviour(
+                events=EVENTS,
+                stall_after=2,
+                stall_s=0.6 if end in ("engine goes on", "cut") else 60.0,
+                cut_after=2 if end == "cut" else None,
+            )
+            conn = await harness.caller()
+            deadline = [(NAMES.deadline, b"1500")]
+            await send(conn, "/resumable/x", "p1", headers=deadline)
+            await eventually(lambda: queue.scheduler.waiting, "search")
+            if end == "caller leaves":
+                conn.abort()
+            else:
+                answer = await read(conn)
+                assert answer.whole == (end == "engine goes on")
+            upstream, _ = harness.upstreams["engines-1"]
+            await eventually(lambda: not upstream.working, "end of the run")
+            await eventually(lambda: not queue.scheduler.waiting, "empty queue")
+            for filler in fillers:
+                filler.abort()
+            await all_given_back(harness, harness.gateway.state.pool("engines"))
+
+    run(scenario())
