--- a/packaging/launcher.c
+++ b/packaging/launcher.c
@@ -22,9 +22,9 @@
 #define MFD_EXEC 0x0010U
 #endif
 
-#define SELF "/proc/self/exe"
-#define ROOT L"/proc/self/exe"
-#define BOOT L"import boot; boot.run()"
+#define EXECUTABLE_LINK "/proc/self/exe"
+#define ARCHIVE_PATH L"/proc/self/exe"
+#define RUN_COMMAND L"import boot; boot.run()"
 
 static int
 create_memory_file(const char *name)
@@ -120,7 +120,7 @@
 }
 
 static PyStatus
-set_text(PyConfig *config, wchar_t **field, const wchar_t *text)
+set_string(PyConfig *config, wchar_t **field, const wchar_t *text)
 {
     return PyConfig_SetString(config, field, text);
 }
@@ -135,13 +135,13 @@
         &config->base_exec_prefix,
     };
     for (size_t i = 0; i < sizeof(fields) / sizeof(fields[0]); i++) {
-        PyStatus status = set_text(config, fields[i], ROOT);
+        PyStatus status = set_string(config, fields[i], ARCHIVE_PATH);
         if (PyStatus_Exception(status)) {
             return status;
         }
     }
     config->module_search_paths_set = 1;
-    return PyWideStringList_Append(&config->module_search_paths, ROOT);
+    return PyWideStringList_Append(&config->module_search_paths, ARCHIVE_PATH);
 }
 
 /* The real name of the program's file, for messages and sys.executable. */
@@ -149,9 +149,9 @@
 set_executable(PyConfig *config)
 {
     char path[PATH_MAX];
-    ssize_t size = readlink(SELF, path, sizeof(path) - 1);
+    ssize_t size = readlink(EXECUTABLE_LINK, path, sizeof(path) - 1);
     if (size < 0) {
-        return PyStatus_Error("cannot read " SELF "; is /proc mounted?");
+        return PyStatus_Error("cannot read " EXECUTABLE_LINK "; is /proc mounted?");
     }
     path[size] = '\0';
     PyStatus status = PyConfig_SetBytesString(config, &config->executable, path);
@@ -174,7 +174,7 @@
     if (PyStatus_Exception(status)) {
         return status;
     }
-    status = set_text(config, &config->run_command, BOOT);
+    status = set_string(config, &config->run_command, RUN_COMMAND);
     if (PyStatus_Exception(status)) {
         return status;
     }
