Rename identifiers of the binary's build to the terms of the field

archive: _HIDDEN_ROOT -> _CODE_PATH_PREFIX, _DATE -> _MEMBER_DATE, _folders -> _directories, _add_folders -> _add_parent_directories. boot: _ARCHIVE -> _ARCHIVE_PATH, _LIBRARY_FOLDER -> _LIBRARY_DIRECTORY, _EXTENSION_FOLDER -> _EXTENSION_DIRECTORY, _opened -> _open_count, _loading -> _library_lock, archived -> archive_origin, _read -> _read_member. build: Binaries -> SharedObjects, its field needs -> dependencies, _payload -> _build_archive, _link -> _link_launcher, _manifest -> _manifest_source, _project_entry -> _default_entry_point, _add_binaries -> _add_shared_objects; locals scratch -> work_directory, linked -> launcher, payload -> archive, partial -> temporary, setting -> config_var, found -> libraries. distributions: Reader -> MemberReader, folders -> directories, wanted -> names. pinned: _is_wanted -> _is_packaged, _UNUSED_SUFFIXES -> _EXCLUDED_SUFFIXES, _METADATA_KEPT -> _METADATA_FILES, _METADATA_FOLDER -> _METADATA_DIRECTORY, _installed -> _installed_distribution, distribution_folders -> metadata_directories. shared: _direct_needs -> _direct_dependencies, _locate -> _library_path, _output -> _command_output, done -> completed. stdlib: _is_wanted -> _is_packaged, KEPT_CONFIGURATION -> CONFIGURATION_VARIABLES, system_configuration -> sysconfig_module, top -> top_level, kept -> variables.

The names of the generated manifest module stay.

--- a/packaging/archive.py
+++ b/packaging/archive.py
@@ -8,8 +8,8 @@
 __all__ = ["Archive"]
 
 # The oldest date that the format knows: equal input gives equal bytes.
-_DATE = (1980, 1, 1, 0, 0, 0)
-_HIDDEN_ROOT = "<binary>"
+_MEMBER_DATE = (1980, 1, 1, 0, 0, 0)
+_CODE_PATH_PREFIX = "<binary>"
 
 
 class Archive:
@@ -22,12 +22,12 @@
     def __init__(self) -> None:
         self._buffer = io.BytesIO()
         self._zip = zipfile.ZipFile(self._buffer, "w", zipfile.ZIP_STORED)
-        self._folders: set[str] = set()
+        self._directories: set[str] = set()
 
     def add(self, name: str, data: bytes) -> None:
         """Add a data file."""
-        self._add_folders(PurePosixPath(name))
-        self._zip.writestr(zipfile.ZipInfo(name, _DATE), data)
+        self._add_parent_directories(PurePosixPath(name))
+        self._zip.writestr(zipfile.ZipInfo(name, _MEMBER_DATE), data)
 
     def add_module(self, name: str, source: bytes) -> None:
         """Add a module, compiled; ``name`` is that of its source file.
@@ -35,19 +35,19 @@
         The file name inside the code object is relative, so that a traceback
         shows no path of the building machine.
         """
-        code = compile(source, f"{_HIDDEN_ROOT}/{name}", "exec", dont_inherit=True)
+        code = compile(source, f"{_CODE_PATH_PREFIX}/{name}", "exec", dont_inherit=True)
         self.add(f"{name}c", bytecode._code_to_timestamp_pyc(code))
 
-    def _add_folders(self, name: PurePosixPath) -> None:
+    def _add_parent_directories(self, name: PurePosixPath) -> None:
         """Add members for the folders above a file.
 
         A package without ``__init__`` is found by its folder's member alone.
         """
-        for folder in reversed(name.parents[:-1]):
-            member = f"{folder}/"
-            if member not in self._folders:
-                self._folders.add(member)
-                self._zip.writestr(zipfile.ZipInfo(member, _DATE), b"")
+        for directory in reversed(name.parents[:-1]):
+            member = f"{directory}/"
+            if member not in self._directories:
+                self._directories.add(member)
+                self._zip.writestr(zipfile.ZipInfo(member, _MEMBER_DATE), b"")
 
     def finish(self) -> bytes:
         """Return the whole archive."""
--- a/packaging/boot.py
+++ b/packaging/boot.py
@@ -25,9 +25,9 @@
 
 __all__ = ["run"]
 
-_ARCHIVE = sys.path[0]
-_LIBRARY_FOLDER = "_libraries"
-_EXTENSION_FOLDER = "_extensions"
+_ARCHIVE_PATH = sys.path[0]
+_LIBRARY_DIRECTORY = "_libraries"
+_EXTENSION_DIRECTORY = "_extensions"
 
 
 class MemoryExtensionLoader(ExtensionFileLoader):
@@ -37,18 +37,18 @@
         """Load the module's libraries and the module itself from memory."""
         for library in manifest.EXTENSIONS[spec.name]:
             _load_library(library)
-        with _MemoryFile(f"{_EXTENSION_FOLDER}/{spec.name}.so") as path:
-            archived, spec.origin = spec.origin, path
+        with _MemoryFile(f"{_EXTENSION_DIRECTORY}/{spec.name}.so") as path:
+            archive_origin, spec.origin = spec.origin, path
             try:
                 module = super().create_module(spec)
             finally:
-                spec.origin = archived
-        module.__file__ = archived
+                spec.origin = archive_origin
+        module.__file__ = archive_origin
         return module
 
     def get_data(self, path: str) -> bytes:
         """Return a member of the archive."""
-        return _read(path)
+        return _read_member(path)
 
 
 class MemoryExtensionFinder:
@@ -61,7 +61,7 @@
         """Return the spec of an extension module of the archive."""
         if name not in manifest.EXTENSIONS:
             return None
-        origin = f"{_ARCHIVE}/{_EXTENSION_FOLDER}/{name}.so"
+        origin = f"{_ARCHIVE_PATH}/{_EXTENSION_DIRECTORY}/{name}.so"
         return ModuleSpec(name, MemoryExtensionLoader(name, origin), origin=origin)
 
     @staticmethod
@@ -69,46 +69,46 @@
         """Yield the distributions of that name, without searching the archive."""
         from distributions import find
 
-        return find(context.name, manifest.DISTRIBUTIONS, _read)
+        return find(context.name, manifest.DISTRIBUTIONS, _read_member)
 
 
 class _MemoryFile:
     """Memory-backed copy of a member, there for as long as the ``with`` block."""
 
-    _opened = 0
+    _open_count = 0
 
     def __init__(self, member: str) -> None:
         self._member = member
 
     def __enter__(self) -> str:
-        self._fd = _launcher.memory_file(self._member, _read(self._member))
+        self._fd = _launcher.memory_file(self._member, _read_member(self._member))
         # The dynamic linker takes a path that it has seen for the library it
         # saw there. Descriptor numbers are used again, so without a different
         # number of slashes the second library under a number would silently be
         # the first one, and its import would fail for a missing init function.
-        _MemoryFile._opened += 1
-        return f"/proc/self/fd{'/' * _MemoryFile._opened}{self._fd}"
+        _MemoryFile._open_count += 1
+        return f"/proc/self/fd{'/' * _MemoryFile._open_count}{self._fd}"
 
     def __exit__(self, *exc_info: object) -> None:
         posix.close(self._fd)
 
 
 _loaded_libraries: set[str] = set()
-_loading = _thread.allocate_lock()
+_library_lock = _thread.allocate_lock()
 
 
 def _load_library(name: str) -> None:
     # Two threads that import at one time would map the library twice.
-    with _loading:
+    with _library_lock:
         if name in _loaded_libraries:
             return
-        with _MemoryFile(f"{_LIBRARY_FOLDER}/{name}") as path:
+        with _MemoryFile(f"{_LIBRARY_DIRECTORY}/{name}") as path:
             _launcher.load_library(path)
         _loaded_libraries.add(name)
 
 
-def _read(member: str) -> bytes:
-    return sys.path_importer_cache[_ARCHIVE].get_data(member)
+def _read_member(member: str) -> bytes:
+    return sys.path_importer_cache[_ARCHIVE_PATH].get_data(member)
 
 
 def run() -> None:
--- a/packaging/build.py
+++ b/packaging/build.py
@@ -39,19 +39,19 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Binaries:
+class SharedObjects:
     """ELF files of the payload, by the name under which they are imported."""
 
     extensions: dict[str, Path] = field(default_factory=dict)
     libraries: dict[str, Path] = field(default_factory=dict)
-    needs: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    dependencies: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def add(self, name: str, path: Path) -> None:
         """Add an extension module and the libraries that it needs."""
-        found = shared.needed_libraries(path)
+        libraries = shared.needed_libraries(path)
         self.extensions[name] = path
-        self.libraries.update(found)
-        self.needs[name] = tuple(found)
+        self.libraries.update(libraries)
+        self.dependencies[name] = tuple(libraries)
 
 
 def build(*, target: Path, packages: list[Path], entry: EntryPoint) -> None:
@@ -62,23 +62,23 @@
     """
     target.parent.mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory() as name:
-        scratch = Path(name)
-        linked = _link(scratch)
-        payload = _payload(packages, entry, scratch)
+        work_directory = Path(name)
+        launcher = _link_launcher(work_directory)
+        archive = _build_archive(packages, entry, work_directory)
     # Written beside and renamed: a running binary keeps the file it started from.
-    partial = target.with_name(f"{target.name}.partial")
-    partial.write_bytes(linked + payload)
-    partial.chmod(EXECUTABLE_MODE)
-    partial.rename(target)
+    temporary = target.with_name(f"{target.name}.partial")
+    temporary.write_bytes(launcher + archive)
+    temporary.chmod(EXECUTABLE_MODE)
+    temporary.rename(target)
 
 
-def _link(scratch: Path) -> bytes:
+def _link_launcher(work_directory: Path) -> bytes:
     """Link the launcher with the whole static interpreter."""
-    setting = sysconfig.get_config_var
-    library = Path(setting("LIBPL")) / setting("LIBRARY")
+    config_var = sysconfig.get_config_var
+    library = Path(config_var("LIBPL")) / config_var("LIBRARY")
     if not library.exists():
         raise SystemExit(f"this Python has no static library {library.name}")
-    target = scratch / "launcher"
+    target = work_directory / "launcher"
     command = ["gcc", "-O2", "-Wall", "-s", "-Wl,--build-id=none"]
     command += [f"-I{sysconfig.get_path('include')}", str(HERE / "launcher.c")]
     # Extension modules resolve the interpreter's functions in the program.
@@ -88,41 +88,43 @@
     return target.read_bytes()
 
 
-def _payload(packages: list[Path], entry: EntryPoint, scratch: Path) -> bytes:
+def _build_archive(
+    packages: list[Path], entry: EntryPoint, work_directory: Path
+) -> bytes:
     archive = Archive()
-    binaries = Binaries()
+    shared_objects = SharedObjects()
     for name in BOOT_MODULES:
         archive.add_module(name, (HERE / name).read_bytes())
-    _add_stdlib(archive, binaries)
-    _add_pinned(archive, binaries)
-    for folder in packages:
-        _add_package(archive, folder)
-    _add_binaries(archive, binaries, scratch)
-    archive.add_module("manifest.py", _manifest(binaries, entry).encode())
+    _add_stdlib(archive, shared_objects)
+    _add_pinned(archive, shared_objects)
+    for directory in packages:
+        _add_package(archive, directory)
+    _add_shared_objects(archive, shared_objects, work_directory)
+    archive.add_module("manifest.py", _manifest_source(shared_objects, entry).encode())
     return archive.finish()
 
 
-def _add_stdlib(archive: Archive, binaries: Binaries) -> None:
+def _add_stdlib(archive: Archive, shared_objects: SharedObjects) -> None:
     for name, path in stdlib.source_files():
         archive.add_module(name, path.read_bytes())
-    name, source = stdlib.system_configuration()
+    name, source = stdlib.sysconfig_module()
     archive.add_module(name, source.encode())
     for name, path in stdlib.extension_files():
-        binaries.add(name, path)
+        shared_objects.add(name, path)
 
 
-def _add_pinned(archive: Archive, binaries: Binaries) -> None:
+def _add_pinned(archive: Archive, shared_objects: SharedObjects) -> None:
     for file in pinned.package_files(REQUIREMENTS):
         if file.is_extension:
-            binaries.add(file.module, file.path)
+            shared_objects.add(file.module, file.path)
         else:
             _add_file(archive, file.name.as_posix(), file.path)
 
 
-def _add_package(archive: Archive, folder: Path) -> None:
-    for path in sorted(folder.rglob("*")):
+def _add_package(archive: Archive, directory: Path) -> None:
+    for path in sorted(directory.rglob("*")):
         if path.is_file() and "__pycache__" not in path.parts:
-            name = path.relative_to(folder.parent).as_posix()
+            name = path.relative_to(directory.parent).as_posix()
             _add_file(archive, name, path)
 
 
@@ -133,25 +135,27 @@
         archive.add(name, path.read_bytes())
 
 
-def _add_binaries(archive: Archive, binaries: Binaries, scratch: Path) -> None:
-    for name, path in sorted(binaries.extensions.items()):
-        archive.add(f"_extensions/{name}.so", shared.stripped(path, scratch))
-    for name, path in sorted(binaries.libraries.items()):
-        archive.add(f"_libraries/{name}", shared.stripped(path, scratch))
+def _add_shared_objects(
+    archive: Archive, shared_objects: SharedObjects, work_directory: Path
+) -> None:
+    for name, path in sorted(shared_objects.extensions.items()):
+        archive.add(f"_extensions/{name}.so", shared.stripped(path, work_directory))
+    for name, path in sorted(shared_objects.libraries.items()):
+        archive.add(f"_libraries/{name}", shared.stripped(path, work_directory))
 
 
-def _manifest(binaries: Binaries, entry: EntryPoint) -> str:
+def _manifest_source(shared_objects: SharedObjects, entry: EntryPoint) -> str:
     values = {
         "ENTRY_MODULE": entry.module,
         "ENTRY_FUNCTION": entry.function,
-        "EXTENSIONS": dict(sorted(binaries.needs.items())),
+        "EXTENSIONS": dict(sorted(shared_objects.dependencies.items())),
         "PRELOADED": PRELOADED,
-        "DISTRIBUTIONS": pinned.distribution_folders(REQUIREMENTS),
+        "DISTRIBUTIONS": pinned.metadata_directories(REQUIREMENTS),
     }
     return "".join(f"{name} = {value!r}\n" for name, value in values.items())
 
 
-def _project_entry() -> str:
+def _default_entry_point() -> str:
     project = tomllib.loads((ROOT / "pyproject.toml").read_text(encoding="utf-8"))
     return project["project"]["scripts"]["baobabwing"]
 
@@ -161,7 +165,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--target", type=Path, default=ROOT / "dist" / "baobabwing")
     parser.add_argument("--package", type=Path, action="append")
-    parser.add_argument("--entry", default=_project_entry(), help="MODULE:FUNCTION")
+    parser.add_argument(
+        "--entry", default=_default_entry_point(), help="MODULE:FUNCTION"
+    )
     args = parser.parse_args()
     module, _, function = args.entry.partition(":")
     build(
--- a/packaging/distributions.py
+++ b/packaging/distributions.py
@@ -11,20 +11,20 @@
 
 __all__ = ["find"]
 
-Reader = Callable[[str], bytes]
+MemberReader = Callable[[str], bytes]
 
 
 class ArchivedDistribution(Distribution):
     """A distribution whose metadata folder is a folder of the archive."""
 
-    def __init__(self, *, folder: str, read: Reader) -> None:
-        self._folder = folder
+    def __init__(self, *, directory: str, read: MemberReader) -> None:
+        self._directory = directory
         self._read = read
 
     def read_text(self, filename: str) -> str | None:
         """Return a file of the metadata folder, None if there is none."""
         try:
-            return self._read(f"{self._folder}/{filename}").decode("utf-8")
+            return self._read(f"{self._directory}/{filename}").decode("utf-8")
         except OSError:
             return None
 
@@ -34,16 +34,16 @@
 
 
 def find(
-    name: str | None, folders: Mapping[str, str], read: Reader
+    name: str | None, directories: Mapping[str, str], read: MemberReader
 ) -> Iterator[ArchivedDistribution]:
     """Yield the distributions of that name, all of them without a name.
 
     :param folders: metadata folder by normalized name.
     """
-    wanted = folders if name is None else [_normalize(name)]
-    for one in wanted:
-        if one in folders:
-            yield ArchivedDistribution(folder=folders[one], read=read)
+    names = directories if name is None else [_normalize(name)]
+    for candidate in names:
+        if candidate in directories:
+            yield ArchivedDistribution(directory=directories[candidate], read=read)
 
 
 def _normalize(name: str) -> str:
--- a/packaging/pinned.py
+++ b/packaging/pinned.py
@@ -6,16 +6,16 @@
 from importlib import metadata
 from pathlib import Path, PurePosixPath
 
-__all__ = ["PinnedFile", "distribution_folders", "package_files"]
+__all__ = ["PinnedFile", "metadata_directories", "package_files"]
 
 _PIN = re.compile(r"^([A-Za-z0-9._-]+)==([^ \\]+)", re.MULTILINE)
 # Sources of compiled modules, type stubs and what only an installer reads.
-_UNUSED_SUFFIXES = frozenset(
+_EXCLUDED_SUFFIXES = frozenset(
     {".c", ".capnp", ".cpp", ".h", ".pxd", ".pyc", ".pyi", ".pyx", ".typed"}
 )
-_METADATA_KEPT = frozenset({"METADATA", "entry_points.txt"})
+_METADATA_FILES = frozenset({"METADATA", "entry_points.txt"})
 # Beside the top level, where importlib.metadata would find each one twice.
-_METADATA_FOLDER = "_distributions"
+_METADATA_DIRECTORY = "_distributions"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -43,45 +43,45 @@
     """Yield the files to ship of all pinned packages, in order of name."""
     for distribution in _distributions(requirements):
         for file in sorted(distribution.files or (), key=str):
-            if _is_wanted(file):
+            if _is_packaged(file):
                 path = Path(distribution.locate_file(file))
                 yield PinnedFile(name=_archive_name(file), path=path)
 
 
-def distribution_folders(requirements: Path) -> dict[str, str]:
+def metadata_directories(requirements: Path) -> dict[str, str]:
     """Return the metadata folder of each pinned package by normalized name."""
-    folders = {}
+    directories = {}
     for distribution in _distributions(requirements):
         for file in distribution.files or ():
             if file.name == "METADATA":
-                folder = _archive_name(file).parent
-                folders[_normalize(distribution.name)] = folder.as_posix()
-    return folders
+                directory = _archive_name(file).parent
+                directories[_normalize(distribution.name)] = directory.as_posix()
+    return directories
 
 
 def _distributions(requirements: Path) -> list[metadata.Distribution]:
     pins = sorted(_PIN.findall(requirements.read_text(encoding="utf-8")))
-    return [_installed(name, version) for name, version in pins]
+    return [_installed_distribution(name, version) for name, version in pins]
 
 
-def _installed(name: str, version: str) -> metadata.Distribution:
+def _installed_distribution(name: str, version: str) -> metadata.Distribution:
     distribution = metadata.distribution(name)
     if distribution.version != version:
         raise SystemExit(f"{name} {distribution.version} installed, {version} pinned")
     return distribution
 
 
-def _is_wanted(file: metadata.PackagePath) -> bool:
-    if ".." in file.parts or file.suffix in _UNUSED_SUFFIXES:
+def _is_packaged(file: metadata.PackagePath) -> bool:
+    if ".." in file.parts or file.suffix in _EXCLUDED_SUFFIXES:
         return False
     if file.parts[0].endswith(".dist-info"):
-        return file.name in _METADATA_KEPT
+        return file.name in _METADATA_FILES
     return "tests" not in file.parts and "test" not in file.parts
 
 
 def _archive_name(file: metadata.PackagePath) -> PurePosixPath:
     if file.parts[0].endswith(".dist-info"):
-        return PurePosixPath(_METADATA_FOLDER, file)
+        return PurePosixPath(_METADATA_DIRECTORY, file)
     return PurePosixPath(file)
 
 
--- a/packaging/shared.py
+++ b/packaging/shared.py
@@ -18,33 +18,33 @@
     :raises FileNotFoundError: if the linker's search path lacks one.
     """
     found: dict[str, Path] = {}
-    for soname in _direct_needs(path):
-        library = _locate(soname)
+    for soname in _direct_dependencies(path):
+        library = _library_path(soname)
         found.update(needed_libraries(library))
         found[soname] = library
     return found
 
 
-def stripped(path: Path, scratch: Path) -> bytes:
+def stripped(path: Path, work_directory: Path) -> bytes:
     """Return an ELF file without its debugging information."""
-    target = scratch / "stripped.so"
+    target = work_directory / "stripped.so"
     subprocess.run(["strip", "--strip-unneeded", "-o", target, path], check=True)
     return target.read_bytes()
 
 
-def _direct_needs(path: Path) -> list[str]:
-    dump = _output("readelf", "--dynamic", "--wide", str(path))
+def _direct_dependencies(path: Path) -> list[str]:
+    dump = _command_output("readelf", "--dynamic", "--wide", str(path))
     return [name for name in _NEEDED.findall(dump) if not _C_LIBRARY.match(name)]
 
 
-def _locate(soname: str) -> Path:
+def _library_path(soname: str) -> Path:
     # The compiler answers with the bare name when it does not know the file.
-    path = Path(_output("gcc", f"-print-file-name={soname}").strip())
+    path = Path(_command_output("gcc", f"-print-file-name={soname}").strip())
     if not path.is_absolute():
         raise FileNotFoundError(f"shared library {soname} is not installed")
     return path.resolve()
 
 
-def _output(*command: str) -> str:
-    done = subprocess.run(command, check=True, capture_output=True, text=True)
-    return done.stdout
+def _command_output(*command: str) -> str:
+    completed = subprocess.run(command, check=True, capture_output=True, text=True)
+    return completed.stdout
--- a/packaging/stdlib.py
+++ b/packaging/stdlib.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-__all__ = ["extension_files", "source_files", "system_configuration"]
+__all__ = ["extension_files", "source_files", "sysconfig_module"]
 
 # Left out for size, but for three that the product must not use: processes of
 # their own (multiprocessing), shared memory (_posixshmem) and a disk (dbm, sqlite3).
@@ -56,7 +56,7 @@
 # They hold the paths and the compiler flags of the building machine.
 EXCLUDED_SOURCE_PREFIXES = ("_sysconfigdata", "config-")
 # What the standard library itself reads of them while it runs.
-KEPT_CONFIGURATION = ("EXT_SUFFIX", "SOABI", "TZPATH")
+CONFIGURATION_VARIABLES = ("EXT_SUFFIX", "SOABI", "TZPATH")
 
 
 def source_files() -> Iterator[tuple[str, Path]]:
@@ -64,29 +64,29 @@
     root = Path(sysconfig.get_path("stdlib"))
     for path in sorted(root.rglob("*.py")):
         relative = path.relative_to(root)
-        if _is_wanted(relative):
+        if _is_packaged(relative):
             yield relative.as_posix(), path
 
 
 def extension_files() -> Iterator[tuple[str, Path]]:
     """Yield module name and file of the extension modules, in order of name."""
-    folder = Path(sysconfig.get_config_var("DESTSHARED"))
-    for path in sorted(folder.glob("*.so")):
+    directory = Path(sysconfig.get_config_var("DESTSHARED"))
+    for path in sorted(directory.glob("*.so")):
         name = path.name.partition(".")[0]
         if name in EXCLUDED_EXTENSIONS or name.startswith(EXCLUDED_EXTENSION_PREFIXES):
             continue
         yield name, path
 
 
-def system_configuration() -> tuple[str, str]:
+def sysconfig_module() -> tuple[str, str]:
     """Return archive name and source of the module with the kept configuration."""
     name = sysconfig._get_sysconfigdata_name()
-    kept = {key: sysconfig.get_config_var(key) for key in KEPT_CONFIGURATION}
-    return f"{name}.py", f"build_time_vars = {kept!r}\n"
+    variables = {key: sysconfig.get_config_var(key) for key in CONFIGURATION_VARIABLES}
+    return f"{name}.py", f"build_time_vars = {variables!r}\n"
 
 
-def _is_wanted(relative: Path) -> bool:
-    top = relative.parts[0].removesuffix(".py")
-    if top in EXCLUDED_MODULES or top.startswith(EXCLUDED_SOURCE_PREFIXES):
+def _is_packaged(relative: Path) -> bool:
+    top_level = relative.parts[0].removesuffix(".py")
+    if top_level in EXCLUDED_MODULES or top_level.startswith(EXCLUDED_SOURCE_PREFIXES):
         return False
     return "test" not in relative.parts and "tests" not in relative.parts
