Rename identifiers of the packaging tests to the terms of the field

conftest: fixture folder -> build_directory. probe: _mapped -> _mapped_files, _descriptors -> _open_descriptors, and locals. test_payload: ask -> run_probe, question -> function, answer -> result, done -> completed, built -> binaries. test_processes: Stat -> ProcessStat, read_stat -> read_process_stat, reaped_faults -> waited_children_faults, tasks -> thread_ids, started -> running_binary, assert_alone -> assert_no_child_processes, assert_stops -> assert_stops_gracefully, answers -> responds_ok, running -> process, and locals.

--- a/tests/packaging/conftest.py
+++ b/tests/packaging/conftest.py
@@ -16,19 +16,19 @@
 
 
 @pytest.fixture(scope="session")
-def folder():
+def build_directory():
     with tempfile.TemporaryDirectory(prefix="baobabwing-binary-") as name:
         yield Path(name)
 
 
 @pytest.fixture(scope="session")
-def binary(folder):
+def binary(build_directory):
     """The binary as it ships."""
-    return build(folder / "baobabwing")
+    return build(build_directory / "baobabwing")
 
 
 @pytest.fixture(scope="session")
-def probe(folder):
+def probe(build_directory):
     """The same payload with an entry point that looks at the process."""
     options = ["--package", ROOT / "baobabwing", "--package", PAYLOAD]
-    return build(folder / "probe", *options, "--entry", "payload.probe:main")
+    return build(build_directory / "probe", *options, "--entry", "payload.probe:main")
--- a/tests/packaging/payload/probe.py
+++ b/tests/packaging/payload/probe.py
@@ -13,17 +13,19 @@
 def imports():
     """Import every module of the product and tell what the process has mapped."""
     package = importlib.import_module("baobabwing")
-    names = [one.name for one in pkgutil.walk_packages(package.__path__, "baobabwing.")]
+    module_names = [
+        item.name for item in pkgutil.walk_packages(package.__path__, "baobabwing.")
+    ]
     modules = [
-        importlib.import_module(name) for name in names if "__main__" not in name
+        importlib.import_module(name) for name in module_names if "__main__" not in name
     ]
     return {
         "modules": len(modules),
-        "paths": [path for path in _mapped() if not path.startswith("/memfd:")],
+        "paths": [path for path in _mapped_files() if not path.startswith("/memfd:")],
         "search_path": sys.path,
         "encoding": sys.stdout.encoding,
         "cheroot": importlib.metadata.version("cheroot"),
-        "entries": [one.name for one in importlib.metadata.distributions()],
+        "entries": [item.name for item in importlib.metadata.distributions()],
     }
 
 
@@ -42,8 +44,8 @@
 def descriptors():
     """Tell which memory-backed files are still open after all the imports."""
     imports()
-    open_files = [os.readlink(f"/proc/self/fd/{fd}") for fd in _descriptors()]
-    return {"open": [name for name in open_files if name.startswith("/memfd:")]}
+    targets = [os.readlink(f"/proc/self/fd/{fd}") for fd in _open_descriptors()]
+    return {"open": [name for name in targets if name.startswith("/memfd:")]}
 
 
 def interrupt():
@@ -76,26 +78,26 @@
 
     threading.Thread(target=spin, daemon=True).start()
     started.wait()
-    unwinders = [path for path in _mapped() if "libgcc_s" in path]
-    return {"threads": threading.active_count(), "unwinders": unwinders}
+    unwinder_paths = [path for path in _mapped_files() if "libgcc_s" in path]
+    return {"threads": threading.active_count(), "unwinders": unwinder_paths}
 
 
 def replaced():
     """Put another file in the program's place, then import from memory."""
     os.unlink(sys.executable)
-    with open(sys.executable, "w", encoding="utf-8") as other:
-        other.write("a newer version")
+    with open(sys.executable, "w", encoding="utf-8") as replacement:
+        replacement.write("a newer version")
     importlib.import_module("ssl")
     return {"ssl": "ssl" in sys.modules}
 
 
-def _mapped():
+def _mapped_files():
     with open("/proc/self/maps", encoding="utf-8") as maps:
         paths = {line.split(maxsplit=5)[5].strip() for line in maps if "/" in line}
     return sorted(path.removesuffix(" (deleted)") for path in paths)
 
 
-def _descriptors():
+def _open_descriptors():
     for name in os.listdir("/proc/self/fd"):
         if os.path.lexists(f"/proc/self/fd/{name}"):
             yield name
--- a/tests/packaging/test_payload.py
+++ b/tests/packaging/test_payload.py
@@ -14,10 +14,10 @@
 TIMEOUT_S = 60
 
 
-def ask(probe, question):
+def run_probe(probe, function):
     """Run the probe where no variable, path or working folder leads to a Python."""
-    done = subprocess.run(
-        [probe, question],
+    completed = subprocess.run(
+        [probe, function],
         env={},
         cwd="/",
         capture_output=True,
@@ -25,15 +25,15 @@
         timeout=TIMEOUT_S,
         check=False,
     )
-    assert done.returncode == 0, done.stderr
-    return json.loads(done.stdout)
+    assert completed.returncode == 0, completed.stderr
+    return json.loads(completed.stdout)
 
 
 def test_maps_nothing_but_itself_and_the_c_library(probe):
-    answer = ask(probe, "imports")
-    others = [path for path in answer["paths"] if not SYSTEM_LIBRARY.match(path)]
+    result = run_probe(probe, "imports")
+    others = [path for path in result["paths"] if not SYSTEM_LIBRARY.match(path)]
     assert others == [str(probe)]
-    assert answer["search_path"] == ["/proc/self/exe"]
+    assert result["search_path"] == ["/proc/self/exe"]
 
 
 def test_every_module_of_the_package_can_be_imported(probe):
@@ -42,43 +42,43 @@
         for path in (ROOT / "baobabwing").rglob("*.py")
         if path.name != "__main__.py" and path.parent != ROOT / "baobabwing"
     ]
-    assert ask(probe, "imports")["modules"] >= len(sources)
+    assert run_probe(probe, "imports")["modules"] >= len(sources)
 
 
 def test_finds_each_distribution_once(probe):
-    answer = ask(probe, "imports")
-    assert re.fullmatch(r"\d+(\.\d+)+", answer["cheroot"])
-    assert len(answer["entries"]) == len(set(answer["entries"])) > 5
+    result = run_probe(probe, "imports")
+    assert re.fullmatch(r"\d+(\.\d+)+", result["cheroot"])
+    assert len(result["entries"]) == len(set(result["entries"])) > 5
 
 
 def test_text_is_utf_8_in_an_empty_environment(probe):
-    assert ask(probe, "imports")["encoding"] == "utf-8"
+    assert run_probe(probe, "imports")["encoding"] == "utf-8"
 
 
 def test_loads_the_message_schema(probe):
-    answer = ask(probe, "schema")
-    assert answer["correlation"] == 7
+    result = run_probe(probe, "schema")
+    assert result["correlation"] == 7
     # A host has no disk to unpack the schema to.
-    assert answer["file"].startswith("/proc/self/fd")
+    assert result["file"].startswith("/proc/self/fd")
 
 
 def test_keeps_no_descriptor_of_what_it_loaded(probe):
     # pycapnp keeps the one file of the schema open for as long as it is used.
     schema = "/memfd:messages.capnp (deleted)"
-    assert ask(probe, "descriptors") == {"open": [schema]}
+    assert run_probe(probe, "descriptors") == {"open": [schema]}
 
 
 @pytest.mark.parametrize(
-    ("question", "raised"),
+    ("function", "raised"),
     [("interrupt", "KeyboardInterrupt"), ("broken_pipe", "BrokenPipeError")],
 )
-def test_signals_become_exceptions(probe, question, raised):
+def test_signals_become_exceptions(probe, function, raised):
     """A caller closes its connection, then the node writes to it.
 
     The user would see the node vanish with all its other streams. Cause: an
     embedded interpreter sets up no signals by default, so SIGPIPE ends it.
     """
-    assert ask(probe, question) == {"raised": raised}
+    assert run_probe(probe, function) == {"raised": raised}
 
 
 def test_ends_quietly_while_a_thread_still_runs(probe):
@@ -88,9 +88,9 @@
     work" and an abort in place of exit status 0, on hosts without that library.
     Cause: glibc loads it by name when the interpreter ends the thread.
     """
-    answer = ask(probe, "daemon_thread")
-    assert answer["threads"] == 2
-    assert answer["unwinders"] == ["/memfd:_libraries/libgcc_s.so.1"]
+    result = run_probe(probe, "daemon_thread")
+    assert result["threads"] == 2
+    assert result["unwinders"] == ["/memfd:_libraries/libgcc_s.so.1"]
 
 
 def test_runs_on_after_its_file_was_replaced(probe, tmp_path):
@@ -100,17 +100,17 @@
     Cause: modules read by the file's name come from the newer file by then.
     """
     running = shutil.copy(probe, tmp_path / "running")
-    assert ask(running, "replaced") == {"ssl": True}
+    assert run_probe(running, "replaced") == {"ssl": True}
 
 
-def test_equal_input_gives_equal_bytes(folder):
-    built = []
+def test_equal_input_gives_equal_bytes(build_directory):
+    binaries = []
     for seed in ("1", "2"):
-        target = folder / f"seed-{seed}"
+        target = build_directory / f"seed-{seed}"
         command = [sys.executable, ROOT / "packaging" / "build.py", "--target", target]
         command += ["--package", PAYLOAD, "--entry", "payload.probe:main"]
         # The order of sets in the builder must not show in what it writes.
         env = {**os.environ, "PYTHONHASHSEED": seed}
         subprocess.run(command, env=env, check=True)
-        built.append(target.read_bytes())
-    assert built[0] == built[1]
+        binaries.append(target.read_bytes())
+    assert binaries[0] == binaries[1]
--- a/tests/packaging/test_processes.py
+++ b/tests/packaging/test_processes.py
@@ -17,39 +17,41 @@
 REQUESTS = 50
 # Fields of /proc/PID/stat behind the command's name, which may hold blanks.
 SESSION_FIELD = 3
-REAPED_FAULTS_FIELD = 8
+WAITED_CHILDREN_FAULTS_FIELD = 8
 
 
 @dataclass(frozen=True, kw_only=True)
-class Stat:
+class ProcessStat:
     """What the kernel tells of a process.
 
     :param reaped_faults: page faults of all children that it has waited for.
     """
 
     session: int
-    reaped_faults: int
+    waited_children_faults: int
 
 
-def read_stat(pid):
+def read_process_stat(pid):
     text = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
     fields = text.rpartition(")")[2].split()
-    return Stat(
+    return ProcessStat(
         session=int(fields[SESSION_FIELD]),
-        reaped_faults=int(fields[REAPED_FAULTS_FIELD]),
+        waited_children_faults=int(fields[WAITED_CHILDREN_FAULTS_FIELD]),
     )
 
 
-def tasks(pid):
+def thread_ids(pid):
     return [path.name for path in Path(f"/proc/{pid}/task").iterdir()]
 
 
 def children(pid):
-    found = []
-    for task in tasks(pid):
-        listed = Path(f"/proc/{pid}/task/{task}/children").read_text(encoding="ascii")
-        found += listed.split()
-    return found
+    child_ids = []
+    for thread_id in thread_ids(pid):
+        thread_children = Path(f"/proc/{pid}/task/{thread_id}/children").read_text(
+            encoding="ascii"
+        )
+        child_ids += thread_children.split()
+    return child_ids
 
 
 def session_members(session):
@@ -59,7 +61,7 @@
         if not path.name.isdigit():
             continue
         try:
-            if read_stat(path.name).session == session:
+            if read_process_stat(path.name).session == session:
                 members.append(int(path.name))
         except OSError:
             continue  # It ended between the listing and the reading.
@@ -67,7 +69,7 @@
 
 
 @contextlib.contextmanager
-def started(binary, *arguments):
+def running_binary(binary, *arguments):
     """Run the binary in a session of its own, with no environment."""
     with subprocess.Popen(
         [binary, *arguments],
@@ -76,29 +78,29 @@
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
         start_new_session=True,
-    ) as running:
+    ) as process:
         try:
-            yield running
+            yield process
         finally:
-            running.kill()
+            process.kill()
 
 
-def assert_alone(running):
+def assert_no_child_processes(process):
     """Assert that the process has no child and has had none."""
-    assert children(running.pid) == []
-    assert session_members(running.pid) == [running.pid]
-    assert os.readlink(f"/proc/{running.pid}/exe") == str(running.args[0])
+    assert children(process.pid) == []
+    assert session_members(process.pid) == [process.pid]
+    assert os.readlink(f"/proc/{process.pid}/exe") == str(process.args[0])
     # A child that had come and gone would have left its page faults behind.
-    assert read_stat(running.pid).reaped_faults == 0
+    assert read_process_stat(process.pid).waited_children_faults == 0
 
 
-def assert_stops(running):
-    running.send_signal(signal.SIGTERM)
-    assert running.wait(TIMEOUT_S) == 0
-    assert session_members(running.pid) == []
+def assert_stops_gracefully(process):
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(TIMEOUT_S) == 0
+    assert session_members(process.pid) == []
 
 
-def answers(pool, url):
+def responds_ok(pool, url):
     try:
         return pool.request("GET", url, retries=False).status == HTTPStatus.OK
     except urllib3.exceptions.HTTPError:
@@ -106,7 +108,7 @@
 
 
 def test_version_needs_no_environment(binary):
-    done = subprocess.run(
+    completed = subprocess.run(
         [binary, "--version"],
         env={},
         cwd="/",
@@ -115,7 +117,7 @@
         timeout=TIMEOUT_S,
         check=True,
     )
-    assert re.fullmatch(r"baobabwing \d+\.\d+\.\d+\n", done.stdout)
+    assert re.fullmatch(r"baobabwing \d+\.\d+\.\d+\n", completed.stdout)
 
 
 def test_is_one_linked_elf_file(binary):
@@ -140,17 +142,17 @@
     its child, or a library that runs a helper command.
     """
     arguments = ("standin", "service", "--listen", "127.0.0.1:0")
-    with started(binary, *arguments) as running:
-        address = json.loads(running.stdout.readline())["listening"]
+    with running_binary(binary, *arguments) as process:
+        address = json.loads(process.stdout.readline())["listening"]
         pool = urllib3.PoolManager()
         for number in range(REQUESTS):
             answer = pool.request(
                 "POST", f"http://{address}/bookings", json={"n": number}, retries=False
             )
             assert answer.status == HTTPStatus.OK
-        assert len(tasks(running.pid)) > 1
-        assert_alone(running)
-        assert_stops(running)
+        assert len(thread_ids(process.pid)) > 1
+        assert_no_child_processes(process)
+        assert_stops_gracefully(process)
 
 
 def test_a_node_serves_and_stops_as_one_process(binary, tmp_path):
@@ -172,12 +174,14 @@
     }
     path = tmp_path / "node.json"
     path.write_text(json.dumps(settings), encoding="utf-8")
-    with started(binary, "node", "--settings", path) as running:
+    with running_binary(binary, "node", "--settings", path) as process:
         pool = urllib3.PoolManager()
         base = f"http://{ports['http']}"
-        assert wait_until(lambda: answers(pool, f"{base}/healthz"), timeout_s=TIMEOUT_S)
+        assert wait_until(
+            lambda: responds_ok(pool, f"{base}/healthz"), timeout_s=TIMEOUT_S
+        )
         for _ in range(REQUESTS):
-            assert answers(pool, f"{base}/v1/addresses")
-            assert answers(pool, f"{base}/metrics")
-        assert_alone(running)
-        assert_stops(running)
+            assert responds_ok(pool, f"{base}/v1/addresses")
+            assert responds_ok(pool, f"{base}/metrics")
+        assert_no_child_processes(process)
+        assert_stops_gracefully(process)
