Reword comments and docstrings of the binary's build

Every reason is kept: reproducible timestamps, unique paths for the dynamic linker, libgcc_s, seals, SIGPIPE, the excluded modules. Nothing is dropped.

--- a/packaging/archive.py
+++ b/packaging/archive.py
@@ -1,4 +1,4 @@
-"""The archive at the end of the binary: compiled modules and data, uncompressed."""
+"""Zip archive of compiled modules and data files, appended to the binary."""
 
 import importlib._bootstrap_external as bytecode
 import io
@@ -7,16 +7,17 @@
 
 __all__ = ["Archive"]
 
-# The oldest date that the format knows: equal input gives equal bytes.
+# The earliest timestamp that zip can represent. A constant one makes builds
+# reproducible.
 _MEMBER_DATE = (1980, 1, 1, 0, 0, 0)
 _CODE_PATH_PREFIX = "<binary>"
 
 
 class Archive:
-    """A zip archive in memory, filled member by member.
+    """Builder of an in-memory zip archive.
 
     Members are stored uncompressed: the interpreter reads the archive before
-    it can load zlib, and a stored member costs one read and no more.
+    it can load zlib, and a stored member takes a single read.
     """
 
     def __init__(self) -> None:
@@ -25,23 +26,25 @@
         self._directories: set[str] = set()
 
     def add(self, name: str, data: bytes) -> None:
-        """Add a data file."""
+        """Add a data file under the given member name."""
         self._add_parent_directories(PurePosixPath(name))
         self._zip.writestr(zipfile.ZipInfo(name, _MEMBER_DATE), data)
 
     def add_module(self, name: str, source: bytes) -> None:
-        """Add a module, compiled; ``name`` is that of its source file.
+        """Compile a module and add its bytecode.
 
-        The file name inside the code object is relative, so that a traceback
-        shows no path of the building machine.
+        The code object gets a file name relative to the archive, so that
+        tracebacks don't show paths of the build host.
+
+        :param name: member name of the source file.
         """
         code = compile(source, f"{_CODE_PATH_PREFIX}/{name}", "exec", dont_inherit=True)
         self.add(f"{name}c", bytecode._code_to_timestamp_pyc(code))
 
     def _add_parent_directories(self, name: PurePosixPath) -> None:
-        """Add members for the folders above a file.
+        """Add directory entries for all parents of a file.
 
-        A package without ``__init__`` is found by its folder's member alone.
+        ``zipimport`` finds a namespace package only by its directory entry.
         """
         for directory in reversed(name.parents[:-1]):
             member = f"{directory}/"
@@ -50,6 +53,6 @@
                 self._zip.writestr(zipfile.ZipInfo(member, _MEMBER_DATE), b"")
 
     def finish(self) -> bytes:
-        """Return the whole archive."""
+        """Close the archive and return its content."""
         self._zip.close()
         return self._buffer.getvalue()
--- a/packaging/boot.py
+++ b/packaging/boot.py
@@ -1,9 +1,9 @@
-"""First module of the binary: imports extension modules from memory, then runs.
+"""Bootstrap module of the binary: installs the import hooks and starts the program.
 
-The archive at the end of the binary holds extension modules and the shared
-libraries they need as plain members. Neither can be loaded from inside an
-archive, so each is copied to a sealed memory-backed file when it is first
-imported and loaded from there.
+Extension modules and the shared libraries they need are members of the archive
+at the end of the binary. The dynamic linker cannot load them from there, so
+each is copied to a sealed memory-backed file on first import and loaded from
+that file.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 import _launcher
 import manifest
 
-# The typing module needs an extension module itself: too early for it here.
+# typing itself imports an extension module, which cannot be loaded yet.
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -31,10 +31,10 @@
 
 
 class MemoryExtensionLoader(ExtensionFileLoader):
-    """Loader of one extension module of the archive."""
+    """Loader of an extension module stored in the archive."""
 
     def create_module(self, spec: ModuleSpec) -> ModuleType:
-        """Load the module's libraries and the module itself from memory."""
+        """Load the shared libraries that the module needs, then the module."""
         for library in manifest.EXTENSIONS[spec.name]:
             _load_library(library)
         with _MemoryFile(f"{_EXTENSION_DIRECTORY}/{spec.name}.so") as path:
@@ -47,18 +47,18 @@
         return module
 
     def get_data(self, path: str) -> bytes:
-        """Return a member of the archive."""
+        """Return the content of an archive member."""
         return _read_member(path)
 
 
 class MemoryExtensionFinder:
-    """Finder of extension modules and of the distributions' metadata."""
+    """Finder of archived extension modules and distribution metadata."""
 
     @staticmethod
     def find_spec(
         name: str, path: Sequence[str] | None = None, target: Any = None
     ) -> ModuleSpec | None:
-        """Return the spec of an extension module of the archive."""
+        """Return the spec of an archived extension module, None for other names."""
         if name not in manifest.EXTENSIONS:
             return None
         origin = f"{_ARCHIVE_PATH}/{_EXTENSION_DIRECTORY}/{name}.so"
@@ -66,14 +66,17 @@
 
     @staticmethod
     def find_distributions(context: Any) -> Iterator[Any]:
-        """Yield the distributions of that name, without searching the archive."""
+        """Yield the matching distributions from the manifest.
+
+        The archive itself is not searched.
+        """
         from distributions import find
 
         return find(context.name, manifest.DISTRIBUTIONS, _read_member)
 
 
 class _MemoryFile:
-    """Memory-backed copy of a member, there for as long as the ``with`` block."""
+    """Context manager for a temporary memory-backed copy of an archive member."""
 
     _open_count = 0
 
@@ -82,10 +85,11 @@
 
     def __enter__(self) -> str:
         self._fd = _launcher.memory_file(self._member, _read_member(self._member))
-        # The dynamic linker takes a path that it has seen for the library it
-        # saw there. Descriptor numbers are used again, so without a different
-        # number of slashes the second library under a number would silently be
-        # the first one, and its import would fail for a missing init function.
+        # The dynamic linker identifies loaded libraries by path, and descriptor
+        # numbers are reused. A different number of slashes makes each path
+        # unique; otherwise the linker returns the library that was loaded
+        # earlier under the same number, and the import fails because its init
+        # function is missing.
         _MemoryFile._open_count += 1
         return f"/proc/self/fd{'/' * _MemoryFile._open_count}{self._fd}"
 
@@ -98,7 +102,7 @@
 
 
 def _load_library(name: str) -> None:
-    # Two threads that import at one time would map the library twice.
+    # Without the lock, concurrent imports could map the library twice.
     with _library_lock:
         if name in _loaded_libraries:
             return
@@ -112,7 +116,7 @@
 
 
 def run() -> None:
-    """Run the program's entry point and exit with what it returns."""
+    """Run the program's entry point and exit with its return value."""
     sys.frozen = True
     sys.meta_path.insert(0, MemoryExtensionFinder)
     for library in manifest.PRELOADED:
--- a/packaging/build.py
+++ b/packaging/build.py
@@ -1,6 +1,6 @@
-"""Build the program as one ELF file that needs no Python on the host.
+"""Build a self-contained ELF executable that needs no Python on the host.
 
-Run by ``make binary`` with the interpreter of the build environment; see
+``make binary`` runs it with the interpreter of the build environment; see
 ``docs/design/0005-one-binary.md``.
 """
 
@@ -24,15 +24,15 @@
 ROOT = HERE.parent
 REQUIREMENTS = ROOT / "requirements.txt"
 BOOT_MODULES = ("boot.py", "distributions.py")
-# glibc loads it by name when a thread is ended, and aborts the process where
-# it is missing; once loaded from memory it is found by its SONAME.
+# glibc loads it by name when a thread is terminated, and aborts the process if
+# it is missing. Once it is loaded from memory, glibc finds it by its SONAME.
 PRELOADED = ("libgcc_s.so.1",)
 EXECUTABLE_MODE = 0o755
 
 
 @dataclass(frozen=True, kw_only=True)
 class EntryPoint:
-    """The function that the binary runs."""
+    """Module and function that the binary runs."""
 
     module: str
     function: str
@@ -40,14 +40,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class SharedObjects:
-    """ELF files of the payload, by the name under which they are imported."""
+    """Extension modules and the shared libraries that they need.
+
+    :param extensions: file by dotted module name.
+    :param libraries: file by SONAME.
+    :param dependencies: SONAMEs by dotted module name, in load order.
+    """
 
     extensions: dict[str, Path] = field(default_factory=dict)
     libraries: dict[str, Path] = field(default_factory=dict)
     dependencies: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def add(self, name: str, path: Path) -> None:
-        """Add an extension module and the libraries that it needs."""
+        """Add an extension module and the shared libraries that it needs."""
         libraries = shared.needed_libraries(path)
         self.extensions[name] = path
         self.libraries.update(libraries)
@@ -55,17 +60,17 @@
 
 
 def build(*, target: Path, packages: list[Path], entry: EntryPoint) -> None:
-    """Write the binary.
+    """Build the binary and write it to the target path.
 
-    :param packages: folders of our own packages, each with all its files.
-    :param entry: what the binary runs.
+    :param packages: directories of first-party packages, included completely.
+    :param entry: function that the binary runs.
     """
     target.parent.mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory() as name:
         work_directory = Path(name)
         launcher = _link_launcher(work_directory)
         archive = _build_archive(packages, entry, work_directory)
-    # Written beside and renamed: a running binary keeps the file it started from.
+    # Replaced by renaming, so that a running process keeps its original file.
     temporary = target.with_name(f"{target.name}.partial")
     temporary.write_bytes(launcher + archive)
     temporary.chmod(EXECUTABLE_MODE)
@@ -73,7 +78,7 @@
 
 
 def _link_launcher(work_directory: Path) -> bytes:
-    """Link the launcher with the whole static interpreter."""
+    """Link the launcher with the complete static libpython."""
     config_var = sysconfig.get_config_var
     library = Path(config_var("LIBPL")) / config_var("LIBRARY")
     if not library.exists():
@@ -81,7 +86,7 @@
     target = work_directory / "launcher"
     command = ["gcc", "-O2", "-Wall", "-s", "-Wl,--build-id=none"]
     command += [f"-I{sysconfig.get_path('include')}", str(HERE / "launcher.c")]
-    # Extension modules resolve the interpreter's functions in the program.
+    # Extension modules resolve the symbols of libpython in the executable.
     command += ["-Wl,--whole-archive", str(library), "-Wl,--no-whole-archive"]
     command += ["-Wl,--export-dynamic", "-ldl", "-lm", "-o", str(target)]
     subprocess.run(command, check=True)
@@ -161,7 +166,7 @@
 
 
 def main() -> int:
-    """Read the command line and build."""
+    """Build the binary according to the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--target", type=Path, default=ROOT / "dist" / "baobabwing")
     parser.add_argument("--package", type=Path, action="append")
--- a/packaging/distributions.py
+++ b/packaging/distributions.py
@@ -1,7 +1,7 @@
-"""Metadata of the distributions inside the binary.
+"""Metadata of the distributions contained in the binary.
 
-``importlib.metadata`` itself would read the archive's whole table of contents
-for each distribution that is asked for.
+The path finder of ``importlib.metadata`` would read the archive's complete
+directory for each lookup.
 """
 
 import re
@@ -15,14 +15,14 @@
 
 
 class ArchivedDistribution(Distribution):
-    """A distribution whose metadata folder is a folder of the archive."""
+    """Distribution whose metadata directory is in the archive."""
 
     def __init__(self, *, directory: str, read: MemberReader) -> None:
         self._directory = directory
         self._read = read
 
     def read_text(self, filename: str) -> str | None:
-        """Return a file of the metadata folder, None if there is none."""
+        """Return a file of the metadata directory, None if it does not exist."""
         try:
             return self._read(f"{self._directory}/{filename}").decode("utf-8")
         except OSError:
@@ -36,9 +36,10 @@
 def find(
     name: str | None, directories: Mapping[str, str], read: MemberReader
 ) -> Iterator[ArchivedDistribution]:
-    """Yield the distributions of that name, all of them without a name.
+    """Yield the distributions with a name, or all of them if it is None.
 
-    :param folders: metadata folder by normalized name.
+    :param directories: metadata directory by normalized name.
+    :param read: returns the content of an archive member.
     """
     names = directories if name is None else [_normalize(name)]
     for candidate in names:
--- a/packaging/launcher.c
+++ b/packaging/launcher.c
@@ -1,11 +1,11 @@
 /*
- * The program's entry point: an embedded interpreter without any file but its own.
+ * Launcher: embeds the interpreter in a self-contained executable.
  *
- * The linker puts the whole static libpython into this program. Pure modules
- * are read from the zip archive at the end of the program's own file; boot.py,
- * first of them, loads extension modules from memory with the help of the
- * built-in module _launcher below. Nothing is unpacked and no process is
- * started: main() ends in Py_RunMain() of the process that was executed.
+ * The complete static libpython is linked into the program. Pure Python modules
+ * are imported from the zip archive appended to the executable. The first of
+ * them, boot.py, loads extension modules from memory by means of the built-in
+ * module _launcher, which is defined below. No files are unpacked and no child
+ * process is started: main() calls Py_RunMain() in the executed process.
  */
 #define PY_SSIZE_T_CLEAN
 #define _GNU_SOURCE
@@ -17,7 +17,7 @@
 #include <sys/mman.h>
 #include <unistd.h>
 
-/* Linux 6.3 and newer; older kernels refuse unknown flags with EINVAL. */
+/* Since Linux 6.3; older kernels reject unknown flags with EINVAL. */
 #ifndef MFD_EXEC
 #define MFD_EXEC 0x0010U
 #endif
@@ -56,7 +56,7 @@
 
 PyDoc_STRVAR(memory_file_doc,
 "memory_file(name, data)\n--\n\n"
-"Return a descriptor of a sealed memory-backed file that holds the data.");
+"Return the descriptor of a sealed memory-backed file that contains the data.");
 
 static PyObject *
 memory_file(PyObject *module, PyObject *args)
@@ -69,7 +69,8 @@
     int fd = create_memory_file(name);
     int failed = fd < 0 || write_all(fd, data.buf, data.len) < 0;
     PyBuffer_Release(&data);
-    /* Sealed, the mapped code can be changed by no one, this process included. */
+    /* The seals prevent any process, this one included, from changing the
+       mapped code. */
     int seals = F_SEAL_SEAL | F_SEAL_SHRINK | F_SEAL_GROW | F_SEAL_WRITE;
     if (failed || fcntl(fd, F_ADD_SEALS, seals) < 0) {
         PyErr_SetFromErrno(PyExc_OSError);
@@ -83,7 +84,7 @@
 
 PyDoc_STRVAR(load_library_doc,
 "load_library(path)\n--\n\n"
-"Load a shared library, so that later ones find it by its SONAME.");
+"Load a shared library; libraries loaded later find it by its SONAME.");
 
 static PyObject *
 load_library(PyObject *module, PyObject *args)
@@ -125,7 +126,8 @@
     return PyConfig_SetString(config, field, text);
 }
 
-/* Every path is given, so that no path of the building machine is looked at. */
+/* Sets every path, so that the interpreter does not search paths of the build
+   host. */
 static PyStatus
 set_paths(PyConfig *config)
 {
@@ -144,7 +146,7 @@
     return PyWideStringList_Append(&config->module_search_paths, ARCHIVE_PATH);
 }
 
-/* The real name of the program's file, for messages and sys.executable. */
+/* Sets sys.executable, which messages show too, to the executable's real path. */
 static PyStatus
 set_executable(PyConfig *config)
 {
@@ -167,8 +169,8 @@
     config->site_import = 0;
     config->write_bytecode = 0;
     config->parse_argv = 0;
-    /* The isolated configuration leaves them out: without them a write to a
-       connection that its peer has closed ends the process with SIGPIPE. */
+    /* Off in the isolated configuration. Without these handlers, a write to a
+       connection closed by its peer terminates the process with SIGPIPE. */
     config->install_signal_handlers = 1;
     PyStatus status = PyConfig_SetBytesArgv(config, argc, argv);
     if (PyStatus_Exception(status)) {
@@ -190,7 +192,7 @@
 {
     PyPreConfig preconfig;
     PyPreConfig_InitIsolatedConfig(&preconfig);
-    /* An empty environment means the C locale; text stays UTF-8 all the same. */
+    /* An empty environment selects the C locale; text is UTF-8 regardless. */
     preconfig.utf8_mode = 1;
     PyStatus status = Py_PreInitialize(&preconfig);
     if (PyStatus_Exception(status)) {
--- a/packaging/pinned.py
+++ b/packaging/pinned.py
@@ -1,4 +1,4 @@
-"""What of the pinned packages goes into the binary."""
+"""Selection of the files of pinned packages that go into the binary."""
 
 import re
 from collections.abc import Iterator
@@ -9,20 +9,21 @@
 __all__ = ["PinnedFile", "metadata_directories", "package_files"]
 
 _PIN = re.compile(r"^([A-Za-z0-9._-]+)==([^ \\]+)", re.MULTILINE)
-# Sources of compiled modules, type stubs and what only an installer reads.
+# Sources of compiled modules, type stubs and files that only installers read.
 _EXCLUDED_SUFFIXES = frozenset(
     {".c", ".capnp", ".cpp", ".h", ".pxd", ".pyc", ".pyi", ".pyx", ".typed"}
 )
 _METADATA_FILES = frozenset({"METADATA", "entry_points.txt"})
-# Beside the top level, where importlib.metadata would find each one twice.
+# At the top level importlib.metadata would find each distribution twice.
 _METADATA_DIRECTORY = "_distributions"
 
 
 @dataclass(frozen=True, kw_only=True)
 class PinnedFile:
-    """A file of an installed distribution.
+    """File of an installed distribution.
 
-    :param name: its name in the archive.
+    :param name: path in the archive.
+    :param path: path of the installed file.
     """
 
     name: PurePosixPath
@@ -30,17 +31,17 @@
 
     @property
     def is_extension(self) -> bool:
-        """Tell whether it is a compiled module."""
+        """Whether the file is an extension module."""
         return self.name.suffix == ".so"
 
     @property
     def module(self) -> str:
-        """Dotted name of the module in this file."""
+        """Dotted name of the module that the file contains."""
         return ".".join((*self.name.parent.parts, self.name.name.partition(".")[0]))
 
 
 def package_files(requirements: Path) -> Iterator[PinnedFile]:
-    """Yield the files to ship of all pinned packages, in order of name."""
+    """Yield the files of all pinned packages to include, sorted by name."""
     for distribution in _distributions(requirements):
         for file in sorted(distribution.files or (), key=str):
             if _is_packaged(file):
@@ -49,7 +50,7 @@
 
 
 def metadata_directories(requirements: Path) -> dict[str, str]:
-    """Return the metadata folder of each pinned package by normalized name."""
+    """Return the metadata directory of each pinned package by normalized name."""
     directories = {}
     for distribution in _distributions(requirements):
         for file in distribution.files or ():
--- a/packaging/shared.py
+++ b/packaging/shared.py
@@ -1,4 +1,4 @@
-"""Shared libraries that the extension modules need, and how ELF files are read."""
+"""Shared library dependencies of ELF files."""
 
 import re
 import subprocess
@@ -7,15 +7,15 @@
 __all__ = ["needed_libraries", "stripped"]
 
 _NEEDED = re.compile(r"\(NEEDED\).*\[(.+)\]")
-# The C library's own parts: the program is linked to them as usual.
+# Parts of the C library, to which the program is linked dynamically as usual.
 _C_LIBRARY = re.compile(r"^(ld-linux.*|lib(c|m|dl|rt|pthread|util|resolv)\.so\.\d+)$")
 
 
 def needed_libraries(path: Path) -> dict[str, Path]:
-    """Return the libraries that an ELF file needs besides the C library.
+    """Return the transitive dependencies of an ELF file except the C library.
 
-    :returns: file by SONAME, each after those that it needs itself.
-    :raises FileNotFoundError: if the linker's search path lacks one.
+    :returns: file by SONAME in load order: each library follows its dependencies.
+    :raises FileNotFoundError: if a library is not in the linker's search path.
     """
     found: dict[str, Path] = {}
     for soname in _direct_dependencies(path):
@@ -26,7 +26,7 @@
 
 
 def stripped(path: Path, work_directory: Path) -> bytes:
-    """Return an ELF file without its debugging information."""
+    """Return the content of an ELF file without debugging information."""
     target = work_directory / "stripped.so"
     subprocess.run(["strip", "--strip-unneeded", "-o", target, path], check=True)
     return target.read_bytes()
@@ -38,7 +38,7 @@
 
 
 def _library_path(soname: str) -> Path:
-    # The compiler answers with the bare name when it does not know the file.
+    # gcc prints the bare name if it does not find the file.
     path = Path(_command_output("gcc", f"-print-file-name={soname}").strip())
     if not path.is_absolute():
         raise FileNotFoundError(f"shared library {soname} is not installed")
--- a/packaging/stdlib.py
+++ b/packaging/stdlib.py
@@ -1,4 +1,4 @@
-"""What of the standard library goes into the binary."""
+"""Selection of the standard library modules that go into the binary."""
 
 import sysconfig
 from collections.abc import Iterator
@@ -6,8 +6,9 @@
 
 __all__ = ["extension_files", "source_files", "sysconfig_module"]
 
-# Left out for size, but for three that the product must not use: processes of
-# their own (multiprocessing), shared memory (_posixshmem) and a disk (dbm, sqlite3).
+# Excluded to reduce the size, except for modules that need what the product must
+# not use: child processes (multiprocessing), shared memory (_posixshmem) and a
+# disk (dbm, sqlite3).
 EXCLUDED_MODULES = frozenset(
     {
         "__phello__",
@@ -53,14 +54,14 @@
     }
 )
 EXCLUDED_EXTENSION_PREFIXES = ("_test", "_xxtest", "_ctypes_test", "xxlimited")
-# They hold the paths and the compiler flags of the building machine.
+# These files contain paths and compiler flags of the build host.
 EXCLUDED_SOURCE_PREFIXES = ("_sysconfigdata", "config-")
-# What the standard library itself reads of them while it runs.
+# The variables that the standard library reads at run time.
 CONFIGURATION_VARIABLES = ("EXT_SUFFIX", "SOABI", "TZPATH")
 
 
 def source_files() -> Iterator[tuple[str, Path]]:
-    """Yield archive name and file of the pure modules, in order of name."""
+    """Yield archive name and file of the pure Python modules, sorted by path."""
     root = Path(sysconfig.get_path("stdlib"))
     for path in sorted(root.rglob("*.py")):
         relative = path.relative_to(root)
@@ -69,7 +70,7 @@
 
 
 def extension_files() -> Iterator[tuple[str, Path]]:
-    """Yield module name and file of the extension modules, in order of name."""
+    """Yield name and file of the extension modules, sorted by file name."""
     directory = Path(sysconfig.get_config_var("DESTSHARED"))
     for path in sorted(directory.glob("*.so")):
         name = path.name.partition(".")[0]
@@ -79,7 +80,7 @@
 
 
 def sysconfig_module() -> tuple[str, str]:
-    """Return archive name and source of the module with the kept configuration."""
+    """Return archive name and source of a reduced sysconfig data module."""
     name = sysconfig._get_sysconfigdata_name()
     variables = {key: sysconfig.get_config_var(key) for key in CONFIGURATION_VARIABLES}
     return f"{name}.py", f"build_time_vars = {variables!r}\n"
