Reword docstrings and comments of the packaging tests

The stories at the heads of tests say which failure they guard against and how it comes about. No assertion changes.

--- a/tests/packaging/conftest.py
+++ b/tests/packaging/conftest.py
@@ -23,12 +23,12 @@
 
 @pytest.fixture(scope="session")
 def binary(build_directory):
-    """The binary as it ships."""
+    """Build the binary as it is shipped."""
     return build(build_directory / "baobabwing")
 
 
 @pytest.fixture(scope="session")
 def probe(build_directory):
-    """The same payload with an entry point that looks at the process."""
+    """Build the same packages with an entry point that inspects its process."""
     options = ["--package", ROOT / "baobabwing", "--package", PAYLOAD]
     return build(build_directory / "probe", *options, "--entry", "payload.probe:main")
--- a/tests/packaging/payload/probe.py
+++ b/tests/packaging/payload/probe.py
@@ -1,4 +1,4 @@
-"""What the packaging tests run inside a binary; prints one JSON document."""
+"""Entry point of the test binary; prints the result of a function as JSON."""
 
 import importlib
 import importlib.metadata
@@ -11,7 +11,7 @@
 
 
 def imports():
-    """Import every module of the product and tell what the process has mapped."""
+    """Import every module of the product and return the files that are mapped."""
     package = importlib.import_module("baobabwing")
     module_names = [
         item.name for item in pkgutil.walk_packages(package.__path__, "baobabwing.")
@@ -30,7 +30,7 @@
 
 
 def schema():
-    """Load the message schema and pass one message through it."""
+    """Load the message schema, then encode and decode a message with it."""
     from baobabwing.wire.schema import load_schema
 
     envelope = load_schema().Envelope
@@ -42,14 +42,14 @@
 
 
 def descriptors():
-    """Tell which memory-backed files are still open after all the imports."""
+    """Return the memory-backed files that are open after importing all modules."""
     imports()
     targets = [os.readlink(f"/proc/self/fd/{fd}") for fd in _open_descriptors()]
     return {"open": [name for name in targets if name.startswith("/memfd:")]}
 
 
 def interrupt():
-    """Send an interrupt to the process itself and tell what it became."""
+    """Send SIGINT to the process itself and return the exception it raises."""
     try:
         os.kill(os.getpid(), signal.SIGINT)
         threading.Event().wait()
@@ -58,7 +58,7 @@
 
 
 def broken_pipe():
-    """Write to a pipe that no one reads and tell what it became."""
+    """Write to a pipe without a reader and return the exception it raises."""
     reader, writer = os.pipe()
     os.close(reader)
     try:
@@ -68,7 +68,7 @@
 
 
 def daemon_thread():
-    """End the program while a daemon thread still runs."""
+    """Return from the entry point while a daemon thread is running."""
     started = threading.Event()
 
     def spin():
@@ -83,7 +83,7 @@
 
 
 def replaced():
-    """Put another file in the program's place, then import from memory."""
+    """Replace the executable with another file, then import an extension module."""
     os.unlink(sys.executable)
     with open(sys.executable, "w", encoding="utf-8") as replacement:
         replacement.write("a newer version")
@@ -104,6 +104,6 @@
 
 
 def main():
-    """Run the function that the command line names."""
+    """Run the function named on the command line."""
     print(json.dumps(globals()[sys.argv[1]]()))
     return 0
--- a/tests/packaging/test_payload.py
+++ b/tests/packaging/test_payload.py
@@ -15,7 +15,7 @@
 
 
 def run_probe(probe, function):
-    """Run the probe where no variable, path or working folder leads to a Python."""
+    """Run the probe without any environment or path that leads to a Python."""
     completed = subprocess.run(
         [probe, function],
         env={},
@@ -58,12 +58,12 @@
 def test_loads_the_message_schema(probe):
     result = run_probe(probe, "schema")
     assert result["correlation"] == 7
-    # A host has no disk to unpack the schema to.
+    # Hosts have no disk to which the schema could be unpacked.
     assert result["file"].startswith("/proc/self/fd")
 
 
 def test_keeps_no_descriptor_of_what_it_loaded(probe):
-    # pycapnp keeps the one file of the schema open for as long as it is used.
+    # pycapnp keeps the schema file open while the schema is in use.
     schema = "/memfd:messages.capnp (deleted)"
     assert run_probe(probe, "descriptors") == {"open": [schema]}
 
@@ -73,20 +73,21 @@
     [("interrupt", "KeyboardInterrupt"), ("broken_pipe", "BrokenPipeError")],
 )
 def test_signals_become_exceptions(probe, function, raised):
-    """A caller closes its connection, then the node writes to it.
+    """Guard against SIGPIPE terminating a node with all its streams.
 
-    The user would see the node vanish with all its other streams. Cause: an
-    embedded interpreter sets up no signals by default, so SIGPIPE ends it.
+    An embedded interpreter installs no signal handlers by default, so writing to
+    a connection that the caller has closed terminates the process.
     """
     assert run_probe(probe, function) == {"raised": raised}
 
 
 def test_ends_quietly_while_a_thread_still_runs(probe):
-    """The program ends while a thread still serves a connection.
+    """Guard against an abort at exit on hosts without libgcc_s.
 
-    The user would see "libgcc_s.so.1 must be installed for pthread_exit to
-    work" and an abort in place of exit status 0, on hosts without that library.
-    Cause: glibc loads it by name when the interpreter ends the thread.
+    If a thread still serves a connection when the program ends, the interpreter
+    terminates it, and glibc loads libgcc_s by name. Without the library the process
+    aborts with "libgcc_s.so.1 must be installed for pthread_exit to work" instead of
+    exiting with status 0.
     """
     result = run_probe(probe, "daemon_thread")
     assert result["threads"] == 2
@@ -94,10 +95,11 @@
 
 
 def test_runs_on_after_its_file_was_replaced(probe, tmp_path):
-    """An operator puts a newer binary in the place of one that runs.
+    """Guard against failing imports after an operator has replaced the binary.
 
-    The user would see requests fail that are the first to need some module.
-    Cause: modules read by the file's name come from the newer file by then.
+    If modules were read by the path of the executable, a running process would
+    import them from the newer file, and requests that need a module for the first
+    time would fail.
     """
     running = shutil.copy(probe, tmp_path / "running")
     assert run_probe(running, "replaced") == {"ssl": True}
@@ -109,7 +111,7 @@
         target = build_directory / f"seed-{seed}"
         command = [sys.executable, ROOT / "packaging" / "build.py", "--target", target]
         command += ["--package", PAYLOAD, "--entry", "payload.probe:main"]
-        # The order of sets in the builder must not show in what it writes.
+        # The output must not depend on the iteration order of sets.
         env = {**os.environ, "PYTHONHASHSEED": seed}
         subprocess.run(command, env=env, check=True)
         binaries.append(target.read_bytes())
--- a/tests/packaging/test_processes.py
+++ b/tests/packaging/test_processes.py
@@ -15,16 +15,17 @@
 
 TIMEOUT_S = 60
 REQUESTS = 50
-# Fields of /proc/PID/stat behind the command's name, which may hold blanks.
+# Indexes of /proc/PID/stat fields after the command name, which may contain spaces.
 SESSION_FIELD = 3
 WAITED_CHILDREN_FAULTS_FIELD = 8
 
 
 @dataclass(frozen=True, kw_only=True)
 class ProcessStat:
-    """What the kernel tells of a process.
+    """Fields of /proc/PID/stat.
 
-    :param reaped_faults: page faults of all children that it has waited for.
+    :param session: session id.
+    :param waited_children_faults: minor page faults of all waited-for children.
     """
 
     session: int
@@ -55,7 +56,7 @@
 
 
 def session_members(session):
-    """Return the processes of a session, grandchildren without parents included."""
+    """Return the process ids of a session, including orphaned descendants."""
     members = []
     for path in Path("/proc").iterdir():
         if not path.name.isdigit():
@@ -64,13 +65,13 @@
             if read_process_stat(path.name).session == session:
                 members.append(int(path.name))
         except OSError:
-            continue  # It ended between the listing and the reading.
+            continue  # The process has ended since the directory was listed.
     return members
 
 
 @contextlib.contextmanager
 def running_binary(binary, *arguments):
-    """Run the binary in a session of its own, with no environment."""
+    """Run the binary in its own session with an empty environment."""
     with subprocess.Popen(
         [binary, *arguments],
         env={},
@@ -86,11 +87,11 @@
 
 
 def assert_no_child_processes(process):
-    """Assert that the process has no child and has had none."""
+    """Assert that the process has no child processes and never had any."""
     assert children(process.pid) == []
     assert session_members(process.pid) == [process.pid]
     assert os.readlink(f"/proc/{process.pid}/exe") == str(process.args[0])
-    # A child that had come and gone would have left its page faults behind.
+    # The page faults of ended children remain in their parent's count.
     assert read_process_stat(process.pid).waited_children_faults == 0
 
 
@@ -135,11 +136,10 @@
 
 
 def test_a_standin_serves_and_stops_as_one_process(binary):
-    """A host's supervisor starts the binary and stops it by its process id.
+    """Guard against processes that survive a stop by process id.
 
-    The user would see a second process left running, or the port still taken,
-    after a stop. Cause: a launcher that unpacks itself and runs the program as
-    its child, or a library that runs a helper command.
+    A launcher that runs the program as its child, or a library that runs a helper
+    command, would leave a second process running or the port in use.
     """
     arguments = ("standin", "service", "--listen", "127.0.0.1:0")
     with running_binary(binary, *arguments) as process:
@@ -156,10 +156,7 @@
 
 
 def test_a_node_serves_and_stops_as_one_process(binary, tmp_path):
-    """The same story for a node, here with the platform's service down.
-
-    The user would see what the stand-in's test tells, on an entry host.
-    """
+    """Guard against the same failure in a node whose platform is unavailable."""
     ports = {name: f"127.0.0.1:{free_port()}" for name in ("http", "peer", "platform")}
     settings = {
         "name": "entry-1",
