Rename bounds of lengths and the capacity limit in the bench

Lengths.least -> minimum, Lengths.most -> maximum, most_work_in_time -> max_work_within_deadlines; locals of arrivals and capacity: drawn -> timed_requests, stem -> prefix, coming -> ordered_jobs, done -> completed_work, part -> completed_part.

Lengths is part of Work, which is not written out (the plan file holds arrivals).

--- a/baobabwing/bench/arrivals.py
+++ b/baobabwing/bench/arrivals.py
@@ -37,18 +37,18 @@
 class Lengths:
     """Bounds of a length in tokens; lengths are log-uniform between them."""
 
-    least: int
-    most: int
+    minimum: int
+    maximum: int
 
     def mean(self) -> float:
         """Return the expected length."""
-        if self.least == self.most:
-            return float(self.least)
-        return (self.most - self.least) / math.log(self.most / self.least)
+        if self.minimum == self.maximum:
+            return float(self.minimum)
+        return (self.maximum - self.minimum) / math.log(self.maximum / self.minimum)
 
     def draw(self, rng: random.Random) -> int:
         """Draw one length."""
-        low, high = math.log(self.least), math.log(self.most)
+        low, high = math.log(self.minimum), math.log(self.maximum)
         return round(math.exp(rng.uniform(low, high)))
 
 
@@ -70,8 +70,8 @@
     tier: str
     target: str
     form: Form
-    own: Lengths = Lengths(least=1, most=1)
-    output: Lengths = Lengths(least=1, most=1)
+    own: Lengths = Lengths(minimum=1, maximum=1)
+    output: Lengths = Lengths(minimum=1, maximum=1)
     shared: int = 0
     groups: int = 1
     stream: bool = True
@@ -154,24 +154,24 @@
     :param seed: two runs with one seed have the same requests.
     :param seconds: length of the run.
     """
-    drawn = [
+    timed_requests = [
         arrival
         for number, stream in enumerate(streams)
         for arrival in _draw_stream(
             shape, stream, random.Random(f"{seed}/{number}"), seconds
         )
     ]
-    drawn.sort(key=lambda item: item[0])
+    timed_requests.sort(key=lambda timed_request: timed_request[0])
     return tuple(
         _arrival(shape, index, at_s, work, rng)
-        for index, (at_s, work, rng) in enumerate(drawn)
+        for index, (at_s, work, rng) in enumerate(timed_requests)
     )
 
 
 def shared_text(arrival: Arrival) -> str:
     """Return the head of the prompt that the arrival's group shares."""
-    stem = f"{arrival.work}{arrival.group}"
-    return " ".join(f"{stem}h{n}" for n in range(arrival.shared_tokens))
+    prefix = f"{arrival.work}{arrival.group}"
+    return " ".join(f"{prefix}h{n}" for n in range(arrival.shared_tokens))
 
 
 def own_text(arrival: Arrival) -> str:
--- a/baobabwing/bench/capacity.py
+++ b/baobabwing/bench/capacity.py
@@ -8,7 +8,7 @@
 
 from baobabwing.bench.shapes import EngineSpec, ServiceSpec, Shape
 
-__all__ = ["Job", "engine_seconds", "most_work_in_time", "pool_seconds"]
+__all__ = ["Job", "engine_seconds", "max_work_within_deadlines", "pool_seconds"]
 
 MS_PER_S = 1_000.0
 
@@ -69,7 +69,7 @@
     return 1.0 / sum(1.0 / cost for cost in costs)
 
 
-def most_work_in_time(jobs: Iterable[Job]) -> float:
+def max_work_within_deadlines(jobs: Iterable[Job]) -> float:
     """Return the most pool-seconds of work that one pool can do in time.
 
     Work counts by its amount, also where a job is done only in part, and jobs may be
@@ -79,26 +79,26 @@
     References: C. L. Liu and J. W. Layland, "Scheduling Algorithms for
     Multiprogramming in a Hard-Real-Time Environment", Journal of the ACM 20(1), 1973.
     """
-    coming = sorted(jobs, key=lambda job: job.start_s)
+    ordered_jobs = sorted(jobs, key=lambda job: job.start_s)
     waiting: list[tuple[float, int, float]] = []
-    done = now_s = 0.0
-    for index, job in enumerate(coming):
-        done += _work_until(waiting, now_s, job.start_s)
+    completed_work = now_s = 0.0
+    for index, job in enumerate(ordered_jobs):
+        completed_work += _work_until(waiting, now_s, job.start_s)
         now_s = job.start_s
         heapq.heappush(waiting, (job.deadline_s, index, job.work))
-    return done + _work_until(waiting, now_s, float("inf"))
+    return completed_work + _work_until(waiting, now_s, float("inf"))
 
 
 def _work_until(
     waiting: list[tuple[float, int, float]], now_s: float, until_s: float
 ) -> float:
     """Do waiting work, the earliest deadline first, and return how much was done."""
-    done = 0.0
+    completed_work = 0.0
     while waiting and now_s < until_s:
         deadline_s, index, work = heapq.heappop(waiting)
-        part = max(0.0, min(work, deadline_s - now_s, until_s - now_s))
-        done += part
-        now_s += part
-        if work > part and deadline_s > now_s:
-            heapq.heappush(waiting, (deadline_s, index, work - part))
-    return done
+        completed_part = max(0.0, min(work, deadline_s - now_s, until_s - now_s))
+        completed_work += completed_part
+        now_s += completed_part
+        if work > completed_part and deadline_s > now_s:
+            heapq.heappush(waiting, (deadline_s, index, work - completed_part))
+    return completed_work
--- a/baobabwing/bench/figures.py
+++ b/baobabwing/bench/figures.py
@@ -10,7 +10,7 @@
 
 from baobabwing.bench.answers import Answer, Verdict
 from baobabwing.bench.arrivals import Arrival
-from baobabwing.bench.capacity import Job, most_work_in_time, pool_seconds
+from baobabwing.bench.capacity import Job, max_work_within_deadlines, pool_seconds
 from baobabwing.bench.executions import Executed, by_request
 from baobabwing.bench.shapes import Shape
 from baobabwing.pools.permits import RefusalCode
@@ -369,7 +369,7 @@
         deadline_s = arrival.at_s + arrival.deadline_ms / MS_PER_S
         job = Job(start_s=arrival.at_s, deadline_s=deadline_s, work=work)
         jobs[arrival.pool].append(job)
-    limit = sum(most_work_in_time(pool_jobs) for pool_jobs in jobs.values())
+    limit = sum(max_work_within_deadlines(pool_jobs) for pool_jobs in jobs.values())
     return CapacityFigures(offered=offered, limit=limit, good=good)
 
 
--- a/baobabwing/bench/scenarios.py
+++ b/baobabwing/bench/scenarios.py
@@ -19,8 +19,8 @@
     form=Form.CHAT,
     shared=256,
     groups=24,
-    own=Lengths(least=12, most=120),
-    output=Lengths(least=12, most=48),
+    own=Lengths(minimum=12, maximum=120),
+    output=Lengths(minimum=12, maximum=48),
 )
 SLOT_CHECK = Work(
     name="slot-check",
@@ -45,8 +45,8 @@
     form=Form.CHAT,
     shared=128,
     groups=5,
-    own=Lengths(least=8, most=40),
-    output=Lengths(least=8, most=16),
+    own=Lengths(minimum=8, maximum=40),
+    output=Lengths(minimum=8, maximum=16),
     stream=False,
     non_idempotent=True,
 )
@@ -55,16 +55,16 @@
     tier="summary",
     target="assistant-8b",
     form=Form.COMPLETION,
-    own=Lengths(least=300, most=1_500),
-    output=Lengths(least=40, most=120),
+    own=Lengths(minimum=300, maximum=1_500),
+    output=Lengths(minimum=40, maximum=120),
 )
 ROTA = Work(
     name="rota",
     tier="rota",
     target="assistant-8b",
     form=Form.COMPLETION,
-    own=Lengths(least=1_200, most=4_000),
-    output=Lengths(least=120, most=400),
+    own=Lengths(minimum=1_200, maximum=4_000),
+    output=Lengths(minimum=120, maximum=400),
     stream=False,
 )
 KICKOFF_QUERY = Work(
@@ -74,8 +74,8 @@
     form=Form.CHAT,
     shared=64,
     groups=5,
-    own=Lengths(least=8, most=40),
-    output=Lengths(least=8, most=16),
+    own=Lengths(minimum=8, maximum=40),
+    output=Lengths(minimum=8, maximum=16),
 )
 FIXTURE_LOOKUP = Work(
     name="fixture-lookup",
@@ -100,24 +100,24 @@
     form=Form.COMPLETION,
     shared=192,
     groups=20,
-    own=Lengths(least=80, most=300),
-    output=Lengths(least=40, most=120),
+    own=Lengths(minimum=80, maximum=300),
+    output=Lengths(minimum=40, maximum=120),
 )
 SEASON_DRAW = Work(
     name="season-draw",
     tier="draw",
     target="scheduler-8b",
     form=Form.COMPLETION,
-    own=Lengths(least=1_500, most=4_000),
-    output=Lengths(least=200, most=600),
+    own=Lengths(minimum=1_500, maximum=4_000),
+    output=Lengths(minimum=200, maximum=600),
 )
 PARENT_NOTE = Work(
     name="parent-note",
     tier="notes",
     target="scheduler-8b",
     form=Form.COMPLETION,
-    own=Lengths(least=60, most=200),
-    output=Lengths(least=60, most=160),
+    own=Lengths(minimum=60, maximum=200),
+    output=Lengths(minimum=60, maximum=160),
     stream=False,
 )
 
--- a/tests/bench/test_arrivals.py
+++ b/tests/bench/test_arrivals.py
@@ -3,7 +3,7 @@
 import pytest
 
 from baobabwing.bench.arrivals import draw_arrivals, prompt_text
-from baobabwing.bench.capacity import Job, most_work_in_time, pool_seconds
+from baobabwing.bench.capacity import Job, max_work_within_deadlines, pool_seconds
 from baobabwing.bench.scenarios import get_scenario, scenario_names
 from baobabwing.bench.shapes import build_configuration, get_shape, shape_names
 from baobabwing.settings.documents import check_configuration
@@ -103,7 +103,7 @@
     ],
 )
 def test_most_work_in_time(jobs, most):
-    found = most_work_in_time(
+    found = max_work_within_deadlines(
         Job(start_s=start_s, deadline_s=deadline_s, work=work)
         for start_s, deadline_s, work in jobs
     )
--- a/tests/bench/test_driver.py
+++ b/tests/bench/test_driver.py
@@ -19,7 +19,7 @@
 from baobabwing.bench.shapes import tijera
 from baobabwing.bench.standin_arguments import engine_arguments, service_arguments
 
-SHORT = Lengths(least=3, most=12)
+SHORT = Lengths(minimum=3, maximum=12)
 SECONDS = 1.0
 LOAD = 0.03
 
--- a/tests/bench/test_runs.py
+++ b/tests/bench/test_runs.py
@@ -15,7 +15,7 @@
 
 SECONDS = 2.0
 NODES = 2
-SHORT = Lengths(least=4, most=16)
+SHORT = Lengths(minimum=4, maximum=16)
 
 
 @shape("small")
