Rename identifiers of the bench's deployments and load client

changes: Reach -> PropagationTimes, _measure_reach -> _measure_propagation, wait_whole -> wait_until_complete, _wait_everywhere -> _wait_until_applied, _change_and_stop -> _change_and_freeze_platform, _change_stop_and_hand_over -> _change_freeze_and_hand_over, _restored -> _restore_upstreams, told -> transcripts, PATIENCE_S -> CONVERGENCE_TIMEOUT_S, NEVER_S -> FIRST_NODE_TIMEOUT_S, TRIES -> TRIALS, AFTER_DRAIN_S -> DRAIN_OBSERVATION_S, _MEMBERS -> _SERVING_MEMBERS, and locals. The fields of the figures stay, as they are written out. is_whole stays: it overrides a method of the matrix. demo: NAMED -> MAX_LISTED, _name -> _format_faults, _not_once -> _not_executed_once. deployments: _idle -> _is_idle, _zone -> _zone_of, _record_over_http -> _fetch_record, _last_records -> _final_records. directory: Site -> AddressCache, its use -> set_entries and drop -> remove, SITES -> CACHE_COUNT, _Told -> _AddressAnswer, _ask -> _query_addresses, _keep_asking -> _refresh_periodically, ASK_TIMEOUT_S -> QUERY_TIMEOUT_S. driver: _Raw -> _UnjudgedAnswer, raws -> unjudged_answers, _try -> _attempt, last -> previous, _with_head -> _with_response_head, _tell_progress -> _report_progress, _seconds -> _parse_seconds, PATIENCE_S -> RESPONSE_GRACE_S, PROGRESS_S -> PROGRESS_INTERVAL_S, COME_BACK_PAUSES_S -> RETRY_DELAYS_S, STACK_BYTES -> THREAD_STACK_BYTES, and locals.

--- a/baobabwing/bench/changes.py
+++ b/baobabwing/bench/changes.py
@@ -32,16 +32,16 @@
 from baobabwing.settings.plans import confirm, plan
 from baobabwing.store.tables import TableClient
 
-__all__ = ["Figures", "Reach", "main", "measure"]
+__all__ = ["Figures", "PropagationTimes", "main", "measure"]
 
-PATIENCE_S = 15.0
+CONVERGENCE_TIMEOUT_S = 15.0
 READY_S = 120.0
-NEVER_S = 3.0
+FIRST_NODE_TIMEOUT_S = 3.0
 TABLES_TIMEOUT_S = 5.0
 POOL = "assistant"
 CALLERS = 4
-AFTER_DRAIN_S = 4.0
-TRIES = 5
+DRAIN_OBSERVATION_S = 4.0
+TRIALS = 5
 DEATHS = 3
 DRAINS = 3
 WORKER_THREADS = 8
@@ -49,11 +49,11 @@
 _TOKEN = "bench-operator"
 _AUTHOR = "bench"
 _APPLIED = "configuration_applied"
-_MEMBERS = re.compile(r"^baobabwing_serving_members (\S+)$", re.MULTILINE)
+_SERVING_MEMBERS = re.compile(r"^baobabwing_serving_members (\S+)$", re.MULTILINE)
 
 
 @dataclass(frozen=True, kw_only=True)
-class Reach:
+class PropagationTimes:
     """Seconds from accepting until a change was in force, over some tries.
 
     :param half_s: at half of the nodes; the worst try.
@@ -81,9 +81,9 @@
     """
 
     nodes: int
-    calm: Reach
-    stopped: Reach
-    handed_over: Reach
+    calm: PropagationTimes
+    stopped: PropagationTimes
+    handed_over: PropagationTimes
     home_s: tuple[float, ...]
     drain_s: tuple[float, ...]
 
@@ -115,11 +115,11 @@
 
         Address answers name some nodes of a large fleet only.
         """
-        counts = (self._gauge(name, _MEMBERS) for name in self.nodes)
+        counts = (self._gauge(name, _SERVING_MEMBERS) for name in self.nodes)
         ready = (answers_ok(address, "/readyz") for address in self.nodes.values())
         return all(count == len(self.nodes) for count in counts) and all(ready)
 
-    def wait_whole(self) -> None:
+    def wait_until_complete(self) -> None:
         if not wait_until(self.is_whole, timeout_s=READY_S, poll_s=1.0):
             raise ProcessError("the fleet did not become whole", step="wait")
 
@@ -145,7 +145,7 @@
         self._fleet = fleet
         self._stopped = threading.Event()
         self._key = fleet.shape.credential_key("pocitos", "chat")
-        self.told: list[Transcript] = []
+        self.transcripts: list[Transcript] = []
         self._threads = [
             threading.Thread(target=self._run, args=(nodes[i % len(nodes)],))
             for i in range(CALLERS)
@@ -164,9 +164,9 @@
     def first_answer_after(self, at: float) -> float | None:
         """Return when the first answer to a request sent after a time had ended."""
         ends = [
-            one.ended_s
-            for one in tuple(self.told)
-            if one.ending is Ending.WHOLE and one.sent_s > at
+            item.ended_s
+            for item in tuple(self.transcripts)
+            if item.ending is Ending.WHOLE and item.sent_s > at
         ]
         return min(ends, default=None)
 
@@ -174,7 +174,7 @@
         caller = Caller(credential=self._key)
         while not self._stopped.is_set():
             job = Job(text=f"a cut at noon {uuid.uuid4().hex}", tokens=1)
-            self.told.append(caller.begin(job, self._fleet.address(node)).wait())
+            self.transcripts.append(caller.begin(job, self._fleet.address(node)).wait())
 
 
 def measure(nodes: int) -> Figures:
@@ -182,52 +182,53 @@
     with ProcessGroup() as group:
         fleet = _Fleet(group=group, nodes=nodes)
         fleet.start()
-        fleet.wait_whole()
+        fleet.wait_until_complete()
         operator = Operator(name=_AUTHOR, sha256=token_digest(_TOKEN), role=Role.ADMIN)
         fleet.change(lambda cfg: replace(cfg, operators=(operator,)))
         return Figures(
             nodes=nodes,
-            calm=_measure_reach(fleet, _change),
-            stopped=_measure_reach(fleet, _change_and_stop),
-            handed_over=_measure_reach(fleet, _change_stop_and_hand_over),
+            calm=_measure_propagation(fleet, _change),
+            stopped=_measure_propagation(fleet, _change_and_freeze_platform),
+            handed_over=_measure_propagation(fleet, _change_freeze_and_hand_over),
             home_s=tuple(_measure_death(fleet) for _ in range(DEATHS)),
             drain_s=tuple(_measure_drain(fleet) for _ in range(DRAINS)),
         )
 
 
-def _measure_reach(
+def _measure_propagation(
     fleet: _Fleet, change: Callable[[_Fleet], tuple[Configuration, float]]
-) -> Reach:
-    halves, wholes, nowhere = [], [], 0
-    for number in range(TRIES):
+) -> PropagationTimes:
+    half_times, all_times, nowhere = [], [], 0
+    for trial in range(TRIALS):
         # Nodes look at the store about once a second when few; the pauses differ
         # so that tries do not meet the same moment between two looks.
-        time.sleep(0.3 + 0.17 * number)
+        time.sleep(0.3 + 0.17 * trial)
         cfg, accepted = change(fleet)
-        somewhere = wait_until(
-            lambda cfg=cfg: fleet.applied_times(cfg.version), timeout_s=NEVER_S
+        applied_somewhere = wait_until(
+            lambda cfg=cfg: fleet.applied_times(cfg.version),
+            timeout_s=FIRST_NODE_TIMEOUT_S,
         )
-        nowhere += not somewhere
-        if somewhere:
-            after = sorted(at - accepted for at in _wait_everywhere(fleet, cfg))
-            halves.append(after[(len(after) - 1) // 2])
-            wholes.append(after[-1])
+        nowhere += not applied_somewhere
+        if applied_somewhere:
+            after = sorted(at - accepted for at in _wait_until_applied(fleet, cfg))
+            half_times.append(after[(len(after) - 1) // 2])
+            all_times.append(after[-1])
         fleet.group.thaw(PLATFORM)
-        _wait_everywhere(fleet, cfg)
-    return Reach(
-        tries=TRIES,
-        half_s=round(max(halves, default=-1.0), 3),
-        all_s=round(max(wholes, default=-1.0), 3),
-        all_median_s=round(median(wholes), 3) if wholes else -1.0,
+        _wait_until_applied(fleet, cfg)
+    return PropagationTimes(
+        tries=TRIALS,
+        half_s=round(max(half_times, default=-1.0), 3),
+        all_s=round(max(all_times, default=-1.0), 3),
+        all_median_s=round(median(all_times), 3) if all_times else -1.0,
         nowhere=nowhere,
     )
 
 
-def _wait_everywhere(fleet: _Fleet, cfg: Configuration) -> list[float]:
-    def everywhere() -> bool:
+def _wait_until_applied(fleet: _Fleet, cfg: Configuration) -> list[float]:
+    def applied_everywhere() -> bool:
         return len(fleet.applied_times(cfg.version)) == len(fleet.nodes)
 
-    if not wait_until(everywhere, timeout_s=PATIENCE_S, poll_s=0.2):
+    if not wait_until(applied_everywhere, timeout_s=CONVERGENCE_TIMEOUT_S, poll_s=0.2):
         raise ProcessError("not in force everywhere", step=f"version {cfg.version}")
     return fleet.applied_times(cfg.version)
 
@@ -237,14 +238,14 @@
     return cfg, time.time()
 
 
-def _change_and_stop(fleet: _Fleet) -> tuple[Configuration, float]:
+def _change_and_freeze_platform(fleet: _Fleet) -> tuple[Configuration, float]:
     cfg, accepted = _change(fleet)
     fleet.group.freeze(PLATFORM)
     return cfg, accepted
 
 
-def _change_stop_and_hand_over(fleet: _Fleet) -> tuple[Configuration, float]:
-    cfg, accepted = _change_and_stop(fleet)
+def _change_freeze_and_hand_over(fleet: _Fleet) -> tuple[Configuration, float]:
+    cfg, accepted = _change_and_freeze_platform(fleet)
     hand_over(fleet.nodes["node-1"], _TOKEN, cfg)
     return cfg, accepted
 
@@ -252,16 +253,19 @@
 def _measure_death(fleet: _Fleet) -> float:
     home, *others = fleet.homes(POOL)
     with _Load(fleet, others) as load:
-        if not wait_until(lambda: len(load.told) > 2 * CALLERS, timeout_s=PATIENCE_S):
+        if not wait_until(
+            lambda: len(load.transcripts) > 2 * CALLERS, timeout_s=CONVERGENCE_TIMEOUT_S
+        ):
             raise ProcessError("no answers", step="load")
         fleet.kill(home)
         killed = time.time()
         wait_until(
-            lambda: load.first_answer_after(killed) is not None, timeout_s=PATIENCE_S
+            lambda: load.first_answer_after(killed) is not None,
+            timeout_s=CONVERGENCE_TIMEOUT_S,
         )
         answered = load.first_answer_after(killed)
     fleet.restart_node(home)
-    fleet.wait_whole()
+    fleet.wait_until_complete()
     if answered is None:
         raise ProcessError("no new home", step="death", peer=home)
     return round(answered - killed, 3)
@@ -270,28 +274,30 @@
 def _measure_drain(fleet: _Fleet) -> float:
     engine = fleet.shape.engines[0].name
     before = fleet.accepted()
-    with _Load(fleet, list(fleet.nodes)) as load, _restored(fleet, before):
-        if not wait_until(lambda: len(load.told) > 2 * CALLERS, timeout_s=PATIENCE_S):
+    with _Load(fleet, list(fleet.nodes)) as load, _restore_upstreams(fleet, before):
+        if not wait_until(
+            lambda: len(load.transcripts) > 2 * CALLERS, timeout_s=CONVERGENCE_TIMEOUT_S
+        ):
             raise ProcessError("no answers", step="load")
-        made = plan(
+        drain_plan = plan(
             fleet.tables(),
             intent="drain-upstream",
             arguments={"upstream": engine},
             author=_AUTHOR,
         )
-        confirm(fleet.tables(), made.id, author=_AUTHOR)
+        confirm(fleet.tables(), drain_plan.id, author=_AUTHOR)
         confirmed = time.time()
-        time.sleep(AFTER_DRAIN_S)
-        starts = [one["started_at"] for one in fleet.record(engine)]
+        time.sleep(DRAIN_OBSERVATION_S)
+        starts = [item["started_at"] for item in fleet.record(engine)]
     after = [at - confirmed for at in starts if at is not None and at > confirmed]
     return round(max(after, default=0.0), 3)
 
 
 @contextmanager
-def _restored(fleet: _Fleet, before: Configuration) -> Iterator[None]:
+def _restore_upstreams(fleet: _Fleet, before: Configuration) -> Iterator[None]:
     yield
     cfg = fleet.change(lambda cfg: replace(cfg, upstreams=before.upstreams))
-    _wait_everywhere(fleet, cfg)
+    _wait_until_applied(fleet, cfg)
 
 
 def _run_all(sizes: Iterable[int]) -> Iterator[Figures]:
--- a/baobabwing/bench/demo.py
+++ b/baobabwing/bench/demo.py
@@ -10,7 +10,7 @@
 
 __all__ = ["demo_faults", "safety_faults"]
 
-NAMED = 5
+MAX_LISTED = 5
 
 
 def demo_faults(run: Run, exits: dict[str, int]) -> list[str]:
@@ -21,15 +21,20 @@
     stopped gracefully. What was executed is taken from the upstreams' records.
     """
     executed = by_request(run.answers, run.executions)
-    found = []
+    messages = []
     if len(run.answers) != len(run.arrivals):
-        found.append(f"{len(run.arrivals) - len(run.answers)} requests have no answer")
-    found += _name("not whole", [_not_whole(one) for one in run.answers])
-    found += _name(
+        messages.append(
+            f"{len(run.arrivals) - len(run.answers)} requests have no answer"
+        )
+    messages += _format_faults("not whole", [_not_whole(item) for item in run.answers])
+    messages += _format_faults(
         "not executed exactly once",
-        [_not_once(one, executed.get(one.index, [])) for one in run.answers],
+        [
+            _not_executed_once(item, executed.get(item.index, []))
+            for item in run.answers
+        ],
     )
-    return found + safety_faults(run, exits)
+    return messages + safety_faults(run, exits)
 
 
 def safety_faults(run: Run, exits: dict[str, int]) -> list[str]:
@@ -41,15 +46,15 @@
     """
     executed = by_request(run.answers, run.executions)
     answers = {answer.index: answer for answer in run.answers}
-    found = _name(
+    messages = _format_faults(
         "executed more than once",
         [
-            f"request {index}: {[one.attempt for one in executions]}"
+            f"request {index}: {[item.attempt for item in executions]}"
             for index, executions in executed.items()
             if index >= 0 and len(executions) > 1
         ],
     )
-    found += _name(
+    messages += _format_faults(
         '"not run" but executed',
         [
             f"request {index}: {answers[index].code}"
@@ -57,15 +62,19 @@
             if index >= 0 and answers[index].verdict is Verdict.SHED
         ],
     )
-    found += _name(
+    messages += _format_faults(
         "another text than the request's own",
-        [f"request {one.index}" for one in run.answers if one.verdict is Verdict.WRONG],
+        [
+            f"request {item.index}"
+            for item in run.answers
+            if item.verdict is Verdict.WRONG
+        ],
     )
-    found += _name(
+    messages += _format_faults(
         "executed for no request",
-        [f"{one.upstream}: {one.attempt}" for one in executed.get(-1, [])],
+        [f"{item.upstream}: {item.attempt}" for item in executed.get(-1, [])],
     )
-    return found + _name(
+    return messages + _format_faults(
         "no graceful stop",
         [f"{name}: exit status {status}" for name, status in exits.items() if status],
     )
@@ -77,16 +86,18 @@
     return f"request {answer.index}: {answer.verdict} {answer.code}".rstrip()
 
 
-def _not_once(answer: Answer, executions: Sequence[Executed]) -> str:
-    states = [one.state for one in executions]
+def _not_executed_once(answer: Answer, executions: Sequence[Executed]) -> str:
+    states = [item.state for item in executions]
     if len(executions) == 1 and executions[0].finished:
         return ""
     return f"request {answer.index}: {states or 'no execution'}"
 
 
-def _name(label: str, faults: Sequence[str]) -> list[str]:
-    there = [fault for fault in faults if fault]
-    if not there:
+def _format_faults(label: str, faults: Sequence[str]) -> list[str]:
+    present = [fault for fault in faults if fault]
+    if not present:
         return []
-    more = f", and {len(there) - NAMED} more" if len(there) > NAMED else ""
-    return [f"{label}: {'; '.join(there[:NAMED])}{more}"]
+    more = (
+        f", and {len(present) - MAX_LISTED} more" if len(present) > MAX_LISTED else ""
+    )
+    return [f"{label}: {'; '.join(present[:MAX_LISTED])}{more}"]
--- a/baobabwing/bench/deployments.py
+++ b/baobabwing/bench/deployments.py
@@ -63,7 +63,7 @@
         self._group = group
         self._cfg = build_configuration(shape, self.upstreams, policy=policy)
         self._secret = secrets.token_hex(SECRET_BYTES)
-        self._last_records: dict[str, list[dict[str, Any]]] = {}
+        self._final_records: dict[str, list[dict[str, Any]]] = {}
 
     @property
     def node_names(self) -> tuple[str, ...]:
@@ -78,7 +78,7 @@
         self._start_standins()
         self._publish()
         for number, name in enumerate(self.nodes):
-            self._start_node(name, zone=self._zone(number))
+            self._start_node(name, zone=self._zone_of(number))
         for name, address in self.nodes.items():
             self._wait_ready(name, address, "/readyz")
 
@@ -120,7 +120,7 @@
 
     def kill_upstream(self, name: str) -> None:
         """End an upstream at once, keeping what its record says till then."""
-        self._last_records[name] = self._record_over_http(name)
+        self._final_records[name] = self._fetch_record(name)
         self._group.kill(name)
 
     def node_cpu_seconds(self) -> float:
@@ -129,35 +129,35 @@
 
     def wait_idle(self, *, timeout_s: float) -> bool:
         """Wait until no upstream runs anything; tell whether that came about."""
-        return wait_until(self._idle, timeout_s=timeout_s, poll_s=0.2)
+        return wait_until(self._is_idle, timeout_s=timeout_s, poll_s=0.2)
 
     def executions(self, *, epoch_s: float) -> list[Executed]:
         """Return what all upstreams executed, those that died included.
 
         :param epoch_s: wall clock at the start of the run.
         """
-        found: list[Executed] = []
+        executed: list[Executed] = []
         for name in self.upstreams:
-            documents = self._last_records.get(name, [])
+            entries = self._final_records.get(name, [])
             if self._group.get(name).alive():
-                documents = self._record_over_http(name)
+                entries = self._fetch_record(name)
             else:
-                documents = [*documents, *read_record_file(self._record_path(name))]
-            found += merge_records(name, documents, epoch_s=epoch_s)
-        return found
+                entries = [*entries, *read_record_file(self._record_path(name))]
+            executed += merge_records(name, entries, epoch_s=epoch_s)
+        return executed
 
     def _host(self, name: str) -> Host:
         return Host(
             name=name,
             incarnation=0,
-            zone=self._zone(self.node_names.index(name)),
+            zone=self._zone_of(self.node_names.index(name)),
             region=self.shape.region,
             peer="",
             http=self.nodes[name],
         )
 
     def _upstreams_of(self, pool: str) -> list[Upstream]:
-        return [one for one in self._cfg.upstreams if one.pool == pool]
+        return [upstream for upstream in self._cfg.upstreams if upstream.pool == pool]
 
     def _start_standins(self) -> None:
         self._group.start(PLATFORM, platform_arguments(self.platform))
@@ -212,7 +212,7 @@
         path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
         self._group.start(name, ["node", "--settings", str(path)])
 
-    def _zone(self, number: int) -> str:
+    def _zone_of(self, number: int) -> str:
         return self.shape.zones[number % len(self.shape.zones)]
 
     def _wait_ready(self, name: str, address: str, path: str) -> None:
@@ -220,15 +220,15 @@
             name, lambda: answers_ok(address, path), timeout_s=READY_TIMEOUT_S
         )
 
-    def _idle(self) -> bool:
+    def _is_idle(self) -> bool:
         return not any(
             item["state"] in ("waiting", "running")
             for name in self.upstreams
             if self._group.get(name).alive()
-            for item in self._record_over_http(name)
+            for item in self._fetch_record(name)
         )
 
-    def _record_over_http(self, name: str) -> list[dict[str, Any]]:
+    def _fetch_record(self, name: str) -> list[dict[str, Any]]:
         return get_json(self.upstreams[name], "/control/record")["executions"]
 
     def _record_path(self, name: str) -> Path:
--- a/baobabwing/bench/directory.py
+++ b/baobabwing/bench/directory.py
@@ -11,12 +11,12 @@
 
 from baobabwing.bench.processes import ProcessError
 
-__all__ = ["Directory", "Entry", "Site"]
+__all__ = ["AddressCache", "Directory", "Entry"]
 
-ASK_TIMEOUT_S = 1.0
+QUERY_TIMEOUT_S = 1.0
 MS_PER_S = 1_000.0
 OK_STATUS = 200
-SITES = 8
+CACHE_COUNT = 8
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,12 +31,12 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class _Told:
+class _AddressAnswer:
     entries: tuple[Entry, ...]
     keep_s: float
 
 
-class Site:
+class AddressCache:
     """Callers that share one address answer, such as an app's server.
 
     Thread safe.
@@ -57,26 +57,26 @@
 
         :param avoid: an address that goes last.
         """
-        return tuple(sorted(self._entries, key=lambda one: one.address == avoid))
+        return tuple(sorted(self._entries, key=lambda entry: entry.address == avoid))
 
-    def use(self, entries: Sequence[Entry]) -> None:
+    def set_entries(self, entries: Sequence[Entry]) -> None:
         """Take entries without asking for them."""
         self._entries = tuple(entries)
 
-    def drop(self, entry: Entry) -> None:
+    def remove(self, entry: Entry) -> None:
         """Leave out an address that refused a connection until the next answer."""
         with self._lock:
-            self._entries = tuple(one for one in self._entries if one != entry)
+            self._entries = tuple(other for other in self._entries if other != entry)
 
     def refresh(self) -> bool:
         """Ask known nodes in turn until one answers; tell whether one did."""
-        known = [one.address for one in self._entries]
+        known = [entry.address for entry in self._entries]
         for address in dict.fromkeys((*known, *self._nodes)):
-            told = _ask(address, self._name)
-            if told is not None and told.entries:
+            answer = _query_addresses(address, self._name)
+            if answer is not None and answer.entries:
                 with self._lock:
-                    self._entries = told.entries
-                    self.keep_s = told.keep_s
+                    self._entries = answer.entries
+                    self.keep_s = answer.keep_s
                 return True
         return False
 
@@ -96,7 +96,7 @@
         self._rng = rng
         self._direct = direct
         self._nodes = tuple(nodes)
-        self._sites = [self._new_site() for _ in range(SITES)]
+        self._caches = [self._new_cache() for _ in range(CACHE_COUNT)]
         self._stopped = threading.Event()
 
     def start(self) -> None:
@@ -105,36 +105,36 @@
         :raises ProcessError: if no node answers.
         """
         if self._direct:
-            for site in self._sites:
-                site.use([Entry(address=node) for node in self._nodes])
+            for cache in self._caches:
+                cache.set_entries([Entry(address=node) for node in self._nodes])
             return
-        answered = [site.refresh() for site in self._sites]
-        if not all(answered):
+        refreshed = [cache.refresh() for cache in self._caches]
+        if not all(refreshed):
             raise ProcessError("no addresses", step="ask", peer=" ".join(self._nodes))
-        threading.Thread(target=self._keep_asking, daemon=True).start()
+        threading.Thread(target=self._refresh_periodically, daemon=True).start()
 
     def stop(self) -> None:
         """Stop asking."""
         self._stopped.set()
 
-    def choose(self) -> Site:
+    def choose(self) -> AddressCache:
         """Return one site at random."""
-        return self._rng.choice(self._sites)
+        return self._rng.choice(self._caches)
 
-    def _new_site(self) -> Site:
+    def _new_cache(self) -> AddressCache:
         nodes = self._rng.sample(self._nodes, len(self._nodes))
-        return Site(name=f"{self._rng.getrandbits(64):x}", nodes=nodes)
+        return AddressCache(name=f"{self._rng.getrandbits(64):x}", nodes=nodes)
 
-    def _keep_asking(self) -> None:
-        while not self._stopped.wait(min(site.keep_s for site in self._sites)):
-            for site in self._sites:
-                site.refresh()
+    def _refresh_periodically(self) -> None:
+        while not self._stopped.wait(min(cache.keep_s for cache in self._caches)):
+            for cache in self._caches:
+                cache.refresh()
 
 
-def _ask(address: str, site: str) -> _Told | None:
-    conn = http.client.HTTPConnection(address, timeout=ASK_TIMEOUT_S)
+def _query_addresses(address: str, name: str) -> _AddressAnswer | None:
+    conn = http.client.HTTPConnection(address, timeout=QUERY_TIMEOUT_S)
     try:
-        conn.request("GET", "/v1/addresses", headers={"X-Caller-Seed": site})
+        conn.request("GET", "/v1/addresses", headers={"X-Caller-Seed": name})
         resp = conn.getresponse()
         raw = resp.read()
     except (OSError, http.client.HTTPException):
@@ -145,7 +145,7 @@
         return None
     document = json.loads(raw)
     entries = tuple(
-        Entry(address=one["http"], key_prefix=one["key_prefix"])
-        for one in document["addresses"]
+        Entry(address=entry["http"], key_prefix=entry["key_prefix"])
+        for entry in document["addresses"]
     )
-    return _Told(entries=entries, keep_s=document["keep_ms"] / MS_PER_S)
+    return _AddressAnswer(entries=entries, keep_s=document["keep_ms"] / MS_PER_S)
--- a/baobabwing/bench/driver.py
+++ b/baobabwing/bench/driver.py
@@ -20,7 +20,7 @@
 
 from baobabwing.bench.answers import Answer, Verdict
 from baobabwing.bench.arrivals import Arrival, Form, own_text, shared_text
-from baobabwing.bench.directory import Directory, Entry, Site
+from baobabwing.bench.directory import AddressCache, Directory, Entry
 from baobabwing.bench.transcripts import (
     Judgement,
     Piece,
@@ -39,7 +39,7 @@
     "write_plan",
 ]
 
-STACK_BYTES = 256 * 1024
+THREAD_STACK_BYTES = 256 * 1024
 READ_BYTES = 64 * 1024
 MS_PER_S = 1_000.0
 OK_STATUS = 200
@@ -47,9 +47,9 @@
 EVENT_STREAM = "text/event-stream"
 STREAM_END = b"data: [DONE]\n\n"
 # How long past its deadline a caller still listens for an answer.
-PATIENCE_S = 10.0
-PROGRESS_S = 0.5
-COME_BACK_PAUSES_S = (0.1, 0.3, 1.0, 2.0)
+RESPONSE_GRACE_S = 10.0
+PROGRESS_INTERVAL_S = 0.5
+RETRY_DELAYS_S = (0.1, 0.3, 1.0, 2.0)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -70,7 +70,7 @@
     keys: dict[str, str]
     arrivals: tuple[Arrival, ...]
     direct: bool = False
-    pauses_s: tuple[float, ...] = COME_BACK_PAUSES_S
+    pauses_s: tuple[float, ...] = RETRY_DELAYS_S
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -82,7 +82,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class _Raw:
+class _UnjudgedAnswer:
     """An answer before it is judged."""
 
     arrival: Arrival
@@ -97,10 +97,10 @@
     def __init__(self, *, plan: Plan, directory: Directory) -> None:
         self._plan = plan
         self._directory = directory
-        self._raws: list[_Raw] = []
+        self._unjudged_answers: list[_UnjudgedAnswer] = []
 
-    def raws(self) -> list[_Raw]:
-        return self._raws
+    def unjudged_answers(self) -> list[_UnjudgedAnswer]:
+        return self._unjudged_answers
 
     def call(self, arrival: Arrival) -> None:
         """Send one request and keep its answer; never raises.
@@ -108,58 +108,62 @@
         A caller whose connection broke asks again with the same key, at another
         address if need be, since the system promises not to run the key twice.
         """
-        site = self._directory.choose()
-        raw = self._try(site, arrival, Answer(index=arrival.index, verdict=UNKNOWN))
+        cache = self._directory.choose()
+        unjudged = self._attempt(
+            cache, arrival, Answer(index=arrival.index, verdict=UNKNOWN)
+        )
         for pause_s in self._plan.pauses_s:
-            if not _is_unknown(raw):
+            if not _is_unknown(unjudged):
                 break
             time.sleep(pause_s)
             if self._now_s() - arrival.at_s > arrival.deadline_ms / MS_PER_S:
                 break
-            raw = self._try(site, arrival, raw.answer)
-        self._raws.append(raw)
+            unjudged = self._attempt(cache, arrival, unjudged.answer)
+        self._unjudged_answers.append(unjudged)
 
-    def _try(self, site: Site, arrival: Arrival, last: Answer) -> _Raw:
+    def _attempt(
+        self, cache: AddressCache, arrival: Arrival, previous: Answer
+    ) -> _UnjudgedAnswer:
         """Ask once, after ``last``, which had no try or an unknown end."""
-        key = last.key
+        key = previous.key
         answer = Answer(
             index=arrival.index,
             verdict=UNKNOWN,
             key=key,
-            tries=last.tries + 1,
+            tries=previous.tries + 1,
             sent_s=self._now_s(),
         )
         try:
-            conn, entry = self._connect(site, arrival, avoid=last.address)
+            conn, entry = self._connect(cache, arrival, avoid=previous.address)
         except OSError as exc:
             # Before the first byte nothing can have run; later it is not known.
             verdict = UNKNOWN if key else Verdict.ERROR
             code = f"no_connection_{type(exc).__name__}"
             answer = replace(answer, verdict=verdict, code=code, end_s=self._now_s())
-            return _Raw(arrival=arrival, answer=answer)
+            return _UnjudgedAnswer(arrival=arrival, answer=answer)
         key = key or self._new_key(arrival, entry)
         answer = replace(answer, key=key, address=entry.address)
         return self._exchange(conn, arrival, answer)
 
     def _exchange(
         self, conn: http.client.HTTPConnection, arrival: Arrival, answer: Answer
-    ) -> _Raw:
+    ) -> _UnjudgedAnswer:
         pieces: list[Piece] = []
-        kind = ""
+        content_type = ""
         try:
             self._send(conn, arrival, answer.key)
             resp = conn.getresponse()
-            kind = resp.getheader("Content-Type", "")
-            answer = _with_head(answer, resp)
+            content_type = resp.getheader("Content-Type", "")
+            answer = _with_response_head(answer, resp)
             self._read(resp, pieces)
         except (OSError, http.client.HTTPException) as exc:
             answer = replace(answer, code=f"broken_{type(exc).__name__}")
         finally:
             conn.close()
-        return _Raw(
+        return _UnjudgedAnswer(
             arrival=arrival,
             answer=replace(answer, end_s=self._now_s()),
-            content_type=kind,
+            content_type=content_type,
             pieces=tuple(pieces),
         )
 
@@ -168,17 +172,17 @@
         return f"{prefix}{self._plan.run}-{arrival.index}"
 
     def _connect(
-        self, site: Site, arrival: Arrival, *, avoid: str
+        self, cache: AddressCache, arrival: Arrival, *, avoid: str
     ) -> tuple[http.client.HTTPConnection, Entry]:
         """Connect to an address; a refused connect has sent nothing, so go on."""
-        timeout_s = arrival.deadline_ms / MS_PER_S + PATIENCE_S
-        for entry in site.entries(avoid=avoid):
+        timeout_s = arrival.deadline_ms / MS_PER_S + RESPONSE_GRACE_S
+        for entry in cache.entries(avoid=avoid):
             conn = http.client.HTTPConnection(entry.address, timeout=timeout_s)
             try:
                 conn.connect()
             except OSError:
                 conn.close()
-                site.drop(entry)
+                cache.remove(entry)
             else:
                 return conn, entry
         raise ConnectionRefusedError("no address left")
@@ -212,7 +216,7 @@
 
     Open loop: a request is sent at its time even while earlier ones wait.
     """
-    threading.stack_size(STACK_BYTES)
+    threading.stack_size(THREAD_STACK_BYTES)
     gc.freeze()
     rng = random.Random(plan.seed)
     directory = Directory(nodes=plan.nodes, rng=rng, direct=plan.direct)
@@ -221,7 +225,7 @@
     threads: list[threading.Thread] = []
     stopped = threading.Event()
     threading.Thread(
-        target=_tell_progress, args=(threads, caller, stopped), daemon=True
+        target=_report_progress, args=(threads, caller, stopped), daemon=True
     ).start()
     for arrival in plan.arrivals:
         _sleep_until(plan.start_at + arrival.at_s)
@@ -232,7 +236,7 @@
         thread.join()
     stopped.set()
     directory.stop()
-    return [_judge(raw) for raw in caller.raws()]
+    return [_judge(unjudged) for unjudged in caller.unjudged_answers()]
 
 
 def write_plan(path: Path, plan: Plan) -> None:
@@ -242,13 +246,13 @@
 
 def read_plan(path: Path) -> Plan:
     """Read a plan."""
-    raw = json.loads(path.read_text(encoding="utf-8"))
-    raw["nodes"] = tuple(raw["nodes"])
-    raw["pauses_s"] = tuple(raw["pauses_s"])
-    raw["arrivals"] = tuple(
-        Arrival(**{**item, "form": Form(item["form"])}) for item in raw["arrivals"]
+    document = json.loads(path.read_text(encoding="utf-8"))
+    document["nodes"] = tuple(document["nodes"])
+    document["pauses_s"] = tuple(document["pauses_s"])
+    document["arrivals"] = tuple(
+        Arrival(**{**item, "form": Form(item["form"])}) for item in document["arrivals"]
     )
-    return Plan(**raw)
+    return Plan(**document)
 
 
 def read_answers(path: Path) -> list[Answer]:
@@ -270,17 +274,17 @@
     """Carry out the plan of the first file, write answers to the second."""
     plan_path, answers_path = (Path(argument) for argument in arguments)
     answers = drive(read_plan(plan_path))
-    part = answers_path.with_suffix(".part")
-    part.write_text(json.dumps([asdict(one) for one in answers]), encoding="utf-8")
-    part.rename(answers_path)
+    temporary = answers_path.with_suffix(".part")
+    temporary.write_text(json.dumps([asdict(one) for one in answers]), encoding="utf-8")
+    temporary.rename(answers_path)
     return 0
 
 
-def _tell_progress(
+def _report_progress(
     threads: Sequence[threading.Thread], caller: _Caller, stopped: threading.Event
 ) -> None:
-    while not stopped.wait(PROGRESS_S):
-        progress = Progress(sent=len(threads), done=len(caller.raws()))
+    while not stopped.wait(PROGRESS_INTERVAL_S):
+        progress = Progress(sent=len(threads), done=len(caller.unjudged_answers()))
         print(json.dumps(asdict(progress)), flush=True)
 
 
@@ -292,12 +296,12 @@
         "max_tokens": arrival.output_tokens,
         "stream": arrival.stream,
     }
-    head, own = shared_text(arrival), own_text(arrival)
+    shared, unshared = shared_text(arrival), own_text(arrival)
     if arrival.form is Form.COMPLETION:
-        body["prompt"] = f"{head}\n{own}" if head else own
+        body["prompt"] = f"{shared}\n{unshared}" if shared else unshared
         return body
-    messages = [{"role": "system", "content": head}] if head else []
-    messages.append({"role": "user", "content": own})
+    messages = [{"role": "system", "content": shared}] if shared else []
+    messages.append({"role": "user", "content": unshared})
     body["messages"] = messages
     return body
 
@@ -310,60 +314,60 @@
     return f"/v1/services/{arrival.target}/{arrival.work}"
 
 
-def _with_head(answer: Answer, resp: http.client.HTTPResponse) -> Answer:
+def _with_response_head(answer: Answer, resp: http.client.HTTPResponse) -> Answer:
     return replace(
         answer,
         status=resp.status,
         request_id=resp.getheader("X-Request-Id", ""),
-        retry_after_s=_seconds(resp.getheader("Retry-After", "")),
+        retry_after_s=_parse_seconds(resp.getheader("Retry-After", "")),
     )
 
 
-def _seconds(value: str) -> float:
+def _parse_seconds(value: str) -> float:
     try:
         return float(value)
     except ValueError:
         return 0.0
 
 
-def _is_unknown(raw: _Raw) -> bool:
+def _is_unknown(unjudged: _UnjudgedAnswer) -> bool:
     """Tell whether the caller does not know what became of its request."""
-    answer = raw.answer
-    last = raw.pieces[-1].data if raw.pieces else b""
-    streamed = raw.content_type.startswith(EVENT_STREAM)
-    ended = last.endswith(STREAM_END) or not streamed
+    answer = unjudged.answer
+    last_data = unjudged.pieces[-1].data if unjudged.pieces else b""
+    streamed = unjudged.content_type.startswith(EVENT_STREAM)
+    ended = last_data.endswith(STREAM_END) or not streamed
     if answer.status == OK_STATUS and not answer.code and ended:
         return False
-    return _judge(raw).verdict is UNKNOWN
+    return _judge(unjudged).verdict is UNKNOWN
 
 
-def _judge(raw: _Raw) -> Answer:
-    if raw.answer.verdict is Verdict.ERROR:
-        return raw.answer
-    if not raw.answer.status:
-        return raw.answer
-    judgement = _judge_bytes(raw)
-    times = judgement.token_times or (raw.answer.end_s,)
+def _judge(unjudged: _UnjudgedAnswer) -> Answer:
+    if unjudged.answer.verdict is Verdict.ERROR:
+        return unjudged.answer
+    if not unjudged.answer.status:
+        return unjudged.answer
+    judgement = _judge_bytes(unjudged)
+    times = judgement.token_times or (unjudged.answer.end_s,)
     gaps_ms = tuple(
         round((later - earlier) * MS_PER_S, 2)
         for earlier, later in zip(times, times[1:], strict=False)
     )
     return replace(
-        raw.answer,
+        unjudged.answer,
         verdict=judgement.verdict,
-        code=raw.answer.code or judgement.code,
+        code=unjudged.answer.code or judgement.code,
         first_s=times[0],
         gaps_ms=gaps_ms,
     )
 
 
-def _judge_bytes(raw: _Raw) -> Judgement:
-    if raw.content_type.startswith(EVENT_STREAM):
-        return judge_stream(raw.arrival, raw.pieces)
-    body = b"".join(piece.data for piece in raw.pieces)
-    if raw.answer.code:
-        return Judgement(verdict=Verdict.UNKNOWN, code=raw.answer.code)
-    return judge_whole(raw.arrival, raw.answer.status, body)
+def _judge_bytes(unjudged: _UnjudgedAnswer) -> Judgement:
+    if unjudged.content_type.startswith(EVENT_STREAM):
+        return judge_stream(unjudged.arrival, unjudged.pieces)
+    body = b"".join(piece.data for piece in unjudged.pieces)
+    if unjudged.answer.code:
+        return Judgement(verdict=Verdict.UNKNOWN, code=unjudged.answer.code)
+    return judge_whole(unjudged.arrival, unjudged.answer.status, body)
 
 
 def _sleep_until(at: float) -> None:
--- a/tests/bench/test_directory.py
+++ b/tests/bench/test_directory.py
@@ -21,7 +21,8 @@
 
     def do_GET(self):  # noqa: N802
         addresses = [
-            {"http": one.address, "key_prefix": one.key_prefix} for one in self.entries
+            {"http": entry.address, "key_prefix": entry.key_prefix}
+            for entry in self.entries
         ]
         document = {"addresses": addresses, "keep_ms": KEEP_MS, "key_prefix": "x"}
         body = json.dumps(document).encode()
@@ -58,23 +59,23 @@
     And when the node of that prefix is dead, nobody can run such a request.
     """
     directory.start()
-    site = directory.choose()
-    assert site.entries() == (FIRST, SECOND)
-    assert site.entries(avoid=FIRST.address) == (SECOND, FIRST)
+    cache = directory.choose()
+    assert cache.entries() == (FIRST, SECOND)
+    assert cache.entries(avoid=FIRST.address) == (SECOND, FIRST)
 
 
 def test_answer_is_asked_for_again_after_its_keep_time(directory, node):
     directory.start()
-    site = directory.choose()
+    cache = directory.choose()
     node[1].entries = (SECOND,)
-    assert wait_until(lambda: site.entries() == (SECOND,), timeout_s=10)
+    assert wait_until(lambda: cache.entries() == (SECOND,), timeout_s=10)
 
 
 def test_dropped_address_comes_back_with_the_next_answer(directory):
     directory.start()
-    site = directory.choose()
-    site.drop(FIRST)
-    assert wait_until(lambda: site.entries() == (FIRST, SECOND), timeout_s=10)
+    cache = directory.choose()
+    cache.remove(FIRST)
+    assert wait_until(lambda: cache.entries() == (FIRST, SECOND), timeout_s=10)
 
 
 def test_no_node_to_ask_is_an_error():
