Reword docstrings, comments and messages of the bench, answers to driver

Every reason and number is kept; calm and all_median_s of the figures of changes are documented now.

Stories at the heads of tests/bench say which failure they guard against; all their figures stay. No assertion changes.

--- a/baobabwing/bench/answers.py
+++ b/baobabwing/bench/answers.py
@@ -1,4 +1,4 @@
-"""What a caller saw of one request, and how it is judged."""
+"""Result of a request as its caller observed it, and its verdict."""
 
 from __future__ import annotations
 
@@ -9,9 +9,9 @@
 
 
 class Verdict(StrEnum):
-    """How a request ended for its caller.
+    """Outcome of a request from its caller's point of view.
 
-    ``whole`` is only the text; whether it was in time is judged apart.
+    ``whole`` refers to the text only; the deadline is checked separately.
     """
 
     WHOLE = "whole"
@@ -23,19 +23,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Answer:
-    """One request as its caller saw it; times in seconds from the run's start.
+    """Answer to a request; times are in seconds from the start of the run.
 
     :param index: index of the arrival.
     :param key: the idempotency key that was sent.
-    :param request_id: the id that the system gave it, if it said one.
-    :param status: HTTP status; 0 if no head came.
-    :param code: the system's word for a refusal, or what broke.
-    :param tries: how often it was asked for, each time with the same key.
-    :param sent_s: when the last try began.
-    :param first_s: when the first token came; the end for an unstreamed answer.
-    :param end_s: when the answer was over.
+    :param request_id: the id assigned by the system, empty if none was returned.
+    :param status: HTTP status; 0 if no response head was received.
+    :param code: error code of the system, or the failure of the connection.
+    :param tries: number of attempts, all with the same key.
+    :param sent_s: start of the last attempt.
+    :param first_s: arrival of the first token, or the end if not streamed.
+    :param end_s: end of the answer.
     :param gaps_ms: times between consecutive tokens of a stream.
-    :param retry_after_s: when the system said to come back; 0 if it did not.
+    :param retry_after_s: value of the Retry-After header; 0 if there was none.
     """
 
     index: int
--- a/baobabwing/bench/arrivals.py
+++ b/baobabwing/bench/arrivals.py
@@ -1,4 +1,4 @@
-"""Requests of a run, computed beforehand from the seed alone."""
+"""Generation of the requests of a run in advance, determined by the seed."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class Form(StrEnum):
-    """How a request is put to the system."""
+    """API through which a request is sent."""
 
     CHAT = "chat"
     COMPLETION = "completion"
@@ -35,35 +35,35 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Lengths:
-    """Bounds of a length in tokens; lengths are log-uniform between them."""
+    """Log-uniform distribution of a length in tokens, given by its bounds."""
 
     minimum: int
     maximum: int
 
     def mean(self) -> float:
-        """Return the expected length."""
+        """Return the expected value."""
         if self.minimum == self.maximum:
             return float(self.minimum)
         return (self.maximum - self.minimum) / math.log(self.maximum / self.minimum)
 
     def draw(self, rng: random.Random) -> int:
-        """Draw one length."""
+        """Return a random length."""
         low, high = math.log(self.minimum), math.log(self.maximum)
         return round(math.exp(rng.uniform(low, high)))
 
 
 @dataclass(frozen=True, kw_only=True)
 class Work:
-    """One kind of request.
+    """Class of requests with common parameters.
 
     :param target: the model, or the pool of a plain service.
-    :param own: tokens of the prompt that no other request shares.
-    :param output: tokens of the answer.
-    :param shared: tokens at the head of the prompt that a group shares.
-    :param groups: number of different shared heads.
-    :param non_idempotent: whether it must never run twice.
-    :param own_key: whether its key is of the caller's own making, bound to no node.
-    :param deadline_ms: the caller's own deadline; 0 leaves it to the tier.
+    :param own: length of the prompt part that is unique to a request.
+    :param output: length of the answer.
+    :param shared: length of the prompt prefix that the requests of a group share.
+    :param groups: number of distinct shared prefixes.
+    :param non_idempotent: whether a request must never run twice.
+    :param own_key: whether the caller chooses a key that is bound to no node.
+    :param deadline_ms: the caller's deadline; 0 selects that of the tier.
     """
 
     name: str
@@ -82,11 +82,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Phase:
-    """A part of the run with a constant offered load.
+    """Part of a run with a constant offered load.
 
-    :param start: begin, as a share of the run.
-    :param end: end, as a share of the run.
-    :param load: engine time offered, as a share of the pool's capacity.
+    :param start: start, as a fraction of the run.
+    :param end: end, as a fraction of the run.
+    :param load: offered engine time, as a fraction of the pool's capacity.
     """
 
     start: float
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Stream:
-    """Requests of one kind over the phases of a run."""
+    """Requests of one class over the phases of a run."""
 
     work: Work
     phases: tuple[Phase, ...]
@@ -104,13 +104,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Arrival:
-    """One request of a run.
+    """Request of a run.
 
-    :param index: position in the run; unique.
-    :param at_s: when it is sent, from the start of the run, in seconds.
+    :param index: unique position in the run.
+    :param at_s: scheduled sending time, in seconds from the start of the run.
     :param pool: the pool that serves it.
-    :param group: which shared head its prompt has.
-    :param deadline_ms: when a whole answer is late, from ``at_s``.
+    :param group: index of the shared prompt prefix.
+    :param deadline_ms: latest end of the answer, relative to ``at_s``.
     """
 
     index: int
@@ -133,26 +133,27 @@
 
     @property
     def prompt_tokens(self) -> int:
-        """Tokens of the whole prompt."""
+        """Number of tokens of the complete prompt."""
         return self.shared_tokens + self.own_tokens
 
     @property
     def to_engine(self) -> bool:
-        """Whether an engine, and not a plain service, answers it."""
+        """Whether the request goes to an engine rather than to a plain service."""
         return self.form is not Form.SERVICE
 
 
 def draw_arrivals(
     shape: Shape, streams: Sequence[Stream], *, seed: int, seconds: float
 ) -> tuple[Arrival, ...]:
-    """Compute all requests of a run, in the order in which they are sent.
+    """Generate all requests of a run, in sending order.
 
-    Each stream is a Poisson process whose rate follows from the share of capacity
-    that its phases ask for, so the load is open: no request waits for another's
-    answer. Only the arguments decide the result; the policy under test does not.
+    Each stream is a Poisson process whose rate follows from the fraction of the
+    capacity that its phases request. The load is open-loop: no request waits for the
+    answer to another one. The result depends only on the arguments and not on the
+    policy under test.
 
-    :param seed: two runs with one seed have the same requests.
-    :param seconds: length of the run.
+    :param seed: runs with the same seed have the same requests.
+    :param seconds: duration of the run.
     """
     timed_requests = [
         arrival
@@ -169,18 +170,18 @@
 
 
 def shared_text(arrival: Arrival) -> str:
-    """Return the head of the prompt that the arrival's group shares."""
+    """Return the prompt prefix that the group of the arrival shares."""
     prefix = f"{arrival.work}{arrival.group}"
     return " ".join(f"{prefix}h{n}" for n in range(arrival.shared_tokens))
 
 
 def own_text(arrival: Arrival) -> str:
-    """Return the part of the prompt that no other request has."""
+    """Return the part of the prompt that is unique to the request."""
     return " ".join(f"r{arrival.index}w{n}" for n in range(arrival.own_tokens))
 
 
 def prompt_text(arrival: Arrival) -> str:
-    """Return the whole prompt, parts joined as the engines join messages."""
+    """Return the complete prompt, with its parts joined as engines join messages."""
     if not arrival.shared_tokens:
         return own_text(arrival)
     return f"{shared_text(arrival)}\n{own_text(arrival)}"
--- a/baobabwing/bench/capacity.py
+++ b/baobabwing/bench/capacity.py
@@ -1,4 +1,4 @@
-"""How much work a pool can do at most, from its stand-ins' parameters."""
+"""Upper bounds of the capacity of a pool, from the parameters of its stand-ins."""
 
 from __future__ import annotations
 
@@ -15,9 +15,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Job:
-    """Work that counts only between two times, in seconds from the run's start.
+    """Work that counts only if it is done between its start time and its deadline.
 
-    :param work: in pool-seconds.
+    Both times are in seconds from the start of the run.
+
+    :param work: amount of work in pool-seconds.
     """
 
     start_s: float
@@ -28,13 +30,13 @@
 def engine_seconds(
     spec: EngineSpec, *, prefill_tokens: float, output_tokens: float
 ) -> float:
-    """Return the share of an engine's time that one request takes up.
+    """Return a lower bound of the engine time that a request takes.
 
-    Prefill takes the engine alone; a decoding step is shared by a full batch, the
-    cheapest way to decode. Both make it a lower bound, so that the capacity which
-    follows from it is an upper bound.
+    Prefill is assumed to occupy the engine exclusively, and each decoding step to be
+    shared by a full batch, which is the cheapest way to decode. The capacity derived
+    from this bound is an upper bound.
 
-    :param prefill_tokens: prompt tokens that no cache holds.
+    :param prefill_tokens: prompt tokens that are not cached.
     """
     cfg = spec.engine
     full_step_ms = cfg.step_ms + cfg.step_ms_per_sequence * cfg.max_batch
@@ -44,17 +46,17 @@
 
 
 def _service_seconds(spec: ServiceSpec) -> float:
-    """Return the share of a service worker's time that one call takes up."""
+    """Return the time that a call takes, divided by the service's concurrency."""
     return spec.service.service_ms / MS_PER_S / spec.service.concurrency
 
 
 def pool_seconds(
     shape: Shape, pool: str, *, prefill_tokens: float = 0.0, output_tokens: float = 0.0
 ) -> float:
-    """Return the time that a whole pool, fully used, spends on one request.
+    """Return the time that a fully utilised pool spends on a request.
 
-    Its inverse is the rate of such requests that the pool sustains; a pool offers
-    one pool-second a second, whatever the requests.
+    Its inverse is the rate of such requests that the pool sustains. A pool provides
+    one pool-second per second, independent of the requests.
 
     :raises KeyError: if the shape has no upstream in that pool.
     """
@@ -70,11 +72,12 @@
 
 
 def max_work_within_deadlines(jobs: Iterable[Job]) -> float:
-    """Return the most pool-seconds of work that one pool can do in time.
+    """Return the maximum work in pool-seconds that a pool can do within deadlines.
 
-    Work counts by its amount, also where a job is done only in part, and jobs may be
-    interrupted; then "earliest deadline first" does the most. No real scheduler does
-    better, since it counts whole jobs only. Time grows as n log n.
+    Jobs are preemptible and partly completed jobs count by the amount of work done.
+    Earliest deadline first is optimal under these assumptions. It is an upper bound
+    for real schedulers, for which only completed jobs count. The running time is
+    O(n log n).
 
     References: C. L. Liu and J. W. Layland, "Scheduling Algorithms for
     Multiprogramming in a Hard-Real-Time Environment", Journal of the ACM 20(1), 1973.
@@ -92,7 +95,7 @@
 def _work_until(
     waiting: list[tuple[float, int, float]], now_s: float, until_s: float
 ) -> float:
-    """Do waiting work, the earliest deadline first, and return how much was done."""
+    """Process waiting jobs by earliest deadline and return the work that was done."""
     completed_work = 0.0
     while waiting and now_s < until_s:
         deadline_s, index, work = heapq.heappop(waiting)
--- a/baobabwing/bench/changes.py
+++ b/baobabwing/bench/changes.py
@@ -1,4 +1,7 @@
-"""Measures how soon changes and deaths are taken up, on real node processes.
+"""Measures how fast nodes react to configuration changes and to failures.
+
+It uses real node processes:
+
 
 ``python -m baobabwing.bench.changes --nodes 3,6,12 --output figures.json``
 """
@@ -54,11 +57,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PropagationTimes:
-    """Seconds from accepting until a change was in force, over some tries.
-
-    :param half_s: at half of the nodes; the worst try.
-    :param all_s: at all nodes; the worst try.
-    :param nowhere: tries in which no node had it within 3 s; not counted above.
+    """Seconds from accepting a change until nodes applied it, over several trials.
+
+    :param half_s: maximum over the trials of the time until half of the nodes
+        applied it.
+    :param all_s: maximum over the trials of the time until all nodes applied it.
+    :param all_median_s: median over the trials of the time until all nodes
+        applied it.
+    :param nowhere: trials in which no node applied it within 3 s; the other figures
+        exclude them.
     """
 
     tries: int
@@ -72,12 +79,13 @@
 class Figures:
     """Figures of one fleet size.
 
-    :param stopped: with the platform frozen right after accepting.
-    :param handed_over: the same, with the version handed to one node.
-    :param home_s: from the death of a cell's home to the first answer to a
-        request that was sent after it.
-    :param drain_s: from the confirmation of a drain to the last dispatch to the
-        drained engine; 0 if there was none after it.
+    :param calm: with the platform available.
+    :param stopped: with the platform frozen immediately after accepting.
+    :param handed_over: as ``stopped``, with the version handed over to one node.
+    :param home_s: seconds from killing the home of a cell until the end of the first
+        answer to a request that was sent afterwards.
+    :param drain_s: seconds from confirming a drain until the last dispatch to the
+        drained engine; 0 if nothing was dispatched after the confirmation.
     """
 
     nodes: int
@@ -89,7 +97,7 @@
 
 
 class _Fleet(Site):
-    """A site of many small nodes that tells when each took a version up."""
+    """Site of many small nodes that reports when each node applied a version."""
 
     def __init__(self, *, group: ProcessGroup, nodes: int) -> None:
         super().__init__(group=group, shape=replace(trial_shape(), nodes=nodes))
@@ -98,7 +106,7 @@
         return TableClient(url=f"http://{self.platform}", timeout_s=TABLES_TIMEOUT_S)
 
     def applied_at(self, node: str, version: int) -> float | None:
-        """Return when a node put a version or a higher one in force, by its log."""
+        """Return when a node logged that it applied a version or a higher one."""
         for line in self.group.get(node).log.read_text().splitlines():
             with suppress(ValueError, KeyError):
                 entry = json.loads(line)
@@ -111,9 +119,10 @@
         return [at for at in found if at is not None]
 
     def is_whole(self) -> bool:
-        """Tell whether every node is ready and counts all of them as serving.
+        """Return whether every node is ready and counts all nodes as serving.
 
-        Address answers name some nodes of a large fleet only.
+        The metric is used because address answers list only some nodes of a large
+        fleet.
         """
         counts = (self._gauge(name, _SERVING_MEMBERS) for name in self.nodes)
         ready = (answers_ok(address, "/readyz") for address in self.nodes.values())
@@ -121,7 +130,7 @@
 
     def wait_until_complete(self) -> None:
         if not wait_until(self.is_whole, timeout_s=READY_S, poll_s=1.0):
-            raise ProcessError("the fleet did not become whole", step="wait")
+            raise ProcessError("not all nodes became ready in time", step="wait")
 
     def _start_node(self, name: str, *, zone: str) -> None:
         super()._start_node(name, zone=zone)
@@ -132,14 +141,14 @@
             "worker_threads": WORKER_THREADS,
             "connections": CONNECTIONS,
         }
-        # Pace of the membership as nodes have it by default.
+        # Use the default timing of the membership protocol.
         del settings["membership"]
         path.write_text(json.dumps(settings, indent=2), encoding="utf-8")
         self.restart_node(name)
 
 
 class _Load:
-    """Callers that send one short chat turn after another to some nodes."""
+    """Callers that send short chat turns to the given nodes in a closed loop."""
 
     def __init__(self, fleet: _Fleet, nodes: list[str]) -> None:
         self._fleet = fleet
@@ -162,7 +171,7 @@
             thread.join()
 
     def first_answer_after(self, at: float) -> float | None:
-        """Return when the first answer to a request sent after a time had ended."""
+        """Return the earliest end of an answer to a request sent after a time."""
         ends = [
             item.ended_s
             for item in tuple(self.transcripts)
@@ -178,7 +187,7 @@
 
 
 def measure(nodes: int) -> Figures:
-    """Measure a fleet of some nodes; everything that is started is ended."""
+    """Measure a fleet of the given size and stop all its processes afterwards."""
     with ProcessGroup() as group:
         fleet = _Fleet(group=group, nodes=nodes)
         fleet.start()
@@ -200,8 +209,8 @@
 ) -> PropagationTimes:
     half_times, all_times, nowhere = [], [], 0
     for trial in range(TRIALS):
-        # Nodes look at the store about once a second when few; the pauses differ
-        # so that tries do not meet the same moment between two looks.
+        # Nodes of small fleets poll the store about once a second. The delay varies
+        # so that trials start at different points of the poll interval.
         time.sleep(0.3 + 0.17 * trial)
         cfg, accepted = change(fleet)
         applied_somewhere = wait_until(
@@ -229,7 +238,7 @@
         return len(fleet.applied_times(cfg.version)) == len(fleet.nodes)
 
     if not wait_until(applied_everywhere, timeout_s=CONVERGENCE_TIMEOUT_S, poll_s=0.2):
-        raise ProcessError("not in force everywhere", step=f"version {cfg.version}")
+        raise ProcessError("not applied by all nodes", step=f"version {cfg.version}")
     return fleet.applied_times(cfg.version)
 
 
@@ -267,7 +276,7 @@
     fleet.restart_node(home)
     fleet.wait_until_complete()
     if answered is None:
-        raise ProcessError("no new home", step="death", peer=home)
+        raise ProcessError("no answer from a new home", step="death", peer=home)
     return round(answered - killed, 3)
 
 
@@ -309,10 +318,12 @@
 
 
 def main(
-    nodes: Annotated[str, typer.Option(help="Sizes of fleets, by commas.")] = "3,6,12",
-    output: Annotated[Path | None, typer.Option(help="File for JSON.")] = None,
+    nodes: Annotated[
+        str, typer.Option(help="Fleet sizes, separated by commas.")
+    ] = "3,6,12",
+    output: Annotated[Path | None, typer.Option(help="JSON file to write.")] = None,
 ) -> None:
-    """Measure fleets of several sizes, one after another."""
+    """Measure fleets of several sizes in sequence."""
     found = []
     for figures in _run_all(int(size) for size in nodes.split(",")):
         found.append(asdict(figures))
--- a/baobabwing/bench/control.py
+++ b/baobabwing/bench/control.py
@@ -1,4 +1,4 @@
-"""Control calls to stand-ins and probes of nodes."""
+"""HTTP client for the control API of stand-ins and for probes of nodes."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 def answers_ok(address: str, path: str) -> bool:
-    """Tell whether a GET is answered with 200."""
+    """Return whether a GET request is answered with status 200."""
     try:
         return _call(address, "GET", path, timeout_s=PROBE_TIMEOUT_S)[0] == OK_STATUS
     except ProcessError:
@@ -25,29 +25,35 @@
 
 
 def get_json(address: str, path: str) -> Any:
-    """Return the JSON that a GET answers.
+    """Return the JSON document of the answer to a GET request.
 
-    :raises ProcessError: if there is no answer, or another status than 200.
+    :raises ProcessError: if there is no answer or its status is not 200.
     """
     status, body = _call(address, "GET", path)
     if status != OK_STATUS:
-        raise ProcessError(f"GET {path} gave {status}", step="control", peer=address)
+        raise ProcessError(
+            f"GET {path} returned status {status}", step="control", peer=address
+        )
     return json.loads(body)
 
 
 def set_fault(address: str, fault: str, *, value: object = None) -> None:
-    """Put a fault of a stand-in into force, until it is cleared.
+    """Activate a fault of a stand-in until it is cleared.
 
-    :raises ProcessError: if the stand-in does not take it.
+    :raises ProcessError: if the stand-in rejects it or does not answer.
     """
     document = json.dumps({"fault": fault, "value": value}).encode()
     status, _ = _call(address, "POST", "/control/faults", body=document)
     if status != NO_CONTENT_STATUS:
-        raise ProcessError(f"fault {fault} gave {status}", step="control", peer=address)
+        raise ProcessError(
+            f"setting fault {fault} returned status {status}",
+            step="control",
+            peer=address,
+        )
 
 
 def clear_faults(address: str) -> None:
-    """Take all faults of a stand-in out of force.
+    """Clear all faults of a stand-in.
 
     :raises ProcessError: if the stand-in does not answer.
     """
--- a/baobabwing/bench/demo.py
+++ b/baobabwing/bench/demo.py
@@ -1,4 +1,4 @@
-"""Checks that a run went as it must."""
+"""Correctness checks of a finished run."""
 
 from __future__ import annotations
 
@@ -14,11 +14,11 @@
 
 
 def demo_faults(run: Run, exits: dict[str, int]) -> list[str]:
-    """Return what is wrong with a run under light load; nothing if all is well.
+    """Return the violations of a run under light load, including safety violations.
 
-    Every request must have been answered whole with its own text, executed by
-    exactly one upstream exactly once and to its end, and every node must have
-    stopped gracefully. What was executed is taken from the upstreams' records.
+    Every request must have been answered completely with its own text and executed
+    exactly once to completion, and every node must have stopped gracefully. The
+    executions are taken from the upstreams' records.
     """
     executed = by_request(run.answers, run.executions)
     messages = []
@@ -38,11 +38,11 @@
 
 
 def safety_faults(run: Run, exits: dict[str, int]) -> list[str]:
-    """Return what must never be in any run, whatever the load and the fault.
+    """Return the violations that are errors under any load and any fault.
 
-    A request was executed twice, or although its caller was told "not run"; a caller
-    got another text than its own; an upstream executed what nobody asked for; a node
-    did not stop gracefully.
+    These are: a request executed more than once, or executed although its caller was
+    told "not run"; a caller that received the text of another request; an execution
+    without a request; a node that did not stop gracefully.
     """
     executed = by_request(run.answers, run.executions)
     answers = {answer.index: answer for answer in run.answers}
--- a/baobabwing/bench/deployments.py
+++ b/baobabwing/bench/deployments.py
@@ -1,4 +1,4 @@
-"""A whole deployment as real processes: platform, upstreams and nodes."""
+"""Complete deployment of real processes: platform, upstreams and nodes."""
 
 from __future__ import annotations
 
@@ -32,17 +32,17 @@
 READY_TIMEOUT_S = 60.0
 STOP_DEADLINE_MS = 20_000
 STOP_TIMEOUT_S = 40.0
-# Short, so that callers of a run of seconds hear of changes as they would in one
-# of hours.
+# Short, so that callers refresh their addresses several times even in runs that
+# last only seconds.
 ADDRESS_KEEP_MS = 2_000
 SECRET_BYTES = 16
 
 
 class Deployment:
-    """Processes of one shape, started in the order in which they need each other.
+    """Processes of a shape, started in the order of their dependencies.
 
-    :param group: which starts the processes, and ends them with its block.
-    :param nodes: number of node processes; the shape's own number if 0.
+    :param group: group that starts the processes and ends them on exit.
+    :param nodes: number of node processes; 0 selects that of the shape.
     """
 
     def __init__(
@@ -67,11 +67,11 @@
 
     @property
     def node_names(self) -> tuple[str, ...]:
-        """Names of all nodes, ended ones included."""
+        """Names of all nodes, including those that have ended."""
         return tuple(self.nodes)
 
     def start(self) -> None:
-        """Start everything and wait until every node is ready.
+        """Start all processes and wait until every node is ready.
 
         :raises ProcessError: if a process ends or is not ready in time.
         """
@@ -83,21 +83,22 @@
             self._wait_ready(name, address, "/readyz")
 
     def stop(self) -> dict[str, int]:
-        """Stop all living nodes gracefully, all at once.
+        """Stop all running nodes gracefully and concurrently.
 
-        :returns: exit status by name.
+        :returns: exit status by node name.
         :raises ProcessError: if a node does not stop in time.
         """
         return self._group.stop_all(self.living_nodes(), timeout_s=STOP_TIMEOUT_S)
 
     def living_nodes(self) -> list[str]:
-        """Return the names of the nodes that run."""
+        """Return the names of the running nodes."""
         return [name for name in self.nodes if self._group.get(name).alive()]
 
     def engine_homes(self) -> list[str]:
-        """Return the nodes that are homes of cells of engines.
+        """Return the nodes that are the home of an engine cell.
 
-        Computed as the nodes do, from a view in which every living node serves.
+        Computed in the same way as by nodes, for a view in which every running node
+        is alive.
         """
         view = FleetView(
             members=tuple(
@@ -115,26 +116,26 @@
         return [home.name for home in homes if home is not None]
 
     def kill_node(self, name: str) -> None:
-        """End a node at once."""
+        """Kill a node."""
         self._group.kill(name)
 
     def kill_upstream(self, name: str) -> None:
-        """End an upstream at once, keeping what its record says till then."""
+        """Kill an upstream after saving its execution record."""
         self._final_records[name] = self._fetch_record(name)
         self._group.kill(name)
 
     def node_cpu_seconds(self) -> float:
-        """Return the processor time that the living nodes have used so far."""
+        """Return the total CPU time of the running nodes so far."""
         return sum(self._group.cpu_seconds(name) for name in self.living_nodes())
 
     def wait_idle(self, *, timeout_s: float) -> bool:
-        """Wait until no upstream runs anything; tell whether that came about."""
+        """Wait until all upstreams are idle and return whether they became so."""
         return wait_until(self._is_idle, timeout_s=timeout_s, poll_s=0.2)
 
     def executions(self, *, epoch_s: float) -> list[Executed]:
-        """Return what all upstreams executed, those that died included.
+        """Return the executions of all upstreams, including killed ones.
 
-        :param epoch_s: wall clock at the start of the run.
+        :param epoch_s: wall-clock time of the start of the run.
         """
         executed: list[Executed] = []
         for name in self.upstreams:
--- a/baobabwing/bench/directory.py
+++ b/baobabwing/bench/directory.py
@@ -1,4 +1,4 @@
-"""The addresses that callers may use, as the system told them."""
+"""Caches of the node addresses that the system announces to callers."""
 
 from __future__ import annotations
 
@@ -21,9 +21,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Entry:
-    """One address that callers may use.
+    """Address that callers may use.
 
-    :param key_prefix: what keys of requests begin with that are sent there.
+    :param key_prefix: prefix of the idempotency keys of requests sent to it.
     """
 
     address: str
@@ -37,12 +37,12 @@
 
 
 class AddressCache:
-    """Callers that share one address answer, such as an app's server.
+    """Address list shared by several callers, such as those of one app server.
 
     Thread safe.
 
-    :param name: tells sites apart towards the system.
-    :param nodes: ``host:port`` of nodes that may be asked when nothing else answers.
+    :param name: seed sent to the system, which selects addresses by it.
+    :param nodes: ``host:port`` of nodes to query if no cached address answers.
     """
 
     def __init__(self, *, name: str, nodes: Sequence[str]) -> None:
@@ -55,21 +55,21 @@
     def entries(self, *, avoid: str = "") -> tuple[Entry, ...]:
         """Return the entries in the order in which to try them.
 
-        :param avoid: an address that goes last.
+        :param avoid: address to try last.
         """
         return tuple(sorted(self._entries, key=lambda entry: entry.address == avoid))
 
     def set_entries(self, entries: Sequence[Entry]) -> None:
-        """Take entries without asking for them."""
+        """Set the entries without a query."""
         self._entries = tuple(entries)
 
     def remove(self, entry: Entry) -> None:
-        """Leave out an address that refused a connection until the next answer."""
+        """Remove an address that refused a connection until the next refresh."""
         with self._lock:
             self._entries = tuple(other for other in self._entries if other != entry)
 
     def refresh(self) -> bool:
-        """Ask known nodes in turn until one answers; tell whether one did."""
+        """Query the known nodes in turn and return whether one of them answered."""
         known = [entry.address for entry in self._entries]
         for address in dict.fromkeys((*known, *self._nodes)):
             answer = _query_addresses(address, self._name)
@@ -82,12 +82,13 @@
 
 
 class Directory:
-    """Sites with their address answers, each renewed when its keep time is over.
+    """Address caches, refreshed when their keep time has expired.
 
-    A thread asks, so that sending never waits for it.
+    A background thread sends the queries, so that sending requests never waits for
+    them.
 
-    :param nodes: ``host:port`` of nodes that may be asked first.
-    :param direct: whether ``nodes`` are used as they are, without asking.
+    :param nodes: ``host:port`` of nodes for the first query.
+    :param direct: whether to use ``nodes`` as they are, without queries.
     """
 
     def __init__(
@@ -100,7 +101,7 @@
         self._stopped = threading.Event()
 
     def start(self) -> None:
-        """Ask for the first time, then keep asking until stopped.
+        """Fill the caches, then refresh them periodically until stopped.
 
         :raises ProcessError: if no node answers.
         """
@@ -114,11 +115,11 @@
         threading.Thread(target=self._refresh_periodically, daemon=True).start()
 
     def stop(self) -> None:
-        """Stop asking."""
+        """Stop refreshing."""
         self._stopped.set()
 
     def choose(self) -> AddressCache:
-        """Return one site at random."""
+        """Return a random address cache."""
         return self._rng.choice(self._caches)
 
     def _new_cache(self) -> AddressCache:
--- a/baobabwing/bench/driver.py
+++ b/baobabwing/bench/driver.py
@@ -1,8 +1,8 @@
-"""The load client: sends each request at its time, whatever the answers do.
+"""Open-loop load client that sends each request at its scheduled time.
 
 Run as ``python -m baobabwing.bench.driver PLAN ANSWERS``; both are JSON files.
-One thread serves one open request. Bytes are kept with their times of arrival and
-judged after the run, so that checking costs nothing while load is on.
+Each open request has its own thread. Received bytes are stored with their arrival
+times and checked after the run, so that checking adds no load during the run.
 """
 
 from __future__ import annotations
@@ -46,7 +46,7 @@
 UNKNOWN = Verdict.UNKNOWN
 EVENT_STREAM = "text/event-stream"
 STREAM_END = b"data: [DONE]\n\n"
-# How long past its deadline a caller still listens for an answer.
+# Time after its deadline for which a caller still waits for an answer.
 RESPONSE_GRACE_S = 10.0
 PROGRESS_INTERVAL_S = 0.5
 RETRY_DELAYS_S = (0.1, 0.3, 1.0, 2.0)
@@ -54,13 +54,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Plan:
-    """What one driver process has to do.
+    """Input of a driver process.
 
-    :param nodes: ``host:port`` of nodes that may be asked for addresses.
+    :param nodes: ``host:port`` of nodes to query for addresses.
     :param start_at: start of the run on the monotonic clock of the host.
     :param keys: credential by ``organisation/tier``.
-    :param direct: whether ``nodes`` are upstreams to be spoken to directly.
-    :param pauses_s: before a caller asks again for an answer that broke off.
+    :param direct: whether ``nodes`` are upstreams to connect to directly.
+    :param pauses_s: delays before a caller retries a request whose outcome is
+        unknown to it.
     """
 
     run: str
@@ -75,7 +76,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Progress:
-    """How far a driver process has come, written to its output as a JSON line."""
+    """Progress of a driver process, written to its standard output as a JSON line."""
 
     sent: int
     done: int
@@ -83,7 +84,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class _UnjudgedAnswer:
-    """An answer before it is judged."""
+    """Received answer before it is checked."""
 
     arrival: Arrival
     answer: Answer
@@ -92,7 +93,7 @@
 
 
 class _Caller:
-    """Sends requests of one plan and keeps what came back."""
+    """Sends the requests of a plan and stores the answers."""
 
     def __init__(self, *, plan: Plan, directory: Directory) -> None:
         self._plan = plan
@@ -103,10 +104,10 @@
         return self._unjudged_answers
 
     def call(self, arrival: Arrival) -> None:
-        """Send one request and keep its answer; never raises.
+        """Send a request and store its answer; never raises.
 
-        A caller whose connection broke asks again with the same key, at another
-        address if need be, since the system promises not to run the key twice.
+        If the connection breaks, the request is retried with the same key, if
+        possible at another address. The system guarantees that a key runs only once.
         """
         cache = self._directory.choose()
         unjudged = self._attempt(
@@ -124,7 +125,11 @@
     def _attempt(
         self, cache: AddressCache, arrival: Arrival, previous: Answer
     ) -> _UnjudgedAnswer:
-        """Ask once, after ``last``, which had no try or an unknown end."""
+        """Send the request once.
+
+        :param previous: answer to the previous attempt, which is unknown, or an empty
+            one before the first attempt.
+        """
         key = previous.key
         answer = Answer(
             index=arrival.index,
@@ -136,7 +141,8 @@
         try:
             conn, entry = self._connect(cache, arrival, avoid=previous.address)
         except OSError as exc:
-            # Before the first byte nothing can have run; later it is not known.
+            # Without an earlier attempt nothing can have run; otherwise it is
+            # unknown.
             verdict = UNKNOWN if key else Verdict.ERROR
             code = f"no_connection_{type(exc).__name__}"
             answer = replace(answer, verdict=verdict, code=code, end_s=self._now_s())
@@ -174,7 +180,10 @@
     def _connect(
         self, cache: AddressCache, arrival: Arrival, *, avoid: str
     ) -> tuple[http.client.HTTPConnection, Entry]:
-        """Connect to an address; a refused connect has sent nothing, so go on."""
+        """Connect to the first reachable address.
+
+        A failed connect has sent nothing, so it is safe to try the next address.
+        """
         timeout_s = arrival.deadline_ms / MS_PER_S + RESPONSE_GRACE_S
         for entry in cache.entries(avoid=avoid):
             conn = http.client.HTTPConnection(entry.address, timeout=timeout_s)
@@ -185,7 +194,7 @@
                 cache.remove(entry)
             else:
                 return conn, entry
-        raise ConnectionRefusedError("no address left")
+        raise ConnectionRefusedError("no reachable address")
 
     def _send(
         self, conn: http.client.HTTPConnection, arrival: Arrival, key: str
@@ -212,9 +221,10 @@
 
 
 def drive(plan: Plan) -> list[Answer]:
-    """Send all requests of a plan and return the judged answers.
+    """Send all requests of a plan and return the checked answers.
 
-    Open loop: a request is sent at its time even while earlier ones wait.
+    The load is open-loop: requests are sent at their scheduled times even if earlier
+    ones have not been answered.
     """
     threading.stack_size(THREAD_STACK_BYTES)
     gc.freeze()
@@ -240,12 +250,12 @@
 
 
 def write_plan(path: Path, plan: Plan) -> None:
-    """Write a plan for a driver process."""
+    """Write a plan to a JSON file for a driver process."""
     path.write_text(json.dumps(asdict(plan)), encoding="utf-8")
 
 
 def read_plan(path: Path) -> Plan:
-    """Read a plan."""
+    """Read a plan from a JSON file."""
     document = json.loads(path.read_text(encoding="utf-8"))
     document["nodes"] = tuple(document["nodes"])
     document["pauses_s"] = tuple(document["pauses_s"])
@@ -271,7 +281,7 @@
 
 
 def main(arguments: Sequence[str]) -> int:
-    """Carry out the plan of the first file, write answers to the second."""
+    """Execute the plan in the first file and write the answers to the second."""
     plan_path, answers_path = (Path(argument) for argument in arguments)
     answers = drive(read_plan(plan_path))
     temporary = answers_path.with_suffix(".part")
@@ -331,7 +341,7 @@
 
 
 def _is_unknown(unjudged: _UnjudgedAnswer) -> bool:
-    """Tell whether the caller does not know what became of its request."""
+    """Return whether the caller does not know the outcome of its request."""
     answer = unjudged.answer
     last_data = unjudged.pieces[-1].data if unjudged.pieces else b""
     streamed = unjudged.content_type.startswith(EVENT_STREAM)
--- a/tests/bench/test_arrivals.py
+++ b/tests/bench/test_arrivals.py
@@ -1,4 +1,4 @@
-"""Arrivals follow from the seed alone and put the load that scenarios ask for."""
+"""Arrivals are determined by the seed and offer the load that scenarios specify."""
 
 import pytest
 
--- a/tests/bench/test_directory.py
+++ b/tests/bench/test_directory.py
@@ -1,4 +1,4 @@
-"""Callers use the addresses that the system tells, in its order."""
+"""Callers use the addresses that the system announces, in the announced order."""
 
 import http.server
 import json
@@ -54,9 +54,10 @@
 
 
 def test_addresses_come_in_the_order_told_each_with_its_own_prefix(directory):
-    """A key with the prefix of another address makes its request take a detour.
+    """Guard against keys with the prefix of another address.
 
-    And when the node of that prefix is dead, nobody can run such a request.
+    Such a request is forwarded to the node of that prefix, and cannot run at all if
+    that node is dead.
     """
     directory.start()
     cache = directory.choose()
--- a/tests/bench/test_driver.py
+++ b/tests/bench/test_driver.py
@@ -104,10 +104,10 @@
 
 
 def test_stream_cut_by_the_upstream_is_unknown(engine):
-    """A caller whose stream breaks off must not be counted as served.
+    """Guard against counting a truncated stream as served.
 
-    The engine sends three right tokens and cuts the connection; no end marker
-    came, so what the caller has is a part.
+    The engine sends three correct tokens and closes the connection without the end
+    marker, so the caller has only a part of the answer.
     """
     set_fault(engine, "cut_stream_after", value=3)
     try:
@@ -126,7 +126,7 @@
 
 
 def test_connection_closed_without_an_answer_is_unknown():
-    """A node that dies after it took a request leaves its caller in the dark."""
+    """The outcome is unknown if a node dies after it has received the request."""
     with socket.create_server((LOOPBACK, 0)) as server:
         threading.Thread(target=_accept_and_close, args=(server,), daemon=True).start()
         address = f"{LOOPBACK}:{server.getsockname()[1]}"
@@ -136,10 +136,10 @@
 
 
 def test_caller_asks_again_with_the_same_key_after_a_break(engine):
-    """A node dies while it relays an answer; the caller turns to another node.
+    """Guard against a retry with a new key, which could run the request twice.
 
-    The first connection closes without a word, the second reaches an engine. The
-    caller must use the key of its first try, or the request could run twice.
+    The first connection is closed without an answer, as if the node died while it
+    relayed one; the second connection reaches an engine.
     """
     seen = bytearray()
     with socket.create_server((LOOPBACK, 0)) as server:
--- a/tests/bench/test_figures.py
+++ b/tests/bench/test_figures.py
@@ -1,4 +1,4 @@
-"""Figures count what callers met and what the upstreams' records show."""
+"""Metrics are computed from callers' answers and upstreams' records."""
 
 from dataclasses import replace
 
@@ -58,7 +58,7 @@
 
 @pytest.fixture
 def calm():
-    """A run in which every request was answered by one execution."""
+    """Return a run in which every request was answered by one execution."""
     shape = tijera()
     streams = get_scenario("tijera-day").streams
     arrivals = draw_arrivals(shape, streams, seed=1, seconds=SECONDS)
@@ -159,10 +159,10 @@
 def test_inversion_is_lower_tier_work_started_soon_after_a_shed(
     calm, lower_after_s, code, sheds, inverted
 ):
-    """A waiting customer is turned away while overnight work is still let in.
+    """Guard against missing a priority inversion.
 
-    The chat is told "shed"; a moment later an engine of its pool starts a request
-    of a lower tier, which therefore was admitted when the chat was not.
+    A chat request is shed, and shortly afterwards an engine of its pool starts a
+    lower-tier request, which was therefore admitted when the chat was not.
     """
     chat = _first(calm, "chat-turn")
     lower = _first(calm, "colour-history")
@@ -182,10 +182,10 @@
 
 
 def test_demo_names_what_is_wrong(calm):
-    """The demonstration must fail on each promise that the records refute.
+    """The demonstration must report every violated guarantee.
 
-    One request has no execution, one has two, one answer is another's, and one
-    node did not stop gracefully.
+    One request has no execution, one has two, one answer belongs to another request,
+    and one node did not stop gracefully.
     """
     executions = [*calm.executions[1:], _executed(2, upstream="engine-2")]
     run = _with_answer(
@@ -200,10 +200,9 @@
 
 
 def test_safety_faults_spare_load_but_name_what_must_never_be(calm):
-    """Under overload answers may be late or refused, and the run still be sound.
+    """Late and refused answers are no faults under overload.
 
-    A refused request that an upstream's record shows, and an execution that nobody
-    asked for, are never sound.
+    An execution of a refused request and an execution without a request always are.
     """
     refused = _with_answer(calm, 3, verdict=Verdict.SHED, code="overloaded")
     kept = [one for one in calm.executions if one.key != "k3"]
@@ -224,10 +223,10 @@
 
 
 def test_record_of_a_killed_upstream_keeps_what_was_prefilled():
-    """A killed engine writes no end of what it ran, and its file has no counts.
+    """Guard against losing the token counts of a killed engine.
 
-    The record read just before the kill shows what it had prefilled; the line that
-    the file got at the start of the request must not hide that.
+    Its file contains only the entry from the start of the request, without counts,
+    which must not override the record fetched just before the kill.
     """
     item = {
         "attempt": "r1.engine-1",
@@ -250,10 +249,9 @@
 
 
 def test_attempt_that_reached_its_upstream_twice_is_two_executions(calm):
-    """A doubled dispatch to the same upstream must not pass for one.
+    """Guard against merging a duplicate dispatch to the same upstream.
 
-    Both executions have one attempt id, and the record shows both, each with its
-    own start.
+    Both executions have the same attempt id but different start times in the record.
     """
     item = {
         "attempt": "r0.engine-1",
--- a/tests/bench/test_gateway_load.py
+++ b/tests/bench/test_gateway_load.py
@@ -1,4 +1,4 @@
-"""What callers get under load, by policy, in simulated time."""
+"""Service under load by policy, in simulated time."""
 
 from dataclasses import replace
 
@@ -7,8 +7,8 @@
 from baobabwing.bench.gateway_load import EngineFigures, Kind, Load, play
 from baobabwing.gateway.decisions.policies import policy_names
 
-# Drafts, summaries and chats of a booking assistant, on engines of which a third is
-# three times as fast as the others.
+# Drafts, summaries and chats of a booking assistant. A third of the engines is three
+# times as fast as the others.
 KINDS = (
     Kind(
         name="draft",
@@ -46,7 +46,7 @@
 
 
 def shares(policy, load, field):
-    """Return the mean share over the seeds, by kind."""
+    """Return the mean of a share over the seeds, by request class."""
     runs = [play(load, policy, seed=seed) for seed in SEEDS]
     return {
         name: sum(getattr(run[name], field) for run in runs) / len(runs)
@@ -59,12 +59,13 @@
 
 
 def test_burst_keeps_the_urgent_kinds_in_time():
-    """Twice the usual traffic comes for a quarter of the time.
+    """Guard against urgent requests waiting behind long ones in a burst.
 
-    Engines serve in order of arrival. With least in flight, drafts wait behind chats
-    of several seconds: 44% of drafts, 46% of summaries and 40% of chats are in time.
-    With a queue of ours that keeps slots for the urgent routes it is 99%, 99% and 71%
-    (means of three seeds).
+    The arrival rate doubles for a quarter of the time, and engines serve in FIFO
+    order. With least_in_flight, drafts wait behind chats of several seconds: 44% of
+    drafts, 46% of summaries and 40% of chats are in time. With the queued policy,
+    which reserves slots for urgent routes, it is 99%, 99% and 71% (means of three
+    seeds).
     """
     load = Load(kinds=KINDS, speeds=SPEEDS, seconds=16.0, burst=2.0)
     ours = shares("queued", load, "in_time_share")
@@ -76,11 +77,11 @@
 
 
 def test_no_kind_starves_in_a_burst():
-    """The least urgent kind gives way, but four of five are still served.
+    """Guard against starvation of the least urgent class in a burst.
 
-    What is given up was told so after three seconds, before its caller left. Letting
-    requests that are about to be given up go first serves 88% of chats, but only 42%
-    in time instead of 71%.
+    Four of five of its requests are served; the others are refused after three
+    seconds, before their callers give up. Prioritising requests that are about to be
+    refused serves 88% of chats, but only 42% in time instead of 71%.
     """
     load = Load(kinds=KINDS, speeds=SPEEDS, seconds=16.0, burst=2.0)
     assert shares("queued", load, "served_share")["chat"] > 0.7
@@ -93,7 +94,7 @@
 
 
 def slower(times):
-    """Return the load in a burst, with everything that takes time taking longer."""
+    """Return the burst load with all durations multiplied by a factor."""
     kinds = tuple(
         replace(
             kind,
@@ -118,11 +119,13 @@
 
 @pytest.mark.parametrize("times", [0.2, 1.0, 5.0])
 def test_engines_of_any_speed_are_served_as_well(times):
-    """Engines are five times faster or slower than those of today, as is the traffic.
+    """Guard against a scheduler that is tuned to one engine speed.
 
-    What the prediction starts with is five times off then. At a fifth of the time, 92%
-    of drafts were in time and 98% served; learned from first events it is 99% and all,
-    at every speed (means of three seeds).
+    Engines and traffic are five times faster or slower than usual, so the initial
+    prediction is wrong by a factor of five. With a fixed prediction and a fifth of the
+    durations, 92% of drafts were in time and 98% were served; with a prediction learned
+    from first events, 99% are in time and all are served at every speed (means of
+    three seeds).
     """
     in_time = shares("queued", slower(times), "in_time_share")
     served = shares("queued", slower(times), "served_share")
--- a/tests/bench/test_ports.py
+++ b/tests/bench/test_ports.py
@@ -1,4 +1,4 @@
-"""Ports are given out once, also to processes side by side."""
+"""Ports are allocated only once, even to concurrent processes."""
 
 import socket
 import subprocess
@@ -32,10 +32,10 @@
 
 
 def test_runs_side_by_side_never_get_the_same_port():
-    """Two runs of all tests each look for free ports, at the same time.
+    """Guard against a race between concurrent test runs.
 
-    Both found the same one free before either had opened it; the second server ended
-    with "address already in use", and its deployment never became ready.
+    If two runs find the same port free before either opens it, the second server fails
+    with "address already in use", and its deployment never becomes ready.
     """
     runs = [
         subprocess.Popen(
--- a/tests/bench/test_processes.py
+++ b/tests/bench/test_processes.py
@@ -1,4 +1,4 @@
-"""Processes of the bench start, freeze and always end."""
+"""Processes can be started and frozen, and always end."""
 
 import time
 
@@ -20,10 +20,10 @@
 
 
 def test_group_ends_what_it_started_when_the_block_fails(tmp_path):
-    """A bench that fails half way must leave no process behind.
+    """Guard against processes left behind by a failed run.
 
-    The block raises while one process runs and one is frozen; a frozen process
-    does not see SIGTERM until it goes on.
+    The block raises while one process is running and one is frozen, which does not
+    handle SIGTERM until it is resumed.
     """
     with (
         pytest.raises(RuntimeError, match="half way"),
@@ -38,7 +38,7 @@
 
 
 def test_stop_kills_and_reports_a_process_that_ignores_it(tmp_path):
-    """A node that hangs in its graceful stop must fail the run, and not stay."""
+    """A node that hangs in its graceful stop must be killed and fail the run."""
     with ProcessGroup(folder=tmp_path) as group:
         deaf = _start(group, "deaf", DEAF)
         with pytest.raises(ProcessError, match="no graceful stop") as caught:
--- a/tests/bench/test_runs.py
+++ b/tests/bench/test_runs.py
@@ -1,4 +1,4 @@
-"""Whole runs on small deployments: real platform, upstreams, nodes and callers."""
+"""End-to-end runs on small deployments of real processes."""
 
 from dataclasses import replace
 
@@ -48,7 +48,7 @@
 
 @pytest.fixture
 def groups(monkeypatch):
-    """All process groups that the test's run made."""
+    """Return the list of process groups that the test creates."""
     made = []
     start = ProcessGroup.__init__
 
@@ -89,11 +89,11 @@
 
 @pytest.mark.parametrize("fault", ["kill-home", "kill-engine"])
 def test_nothing_runs_twice_or_is_denied_when_a_process_dies(tmp_path, groups, fault):
-    """A caller loses its connection, asks again, and must not be served twice.
+    """Guard against safety violations when a process is killed under load.
 
-    A process is killed while requests are in it. Some callers end up not knowing;
-    none may be told "not run" of a request that the upstreams' records show, none
-    may get another's answer, and no request may have two executions.
+    Callers that lose their connection retry. Some outcomes remain unknown, but no
+    request may be executed twice, reported as "not run" although it was executed, or
+    answered with the text of another request.
     """
     result = _run(tmp_path, fault)
     safety = run_figures(result.run).safety
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -1,4 +1,4 @@
-"""What the soak tells of requests and of nodes that grow."""
+"""The soak test reports unanswered requests and growing nodes."""
 
 from dataclasses import replace
 
@@ -10,7 +10,7 @@
 
 
 def test_a_soak_tells_of_requests_without_an_end():
-    """A caller waits for ever for a request that a killed node took with it."""
+    """Guard against requests that are lost when a node is killed."""
     fine = Answer(index=0, verdict=Verdict.WHOLE)
     broken = Answer(index=1, verdict=Verdict.ERROR, code="no_error_object")
     assert soak.unaccounted(1, [fine]) == []
--- a/tests/bench/test_transcripts.py
+++ b/tests/bench/test_transcripts.py
@@ -1,4 +1,4 @@
-"""An answer counts as whole only if it is the request's own and complete."""
+"""An answer counts as whole only if it is complete and belongs to the request."""
 
 import json
 
@@ -71,12 +71,12 @@
 
 
 def test_stream_that_ends_early_with_an_end_marker_is_wrong():
-    """A part that is passed off as the whole answer would mislead the caller."""
+    """Guard against presenting a truncated answer to the caller as complete."""
     assert _judge(_events(_words(_arrival())[:-1]) + DONE).verdict is Verdict.WRONG
 
 
 def test_stream_that_repeats_a_token_is_wrong():
-    """A stream resumed one token too early shows one word twice."""
+    """Guard against resuming a stream one token too early, which repeats a word."""
     words = _words(_arrival())
     assert _judge(_events([*words[:3], *words[2:]]) + DONE).verdict is Verdict.WRONG
 
