Rename identifiers of the bench's metrics, faults and executions

figures: NOT_FOR_LOAD -> NON_LOAD_REFUSALS, TIER_WEIGHT -> TIER_WEIGHT_RATIO, _one_tier -> _figures_of_tier, _since_due_ms -> _elapsed_ms, _useful -> _useful_execution, _reason -> _prefill_outcome, _at -> _nearest_rank, again -> retried. executions: locals last -> latest, known -> previous, identity -> execution_id, found -> matched. faults: _some_engine -> _fastest_engine, _platform_up -> _clear_platform_faults. test_figures: fixture calm -> clean_run, PREFILLED -> PREFILLED_TOKENS, _first -> _first_arrival, _prefill -> _prefill_figures, _safety -> _safety_figures, _inversions -> _count_inversions, and locals.

--- a/baobabwing/bench/executions.py
+++ b/baobabwing/bench/executions.py
@@ -48,16 +48,20 @@
     :param documents: executions in order of writing, several of one attempt too.
     :param epoch_s: wall clock at the start of the run.
     """
-    last: dict[tuple[str, float], Mapping[str, Any]] = {}
+    latest: dict[tuple[str, float], Mapping[str, Any]] = {}
     for document in documents:
         # Not by attempt alone: an attempt that reached its upstream twice would be
         # taken for one execution, and the very fault looked for would be hidden.
-        identity = document["attempt"], document["started_at"]
-        known = last.get(identity)
+        execution_id = document["attempt"], document["started_at"]
+        previous = latest.get(execution_id)
         # A record read over HTTP knows more of a running request than the file.
-        if known is None or document["finished_at"] or not known["prefilled_tokens"]:
-            last[identity] = document
-    return [_executed(upstream, item, epoch_s) for item in last.values()]
+        if (
+            previous is None
+            or document["finished_at"]
+            or not previous["prefilled_tokens"]
+        ):
+            latest[execution_id] = document
+    return [_executed(upstream, item, epoch_s) for item in latest.values()]
 
 
 def read_record_file(path: Path) -> list[dict[str, Any]]:
@@ -83,12 +87,12 @@
         by_key[answer.key] = answer.index
         if answer.request_id:
             by_id[answer.request_id] = answer.index
-    found: dict[int, list[Executed]] = defaultdict(list)
-    for one in sorted(executions, key=lambda item: item.started_s):
-        request_id = one.attempt.partition(".")[0]
-        index = by_key.get(one.key) if one.key else by_id.get(request_id)
-        found[-1 if index is None else index].append(one)
-    return found
+    matched: dict[int, list[Executed]] = defaultdict(list)
+    for execution in sorted(executions, key=lambda item: item.started_s):
+        request_id = execution.attempt.partition(".")[0]
+        index = by_key.get(execution.key) if execution.key else by_id.get(request_id)
+        matched[-1 if index is None else index].append(execution)
+    return matched
 
 
 def _executed(upstream: str, item: Mapping[str, Any], epoch_s: float) -> Executed:
--- a/baobabwing/bench/faults.py
+++ b/baobabwing/bench/faults.py
@@ -57,7 +57,7 @@
 
 @bench_fault("straggler")
 def _straggler(deployment: Deployment) -> None:
-    name = _some_engine(deployment)
+    name = _fastest_engine(deployment)
     set_fault(deployment.upstreams[name], "slow", value=STRAGGLER_FACTOR)
 
 
@@ -83,19 +83,19 @@
 
 @bench_fault("kill-engine")
 def _kill_engine(deployment: Deployment) -> None:
-    deployment.kill_upstream(_some_engine(deployment))
+    deployment.kill_upstream(_fastest_engine(deployment))
 
 
-def _platform_up(deployment: Deployment) -> None:
+def _clear_platform_faults(deployment: Deployment) -> None:
     clear_faults(deployment.platform)
 
 
-@bench_fault("platform-down", end=_platform_up)
+@bench_fault("platform-down", end=_clear_platform_faults)
 def _platform_down(deployment: Deployment) -> None:
     set_fault(deployment.platform, "down")
 
 
-def _some_engine(deployment: Deployment) -> str:
+def _fastest_engine(deployment: Deployment) -> str:
     """Return the last engine of the fastest generation, which gets most work."""
     fastest = max(
         deployment.shape.engines, key=lambda spec: spec.engine.prefill_tokens_per_s
--- a/baobabwing/bench/figures.py
+++ b/baobabwing/bench/figures.py
@@ -17,7 +17,7 @@
 
 __all__ = [
     "INVERSION_WINDOW_S",
-    "NOT_FOR_LOAD",
+    "NON_LOAD_REFUSALS",
     "CapacityFigures",
     "Inversions",
     "PrefillFigures",
@@ -38,14 +38,14 @@
 
 MS_PER_S = 1_000.0
 # A good answer counts as many times as much as one of the tier below.
-TIER_WEIGHT = 2.0
+TIER_WEIGHT_RATIO = 2.0
 # An upstream that starts lower-tier work this soon after a caller of the same pool
 # was told "shed" shows that the lower tier was still admitted. See
 # docs/operators/bench.md for what it can miss and what it can count too much.
 INVERSION_WINDOW_S = 0.05
 # Refusals that do not follow from load: the caller's own limits and deadline, a key
 # that is used already or cannot be claimed.
-NOT_FOR_LOAD = frozenset(
+NON_LOAD_REFUSALS = frozenset(
     {
         RefusalCode.DEADLINE,
         RefusalCode.DUPLICATE,
@@ -221,7 +221,7 @@
         for answer in run.answers
         if answer.tries == 1
     ]
-    again = [answer for answer in run.answers if answer.tries > 1]
+    retried = [answer for answer in run.answers if answer.tries > 1]
     codes = Counter(
         f"{answer.verdict}:{answer.code}"
         for answer in run.answers
@@ -240,8 +240,8 @@
         engine_goodput=weighted_goodput(run, engines_only=True),
         node_ms_per_request=run.node_cpu_s * MS_PER_S / max(1, len(run.answers)),
         sending_lag=quantiles(lags_ms),
-        asked_again=len(again),
-        recovered=sum(one.verdict is Verdict.WHOLE for one in again),
+        asked_again=len(retried),
+        recovered=sum(one.verdict is Verdict.WHOLE for one in retried),
         codes=dict(sorted(codes.items())),
     )
 
@@ -252,10 +252,15 @@
     if not ordered:
         return Quantiles(count=0, p50=0.0, p95=0.0, p99=0.0)
 
-    def _at(share: float) -> float:
+    def _nearest_rank(share: float) -> float:
         return round(ordered[max(0, math.ceil(share * len(ordered)) - 1)], 2)
 
-    return Quantiles(count=len(ordered), p50=_at(0.5), p95=_at(0.95), p99=_at(0.99))
+    return Quantiles(
+        count=len(ordered),
+        p50=_nearest_rank(0.5),
+        p95=_nearest_rank(0.95),
+        p99=_nearest_rank(0.99),
+    )
 
 
 def tier_figures(run: Run) -> tuple[TierFigures, ...]:
@@ -265,7 +270,7 @@
         groups[run.arrivals[answer.index].tier].append(answer)
     tiers = sorted(run.shape.tiers, key=lambda tier: tier.rank)
     return tuple(
-        _one_tier(run, tier.name, tier.rank, groups[tier.name]) for tier in tiers
+        _figures_of_tier(run, tier.name, tier.rank, groups[tier.name]) for tier in tiers
     )
 
 
@@ -280,7 +285,7 @@
         arrival = run.arrivals[answer.index]
         if engines_only and not arrival.to_engine:
             continue
-        weight = TIER_WEIGHT ** -ranks[arrival.tier]
+        weight = TIER_WEIGHT_RATIO ** -ranks[arrival.tier]
         offered += weight
         if _is_good(arrival, answer):
             good += weight
@@ -296,10 +301,10 @@
     for index, executions in executed.items():
         answer = answers.get(index)
         whole = answer is not None and answer.verdict is Verdict.WHOLE
-        useful = _useful(executions) if whole else None
+        useful = _useful_execution(executions) if whole else None
         for one in executions:
-            reason = _reason(run, answer, one, useful)
-            tokens[reason] += one.prefilled_tokens
+            outcome = _prefill_outcome(run, answer, one, useful)
+            tokens[outcome] += one.prefilled_tokens
     return PrefillFigures(
         total=sum(tokens.values()),
         dropped=tokens["dropped"],
@@ -324,7 +329,7 @@
     sheds = [
         answer
         for answer in run.answers
-        if answer.verdict is Verdict.SHED and answer.code not in NOT_FOR_LOAD
+        if answer.verdict is Verdict.SHED and answer.code not in NON_LOAD_REFUSALS
     ]
     inverted = sum(_is_inverted(run.arrivals[one.index], one, starts) for one in sheds)
     return Inversions(sheds=len(sheds), inverted=inverted)
@@ -373,7 +378,9 @@
     return CapacityFigures(offered=offered, limit=limit, good=good)
 
 
-def _one_tier(run: Run, name: str, rank: int, answers: Sequence[Answer]) -> TierFigures:
+def _figures_of_tier(
+    run: Run, name: str, rank: int, answers: Sequence[Answer]
+) -> TierFigures:
     verdicts = Counter(answer.verdict for answer in answers)
     whole = [answer for answer in answers if answer.verdict is Verdict.WHOLE]
     good = sum(_is_good(run.arrivals[one.index], one) for one in whole)
@@ -388,15 +395,13 @@
         unknown=verdicts[Verdict.UNKNOWN],
         wrong=verdicts[Verdict.WRONG],
         error=verdicts[Verdict.ERROR],
-        first_token=quantiles(
-            [_since_due_ms(run, one, one.first_s) for one in streams]
-        ),
+        first_token=quantiles([_elapsed_ms(run, one, one.first_s) for one in streams]),
         between_tokens=quantiles([gap for one in streams for gap in one.gaps_ms]),
-        whole=quantiles([_since_due_ms(run, one, one.end_s) for one in whole]),
+        whole=quantiles([_elapsed_ms(run, one, one.end_s) for one in whole]),
     )
 
 
-def _since_due_ms(run: Run, answer: Answer, at_s: float) -> float:
+def _elapsed_ms(run: Run, answer: Answer, at_s: float) -> float:
     """Return the time since the request was due, so that a late client counts."""
     return (at_s - run.arrivals[answer.index].at_s) * MS_PER_S
 
@@ -406,12 +411,12 @@
     return answer.verdict is Verdict.WHOLE and in_time
 
 
-def _useful(executions: Sequence[Executed]) -> Executed | None:
+def _useful_execution(executions: Sequence[Executed]) -> Executed | None:
     finished = [one for one in executions if one.finished]
     return finished[0] if finished else executions[-1]
 
 
-def _reason(
+def _prefill_outcome(
     run: Run, answer: Answer | None, one: Executed, useful: Executed | None
 ) -> str:
     if useful is None or answer is None:
--- a/tests/bench/test_figures.py
+++ b/tests/bench/test_figures.py
@@ -22,7 +22,7 @@
 from baobabwing.bench.tables import figures_text
 
 SECONDS = 3.0
-PREFILLED = 100
+PREFILLED_TOKENS = 100
 
 
 def _executed(index, *, started_s=1.0, state="finished", upstream="engine-1"):
@@ -30,9 +30,9 @@
         upstream=upstream,
         attempt=f"r{index}.{upstream}",
         key=f"k{index}",
-        prompt_tokens=PREFILLED,
+        prompt_tokens=PREFILLED_TOKENS,
         cached_tokens=0,
-        prefilled_tokens=PREFILLED,
+        prefilled_tokens=PREFILLED_TOKENS,
         output_tokens=10,
         state=state,
         started_s=started_s,
@@ -57,7 +57,7 @@
 
 
 @pytest.fixture
-def calm():
+def clean_run():
     """Return a run in which every request was answered by one execution."""
     shape = tijera()
     streams = get_scenario("tijera-day").streams
@@ -82,69 +82,73 @@
     return replace(run, answers=answers)
 
 
-def _first(run, work):
+def _first_arrival(run, work):
     return next(one for one in run.arrivals if one.work == work)
 
 
-def _inversions(run):
+def _count_inversions(run):
     return count_inversions(run, by_request(run.answers, run.executions))
 
 
-def _prefill(run):
+def _prefill_figures(run):
     return prefill_figures(run, by_request(run.answers, run.executions))
 
 
-def _safety(run):
+def _safety_figures(run):
     return safety_figures(run, by_request(run.answers, run.executions))
 
 
-def test_calm_run_is_all_good(calm):
-    figures = run_figures(calm)
-    assert sum(tier.good for tier in figures.tiers) == len(calm.arrivals)
+def test_clean_run_is_all_good(clean_run):
+    figures = run_figures(clean_run)
+    assert sum(tier.good for tier in figures.tiers) == len(clean_run.arrivals)
     assert figures.prefill.wasted == 0
     assert figures.capacity.share == pytest.approx(1.0)
-    assert demo_faults(calm, {"node-1": 0}) == []
+    assert demo_faults(clean_run, {"node-1": 0}) == []
     assert "wasted prefill: 0 of" in figures_text(figures)
 
 
-def test_upper_tiers_weigh_more_in_goodput(calm):
+def test_upper_tiers_weigh_more_in_goodput(clean_run):
     lost = {
-        work: _with_answer(calm, _first(calm, work).index, verdict=Verdict.SHED)
+        work: _with_answer(
+            clean_run, _first_arrival(clean_run, work).index, verdict=Verdict.SHED
+        )
         for work in ("chat-turn", "colour-history")
     }
     chat, summary = (1.0 - run_figures(run).weighted_goodput for run in lost.values())
-    assert run_figures(calm).weighted_goodput == pytest.approx(1.0)
+    assert run_figures(clean_run).weighted_goodput == pytest.approx(1.0)
     assert chat == pytest.approx(2.0 * summary)
 
 
-def test_calls_of_services_do_not_count_as_goodput_of_engines(calm):
-    run = _with_answer(calm, _first(calm, "slot-check").index, verdict=Verdict.SHED)
+def test_calls_of_services_do_not_count_as_goodput_of_engines(clean_run):
+    run = _with_answer(
+        clean_run, _first_arrival(clean_run, "slot-check").index, verdict=Verdict.SHED
+    )
     assert run_figures(run).weighted_goodput < 1.0
     assert run_figures(run).engine_goodput == pytest.approx(1.0)
 
 
-def test_whole_answer_past_its_deadline_is_late(calm):
-    arrival = _first(calm, "chat-turn")
+def test_whole_answer_past_its_deadline_is_late(clean_run):
+    arrival = _first_arrival(clean_run, "chat-turn")
     end_s = arrival.at_s + arrival.deadline_ms / 1_000 + 0.01
-    run = _with_answer(calm, arrival.index, end_s=end_s)
+    run = _with_answer(clean_run, arrival.index, end_s=end_s)
     chat = next(tier for tier in run_figures(run).tiers if tier.tier == "chat")
     assert (chat.late, chat.good) == (1, chat.offered - 1)
-    assert _prefill(run).late == PREFILLED
-    assert _prefill(run).wasted == 0
+    assert _prefill_figures(run).late == PREFILLED_TOKENS
+    assert _prefill_figures(run).wasted == 0
 
 
-def test_prefill_is_wasted_by_reason(calm):
-    chat = _first(calm, "chat-turn").index
-    rota = _first(calm, "colour-history").index
-    run = _with_answer(calm, rota, verdict=Verdict.UNKNOWN)
+def test_prefill_is_wasted_by_reason(clean_run):
+    chat = _first_arrival(clean_run, "chat-turn").index
+    rota = _first_arrival(clean_run, "colour-history").index
+    run = _with_answer(clean_run, rota, verdict=Verdict.UNKNOWN)
     again = [
         _executed(chat, started_s=9.0, upstream="engine-2"),
         _executed(chat, started_s=0.0, upstream="engine-3", state="cancelled"),
     ]
-    figures = _prefill(replace(run, executions=[*run.executions, *again]))
-    assert figures.dropped == PREFILLED
-    assert figures.duplicated == PREFILLED
-    assert figures.recomputed == PREFILLED
+    figures = _prefill_figures(replace(run, executions=[*run.executions, *again]))
+    assert figures.dropped == PREFILLED_TOKENS
+    assert figures.duplicated == PREFILLED_TOKENS
+    assert figures.recomputed == PREFILLED_TOKENS
 
 
 @pytest.mark.parametrize(
@@ -157,39 +161,39 @@
     ],
 )
 def test_inversion_is_lower_tier_work_started_soon_after_a_shed(
-    calm, lower_after_s, code, sheds, inverted
+    clean_run, lower_after_s, code, sheds, inverted
 ):
     """Guard against missing a priority inversion.
 
     A chat request is shed, and shortly afterwards an engine of its pool starts a
     lower-tier request, which was therefore admitted when the chat was not.
     """
-    chat = _first(calm, "chat-turn")
-    lower = _first(calm, "colour-history")
+    chat = _first_arrival(clean_run, "chat-turn")
+    lower = _first_arrival(clean_run, "colour-history")
     shed = _answer(chat, verdict=Verdict.SHED, code=code)
     run = replace(
-        calm,
-        answers=[shed if one.index == chat.index else one for one in calm.answers],
+        clean_run,
+        answers=[shed if one.index == chat.index else one for one in clean_run.answers],
         executions=[_executed(lower.index, started_s=shed.end_s + lower_after_s)],
     )
-    found = _inversions(run)
+    found = _count_inversions(run)
     assert (found.sheds, found.inverted) == (sheds, inverted)
 
 
-def test_refused_request_that_ran_is_found(calm):
-    run = _with_answer(calm, 0, verdict=Verdict.SHED)
-    assert _safety(run).not_run_but_ran == 1
+def test_refused_request_that_ran_is_found(clean_run):
+    run = _with_answer(clean_run, 0, verdict=Verdict.SHED)
+    assert _safety_figures(run).not_run_but_ran == 1
 
 
-def test_demo_names_what_is_wrong(calm):
+def test_demo_names_what_is_wrong(clean_run):
     """The demonstration must report every violated guarantee.
 
     One request has no execution, one has two, one answer belongs to another request,
     and one node did not stop gracefully.
     """
-    executions = [*calm.executions[1:], _executed(2, upstream="engine-2")]
+    executions = [*clean_run.executions[1:], _executed(2, upstream="engine-2")]
     run = _with_answer(
-        replace(calm, executions=executions), 1, verdict=Verdict.WRONG, code="x"
+        replace(clean_run, executions=executions), 1, verdict=Verdict.WRONG, code="x"
     )
     faults = "\n".join(demo_faults(run, {"node-1": 0, "node-2": -9}))
     assert "request 1: wrong x" in faults
@@ -199,27 +203,27 @@
     assert "node-1" not in faults
 
 
-def test_safety_faults_spare_load_but_name_what_must_never_be(calm):
+def test_safety_faults_spare_load_but_name_what_must_never_be(clean_run):
     """Late and refused answers are no faults under overload.
 
     An execution of a refused request and an execution without a request always are.
     """
-    refused = _with_answer(calm, 3, verdict=Verdict.SHED, code="overloaded")
-    kept = [one for one in calm.executions if one.key != "k3"]
+    refused = _with_answer(clean_run, 3, verdict=Verdict.SHED, code="overloaded")
+    kept = [one for one in clean_run.executions if one.key != "k3"]
     assert safety_faults(replace(refused, executions=kept), {"node-1": 0}) == []
     stray = replace(kept[0], key="", attempt="stray", upstream="service-1")
-    broken = replace(refused, executions=[*calm.executions, stray])
+    broken = replace(refused, executions=[*clean_run.executions, stray])
     faults = "\n".join(safety_faults(broken, {"node-1": 0}))
     assert "request 3: overloaded" in faults
     assert "service-1: stray" in faults
 
 
-def test_executions_without_a_key_are_matched_by_attempt(calm):
-    unkeyed = [replace(one, key="") for one in calm.executions]
-    found = by_request(calm.answers, unkeyed)
-    assert set(found) == {one.index for one in calm.arrivals}
-    stranger = replace(unkeyed[0], attempt="other.engine-1")
-    assert list(by_request(calm.answers, [stranger])) == [-1]
+def test_executions_without_a_key_are_matched_by_attempt(clean_run):
+    without_key = [replace(one, key="") for one in clean_run.executions]
+    found = by_request(clean_run.answers, without_key)
+    assert set(found) == {one.index for one in clean_run.arrivals}
+    unmatched = replace(without_key[0], attempt="other.engine-1")
+    assert list(by_request(clean_run.answers, [unmatched])) == [-1]
 
 
 def test_record_of_a_killed_upstream_keeps_what_was_prefilled():
@@ -248,7 +252,7 @@
     assert found.finished
 
 
-def test_attempt_that_reached_its_upstream_twice_is_two_executions(calm):
+def test_attempt_that_reached_its_upstream_twice_is_two_executions(clean_run):
     """Guard against merging a duplicate dispatch to the same upstream.
 
     Both executions have the same attempt id but different start times in the record.
@@ -266,7 +270,9 @@
     }
     record = [item, {**item, "started_at": 11.5, "finished_at": 12.5}]
     executions = merge_records("engine-1", record, epoch_s=10.0)
-    assert _safety(replace(calm, executions=executions)).executed_twice == 1
+    assert (
+        _safety_figures(replace(clean_run, executions=executions)).executed_twice == 1
+    )
 
 
 def test_quantiles_are_nearest_rank():
