Rename the simulated load to the terms of queueing and batching

EngineFigures -> EngineTiming (sequence_s -> step_s_per_sequence, prefill_per_s -> prefill_tokens_per_s, chunk -> chunk_tokens), Kind -> RequestClass, KindResult -> RequestClassResult (asked -> sent), Load.kinds -> request_classes, speeds -> time_factors, burst -> burst_factor, _Play -> _Simulation, play -> simulate; fields of _Request: unread -> prompt_tokens_left, tokens -> output_tokens, made -> generated_tokens, gone -> ended, ask -> placement_request; _pump -> _dispatch_grants, _start -> _start_step, _stepped -> _finish_step, _token -> _record_token, _leave -> _give_up, _end -> _end_request, _at -> _schedule, _next -> _next_arrival_at, _arrival -> _arrival_event, _ask -> _submit_request, and locals. test_gateway_load: KINDS -> REQUEST_CLASSES, SPEEDS -> TIME_FACTORS, shares -> mean_shares, slower -> scaled_load, ours -> queued; the parametrized argument times is factor, with the same ids.

Nothing of this is written out, and no other folder imports it.

--- a/baobabwing/bench/gateway_load.py
+++ b/baobabwing/bench/gateway_load.py
@@ -23,11 +23,11 @@
 )
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 
-__all__ = ["EngineFigures", "Kind", "KindResult", "Load", "play"]
+__all__ = ["EngineTiming", "Load", "RequestClass", "RequestClassResult", "simulate"]
 
 
 @dataclass(frozen=True, kw_only=True)
-class EngineFigures:
+class EngineTiming:
     """What an engine of speed 1 takes; the operator's figures.
 
     :param step_s: one step of an empty batch.
@@ -38,14 +38,14 @@
 
     slots: int = 8
     step_s: float = 0.00627
-    sequence_s: float = 0.0000358
-    prefill_per_s: float = 39_300.0
-    chunk: int = 4096
+    step_s_per_sequence: float = 0.0000358
+    prefill_tokens_per_s: float = 39_300.0
+    chunk_tokens: int = 4096
     tokens_per_event: int = 3
 
 
 @dataclass(frozen=True, kw_only=True)
-class Kind:
+class RequestClass:
     """Requests of one kind.
 
     :param prompt: mean prompt tokens, exponentially spread.
@@ -70,199 +70,226 @@
     :param burst: times the usual rate, from a quarter to a half of the time.
     """
 
-    kinds: tuple[Kind, ...]
-    speeds: tuple[float, ...]
+    request_classes: tuple[RequestClass, ...]
+    time_factors: tuple[float, ...]
     seconds: float
-    burst: float = 1.0
-    engine: EngineFigures = field(default_factory=EngineFigures)
+    burst_factor: float = 1.0
+    engine: EngineTiming = field(default_factory=EngineTiming)
 
 
 @dataclass(kw_only=True)
-class KindResult:
+class RequestClassResult:
     """What callers of one kind got."""
 
-    asked: int = 0
+    sent: int = 0
     in_time: int = 0
     served: int = 0
 
     @property
     def in_time_share(self) -> float:
         """Share of requests answered whole, the first event in time."""
-        return self.in_time / max(self.asked, 1)
+        return self.in_time / max(self.sent, 1)
 
     @property
     def served_share(self) -> float:
         """Share of requests answered whole."""
-        return self.served / max(self.asked, 1)
+        return self.served / max(self.sent, 1)
 
 
 @dataclass(kw_only=True, eq=False)
 class _Request:
-    kind: Kind
+    request_class: RequestClass
     arrived: float
-    unread: float
-    tokens: int
-    ask: PlacementRequest
-    made: int = 0
+    prompt_tokens_left: float
+    output_tokens: int
+    placement_request: PlacementRequest
+    generated_tokens: int = 0
     first_at: float | None = None
-    gone: bool = False
+    ended: bool = False
 
 
 class _Engine:
     """One engine: a batch and a queue, first come first served."""
 
-    def __init__(self, *, speed: float, figures: EngineFigures) -> None:
-        self.speed = speed
-        self.figures = figures
+    def __init__(self, *, time_factor: float, timing: EngineTiming) -> None:
+        self.time_factor = time_factor
+        self.timing = timing
         self.batch: list[_Request] = []
         self.queue: deque[_Request] = deque()
         self.stepping = False
 
     def admit(self) -> None:
         """Fill the batch from the queue, and drop those whose callers left."""
-        self.batch = [one for one in self.batch if not one.gone]
-        while self.queue and len(self.batch) < self.figures.slots:
+        self.batch = [member for member in self.batch if not member.ended]
+        while self.queue and len(self.batch) < self.timing.slots:
             request = self.queue.popleft()
-            if not request.gone:
+            if not request.ended:
                 self.batch.append(request)
 
     def step(self) -> tuple[float, list[_Request]]:
         """Return how long the next step takes, and who gets a token at its end."""
-        reading = next((one for one in self.batch if one.unread > 0), None)
-        chunk = 0.0
-        if reading is not None:
-            chunk = min(reading.unread, self.figures.chunk)
-            reading.unread -= chunk
-        generating = [one for one in self.batch if one.unread <= 0]
-        took = (
-            self.figures.step_s
-            + self.figures.sequence_s * len(generating)
-            + chunk / self.figures.prefill_per_s
+        prefilling = next(
+            (request for request in self.batch if request.prompt_tokens_left > 0), None
         )
-        return took * self.speed, generating
+        chunk_tokens = 0.0
+        if prefilling is not None:
+            chunk_tokens = min(prefilling.prompt_tokens_left, self.timing.chunk_tokens)
+            prefilling.prompt_tokens_left -= chunk_tokens
+        decoding = [
+            request for request in self.batch if request.prompt_tokens_left <= 0
+        ]
+        duration_s = (
+            self.timing.step_s
+            + self.timing.step_s_per_sequence * len(decoding)
+            + chunk_tokens / self.timing.prefill_tokens_per_s
+        )
+        return duration_s * self.time_factor, decoding
 
 
-class _Play:
+class _Simulation:
     """One run: arrivals, steps of engines and departures in order of time."""
 
     def __init__(self, *, load: Load, scheduler: PoolScheduler, rng: Random) -> None:
         self.load = load
         self.scheduler = scheduler
         self.rng = rng
-        self.results = {kind.name: KindResult() for kind in load.kinds}
+        self.results = {
+            request_class.name: RequestClassResult()
+            for request_class in load.request_classes
+        }
         self.engines = {
-            f"e{number}": _Engine(speed=speed, figures=load.engine)
-            for number, speed in enumerate(load.speeds)
+            f"e{number}": _Engine(time_factor=time_factor, timing=load.engine)
+            for number, time_factor in enumerate(load.time_factors)
         }
         self._events: list[tuple[float, int, Callable[[float], None]]] = []
-        self._order = itertools.count()
+        self._sequence_numbers = itertools.count()
         self._grants: dict[int, Grant] = {}
         self._waiting: dict[int, _Request] = {}
 
     def run(self) -> None:
         """Play until all requests have ended."""
-        for kind in self.load.kinds:
-            self._at(self._next(kind, 0.0), self._arrival(kind))
+        for request_class in self.load.request_classes:
+            self._schedule(
+                self._next_arrival_at(request_class, 0.0),
+                self._arrival_event(request_class),
+            )
         while self._events:
             now, _, action = heapq.heappop(self._events)
             action(now)
 
-    def _at(self, when: float, action: Callable[[float], None]) -> None:
-        heapq.heappush(self._events, (when, next(self._order), action))
+    def _schedule(self, at: float, action: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._sequence_numbers), action))
 
-    def _next(self, kind: Kind, now: float) -> float:
-        rate = kind.per_s
+    def _next_arrival_at(self, request_class: RequestClass, now: float) -> float:
+        rate = request_class.per_s
         if 0.25 <= now / self.load.seconds < 0.5:
-            rate *= self.load.burst
+            rate *= self.load.burst_factor
         return now + self.rng.expovariate(rate)
 
-    def _arrival(self, kind: Kind) -> Callable[[float], None]:
+    def _arrival_event(self, request_class: RequestClass) -> Callable[[float], None]:
         def arrive(now: float) -> None:
             if now >= self.load.seconds:
                 return
-            self._at(self._next(kind, now), self._arrival(kind))
-            self._ask(kind, now)
+            self._schedule(
+                self._next_arrival_at(request_class, now),
+                self._arrival_event(request_class),
+            )
+            self._submit_request(request_class, now)
 
         return arrive
 
-    def _ask(self, kind: Kind, now: float) -> None:
-        prompt = max(self.rng.expovariate(1 / kind.prompt), 16)
-        tokens = max(int(self.rng.expovariate(1 / kind.output)), 3)
-        ask = PlacementRequest(
+    def _submit_request(self, request_class: RequestClass, now: float) -> None:
+        prompt = max(self.rng.expovariate(1 / request_class.prompt), 16)
+        output_tokens = max(int(self.rng.expovariate(1 / request_class.output)), 3)
+        placement_request = PlacementRequest(
             rank=0,
-            route_rank=kind.route_rank,
+            route_rank=request_class.route_rank,
             arrived_at=now,
-            objective_at=now + kind.objective_s,
-            deadline_at=now + 0.75 * kind.patience_s,
-            ends_at=now + kind.deadline_s,
+            objective_at=now + request_class.objective_s,
+            deadline_at=now + 0.75 * request_class.patience_s,
+            ends_at=now + request_class.deadline_s,
             prompt_tokens=int(prompt),
-            expected_output_tokens=int(kind.output),
+            expected_output_tokens=int(request_class.output),
         )
         request = _Request(
-            kind=kind, arrived=now, unread=prompt, tokens=tokens, ask=ask
+            request_class=request_class,
+            arrived=now,
+            prompt_tokens_left=prompt,
+            output_tokens=output_tokens,
+            placement_request=placement_request,
+        )
+        self.results[request_class.name].sent += 1
+        self._waiting[placement_request.number] = request
+        self.scheduler.submit(placement_request)
+        self._dispatch_grants(now)
+        self._schedule(
+            now + request_class.patience_s, lambda at: self._give_up(request, at, False)
         )
-        self.results[kind.name].asked += 1
-        self._waiting[ask.number] = request
-        self.scheduler.submit(ask)
-        self._pump(now)
-        self._at(now + kind.patience_s, lambda at: self._leave(request, at, False))
-        self._at(now + kind.deadline_s, lambda at: self._leave(request, at, True))
-
-    def _pump(self, now: float) -> None:
+        self._schedule(
+            now + request_class.deadline_s, lambda at: self._give_up(request, at, True)
+        )
+
+    def _dispatch_grants(self, now: float) -> None:
         for grant in self.scheduler.grants(now):
             request = self._waiting.pop(grant.request.number)
             self._grants[grant.request.number] = grant
             engine = self.engines[grant.track.entry.instance]
             engine.queue.append(request)
-            self._start(engine, now)
+            self._start_step(engine, now)
 
-    def _start(self, engine: _Engine, now: float) -> None:
+    def _start_step(self, engine: _Engine, now: float) -> None:
         engine.admit()
         if engine.stepping or not engine.batch:
             return
         engine.stepping = True
-        took, generating = engine.step()
-        self._at(now + took, lambda at: self._stepped(engine, generating, at))
+        duration_s, decoding = engine.step()
+        self._schedule(
+            now + duration_s, lambda at: self._finish_step(engine, decoding, at)
+        )
 
-    def _stepped(self, engine: _Engine, generating: list[_Request], now: float) -> None:
+    def _finish_step(
+        self, engine: _Engine, decoding: list[_Request], now: float
+    ) -> None:
         engine.stepping = False
-        for request in generating:
-            if not request.gone:
-                self._token(engine, request, now)
-        self._start(engine, now)
+        for request in decoding:
+            if not request.ended:
+                self._record_token(engine, request, now)
+        self._start_step(engine, now)
 
-    def _token(self, engine: _Engine, request: _Request, now: float) -> None:
-        request.made += 1
+    def _record_token(self, engine: _Engine, request: _Request, now: float) -> None:
+        request.generated_tokens += 1
         per_event = self.load.engine.tokens_per_event
-        track = self._grants[request.ask.number].track
-        if request.made == per_event:
+        track = self._grants[request.placement_request.number].track
+        if request.generated_tokens == per_event:
             request.first_at = now
-            track.record_first_event(request.ask.number, now)
-        elif request.made % per_event == 0:
-            track.record_interval(per_event * self.load.engine.step_s * engine.speed)
-        if request.made >= request.tokens:
-            self._end(request, now, served=True)
-
-    def _leave(self, request: _Request, now: float, at_deadline: bool) -> None:
-        if request.gone or (request.first_at is not None and not at_deadline):
+            track.record_first_event(request.placement_request.number, now)
+        elif request.generated_tokens % per_event == 0:
+            track.record_interval(
+                per_event * self.load.engine.step_s * engine.time_factor
+            )
+        if request.generated_tokens >= request.output_tokens:
+            self._end_request(request, now, served=True)
+
+    def _give_up(self, request: _Request, now: float, at_deadline: bool) -> None:
+        if request.ended or (request.first_at is not None and not at_deadline):
             return
-        self._end(request, now, served=False)
+        self._end_request(request, now, served=False)
 
-    def _end(self, request: _Request, now: float, *, served: bool) -> None:
-        request.gone = True
-        result = self.results[request.kind.name]
+    def _end_request(self, request: _Request, now: float, *, served: bool) -> None:
+        request.ended = True
+        result = self.results[request.request_class.name]
         result.served += served
         first_s = (request.first_at or now) - request.arrived
-        result.in_time += served and first_s <= request.kind.objective_s
-        if self._waiting.pop(request.ask.number, None) is not None:
-            self.scheduler.withdraw(request.ask)
-        grant = self._grants.pop(request.ask.number, None)
+        result.in_time += served and first_s <= request.request_class.objective_s
+        if self._waiting.pop(request.placement_request.number, None) is not None:
+            self.scheduler.withdraw(request.placement_request)
+        grant = self._grants.pop(request.placement_request.number, None)
         if grant is not None:
-            grant.track.remove_request(request.ask.number)
-        self._pump(now)
+            grant.track.remove_request(request.placement_request.number)
+        self._dispatch_grants(now)
 
 
-def play(load: Load, policy: str, *, seed: int) -> dict[str, KindResult]:
+def simulate(load: Load, policy: str, *, seed: int) -> dict[str, RequestClassResult]:
     """Play a load against a policy of the registry.
 
     :returns: what callers of each kind got.
@@ -278,8 +305,8 @@
         UpstreamEntry(
             instance=f"e{number}", pool="p", address="-", slots=load.engine.slots
         )
-        for number in range(len(load.speeds))
+        for number in range(len(load.time_factors))
     )
-    run = _Play(load=load, scheduler=scheduler, rng=rng)
-    run.run()
-    return run.results
+    simulation = _Simulation(load=load, scheduler=scheduler, rng=rng)
+    simulation.run()
+    return simulation.results
--- a/tests/bench/test_gateway_load.py
+++ b/tests/bench/test_gateway_load.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from baobabwing.bench.gateway_load import EngineFigures, Kind, Load, play
+from baobabwing.bench.gateway_load import EngineTiming, Load, RequestClass, simulate
 from baobabwing.gateway.decisions.policies import policy_names
 
 # Drafts, summaries and chats of a booking assistant. A third of the engines is three
 # times as fast as the others.
-KINDS = (
-    Kind(
+REQUEST_CLASSES = (
+    RequestClass(
         name="draft",
         per_s=16.9,
         prompt=2890,
@@ -20,7 +20,7 @@
         patience_s=4.0,
         route_rank=0,
     ),
-    Kind(
+    RequestClass(
         name="summary",
         per_s=20.6,
         prompt=1800,
@@ -30,7 +30,7 @@
         patience_s=4.0,
         route_rank=1,
     ),
-    Kind(
+    RequestClass(
         name="chat",
         per_s=18.3,
         prompt=543,
@@ -41,13 +41,13 @@
         route_rank=2,
     ),
 )
-SPEEDS = (0.6, 1.7, 1.7) * 3
+TIME_FACTORS = (0.6, 1.7, 1.7) * 3
 SEEDS = (1, 2, 3)
 
 
-def shares(policy, load, field):
+def mean_shares(policy, load, field):
     """Return the mean of a share over the seeds, by request class."""
-    runs = [play(load, policy, seed=seed) for seed in SEEDS]
+    runs = [simulate(load, policy, seed=seed) for seed in SEEDS]
     return {
         name: sum(getattr(run[name], field) for run in runs) / len(runs)
         for name in runs[0]
@@ -67,13 +67,18 @@
     which reserves slots for urgent routes, it is 99%, 99% and 71% (means of three
     seeds).
     """
-    load = Load(kinds=KINDS, speeds=SPEEDS, seconds=16.0, burst=2.0)
-    ours = shares("queued", load, "in_time_share")
-    baseline = shares("least_in_flight", load, "in_time_share")
+    load = Load(
+        request_classes=REQUEST_CLASSES,
+        time_factors=TIME_FACTORS,
+        seconds=16.0,
+        burst_factor=2.0,
+    )
+    queued = mean_shares("queued", load, "in_time_share")
+    baseline = mean_shares("least_in_flight", load, "in_time_share")
     for name in ("draft", "summary"):
-        assert ours[name] > 0.95
-        assert ours[name] > baseline[name] + 0.4
-    assert ours["chat"] > baseline["chat"] + 0.2
+        assert queued[name] > 0.95
+        assert queued[name] > baseline[name] + 0.4
+    assert queued["chat"] > baseline["chat"] + 0.2
 
 
 def test_no_kind_starves_in_a_burst():
@@ -83,42 +88,53 @@
     seconds, before their callers give up. Prioritising requests that are about to be
     refused serves 88% of chats, but only 42% in time instead of 71%.
     """
-    load = Load(kinds=KINDS, speeds=SPEEDS, seconds=16.0, burst=2.0)
-    assert shares("queued", load, "served_share")["chat"] > 0.7
+    load = Load(
+        request_classes=REQUEST_CLASSES,
+        time_factors=TIME_FACTORS,
+        seconds=16.0,
+        burst_factor=2.0,
+    )
+    assert mean_shares("queued", load, "served_share")["chat"] > 0.7
 
 
 @pytest.mark.parametrize("name", ["draft", "summary", "chat"])
 def test_usual_traffic_is_served_in_time(name):
-    load = Load(kinds=KINDS, speeds=SPEEDS, seconds=12.0)
-    assert shares("queued", load, "in_time_share")[name] > 0.85
+    load = Load(
+        request_classes=REQUEST_CLASSES, time_factors=TIME_FACTORS, seconds=12.0
+    )
+    assert mean_shares("queued", load, "in_time_share")[name] > 0.85
 
 
-def slower(times):
+def scaled_load(factor):
     """Return the burst load with all durations multiplied by a factor."""
-    kinds = tuple(
+    request_classes = tuple(
         replace(
-            kind,
-            per_s=kind.per_s / times,
-            objective_s=kind.objective_s * times,
-            deadline_s=kind.deadline_s * times,
-            patience_s=kind.patience_s * times,
+            request_class,
+            per_s=request_class.per_s / factor,
+            objective_s=request_class.objective_s * factor,
+            deadline_s=request_class.deadline_s * factor,
+            patience_s=request_class.patience_s * factor,
         )
-        for kind in KINDS
+        for request_class in REQUEST_CLASSES
     )
-    usual = EngineFigures()
+    timing = EngineTiming()
     engine = replace(
-        usual,
-        step_s=usual.step_s * times,
-        sequence_s=usual.sequence_s * times,
-        prefill_per_s=usual.prefill_per_s / times,
+        timing,
+        step_s=timing.step_s * factor,
+        step_s_per_sequence=timing.step_s_per_sequence * factor,
+        prefill_tokens_per_s=timing.prefill_tokens_per_s / factor,
     )
     return Load(
-        kinds=kinds, speeds=SPEEDS, seconds=16.0 * times, burst=2.0, engine=engine
+        request_classes=request_classes,
+        time_factors=TIME_FACTORS,
+        seconds=16.0 * factor,
+        burst_factor=2.0,
+        engine=engine,
     )
 
 
-@pytest.mark.parametrize("times", [0.2, 1.0, 5.0])
-def test_engines_of_any_speed_are_served_as_well(times):
+@pytest.mark.parametrize("factor", [0.2, 1.0, 5.0])
+def test_engines_of_any_speed_are_served_as_well(factor):
     """Guard against a scheduler that is tuned to one engine speed.
 
     Engines and traffic are five times faster or slower than usual, so the initial
@@ -127,8 +143,8 @@
     from first events, 99% are in time and all are served at every speed (means of
     three seeds).
     """
-    in_time = shares("queued", slower(times), "in_time_share")
-    served = shares("queued", slower(times), "served_share")
+    in_time = mean_shares("queued", scaled_load(factor), "in_time_share")
+    served = mean_shares("queued", scaled_load(factor), "served_share")
     assert in_time["draft"] > 0.97
     assert in_time["summary"] > 0.97
     assert served["draft"] > 0.99
