--- a/baobabwing/bench/ports.py
+++ b/baobabwing/bench/ports.py
@@ -21,20 +21,20 @@
 _LOOPBACK = "127.0.0.1"
 # Below the usual range of ephemeral ports, so that no outgoing connection of another
 # process takes a port between its choice here and its use.
-_FIRST_PORT = 20_000
-_LAST_PORT = 32_000
+_MIN_PORT = 20_000
+_MAX_PORT = 32_000
 # A deployment of 60 nodes takes 360 ports; the next block follows when one is used up.
 _BLOCK_PORTS = 200
 # From so many blocks on a process starts again with its first one. A run of all tests
 # takes some thousands of ports, of which those of earlier tests are closed long since.
-_MOST_BLOCKS = 6
+_MAX_BLOCKS = 6
 
 
 class PortError(BaobabwingError):
     """No port is left that could be given out."""
 
 
-class _Blocks:
+class _PortBlocks:
     """Blocks that this process has claimed, and what is left of the present one.
 
     :ivar process: id of the process that claimed them. A forked one holds copies of
@@ -46,36 +46,36 @@
         self._claims: deque[socket.socket] = deque()
         self._next = self._end = 0
 
-    def take(self, count: int) -> int:
+    def allocate(self, count: int) -> int:
         """Return the first of some free ports in a row.
 
         :raises PortError: if there are none.
         """
-        for _ in range(_MOST_BLOCKS + 1):
+        for _ in range(_MAX_BLOCKS + 1):
             while self._end - self._next >= count:
                 first = self._next
                 self._next += 1
                 if all(map(_is_free, range(first, first + count))):
                     self._next = first + count
                     return first
-            self._turn()
+            self._switch_block()
         raise PortError("all ports in use", step="choose port", peer=_LOOPBACK)
 
-    def _turn(self) -> None:
+    def _switch_block(self) -> None:
         """Go on with another block: a new one, or else the one used longest ago."""
-        if len(self._claims) >= _MOST_BLOCKS:
+        if len(self._claims) >= _MAX_BLOCKS:
             self._claims.rotate(-1)
         else:
-            self._claims.append(_claim())
+            self._claims.append(_claim_block())
         first = self._claims[-1].getsockname()[1]
         self._next, self._end = first + 1, first + _BLOCK_PORTS
 
 
-def _claim() -> socket.socket:
+def _claim_block() -> socket.socket:
     """Claim a block; the socket listens on its first port."""
-    firsts = list(range(_FIRST_PORT, _LAST_PORT - _BLOCK_PORTS + 1, _BLOCK_PORTS))
-    random.SystemRandom().shuffle(firsts)
-    for first in firsts:
+    first_ports = list(range(_MIN_PORT, _MAX_PORT - _BLOCK_PORTS + 1, _BLOCK_PORTS))
+    random.SystemRandom().shuffle(first_ports)
+    for first in first_ports:
         claim = socket.socket()
         try:
             claim.bind((_LOOPBACK, first))
@@ -87,7 +87,7 @@
     raise PortError("no block of ports left", step="choose port", peer=_LOOPBACK)
 
 
-_blocks = _Blocks()
+_blocks = _PortBlocks()
 
 
 def free_port() -> int:
@@ -107,8 +107,8 @@
     """
     global _blocks
     if _blocks.process != os.getpid():
-        _blocks = _Blocks()
-    return _blocks.take(count)
+        _blocks = _PortBlocks()
+    return _blocks.allocate(count)
 
 
 def _is_free(port: int) -> bool:
--- a/baobabwing/bench/processes.py
+++ b/baobabwing/bench/processes.py
@@ -66,7 +66,7 @@
         self,
         kind: type[BaseException] | None,
         exc: BaseException | None,
-        trace: TracebackType | None,
+        traceback: TracebackType | None,
     ) -> None:
         self.close()
 
@@ -87,11 +87,11 @@
         if name in self._started and self._started[name].alive():
             raise ProcessError("already running", step="start", peer=name)
         log = self.folder / f"{name}.log"
-        with log.open("ab") as out:
+        with log.open("ab") as log_file:
             popen = subprocess.Popen(
                 [sys.executable, *arguments],
                 stdin=subprocess.DEVNULL,
-                stdout=out,
+                stdout=log_file,
                 stderr=subprocess.STDOUT,
                 start_new_session=True,
             )
@@ -141,27 +141,27 @@
         :returns: exit status by name.
         :raises ProcessError: if any still runs after ``timeout_s``; it is killed.
         """
-        chosen = [self.get(name) for name in names]
-        for started in chosen:
-            _ask_to_stop(started)
-        end = time.monotonic() + timeout_s
-        late = [one.name for one in chosen if not _wait_for_end(one, end)]
-        if late:
+        stopping = [self.get(name) for name in names]
+        for started in stopping:
+            _request_stop(started)
+        deadline = time.monotonic() + timeout_s
+        unstopped = [one.name for one in stopping if not _wait_or_kill(one, deadline)]
+        if unstopped:
             raise ProcessError(
                 f"no graceful stop within {timeout_s:g} s",
                 step="stop",
-                peer=", ".join(late),
+                peer=", ".join(unstopped),
             )
-        return {one.name: one.popen.returncode for one in chosen}
+        return {one.name: one.popen.returncode for one in stopping}
 
     def close(self) -> None:
         """End everything that still runs, gracefully first."""
         running = [one for one in self._started.values() if one.alive()]
         for started in running:
-            _ask_to_stop(started)
-        end = time.monotonic() + STOP_TIMEOUT_S
+            _request_stop(started)
+        deadline = time.monotonic() + STOP_TIMEOUT_S
         for started in running:
-            _wait_for_end(started, end)
+            _wait_or_kill(started, deadline)
 
     def wait_ready(
         self, name: str, probe: Callable[[], bool], *, timeout_s: float = 30.0
@@ -172,13 +172,13 @@
         """
         started = self.get(name)
 
-        def _ready_or_ended() -> bool:
+        def _is_ready_or_ended() -> bool:
             return not started.alive() or probe()
 
-        ready = wait_until(_ready_or_ended, timeout_s=timeout_s)
+        ready = wait_until(_is_ready_or_ended, timeout_s=timeout_s)
         if not ready or not started.alive():
             raise ProcessError(
-                f"did not become ready; its log ends: {_tail(started.log)}",
+                f"did not become ready; its log ends: {_log_tail(started.log)}",
                 step="start",
                 peer=name,
             )
@@ -195,15 +195,15 @@
     condition: Callable[[], bool], *, timeout_s: float, poll_s: float = POLL_S
 ) -> bool:
     """Wait until a condition holds and tell whether it did in time."""
-    end = time.monotonic() + timeout_s
-    while time.monotonic() < end:
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
         if condition():
             return True
         time.sleep(poll_s)
     return condition()
 
 
-def _ask_to_stop(started: Started) -> None:
+def _request_stop(started: Started) -> None:
     if not started.alive():
         return
     # A frozen process would keep SIGTERM pending for ever.
@@ -211,10 +211,10 @@
     started.popen.terminate()
 
 
-def _wait_for_end(started: Started, end: float) -> bool:
+def _wait_or_kill(started: Started, deadline: float) -> bool:
     """Wait until the given time, then kill; tell whether no kill was needed."""
     try:
-        started.popen.wait(timeout=max(0.0, end - time.monotonic()))
+        started.popen.wait(timeout=max(0.0, deadline - time.monotonic()))
     except subprocess.TimeoutExpired:
         started.popen.kill()
         started.popen.wait()
@@ -222,6 +222,6 @@
     return True
 
 
-def _tail(log: Path) -> str:
+def _log_tail(log: Path) -> str:
     raw = log.read_bytes()[-LOG_TAIL_BYTES:]
     return raw.decode("utf-8", "replace").strip()
--- a/baobabwing/bench/relay_cost.py
+++ b/baobabwing/bench/relay_cost.py
@@ -35,7 +35,7 @@
 __all__ = ["Figures", "app"]
 
 LOOPBACK = "127.0.0.1"
-WORD = "word " * 4
+EVENT_TEXT = "word " * 4
 BLOCK_BYTES = 65_536
 BACKLOG = 1024
 SPARE_THREADS = 30
@@ -47,12 +47,12 @@
     "Transfer-Encoding: chunked\r\nX-Request-Id: {}\r\n\r\n"
 )
 DEADLINE_S = 120.0
-LEAD_S = 2.0
+WARM_UP_S = 2.0
 # Streams opened anew while others run: what 10,000 requests/s over 460 nodes
 # leave to each, and a length that adds next to nothing to the load.
 PROBES_PER_S = 22
 PROBE_TOKENS = 5
-SINK_WAIT_S = 0.002
+SINK_POLL_S = 0.002
 
 app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
@@ -105,7 +105,7 @@
     costs: dict[str, list[float]] = {name: [] for name in names}
     for _ in range(rounds):
         for name in names:
-            figures = _trial(name, streams, gap_ms, seconds)
+            figures = _run_trial(name, streams, gap_ms, seconds)
             costs[name].append(figures.cpu_us)
             typer.echo(
                 f"{name:10} {figures.cpu_us:6.1f} us/token, "
@@ -123,9 +123,9 @@
 def _print_first_token(
     names: list[str], streams: int, gap_ms: float, seconds: float
 ) -> None:
-    direct = _trial("direct", streams, gap_ms, seconds, probes=True).first_p95()
+    direct = _run_trial("direct", streams, gap_ms, seconds, probes=True).first_p95()
     for name in names:
-        figures = _trial(name, streams, gap_ms, seconds, probes=True)
+        figures = _run_trial(name, streams, gap_ms, seconds, probes=True)
         typer.echo(
             f"{name:10} first token with {streams} streams open, p95: "
             f"{figures.first_p95():.2f} ms, direct {direct:.2f} ms, "
@@ -135,50 +135,50 @@
 
 
 def _print_memory(streams: int) -> None:
-    figures = _trial("ours", streams, 500.0, 3.0)
+    figures = _run_trial("ours", streams, 500.0, 3.0)
     with ProcessGroup() as group:
         idle = group.start_python("idle", ["-c", "import time; time.sleep(60)"])
         time.sleep(0.5)
-        plain_mb = _rss_mb(idle.pid)
+        interpreter_mb = _rss_mb(idle.pid)
         group.kill("idle")
     typer.echo(
         f"{streams} open streams: {figures.rss_mb:.0f} MB, plain interpreter "
-        f"{plain_mb:.0f} MB, beyond it {figures.rss_mb - plain_mb:.0f} MB"
+        f"{interpreter_mb:.0f} MB, beyond it {figures.rss_mb - interpreter_mb:.0f} MB"
     )
 
 
-def _trial(
+def _run_trial(
     name: str, streams: int, gap_ms: float, seconds: float, *, probes: bool = False
 ) -> Figures:
     """Run one relay, with all streams open and, if asked, new ones beside them."""
-    tokens = int((seconds + 2 * LEAD_S) * 1000 / gap_ms) + 1
+    tokens = int((seconds + 2 * WARM_UP_S) * 1000 / gap_ms) + 1
     module = ["-m", __spec__.name if __spec__ else "baobabwing.bench.relay_cost"]
     with ProcessGroup() as group:
         source = free_port()
         started = group.start_python(
             "source", [*module, "source", str(source), str(tokens), str(gap_ms)]
         )
-        group.wait_ready("source", lambda: _listens(source))
+        group.wait_ready("source", lambda: _is_listening(source))
         port = source
         if name != "direct":
             port = free_port()
             arguments = ["relay", name, str(port), str(source), str(streams)]
             started = group.start_python("relay", [*module, *arguments])
-            group.wait_ready("relay", lambda: _listens(port))
+            group.wait_ready("relay", lambda: _is_listening(port))
         load = [str(started.pid), str(streams), str(seconds), str(int(probes))]
         sink = group.start_python("sink", [*module, "sink", str(port), *load])
         sink.popen.wait(DEADLINE_S)
-        out = sink.log.read_text()
-        for other in ("relay", "source"):
-            if other in group.names():
-                group.kill(other)
+        output = sink.log.read_text()
+        for process_name in ("relay", "source"):
+            if process_name in group.names():
+                group.kill(process_name)
     try:
-        return Figures(**json.loads(out))
+        return Figures(**json.loads(output))
     except ValueError:
-        raise SystemExit(f"{name}: the sink failed: {out[-2000:]}") from None
+        raise SystemExit(f"{name}: the sink failed: {output[-2000:]}") from None
 
 
-def _listens(port: int) -> bool:
+def _is_listening(port: int) -> bool:
     try:
         socket.create_connection((LOOPBACK, port), timeout=1).close()
     except OSError:
@@ -204,7 +204,7 @@
     listener.setblocking(False)
     selector = selectors.DefaultSelector()
     selector.register(listener, selectors.EVENT_READ)
-    due: list[tuple[float, int, _Sending]] = []
+    due: list[tuple[float, int, _SourceStream]] = []
     while True:
         wait_s = max(0.0, due[0][0] - time.monotonic()) if due else None
         for key, _ in selector.select(wait_s):
@@ -214,9 +214,9 @@
                 _read_request(key.fileobj, selector, due)
         now = time.monotonic()
         while due and due[0][0] <= now:
-            at, fd, sending = heapq.heappop(due)
-            if sending.step(tokens):
-                heapq.heappush(due, (at + gap_ms / 1000, fd, sending))
+            at, fd, stream = heapq.heappop(due)
+            if stream.send_next(tokens):
+                heapq.heappush(due, (at + gap_ms / 1000, fd, stream))
 
 
 def _accept(listener: socket.socket, selector: selectors.BaseSelector) -> None:
@@ -228,7 +228,7 @@
 def _read_request(
     conn: socket.socket,
     selector: selectors.BaseSelector,
-    due: list[tuple[float, int, _Sending]],
+    due: list[tuple[float, int, _SourceStream]],
 ) -> None:
     try:
         head = conn.recv(BLOCK_BYTES).decode("latin-1")
@@ -238,43 +238,43 @@
         selector.unregister(conn)
         conn.close()
         return
-    named = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:-2])
-    limit = int(named.get("x-tokens", 0))
-    sending = _Sending(conn=conn, attempt=named["x-request-id"], limit=limit)
-    heapq.heappush(due, (time.monotonic(), conn.fileno(), sending))
+    headers = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:-2])
+    limit = int(headers.get("x-tokens", 0))
+    stream = _SourceStream(conn=conn, attempt_id=headers["x-request-id"], limit=limit)
+    heapq.heappush(due, (time.monotonic(), conn.fileno(), stream))
 
 
-class _Sending:
+class _SourceStream:
     """One stream of the source."""
 
-    def __init__(self, *, conn: socket.socket, attempt: str, limit: int) -> None:
+    def __init__(self, *, conn: socket.socket, attempt_id: str, limit: int) -> None:
         self._limit = limit
         self._conn = conn
-        self._attempt = attempt
+        self._attempt_id = attempt_id
         self._next = 0
 
-    def step(self, tokens: int) -> bool:
+    def send_next(self, tokens: int) -> bool:
         """Send the next event and tell whether there are more.
 
         :param tokens: length of streams whose request names none.
         """
         tokens = self._limit or tokens
         text = {
-            "id": self._attempt,
+            "id": self._attempt_id,
             "object": "text_completion",
             "created": 1,
             "model": "model",
-            "choices": [{"index": 0, "text": WORD, "finish_reason": None}],
+            "choices": [{"index": 0, "text": EVENT_TEXT, "finish_reason": None}],
         }
         event = f"id: {self._next}\ndata: {json.dumps(text)}\n\n".encode()
-        out = encode_chunk(event)
+        output = encode_chunk(event)
         if not self._next:
-            out = SOURCE_HEAD.format(self._attempt).encode() + out
+            output = SOURCE_HEAD.format(self._attempt_id).encode() + output
         self._next += 1
         if self._next == tokens:
-            out += encode_chunk(b"data: [DONE]\n\n") + LAST_CHUNK
+            output += encode_chunk(b"data: [DONE]\n\n") + LAST_CHUNK
         try:
-            self._conn.send(out)
+            self._conn.send(output)
         except OSError:
             return False
         return self._next < tokens
@@ -283,20 +283,20 @@
 @app.command(hidden=True)
 def sink(port: int, pid: int, streams: int, seconds: float, probes: int) -> None:
     """Keep streams open through a relay and print what was seen as JSON."""
-    reading = _Sink(port=port, streams=streams)
-    reading.run(LEAD_S)
-    cpu, tokens, start = _cpu_s(pid), reading.tokens, time.monotonic()
-    reading.first_ms.clear()
+    client = _Sink(port=port, streams=streams)
+    client.run(WARM_UP_S)
+    cpu_before_s, tokens, start = _cpu_s(pid), client.tokens, time.monotonic()
+    client.first_ms.clear()
     if probes:
-        reading.probe()
-    reading.run(seconds)
-    spent, tokens = _cpu_s(pid) - cpu, reading.tokens - tokens
+        client.probe()
+    client.run(seconds)
+    cpu_spent_s, tokens = _cpu_s(pid) - cpu_before_s, client.tokens - tokens
     figures = Figures(
         tokens=tokens,
         seconds=time.monotonic() - start,
-        cpu_us=spent / max(tokens, 1) * 1e6,
+        cpu_us=cpu_spent_s / max(tokens, 1) * 1e6,
         rss_mb=_rss_mb(pid),
-        first_ms=reading.first_ms,
+        first_ms=client.first_ms,
     )
     sys.stdout.write(json.dumps(asdict(figures)))
 
@@ -312,13 +312,13 @@
         self._opened = 0
         self._pending = streams
         self._tokens = 0
-        self._spread_s = LEAD_S / 2 / streams
+        self._open_interval_s = WARM_UP_S / 2 / streams
         self._open_at = time.monotonic()
 
     def probe(self) -> None:
         """From now on open short streams at an even rate."""
         self._pending = sys.maxsize
-        self._spread_s = 1 / PROBES_PER_S
+        self._open_interval_s = 1 / PROBES_PER_S
         self._tokens = PROBE_TOKENS
         self._open_at = time.monotonic()
 
@@ -328,13 +328,13 @@
         while (now := time.monotonic()) < end:
             if self._pending and now >= self._open_at:
                 self._open()
-            for key, _ in self._selector.select(SINK_WAIT_S):
+            for key, _ in self._selector.select(SINK_POLL_S):
                 self._read(key)
 
     def _open(self) -> None:
         self._pending -= 1
         self._opened += 1
-        self._open_at += self._spread_s
+        self._open_at += self._open_interval_s
         conn = socket.create_connection((LOOPBACK, self._port))
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         at = time.monotonic()
@@ -371,10 +371,12 @@
         conn, _ = listener.accept()
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         target = (host, int(upstream_port))
-        threading.Thread(target=_move, args=(conn, target), daemon=True).start()
+        threading.Thread(
+            target=_relay_connection, args=(conn, target), daemon=True
+        ).start()
 
 
-def _move(conn: socket.socket, target: tuple[str, int]) -> None:
+def _relay_connection(conn: socket.socket, target: tuple[str, int]) -> None:
     with conn:
         head = conn.recv(BLOCK_BYTES)
         if not head:
@@ -395,7 +397,7 @@
             response = pool.request(
                 "GET",
                 f"http://{address}/v1/completions",
-                headers=_sent_on(self.req),
+                headers=_forwarded_headers(self.req),
                 preload_content=False,
             )
             self.req.status = b"200 OK"
@@ -412,7 +414,7 @@
 def _run_ours(port: int, address: str, streams: int) -> None:
     class RelayGateway(Gateway):
         def respond(self) -> None:
-            headers = _sent_on(self.req)
+            headers = _forwarded_headers(self.req)
             answer = open_exchange(
                 address=address,
                 method="GET",
@@ -435,7 +437,7 @@
     _serve(port, streams, RelayGateway)
 
 
-def _sent_on(req: object) -> dict[str, str]:
+def _forwarded_headers(req: object) -> dict[str, str]:
     names = (b"X-Request-Id", b"X-Tokens")
     return {name.decode(): req.inheaders[name].decode() for name in names}
 
--- a/baobabwing/bench/rig.py
+++ b/baobabwing/bench/rig.py
@@ -15,17 +15,17 @@
 from baobabwing.bench.processes import ProcessError, ProcessGroup
 from baobabwing.bench.shapes import Shape
 
-__all__ = ["Look", "Rig"]
+__all__ = ["ProcessSample", "Rig"]
 
 DRIVERS = 2
-LEAD_S = 1.5
-GRACE_S = 150.0
-KILOBYTE = 1024
-NODE = "node"
+LOAD_DELAY_S = 1.5
+DRIVER_GRACE_S = 150.0
+BYTES_PER_KIB = 1024
+NODE_COMMAND = "node"
 
 
 @dataclass(frozen=True, kw_only=True)
-class Look:
+class ProcessSample:
     """What the system says of a process at one moment."""
 
     resident_bytes: int
@@ -57,21 +57,21 @@
         self._seed = seed
         self._drivers = [f"driver-{number}" for number in range(DRIVERS)]
 
-    def put_load(self) -> None:
+    def start_load(self) -> None:
         """Start the drivers; the load begins a little later."""
-        self.start_at = time.monotonic() + LEAD_S
-        self.epoch_s = time.time() + LEAD_S
+        self.start_at = time.monotonic() + LOAD_DELAY_S
+        self.epoch_s = time.time() + LOAD_DELAY_S
         for number, name in enumerate(self._drivers):
-            write_plan(self._path(name, "plan"), self._plan(number))
-            paths = [str(self._path(name, kind)) for kind in ("plan", "answers")]
+            write_plan(self._file_path(name, "plan"), self._plan(number))
+            paths = [str(self._file_path(name, kind)) for kind in ("plan", "answers")]
             self.group.start_python(name, ["-m", "baobabwing.bench.driver", *paths])
 
-    def loading(self) -> bool:
+    def is_loading(self) -> bool:
         """Tell whether a driver still runs.
 
         :raises ProcessError: if one failed, or takes far too long.
         """
-        ends_at = self.start_at + self.arrivals[-1].at_s + GRACE_S
+        ends_at = self.start_at + self.arrivals[-1].at_s + DRIVER_GRACE_S
         if time.monotonic() > ends_at:
             raise ProcessError("driver takes too long", step="load")
         for name in self._drivers:
@@ -81,17 +81,17 @@
 
     def answers(self) -> list[Answer]:
         """Return the answers that callers got."""
-        found = [
+        collected = [
             answer
             for name in self._drivers
-            for answer in read_answers(self._path(name, "answers"))
+            for answer in read_answers(self._file_path(name, "answers"))
         ]
-        return sorted(found, key=lambda answer: answer.index)
+        return sorted(collected, key=lambda answer: answer.index)
 
     def restart_node(self, name: str) -> None:
         """Start a node again with the settings that it had."""
         path = self.group.folder / f"{name}.json"
-        self.group.start(name, [NODE, "--settings", str(path)])
+        self.group.start(name, [NODE_COMMAND, "--settings", str(path)])
 
     def node_ready(self, name: str) -> bool:
         """Tell whether a node takes requests."""
@@ -99,21 +99,23 @@
             return False
         return answers_ok(self.deployment.nodes[name], "/readyz")
 
-    def look(self, name: str) -> Look:
+    def sample(self, name: str) -> ProcessSample:
         """Return the memory and threads of a running node."""
         path = Path(f"/proc/{self.group.get(name).pid}/status")
         lines = path.read_text(encoding="ascii").splitlines()
         values = dict(line.split(":", 1) for line in lines if ":" in line)
-        return Look(
-            resident_bytes=int(values["VmRSS"].split()[0]) * KILOBYTE,
+        return ProcessSample(
+            resident_bytes=int(values["VmRSS"].split()[0]) * BYTES_PER_KIB,
             threads=int(values["Threads"]),
         )
 
     def _plan(self, number: int) -> Plan:
         shape = self.deployment.shape
         keys = {
-            f"{one.name}/{tier.name}": shape.credential_key(one.name, tier.name)
-            for one in shape.organisations
+            f"{organisation.name}/{tier.name}": shape.credential_key(
+                organisation.name, tier.name
+            )
+            for organisation in shape.organisations
             for tier in shape.tiers
         }
         return Plan(
@@ -123,9 +125,11 @@
             seed=self._seed * DRIVERS + number,
             keys=keys,
             arrivals=tuple(
-                one for one in self.arrivals if one.index % DRIVERS == number
+                arrival
+                for arrival in self.arrivals
+                if arrival.index % DRIVERS == number
             ),
         )
 
-    def _path(self, name: str, kind: str) -> Path:
+    def _file_path(self, name: str, kind: str) -> Path:
         return self.group.folder / f"{name}.{kind}.json"
--- a/baobabwing/bench/runs.py
+++ b/baobabwing/bench/runs.py
@@ -22,13 +22,13 @@
 __all__ = ["Progress", "RunOptions", "RunResult", "run_scenario"]
 
 DRIVERS = 2
-LEAD_S = 1.5
-POLL_S = 0.25
+LOAD_DELAY_S = 1.5
+POLL_INTERVAL_S = 0.25
 IDLE_TIMEOUT_S = 60.0
 # Past the longest deadline a driver listens for ten seconds and then judges.
 DRIVER_GRACE_S = 120.0
-FAULT_BEGINS = 1 / 3
-FAULT_ENDS = 2 / 3
+FAULT_BEGIN_SHARE = 1 / 3
+FAULT_END_SHARE = 2 / 3
 
 
 class Report(Protocol):
@@ -91,7 +91,7 @@
         )
         load = _Load(group=group, deployment=deployment, arrivals=arrivals)
         load.start(options)
-        load.follow(options, report)
+        load.wait_until_done(options, report)
         deployment.wait_idle(timeout_s=IDLE_TIMEOUT_S)
         executions = deployment.executions(epoch_s=load.epoch_s)
         exits = deployment.stop()
@@ -128,8 +128,8 @@
 
     def start(self, options: RunOptions) -> None:
         """Start the drivers; the load begins a little later."""
-        self._start_at = time.monotonic() + LEAD_S
-        self.epoch_s = time.time() + LEAD_S
+        self._start_at = time.monotonic() + LOAD_DELAY_S
+        self.epoch_s = time.time() + LOAD_DELAY_S
         for number, name in enumerate(self._names):
             plan = self._plan(number, options.seed)
             write_plan(self._plan_path(name), plan)
@@ -141,24 +141,24 @@
             ]
             self._group.start_python(name, arguments)
 
-    def follow(self, options: RunOptions, report: Report) -> None:
+    def wait_until_done(self, options: RunOptions, report: Report) -> None:
         """Wait until all drivers are done, bringing about the fault on the way.
 
         :raises ProcessError: if a driver fails or takes far too long.
         """
-        longest_s = max(arrival.deadline_ms for arrival in self._arrivals) / 1_000
-        end = self._start_at + options.seconds + longest_s + DRIVER_GRACE_S
-        steps = self._fault_steps(options)
+        max_deadline_s = max(arrival.deadline_ms for arrival in self._arrivals) / 1_000
+        timeout_at = self._start_at + options.seconds + max_deadline_s + DRIVER_GRACE_S
+        pending_steps = self._fault_steps(options)
         cpu_before = self._deployment.node_cpu_seconds()
         while any(self._group.get(name).alive() for name in self._names):
-            while steps and time.monotonic() >= steps[0][0]:
-                _, label, action = steps.pop(0)
+            while pending_steps and time.monotonic() >= pending_steps[0][0]:
+                _, label, action = pending_steps.pop(0)
                 action(self._deployment)
                 report(label, progress=False)
-            if time.monotonic() > end:
+            if time.monotonic() > timeout_at:
                 raise ProcessError("driver takes too long", step="load")
             report(self._progress(), progress=True)
-            time.sleep(POLL_S)
+            time.sleep(POLL_INTERVAL_S)
         self.node_cpu_s = self._deployment.node_cpu_seconds() - cpu_before
         for name in self._names:
             if self._group.get(name).popen.returncode != 0:
@@ -167,12 +167,12 @@
 
     def answers(self) -> list[Answer]:
         """Return the answers of all drivers."""
-        found = [
+        collected = [
             answer
             for name in self._names
             for answer in read_answers(self._answers_path(name))
         ]
-        return sorted(found, key=lambda answer: answer.index)
+        return sorted(collected, key=lambda answer: answer.index)
 
     def _plan(self, number: int, seed: int) -> Plan:
         shape = self._deployment.shape
@@ -195,17 +195,19 @@
         fault = options.fault
         if fault is None:
             return []
-        begin_at = self._start_at + options.seconds * FAULT_BEGINS
-        steps = [(begin_at, f"fault {fault.name} begins", fault.begin)]
+        begin_at = self._start_at + options.seconds * FAULT_BEGIN_SHARE
+        pending_steps = [(begin_at, f"fault {fault.name} begins", fault.begin)]
         if fault.end is not None:
-            end_at = self._start_at + options.seconds * FAULT_ENDS
-            steps.append((end_at, f"fault {fault.name} ends", fault.end))
-        return steps
+            end_at = self._start_at + options.seconds * FAULT_END_SHARE
+            pending_steps.append((end_at, f"fault {fault.name} ends", fault.end))
+        return pending_steps
 
     def _progress(self) -> str:
-        progress = [_last_progress(self._group.get(name).log) for name in self._names]
-        sent = sum(one.sent for one in progress)
-        done = sum(one.done for one in progress)
+        progress = [
+            _read_last_progress(self._group.get(name).log) for name in self._names
+        ]
+        sent = sum(item.sent for item in progress)
+        done = sum(item.done for item in progress)
         return f"{sent}/{len(self._arrivals)} sent, {done} answered"
 
     def _plan_path(self, name: str) -> Path:
@@ -225,7 +227,7 @@
     }
 
 
-def _last_progress(log: Path) -> Progress:
+def _read_last_progress(log: Path) -> Progress:
     for line in reversed(log.read_text(encoding="utf-8").splitlines()):
         if line.startswith('{"sent"') and line.endswith("}"):
             return Progress(**json.loads(line))
--- a/baobabwing/bench/shapes.py
+++ b/baobabwing/bench/shapes.py
@@ -27,7 +27,7 @@
 PREFILL_COST_PER_MILLION = 0.6
 
 
-def _speeds(
+def _engine_parameters(
     step_ms: float, step_ms_per_sequence: float, prefill_tokens_per_s: float
 ) -> EngineParameters:
     return EngineParameters(
@@ -40,9 +40,9 @@
 
 
 _GENERATIONS = (
-    ("g1", _speeds(14.0, 1.2, 2_000.0)),
-    ("g2", _speeds(10.0, 0.8, 3_000.0)),
-    ("g3", _speeds(7.0, 0.5, 4_500.0)),
+    ("g1", _engine_parameters(14.0, 1.2, 2_000.0)),
+    ("g2", _engine_parameters(10.0, 0.8, 3_000.0)),
+    ("g3", _engine_parameters(7.0, 0.5, 4_500.0)),
 )
 
 
@@ -263,8 +263,8 @@
     for index in range(count):
         # Shifted by the round, so that no zone has engines of only one generation.
         zone = zones[(index + index // len(zones)) % len(zones)]
-        generation, speeds = _GENERATIONS[index % len(_GENERATIONS)]
-        engine = replace(speeds, fencing=index % 3 != 2, seed=index + 1)
+        generation, parameters = _GENERATIONS[index % len(_GENERATIONS)]
+        engine = replace(parameters, fencing=index % 3 != 2, seed=index + 1)
         engines.append(
             EngineSpec(
                 name=f"engine-{index + 1}",
@@ -295,7 +295,7 @@
     return tuple(
         Credential(
             name=f"{organisation.name}-{tier.name}",
-            sha256=_digest(shape.credential_key(organisation.name, tier.name)),
+            sha256=_sha256_hex(shape.credential_key(organisation.name, tier.name)),
             organisation=organisation.name,
             tier=tier.name,
         )
@@ -304,7 +304,7 @@
     )
 
 
-def _digest(key: str) -> str:
+def _sha256_hex(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
 
 
--- a/baobabwing/bench/soak.py
+++ b/baobabwing/bench/soak.py
@@ -23,44 +23,51 @@
 from baobabwing.bench.demo import safety_faults
 from baobabwing.bench.figures import Run
 from baobabwing.bench.processes import ProcessGroup
-from baobabwing.bench.rig import Look, Rig
+from baobabwing.bench.rig import ProcessSample, Rig
 from baobabwing.bench.scenarios import get_scenario
 from baobabwing.bench.shapes import get_shape
 
-__all__ = ["Life", "SoakFigures", "grown", "main", "soak", "unaccounted"]
+__all__ = [
+    "ProcessHistory",
+    "SoakFigures",
+    "main",
+    "resource_growth",
+    "soak",
+    "unaccounted_requests",
+]
 
 SCENARIO = "tijera-day"
 SEED = 7
 WARM_UP_S = 45.0
 # A shorter life after the warm-up says nothing of growth.
-LEAST_LIFE_S = 60.0
-STRIKE_EVERY_S = (15.0, 30.0)
-BACK_AFTER_S = (2.0, 8.0)
-LOOK_EVERY_S = 1.0
+MIN_OBSERVED_S = 60.0
+FAULT_INTERVAL_S = (15.0, 30.0)
+RESTART_DELAY_S = (2.0, 8.0)
+SAMPLE_INTERVAL_S = 1.0
 POLL_S = 0.1
-SECONDS_A_MINUTE = 60.0
+SECONDS_PER_MINUTE = 60.0
 MEGABYTE = 1e6
 # What a node rightly keeps more of as time goes by are closed requests with keys,
 # for twenty minutes.
-BYTES_A_REQUEST = 4_000
-MOST_GROWTH_BYTES = 8 * MEGABYTE
-MOST_NEW_THREADS = 24
-LAST_PART = 3
+BYTES_PER_REQUEST = 4_000
+MAX_GROWTH_BYTES = 8 * MEGABYTE
+MAX_NEW_THREADS = 24
+WINDOW_DIVISOR = 3
 # An answer that came over two tries tells when the last began; the first was cut off
 # by the kill, and callers come back within this time.
-SLACK_S = 4.0
+RETRY_SLACK_S = 4.0
 KILL, STOP = "kill", "stop"
 
 
 @dataclass(frozen=True, kw_only=True)
-class Life:
+class ProcessHistory:
     """One process of a node, as it was looked at second by second.
 
     :param looks: seconds since its start, and what was seen.
     """
 
     node: str
-    looks: list[tuple[float, Look]] = field(default_factory=list)
+    looks: list[tuple[float, ProcessSample]] = field(default_factory=list)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -92,23 +99,23 @@
     """
     scenario = get_scenario(SCENARIO)
     shape = get_shape(scenario.shape)
-    seconds = minutes * SECONDS_A_MINUTE
+    seconds = minutes * SECONDS_PER_MINUTE
     arrivals = draw_arrivals(shape, scenario.streams, seed=seed, seconds=seconds)
     with ProcessGroup(folder=folder) as group:
         rig = Rig(
             shape=shape, group=group, nodes=shape.nodes, arrivals=arrivals, seed=seed
         )
         rig.deployment.start()
-        strikes = _Strikes(rig=rig, rng=random.Random(seed))
-        rig.put_load()
+        injector = _FaultInjector(rig=rig, rng=random.Random(seed))
+        rig.start_load()
         ends_at = rig.start_at + seconds
-        while rig.loading():
-            strikes.step(time.monotonic(), striking=time.monotonic() < ends_at)
+        while rig.is_loading():
+            injector.step(time.monotonic(), inject=time.monotonic() < ends_at)
             time.sleep(POLL_S)
-        strikes.bring_back()
-        rig.deployment.wait_idle(timeout_s=SECONDS_A_MINUTE)
+        injector.restart_stopped_node()
+        rig.deployment.wait_idle(timeout_s=SECONDS_PER_MINUTE)
         executions = rig.deployment.executions(epoch_s=rig.epoch_s)
-        exits = {**strikes.exits, **rig.deployment.stop()}
+        exits = {**injector.exits, **rig.deployment.stop()}
         answers = rig.answers()
     run = Run(
         shape=shape,
@@ -120,28 +127,28 @@
         executions=executions,
         node_cpu_s=0.0,
     )
-    judged = [life for life in strikes.lives if _is_long(life)]
-    grew = [(life, *grown(life)) for life in judged]
-    allowed = MOST_GROWTH_BYTES + BYTES_A_REQUEST * len(arrivals) / shape.nodes
+    observed = [history for history in injector.lives if _is_long_enough(history)]
+    growth = [(history, *resource_growth(history)) for history in observed]
+    allowed = MAX_GROWTH_BYTES + BYTES_PER_REQUEST * len(arrivals) / shape.nodes
     faults = [
         *safety_faults(run, exits),
-        *unaccounted(len(arrivals), answers, strikes.killed_s),
-        *_growth_faults(grew, allowed),
+        *unaccounted_requests(len(arrivals), answers, injector.killed_s),
+        *_growth_faults(growth, allowed),
     ]
     return SoakFigures(
         seconds=seconds,
         requests=len(arrivals),
         verdicts=dict(Counter(str(one.verdict) for one in answers)),
-        kills=strikes.counts[KILL],
-        stops=strikes.counts[STOP],
-        lives=len(judged),
-        growth_bytes=max((memory for _, memory, _ in grew), default=0.0),
-        new_threads=max((threads for _, _, threads in grew), default=0.0),
+        kills=injector.counts[KILL],
+        stops=injector.counts[STOP],
+        lives=len(observed),
+        growth_bytes=max((memory for _, memory, _ in growth), default=0.0),
+        new_threads=max((threads for _, _, threads in growth), default=0.0),
         faults=tuple(faults),
     )
 
 
-def unaccounted(
+def unaccounted_requests(
     sent: int, answers: Sequence[Answer], killed_s: Sequence[float] = ()
 ) -> list[str]:
     """Return what says that a request has no end that its caller can act on.
@@ -152,30 +159,30 @@
     """
     indexes = Counter(one.index for one in answers)
     missing = sent - len(indexes)
-    twice = sum(count > 1 for count in indexes.values())
+    duplicated = sum(count > 1 for count in indexes.values())
     codes = Counter(one.code for one in answers if one.verdict is Verdict.ERROR)
     faults = []
     if missing:
         faults.append(f"{missing} requests have no answer at all")
-    if twice:
-        faults.append(f"{twice} requests were answered twice")
+    if duplicated:
+        faults.append(f"{duplicated} requests were answered twice")
     faults += [f"{count} answers are errors: {code}" for code, count in codes.items()]
-    baseless = [
+    unexplained = [
         one.index
         for one in answers
         if one.verdict is Verdict.UNKNOWN and not _open_at(one, killed_s)
     ]
-    if baseless:
-        faults.append(f"unknown, though no node was killed: requests {baseless}")
+    if unexplained:
+        faults.append(f"unknown, though no node was killed: requests {unexplained}")
     return faults
 
 
 def _open_at(answer: Answer, killed_s: Sequence[float]) -> bool:
-    began, ended = answer.sent_s - SLACK_S, answer.end_s + SLACK_S
+    began, ended = answer.sent_s - RETRY_SLACK_S, answer.end_s + RETRY_SLACK_S
     return any(began <= at_s <= ended for at_s in killed_s)
 
 
-def grown(life: Life) -> tuple[float, float]:
+def resource_growth(history: ProcessHistory) -> tuple[float, float]:
     """Return how much a process grew from its warm-up to the end of its life.
 
     The mean of the last third after the warm-up is set against that of the first,
@@ -183,9 +190,9 @@
 
     :returns: bytes and threads.
     """
-    after = [look for age, look in life.looks if age >= WARM_UP_S]
-    part = max(1, len(after) // LAST_PART)
-    first, last = after[:part], after[-part:]
+    samples = [sample for age, sample in history.looks if age >= WARM_UP_S]
+    window = max(1, len(samples) // WINDOW_DIVISOR)
+    first, last = samples[:window], samples[-window:]
     memory = fmean(one.resident_bytes for one in last)
     threads = fmean(one.threads for one in last)
     return (
@@ -194,84 +201,84 @@
     )
 
 
-class _Strikes:
+class _FaultInjector:
     """Kills and stops nodes one at a time and starts them again."""
 
     def __init__(self, *, rig: Rig, rng: random.Random) -> None:
         self._rig = rig
         self._rng = rng
-        self._strike_at = 0.0
-        self._back_at = 0.0
-        self._down = ""
-        self._look_at = 0.0
-        self._lives: dict[str, Life] = {}
-        self._born: dict[str, float] = defaultdict(time.monotonic)
-        self.lives: list[Life] = []
+        self._next_fault_at = 0.0
+        self._restart_at = 0.0
+        self._stopped_node = ""
+        self._next_sample_at = 0.0
+        self._current_histories: dict[str, ProcessHistory] = {}
+        self._started_at: dict[str, float] = defaultdict(time.monotonic)
+        self.lives: list[ProcessHistory] = []
         self.counts: Counter[str] = Counter()
         self.exits: dict[str, int] = {}
         self.killed_s: list[float] = []
 
-    def step(self, now: float, *, striking: bool) -> None:
+    def step(self, now: float, *, inject: bool) -> None:
         """Do what is due."""
-        if now >= self._look_at:
-            self._look_at = now + LOOK_EVERY_S
-            self._look(now)
-        if self._down:
-            if now >= self._back_at:
-                self.bring_back()
+        if now >= self._next_sample_at:
+            self._next_sample_at = now + SAMPLE_INTERVAL_S
+            self._sample_nodes(now)
+        if self._stopped_node:
+            if now >= self._restart_at:
+                self.restart_stopped_node()
             return
-        if not self._strike_at:
-            self._strike_at = now + self._rng.uniform(*STRIKE_EVERY_S)
-        if striking and now >= self._strike_at and self._all_ready():
-            self._strike(now)
+        if not self._next_fault_at:
+            self._next_fault_at = now + self._rng.uniform(*FAULT_INTERVAL_S)
+        if inject and now >= self._next_fault_at and self._all_ready():
+            self._inject_fault(now)
 
-    def bring_back(self) -> None:
+    def restart_stopped_node(self) -> None:
         """Start the node that is down."""
-        if self._down:
-            self._rig.restart_node(self._down)
-            self._born[self._down] = time.monotonic()
-            self._down = ""
-            self._strike_at = 0.0
+        if self._stopped_node:
+            self._rig.restart_node(self._stopped_node)
+            self._started_at[self._stopped_node] = time.monotonic()
+            self._stopped_node = ""
+            self._next_fault_at = 0.0
 
-    def _strike(self, now: float) -> None:
+    def _inject_fault(self, now: float) -> None:
         name = self._rng.choice(self._rig.deployment.living_nodes())
-        kind = self._rng.choice((KILL, STOP))
-        self.counts[kind] += 1
-        if kind == KILL:
+        fault = self._rng.choice((KILL, STOP))
+        self.counts[fault] += 1
+        if fault == KILL:
             self._rig.deployment.kill_node(name)
             self.killed_s.append(now - self._rig.start_at)
         else:
-            status = self._rig.group.stop(name, timeout_s=SECONDS_A_MINUTE)
+            status = self._rig.group.stop(name, timeout_s=SECONDS_PER_MINUTE)
             self.exits[f"{name}, stop {self.counts[STOP]}"] = status
-        self._lives.pop(name, None)
-        self._down = name
-        self._back_at = now + self._rng.uniform(*BACK_AFTER_S)
+        self._current_histories.pop(name, None)
+        self._stopped_node = name
+        self._restart_at = now + self._rng.uniform(*RESTART_DELAY_S)
 
     def _all_ready(self) -> bool:
         return all(map(self._rig.node_ready, self._rig.deployment.node_names))
 
-    def _look(self, now: float) -> None:
+    def _sample_nodes(self, now: float) -> None:
         for name in self._rig.deployment.living_nodes():
-            if name not in self._lives:
-                self._lives[name] = Life(node=name)
-                self.lives.append(self._lives[name])
-            age = now - self._born[name]
-            self._lives[name].looks.append((age, self._rig.look(name)))
+            if name not in self._current_histories:
+                self._current_histories[name] = ProcessHistory(node=name)
+                self.lives.append(self._current_histories[name])
+            age = now - self._started_at[name]
+            self._current_histories[name].looks.append((age, self._rig.sample(name)))
 
 
-def _is_long(life: Life) -> bool:
-    return bool(life.looks) and life.looks[-1][0] >= WARM_UP_S + LEAST_LIFE_S
+def _is_long_enough(history: ProcessHistory) -> bool:
+    return bool(history.looks) and history.looks[-1][0] >= WARM_UP_S + MIN_OBSERVED_S
 
 
 def _growth_faults(
-    grew: Sequence[tuple[Life, float, float]], allowed: float
+    growth: Sequence[tuple[ProcessHistory, float, float]], allowed: float
 ) -> list[str]:
     faults = []
-    for life, memory, threads in grew:
+    for history, memory, threads in growth:
         if memory > allowed:
-            faults.append(f"{life.node} grew by {memory / MEGABYTE:.1f} MB")
-        if threads > MOST_NEW_THREADS:
-            faults.append(f"{life.node} had {threads:.0f} threads more")
+            faults.append(f"{history.node} grew by {memory / MEGABYTE:.1f} MB")
+        if threads > MAX_NEW_THREADS:
+            faults.append(f"{history.node} had {threads:.0f} threads more")
     return faults
 
 
--- a/baobabwing/bench/standin_arguments.py
+++ b/baobabwing/bench/standin_arguments.py
@@ -11,7 +11,7 @@
 __all__ = ["engine_arguments", "platform_arguments", "service_arguments"]
 
 # Parameters that are no options of the command line.
-NO_OPTIONS = frozenset({"max_prompt_tokens", "max_output_tokens"})
+PARAMETERS_WITHOUT_OPTION = frozenset({"max_prompt_tokens", "max_output_tokens"})
 
 
 def engine_arguments(
@@ -27,13 +27,13 @@
     :param platform: URL of the platform whose weight store it asks, if any.
     :param record: file that keeps its record beyond the process, if any.
     """
-    chosen = [part for model in models for part in ("--model", model)]
+    model_arguments = [argument for model in models for argument in ("--model", model)]
     if platform:
-        chosen += ["--platform", platform]
+        model_arguments += ["--platform", platform]
     return [
-        *_common("engine", spec.name, listen, record),
-        *_options(asdict(spec.engine)),
-        *chosen,
+        *_common_arguments("engine", spec.name, listen, record),
+        *_parameter_arguments(asdict(spec.engine)),
+        *model_arguments,
     ]
 
 
@@ -42,27 +42,29 @@
 ) -> list[str]:
     """Return the arguments that start a plain service."""
     return [
-        *_common("service", spec.name, listen, record),
-        *_options(asdict(spec.service)),
+        *_common_arguments("service", spec.name, listen, record),
+        *_parameter_arguments(asdict(spec.service)),
     ]
 
 
 def platform_arguments(listen: str) -> list[str]:
     """Return the arguments that start a platform."""
-    return _common("platform", "platform", listen, None)
+    return _common_arguments("platform", "platform", listen, None)
 
 
-def _common(kind: str, name: str, listen: str, record: Path | None) -> list[str]:
+def _common_arguments(
+    kind: str, name: str, listen: str, record: Path | None
+) -> list[str]:
     arguments = ["standin", kind, "--listen", listen, "--name", name]
     if record is not None:
         arguments += ["--record", str(record)]
     return arguments
 
 
-def _options(parameters: dict[str, object]) -> list[str]:
+def _parameter_arguments(parameters: dict[str, object]) -> list[str]:
     arguments = []
     for name, value in parameters.items():
-        if name in NO_OPTIONS:
+        if name in PARAMETERS_WITHOUT_OPTION:
             continue
         option = name.replace("_", "-")
         if isinstance(value, bool):
--- a/baobabwing/bench/tables.py
+++ b/baobabwing/bench/tables.py
@@ -23,7 +23,7 @@
 
 
 def _tier_table(tiers: Sequence[TierFigures]) -> str:
-    head = (
+    header = (
         "tier",
         "offered",
         "whole, in time",
@@ -39,7 +39,7 @@
             tier.tier,
             str(tier.offered),
             str(tier.good),
-            _share(tier.good, tier.offered),
+            _percentage(tier.good, tier.offered),
             str(tier.late),
             str(tier.shed),
             str(tier.unknown),
@@ -48,22 +48,29 @@
         )
         for tier in tiers
     ]
-    return format_table(head, rows)
+    return format_table(header, rows)
 
 
 def _time_table(tiers: Sequence[TierFigures]) -> str:
-    head = ["times in ms: p50/p95/p99", "first token", "between tokens", "whole answer"]
+    header = [
+        "times in ms: p50/p95/p99",
+        "first token",
+        "between tokens",
+        "whole answer",
+    ]
     rows = [
         [
             tier.tier,
             *(
-                f"{one.p50:.0f}/{one.p95:.0f}/{one.p99:.0f}" if one.count else "-"
-                for one in (tier.first_token, tier.between_tokens, tier.whole)
+                f"{quantiles.p50:.0f}/{quantiles.p95:.0f}/{quantiles.p99:.0f}"
+                if quantiles.count
+                else "-"
+                for quantiles in (tier.first_token, tier.between_tokens, tier.whole)
             ),
         ]
         for tier in tiers
     ]
-    return format_table(head, rows)
+    return format_table(header, rows)
 
 
 def _summary(figures: RunFigures) -> list[str]:
@@ -74,7 +81,7 @@
     codes = ", ".join(f"{code} {count}" for code, count in figures.codes.items())
     return [
         f"wasted prefill: {prefill.wasted} of {prefill.total} tokens"
-        f" ({_share(prefill.wasted, prefill.total)}):"
+        f" ({_percentage(prefill.wasted, prefill.total)}):"
         f" dropped {prefill.dropped}, duplicated {prefill.duplicated},"
         f" recomputed {prefill.recomputed}; for late answers {prefill.late}",
         f"good work {capacity.good:.2f} of at most {capacity.limit:.2f} pool-seconds"
@@ -94,5 +101,5 @@
     ]
 
 
-def _share(part: int, whole: int) -> str:
+def _percentage(part: int, whole: int) -> str:
     return f"{part / whole:.1%}" if whole else "-"
--- a/baobabwing/bench/transcripts.py
+++ b/baobabwing/bench/transcripts.py
@@ -15,7 +15,7 @@
 
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data:"
-DONE = b"[DONE]"
+END_MARKER = b"[DONE]"
 OK_STATUS = 200
 FIRST_ERROR_STATUS = 400
 MS_PER_S = 1_000.0
@@ -52,14 +52,14 @@
     try:
         document = json.loads(body)
     except ValueError:
-        return Judgement(verdict=_not_whole(status), code="not_json")
+        return Judgement(verdict=_verdict_of_invalid_json(status), code="not_json")
     if status >= FIRST_ERROR_STATUS:
         return _judge_error(document)
     if arrival.form is Form.SERVICE:
-        right = _echo_of(document) == service_body(arrival)
+        is_correct = _extract_echo(document) == service_body(arrival)
     else:
-        right = _text_of(document) == _expected(arrival)
-    if right:
+        is_correct = _extract_text(document) == _expected_text(arrival)
+    if is_correct:
         return Judgement(verdict=Verdict.WHOLE)
     return Judgement(verdict=Verdict.WRONG, code="other_text")
 
@@ -72,27 +72,31 @@
     words: list[str] = []
     times: list[float] = []
     for at_s, data in _events(pieces):
-        if data == DONE:
-            return _judge_text(arrival, "".join(words), times)
+        if data == END_MARKER:
+            return _judge_complete_text(arrival, "".join(words), times)
         document = json.loads(data)
         if "error" in document:
             return _with_times(_judge_error(document), times)
-        piece = _text_of(document)
+        piece = _extract_text(document)
         if piece:
             words.append(piece)
             times.append(at_s)
-    return _judge_part(arrival, "".join(words), times)
+    return _judge_truncated_text(arrival, "".join(words), times)
 
 
-def _judge_text(arrival: Arrival, found: str, times: list[float]) -> Judgement:
-    if found.split() == _expected(arrival).split():
+def _judge_complete_text(
+    arrival: Arrival, received: str, times: list[float]
+) -> Judgement:
+    if received.split() == _expected_text(arrival).split():
         return Judgement(verdict=Verdict.WHOLE, token_times=tuple(times))
     return Judgement(verdict=Verdict.WRONG, code="other_text", token_times=tuple(times))
 
 
-def _judge_part(arrival: Arrival, found: str, times: list[float]) -> Judgement:
-    words = found.split()
-    if words == _expected(arrival).split()[: len(words)]:
+def _judge_truncated_text(
+    arrival: Arrival, received: str, times: list[float]
+) -> Judgement:
+    words = received.split()
+    if words == _expected_text(arrival).split()[: len(words)]:
         code, verdict = "broken_stream", Verdict.UNKNOWN
     else:
         code, verdict = "other_text", Verdict.WRONG
@@ -118,22 +122,22 @@
     )
 
 
-def _not_whole(status: int) -> Verdict:
+def _verdict_of_invalid_json(status: int) -> Verdict:
     return Verdict.UNKNOWN if status == OK_STATUS else Verdict.ERROR
 
 
-def _expected(arrival: Arrival) -> str:
+def _expected_text(arrival: Arrival) -> str:
     return text(prompt_text(arrival), arrival.output_tokens)
 
 
-def _text_of(document: dict) -> str:
+def _extract_text(document: dict) -> str:
     choices = document.get("choices") or [{}]
     choice = choices[0]
     part = choice.get("delta") or choice.get("message") or {}
     return part.get("content") or choice.get("text") or ""
 
 
-def _echo_of(document: dict) -> object:
+def _extract_echo(document: dict) -> object:
     echo = document.get("echo")
     if not isinstance(echo, str):
         return echo
@@ -146,10 +150,10 @@
 def _events(pieces: Sequence[Piece]) -> list[tuple[float, bytes]]:
     """Return the data of each whole event with the time when its end came."""
     events = []
-    rest = b""
+    remainder = b""
     for piece in pieces:
-        *whole, rest = (rest + piece.data).split(EVENT_END)
-        for event in whole:
+        *complete_events, remainder = (remainder + piece.data).split(EVENT_END)
+        for event in complete_events:
             for line in event.split(b"\n"):
                 if line.startswith(DATA_PREFIX):
                     data = line.removeprefix(DATA_PREFIX).strip()
--- a/tests/bench/test_arrivals.py
+++ b/tests/bench/test_arrivals.py
@@ -91,7 +91,7 @@
 
 
 @pytest.mark.parametrize(
-    ("jobs", "most"),
+    ("jobs", "expected"),
     [
         ([(0.0, 10.0, 2.0)], 2.0),
         ([(0.0, 1.0, 2.0)], 1.0),
@@ -102,9 +102,9 @@
         ([], 0.0),
     ],
 )
-def test_most_work_in_time(jobs, most):
-    found = max_work_within_deadlines(
+def test_max_work_within_deadlines(jobs, expected):
+    result = max_work_within_deadlines(
         Job(start_s=start_s, deadline_s=deadline_s, work=work)
         for start_s, deadline_s, work in jobs
     )
-    assert found == pytest.approx(most)
+    assert result == pytest.approx(expected)
--- a/tests/bench/test_driver.py
+++ b/tests/bench/test_driver.py
@@ -141,15 +141,15 @@
     The first connection is closed without an answer, as if the node died while it
     relayed one; the second connection reaches an engine.
     """
-    seen = bytearray()
+    received = bytearray()
     with socket.create_server((LOOPBACK, 0)) as server:
         address = f"{LOOPBACK}:{server.getsockname()[1]}"
         threading.Thread(
-            target=_close_then_pass_on, args=(server, engine, seen), daemon=True
+            target=_close_then_proxy, args=(server, engine, received), daemon=True
         ).start()
         (answer,) = drive(_plan(address, _arrivals(CHAT_TURN)[:1], run="again"))
     assert (answer.verdict, answer.tries) == (Verdict.WHOLE, 2)
-    assert _keys_in(seen) == [answer.key, answer.key]
+    assert _idempotency_keys(received) == [answer.key, answer.key]
 
 
 def _accept_and_close(server):
@@ -162,21 +162,21 @@
             conn.recv(65_536)
 
 
-def _close_then_pass_on(server, engine, seen):
+def _close_then_proxy(server, engine, received):
     conn, _ = server.accept()
     with conn:
-        seen += conn.recv(65_536)
+        received += conn.recv(65_536)
     conn, _ = server.accept()
     host, _, port = engine.partition(":")
     with conn, socket.create_connection((host, int(port))) as upstream:
         conn.settimeout(0.2)
         with contextlib.suppress(TimeoutError):
             while data := conn.recv(65_536):
-                seen += data
+                received += data
                 upstream.sendall(data)
         while data := upstream.recv(65_536):
             conn.sendall(data)
 
 
-def _keys_in(seen):
-    return re.findall(r"Idempotency-Key: (\S+)", seen.decode())
+def _idempotency_keys(received):
+    return re.findall(r"Idempotency-Key: (\S+)", received.decode())
--- a/tests/bench/test_ports.py
+++ b/tests/bench/test_ports.py
@@ -6,7 +6,7 @@
 
 from baobabwing.bench.ports import free_port, free_ports
 
-GIVE = """
+ALLOCATE_PORTS = """
 from baobabwing.bench.ports import free_port, free_ports
 ports = [free_port() for _ in range(150)]
 for _ in range(30):
@@ -39,15 +39,15 @@
     """
     runs = [
         subprocess.Popen(
-            [sys.executable, "-c", GIVE],
+            [sys.executable, "-c", ALLOCATE_PORTS],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             text=True,
         )
         for _ in range(6)
     ]
-    given = [port for run in runs for port in run.stdout.readline().split()]
+    allocated = [port for run in runs for port in run.stdout.readline().split()]
     for run in runs:
         run.communicate("\n")
-    assert len(given) == 6 * 240
-    assert len(set(given)) == len(given)
+    assert len(allocated) == 6 * 240
+    assert len(set(allocated)) == len(allocated)
--- a/tests/bench/test_processes.py
+++ b/tests/bench/test_processes.py
@@ -6,8 +6,8 @@
 
 from baobabwing.bench.processes import ProcessError, ProcessGroup, wait_until
 
-WAIT = "import time; print('up', flush=True); time.sleep(600)"
-DEAF = (
+SLEEP = "import time; print('up', flush=True); time.sleep(600)"
+IGNORE_SIGTERM = (
     "import signal, time; signal.signal(signal.SIGTERM, signal.SIG_IGN);"
     "print('up', flush=True); time.sleep(600)"
 )
@@ -29,22 +29,22 @@
         pytest.raises(RuntimeError, match="half way"),
         ProcessGroup(folder=tmp_path) as group,
     ):
-        running = _start(group, "running", WAIT)
-        frozen = _start(group, "frozen", WAIT)
+        sleeping = _start(group, "running", SLEEP)
+        frozen = _start(group, "frozen", SLEEP)
         group.freeze("frozen")
         raise RuntimeError("half way")
-    assert not running.alive()
+    assert not sleeping.alive()
     assert not frozen.alive()
 
 
 def test_stop_kills_and_reports_a_process_that_ignores_it(tmp_path):
     """A node that hangs in its graceful stop must be killed and fail the run."""
     with ProcessGroup(folder=tmp_path) as group:
-        deaf = _start(group, "deaf", DEAF)
+        unresponsive = _start(group, "deaf", IGNORE_SIGTERM)
         with pytest.raises(ProcessError, match="no graceful stop") as caught:
             group.stop("deaf", timeout_s=0.2)
         assert caught.value.peer == "deaf"
-        assert not deaf.alive()
+        assert not unresponsive.alive()
 
 
 def test_ended_process_is_reported_with_the_end_of_its_log(tmp_path):
@@ -60,7 +60,7 @@
         _start(group, "spin", spin)
         assert wait_until(lambda: group.cpu_seconds("spin") > 0.02, timeout_s=10)
         group.freeze("spin")
-        assert wait_until(lambda: _is_still(group, "spin"), timeout_s=10)
+        assert wait_until(lambda: _is_idle(group, "spin"), timeout_s=10)
         before = group.cpu_seconds("spin")
         group.thaw("spin")
         assert wait_until(lambda: group.cpu_seconds("spin") > before, timeout_s=10)
@@ -70,12 +70,12 @@
 
 def test_names_are_not_started_twice(tmp_path):
     with ProcessGroup(folder=tmp_path) as group:
-        _start(group, "one", WAIT)
+        _start(group, "one", SLEEP)
         with pytest.raises(ProcessError, match="already running"):
-            group.start_python("one", ["-c", WAIT])
+            group.start_python("one", ["-c", SLEEP])
 
 
-def _is_still(group, name):
+def _is_idle(group, name):
     before = group.cpu_seconds(name)
     time.sleep(0.05)
     return group.cpu_seconds(name) == before
--- a/tests/bench/test_runs.py
+++ b/tests/bench/test_runs.py
@@ -49,15 +49,15 @@
 @pytest.fixture
 def groups(monkeypatch):
     """Return the list of process groups that the test creates."""
-    made = []
-    start = ProcessGroup.__init__
+    created = []
+    original_init = ProcessGroup.__init__
 
-    def _remember(self, **arguments):
-        start(self, **arguments)
-        made.append(self)
+    def _record_group(self, **arguments):
+        original_init(self, **arguments)
+        created.append(self)
 
-    monkeypatch.setattr(ProcessGroup, "__init__", _remember)
-    return made
+    monkeypatch.setattr(ProcessGroup, "__init__", _record_group)
+    return created
 
 
 def _run(tmp_path, fault=""):
@@ -71,11 +71,13 @@
     return run_scenario(SCENARIO, options, report=lambda line, *, progress: None)
 
 
-def _living(groups):
-    return [name for group in groups for name in group.names() if _alive(group, name)]
+def _running_processes(groups):
+    return [
+        name for group in groups for name in group.names() if _is_alive(group, name)
+    ]
 
 
-def _alive(group, name):
+def _is_alive(group, name):
     return group.get(name).alive()
 
 
@@ -84,7 +86,7 @@
     assert demo_faults(result.run, result.exits) == []
     assert set(result.exits.values()) == {0}
     assert len(result.exits) == NODES
-    assert _living(groups) == []
+    assert _running_processes(groups) == []
 
 
 @pytest.mark.parametrize("fault", ["kill-home", "kill-engine"])
@@ -101,4 +103,4 @@
     assert safety.not_run_but_ran == 0
     assert safety.wrong_text == 0
     assert len(result.run.answers) == len(result.run.arrivals)
-    assert _living(groups) == []
+    assert _running_processes(groups) == []
