Rename private identifiers of the fault matrix

oracle: _more_than_once -> _duplicate_executions, _unasked -> _unrequested_executions, _request_of -> _request_id_of, _is_right_chat -> _is_correct_chat, _is_right_booking -> _is_correct_booking; locals script -> transcript, tries -> attempts, told_s -> answered_s, again -> retried. scene: Reach -> StepFunction, _queue_one -> _queue_request, _filler -> _send_filler. site: _dead -> _ended_processes, _state -> _describe_state, _newest -> _latest_version. caller: _TOLD_OUTCOMES -> _ERROR_OUTCOMES, _left -> _closed_by_caller, _take -> _handle_event, _take_error -> _handle_error, _end -> _set_ending, _ask -> _query_addresses, _DONE -> _STREAM_END, _DATA -> _DATA_PREFIX, _OK -> _OK_STATUS, told -> answered, has_outcome or addresses. campaign: _hurt -> _inject_faults, _take -> _take_request, _one -> _send_request, _call -> _run_caller, _note_killed -> _mark_killed, _judge -> _check_results, _last -> _last_transcript, _left -> _requests_left, LEAVING_SHARE -> DISCONNECT_SHARE, LEAST_TOKENS -> MIN_TOKENS, MOST_TOKENS -> MAX_TOKENS, TRIES -> MAX_ATTEMPTS, FREEZE_S -> DOWNTIME_S. strikes: _rebuilt -> _home_rebuild_count. table: _HEAD -> _PAGE_HEADER, _short -> _short_name, _row -> _markdown_row, found -> results_by_cell, word -> test_name.

--- a/baobabwing/bench/matrix/caller.py
+++ b/baobabwing/bench/matrix/caller.py
@@ -20,10 +20,10 @@
 
 READ_TIMEOUT_S = 30.0
 MS_PER_S = 1_000.0
-_OK = 200
-_DATA = b"data: "
-_DONE = b"[DONE]"
-_TOLD_OUTCOMES = ("not_run", "unknown", "partial")
+_OK_STATUS = 200
+_DATA_PREFIX = b"data: "
+_STREAM_END = b"[DONE]"
+_ERROR_OUTCOMES = ("not_run", "unknown", "partial")
 
 
 class Ending(StrEnum):
@@ -104,7 +104,7 @@
         self._last_event = last_event
         self._headers = dict(headers or {})
         self._conn = http.client.HTTPConnection(address, timeout=READ_TIMEOUT_S)
-        self._left = False
+        self._closed_by_caller = False
         self._changed = threading.Condition()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -141,7 +141,7 @@
 
         :param hard: with a reset, as when the caller's host vanishes.
         """
-        self._left = True
+        self._closed_by_caller = True
         sock = self._conn.sock
         if sock is None:
             return
@@ -159,7 +159,7 @@
         try:
             self._exchange()
         except (OSError, http.client.HTTPException, ValueError):
-            self._end(Ending.BROKEN)
+            self._set_ending(Ending.BROKEN)
         finally:
             self._conn.close()
 
@@ -168,14 +168,14 @@
         try:
             self._conn.connect()
         except OSError:
-            self._end(Ending.REFUSED)
+            self._set_ending(Ending.REFUSED)
             return
         self._conn.request("POST", path, body=json.dumps(document), headers=headers)
         resp = self._conn.getresponse()
-        script = self.transcript
-        script.status = resp.status
-        script.request_id = resp.headers.get("X-Request-Id", "")
-        script.retry_after = resp.headers.get("Retry-After", "")
+        transcript = self.transcript
+        transcript.status = resp.status
+        transcript.request_id = resp.headers.get("X-Request-Id", "")
+        transcript.retry_after = resp.headers.get("Retry-After", "")
         if resp.headers.get("Content-Type", "").startswith("text/event-stream"):
             self._read_stream(resp)
         else:
@@ -206,21 +206,21 @@
 
     def _read_stream(self, resp: http.client.HTTPResponse) -> None:
         for line in resp:
-            if not line.startswith(_DATA):
+            if not line.startswith(_DATA_PREFIX):
                 continue
-            data = line.removeprefix(_DATA).strip()
-            if data == _DONE:
+            data = line.removeprefix(_DATA_PREFIX).strip()
+            if data == _STREAM_END:
                 resp.read()
-                self._end(Ending.WHOLE)
+                self._set_ending(Ending.WHOLE)
                 return
-            self._take(json.loads(data))
+            self._handle_event(json.loads(data))
             if self.transcript.ending is not None:
                 return
-        self._end(Ending.BROKEN)
+        self._set_ending(Ending.BROKEN)
 
-    def _take(self, document: Mapping[str, Any]) -> None:
+    def _handle_event(self, document: Mapping[str, Any]) -> None:
         if "error" in document:
-            self._take_error(document["error"])
+            self._handle_error(document["error"])
             return
         word = document["choices"][0]["delta"].get("content", "").strip()
         with self._changed:
@@ -230,22 +230,22 @@
     def _read_whole(self, resp: http.client.HTTPResponse) -> None:
         document = json.loads(resp.read())
         if "error" in document:
-            self._take_error(document["error"])
+            self._handle_error(document["error"])
             return
         self.transcript.document = document
         if "choices" in document:
             text = document["choices"][0]["message"]["content"]
             self.transcript.words.extend(text.split())
-        self._end(Ending.WHOLE if resp.status == _OK else Ending.OTHER)
+        self._set_ending(Ending.WHOLE if resp.status == _OK_STATUS else Ending.OTHER)
 
-    def _take_error(self, error: Mapping[str, Any]) -> None:
+    def _handle_error(self, error: Mapping[str, Any]) -> None:
         self.transcript.error = error
         outcome = error.get("outcome")
-        told = outcome in _TOLD_OUTCOMES
-        self._end(Ending(outcome) if told else Ending.OTHER)
+        has_outcome = outcome in _ERROR_OUTCOMES
+        self._set_ending(Ending(outcome) if has_outcome else Ending.OTHER)
 
-    def _end(self, ending: Ending) -> None:
-        if self._left and ending is Ending.BROKEN:
+    def _set_ending(self, ending: Ending) -> None:
+        if self._closed_by_caller and ending is Ending.BROKEN:
             ending = Ending.GONE
         with self._changed:
             if self.transcript.ending is None:
@@ -305,24 +305,24 @@
         after a part of its answer, and after "unknown" or "not run" as long as
         tries are left.
         """
-        told = script = first.wait()
+        answered = transcript = first.wait()
         for number in range(tries - 1):
-            if script.ending in (Ending.WHOLE, Ending.OTHER):
+            if transcript.ending in (Ending.WHOLE, Ending.OTHER):
                 break
             words = self.words_of(job)
             last = len(words) - 1 if words and job.stream else None
             address = others[number % len(others)]
-            script = self.begin(job, address, last_event=last).wait()
-            if script.ending is not Ending.REFUSED:
-                told = script
-        return told
+            transcript = self.begin(job, address, last_event=last).wait()
+            if transcript.ending is not Ending.REFUSED:
+                answered = transcript
+        return answered
 
     def words_of(self, job: Job) -> list[str]:
         """Return the tokens that all tries of a job gave, in their places."""
         found: dict[int, str] = {}
-        for script in self.transcripts:
-            if script.job == job:
-                found.update(enumerate(script.words, start=script.first))
+        for transcript in self.transcripts:
+            if transcript.job == job:
+                found.update(enumerate(transcript.words, start=transcript.first))
         return [found[index] for index in range(len(found)) if index in found]
 
 
@@ -358,21 +358,21 @@
         self._thread.join(READ_TIMEOUT_S)
 
     def _run(self) -> None:
-        told: list[Mapping[str, str]] = []
-        until = 0.0
+        addresses: list[Mapping[str, str]] = []
+        refresh_at = 0.0
         while not self._stopped.is_set():
-            if not told or time.monotonic() >= until:
-                told, keep_s = self._ask(told)
-                until = time.monotonic() + keep_s
+            if not addresses or time.monotonic() >= refresh_at:
+                addresses, keep_s = self._query_addresses(addresses)
+                refresh_at = time.monotonic() + keep_s
                 continue
-            key = told[0]["key_prefix"] + uuid.uuid4().hex
+            key = addresses[0]["key_prefix"] + uuid.uuid4().hex
             job = Job(text=f"a kickoff {key}", key=key)
-            self._caller.begin(job, told[0]["http"]).wait()
+            self._caller.begin(job, addresses[0]["http"]).wait()
 
-    def _ask(
-        self, told: list[Mapping[str, str]]
+    def _query_addresses(
+        self, addresses: list[Mapping[str, str]]
     ) -> tuple[list[Mapping[str, str]], float]:
-        for address in (*(one["http"] for one in told), *self._known):
+        for address in (*(one["http"] for one in addresses), *self._known):
             conn = http.client.HTTPConnection(address, timeout=1.0)
             try:
                 conn.request(
--- a/baobabwing/bench/matrix/campaign.py
+++ b/baobabwing/bench/matrix/campaign.py
@@ -20,14 +20,14 @@
 __all__ = ["Campaign", "Figures"]
 
 CALLERS = 12
-LEAST_TOKENS, MOST_TOKENS = 10, 120
+MIN_TOKENS, MAX_TOKENS = 10, 120
 BOOKING_SHARE = 0.3
-LEAVING_SHARE = 0.1
+DISCONNECT_SHARE = 0.1
 PROMPT_WORDS = 200
-TRIES = 5
+MAX_ATTEMPTS = 5
 RETRY_PAUSE_S = 0.1
 FAULT_PAUSE_S = (0.5, 1.5)
-FREEZE_S = (0.2, 2.5)
+DOWNTIME_S = (0.2, 2.5)
 IDLE_S = 60.0
 
 
@@ -98,13 +98,13 @@
         requests: int,
         seed: int,
         only: str = "",
-        tokens: tuple[int, int] = (LEAST_TOKENS, MOST_TOKENS),
+        tokens: tuple[int, int] = (MIN_TOKENS, MAX_TOKENS),
     ) -> None:
         self._site = site
         self._only = only
         self._tokens = tokens
         self._hung: list[str] = []
-        self._left = requests
+        self._requests_left = requests
         self._seed = seed
         self._rng = random.Random(seed)
         self._lock = threading.Lock()
@@ -120,60 +120,60 @@
         """
         epoch_s = time.time()
         threads = [
-            threading.Thread(target=self._call, args=(number,))
+            threading.Thread(target=self._run_caller, args=(number,))
             for number in range(CALLERS)
         ]
-        hurting = threading.Thread(target=self._hurt)
-        for thread in (*threads, hurting):
+        fault_thread = threading.Thread(target=self._inject_faults)
+        for thread in (*threads, fault_thread):
             thread.start()
         for thread in threads:
             thread.join()
         self._done.set()
-        hurting.join()
+        fault_thread.join()
         self._site.heal()
         if not self._site.wait_idle(timeout_s=IDLE_S):
             raise ProcessError("upstreams did not come to rest", step="campaign")
-        return self._judge(epoch_s)
+        return self._check_results(epoch_s)
 
-    def _call(self, number: int) -> None:
+    def _run_caller(self, number: int) -> None:
         rng = random.Random(f"{self._seed}/{number}")
         credential = self._site.shape.credential_key("pocitos", "chat")
         caller = Caller(credential=credential)
         with self._lock:
             self._callers.append(caller)
-        while self._take():
-            self._one(caller, rng)
+        while self._take_request():
+            self._send_request(caller, rng)
 
-    def _take(self) -> bool:
+    def _take_request(self) -> bool:
         with self._lock:
-            self._left -= 1
-            return self._left >= 0
+            self._requests_left -= 1
+            return self._requests_left >= 0
 
-    def _one(self, caller: Caller, rng: random.Random) -> None:
+    def _send_request(self, caller: Caller, rng: random.Random) -> None:
         nodes = list(self._site.nodes.values())
         rng.shuffle(nodes)
         job = self._job(caller, nodes, rng)
         request = _Request(job=job)
         with self._lock:
             self._requests.append(request)
-        leaves = rng.random() < LEAVING_SHARE
-        for number in range(TRIES):
+        disconnects = rng.random() < DISCONNECT_SHARE
+        for number in range(MAX_ATTEMPTS):
             words = caller.words_of(job)
             last = len(words) - 1 if words else None
             address = nodes[number % len(nodes)]
             attempt = caller.begin(job, address, last_event=last)
             with self._lock:
                 request.tries.append(attempt)
-            if leaves and number == 0:
+            if disconnects and number == 0:
                 attempt.wait_words(rng.randrange(1, 5), timeout_s=1.0)
                 attempt.leave(hard=rng.random() < 0.5)
             try:
-                script = attempt.wait()
+                transcript = attempt.wait()
             except TimeoutError:
                 self._hung.append(f"{job.key}@{address}+{number}")
                 attempt.leave()
                 continue
-            if script.ending in (Ending.WHOLE, Ending.OTHER):
+            if transcript.ending in (Ending.WHOLE, Ending.OTHER):
                 return
             time.sleep(RETRY_PAUSE_S)
 
@@ -199,8 +199,8 @@
             tokens=rng.randrange(*self._tokens),
         )
 
-    def _hurt(self) -> None:
-        acts: tuple[tuple[str, Callable[[], None]], ...] = (
+    def _inject_faults(self) -> None:
+        faults: tuple[tuple[str, Callable[[], None]], ...] = (
             ("host killed", self._kill_node),
             ("host killed", self._kill_node),
             ("host frozen", self._freeze_node),
@@ -214,11 +214,11 @@
             ("store loses answers", self._lose_answers),
         )
         while not self._done.wait(self._rng.uniform(*FAULT_PAUSE_S)):
-            name, act = self._rng.choice(
-                [one for one in acts if self._only in ("", one[0])]
+            name, inject = self._rng.choice(
+                [one for one in faults if self._only in ("", one[0])]
             )
             self._faults[name] += 1
-            act()
+            inject()
 
     def _kill_node(self) -> None:
         name = self._rng.choice(self._site.node_names)
@@ -226,17 +226,17 @@
         with self._lock:
             self._site.kill(name)
             for request in self._requests:
-                self._note_killed(request, address)
-        self._done.wait(self._rng.uniform(*FREEZE_S))
+                self._mark_killed(request, address)
+        self._done.wait(self._rng.uniform(*DOWNTIME_S))
         self._site.restart_node(name)
         wait_until(self._site.is_whole, timeout_s=IDLE_S)
 
-    def _note_killed(self, request: _Request, address: str) -> None:
+    def _mark_killed(self, request: _Request, address: str) -> None:
         if not request.tries or request.killed is not None:
             return
-        script = request.tries[-1].transcript
-        streams = bool(script.words) and not script.job.service
-        if script.ending is None and script.address == address and streams:
+        transcript = request.tries[-1].transcript
+        streams = bool(transcript.words) and not transcript.job.service
+        if transcript.ending is None and transcript.address == address and streams:
             request.killed = len(request.tries) - 1
 
     def _freeze_node(self) -> None:
@@ -245,13 +245,13 @@
 
     def _freeze(self, name: str) -> None:
         self._site.group.freeze(name)
-        self._done.wait(self._rng.uniform(*FREEZE_S))
+        self._done.wait(self._rng.uniform(*DOWNTIME_S))
         self._site.group.thaw(name)
 
     def _kill_engine(self) -> None:
         name = self._rng.choice(ENGINES)
         self._site.kill(name)
-        self._done.wait(self._rng.uniform(*FREEZE_S))
+        self._done.wait(self._rng.uniform(*DOWNTIME_S))
         self._site.restart(name)
 
     def _freeze_engine(self) -> None:
@@ -259,7 +259,7 @@
 
     def _cut_streams(self) -> None:
         name = self._rng.choice(ENGINES)
-        value = self._rng.randrange(1, LEAST_TOKENS)
+        value = self._rng.randrange(1, MIN_TOKENS)
         self._site.fault(name, "cut_stream_after", value=value, count=3)
 
     def _drop_answers(self) -> None:
@@ -280,43 +280,45 @@
     def _lose_answers(self) -> None:
         self._site.fault(PLATFORM, "lose_answer", count=3)
 
-    def _judge(self, epoch_s: float) -> Figures:
+    def _check_results(self, epoch_s: float) -> Figures:
         executions = [
             one for one in self._site.executions(epoch_s=epoch_s) if one.started_s >= 0
         ]
-        scripts = [one for caller in self._callers for one in caller.transcripts]
+        transcripts = [one for caller in self._callers for one in caller.transcripts]
         runs: dict[str, list[Executed]] = defaultdict(list)
         for one in executions:
             runs[one.key].append(one)
-        cut = [one for one in self._requests if one.killed is not None]
+        cut_requests = [one for one in self._requests if one.killed is not None]
         return Figures(
             requests=len(self._requests),
-            breaches=tuple(judge(scripts, executions, epoch_s=epoch_s)),
-            cut_streams=len(cut),
-            completed=sum(_second_try_whole(one) for one in cut),
-            second_endings=dict(Counter(_second_ending(one) for one in cut)),
-            recomputed=sum(len(runs[one.job.key]) > 1 for one in cut),
+            breaches=tuple(judge(transcripts, executions, epoch_s=epoch_s)),
+            cut_streams=len(cut_requests),
+            completed=sum(_second_try_whole(one) for one in cut_requests),
+            second_endings=dict(Counter(_second_ending(one) for one in cut_requests)),
+            recomputed=sum(len(runs[one.job.key]) > 1 for one in cut_requests),
             executions=len(executions),
             hung=tuple(self._hung),
             faults=dict(self._faults),
-            endings=dict(Counter(str(_last(one).ending) for one in self._requests)),
+            endings=dict(
+                Counter(str(_last_transcript(one).ending) for one in self._requests)
+            ),
         )
 
 
-def _last(request: _Request) -> Transcript:
+def _last_transcript(request: _Request) -> Transcript:
     return request.tries[-1].transcript
 
 
 def _second_ending(request: _Request) -> str:
-    following = request.tries[request.killed + 1 :]
-    if not following:
+    later_attempts = request.tries[request.killed + 1 :]
+    if not later_attempts:
         return "no second try"
-    script = following[0].transcript
-    message = script.error.get("message", "")
-    return f"{script.ending} {message}".strip()
+    transcript = later_attempts[0].transcript
+    message = transcript.error.get("message", "")
+    return f"{transcript.ending} {message}".strip()
 
 
 def _second_try_whole(request: _Request) -> bool:
     """Tell whether the try after the one whose host was killed was whole."""
-    following = request.tries[request.killed + 1 :]
-    return bool(following) and following[0].transcript.ending is Ending.WHOLE
+    later_attempts = request.tries[request.killed + 1 :]
+    return bool(later_attempts) and later_attempts[0].transcript.ending is Ending.WHOLE
--- a/baobabwing/bench/matrix/oracle.py
+++ b/baobabwing/bench/matrix/oracle.py
@@ -44,10 +44,10 @@
     """
     executed = list(executions)
     return [
-        *_more_than_once(executed),
+        *_duplicate_executions(executed),
         *_false_not_run(transcripts, executed, epoch_s),
         *_wrong_answers(transcripts),
-        *_unasked(transcripts, executed),
+        *_unrequested_executions(transcripts, executed),
     ]
 
 
@@ -59,16 +59,23 @@
     :param since_s: when it began to leave, on the executions' clock.
     """
     return [
-        Breach(promise="leaving", what=f"{one.attempt} at {one.started_s - since_s:g}")
-        for one in executions
-        if one.upstream == upstream and one.started_s > since_s + bound_s
+        Breach(
+            promise="leaving",
+            what=f"{execution.attempt} at {execution.started_s - since_s:g}",
+        )
+        for execution in executions
+        if execution.upstream == upstream and execution.started_s > since_s + bound_s
     ]
 
 
-def _more_than_once(executed: Sequence[Executed]) -> list[Breach]:
+def _duplicate_executions(executed: Sequence[Executed]) -> list[Breach]:
     counts: dict[str, int] = defaultdict(int)
-    for one in executed:
-        counts[f"key {one.key}" if one.key else f"request {_request_of(one)}"] += 1
+    for execution in executed:
+        counts[
+            f"key {execution.key}"
+            if execution.key
+            else f"request {_request_id_of(execution)}"
+        ] += 1
     return [
         Breach(promise="once", what=f"{name} was executed {count} times")
         for name, count in counts.items()
@@ -83,41 +90,46 @@
 
     What ran after that was told is right only if the caller tried again.
     """
-    tries: dict[str, list[Transcript]] = defaultdict(list)
+    attempts: dict[str, list[Transcript]] = defaultdict(list)
     runs: dict[str, list[Executed]] = defaultdict(list)
-    for script in transcripts:
-        tries[script.job.key].append(script)
-    for one in executed:
-        runs[one.key].append(one)
+    for transcript in transcripts:
+        attempts[transcript.job.key].append(transcript)
+    for execution in executed:
+        runs[execution.key].append(execution)
     breaches = []
-    for script in transcripts:
-        if script.ending is not Ending.NOT_RUN:
+    for transcript in transcripts:
+        if transcript.ending is not Ending.NOT_RUN:
             continue
-        told_s = script.ended_s - epoch_s
-        key = script.job.key
-        again = any(one.sent_s >= script.ended_s for one in tries[key] if key)
-        request = script.request_id.split(".")[0]
+        answered_s = transcript.ended_s - epoch_s
+        key = transcript.job.key
+        retried = any(
+            attempt.sent_s >= transcript.ended_s for attempt in attempts[key] if key
+        )
+        request = transcript.request_id.split(".")[0]
         if any(
-            (key and (one.started_s <= told_s or not again))
-            or (request and _request_of(one) == request)
-            for one in (runs[key] if key else executed)
+            (key and (execution.started_s <= answered_s or not retried))
+            or (request and _request_id_of(execution) == request)
+            for execution in (runs[key] if key else executed)
         ):
-            what = f"{key or request}: {script.error.get('code')}"
+            what = f"{key or request}: {transcript.error.get('code')}"
             breaches.append(Breach(promise="not_run", what=what))
     return breaches
 
 
 def _wrong_answers(transcripts: Sequence[Transcript]) -> list[Breach]:
     breaches = []
-    for script in transcripts:
-        right = _is_right_booking if script.job.service else _is_right_chat
-        if not right(script):
-            what = f"{script.job.text[:40]!r}: {script.ending}, {len(script.words)}"
+    for transcript in transcripts:
+        is_correct = _is_correct_booking if transcript.job.service else _is_correct_chat
+        if not is_correct(transcript):
+            what = (
+                f"{transcript.job.text[:40]!r}: {transcript.ending},"
+                f" {len(transcript.words)}"
+            )
             breaches.append(Breach(promise="whole", what=what))
     return breaches
 
 
-def _unasked(
+def _unrequested_executions(
     transcripts: Sequence[Transcript], executed: Sequence[Executed]
 ) -> list[Breach]:
     """Find executions that no caller asked for.
@@ -125,30 +137,32 @@
     To a plain service everything is a call; a look at its state or a second
     request on behalf of one that is over would run it.
     """
-    keys = {script.job.key for script in transcripts}
+    keys = {transcript.job.key for transcript in transcripts}
     return [
-        Breach(promise="unasked", what=f"{one.upstream}: {one.attempt}")
-        for one in executed
-        if one.key not in keys
+        Breach(promise="unasked", what=f"{execution.upstream}: {execution.attempt}")
+        for execution in executed
+        if execution.key not in keys
     ]
 
 
-def _is_right_chat(script: Transcript) -> bool:
-    expected = [token(script.job.text, index) for index in range(script.job.tokens)]
-    expected = expected[script.first :]
-    if script.ending is Ending.WHOLE:
-        return script.words == expected
-    return script.words == expected[: len(script.words)]
+def _is_correct_chat(transcript: Transcript) -> bool:
+    expected = [
+        token(transcript.job.text, index) for index in range(transcript.job.tokens)
+    ]
+    expected = expected[transcript.first :]
+    if transcript.ending is Ending.WHOLE:
+        return transcript.words == expected
+    return transcript.words == expected[: len(transcript.words)]
 
 
-def _is_right_booking(script: Transcript) -> bool:
-    if script.ending is not Ending.WHOLE:
-        return not script.words
-    echo = script.document.get("echo", "")
-    same_key = script.document.get("key") == script.job.key
-    return same_key and json.loads(echo) == {"text": script.job.text}
+def _is_correct_booking(transcript: Transcript) -> bool:
+    if transcript.ending is not Ending.WHOLE:
+        return not transcript.words
+    echo = transcript.document.get("echo", "")
+    same_key = transcript.document.get("key") == transcript.job.key
+    return same_key and json.loads(echo) == {"text": transcript.job.text}
 
 
-def _request_of(one: Executed) -> str:
+def _request_id_of(execution: Executed) -> str:
     """Return the request that an attempt belongs to."""
-    return one.attempt.split(".")[0]
+    return execution.attempt.split(".")[0]
--- a/baobabwing/bench/matrix/scene.py
+++ b/baobabwing/bench/matrix/scene.py
@@ -105,12 +105,12 @@
         if not self.entry_hangs:
             return self.caller.finish(self.job, self.first, others)
         words = self.caller.words_of(self.job)
-        last = len(words) - 1 if words else None
-        second = self.caller.begin(self.job, others[0], last_event=last)
-        script = self.caller.finish(self.job, second, others[:2])
+        last_event = len(words) - 1 if words else None
+        second_attempt = self.caller.begin(self.job, others[0], last_event=last_event)
+        transcript = self.caller.finish(self.job, second_attempt, others[:2])
         self.recover()
         self.first.wait()
-        return script
+        return transcript
 
     def recover(self) -> None:
         """Let whatever is frozen go on."""
@@ -119,21 +119,21 @@
                 self.site.group.thaw(name)
 
 
-Reach = Callable[[Scene], None]
-STEPS: dict[str, Reach] = {}
+StepFunction = Callable[[Scene], None]
+STEPS: dict[str, StepFunction] = {}
 
 
-def step(name: str) -> Callable[[Reach], Reach]:
+def step(name: str) -> Callable[[StepFunction], StepFunction]:
     """Add a step at which a fault can strike to the registry."""
 
-    def register(reach: Reach) -> Reach:
-        STEPS[name] = reach
-        return reach
+    def register(step_function: StepFunction) -> StepFunction:
+        STEPS[name] = step_function
+        return step_function
 
     return register
 
 
-def get_step(name: str) -> Reach:
+def get_step(name: str) -> StepFunction:
     """Return what brings a scene to a step and strikes there.
 
     :raises KeyError: if there is none of that name.
@@ -152,7 +152,7 @@
 def _queued(scene: Scene) -> None:
     fillers: list[Try] = []
     try:
-        _queue_one(scene, fillers)
+        _queue_request(scene, fillers)
         scene.strike(scene)
     finally:
         for filler in fillers:
@@ -196,14 +196,14 @@
     scene.first = scene.caller.begin(scene.job, scene.site.address(scene.other))
 
 
-def _queue_one(scene: Scene, fillers: list[Try]) -> None:
+def _queue_request(scene: Scene, fillers: list[Try]) -> None:
     """Fill the upstreams until a request has to wait.
 
     A home may find a place for a short request where it has none for long ones;
     then some more long ones are sent.
     """
     for _ in range(QUEUE_ATTEMPTS):
-        fillers.extend(_filler(scene, number) for number in range(FILLERS))
+        fillers.extend(_send_filler(scene, number) for number in range(FILLERS))
         scene.wait(lambda: is_overfull(scene.site, scene.other, fillers), "full")
         scene.prepare(deadline_ms=QUEUED_DEADLINE_MS)
         scene.send()
@@ -219,7 +219,7 @@
     raise ProcessError("it is not queued", step="scene")
 
 
-def _filler(scene: Scene, number: int) -> Try:
+def _send_filler(scene: Scene, number: int) -> Try:
     """Occupy an upstream for as long as it takes."""
     job = Job(
         text=f"filler {number} {uuid.uuid4().hex}",
--- a/baobabwing/bench/matrix/site.py
+++ b/baobabwing/bench/matrix/site.py
@@ -93,7 +93,7 @@
         super().__init__(shape=shape or trial_shape(), group=group, policy="baobabwing")
         self.group = group
         self._stopping: set[str] = set()
-        self._newest = 0
+        self._latest_version = 0
 
     def address(self, name: str) -> str:
         """Return the address of a node, an upstream or the platform."""
@@ -124,10 +124,10 @@
     def members(self, node: str) -> dict[str, str]:
         """Return the incarnations of the nodes that a node would offer to callers."""
         try:
-            told = get_json(self.nodes[node], "/v1/addresses")["addresses"]
+            addresses = get_json(self.nodes[node], "/v1/addresses")["addresses"]
         except ProcessError:
             return {}
-        return {one["name"]: one["key_prefix"].split(".")[2] for one in told}
+        return {one["name"]: one["key_prefix"].split(".")[2] for one in addresses}
 
     def stop_node(self, name: str) -> None:
         """Ask a node to stop gracefully, without waiting for it."""
@@ -152,12 +152,12 @@
 
         :raises ProcessError: if the stand-in does not take it.
         """
-        order = {"fault": fault, "value": value, "count": count, "names": names}
+        document = {"fault": fault, "value": value, "count": count, "names": names}
         if for_ms is not None:
-            order["for_ms"] = for_ms
+            document["for_ms"] = for_ms
         conn = http.client.HTTPConnection(self.address(name), timeout=5.0)
         try:
-            conn.request("POST", "/control/faults", body=json.dumps(order))
+            conn.request("POST", "/control/faults", body=json.dumps(document))
             status = conn.getresponse().status
         finally:
             conn.close()
@@ -187,15 +187,15 @@
         for name in self.group.names():
             if self.group.get(name).alive():
                 self.group.thaw(name)
-        self._newest = max(self.version(name) for name in self.nodes)
+        self._latest_version = max(self.version(name) for name in self.nodes)
         while self._stopping:
             self.group.get(self._stopping.pop()).popen.wait(HEAL_TIMEOUT_S)
-        for name in self._dead():
+        for name in self._ended_processes():
             self.restart(name)
         for name in (PLATFORM, *self.upstreams):
             clear_faults(self.address(name))
         if not wait_until(self.is_whole, timeout_s=HEAL_TIMEOUT_S, poll_s=0.05):
-            raise ProcessError(f"not whole: {self._state()}", step="heal")
+            raise ProcessError(f"not whole: {self._describe_state()}", step="heal")
 
     def version(self, node: str) -> int:
         """Return the configuration version that a node says is in force."""
@@ -220,14 +220,14 @@
     def _tables(self) -> TableClient:
         return TableClient(url=f"http://{self.platform}", timeout_s=TABLES_TIMEOUT_S)
 
-    def _state(self) -> str:
+    def _describe_state(self) -> str:
         """Return what keeps the fleet from being whole, for a failed trial."""
-        ends = {
+        log_tails = {
             name: self.group.get(name).log.read_text()[-LOG_TAIL_CHARACTERS:]
-            for name in self._dead()
+            for name in self._ended_processes()
         }
         views = {name: sorted(self.members(name)) for name in self.nodes}
-        return f"members {views}, ended {ends}"
+        return f"members {views}, ended {log_tails}"
 
     def restart_node(self, name: str) -> None:
         """Start a node again that has ended, as a new incarnation."""
@@ -242,7 +242,7 @@
             self.group.start(PLATFORM, platform_arguments(self.platform))
             self._wait_ready(PLATFORM, self.platform, "/control/parameters")
             self._publish()
-            while self.accepted().version < self._newest:
+            while self.accepted().version < self._latest_version:
                 self.change(lambda cfg: cfg)
         else:
             specs = {one.name: one for one in self.shape.engines}
@@ -253,7 +253,7 @@
                 self._start_service(services[name])
             self._wait_ready(name, self.upstreams[name], "/control/parameters")
 
-    def _dead(self) -> list[str]:
+    def _ended_processes(self) -> list[str]:
         return [name for name in self.group.names() if not self.group.get(name).alive()]
 
     def is_whole(self) -> bool:
@@ -261,8 +261,8 @@
         views = [self.members(name) for name in self.nodes]
         ready = all(answers_ok(address, "/readyz") for address in self.nodes.values())
         # All see all, and each incarnation is that of the process alive now.
-        same = all(view == views[0] for view in views)
-        return ready and same and len(views[0]) == len(self.nodes)
+        views_agree = all(view == views[0] for view in views)
+        return ready and views_agree and len(views[0]) == len(self.nodes)
 
     def _gauge(self, node: str, pattern: re.Pattern[str]) -> float:
         conn = http.client.HTTPConnection(self.nodes[node], timeout=2.0)
--- a/baobabwing/bench/matrix/strikes.py
+++ b/baobabwing/bench/matrix/strikes.py
@@ -24,9 +24,9 @@
 def strike(name: str) -> Callable[[Strike], Strike]:
     """Add a fault to the registry."""
 
-    def register(act: Strike) -> Strike:
-        STRIKES[name] = act
-        return act
+    def register(inject: Strike) -> Strike:
+        STRIKES[name] = inject
+        return inject
 
     return register
 
@@ -86,9 +86,9 @@
 
 @strike("the home of its cell is killed, and its host once there is a new home")
 def _home_then_entry_killed(scene: Scene) -> None:
-    before = _rebuilt(scene)
+    before = _home_rebuild_count(scene)
     scene.site.kill(scene.home)
-    scene.wait(lambda: _rebuilt(scene) > before, "home rebuilt")
+    scene.wait(lambda: _home_rebuild_count(scene) > before, "home rebuilt")
     scene.site.kill(scene.entry)
 
 
@@ -196,7 +196,7 @@
     scene.site.kill(scene.entry)
 
 
-def _rebuilt(scene: Scene) -> int:
+def _home_rebuild_count(scene: Scene) -> int:
     """Return how often a home of the request's cell was rebuilt so far."""
     cell = f'"{BOOKING if scene.service else "assistant"}/0"'
     lines = [
--- a/baobabwing/bench/matrix/table.py
+++ b/baobabwing/bench/matrix/table.py
@@ -193,7 +193,7 @@
     ),
 }
 
-_HEAD = """\
+_PAGE_HEADER = """\
 # Fault matrix
 
 Written by `make matrix`; each cell names the tests that bring the fault about at
@@ -214,10 +214,10 @@
     name, _, rest = nodeid.partition("[")
     if "test_every_fault" not in name:
         return None
-    word = name.rpartition("test_")[2]
+    test_name = name.rpartition("test_")[2]
     for column in REQUEST_STEPS:
         if rest.endswith(f"-{column}]"):
-            return word, rest.removesuffix(f"-{column}]"), column
+            return test_name, rest.removesuffix(f"-{column}]"), column
     return None
 
 
@@ -226,36 +226,40 @@
 
     :param results: outcome of each test that ran, by its name.
     """
-    found: dict[tuple[str, str], list[str]] = {}
+    results_by_cell: dict[tuple[str, str], list[str]] = {}
     for nodeid, outcome in results.items():
-        place = cell_of(nodeid)
-        if place is not None:
-            word, row, column = place
-            found.setdefault((row, column), []).append(f"{word} {outcome}")
-    lines = [_HEAD]
+        cell = cell_of(nodeid)
+        if cell is not None:
+            test_name, row, column = cell
+            results_by_cell.setdefault((row, column), []).append(
+                f"{test_name} {outcome}"
+            )
+    lines = [_PAGE_HEADER]
     for title, columns in (
         ("Steps of a request", REQUEST_STEPS),
         ("Steps of an operator's change", CHANGE_STEPS),
     ):
-        lines += ["", f"## {title}", "", _row(("fault", *columns))]
-        lines.append(_row(["---"] * (len(columns) + 1)))
+        lines += ["", f"## {title}", "", _markdown_row(("fault", *columns))]
+        lines.append(_markdown_row(["---"] * (len(columns) + 1)))
         lines += [
-            _row((row, *(_cell(found, results, row, one) for one in columns)))
+            _markdown_row(
+                (row, *(_cell(results_by_cell, results, row, one) for one in columns))
+            )
             for row in ROWS
         ]
-    lines += ["", _summary(found, results)]
+    lines += ["", _summary(results_by_cell, results)]
     return "\n".join(lines) + "\n"
 
 
 def _cell(
-    found: Mapping[tuple[str, str], Sequence[str]],
+    results_by_cell: Mapping[tuple[str, str], Sequence[str]],
     results: Mapping[str, str],
     row: str,
     column: str,
 ) -> str:
-    tests = list(found.get((row, column), ()))
+    tests = list(results_by_cell.get((row, column), ()))
     tests += [
-        f"`{_short(one)}` {_outcome(results, one)}"
+        f"`{_short_name(one)}` {_outcome(results, one)}"
         for one in _REFERENCES.get((row, column), ())
     ]
     return "; ".join(tests) or REASONS.get((row, column), "not proved")
@@ -272,25 +276,29 @@
     return "failed" if "failed" in outcomes else "passed"
 
 
-def _short(name: str) -> str:
+def _short_name(name: str) -> str:
     path, _, test = name.partition("::")
     return f"{path.removeprefix('tests/')}::{test.partition('[')[0]}"
 
 
-def _row(cells: Sequence[str]) -> str:
+def _markdown_row(cells: Sequence[str]) -> str:
     return f"| {' | '.join(cells)} |"
 
 
 def _summary(
-    found: Mapping[tuple[str, str], Sequence[str]], results: Mapping[str, str]
+    results_by_cell: Mapping[tuple[str, str], Sequence[str]], results: Mapping[str, str]
 ) -> str:
-    cells = [_cell(found, results, row, column) for row in ROWS for column in COLUMNS]
-    open_cells = cells.count("not proved")
-    never = sum(cell.startswith("cannot occur") for cell in cells)
+    cells = [
+        _cell(results_by_cell, results, row, column)
+        for row in ROWS
+        for column in COLUMNS
+    ]
+    unproved = cells.count("not proved")
+    impossible = sum(cell.startswith("cannot occur") for cell in cells)
     failed = sum("failed" in cell for cell in cells)
     return (
-        f"{len(cells)} cells: {len(cells) - open_cells - never} with tests, of which "
-        f"{failed} failed; {never} cannot occur; {open_cells} not proved."
+        f"{len(cells)} cells: {len(cells) - unproved - impossible} with tests,"
+        f" of which {failed} failed; {impossible} cannot occur; {unproved} not proved."
     )
 
 
