--- a/baobabwing/bench/executions.py
+++ b/baobabwing/bench/executions.py
@@ -1,4 +1,4 @@
-"""What the upstreams' own records say was executed."""
+"""Executions according to the records of the upstreams."""
 
 from __future__ import annotations
 
@@ -18,7 +18,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Executed:
-    """One execution of one upstream; times in seconds from the run's start.
+    """Execution of a request by an upstream.
+
+    Times are in seconds from the start of the run.
 
     :param state: ``waiting``, ``running``, ``finished`` or ``cancelled``.
     """
@@ -36,25 +38,27 @@
 
     @property
     def finished(self) -> bool:
-        """Whether the upstream ran it to its end."""
+        """Whether the upstream completed the execution."""
         return self.state == FINISHED
 
 
 def merge_records(
     upstream: str, documents: Iterable[Mapping[str, Any]], *, epoch_s: float
 ) -> list[Executed]:
-    """Return executions with the last known state of each.
+    """Return the executions of an upstream, each with its last known state.
 
-    :param documents: executions in order of writing, several of one attempt too.
-    :param epoch_s: wall clock at the start of the run.
+    :param documents: entries in the order in which they were written; an execution
+        may have several.
+    :param epoch_s: wall-clock time of the start of the run.
     """
     latest: dict[tuple[str, float], Mapping[str, Any]] = {}
     for document in documents:
-        # Not by attempt alone: an attempt that reached its upstream twice would be
-        # taken for one execution, and the very fault looked for would be hidden.
+        # The attempt alone is not sufficient: if an attempt reached its upstream
+        # twice, both executions would be merged and the fault would go undetected.
         execution_id = document["attempt"], document["started_at"]
         previous = latest.get(execution_id)
-        # A record read over HTTP knows more of a running request than the file.
+        # An entry fetched over HTTP is more detailed for a running request than one
+        # from the file.
         if (
             previous is None
             or document["finished_at"]
@@ -65,7 +69,10 @@
 
 
 def read_record_file(path: Path) -> list[dict[str, Any]]:
-    """Read the file that a stand-in writes, which outlives its process."""
+    """Read the record file of a stand-in, which remains after its process ends.
+
+    Incomplete lines are ignored.
+    """
     if not path.exists():
         return []
     lines = path.read_text(encoding="utf-8").splitlines()
@@ -75,11 +82,11 @@
 def by_request(
     answers: Iterable[Answer], executions: Iterable[Executed]
 ) -> dict[int, list[Executed]]:
-    """Return the executions of each request by the index of its arrival.
+    """Group executions by the index of the arrival that caused them.
 
-    They are matched by idempotency key or, where an upstream recorded none, by the
-    request id that attempts begin with. Executions that match no request are under
-    the index -1.
+    They are matched by idempotency key or, if the upstream recorded none, by the
+    request id with which the attempt id starts. Executions that match no request
+    have the index -1.
     """
     by_key: dict[str, int] = {}
     by_id: dict[str, int] = {}
--- a/baobabwing/bench/faults.py
+++ b/baobabwing/bench/faults.py
@@ -1,4 +1,4 @@
-"""Faults that a run of the bench can bring about."""
+"""Registry of the faults that a benchmark run can inject."""
 
 from __future__ import annotations
 
@@ -18,10 +18,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class BenchFault:
-    """A fault that begins at a third of the run.
+    """Fault that is injected after a third of the run.
 
-    :param begin: brings it about.
-    :param end: takes it back at two thirds, where that can be done.
+    :param begin: injects the fault.
+    :param end: reverts it after two thirds of the run, if that is possible.
     """
 
     name: str
@@ -33,7 +33,7 @@
 
 
 def bench_fault(name: str, *, end: Action | None = None) -> Callable[[Action], Action]:
-    """Add a fault to the registry."""
+    """Decorate a function that injects a fault to add the fault to the registry."""
 
     def _register(begin: Action) -> Action:
         _FAULTS[name] = BenchFault(name=name, begin=begin, end=end)
@@ -43,9 +43,9 @@
 
 
 def get_fault(name: str) -> BenchFault:
-    """Return the fault of that name.
+    """Return the fault with the given name.
 
-    :raises KeyError: if there is none.
+    :raises KeyError: if it does not exist.
     """
     return _FAULTS[name]
 
@@ -69,7 +69,7 @@
 
 @bench_fault("kill-node")
 def _kill_node(deployment: Deployment) -> None:
-    """Kill a node that orders the requests of no pool of engines."""
+    """Kill a node that is not the home of an engine cell, if there is one."""
     homes = set(deployment.engine_homes())
     others = [name for name in deployment.node_names if name not in homes]
     deployment.kill_node((others or deployment.node_names)[-1])
@@ -77,7 +77,7 @@
 
 @bench_fault("kill-home")
 def _kill_home(deployment: Deployment) -> None:
-    """Kill the node that orders the requests of the engines."""
+    """Kill the home of the first engine cell, which schedules its requests."""
     deployment.kill_node(deployment.engine_homes()[0])
 
 
@@ -96,7 +96,7 @@
 
 
 def _fastest_engine(deployment: Deployment) -> str:
-    """Return the last engine of the fastest generation, which gets most work."""
+    """Return an engine of the fastest generation, which receives the most work."""
     fastest = max(
         deployment.shape.engines, key=lambda spec: spec.engine.prefill_tokens_per_s
     )
--- a/baobabwing/bench/figures.py
+++ b/baobabwing/bench/figures.py
@@ -1,4 +1,4 @@
-"""Figures of a run, from callers' answers and the upstreams' own records."""
+"""Metrics of a run, computed from callers' answers and upstreams' records."""
 
 from __future__ import annotations
 
@@ -37,14 +37,14 @@
 ]
 
 MS_PER_S = 1_000.0
-# A good answer counts as many times as much as one of the tier below.
+# Ratio of the weight of a good answer to that of one in the next lower tier.
 TIER_WEIGHT_RATIO = 2.0
-# An upstream that starts lower-tier work this soon after a caller of the same pool
-# was told "shed" shows that the lower tier was still admitted. See
-# docs/operators/bench.md for what it can miss and what it can count too much.
+# If an upstream starts lower-tier work within this time after a request to the same
+# pool was shed, the lower tier was still being admitted. See docs/operators/bench.md
+# for the false negatives and false positives of this heuristic.
 INVERSION_WINDOW_S = 0.05
-# Refusals that do not follow from load: the caller's own limits and deadline, a key
-# that is used already or cannot be claimed.
+# Refusals that are not caused by load: the caller's own limits and deadline, and keys
+# that are already in use or cannot be claimed.
 NON_LOAD_REFUSALS = frozenset(
     {
         RefusalCode.DEADLINE,
@@ -59,11 +59,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Run:
-    """All that a run left behind.
+    """Recorded data of a run.
 
     :param answers: one for each arrival that was sent.
-    :param seconds: length of the offered load.
-    :param node_cpu_s: processor time of all nodes from first to last request.
+    :param seconds: duration of the offered load.
+    :param node_cpu_s: CPU time of all nodes while load was offered.
     """
 
     shape: Shape
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Quantiles:
-    """Quantiles of times in milliseconds; zeros if there were none."""
+    """Quantiles of times in milliseconds; all zero if there are no values."""
 
     count: int
     p50: float
@@ -88,16 +88,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class TierFigures:
-    """What callers of a tier met.
+    """Results of the requests of a tier.
 
-    :param good: whole and in time.
-    :param late: whole, past the deadline.
-    :param unknown: broken off, or the system said that it does not know.
-    :param wrong: an answer with another text than the request's own.
+    :param good: complete answers within the deadline.
+    :param late: complete answers after the deadline.
+    :param unknown: answers that broke off, or whose outcome the system reported as
+        unknown.
+    :param wrong: answers with a text that does not belong to the request.
     :param error: any other answer or none.
-    :param first_token: from when the request was due to be sent, streams only.
-    :param between_tokens: streams only.
-    :param whole: from when the request was due to its end, whole answers only.
+    :param first_token: time from the scheduled sending time to the first token;
+        streams only.
+    :param between_tokens: time between consecutive tokens; streams only.
+    :param whole: time from the scheduled sending time to the end of the answer;
+        complete answers only.
     """
 
     tier: str
@@ -116,12 +119,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PrefillFigures:
-    """Prompt tokens that the engines prefilled, and those in vain.
+    """Prompt tokens that the engines prefilled, in total and wasted.
 
-    :param dropped: for requests whose caller got no whole answer.
-    :param duplicated: for an execution beside one that ran to its end.
-    :param recomputed: for an execution that broke off and was done again.
-    :param late: for whole answers past their deadline; not counted as wasted.
+    :param dropped: for requests whose caller received no complete answer.
+    :param duplicated: for executions that completed in addition to another one.
+    :param recomputed: for executions that did not complete and were repeated.
+    :param late: for complete answers after their deadline; not counted as wasted.
     """
 
     total: int
@@ -132,16 +135,17 @@
 
     @property
     def wasted(self) -> int:
-        """Tokens wasted for any reason."""
+        """Total number of wasted tokens."""
         return self.dropped + self.duplicated + self.recomputed
 
 
 @dataclass(frozen=True, kw_only=True)
 class Inversions:
-    """Higher tiers shed while lower tiers were admitted.
+    """Priority inversions: requests shed while lower tiers were admitted.
 
-    :param sheds: refusals for lack of capacity.
-    :param inverted: those soon after which lower-tier work of the pool started.
+    :param sheds: requests refused for lack of capacity.
+    :param inverted: sheds after which lower-tier work of the same pool started within
+        ``INVERSION_WINDOW_S``.
     """
 
     sheds: int
@@ -150,11 +154,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class SafetyFigures:
-    """What must never be; each is a number of requests.
+    """Numbers of safety violations.
 
-    :param executed_twice: an upstream ran the request more than once.
-    :param not_run_but_ran: the caller was told "not run", and it ran.
-    :param wrong_text: the caller got an answer that is not the request's own.
+    :param executed_twice: requests that were executed more than once.
+    :param not_run_but_ran: requests that ran although the caller was told "not run".
+    :param wrong_text: answers with a text that does not belong to the request.
     :param unmatched: executions that belong to no request of the run.
     """
 
@@ -166,11 +170,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CapacityFigures:
-    """Engine time of good answers against what the engines can do at most.
+    """Engine time of good answers compared with the capacity of the engines.
 
     :param offered: pool-seconds of all requests to engines.
-    :param limit: the most that the engines can do of it in time.
-    :param good: pool-seconds of requests answered whole and in time.
+    :param limit: upper bound of the pool-seconds that can be done within deadlines.
+    :param good: pool-seconds of requests answered completely within their deadline.
     """
 
     offered: float
@@ -179,21 +183,22 @@
 
     @property
     def share(self) -> float:
-        """Good work as a share of the limit."""
+        """Good work as a fraction of the limit."""
         return self.good / self.limit if self.limit else 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
 class RunFigures:
-    """All figures of one run.
-
-    :param weighted_goodput: share of the offered requests that was answered
-        whole and in time, each tier's requests counting twice those below.
-    :param engine_goodput: the same of requests to engines alone.
-    :param node_ms_per_request: processor time of all nodes for one request.
-    :param sending_lag: how late the load client itself was.
-    :param asked_again: requests asked for again, as their answers broke off.
-    :param recovered: those of them that were answered whole in the end.
+    """Metrics of a run.
+
+    :param weighted_goodput: fraction of the offered requests that were answered
+        completely within the deadline; requests of a tier have twice the weight of
+        those of the next lower tier.
+    :param engine_goodput: the same for requests to engines only.
+    :param node_ms_per_request: CPU time of all nodes per request.
+    :param sending_lag: delay of the load client against its schedule.
+    :param asked_again: requests that were retried because their answer broke off.
+    :param recovered: retried requests that were finally answered completely.
     """
 
     policy: str
@@ -214,7 +219,7 @@
 
 
 def run_figures(run: Run) -> RunFigures:
-    """Compute all figures of a run."""
+    """Compute the metrics of a run."""
     executed = by_request(run.answers, run.executions)
     lags_ms = [
         (answer.sent_s - run.arrivals[answer.index].at_s) * MS_PER_S
@@ -247,7 +252,7 @@
 
 
 def quantiles(values: Sequence[float]) -> Quantiles:
-    """Return quantiles by nearest rank."""
+    """Compute quantiles by the nearest-rank method."""
     ordered = sorted(values)
     if not ordered:
         return Quantiles(count=0, p50=0.0, p95=0.0, p99=0.0)
@@ -264,7 +269,7 @@
 
 
 def tier_figures(run: Run) -> tuple[TierFigures, ...]:
-    """Return the figures of each tier, highest first."""
+    """Compute the results of each tier, highest tier first."""
     groups: dict[str, list[Answer]] = defaultdict(list)
     for answer in run.answers:
         groups[run.arrivals[answer.index].tier].append(answer)
@@ -275,9 +280,9 @@
 
 
 def weighted_goodput(run: Run, *, engines_only: bool = False) -> float:
-    """Return good requests over offered ones, weighted by tier; 1 if none.
+    """Return the weighted fraction of good requests; 1 if there are no requests.
 
-    :param engines_only: leave out calls of plain services, which load no engine.
+    :param engines_only: exclude calls of plain services, which load no engine.
     """
     ranks = {tier.name: tier.rank for tier in run.shape.tiers}
     good = offered = 0.0
@@ -295,7 +300,7 @@
 def prefill_figures(
     run: Run, executed: Mapping[int, Sequence[Executed]]
 ) -> PrefillFigures:
-    """Sort the prefilled tokens by what came of them."""
+    """Count the prefilled tokens by the outcome of their execution."""
     answers = {answer.index: answer for answer in run.answers}
     tokens: Counter[str] = Counter()
     for index, executions in executed.items():
@@ -317,7 +322,7 @@
 def count_inversions(
     run: Run, executed: Mapping[int, Sequence[Executed]]
 ) -> Inversions:
-    """Count sheds soon after which lower-tier work of the same pool started."""
+    """Count sheds that were followed by the start of lower-tier work in the pool."""
     starts: dict[tuple[str, int], list[float]] = defaultdict(list)
     for index, executions in executed.items():
         if index < 0:
@@ -338,7 +343,7 @@
 def safety_figures(
     run: Run, executed: Mapping[int, Sequence[Executed]]
 ) -> SafetyFigures:
-    """Count what must never be."""
+    """Count the safety violations."""
     shed = {one.index for one in run.answers if one.verdict is Verdict.SHED}
     return SafetyFigures(
         executed_twice=sum(
@@ -351,10 +356,11 @@
 
 
 def capacity_figures(run: Run) -> CapacityFigures:
-    """Weigh good answers by the engine time that they need at the least.
+    """Weight good answers by a lower bound of the engine time that they need.
 
-    The limit assumes full batches and all shared prompt heads cached, knows all
-    arrivals beforehand and lets requests be done in part; it is an upper bound.
+    The limit is an upper bound: it assumes full batches, cached shared prompt
+    prefixes, advance knowledge of all arrivals and credit for partly completed
+    requests.
     """
     good = offered = 0.0
     jobs: dict[str, list[Job]] = defaultdict(list)
@@ -402,7 +408,10 @@
 
 
 def _elapsed_ms(run: Run, answer: Answer, at_s: float) -> float:
-    """Return the time since the request was due, so that a late client counts."""
+    """Return the time since the scheduled sending time.
+
+    It includes the delay of the load client itself.
+    """
     return (at_s - run.arrivals[answer.index].at_s) * MS_PER_S
 
 
--- a/baobabwing/bench/gateway_load.py
+++ b/baobabwing/bench/gateway_load.py
@@ -1,9 +1,9 @@
-"""A load on a pool of engines, played in simulated time against a policy.
+"""Discrete-event simulation of a pool of engines under a scheduling policy.
 
-The engines batch continuously: each step reads a chunk of the oldest unread prompt
-and generates one token for every sequence that has been read. Callers leave when
-their patience ends. Seconds of load take tenths of a second to play, so that a policy
-can be tried and tested without processes.
+The engines use continuous batching: each step prefills a chunk of the oldest
+incomplete prompt and generates one token for every prefilled sequence. Callers give
+up when their patience is exhausted. Seconds of load are simulated in tenths of a
+second, so that policies can be evaluated without processes.
 """
 
 from __future__ import annotations
@@ -28,12 +28,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EngineTiming:
-    """What an engine of speed 1 takes; the operator's figures.
+    """Timing of an engine with time factor 1, as stated by the operator.
 
-    :param step_s: one step of an empty batch.
-    :param sequence_s: more for each sequence in it.
-    :param prefill_per_s: prompt tokens read a second.
-    :param chunk: most prompt tokens read in one step.
+    :param step_s: duration of a step with an empty batch.
+    :param step_s_per_sequence: additional duration per decoding sequence.
+    :param prefill_tokens_per_s: prefill throughput in prompt tokens per second.
+    :param chunk_tokens: maximum number of prompt tokens prefilled in one step.
     """
 
     slots: int = 8
@@ -46,10 +46,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RequestClass:
-    """Requests of one kind.
+    """Class of requests with common parameters.
 
-    :param prompt: mean prompt tokens, exponentially spread.
-    :param output: mean output tokens, exponentially spread.
+    :param per_s: arrival rate, in requests per second.
+    :param prompt: mean of the exponentially distributed prompt length in tokens.
+    :param output: mean of the exponentially distributed output length in tokens.
     """
 
     name: str
@@ -64,10 +65,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Load:
-    """Kinds of requests on engines of several speeds.
+    """Request classes and the engines that serve them.
 
-    :param speeds: times that each engine takes, against :class:`EngineFigures`.
-    :param burst: times the usual rate, from a quarter to a half of the time.
+    :param time_factors: factor by which each engine takes longer than
+        :class:`EngineTiming`.
+    :param burst_factor: factor of the arrival rate in the second quarter of the
+        simulated time.
     """
 
     request_classes: tuple[RequestClass, ...]
@@ -79,7 +82,7 @@
 
 @dataclass(kw_only=True)
 class RequestClassResult:
-    """What callers of one kind got."""
+    """Results of the requests of a class."""
 
     sent: int = 0
     in_time: int = 0
@@ -87,12 +90,12 @@
 
     @property
     def in_time_share(self) -> float:
-        """Share of requests answered whole, the first event in time."""
+        """Fraction of requests served completely with the first event in time."""
         return self.in_time / max(self.sent, 1)
 
     @property
     def served_share(self) -> float:
-        """Share of requests answered whole."""
+        """Fraction of requests served completely."""
         return self.served / max(self.sent, 1)
 
 
@@ -109,7 +112,7 @@
 
 
 class _Engine:
-    """One engine: a batch and a queue, first come first served."""
+    """Engine with a batch and a FIFO queue."""
 
     def __init__(self, *, time_factor: float, timing: EngineTiming) -> None:
         self.time_factor = time_factor
@@ -119,7 +122,7 @@
         self.stepping = False
 
     def admit(self) -> None:
-        """Fill the batch from the queue, and drop those whose callers left."""
+        """Remove ended requests from the batch and fill it from the queue."""
         self.batch = [member for member in self.batch if not member.ended]
         while self.queue and len(self.batch) < self.timing.slots:
             request = self.queue.popleft()
@@ -127,7 +130,7 @@
                 self.batch.append(request)
 
     def step(self) -> tuple[float, list[_Request]]:
-        """Return how long the next step takes, and who gets a token at its end."""
+        """Return the duration of the next step and the requests that get a token."""
         prefilling = next(
             (request for request in self.batch if request.prompt_tokens_left > 0), None
         )
@@ -147,7 +150,7 @@
 
 
 class _Simulation:
-    """One run: arrivals, steps of engines and departures in order of time."""
+    """Simulation run that processes arrivals, engine steps and departures."""
 
     def __init__(self, *, load: Load, scheduler: PoolScheduler, rng: Random) -> None:
         self.load = load
@@ -167,7 +170,7 @@
         self._waiting: dict[int, _Request] = {}
 
     def run(self) -> None:
-        """Play until all requests have ended."""
+        """Process events until all requests have ended."""
         for request_class in self.load.request_classes:
             self._schedule(
                 self._next_arrival_at(request_class, 0.0),
@@ -290,9 +293,9 @@
 
 
 def simulate(load: Load, policy: str, *, seed: int) -> dict[str, RequestClassResult]:
-    """Play a load against a policy of the registry.
+    """Simulate a load under a registered policy.
 
-    :returns: what callers of each kind got.
+    :returns: results by the name of the request class.
     """
     rng = Random(seed)
     spec = EngineSpec(
--- a/baobabwing/bench/plots.py
+++ b/baobabwing/bench/plots.py
@@ -1,4 +1,4 @@
-"""A picture of goodput by tier, where matplotlib is installed."""
+"""Plots of the goodput by tier; requires matplotlib."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 def load_pyplot() -> ModuleType:
-    """Import matplotlib, which is no requirement of the package.
+    """Import matplotlib, which is an optional dependency.
 
     :raises BaobabwingError: if it is not installed.
     """
@@ -30,7 +30,7 @@
 
 
 def plot_goodput(path: Path, runs: Sequence[RunFigures]) -> None:
-    """Write bars of goodput by tier, one colour for each policy.
+    """Write a bar chart of the goodput by tier, with one colour per policy.
 
     :raises BaobabwingError: if matplotlib is not installed.
     """
--- a/baobabwing/bench/ports.py
+++ b/baobabwing/bench/ports.py
@@ -1,10 +1,9 @@
-"""Ports of loopback for servers that this process, or one that it starts, will open.
+"""Allocation of loopback ports for servers of this process or of its children.
 
-A look whether a port is free says nothing of a moment later: two runs of all tests side
-by side looked, found the same port free, and one of their servers ended with "address
-already in use". So each process claims a block of ports and keeps the claim, a socket
-that listens on the first port of the block, until it ends. What it gives out lies in
-blocks of its own, from which no other process that asks here draws.
+Checking whether a port is free is subject to a race: two concurrent test runs found the
+same port free, and one of their servers failed with "address already in use". Each
+process therefore claims blocks of ports and allocates ports only from its own blocks.
+A claim is a socket that listens on the first port of the block until the process ends.
 """
 
 from __future__ import annotations
@@ -20,25 +19,26 @@
 
 _LOOPBACK = "127.0.0.1"
 # Below the usual range of ephemeral ports, so that no outgoing connection of another
-# process takes a port between its choice here and its use.
+# process takes a port between its allocation and its use.
 _MIN_PORT = 20_000
 _MAX_PORT = 32_000
-# A deployment of 60 nodes takes 360 ports; the next block follows when one is used up.
+# A deployment of 60 nodes takes 360 ports; an exhausted block is followed by another.
 _BLOCK_PORTS = 200
-# From so many blocks on a process starts again with its first one. A run of all tests
-# takes some thousands of ports, of which those of earlier tests are closed long since.
+# Once a process has claimed this many blocks, it reuses them, starting with the first.
+# A complete test run takes some thousands of ports, and those of earlier tests have
+# been closed by then.
 _MAX_BLOCKS = 6
 
 
 class PortError(BaobabwingError):
-    """No port is left that could be given out."""
+    """No free port is available."""
 
 
 class _PortBlocks:
-    """Blocks that this process has claimed, and what is left of the present one.
+    """Blocks that this process has claimed, and the unused rest of the current one.
 
-    :ivar process: id of the process that claimed them. A forked one holds copies of
-        the claims and must not give out the same ports.
+    :ivar process: id of the process that claimed them. A forked process inherits the
+        claims and must not allocate the same ports.
     """
 
     def __init__(self) -> None:
@@ -47,7 +47,7 @@
         self._next = self._end = 0
 
     def allocate(self, count: int) -> int:
-        """Return the first of some free ports in a row.
+        """Return the first of a number of consecutive free ports.
 
         :raises PortError: if there are none.
         """
@@ -59,10 +59,10 @@
                     self._next = first + count
                     return first
             self._switch_block()
-        raise PortError("all ports in use", step="choose port", peer=_LOOPBACK)
+        raise PortError("all claimed ports in use", step="choose port", peer=_LOOPBACK)
 
     def _switch_block(self) -> None:
-        """Go on with another block: a new one, or else the one used longest ago."""
+        """Switch to a new block, or to the least recently used one at the limit."""
         if len(self._claims) >= _MAX_BLOCKS:
             self._claims.rotate(-1)
         else:
@@ -72,7 +72,7 @@
 
 
 def _claim_block() -> socket.socket:
-    """Claim a block; the socket listens on its first port."""
+    """Claim a block and return the socket that listens on its first port."""
     first_ports = list(range(_MIN_PORT, _MAX_PORT - _BLOCK_PORTS + 1, _BLOCK_PORTS))
     random.SystemRandom().shuffle(first_ports)
     for first in first_ports:
@@ -84,26 +84,26 @@
             claim.close()
             continue
         return claim
-    raise PortError("no block of ports left", step="choose port", peer=_LOOPBACK)
+    raise PortError("no unclaimed port block", step="choose port", peer=_LOOPBACK)
 
 
 _blocks = _PortBlocks()
 
 
 def free_port() -> int:
-    """Return a port of the loopback address, free for TCP and UDP.
+    """Return a loopback port that is free for TCP and UDP.
 
-    A port is given out again only after a thousand others.
+    A port is reused only after a thousand others.
 
-    :raises PortError: if none is left.
+    :raises PortError: if there is none.
     """
     return free_ports(1)
 
 
 def free_ports(count: int) -> int:
-    """Return the first of so many free ports in a row.
+    """Return the first of a number of consecutive free loopback ports.
 
-    :raises PortError: if none are left.
+    :raises PortError: if there are none.
     """
     global _blocks
     if _blocks.process != os.getpid():
--- a/baobabwing/bench/processes.py
+++ b/baobabwing/bench/processes.py
@@ -1,4 +1,4 @@
-"""Real processes on loopback, started by the bench and always cleaned up."""
+"""Management of child processes, which are always cleaned up."""
 
 from __future__ import annotations
 
@@ -24,14 +24,14 @@
 
 
 class ProcessError(BaobabwingError):
-    """A process of the bench did not start, answer or stop as it should."""
+    """A process did not start, answer or stop as expected."""
 
 
 @dataclass(frozen=True, kw_only=True)
 class Started:
-    """A process that this group started.
+    """Process started by a group.
 
-    :param log: where its standard output and error go.
+    :param log: file with its standard output and standard error.
     """
 
     name: str
@@ -44,14 +44,14 @@
         return self.popen.pid
 
     def alive(self) -> bool:
-        """Tell whether the process still runs, frozen or not."""
+        """Return whether the process exists, even if it is frozen."""
         return self.popen.poll() is None
 
 
 class ProcessGroup:
-    """Processes that end together with a ``with`` block, whatever happens in it.
+    """Context manager that ends all processes it has started on exit.
 
-    :param folder: where logs go; a new temporary folder when omitted.
+    :param folder: directory for logs; a new temporary directory when omitted.
     """
 
     def __init__(self, *, folder: Path | None = None) -> None:
@@ -73,16 +73,16 @@
     def start(self, name: str, arguments: Sequence[str]) -> Started:
         """Start ``python -m baobabwing`` with the given arguments.
 
-        :raises ProcessError: if a process of that name runs already.
+        :raises ProcessError: if a process of that name is already running.
         """
-        # Built as one binary the program is its own interpreter.
+        # In the binary, sys.executable is the program itself.
         module = [] if getattr(sys, "frozen", False) else ["-m", "baobabwing"]
         return self.start_python(name, [*module, *arguments])
 
     def start_python(self, name: str, arguments: Sequence[str]) -> Started:
         """Start this interpreter with the given arguments.
 
-        :raises ProcessError: if a process of that name runs already.
+        :raises ProcessError: if a process of that name is already running.
         """
         if name in self._started and self._started[name].alive():
             raise ProcessError("already running", step="start", peer=name)
@@ -109,37 +109,37 @@
         return self._started[name]
 
     def names(self) -> tuple[str, ...]:
-        """Return the names of all processes, ended ones included."""
+        """Return the names of all processes, including those that have ended."""
         return tuple(self._started)
 
     def kill(self, name: str) -> None:
-        """End a process at once, as a host that loses power does."""
+        """Kill a process without cleanup, as if its host lost power."""
         started = self.get(name)
         started.popen.kill()
         started.popen.wait()
 
     def freeze(self, name: str) -> None:
-        """Pause a process; it keeps its connections but answers nothing."""
+        """Suspend a process; its connections stay open but it does not respond."""
         self.get(name).popen.send_signal(signal.SIGSTOP)
 
     def thaw(self, name: str) -> None:
-        """Let a frozen process go on."""
+        """Resume a frozen process."""
         self.get(name).popen.send_signal(signal.SIGCONT)
 
     def stop(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
-        """Ask a process to stop gracefully and return its exit status.
+        """Stop a process gracefully and return its exit status.
 
-        :raises ProcessError: if it still runs after ``timeout_s``; it is killed.
+        :raises ProcessError: if it did not end within ``timeout_s`` and was killed.
         """
         return self.stop_all([name], timeout_s=timeout_s)[name]
 
     def stop_all(
         self, names: Sequence[str], *, timeout_s: float = STOP_TIMEOUT_S
     ) -> dict[str, int]:
-        """Stop several processes gracefully, all at the same time.
+        """Stop several processes gracefully and concurrently.
 
         :returns: exit status by name.
-        :raises ProcessError: if any still runs after ``timeout_s``; it is killed.
+        :raises ProcessError: if any did not end within ``timeout_s`` and was killed.
         """
         stopping = [self.get(name) for name in names]
         for started in stopping:
@@ -155,7 +155,7 @@
         return {one.name: one.popen.returncode for one in stopping}
 
     def close(self) -> None:
-        """End everything that still runs, gracefully first."""
+        """Stop all running processes gracefully and kill those that do not end."""
         running = [one for one in self._started.values() if one.alive()]
         for started in running:
             _request_stop(started)
@@ -166,9 +166,10 @@
     def wait_ready(
         self, name: str, probe: Callable[[], bool], *, timeout_s: float = 30.0
     ) -> None:
-        """Wait until ``probe`` holds, failing at once if the process ends.
+        """Wait until ``probe`` returns true or the process ends.
 
-        :raises ProcessError: with the end of the log, if it ended or is too slow.
+        :raises ProcessError: if the process ended or the timeout expired. The message
+            contains the end of the log.
         """
         started = self.get(name)
 
@@ -184,7 +185,7 @@
             )
 
     def cpu_seconds(self, name: str) -> float:
-        """Return the processor time, user and system, of a running process."""
+        """Return the user and system CPU time of a running process."""
         stat = Path(f"/proc/{self.get(name).pid}/stat").read_text(encoding="ascii")
         fields = stat.rpartition(")")[2].split()
         ticks = int(fields[11]) + int(fields[12])
@@ -194,7 +195,7 @@
 def wait_until(
     condition: Callable[[], bool], *, timeout_s: float, poll_s: float = POLL_S
 ) -> bool:
-    """Wait until a condition holds and tell whether it did in time."""
+    """Wait until a condition holds and return whether it did within the timeout."""
     deadline = time.monotonic() + timeout_s
     while time.monotonic() < deadline:
         if condition():
@@ -206,13 +207,13 @@
 def _request_stop(started: Started) -> None:
     if not started.alive():
         return
-    # A frozen process would keep SIGTERM pending for ever.
+    # SIGTERM stays pending for as long as the process is frozen.
     started.popen.send_signal(signal.SIGCONT)
     started.popen.terminate()
 
 
 def _wait_or_kill(started: Started, deadline: float) -> bool:
-    """Wait until the given time, then kill; tell whether no kill was needed."""
+    """Wait until a point in time, then kill; return whether it ended by itself."""
     try:
         started.popen.wait(timeout=max(0.0, deadline - time.monotonic()))
     except subprocess.TimeoutExpired:
--- a/baobabwing/bench/relay_cost.py
+++ b/baobabwing/bench/relay_cost.py
@@ -1,9 +1,9 @@
-"""What relaying one token costs: a bare relay, the libraries' own way, and ours.
+"""Benchmark of relays: a minimal relay, one by the HTTP libraries, and the product's.
 
 ``python -m baobabwing.bench.relay_cost`` starts a source of streams, a sink that
-opens them through a relay, and one relay after another between them, all on
-loopback, and prints processor time a token, added time to the first token and
-memory. See ``docs/design/0002-relay.md``.
+opens them through a relay, and each relay in turn between them, all on loopback. It
+prints the CPU time per token, the added time to the first token and the memory usage.
+See ``docs/design/0002-relay.md``.
 """
 
 from __future__ import annotations
@@ -48,8 +48,8 @@
 )
 DEADLINE_S = 120.0
 WARM_UP_S = 2.0
-# Streams opened anew while others run: what 10,000 requests/s over 460 nodes
-# leave to each, and a length that adds next to nothing to the load.
+# Rate of new streams opened beside the running ones, which is the load per node of
+# 10,000 requests/s on 460 nodes, and a length that adds hardly any load.
 PROBES_PER_S = 22
 PROBE_TOKENS = 5
 SINK_POLL_S = 0.002
@@ -61,11 +61,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Figures:
-    """What the sink and the measuring process saw of one relay.
+    """Measurements of one relay.
 
-    :param cpu_us: processor time of the relay's process for one token.
+    :param tokens: tokens relayed during the measurement.
+    :param seconds: duration of the measurement.
+    :param cpu_us: CPU time of the relay process per token.
+    :param rss_mb: peak resident memory at the end of the measurement.
     :param first_ms: times to the first token, in milliseconds.
-    :param rss_mb: resident memory at the end of the window.
     """
 
     tokens: int
@@ -97,7 +99,7 @@
     relays: str = "bare,libraries,ours",
     memory_streams: int = 600,
 ) -> None:
-    """Measure the relays one after another and print one line for each."""
+    """Measure the relays in sequence and print one line for each."""
     if ctx.invoked_subcommand is not None:
         return
     names = relays.split(",")
@@ -150,7 +152,10 @@
 def _run_trial(
     name: str, streams: int, gap_ms: float, seconds: float, *, probes: bool = False
 ) -> Figures:
-    """Run one relay, with all streams open and, if asked, new ones beside them."""
+    """Run one relay with all streams open.
+
+    :param probes: whether to open new short streams beside them.
+    """
     tokens = int((seconds + 2 * WARM_UP_S) * 1000 / gap_ms) + 1
     module = ["-m", __spec__.name if __spec__ else "baobabwing.bench.relay_cost"]
     with ProcessGroup() as group:
@@ -199,7 +204,7 @@
 
 @app.command(hidden=True)
 def source(port: int, tokens: int, gap_ms: float) -> None:
-    """Send a stream of evenly paced events to whoever asks."""
+    """Send a stream of evenly spaced events in response to each request."""
     listener = socket.create_server((LOOPBACK, port), backlog=BACKLOG)
     listener.setblocking(False)
     selector = selectors.DefaultSelector()
@@ -245,7 +250,7 @@
 
 
 class _SourceStream:
-    """One stream of the source."""
+    """Stream that the source sends on a connection."""
 
     def __init__(self, *, conn: socket.socket, attempt_id: str, limit: int) -> None:
         self._limit = limit
@@ -254,9 +259,9 @@
         self._next = 0
 
     def send_next(self, tokens: int) -> bool:
-        """Send the next event and tell whether there are more.
+        """Send the next event and return whether there are more.
 
-        :param tokens: length of streams whose request names none.
+        :param tokens: length of the stream if its request specifies none.
         """
         tokens = self._limit or tokens
         text = {
@@ -282,7 +287,7 @@
 
 @app.command(hidden=True)
 def sink(port: int, pid: int, streams: int, seconds: float, probes: int) -> None:
-    """Keep streams open through a relay and print what was seen as JSON."""
+    """Keep streams open through a relay and print the measurements as JSON."""
     client = _Sink(port=port, streams=streams)
     client.run(WARM_UP_S)
     cpu_before_s, tokens, start = _cpu_s(pid), client.tokens, time.monotonic()
@@ -302,7 +307,7 @@
 
 
 class _Sink:
-    """Callers of streams, all in one thread."""
+    """Single-threaded client that reads many streams."""
 
     def __init__(self, *, port: int, streams: int) -> None:
         self.tokens = 0
@@ -316,14 +321,14 @@
         self._open_at = time.monotonic()
 
     def probe(self) -> None:
-        """From now on open short streams at an even rate."""
+        """Open short streams at a constant rate from now on."""
         self._pending = sys.maxsize
         self._open_interval_s = 1 / PROBES_PER_S
         self._tokens = PROBE_TOKENS
         self._open_at = time.monotonic()
 
     def run(self, seconds: float) -> None:
-        """Read for some time, opening streams that are due."""
+        """Read streams for a period of time and open those that are due."""
         end = time.monotonic() + seconds
         while (now := time.monotonic()) < end:
             if self._pending and now >= self._open_at:
@@ -359,7 +364,7 @@
 
 @app.command(hidden=True)
 def relay(name: str, port: int, source_port: int, streams: int) -> None:
-    """Relay streams in one of the ways that are compared."""
+    """Run one of the compared relays."""
     _RELAYS[name](port, f"{LOOPBACK}:{source_port}", streams)
 
 
--- a/baobabwing/bench/rig.py
+++ b/baobabwing/bench/rig.py
@@ -1,4 +1,4 @@
-"""A deployment under load whose processes can be looked at, killed and restarted."""
+"""Deployment under load whose processes can be sampled, killed and restarted."""
 
 from __future__ import annotations
 
@@ -26,16 +26,16 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ProcessSample:
-    """What the system says of a process at one moment."""
+    """Resource usage of a process at one point in time."""
 
     resident_bytes: int
     threads: int
 
 
 class Rig:
-    """A deployment and the drivers that put load on it.
+    """Deployment and the drivers that put load on it.
 
-    :param group: which starts the processes.
+    :param group: group that starts the processes.
     """
 
     def __init__(
@@ -58,7 +58,7 @@
         self._drivers = [f"driver-{number}" for number in range(DRIVERS)]
 
     def start_load(self) -> None:
-        """Start the drivers; the load begins a little later."""
+        """Start the drivers; the load begins after ``LOAD_DELAY_S``."""
         self.start_at = time.monotonic() + LOAD_DELAY_S
         self.epoch_s = time.time() + LOAD_DELAY_S
         for number, name in enumerate(self._drivers):
@@ -67,20 +67,20 @@
             self.group.start_python(name, ["-m", "baobabwing.bench.driver", *paths])
 
     def is_loading(self) -> bool:
-        """Tell whether a driver still runs.
+        """Return whether a driver is still running.
 
-        :raises ProcessError: if one failed, or takes far too long.
+        :raises ProcessError: if a driver failed or exceeded its time limit.
         """
         ends_at = self.start_at + self.arrivals[-1].at_s + DRIVER_GRACE_S
         if time.monotonic() > ends_at:
-            raise ProcessError("driver takes too long", step="load")
+            raise ProcessError("driver did not finish in time", step="load")
         for name in self._drivers:
             if self.group.get(name).popen.poll():
                 raise ProcessError("driver failed", step="load", peer=name)
         return any(self.group.get(name).alive() for name in self._drivers)
 
     def answers(self) -> list[Answer]:
-        """Return the answers that callers got."""
+        """Return the answers of all drivers, sorted by arrival."""
         collected = [
             answer
             for name in self._drivers
@@ -89,18 +89,18 @@
         return sorted(collected, key=lambda answer: answer.index)
 
     def restart_node(self, name: str) -> None:
-        """Start a node again with the settings that it had."""
+        """Start a node again with its previous settings."""
         path = self.group.folder / f"{name}.json"
         self.group.start(name, [NODE_COMMAND, "--settings", str(path)])
 
     def node_ready(self, name: str) -> bool:
-        """Tell whether a node takes requests."""
+        """Return whether a node is running and ready."""
         if not self.group.get(name).alive():
             return False
         return answers_ok(self.deployment.nodes[name], "/readyz")
 
     def sample(self, name: str) -> ProcessSample:
-        """Return the memory and threads of a running node."""
+        """Return the current memory usage and thread count of a running node."""
         path = Path(f"/proc/{self.group.get(name).pid}/status")
         lines = path.read_text(encoding="ascii").splitlines()
         values = dict(line.split(":", 1) for line in lines if ":" in line)
--- a/baobabwing/bench/runs.py
+++ b/baobabwing/bench/runs.py
@@ -1,4 +1,4 @@
-"""One run: a deployment, its load, an optional fault, and what was left behind."""
+"""Execution of a benchmark run: deployment, load, optional fault and results."""
 
 from __future__ import annotations
 
@@ -25,25 +25,26 @@
 LOAD_DELAY_S = 1.5
 POLL_INTERVAL_S = 0.25
 IDLE_TIMEOUT_S = 60.0
-# Past the longest deadline a driver listens for ten seconds and then judges.
+# A driver waits for answers until ten seconds after the longest deadline, and then
+# checks all answers.
 DRIVER_GRACE_S = 120.0
 FAULT_BEGIN_SHARE = 1 / 3
 FAULT_END_SHARE = 2 / 3
 
 
 class Report(Protocol):
-    """Is given a line of text whenever there is something to tell."""
+    """Callback that receives status lines of a run."""
 
     def __call__(self, line: str, *, progress: bool) -> None:
-        """Show a line; a line of progress may be passed over."""
+        """Report a line; progress lines may be omitted from the output."""
 
 
 @dataclass(frozen=True, kw_only=True)
 class RunOptions:
-    """What a run is made of, besides its scenario.
+    """Options of a run other than its scenario.
 
-    :param nodes: node processes; 0 for the number of the shape.
-    :param folder: where logs and records go; a temporary folder when omitted.
+    :param nodes: number of node processes; 0 selects that of the shape.
+    :param folder: directory for logs and records; a temporary one when omitted.
     """
 
     policy: str
@@ -56,10 +57,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RunResult:
-    """What a run left behind.
+    """Result of a run.
 
-    :param exits: exit status of each node that was stopped gracefully.
-    :param folder: where logs and records are.
+    :param exits: exit status by name of the nodes that were stopped gracefully.
+    :param folder: directory of logs and records.
     """
 
     run: Run
@@ -70,9 +71,9 @@
 def run_scenario(
     scenario: Scenario, options: RunOptions, *, report: Report
 ) -> RunResult:
-    """Start a deployment, put the load on it, stop it, and collect.
+    """Start a deployment, apply the load, stop the deployment and collect the results.
 
-    :param report: is told how the run goes.
+    :param report: receives status lines.
     :raises ProcessError: if a process does not start, answer or stop in time.
     """
     shape = get_shape(scenario.shape)
@@ -109,7 +110,7 @@
 
 
 class _Load:
-    """The driver processes of a run."""
+    """Driver processes of a run."""
 
     def __init__(
         self,
@@ -127,7 +128,7 @@
         self.node_cpu_s = 0.0
 
     def start(self, options: RunOptions) -> None:
-        """Start the drivers; the load begins a little later."""
+        """Start the drivers; the load begins after ``LOAD_DELAY_S``."""
         self._start_at = time.monotonic() + LOAD_DELAY_S
         self.epoch_s = time.time() + LOAD_DELAY_S
         for number, name in enumerate(self._names):
@@ -142,9 +143,9 @@
             self._group.start_python(name, arguments)
 
     def wait_until_done(self, options: RunOptions, report: Report) -> None:
-        """Wait until all drivers are done, bringing about the fault on the way.
+        """Wait until all drivers have finished and inject the fault meanwhile.
 
-        :raises ProcessError: if a driver fails or takes far too long.
+        :raises ProcessError: if a driver failed or exceeded its time limit.
         """
         max_deadline_s = max(arrival.deadline_ms for arrival in self._arrivals) / 1_000
         timeout_at = self._start_at + options.seconds + max_deadline_s + DRIVER_GRACE_S
@@ -156,7 +157,7 @@
                 action(self._deployment)
                 report(label, progress=False)
             if time.monotonic() > timeout_at:
-                raise ProcessError("driver takes too long", step="load")
+                raise ProcessError("driver did not finish in time", step="load")
             report(self._progress(), progress=True)
             time.sleep(POLL_INTERVAL_S)
         self.node_cpu_s = self._deployment.node_cpu_seconds() - cpu_before
@@ -166,7 +167,7 @@
                 raise ProcessError(f"driver failed, see {log}", step="load", peer=name)
 
     def answers(self) -> list[Answer]:
-        """Return the answers of all drivers."""
+        """Return the answers of all drivers, sorted by arrival."""
         collected = [
             answer
             for name in self._names
--- a/baobabwing/bench/scenarios.py
+++ b/baobabwing/bench/scenarios.py
@@ -1,4 +1,4 @@
-"""What is asked of a deployment in a run of the bench."""
+"""Load scenarios of benchmark runs."""
 
 from __future__ import annotations
 
@@ -124,9 +124,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Scenario:
-    """A shape of deployment and the load put on it.
+    """Deployment shape and the load offered to it.
 
-    :param story: what happens, in one sentence.
+    :param shape: name of the shape.
+    :param story: one-sentence description.
     """
 
     name: str
@@ -139,7 +140,7 @@
 
 
 def scenario(name: str) -> Callable[[Callable[[], Scenario]], Callable[[], Scenario]]:
-    """Add a function that builds a scenario to the registry."""
+    """Decorate a function that builds a scenario to add it to the registry."""
 
     def _register(build: Callable[[], Scenario]) -> Callable[[], Scenario]:
         _SCENARIOS[name] = build
@@ -149,9 +150,9 @@
 
 
 def get_scenario(name: str) -> Scenario:
-    """Build the scenario of that name.
+    """Build the scenario with the given name.
 
-    :raises KeyError: if there is none.
+    :raises KeyError: if it does not exist.
     """
     return _SCENARIOS[name]()
 
@@ -163,7 +164,7 @@
 
 @scenario("tijera-day")
 def tijera_day() -> Scenario:
-    """Build an ordinary day at a bit more than half of capacity."""
+    """Build an ordinary day at slightly more than half of the capacity."""
     return Scenario(
         name="tijera-day",
         shape="tijera",
@@ -181,7 +182,7 @@
 
 @scenario("tijera-rush")
 def tijera_rush() -> Scenario:
-    """Build a morning rush: twice the capacity in the middle third."""
+    """Build a morning rush with twice the capacity offered in the middle third."""
     return Scenario(
         name="tijera-rush",
         shape="tijera",
@@ -199,7 +200,7 @@
 
 @scenario("pitchside-rainout")
 def pitchside_rainout() -> Scenario:
-    """Build a Saturday of rainouts: a burst on top of running season draws."""
+    """Build a Saturday of rainouts with a burst on top of running season draws."""
     return Scenario(
         name="pitchside-rainout",
         shape="pitchside",
--- a/baobabwing/bench/shapes.py
+++ b/baobabwing/bench/shapes.py
@@ -1,4 +1,4 @@
-"""The deployments that the bench builds, as plain data."""
+"""Descriptions of the deployments that benchmark runs use."""
 
 from __future__ import annotations
 
@@ -48,9 +48,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EngineSpec:
-    """One stand-in engine.
+    """Description of a stand-in engine.
 
-    :param engine: its speeds and sizes.
+    :param engine: timing and size parameters.
     """
 
     name: str
@@ -62,9 +62,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ServiceSpec:
-    """One stand-in of a plain service.
+    """Description of a stand-in for a plain service.
 
-    :param service: its speed and size.
+    :param service: timing and concurrency parameters.
     """
 
     name: str
@@ -75,10 +75,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Shape:
-    """A whole deployment.
+    """Description of a complete deployment.
 
-    :param zones: availability zones; nodes are spread over them in turn.
-    :param nodes: node processes, when the run does not say otherwise.
+    :param zones: availability zones, to which nodes are assigned round-robin.
+    :param nodes: number of node processes unless the run overrides it.
     """
 
     name: str
@@ -93,18 +93,18 @@
     services: tuple[ServiceSpec, ...]
 
     def tier(self, name: str) -> Tier:
-        """Return the tier of that name."""
+        """Return the tier with the given name."""
         return next(tier for tier in self.tiers if tier.name == name)
 
     def pool_of(self, target: str) -> str:
-        """Return the name of the pool that serves a model or is named so."""
+        """Return the name of the pool with the given name or model."""
         for pool in self.pools:
             if target == pool.name or target in pool.models:
                 return pool.name
         raise KeyError(target)
 
     def credential_key(self, organisation: str, tier: str) -> str:
-        """Return the key that callers of an organisation send for a tier."""
+        """Return the credential that callers of an organisation send for a tier."""
         return f"bench-{self.name}-{organisation}-{tier}"
 
 
@@ -112,7 +112,7 @@
 
 
 def shape(name: str) -> Callable[[Callable[[], Shape]], Callable[[], Shape]]:
-    """Add a function that builds a shape to the registry."""
+    """Decorate a function that builds a shape to add it to the registry."""
 
     def _register(build: Callable[[], Shape]) -> Callable[[], Shape]:
         _SHAPES[name] = build
@@ -122,9 +122,9 @@
 
 
 def get_shape(name: str) -> Shape:
-    """Build the shape of that name.
+    """Build the shape with the given name.
 
-    :raises KeyError: if there is none.
+    :raises KeyError: if it does not exist.
     """
     return _SHAPES[name]()
 
@@ -137,10 +137,10 @@
 def build_configuration(
     shape: Shape, addresses: Mapping[str, str], *, policy: str, version: int = 1
 ) -> Configuration:
-    """Build the configuration that the nodes of a shape run under.
+    """Build the configuration for the nodes of a shape.
 
-    :param addresses: ``host:port`` of each engine and service by its name.
-    :param policy: scheduling policy of all pools of engines and services.
+    :param addresses: ``host:port`` of each engine and service by name.
+    :param policy: scheduling policy of all pools.
     """
     pools = tuple(replace(pool, policy=policy) for pool in shape.pools)
     return Configuration(
@@ -160,8 +160,8 @@
 def tijera() -> Shape:
     """Build Tijera Unida: nine engines of three generations, three services.
 
-    Steps are a few times longer than on accelerators, so that the processes of a
-    whole deployment fit on one host; all ratios stay.
+    Steps are several times longer than on accelerators, so that one host can run the
+    processes of a complete deployment; all ratios are preserved.
     """
     zones = ("a", "b", "c")
     tiers = (
@@ -261,7 +261,7 @@
 ) -> tuple[EngineSpec, ...]:
     engines = []
     for index in range(count):
-        # Shifted by the round, so that no zone has engines of only one generation.
+        # The offset varies by round, so that no zone has only one generation.
         zone = zones[(index + index // len(zones)) % len(zones)]
         generation, parameters = _GENERATIONS[index % len(_GENERATIONS)]
         engine = replace(parameters, fencing=index % 3 != 2, seed=index + 1)
--- a/baobabwing/bench/soak.py
+++ b/baobabwing/bench/soak.py
@@ -1,7 +1,7 @@
-"""Mixed load for minutes while nodes are killed and restarted at random.
+"""Soak test: mixed load while random nodes are killed, stopped and restarted.
 
-``python -m baobabwing.bench.soak --minutes 10`` ends with 1 if a request is not
-accounted for, or if a node goes on to grow after its warm-up.
+``python -m baobabwing.bench.soak --minutes 10`` exits with status 1 if a request is
+unaccounted for, if safety is violated, or if a node keeps growing after its warm-up.
 """
 
 from __future__ import annotations
@@ -39,7 +39,7 @@
 SCENARIO = "tijera-day"
 SEED = 7
 WARM_UP_S = 45.0
-# A shorter life after the warm-up says nothing of growth.
+# A shorter observation after the warm-up is not conclusive about growth.
 MIN_OBSERVED_S = 60.0
 FAULT_INTERVAL_S = (15.0, 30.0)
 RESTART_DELAY_S = (2.0, 8.0)
@@ -47,23 +47,23 @@
 POLL_S = 0.1
 SECONDS_PER_MINUTE = 60.0
 MEGABYTE = 1e6
-# What a node rightly keeps more of as time goes by are closed requests with keys,
-# for twenty minutes.
+# Allowance for closed requests with keys, which a node keeps for twenty minutes and
+# whose number therefore grows legitimately.
 BYTES_PER_REQUEST = 4_000
 MAX_GROWTH_BYTES = 8 * MEGABYTE
 MAX_NEW_THREADS = 24
 WINDOW_DIVISOR = 3
-# An answer that came over two tries tells when the last began; the first was cut off
-# by the kill, and callers come back within this time.
+# ``sent_s`` is the start of the last attempt. If a kill cut off the first one, the
+# caller retries within this time.
 RETRY_SLACK_S = 4.0
 KILL, STOP = "kill", "stop"
 
 
 @dataclass(frozen=True, kw_only=True)
 class ProcessHistory:
-    """One process of a node, as it was looked at second by second.
+    """Resource samples of one process of a node, taken every second.
 
-    :param looks: seconds since its start, and what was seen.
+    :param looks: samples with the age of the process in seconds.
     """
 
     node: str
@@ -72,13 +72,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class SoakFigures:
-    """What a soak run showed.
-
-    :param verdicts: answers by how they ended.
-    :param lives: processes of nodes that lived long enough to judge.
-    :param growth_bytes: the most that one grew after its warm-up.
-    :param new_threads: the most that one had more at the end of its life.
-    :param faults: what must never be, one line each.
+    """Results of a soak run.
+
+    :param verdicts: number of answers by verdict.
+    :param kills: number of killed nodes.
+    :param stops: number of gracefully stopped nodes.
+    :param lives: number of node processes that ran long enough to be evaluated.
+    :param growth_bytes: maximum memory growth of a process after its warm-up.
+    :param new_threads: maximum growth of the thread count of a process.
+    :param faults: violations, one line each.
     """
 
     seconds: float
@@ -93,9 +95,9 @@
 
 
 def soak(*, minutes: float, seed: int, folder: Path | None = None) -> SoakFigures:
-    """Run the load, the strikes and the checks.
+    """Run the load with random node failures and check the results.
 
-    :param seed: decides the requests and the strikes.
+    :param seed: determines the requests and the failures.
     """
     scenario = get_scenario(SCENARIO)
     shape = get_shape(scenario.shape)
@@ -151,11 +153,13 @@
 def unaccounted_requests(
     sent: int, answers: Sequence[Answer], killed_s: Sequence[float] = ()
 ) -> list[str]:
-    """Return what says that a request has no end that its caller can act on.
+    """Return the violations of the rule that every request has a usable outcome.
 
-    "Unknown" is such an end only for a request that was open when a node was killed.
+    The outcome "unknown" is acceptable only for a request that was open when a node
+    was killed.
 
-    :param killed_s: when nodes were killed, in seconds from the run's start.
+    :param sent: number of requests that were sent.
+    :param killed_s: times of node kills, in seconds from the start of the run.
     """
     indexes = Counter(one.index for one in answers)
     missing = sent - len(indexes)
@@ -183,12 +187,12 @@
 
 
 def resource_growth(history: ProcessHistory) -> tuple[float, float]:
-    """Return how much a process grew from its warm-up to the end of its life.
+    """Return the growth of a process from its warm-up to its last sample.
 
-    The mean of the last third after the warm-up is set against that of the first,
-    so that one request more or less at one moment does not count.
+    It is the difference between the means of the last and the first third after the
+    warm-up, which is insensitive to the requests open at a single point in time.
 
-    :returns: bytes and threads.
+    :returns: growth in bytes and in threads.
     """
     samples = [sample for age, sample in history.looks if age >= WARM_UP_S]
     window = max(1, len(samples) // WINDOW_DIVISOR)
@@ -202,7 +206,7 @@
 
 
 class _FaultInjector:
-    """Kills and stops nodes one at a time and starts them again."""
+    """Kills or stops random nodes, one at a time, and restarts them."""
 
     def __init__(self, *, rig: Rig, rng: random.Random) -> None:
         self._rig = rig
@@ -219,7 +223,10 @@
         self.killed_s: list[float] = []
 
     def step(self, now: float, *, inject: bool) -> None:
-        """Do what is due."""
+        """Take the samples and perform the actions that are due.
+
+        :param inject: whether new failures may be injected.
+        """
         if now >= self._next_sample_at:
             self._next_sample_at = now + SAMPLE_INTERVAL_S
             self._sample_nodes(now)
@@ -233,7 +240,7 @@
             self._inject_fault(now)
 
     def restart_stopped_node(self) -> None:
-        """Start the node that is down."""
+        """Restart the killed or stopped node, if there is one."""
         if self._stopped_node:
             self._rig.restart_node(self._stopped_node)
             self._started_at[self._stopped_node] = time.monotonic()
@@ -278,17 +285,17 @@
         if memory > allowed:
             faults.append(f"{history.node} grew by {memory / MEGABYTE:.1f} MB")
         if threads > MAX_NEW_THREADS:
-            faults.append(f"{history.node} had {threads:.0f} threads more")
+            faults.append(f"{history.node} grew by {threads:.0f} threads")
     return faults
 
 
 def main(
     minutes: Annotated[float, typer.Option(min=0.5, help="Length of the load.")] = 10.0,
-    seed: Annotated[int, typer.Option(help="Decides requests and strikes.")] = SEED,
-    logs: Annotated[Path | None, typer.Option(help="Keep logs here.")] = None,
+    seed: Annotated[int, typer.Option(help="Determines requests and failures.")] = SEED,
+    logs: Annotated[Path | None, typer.Option(help="Directory for logs.")] = None,
     output: Annotated[Path | None, typer.Option(help="JSON file to write.")] = None,
 ) -> None:
-    """Soak a deployment of the shape of Tijera Unida."""
+    """Run a soak test on a deployment of Tijera Unida's shape."""
     figures = soak(minutes=minutes, seed=seed, folder=logs)
     text = json.dumps(asdict(figures), indent=1)
     typer.echo(text)
--- a/baobabwing/bench/standin_arguments.py
+++ b/baobabwing/bench/standin_arguments.py
@@ -1,4 +1,4 @@
-"""Command lines of stand-ins."""
+"""Command-line arguments that start stand-ins."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 __all__ = ["engine_arguments", "platform_arguments", "service_arguments"]
 
-# Parameters that are no options of the command line.
+# Parameters that cannot be set on the command line.
 PARAMETERS_WITHOUT_OPTION = frozenset({"max_prompt_tokens", "max_output_tokens"})
 
 
@@ -24,8 +24,8 @@
 ) -> list[str]:
     """Return the arguments that start an engine.
 
-    :param platform: URL of the platform whose weight store it asks, if any.
-    :param record: file that keeps its record beyond the process, if any.
+    :param platform: URL of the platform whose weight store it uses, if any.
+    :param record: file for a persistent execution record, if any.
     """
     model_arguments = [argument for model in models for argument in ("--model", model)]
     if platform:
--- a/baobabwing/bench/tables.py
+++ b/baobabwing/bench/tables.py
@@ -1,4 +1,4 @@
-"""Figures as tables for a terminal."""
+"""Formatting of the metrics of a run as text tables."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def figures_text(figures: RunFigures) -> str:
-    """Return all figures of a run as text."""
+    """Format the metrics of a run as text."""
     fault = f", fault {figures.fault}" if figures.fault else ""
     parts = [
         f"policy {figures.policy}{fault}, {figures.seconds:g} s of load",
--- a/baobabwing/bench/transcripts.py
+++ b/baobabwing/bench/transcripts.py
@@ -1,4 +1,4 @@
-"""Checks the bytes of an answer against what the request must give."""
+"""Verification of received answers against the expected output of their requests."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Piece:
-    """Bytes that were read at one time, in seconds from the run's start."""
+    """Bytes returned by one read, with its time in seconds from the run's start."""
 
     at_s: float
     data: bytes
@@ -31,10 +31,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Judgement:
-    """How the bytes of an answer are judged.
+    """Result of verifying an answer.
 
-    :param code: what is wrong with it, if anything is.
-    :param token_times: when each token of a stream came.
+    :param code: error code, empty if the answer is correct.
+    :param token_times: arrival time of each token of a stream.
     """
 
     verdict: Verdict
@@ -43,12 +43,12 @@
 
 
 def service_body(arrival: Arrival) -> dict[str, object]:
-    """Return the body that a call of a plain service carries."""
+    """Return the request body of a call to a plain service."""
     return {"request": arrival.index, "work": arrival.work}
 
 
 def judge_whole(arrival: Arrival, status: int, body: bytes) -> Judgement:
-    """Judge an answer that came in one piece, or an error."""
+    """Verify an answer that is not streamed, or an error response."""
     try:
         document = json.loads(body)
     except ValueError:
@@ -65,9 +65,9 @@
 
 
 def judge_stream(arrival: Arrival, pieces: Sequence[Piece]) -> Judgement:
-    """Judge a stream of server-sent events.
+    """Verify a stream of server-sent events.
 
-    A stream that stops early with the right words so far is unknown, not wrong.
+    A stream that breaks off with a correct prefix is unknown rather than wrong.
     """
     words: list[str] = []
     times: list[float] = []
@@ -148,7 +148,7 @@
 
 
 def _events(pieces: Sequence[Piece]) -> list[tuple[float, bytes]]:
-    """Return the data of each whole event with the time when its end came."""
+    """Return the data of each complete event with the arrival time of its end."""
     events = []
     remainder = b""
     for piece in pieces:
