Reword docstrings, comments and messages of the fault matrix

Every reason is kept. Names of steps and faults and the text of the generated page stay. Messages changed: "never came to this: X" -> "condition not reached: X", "no stream" -> "the stream did not start", "it is not queued" -> "the request was not queued", "not whole: STATE" -> "fleet not complete: STATE", "FAULT gave STATUS" -> "setting fault FAULT returned status STATUS", "the try does not end" -> "the attempt did not end in time", "upstreams did not come to rest" -> "upstreams did not become idle", "not among the addresses" -> "not among the announced addresses". No test and no page matches them.

--- a/baobabwing/bench/matrix/__init__.py
+++ b/baobabwing/bench/matrix/__init__.py
@@ -1,1 +1,1 @@
-"""Trials of outcomes under faults: a small site, callers and a judge."""
+"""Fault injection tests of request outcomes on a small deployment."""
--- a/baobabwing/bench/matrix/caller.py
+++ b/baobabwing/bench/matrix/caller.py
@@ -1,4 +1,4 @@
-"""A caller that sends one request, keeps its transcript and may try again."""
+"""Callers that send requests, record transcripts and can retry."""
 
 from __future__ import annotations
 
@@ -27,10 +27,10 @@
 
 
 class Ending(StrEnum):
-    """How a try ended for its caller.
+    """Outcome of an attempt from its caller's point of view.
 
-    ``BROKEN``: the connection ended without an answer's end. ``GONE``: the
-    caller itself hung up. ``OTHER``: an error that names no outcome.
+    ``BROKEN``: the connection was closed before the end of the answer. ``GONE``: the
+    caller closed the connection itself. ``OTHER``: an error without an outcome.
     """
 
     WHOLE = "whole"
@@ -45,9 +45,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Job:
-    """What a caller wants.
+    """Request parameters of a caller.
 
-    :param service: whether it is a booking at a plain service.
+    :param service: whether it is a booking at a plain service instead of a chat turn.
     :param tokens: length of the answer of a chat turn.
     """
 
@@ -61,12 +61,12 @@
 
 @dataclass(kw_only=True)
 class Transcript:
-    """What the caller saw of one try; grows while the try runs.
+    """Record of an attempt, which is updated while the attempt is running.
 
-    :param first: number of the first event that was asked for.
-    :param words: tokens, in the order of their arrival.
-    :param sent_s: when the try began, in seconds since 1970.
-    :param ended_s: when its ending was known.
+    :param sent_s: Unix time of the start of the attempt.
+    :param ended_s: Unix time at which the ending was known.
+    :param first: number of the first requested event.
+    :param words: tokens in the order of their arrival.
     """
 
     job: Job
@@ -84,9 +84,9 @@
 
 
 class Try:
-    """One try that runs in a thread of its own.
+    """Attempt that runs in its own thread.
 
-    :param last_event: number of the last event that the caller has already.
+    :param last_event: number of the last event that the caller has received.
     """
 
     def __init__(
@@ -115,17 +115,17 @@
         return self
 
     def wait(self, timeout_s: float = READ_TIMEOUT_S) -> Transcript:
-        """Wait for the end and return the transcript.
+        """Wait for the end of the attempt and return the transcript.
 
-        :raises TimeoutError: if the try does not end in time.
+        :raises TimeoutError: if it does not end in time.
         """
         self._thread.join(timeout_s)
         if self._thread.is_alive():
-            raise TimeoutError("the try does not end")
+            raise TimeoutError("the attempt did not end in time")
         return self.transcript
 
     def wait_words(self, count: int, timeout_s: float = READ_TIMEOUT_S) -> bool:
-        """Wait until some tokens are there; false if the try ends before."""
+        """Wait for some tokens and return whether they arrived before the end."""
         with self._changed:
             self._changed.wait_for(
                 lambda: (
@@ -137,9 +137,9 @@
         return len(self.transcript.words) >= count
 
     def leave(self, *, hard: bool = False) -> None:
-        """Hang up.
+        """Close the connection.
 
-        :param hard: with a reset, as when the caller's host vanishes.
+        :param hard: reset the connection, as if the caller's host had vanished.
         """
         self._closed_by_caller = True
         sock = self._conn.sock
@@ -255,7 +255,7 @@
 
 
 class Caller:
-    """One caller, which asks for addresses and goes on at another when one fails.
+    """Caller that retries at other addresses when an attempt fails.
 
     :param credential: key of its organisation.
     """
@@ -265,7 +265,10 @@
         self.transcripts: list[Transcript] = []
 
     def key_at(self, address: str, name: str) -> str:
-        """Return a key that is bound to the node at an address."""
+        """Return an idempotency key that is bound to the node at an address.
+
+        :raises LookupError: if the node does not announce its own address.
+        """
         conn = http.client.HTTPConnection(address, timeout=5.0)
         try:
             conn.request("GET", "/v1/addresses")
@@ -275,7 +278,7 @@
         for one in document["addresses"]:
             if one["http"] == address:
                 return one["key_prefix"] + name
-        raise LookupError(f"{address} is not among the addresses")
+        raise LookupError(f"{address} is not among the announced addresses")
 
     def begin(
         self,
@@ -285,7 +288,7 @@
         last_event: int | None = None,
         headers: Mapping[str, str] | None = None,
     ) -> Try:
-        """Start a try."""
+        """Start an attempt."""
         attempt = Try(
             address=address,
             credential=self._credential,
@@ -299,11 +302,11 @@
     def finish(
         self, job: Job, first: Try, others: tuple[str, ...], *, tries: int = 6
     ) -> Transcript:
-        """Wait for a try, and go on at other addresses until something is told.
+        """Wait for an attempt and retry at other addresses until it is answered.
 
-        A caller goes on after a broken connection, also one that it cut itself,
-        after a part of its answer, and after "unknown" or "not run" as long as
-        tries are left.
+        Up to ``tries`` attempts are made. The caller retries after a broken
+        connection, even if it closed the connection itself, after a partial answer,
+        and after "unknown" or "not run".
         """
         answered = transcript = first.wait()
         for number in range(tries - 1):
@@ -318,7 +321,7 @@
         return answered
 
     def words_of(self, job: Job) -> list[str]:
-        """Return the tokens that all tries of a job gave, in their places."""
+        """Return the tokens of a job from all attempts, in stream order."""
         found: dict[int, str] = {}
         for transcript in self.transcripts:
             if transcript.job == job:
@@ -327,12 +330,12 @@
 
 
 class Follower:
-    """A caller that sends one chat turn after another where it is told to.
+    """Caller that sends consecutive chat turns to the announced addresses.
 
-    It keeps an address answer for as long as it may, uses the first address, and
-    asks again at the next when one does not answer.
+    It caches the announced addresses for their keep time and uses the first of them.
+    If a node does not answer an address query, it queries the next one.
 
-    :param known: addresses that it knows from its settings.
+    :param known: initial addresses from its settings.
     """
 
     def __init__(self, *, known: tuple[str, ...], credential: str, seed: str) -> None:
@@ -344,16 +347,16 @@
 
     @property
     def transcripts(self) -> list[Transcript]:
-        """What it saw so far, one transcript for each request."""
+        """Transcripts recorded so far, one per request."""
         return self._caller.transcripts
 
     def start(self) -> Follower:
-        """Begin to send."""
+        """Start sending."""
         self._thread.start()
         return self
 
     def stop(self) -> None:
-        """Send no more, and wait for the last answer."""
+        """Stop sending and wait for the last answer."""
         self._stopped.set()
         self._thread.join(READ_TIMEOUT_S)
 
--- a/baobabwing/bench/matrix/campaign.py
+++ b/baobabwing/bench/matrix/campaign.py
@@ -1,4 +1,4 @@
-"""Many requests while processes are killed and frozen and connections cut."""
+"""Randomised fault injection campaign with many concurrent requests."""
 
 from __future__ import annotations
 
@@ -33,14 +33,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Figures:
-    """What a campaign showed.
-
-    :param breaches: broken promises, by the judge.
-    :param cut_streams: chat turns dispatched and open at a host when it was killed.
-    :param completed: those of them that the caller's second try made whole.
-    :param second_endings: how the second tries of those ended, with their codes.
-    :param recomputed: those of them that an engine prefilled more than once.
-    :param hung: tries that did not end in time, with what is known of them.
+    """Results of a campaign.
+
+    :param breaches: violations found by the oracle.
+    :param cut_streams: number of chat turns that were streaming at a host when it was
+        killed.
+    :param completed: number of cut streams that the caller's next attempt completed.
+    :param second_endings: endings of the next attempts of cut streams, with messages.
+    :param recomputed: number of cut streams that were prefilled more than once.
+    :param hung: attempts that did not end in time, by key, address and number.
     :param endings: last endings of all requests.
     """
 
@@ -56,7 +57,7 @@
     endings: dict[str, int]
 
     def text(self) -> str:
-        """Return the figures as lines."""
+        """Format the results as text."""
         counts = Counter(one.promise for one in self.breaches)
         return "\n".join(
             (
@@ -75,7 +76,10 @@
 
 @dataclass(kw_only=True)
 class _Request:
-    """A request with all its tries, and those of them whose host was killed."""
+    """Request with its attempts.
+
+    :param killed: index of the attempt whose host was killed, if any.
+    """
 
     job: Job
     tries: list[Try] = field(default_factory=list)
@@ -83,12 +87,12 @@
 
 
 class Campaign:
-    """One run of callers against faults at random moments.
+    """Run of concurrent callers with faults injected at random times.
 
-    :param requests: how many requests are sent.
-    :param only: the fault that strikes, and again and again; any if empty.
-    :param tokens: least and most length of an answer.
-    :param seed: start of all random choices; the moments also depend on the host.
+    :param requests: number of requests to send.
+    :param seed: seed of all random choices; the timing also depends on the host.
+    :param only: the only fault to inject; all faults if empty.
+    :param tokens: minimum (inclusive) and maximum (exclusive) length of an answer.
     """
 
     def __init__(
@@ -114,9 +118,9 @@
         self._faults: Counter[str] = Counter()
 
     def run(self) -> Figures:
-        """Send all requests, let things fail meanwhile, and judge.
+        """Send all requests while injecting faults, and check the results.
 
-        :raises ProcessError: if the site does not come to rest.
+        :raises ProcessError: if the site does not become idle.
         """
         epoch_s = time.time()
         threads = [
@@ -132,7 +136,7 @@
         fault_thread.join()
         self._site.heal()
         if not self._site.wait_idle(timeout_s=IDLE_S):
-            raise ProcessError("upstreams did not come to rest", step="campaign")
+            raise ProcessError("upstreams did not become idle", step="campaign")
         return self._check_results(epoch_s)
 
     def _run_caller(self, number: int) -> None:
@@ -181,7 +185,7 @@
         name = uuid.uuid4().hex
         service = rng.random() < BOOKING_SHARE
         key = name
-        # An own key, should the host be down that is asked for a prefix.
+        # The caller's own key is the fallback if no node returns a prefix.
         if not service:
             for address in (*nodes,):
                 try:
@@ -319,6 +323,6 @@
 
 
 def _second_try_whole(request: _Request) -> bool:
-    """Tell whether the try after the one whose host was killed was whole."""
+    """Return whether the attempt after the killed one was answered completely."""
     later_attempts = request.tries[request.killed + 1 :]
     return bool(later_attempts) and later_attempts[0].transcript.ending is Ending.WHOLE
--- a/baobabwing/bench/matrix/oracle.py
+++ b/baobabwing/bench/matrix/oracle.py
@@ -1,7 +1,7 @@
-"""The judge: what upstreams executed against what callers were told.
+"""Test oracle that compares the upstreams' executions with the callers' transcripts.
 
-It knows nothing of the product but its promises. It takes the upstreams' own
-records and the callers' transcripts, and says which promise was broken where.
+It depends only on the guarantees of the product and not on its implementation, and
+reports every violated guarantee.
 """
 
 from __future__ import annotations
@@ -20,9 +20,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Breach:
-    """A promise that was broken.
+    """Violation of a guarantee.
 
-    :param promise: ``once``, ``not_run``, ``whole``, ``unasked`` or ``leaving``.
+    :param promise: violated guarantee: ``once``, ``not_run``, ``whole``, ``unasked``
+        or ``leaving``.
+    :param what: details of the violation.
     """
 
     promise: str
@@ -35,12 +37,11 @@
     *,
     epoch_s: float = 0.0,
 ) -> list[Breach]:
-    """Return every broken promise.
+    """Return all violations.
 
-    :param epoch_s: by what the transcripts' clock is ahead of the executions'.
-
-    :param transcripts: of all tries, those that were cut off included.
-    :param executions: of all upstreams, those that died included.
+    :param transcripts: transcripts of all attempts, including interrupted ones.
+    :param executions: executions of all upstreams, including killed ones.
+    :param epoch_s: offset of the transcripts' clock from that of the executions.
     """
     executed = list(executions)
     return [
@@ -54,9 +55,10 @@
 def judge_leaving(
     executions: Iterable[Executed], *, upstream: str, since_s: float, bound_s: float
 ) -> list[Breach]:
-    """Return what a leaving upstream was given after the bound.
+    """Return the executions that a leaving upstream started after the time bound.
 
-    :param since_s: when it began to leave, on the executions' clock.
+    :param since_s: when the upstream started to leave, on the executions' clock.
+    :param bound_s: time after which it must not receive further requests.
     """
     return [
         Breach(
@@ -86,9 +88,9 @@
 def _false_not_run(
     transcripts: Sequence[Transcript], executed: Sequence[Executed], epoch_s: float
 ) -> list[Breach]:
-    """Find what ran although its caller was told that it did not and would not.
+    """Find requests that ran although their caller was told "not run".
 
-    What ran after that was told is right only if the caller tried again.
+    An execution that starts after this answer is valid only if the caller retried.
     """
     attempts: dict[str, list[Transcript]] = defaultdict(list)
     runs: dict[str, list[Executed]] = defaultdict(list)
@@ -132,10 +134,10 @@
 def _unrequested_executions(
     transcripts: Sequence[Transcript], executed: Sequence[Executed]
 ) -> list[Breach]:
-    """Find executions that no caller asked for.
+    """Find executions that no caller requested.
 
-    To a plain service everything is a call; a look at its state or a second
-    request on behalf of one that is over would run it.
+    A plain service executes every call, so a status query or a repeated call on
+    behalf of a finished request would be an execution too.
     """
     keys = {transcript.job.key for transcript in transcripts}
     return [
@@ -164,5 +166,5 @@
 
 
 def _request_id_of(execution: Executed) -> str:
-    """Return the request that an attempt belongs to."""
+    """Return the id of the request that an attempt belongs to."""
     return execution.attempt.split(".")[0]
--- a/baobabwing/bench/matrix/scene.py
+++ b/baobabwing/bench/matrix/scene.py
@@ -1,4 +1,4 @@
-"""One request of one caller, brought to a step at which a fault strikes."""
+"""Test scenes that bring a request to a processing step and inject a fault there."""
 
 from __future__ import annotations
 
@@ -17,24 +17,29 @@
 FILLERS = 18
 QUEUE_ATTEMPTS = 4
 FILLER_TOKENS = 2_000
-# Beyond the time that the fillers take, or it would be refused at once.
+# Longer than the fillers take; with a shorter deadline the request would be refused
+# immediately.
 QUEUED_DEADLINE_MS = 60_000
 LONG_PROMPT_WORDS = 16_000
 SERVICE_SLOWNESS = 40.0
 STREAM_TOKENS = 120
-# Long enough for a death to be noticed and a home to be replaced meanwhile.
+# Long enough for a failure to be detected and a home to be replaced meanwhile.
 LONG_STREAM_TOKENS = 600
 EARLY_WORDS = 3
 
 
 @dataclass(kw_only=True)
 class Scene:
-    """A request and whoever has to do with it.
-
-    :param entry: node that the caller sends it to first.
-    :param home: node that is home of the request's cell.
-    :param other: node that is neither, and follows as home.
-    :param strike: brings the fault about, once the step is reached.
+    """Request with the nodes and the caller that take part in it.
+
+    :param service: whether the request is a booking at a plain service.
+    :param own_key: whether the caller chooses a key that is bound to no node.
+    :param strike: injects the fault when the step has been reached.
+    :param entry: node to which the caller sends the first attempt.
+    :param home: home of the request's cell.
+    :param other: third node, which is next in the ranking as home.
+    :param first: first attempt of the caller.
+    :param entry_hangs: whether the entry is frozen, so that the first attempt hangs.
     """
 
     site: Site
@@ -57,7 +62,7 @@
     def prepare(
         self, *, prompt_words: int = 0, tokens: int = 16, deadline_ms: int = 8_000
     ) -> None:
-        """Make the job and its key, without sending it."""
+        """Create the job and its key without sending it."""
         name = uuid.uuid4().hex
         address = self.site.address(self.entry)
         key = name if self.own_key else self.caller.key_at(address, name)
@@ -71,7 +76,7 @@
         )
 
     def send(self) -> Try:
-        """Begin the first try."""
+        """Start the first attempt."""
         self.first = self.caller.begin(self.job, self.site.address(self.entry))
         return self.first
 
@@ -80,25 +85,26 @@
         return [one for one in self.all_executions() if one.key == self.job.key]
 
     def all_executions(self) -> list[Executed]:
-        """Return all executions since the scene began."""
+        """Return all executions since the start of the scene."""
         found = self.site.executions(epoch_s=self.epoch_s)
         return [one for one in found if one.started_s >= 0]
 
     def running_at(self) -> list[str]:
-        """Return the upstreams that took the request, or all that might."""
+        """Return the upstreams that executed the request, or all candidates."""
         names = [one.upstream for one in self.executions()]
         return names or list(SERVICES if self.service else ENGINES)
 
     def wait(self, condition: Callable[[], bool], what: str) -> None:
         """Wait for a condition.
 
-        :raises ProcessError: if it never holds.
+        :param what: name of the condition for the error message.
+        :raises ProcessError: if it does not hold within ``WAIT_S``.
         """
         if not wait_until(condition, timeout_s=WAIT_S):
-            raise ProcessError(f"never came to this: {what}", step="scene")
+            raise ProcessError(f"condition not reached: {what}", step="scene")
 
     def try_again(self) -> Transcript:
-        """Let the caller go on at other addresses until something is told."""
+        """Retry at other addresses until the caller receives an outcome."""
         others = tuple(
             self.site.address(name) for name in (self.other, self.home, self.entry)
         )
@@ -113,7 +119,7 @@
         return transcript
 
     def recover(self) -> None:
-        """Let whatever is frozen go on."""
+        """Resume all frozen processes."""
         for name in self.site.group.names():
             if self.site.group.get(name).alive():
                 self.site.group.thaw(name)
@@ -124,7 +130,7 @@
 
 
 def step(name: str) -> Callable[[StepFunction], StepFunction]:
-    """Add a step at which a fault can strike to the registry."""
+    """Decorate a function that brings a scene to a step to add it to the registry."""
 
     def register(step_function: StepFunction) -> StepFunction:
         STEPS[name] = step_function
@@ -134,9 +140,9 @@
 
 
 def get_step(name: str) -> StepFunction:
-    """Return what brings a scene to a step and strikes there.
+    """Return the function that brings a scene to a step and injects the fault.
 
-    :raises KeyError: if there is none of that name.
+    :raises KeyError: if there is no step with the given name.
     """
     return STEPS[name]
 
@@ -176,7 +182,7 @@
 def _streaming(scene: Scene) -> None:
     scene.prepare(tokens=STREAM_TOKENS)
     if not scene.send().wait_words(EARLY_WORDS):
-        raise ProcessError("no stream", step="scene")
+        raise ProcessError("the stream did not start", step="scene")
     scene.strike(scene)
 
 
@@ -184,7 +190,7 @@
 def _streaming_long(scene: Scene) -> None:
     scene.prepare(tokens=LONG_STREAM_TOKENS)
     if not scene.send().wait_words(EARLY_WORDS):
-        raise ProcessError("no stream", step="scene")
+        raise ProcessError("the stream did not start", step="scene")
     scene.strike(scene)
 
 
@@ -197,10 +203,10 @@
 
 
 def _queue_request(scene: Scene, fillers: list[Try]) -> None:
-    """Fill the upstreams until a request has to wait.
+    """Saturate the upstreams until a request is queued.
 
-    A home may find a place for a short request where it has none for long ones;
-    then some more long ones are sent.
+    A home may have capacity for a short request but not for long ones; in that case
+    more long requests are sent.
     """
     for _ in range(QUEUE_ATTEMPTS):
         fillers.extend(_send_filler(scene, number) for number in range(FILLERS))
@@ -216,11 +222,11 @@
         if not scene.executions():
             return
         scene.first.wait()
-    raise ProcessError("it is not queued", step="scene")
+    raise ProcessError("the request was not queued", step="scene")
 
 
 def _send_filler(scene: Scene, number: int) -> Try:
-    """Occupy an upstream for as long as it takes."""
+    """Send a long request that occupies an upstream."""
     job = Job(
         text=f"filler {number} {uuid.uuid4().hex}",
         tokens=FILLER_TOKENS,
@@ -231,9 +237,10 @@
 
 
 def is_overfull(site: Site, node: str, fillers: list[Try]) -> bool:
-    """Tell whether some fillers run and others wait for a place.
+    """Return whether some fillers are running and others are queued.
 
-    How many run is left open: an engine that has just come back gets little.
+    The number of running ones is not checked, because an engine that has just been
+    restarted gets little work.
     """
     if site.open_requests(node) < len(fillers):
         return False
--- a/baobabwing/bench/matrix/site.py
+++ b/baobabwing/bench/matrix/site.py
@@ -1,4 +1,4 @@
-"""A small deployment of real processes whose parts can be hurt and healed."""
+"""Small deployment of real processes that supports fault injection and recovery."""
 
 from __future__ import annotations
 
@@ -36,11 +36,11 @@
 ENGINES = ("engine-1", "engine-2", "engine-3")
 SERVICES = ("service-1", "service-2")
 HEAL_TIMEOUT_S = 30.0
-# Faster than the default, so that a death is seen soon, and still slow enough
-# for a busy host.
+# Faster than the default, so that failures are detected early, but slow enough for a
+# busy host.
 _MEMBERSHIP = {"probe_interval_ms": 250, "probe_timeout_ms": 120, "suspicion_ms": 800}
 TABLES_TIMEOUT_S = 5.0
-# Enough for the trials; hundreds in each node are more than a busy host has.
+# Sufficient for the tests; hundreds of threads per node overload a busy host.
 WORKER_THREADS = 64
 LOG_TAIL_CHARACTERS = 500
 _VERSION = re.compile(r"^baobabwing_configuration_version (\S+)$", re.MULTILINE)
@@ -48,9 +48,9 @@
 
 
 def trial_shape(*, step_ms: float = 10.0, capacity: int = 4) -> Shape:
-    """Return three engines, two services and three nodes in three zones.
+    """Return a shape of three engines, two services and three nodes in three zones.
 
-    :param capacity: requests that run in one engine at one time.
+    :param capacity: maximum number of concurrent requests per engine.
     """
     full = get_shape("tijera")
     engine = EngineParameters(
@@ -84,9 +84,9 @@
 
 
 class Site(Deployment):
-    """A deployment that trials hurt, one fault after another.
+    """Deployment for fault injection.
 
-    :param group: which starts the processes, and ends them with its block.
+    :param group: group that starts the processes and ends them on exit.
     """
 
     def __init__(self, *, group: ProcessGroup, shape: Shape | None = None) -> None:
@@ -102,14 +102,14 @@
         return self.nodes.get(name) or self.upstreams[name]
 
     def kill(self, name: str) -> None:
-        """End any process at once."""
+        """Kill a process."""
         if name in self.upstreams:
             self.kill_upstream(name)
         else:
             self.group.kill(name)
 
     def homes(self, pool: str) -> tuple[str, ...]:
-        """Return the living nodes as they follow each other as a cell's home."""
+        """Return the running nodes in the order of the home ranking of a cell."""
         members = tuple(
             Member(host=_host(name), state=MemberState.ALIVE)
             for name in self.living_nodes()
@@ -118,11 +118,11 @@
         return tuple(host.name for host in hosts)
 
     def open_requests(self, node: str) -> int:
-        """Return how many requests a node says it has open."""
+        """Return the number of open requests that a node reports."""
         return int(self._gauge(node, _OPEN_REQUESTS))
 
     def members(self, node: str) -> dict[str, str]:
-        """Return the incarnations of the nodes that a node would offer to callers."""
+        """Return the incarnations of the nodes that a node announces to callers."""
         try:
             addresses = get_json(self.nodes[node], "/v1/addresses")["addresses"]
         except ProcessError:
@@ -130,12 +130,12 @@
         return {one["name"]: one["key_prefix"].split(".")[2] for one in addresses}
 
     def stop_node(self, name: str) -> None:
-        """Ask a node to stop gracefully, without waiting for it."""
+        """Start a graceful stop of a node without waiting for it."""
         self._stopping.add(name)
         self.group.get(name).popen.terminate()
 
     def record(self, upstream: str) -> list[dict[str, Any]]:
-        """Return what an upstream says that it executed."""
+        """Return the execution record of an upstream."""
         return get_json(self.upstreams[upstream], "/control/record")["executions"]
 
     def fault(
@@ -148,9 +148,9 @@
         for_ms: float | None = None,
         names: tuple[str, ...] = (),
     ) -> None:
-        """Put a fault of a stand-in into force.
+        """Activate a fault of a stand-in.
 
-        :raises ProcessError: if the stand-in does not take it.
+        :raises ProcessError: if the stand-in rejects it.
         """
         document = {"fault": fault, "value": value, "count": count, "names": names}
         if for_ms is not None:
@@ -162,13 +162,17 @@
         finally:
             conn.close()
         if status != HTTPStatus.NO_CONTENT:
-            raise ProcessError(f"{fault} gave {status}", step="fault", peer=name)
+            raise ProcessError(
+                f"setting fault {fault} returned status {status}",
+                step="fault",
+                peer=name,
+            )
 
     def executions(self, *, epoch_s: float) -> list[Executed]:
-        """Return all executions of all upstreams, from the files they write.
+        """Return all executions of all upstreams from their record files.
 
-        Two executions under one attempt stay two here, which is what a judge of
-        "at most once" must see.
+        Several executions of one attempt are not merged, so that violations of "at
+        most once" can be detected.
         """
         found: list[Executed] = []
         for name in self.upstreams:
@@ -180,9 +184,9 @@
         return found
 
     def heal(self) -> None:
-        """Bring every process back to life and every node into the fleet.
+        """Revert all faults and wait until all nodes have joined the fleet.
 
-        :raises ProcessError: if one does not come back in time.
+        :raises ProcessError: if a process does not recover in time.
         """
         for name in self.group.names():
             if self.group.get(name).alive():
@@ -195,23 +199,26 @@
         for name in (PLATFORM, *self.upstreams):
             clear_faults(self.address(name))
         if not wait_until(self.is_whole, timeout_s=HEAL_TIMEOUT_S, poll_s=0.05):
-            raise ProcessError(f"not whole: {self._describe_state()}", step="heal")
+            raise ProcessError(
+                f"fleet not complete: {self._describe_state()}", step="heal"
+            )
 
     def version(self, node: str) -> int:
-        """Return the configuration version that a node says is in force."""
+        """Return the configuration version that a node has applied."""
         return int(self._gauge(node, _VERSION))
 
     def accepted(self) -> Configuration:
-        """Return the configuration that the platform holds."""
+        """Return the configuration stored by the platform."""
         return fetch_configuration(self._tables())
 
     def change(
         self, edit: Callable[[Configuration], Configuration], *, author: str = "bench"
     ) -> Configuration:
-        """Publish an operator's change of what is accepted.
+        """Publish an operator's change of the accepted configuration.
 
-        :raises ConflictError: if another operator was first.
-        :raises PlatformError: if it is not known or not taken.
+        :raises ConflictError: if another change was accepted in the meantime.
+        :raises PlatformError: if the platform rejects the change, or if the outcome is
+            unknown.
         """
         base = self.accepted()
         changed = replace(edit(base), author=author, attempt="")
@@ -221,7 +228,7 @@
         return TableClient(url=f"http://{self.platform}", timeout_s=TABLES_TIMEOUT_S)
 
     def _describe_state(self) -> str:
-        """Return what keeps the fleet from being whole, for a failed trial."""
+        """Describe the state of the fleet for the error message of a failed test."""
         log_tails = {
             name: self.group.get(name).log.read_text()[-LOG_TAIL_CHARACTERS:]
             for name in self._ended_processes()
@@ -230,12 +237,12 @@
         return f"members {views}, ended {log_tails}"
 
     def restart_node(self, name: str) -> None:
-        """Start a node again that has ended, as a new incarnation."""
+        """Restart a node that has ended, as a new incarnation."""
         settings = self.group.folder / f"{name}.json"
         self.group.start(name, ["node", "--settings", str(settings)])
 
     def restart(self, name: str) -> None:
-        """Start a process again that has ended, and wait until it answers."""
+        """Restart a process that has ended and wait until it responds."""
         if name in self.nodes:
             self.restart_node(name)
         elif name == PLATFORM:
@@ -257,10 +264,10 @@
         return [name for name in self.group.names() if not self.group.get(name).alive()]
 
     def is_whole(self) -> bool:
-        """Tell whether every node is ready and sees the same, whole fleet."""
+        """Return whether every node is ready and has the same, complete fleet view."""
         views = [self.members(name) for name in self.nodes]
         ready = all(answers_ok(address, "/readyz") for address in self.nodes.values())
-        # All see all, and each incarnation is that of the process alive now.
+        # Equal views imply that each incarnation is that of the running process.
         views_agree = all(view == views[0] for view in views)
         return ready and views_agree and len(views[0]) == len(self.nodes)
 
--- a/baobabwing/bench/matrix/strikes.py
+++ b/baobabwing/bench/matrix/strikes.py
@@ -1,4 +1,4 @@
-"""Faults that strike a request, in a registry that a decorator fills."""
+"""Registry of the faults that can be injected while a request is processed."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 
 __all__ = ["STRIKES", "get_strike", "strike"]
 
-# Longer than a caller's connection attempt and shorter than the time in which
-# an entry resumes a broken stream.
+# Longer than a caller's connection attempt, but shorter than the time within which an
+# entry resumes a broken stream.
 UPSTREAM_FREEZE_S = 1.0
 LATE_MS = 300
 PLATFORM_SLOW_MS = 2_000
@@ -22,7 +22,7 @@
 
 
 def strike(name: str) -> Callable[[Strike], Strike]:
-    """Add a fault to the registry."""
+    """Decorate a function that injects a fault to add it to the registry."""
 
     def register(inject: Strike) -> Strike:
         STRIKES[name] = inject
@@ -32,9 +32,9 @@
 
 
 def get_strike(name: str) -> Strike:
-    """Return what brings a fault about.
+    """Return the function that injects a fault.
 
-    :raises KeyError: if there is none of that name.
+    :raises KeyError: if there is no fault with the given name.
     """
     return STRIKES[name]
 
@@ -197,7 +197,7 @@
 
 
 def _home_rebuild_count(scene: Scene) -> int:
-    """Return how often a home of the request's cell was rebuilt so far."""
+    """Return how often the home of the request's cell has been rebuilt."""
     cell = f'"{BOOKING if scene.service else "assistant"}/0"'
     lines = [
         line
--- a/baobabwing/bench/matrix/table.py
+++ b/baobabwing/bench/matrix/table.py
@@ -1,10 +1,10 @@
-"""The fault matrix as a page: one row a fault, one column a step.
+"""Generator of the fault matrix page, with one row per fault and one column per step.
 
-Cells come from the tests that ran. What no test can bring about is listed here
-with its reason, and what other folders' tests show with their names.
+Cells are filled from test results. This module lists the combinations that cannot
+occur, with the reason, and the tests of other directories that cover a cell.
 
-Run as ``python -m baobabwing.bench.matrix.table PAGE RESULTS...``; results are
-files that the tests wrote by their option ``--results``.
+Run as ``python -m baobabwing.bench.matrix.table PAGE RESULTS...``; result files are
+written by the tests with the option ``--results``.
 """
 
 from __future__ import annotations
@@ -210,7 +210,7 @@
 
 
 def cell_of(nodeid: str) -> tuple[str, str, str] | None:
-    """Return word, row and column of a test of the matrix, from its name."""
+    """Return test name, row and column of a matrix test, parsed from its node id."""
     name, _, rest = nodeid.partition("[")
     if "test_every_fault" not in name:
         return None
@@ -222,9 +222,9 @@
 
 
 def render_page(results: Mapping[str, str]) -> str:
-    """Return the page.
+    """Render the page in Markdown.
 
-    :param results: outcome of each test that ran, by its name.
+    :param results: outcome by node id of each test that was run.
     """
     results_by_cell: dict[tuple[str, str], list[str]] = {}
     for nodeid, outcome in results.items():
@@ -303,7 +303,7 @@
 
 
 def main(page: str, *results: str) -> None:
-    """Write the page of one or several runs."""
+    """Merge the result files of one or several runs and write the page."""
     merged: dict[str, str] = {}
     for path in results:
         merged.update(json.loads(Path(path).read_text(encoding="utf-8")))
