Reword docstrings and comments of the matrix tests

Rules of the state machines keep their names: Hypothesis orders them by name, so a rename would change what a seed gives. The docstring of OutcomeMachine stays letter for letter: Hypothesis derives the seed of derandomized runs from the source of the class. No assertion changes.

--- a/tests/matrix/test_campaign.py
+++ b/tests/matrix/test_campaign.py
@@ -1,4 +1,4 @@
-"""Many requests under random kills, freezes and cuts; the figures are printed."""
+"""Fault injection campaigns with many requests; the results are printed."""
 
 import pytest
 
@@ -11,7 +11,7 @@
 
 @pytest.mark.matrix
 def test_campaign(site, request):
-    """Callers go on at another host whenever something fails on their way."""
+    """Guard against violations when callers retry at other hosts after any fault."""
     number = request.config.getoption("--campaign-requests")
     seed = request.config.getoption("--fuzz-seed") or SEED
     figures = Campaign(site=site, requests=number, seed=seed).run()
@@ -22,7 +22,10 @@
 
 @pytest.mark.matrix
 def test_killed_hosts(site):
-    """Hosts die with streams open, and each caller goes on at another host."""
+    """Guard against lost or recomputed streams when hosts are killed.
+
+    Hosts are killed while streams are open, and each caller resumes at another host.
+    """
     campaign = Campaign(
         site=site, requests=300, seed=SEED, only="host killed", tokens=(150, 300)
     )
--- a/tests/matrix/test_every_fault.py
+++ b/tests/matrix/test_every_fault.py
@@ -1,4 +1,4 @@
-"""Every fault at every step of a request, over real processes."""
+"""Every fault at every step of a request, with real processes."""
 
 import time
 
@@ -53,12 +53,12 @@
 @pytest.mark.matrix
 @pytest.mark.parametrize(("fault", "step"), _cases(CHAT_STEPS))
 def test_chat(trial, fault, step):
-    """A fault strikes a chat turn with a bound key, and its caller tries again."""
+    """A chat turn with a key bound to a node is hit by a fault and retried."""
     _run(trial, fault, step, service=False)
 
 
 @pytest.mark.matrix
 @pytest.mark.parametrize(("fault", "step"), _cases(BOOKING_STEPS))
 def test_booking(trial, fault, step):
-    """A fault strikes a booking with the caller's own key, which tries again."""
+    """A booking with the caller's own key is hit by a fault and retried."""
     _run(trial, fault, step, service=True)
--- a/tests/matrix/test_fuzz_in_process.py
+++ b/tests/matrix/test_fuzz_in_process.py
@@ -1,8 +1,8 @@
-"""Nodes in one process over fakes, driven into every order of faults.
+"""Stateful fuzzing of nodes in one process under any order of faults.
 
-Upstreams, homes, the table service and the connections are fakes; everything
-between a caller's call and an upstream's connection is the product. The judge is
-the one that real processes are judged by.
+Upstreams, homes, the table service and connections are fakes; everything between the
+call of a caller and the connection to an upstream is product code. The oracle is the
+same as for real processes.
 """
 
 import contextlib
@@ -71,11 +71,11 @@
 
 
 class Killed(BaseException):
-    """The node's process ended in the middle of what it did."""
+    """The process of the node was killed while it was handling a call."""
 
 
 class FakeAnswer:
-    """An answer whose whole body waits in a socket."""
+    """Answer whose complete body is buffered in a socket."""
 
     def __init__(self, body, *, status=200, headers=(), chunked=True, peer=""):
         self.sock, self._far = socket.socketpair()
@@ -100,7 +100,7 @@
 
 
 class FakeWriter(io.BytesIO):
-    """What an answer is written to; broken once the caller has gone."""
+    """Output of an answer, which fails once the caller has disconnected."""
 
     def __init__(self, far):
         super().__init__()
@@ -113,7 +113,7 @@
 
 
 class FakeReq:
-    """One call as cheroot would hand it over, and what was answered."""
+    """Request object in the form that cheroot passes, which records the answer."""
 
     response_protocol = "HTTP/1.1"
 
@@ -153,7 +153,7 @@
 
 
 class FakeNode:
-    """One incarnation of a node; when it dies its memory goes with it."""
+    """Incarnation of a node, whose state is lost when it is killed."""
 
     def __init__(self, world, name, incarnation):
         self.host = Host(
@@ -196,7 +196,7 @@
 
 
 class FakePermits:
-    """A home that grants in turn, and forgets when it is replaced."""
+    """Home that always grants the first free upstream and loses state if replaced."""
 
     def __init__(self, world, node):
         self._world = world
@@ -239,7 +239,7 @@
 
 
 class World:
-    """Three nodes, their upstreams and the platform."""
+    """Simulated deployment of three nodes, their upstreams and the platform."""
 
     def __init__(self):
         self.table_fault = None
@@ -267,12 +267,15 @@
         self.nodes[name] = FakeNode(self, name, self.incarnation)
 
     def tick(self):
-        """Return the next moment of the world's clock."""
+        """Advance the simulated clock and return its time."""
         self.now += 1.0
         return self.now
 
     def note(self, event, **fields):
-        """Keep what is no fault of the world, such as a fake that lags behind."""
+        """Record errors that indicate a bug rather than a simulated fault.
+
+        An outdated fake causes such errors too.
+        """
         kind = fields.get("error", "").partition(":")[0]
         if event is REQUEST_FAULT and kind in BUGS:
             self.bugs.append(fields["error"])
@@ -290,19 +293,22 @@
         )
 
     def kill(self, name):
-        """Replace a node by a new incarnation that remembers nothing."""
+        """Replace a node by a new incarnation without state."""
         old = self.nodes[name]
         old.claims.stop()
         self.start(name)
         return old
 
     def stop(self, name):
-        """Give up what a leaving node has not dispatched."""
+        """Give up the requests that a leaving node has not dispatched."""
         for request in self.nodes[name].context.registry.open_requests():
             request.give_up()
 
     def replace_home(self):
-        """Keep of the placements what live entries have open, as a new home does."""
+        """Keep only the placements of requests open at live entries.
+
+        A new home knows only these.
+        """
         alive = {
             request.facts.request_id
             for node in self.nodes.values()
@@ -314,7 +320,7 @@
         self.home_sure = False
 
     def act(self, step, node):
-        """Let happen what was planned for this step of the outermost try."""
+        """Perform the action planned for this step of the outermost attempt."""
         if self.depth > 1 or step not in self.plan:
             return
         action = self.plan.pop(step)
@@ -331,7 +337,7 @@
             self.send(*action)
 
     def send(self, name, key, service, last_event=None):
-        """Let a caller make one try, and keep its transcript."""
+        """Make one attempt of a caller and store its transcript."""
         job = Job(text=f"a cut for {key}", key=key, tokens=TOKENS, service=service)
         first = 0 if last_event is None else last_event + 1
         script = Transcript(job=job, address=name, first=first, sent_s=self.tick())
@@ -372,7 +378,7 @@
             self.serving.pop()
 
     def exchange(self, **call):
-        """Stand for the connection to a node or an upstream."""
+        """Fake the exchange with a node or an upstream."""
         address = call["address"]
         for node in self.nodes.values():
             if node.host.http == address:
@@ -427,7 +433,7 @@
         )
 
     def resume(self, address, attempt, last_event_id):
-        """Stand for an engine's streams; at a service it is one more call."""
+        """Fake the resumption of an engine's stream; for a service it is a call."""
         name = NAMES[address]
         if name.startswith("service"):
             self._execute(name, attempt, "")
@@ -440,7 +446,7 @@
         return self._stream(name, attempt, first, mood)
 
     def cancel(self, address, attempt):
-        """Stand for an engine's cancelling; at a service it is one more call."""
+        """Fake the cancellation at an engine; for a service it is a call."""
         if NAMES[address].startswith("service"):
             self._execute(NAMES[address], attempt, "")
 
@@ -496,7 +502,7 @@
 
 
 def _read(script, status, headers, body, is_stream):
-    """Fill a transcript from what the caller got."""
+    """Fill a transcript from the answer that the caller received."""
     script.status = status
     script.request_id = headers.get("X-Request-Id", "")
     documents = _stream_documents(body) if is_stream else [json.loads(body or "{}")]
@@ -626,10 +632,10 @@
 
 
 def test_service_is_not_called_for_a_caller_that_left():
-    """A booking runs, its answer is lost, and its caller hangs up.
+    """Guard against a second call of a service whose caller has disconnected.
 
-    For an engine the entry would ask for the rest of the stream, or cancel it. To
-    a plain service that is one more call.
+    A booking is executed and its answer is lost. For an engine the entry would resume
+    or cancel the stream, but a plain service executes every call.
     """
     machine = OutcomeMachine()
     machine.world.moods = ["drop"]
@@ -640,7 +646,10 @@
 
 
 def test_any_order_of_faults(fuzz_examples, fuzz_seed, request):
-    """Callers try and try again while nodes, homes, upstreams and store fail."""
+    """Guard against violations when nodes, homes, upstreams and the store fail.
+
+    Callers send and retry requests while faults occur in any order.
+    """
     machine = OutcomeMachine
     options = settings(
         max_examples=fuzz_examples,
--- a/tests/matrix/test_fuzz_processes.py
+++ b/tests/matrix/test_fuzz_processes.py
@@ -1,4 +1,4 @@
-"""The fuzzing once more over real processes, with fewer steps."""
+"""Stateful fuzzing of a site of real processes, with fewer steps than in process."""
 
 import time
 
@@ -24,11 +24,11 @@
 
 
 class SiteMachine(RuleBasedStateMachine):
-    """Tries that overlap with faults; judged once everything has come to rest."""
+    """Attempts that overlap with faults, checked when the site is idle again."""
 
     site = None
-    # Of all examples: what a caller left behind with a key may still be run when
-    # the next example has begun.
+    # Shared by all examples: a request that its caller abandoned may still be executed
+    # after the next example has started.
     scripts = None
     began_s = 0.0
 
@@ -123,14 +123,14 @@
         recent = [one for one in runs if one.started_s >= 0]
         self.scripts.extend(self.caller.transcripts)
         assert not judge(self.scripts, recent, epoch_s=self.began_s)
-        # A service's own failure is its answer; from an engine it is none.
+        # The failure of a service is a valid answer, that of an engine is not.
         others = [one for one in self.scripts if one.ending is Ending.OTHER]
         assert all(one.job.service for one in others), others
 
 
 @pytest.mark.matrix
 def test_any_order_of_faults_over_processes(running_site, request):
-    """Callers, kills, freezes and cuts in any order, over a whole small site."""
+    """Guard against violations under any order of requests, kills, freezes and cuts."""
     seed = request.config.getoption("--fuzz-seed") or SEED
     shared = {"site": running_site, "scripts": [], "began_s": time.time()}
     machine = type("Fuzz", (SiteMachine,), shared)
@@ -139,7 +139,7 @@
         stateful_step_count=STEPS,
         database=None,
         deadline=None,
-        # What fails depends on the host's timing too; it is shown as it was.
+        # Failures also depend on the timing of the host, so shrinking is not useful.
         phases=(Phase.generate,),
         suppress_health_check=list(HealthCheck),
     )
--- a/tests/matrix/test_oracle.py
+++ b/tests/matrix/test_oracle.py
@@ -1,4 +1,4 @@
-"""The judge sees each kind of broken promise, and none where there is none."""
+"""The oracle detects each kind of violation and reports no false ones."""
 
 import json
 
