--- a/baobabwing/bench/runs.py
+++ b/baobabwing/bench/runs.py
@@ -1,4 +1,4 @@
-"""One run: a deployment, its load, an optional fault, and what was left behind."""
+"""Execution of a benchmark run: deployment, load, optional fault and results."""
 
 from __future__ import annotations
 
@@ -22,28 +22,29 @@
 __all__ = ["Progress", "RunOptions", "RunResult", "run_scenario"]
 
 DRIVERS = 2
-LEAD_S = 1.5
-POLL_S = 0.25
+LOAD_DELAY_S = 1.5
+POLL_INTERVAL_S = 0.25
 IDLE_TIMEOUT_S = 60.0
-# Past the longest deadline a driver listens for ten seconds and then judges.
+# A driver waits for answers until ten seconds after the longest deadline, and then
+# checks all answers.
 DRIVER_GRACE_S = 120.0
-FAULT_BEGINS = 1 / 3
-FAULT_ENDS = 2 / 3
+FAULT_BEGIN_SHARE = 1 / 3
+FAULT_END_SHARE = 2 / 3
 
 
 class Report(Protocol):
-    """Is given a line of text whenever there is something to tell."""
+    """Callback that receives status lines of a run."""
 
     def __call__(self, line: str, *, progress: bool) -> None:
-        """Show a line; a line of progress may be passed over."""
+        """Report a line; progress lines may be omitted from the output."""
 
 
 @dataclass(frozen=True, kw_only=True)
 class RunOptions:
-    """What a run is made of, besides its scenario.
+    """Options of a run other than its scenario.
 
-    :param nodes: node processes; 0 for the number of the shape.
-    :param folder: where logs and records go; a temporary folder when omitted.
+    :param nodes: number of node processes; 0 selects that of the shape.
+    :param folder: directory for logs and records; a temporary one when omitted.
     """
 
     policy: str
@@ -56,10 +57,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RunResult:
-    """What a run left behind.
+    """Result of a run.
 
-    :param exits: exit status of each node that was stopped gracefully.
-    :param folder: where logs and records are.
+    :param exits: exit status by name of the nodes that were stopped gracefully.
+    :param folder: directory of logs and records.
     """
 
     run: Run
@@ -70,9 +71,9 @@
 def run_scenario(
     scenario: Scenario, options: RunOptions, *, report: Report
 ) -> RunResult:
-    """Start a deployment, put the load on it, stop it, and collect.
+    """Start a deployment, apply the load, stop the deployment and collect the results.
 
-    :param report: is told how the run goes.
+    :param report: receives status lines.
     :raises ProcessError: if a process does not start, answer or stop in time.
     """
     shape = get_shape(scenario.shape)
@@ -91,7 +92,7 @@
         )
         load = _Load(group=group, deployment=deployment, arrivals=arrivals)
         load.start(options)
-        load.follow(options, report)
+        load.wait_until_done(options, report)
         deployment.wait_idle(timeout_s=IDLE_TIMEOUT_S)
         executions = deployment.executions(epoch_s=load.epoch_s)
         exits = deployment.stop()
@@ -109,7 +110,7 @@
 
 
 class _Load:
-    """The driver processes of a run."""
+    """Driver processes of a run."""
 
     def __init__(
         self,
@@ -127,9 +128,9 @@
         self.node_cpu_s = 0.0
 
     def start(self, options: RunOptions) -> None:
-        """Start the drivers; the load begins a little later."""
-        self._start_at = time.monotonic() + LEAD_S
-        self.epoch_s = time.time() + LEAD_S
+        """Start the drivers; the load begins after ``LOAD_DELAY_S``."""
+        self._start_at = time.monotonic() + LOAD_DELAY_S
+        self.epoch_s = time.time() + LOAD_DELAY_S
         for number, name in enumerate(self._names):
             plan = self._plan(number, options.seed)
             write_plan(self._plan_path(name), plan)
@@ -141,24 +142,24 @@
             ]
             self._group.start_python(name, arguments)
 
-    def follow(self, options: RunOptions, report: Report) -> None:
-        """Wait until all drivers are done, bringing about the fault on the way.
+    def wait_until_done(self, options: RunOptions, report: Report) -> None:
+        """Wait until all drivers have finished and inject the fault meanwhile.
 
-        :raises ProcessError: if a driver fails or takes far too long.
+        :raises ProcessError: if a driver failed or exceeded its time limit.
         """
-        longest_s = max(arrival.deadline_ms for arrival in self._arrivals) / 1_000
-        end = self._start_at + options.seconds + longest_s + DRIVER_GRACE_S
-        steps = self._fault_steps(options)
+        max_deadline_s = max(arrival.deadline_ms for arrival in self._arrivals) / 1_000
+        timeout_at = self._start_at + options.seconds + max_deadline_s + DRIVER_GRACE_S
+        pending_steps = self._fault_steps(options)
         cpu_before = self._deployment.node_cpu_seconds()
         while any(self._group.get(name).alive() for name in self._names):
-            while steps and time.monotonic() >= steps[0][0]:
-                _, label, action = steps.pop(0)
+            while pending_steps and time.monotonic() >= pending_steps[0][0]:
+                _, label, action = pending_steps.pop(0)
                 action(self._deployment)
                 report(label, progress=False)
-            if time.monotonic() > end:
-                raise ProcessError("driver takes too long", step="load")
+            if time.monotonic() > timeout_at:
+                raise ProcessError("driver did not finish in time", step="load")
             report(self._progress(), progress=True)
-            time.sleep(POLL_S)
+            time.sleep(POLL_INTERVAL_S)
         self.node_cpu_s = self._deployment.node_cpu_seconds() - cpu_before
         for name in self._names:
             if self._group.get(name).popen.returncode != 0:
@@ -166,13 +167,13 @@
                 raise ProcessError(f"driver failed, see {log}", step="load", peer=name)
 
     def answers(self) -> list[Answer]:
-        """Return the answers of all drivers."""
-        found = [
+        """Return the answers of all drivers, sorted by arrival."""
+        collected = [
             answer
             for name in self._names
             for answer in read_answers(self._answers_path(name))
         ]
-        return sorted(found, key=lambda answer: answer.index)
+        return sorted(collected, key=lambda answer: answer.index)
 
     def _plan(self, number: int, seed: int) -> Plan:
         shape = self._deployment.shape
@@ -195,17 +196,19 @@
         fault = options.fault
         if fault is None:
             return []
-        begin_at = self._start_at + options.seconds * FAULT_BEGINS
-        steps = [(begin_at, f"fault {fault.name} begins", fault.begin)]
+        begin_at = self._start_at + options.seconds * FAULT_BEGIN_SHARE
+        pending_steps = [(begin_at, f"fault {fault.name} begins", fault.begin)]
         if fault.end is not None:
-            end_at = self._start_at + options.seconds * FAULT_ENDS
-            steps.append((end_at, f"fault {fault.name} ends", fault.end))
-        return steps
+            end_at = self._start_at + options.seconds * FAULT_END_SHARE
+            pending_steps.append((end_at, f"fault {fault.name} ends", fault.end))
+        return pending_steps
 
     def _progress(self) -> str:
-        progress = [_last_progress(self._group.get(name).log) for name in self._names]
-        sent = sum(one.sent for one in progress)
-        done = sum(one.done for one in progress)
+        progress = [
+            _read_last_progress(self._group.get(name).log) for name in self._names
+        ]
+        sent = sum(item.sent for item in progress)
+        done = sum(item.done for item in progress)
         return f"{sent}/{len(self._arrivals)} sent, {done} answered"
 
     def _plan_path(self, name: str) -> Path:
@@ -225,7 +228,7 @@
     }
 
 
-def _last_progress(log: Path) -> Progress:
+def _read_last_progress(log: Path) -> Progress:
     for line in reversed(log.read_text(encoding="utf-8").splitlines()):
         if line.startswith('{"sent"') and line.endswith("}"):
             return Progress(**json.loads(line))
--- a/baobabwing/bench/scenarios.py
+++ b/baobabwing/bench/scenarios.py
@@ -1,4 +1,4 @@
-"""What is asked of a deployment in a run of the bench."""
+"""Load scenarios of benchmark runs."""
 
 from __future__ import annotations
 
@@ -19,8 +19,8 @@
     form=Form.CHAT,
     shared=256,
     groups=24,
-    own=Lengths(least=12, most=120),
-    output=Lengths(least=12, most=48),
+    own=Lengths(minimum=12, maximum=120),
+    output=Lengths(minimum=12, maximum=48),
 )
 SLOT_CHECK = Work(
     name="slot-check",
@@ -45,8 +45,8 @@
     form=Form.CHAT,
     shared=128,
     groups=5,
-    own=Lengths(least=8, most=40),
-    output=Lengths(least=8, most=16),
+    own=Lengths(minimum=8, maximum=40),
+    output=Lengths(minimum=8, maximum=16),
     stream=False,
     non_idempotent=True,
 )
@@ -55,16 +55,16 @@
     tier="summary",
     target="assistant-8b",
     form=Form.COMPLETION,
-    own=Lengths(least=300, most=1_500),
-    output=Lengths(least=40, most=120),
+    own=Lengths(minimum=300, maximum=1_500),
+    output=Lengths(minimum=40, maximum=120),
 )
 ROTA = Work(
     name="rota",
     tier="rota",
     target="assistant-8b",
     form=Form.COMPLETION,
-    own=Lengths(least=1_200, most=4_000),
-    output=Lengths(least=120, most=400),
+    own=Lengths(minimum=1_200, maximum=4_000),
+    output=Lengths(minimum=120, maximum=400),
     stream=False,
 )
 KICKOFF_QUERY = Work(
@@ -74,8 +74,8 @@
     form=Form.CHAT,
     shared=64,
     groups=5,
-    own=Lengths(least=8, most=40),
-    output=Lengths(least=8, most=16),
+    own=Lengths(minimum=8, maximum=40),
+    output=Lengths(minimum=8, maximum=16),
 )
 FIXTURE_LOOKUP = Work(
     name="fixture-lookup",
@@ -100,33 +100,34 @@
     form=Form.COMPLETION,
     shared=192,
     groups=20,
-    own=Lengths(least=80, most=300),
-    output=Lengths(least=40, most=120),
+    own=Lengths(minimum=80, maximum=300),
+    output=Lengths(minimum=40, maximum=120),
 )
 SEASON_DRAW = Work(
     name="season-draw",
     tier="draw",
     target="scheduler-8b",
     form=Form.COMPLETION,
-    own=Lengths(least=1_500, most=4_000),
-    output=Lengths(least=200, most=600),
+    own=Lengths(minimum=1_500, maximum=4_000),
+    output=Lengths(minimum=200, maximum=600),
 )
 PARENT_NOTE = Work(
     name="parent-note",
     tier="notes",
     target="scheduler-8b",
     form=Form.COMPLETION,
-    own=Lengths(least=60, most=200),
-    output=Lengths(least=60, most=160),
+    own=Lengths(minimum=60, maximum=200),
+    output=Lengths(minimum=60, maximum=160),
     stream=False,
 )
 
 
 @dataclass(frozen=True, kw_only=True)
 class Scenario:
-    """A shape of deployment and the load put on it.
+    """Deployment shape and the load offered to it.
 
-    :param story: what happens, in one sentence.
+    :param shape: name of the shape.
+    :param story: one-sentence description.
     """
 
     name: str
@@ -139,7 +140,7 @@
 
 
 def scenario(name: str) -> Callable[[Callable[[], Scenario]], Callable[[], Scenario]]:
-    """Add a function that builds a scenario to the registry."""
+    """Decorate a function that builds a scenario to add it to the registry."""
 
     def _register(build: Callable[[], Scenario]) -> Callable[[], Scenario]:
         _SCENARIOS[name] = build
@@ -149,9 +150,9 @@
 
 
 def get_scenario(name: str) -> Scenario:
-    """Build the scenario of that name.
+    """Build the scenario with the given name.
 
-    :raises KeyError: if there is none.
+    :raises KeyError: if it does not exist.
     """
     return _SCENARIOS[name]()
 
@@ -163,7 +164,7 @@
 
 @scenario("tijera-day")
 def tijera_day() -> Scenario:
-    """Build an ordinary day at a bit more than half of capacity."""
+    """Build an ordinary day at slightly more than half of the capacity."""
     return Scenario(
         name="tijera-day",
         shape="tijera",
@@ -181,7 +182,7 @@
 
 @scenario("tijera-rush")
 def tijera_rush() -> Scenario:
-    """Build a morning rush: twice the capacity in the middle third."""
+    """Build a morning rush with twice the capacity offered in the middle third."""
     return Scenario(
         name="tijera-rush",
         shape="tijera",
@@ -199,7 +200,7 @@
 
 @scenario("pitchside-rainout")
 def pitchside_rainout() -> Scenario:
-    """Build a Saturday of rainouts: a burst on top of running season draws."""
+    """Build a Saturday of rainouts with a burst on top of running season draws."""
     return Scenario(
         name="pitchside-rainout",
         shape="pitchside",
--- a/packaging/distributions.py
+++ b/packaging/distributions.py
@@ -1,7 +1,7 @@
-"""Metadata of the distributions inside the binary.
+"""Metadata of the distributions contained in the binary.
 
-``importlib.metadata`` itself would read the archive's whole table of contents
-for each distribution that is asked for.
+The path finder of ``importlib.metadata`` would read the archive's complete
+directory for each lookup.
 """
 
 import re
@@ -11,20 +11,20 @@
 
 __all__ = ["find"]
 
-Reader = Callable[[str], bytes]
+MemberReader = Callable[[str], bytes]
 
 
 class ArchivedDistribution(Distribution):
-    """A distribution whose metadata folder is a folder of the archive."""
+    """Distribution whose metadata directory is in the archive."""
 
-    def __init__(self, *, folder: str, read: Reader) -> None:
-        self._folder = folder
+    def __init__(self, *, directory: str, read: MemberReader) -> None:
+        self._directory = directory
         self._read = read
 
     def read_text(self, filename: str) -> str | None:
-        """Return a file of the metadata folder, None if there is none."""
+        """Return a file of the metadata directory, None if it does not exist."""
         try:
-            return self._read(f"{self._folder}/{filename}").decode("utf-8")
+            return self._read(f"{self._directory}/{filename}").decode("utf-8")
         except OSError:
             return None
 
@@ -34,16 +34,17 @@
 
 
 def find(
-    name: str | None, folders: Mapping[str, str], read: Reader
+    name: str | None, directories: Mapping[str, str], read: MemberReader
 ) -> Iterator[ArchivedDistribution]:
-    """Yield the distributions of that name, all of them without a name.
+    """Yield the distributions with a name, or all of them if it is None.
 
-    :param folders: metadata folder by normalized name.
+    :param directories: metadata directory by normalized name.
+    :param read: returns the content of an archive member.
     """
-    wanted = folders if name is None else [_normalize(name)]
-    for one in wanted:
-        if one in folders:
-            yield ArchivedDistribution(folder=folders[one], read=read)
+    names = directories if name is None else [_normalize(name)]
+    for candidate in names:
+        if candidate in directories:
+            yield ArchivedDistribution(directory=directories[candidate], read=read)
 
 
 def _normalize(name: str) -> str:
--- a/tests/bench/test_arrivals.py
+++ b/tests/bench/test_arrivals.py
@@ -1,9 +1,9 @@
-"""Arrivals follow from the seed alone and put the load that scenarios ask for."""
+"""Arrivals are determined by the seed and offer the load that scenarios specify."""
 
 import pytest
 
 from baobabwing.bench.arrivals import draw_arrivals, prompt_text
-from baobabwing.bench.capacity import Job, most_work_in_time, pool_seconds
+from baobabwing.bench.capacity import Job, max_work_within_deadlines, pool_seconds
 from baobabwing.bench.scenarios import get_scenario, scenario_names
 from baobabwing.bench.shapes import build_configuration, get_shape, shape_names
 from baobabwing.settings.documents import check_configuration
@@ -91,7 +91,7 @@
 
 
 @pytest.mark.parametrize(
-    ("jobs", "most"),
+    ("jobs", "expected"),
     [
         ([(0.0, 10.0, 2.0)], 2.0),
         ([(0.0, 1.0, 2.0)], 1.0),
@@ -102,9 +102,9 @@
         ([], 0.0),
     ],
 )
-def test_most_work_in_time(jobs, most):
-    found = most_work_in_time(
+def test_max_work_within_deadlines(jobs, expected):
+    result = max_work_within_deadlines(
         Job(start_s=start_s, deadline_s=deadline_s, work=work)
         for start_s, deadline_s, work in jobs
     )
-    assert found == pytest.approx(most)
+    assert result == pytest.approx(expected)
--- a/tests/bench/test_driver.py
+++ b/tests/bench/test_driver.py
@@ -19,7 +19,7 @@
 from baobabwing.bench.shapes import tijera
 from baobabwing.bench.standin_arguments import engine_arguments, service_arguments
 
-SHORT = Lengths(least=3, most=12)
+SHORT = Lengths(minimum=3, maximum=12)
 SECONDS = 1.0
 LOAD = 0.03
 
@@ -104,10 +104,10 @@
 
 
 def test_stream_cut_by_the_upstream_is_unknown(engine):
-    """A caller whose stream breaks off must not be counted as served.
+    """Guard against counting a truncated stream as served.
 
-    The engine sends three right tokens and cuts the connection; no end marker
-    came, so what the caller has is a part.
+    The engine sends three correct tokens and closes the connection without the end
+    marker, so the caller has only a part of the answer.
     """
     set_fault(engine, "cut_stream_after", value=3)
     try:
@@ -126,7 +126,7 @@
 
 
 def test_connection_closed_without_an_answer_is_unknown():
-    """A node that dies after it took a request leaves its caller in the dark."""
+    """The outcome is unknown if a node dies after it has received the request."""
     with socket.create_server((LOOPBACK, 0)) as server:
         threading.Thread(target=_accept_and_close, args=(server,), daemon=True).start()
         address = f"{LOOPBACK}:{server.getsockname()[1]}"
@@ -136,20 +136,20 @@
 
 
 def test_caller_asks_again_with_the_same_key_after_a_break(engine):
-    """A node dies while it relays an answer; the caller turns to another node.
+    """Guard against a retry with a new key, which could run the request twice.
 
-    The first connection closes without a word, the second reaches an engine. The
-    caller must use the key of its first try, or the request could run twice.
+    The first connection is closed without an answer, as if the node died while it
+    relayed one; the second connection reaches an engine.
     """
-    seen = bytearray()
+    received = bytearray()
     with socket.create_server((LOOPBACK, 0)) as server:
         address = f"{LOOPBACK}:{server.getsockname()[1]}"
         threading.Thread(
-            target=_close_then_pass_on, args=(server, engine, seen), daemon=True
+            target=_close_then_proxy, args=(server, engine, received), daemon=True
         ).start()
         (answer,) = drive(_plan(address, _arrivals(CHAT_TURN)[:1], run="again"))
     assert (answer.verdict, answer.tries) == (Verdict.WHOLE, 2)
-    assert _keys_in(seen) == [answer.key, answer.key]
+    assert _idempotency_keys(received) == [answer.key, answer.key]
 
 
 def _accept_and_close(server):
@@ -162,21 +162,21 @@
             conn.recv(65_536)
 
 
-def _close_then_pass_on(server, engine, seen):
+def _close_then_proxy(server, engine, received):
     conn, _ = server.accept()
     with conn:
-        seen += conn.recv(65_536)
+        received += conn.recv(65_536)
     conn, _ = server.accept()
     host, _, port = engine.partition(":")
     with conn, socket.create_connection((host, int(port))) as upstream:
         conn.settimeout(0.2)
         with contextlib.suppress(TimeoutError):
             while data := conn.recv(65_536):
-                seen += data
+                received += data
                 upstream.sendall(data)
         while data := upstream.recv(65_536):
             conn.sendall(data)
 
 
-def _keys_in(seen):
-    return re.findall(r"Idempotency-Key: (\S+)", seen.decode())
+def _idempotency_keys(received):
+    return re.findall(r"Idempotency-Key: (\S+)", received.decode())
--- a/tests/bench/test_ports.py
+++ b/tests/bench/test_ports.py
@@ -1,4 +1,4 @@
-"""Ports are given out once, also to processes side by side."""
+"""Ports are allocated only once, even to concurrent processes."""
 
 import socket
 import subprocess
@@ -6,7 +6,7 @@
 
 from baobabwing.bench.ports import free_port, free_ports
 
-GIVE = """
+ALLOCATE_PORTS = """
 from baobabwing.bench.ports import free_port, free_ports
 ports = [free_port() for _ in range(150)]
 for _ in range(30):
@@ -32,22 +32,22 @@
 
 
 def test_runs_side_by_side_never_get_the_same_port():
-    """Two runs of all tests each look for free ports, at the same time.
+    """Guard against a race between concurrent test runs.
 
-    Both found the same one free before either had opened it; the second server ended
-    with "address already in use", and its deployment never became ready.
+    If two runs find the same port free before either opens it, the second server fails
+    with "address already in use", and its deployment never becomes ready.
     """
     runs = [
         subprocess.Popen(
-            [sys.executable, "-c", GIVE],
+            [sys.executable, "-c", ALLOCATE_PORTS],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             text=True,
         )
         for _ in range(6)
     ]
-    given = [port for run in runs for port in run.stdout.readline().split()]
+    allocated = [port for run in runs for port in run.stdout.readline().split()]
     for run in runs:
         run.communicate("\n")
-    assert len(given) == 6 * 240
-    assert len(set(given)) == len(given)
+    assert len(allocated) == 6 * 240
+    assert len(set(allocated)) == len(allocated)
--- a/tests/bench/test_runs.py
+++ b/tests/bench/test_runs.py
@@ -1,4 +1,4 @@
-"""Whole runs on small deployments: real platform, upstreams, nodes and callers."""
+"""End-to-end runs on small deployments of real processes."""
 
 from dataclasses import replace
 
@@ -15,7 +15,7 @@
 
 SECONDS = 2.0
 NODES = 2
-SHORT = Lengths(least=4, most=16)
+SHORT = Lengths(minimum=4, maximum=16)
 
 
 @shape("small")
@@ -48,16 +48,16 @@
 
 @pytest.fixture
 def groups(monkeypatch):
-    """All process groups that the test's run made."""
-    made = []
-    start = ProcessGroup.__init__
+    """Return the list of process groups that the test creates."""
+    created = []
+    original_init = ProcessGroup.__init__
 
-    def _remember(self, **arguments):
-        start(self, **arguments)
-        made.append(self)
+    def _record_group(self, **arguments):
+        original_init(self, **arguments)
+        created.append(self)
 
-    monkeypatch.setattr(ProcessGroup, "__init__", _remember)
-    return made
+    monkeypatch.setattr(ProcessGroup, "__init__", _record_group)
+    return created
 
 
 def _run(tmp_path, fault=""):
@@ -71,11 +71,13 @@
     return run_scenario(SCENARIO, options, report=lambda line, *, progress: None)
 
 
-def _living(groups):
-    return [name for group in groups for name in group.names() if _alive(group, name)]
+def _running_processes(groups):
+    return [
+        name for group in groups for name in group.names() if _is_alive(group, name)
+    ]
 
 
-def _alive(group, name):
+def _is_alive(group, name):
     return group.get(name).alive()
 
 
@@ -84,16 +86,16 @@
     assert demo_faults(result.run, result.exits) == []
     assert set(result.exits.values()) == {0}
     assert len(result.exits) == NODES
-    assert _living(groups) == []
+    assert _running_processes(groups) == []
 
 
 @pytest.mark.parametrize("fault", ["kill-home", "kill-engine"])
 def test_nothing_runs_twice_or_is_denied_when_a_process_dies(tmp_path, groups, fault):
-    """A caller loses its connection, asks again, and must not be served twice.
+    """Guard against safety violations when a process is killed under load.
 
-    A process is killed while requests are in it. Some callers end up not knowing;
-    none may be told "not run" of a request that the upstreams' records show, none
-    may get another's answer, and no request may have two executions.
+    Callers that lose their connection retry. Some outcomes remain unknown, but no
+    request may be executed twice, reported as "not run" although it was executed, or
+    answered with the text of another request.
     """
     result = _run(tmp_path, fault)
     safety = run_figures(result.run).safety
@@ -101,4 +103,4 @@
     assert safety.not_run_but_ran == 0
     assert safety.wrong_text == 0
     assert len(result.run.answers) == len(result.run.arrivals)
-    assert _living(groups) == []
+    assert _running_processes(groups) == []
--- a/tests/packaging/conftest.py
+++ b/tests/packaging/conftest.py
@@ -16,19 +16,19 @@
 
 
 @pytest.fixture(scope="session")
-def folder():
+def build_directory():
     with tempfile.TemporaryDirectory(prefix="baobabwing-binary-") as name:
         yield Path(name)
 
 
 @pytest.fixture(scope="session")
-def binary(folder):
-    """The binary as it ships."""
-    return build(folder / "baobabwing")
+def binary(build_directory):
+    """Build the binary as it is shipped."""
+    return build(build_directory / "baobabwing")
 
 
 @pytest.fixture(scope="session")
-def probe(folder):
-    """The same payload with an entry point that looks at the process."""
+def probe(build_directory):
+    """Build the same packages with an entry point that inspects its process."""
     options = ["--package", ROOT / "baobabwing", "--package", PAYLOAD]
-    return build(folder / "probe", *options, "--entry", "payload.probe:main")
+    return build(build_directory / "probe", *options, "--entry", "payload.probe:main")
--- a/tests/packaging/payload/probe.py
+++ b/tests/packaging/payload/probe.py
@@ -1,4 +1,4 @@
-"""What the packaging tests run inside a binary; prints one JSON document."""
+"""Entry point of the test binary; prints the result of a function as JSON."""
 
 import importlib
 import importlib.metadata
@@ -11,24 +11,26 @@
 
 
 def imports():
-    """Import every module of the product and tell what the process has mapped."""
+    """Import every module of the product and return the files that are mapped."""
     package = importlib.import_module("baobabwing")
-    names = [one.name for one in pkgutil.walk_packages(package.__path__, "baobabwing.")]
+    module_names = [
+        item.name for item in pkgutil.walk_packages(package.__path__, "baobabwing.")
+    ]
     modules = [
-        importlib.import_module(name) for name in names if "__main__" not in name
+        importlib.import_module(name) for name in module_names if "__main__" not in name
     ]
     return {
         "modules": len(modules),
-        "paths": [path for path in _mapped() if not path.startswith("/memfd:")],
+        "paths": [path for path in _mapped_files() if not path.startswith("/memfd:")],
         "search_path": sys.path,
         "encoding": sys.stdout.encoding,
         "cheroot": importlib.metadata.version("cheroot"),
-        "entries": [one.name for one in importlib.metadata.distributions()],
+        "entries": [item.name for item in importlib.metadata.distributions()],
     }
 
 
 def schema():
-    """Load the message schema and pass one message through it."""
+    """Load the message schema, then encode and decode a message with it."""
     from baobabwing.wire.schema import load_schema
 
     envelope = load_schema().Envelope
@@ -40,14 +42,14 @@
 
 
 def descriptors():
-    """Tell which memory-backed files are still open after all the imports."""
+    """Return the memory-backed files that are open after importing all modules."""
     imports()
-    open_files = [os.readlink(f"/proc/self/fd/{fd}") for fd in _descriptors()]
-    return {"open": [name for name in open_files if name.startswith("/memfd:")]}
+    targets = [os.readlink(f"/proc/self/fd/{fd}") for fd in _open_descriptors()]
+    return {"open": [name for name in targets if name.startswith("/memfd:")]}
 
 
 def interrupt():
-    """Send an interrupt to the process itself and tell what it became."""
+    """Send SIGINT to the process itself and return the exception it raises."""
     try:
         os.kill(os.getpid(), signal.SIGINT)
         threading.Event().wait()
@@ -56,7 +58,7 @@
 
 
 def broken_pipe():
-    """Write to a pipe that no one reads and tell what it became."""
+    """Write to a pipe without a reader and return the exception it raises."""
     reader, writer = os.pipe()
     os.close(reader)
     try:
@@ -66,7 +68,7 @@
 
 
 def daemon_thread():
-    """End the program while a daemon thread still runs."""
+    """Return from the entry point while a daemon thread is running."""
     started = threading.Event()
 
     def spin():
@@ -76,32 +78,32 @@
 
     threading.Thread(target=spin, daemon=True).start()
     started.wait()
-    unwinders = [path for path in _mapped() if "libgcc_s" in path]
-    return {"threads": threading.active_count(), "unwinders": unwinders}
+    unwinder_paths = [path for path in _mapped_files() if "libgcc_s" in path]
+    return {"threads": threading.active_count(), "unwinders": unwinder_paths}
 
 
 def replaced():
-    """Put another file in the program's place, then import from memory."""
+    """Replace the executable with another file, then import an extension module."""
     os.unlink(sys.executable)
-    with open(sys.executable, "w", encoding="utf-8") as other:
-        other.write("a newer version")
+    with open(sys.executable, "w", encoding="utf-8") as replacement:
+        replacement.write("a newer version")
     importlib.import_module("ssl")
     return {"ssl": "ssl" in sys.modules}
 
 
-def _mapped():
+def _mapped_files():
     with open("/proc/self/maps", encoding="utf-8") as maps:
         paths = {line.split(maxsplit=5)[5].strip() for line in maps if "/" in line}
     return sorted(path.removesuffix(" (deleted)") for path in paths)
 
 
-def _descriptors():
+def _open_descriptors():
     for name in os.listdir("/proc/self/fd"):
         if os.path.lexists(f"/proc/self/fd/{name}"):
             yield name
 
 
 def main():
-    """Run the function that the command line names."""
+    """Run the function named on the command line."""
     print(json.dumps(globals()[sys.argv[1]]()))
     return 0
--- a/tests/packaging/test_processes.py
+++ b/tests/packaging/test_processes.py
@@ -15,60 +15,63 @@
 
 TIMEOUT_S = 60
 REQUESTS = 50
-# Fields of /proc/PID/stat behind the command's name, which may hold blanks.
+# Indexes of /proc/PID/stat fields after the command name, which may contain spaces.
 SESSION_FIELD = 3
-REAPED_FAULTS_FIELD = 8
+WAITED_CHILDREN_FAULTS_FIELD = 8
 
 
 @dataclass(frozen=True, kw_only=True)
-class Stat:
-    """What the kernel tells of a process.
+class ProcessStat:
+    """Fields of /proc/PID/stat.
 
-    :param reaped_faults: page faults of all children that it has waited for.
+    :param session: session id.
+    :param waited_children_faults: minor page faults of all waited-for children.
     """
 
     session: int
-    reaped_faults: int
+    waited_children_faults: int
 
 
-def read_stat(pid):
+def read_process_stat(pid):
     text = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
     fields = text.rpartition(")")[2].split()
-    return Stat(
+    return ProcessStat(
         session=int(fields[SESSION_FIELD]),
-        reaped_faults=int(fields[REAPED_FAULTS_FIELD]),
+        waited_children_faults=int(fields[WAITED_CHILDREN_FAULTS_FIELD]),
     )
 
 
-def tasks(pid):
+def thread_ids(pid):
     return [path.name for path in Path(f"/proc/{pid}/task").iterdir()]
 
 
 def children(pid):
-    found = []
-    for task in tasks(pid):
-        listed = Path(f"/proc/{pid}/task/{task}/children").read_text(encoding="ascii")
-        found += listed.split()
-    return found
+    child_ids = []
+    for thread_id in thread_ids(pid):
+        thread_children = Path(f"/proc/{pid}/task/{thread_id}/children").read_text(
+            encoding="ascii"
+        )
+        child_ids += thread_children.split()
+    return child_ids
 
 
 def session_members(session):
-    """Return the processes of a session, grandchildren without parents included."""
+    """Return the process ids of a session, including orphaned descendants."""
     members = []
     for path in Path("/proc").iterdir():
         if not path.name.isdigit():
             continue
         try:
-            if read_stat(path.name).session == session:
+            if read_process_stat(path.name).session == session:
                 members.append(int(path.name))
         except OSError:
-            continue  # It ended between the listing and the reading.
+            continue  # The process has ended since the directory was listed.
     return members
 
 
 @contextlib.contextmanager
-def started(binary, *arguments):
-    """Run the binary in a session of its own, with no environment."""
+def running_binary(binary, *arguments):
+    """Run the binary in its own session with an empty environment."""
     with subprocess.Popen(
         [binary, *arguments],
         env={},
@@ -76,29 +79,29 @@
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
         start_new_session=True,
-    ) as running:
+    ) as process:
         try:
-            yield running
+            yield process
         finally:
-            running.kill()
+            process.kill()
 
 
-def assert_alone(running):
-    """Assert that the process has no child and has had none."""
-    assert children(running.pid) == []
-    assert session_members(running.pid) == [running.pid]
-    assert os.readlink(f"/proc/{running.pid}/exe") == str(running.args[0])
-    # A child that had come and gone would have left its page faults behind.
-    assert read_stat(running.pid).reaped_faults == 0
+def assert_no_child_processes(process):
+    """Assert that the process has no child processes and never had any."""
+    assert children(process.pid) == []
+    assert session_members(process.pid) == [process.pid]
+    assert os.readlink(f"/proc/{process.pid}/exe") == str(process.args[0])
+    # The page faults of ended children remain in their parent's count.
+    assert read_process_stat(process.pid).waited_children_faults == 0
 
 
-def assert_stops(running):
-    running.send_signal(signal.SIGTERM)
-    assert running.wait(TIMEOUT_S) == 0
-    assert session_members(running.pid) == []
+def assert_stops_gracefully(process):
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(TIMEOUT_S) == 0
+    assert session_members(process.pid) == []
 
 
-def answers(pool, url):
+def responds_ok(pool, url):
     try:
         return pool.request("GET", url, retries=False).status == HTTPStatus.OK
     except urllib3.exceptions.HTTPError:
@@ -106,7 +109,7 @@
 
 
 def test_version_needs_no_environment(binary):
-    done = subprocess.run(
+    completed = subprocess.run(
         [binary, "--version"],
         env={},
         cwd="/",
@@ -115,7 +118,7 @@
         timeout=TIMEOUT_S,
         check=True,
     )
-    assert re.fullmatch(r"baobabwing \d+\.\d+\.\d+\n", done.stdout)
+    assert re.fullmatch(r"baobabwing \d+\.\d+\.\d+\n", completed.stdout)
 
 
 def test_is_one_linked_elf_file(binary):
@@ -133,31 +136,27 @@
 
 
 def test_a_standin_serves_and_stops_as_one_process(binary):
-    """A host's supervisor starts the binary and stops it by its process id.
+    """Guard against processes that survive a stop by process id.
 
-    The user would see a second process left running, or the port still taken,
-    after a stop. Cause: a launcher that unpacks itself and runs the program as
-    its child, or a library that runs a helper command.
+    A launcher that runs the program as its child, or a library that runs a helper
+    command, would leave a second process running or the port in use.
     """
     arguments = ("standin", "service", "--listen", "127.0.0.1:0")
-    with started(binary, *arguments) as running:
-        address = json.loads(running.stdout.readline())["listening"]
+    with running_binary(binary, *arguments) as process:
+        address = json.loads(process.stdout.readline())["listening"]
         pool = urllib3.PoolManager()
         for number in range(REQUESTS):
             answer = pool.request(
                 "POST", f"http://{address}/bookings", json={"n": number}, retries=False
             )
             assert answer.status == HTTPStatus.OK
-        assert len(tasks(running.pid)) > 1
-        assert_alone(running)
-        assert_stops(running)
+        assert len(thread_ids(process.pid)) > 1
+        assert_no_child_processes(process)
+        assert_stops_gracefully(process)
 
 
 def test_a_node_serves_and_stops_as_one_process(binary, tmp_path):
-    """The same story for a node, here with the platform's service down.
-
-    The user would see what the stand-in's test tells, on an entry host.
-    """
+    """Guard against the same failure in a node whose platform is unavailable."""
     ports = {name: f"127.0.0.1:{free_port()}" for name in ("http", "peer", "platform")}
     settings = {
         "name": "entry-1",
@@ -172,12 +171,14 @@
     }
     path = tmp_path / "node.json"
     path.write_text(json.dumps(settings), encoding="utf-8")
-    with started(binary, "node", "--settings", path) as running:
+    with running_binary(binary, "node", "--settings", path) as process:
         pool = urllib3.PoolManager()
         base = f"http://{ports['http']}"
-        assert wait_until(lambda: answers(pool, f"{base}/healthz"), timeout_s=TIMEOUT_S)
+        assert wait_until(
+            lambda: responds_ok(pool, f"{base}/healthz"), timeout_s=TIMEOUT_S
+        )
         for _ in range(REQUESTS):
-            assert answers(pool, f"{base}/v1/addresses")
-            assert answers(pool, f"{base}/metrics")
-        assert_alone(running)
-        assert_stops(running)
+            assert responds_ok(pool, f"{base}/v1/addresses")
+            assert responds_ok(pool, f"{base}/metrics")
+        assert_no_child_processes(process)
+        assert_stops_gracefully(process)
