Take over from reports where another home has placed a request

What callers saw: longer queues in engines, or places left free, for as long as such a request ran.

Cause: a node that takes a home for dead asks the next one under the same number and tells the first nothing. If that one was only slow, it had the request queued or granted at another engine when it became the home again, and kept to that against the node's reports: one engine counted a request that it had not, the other one missed one, and a request that was running got a second slot.

Evidence: test_report_tells_where_a_request_runs_that_another_home_placed failed before in both cases. The node's report decides now.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -348,15 +348,23 @@
     def _adopt(
         self, holder: RequestKey, reservation: SlotReservation, now: float
     ) -> None:
-        """Record a reservation that another home granted before."""
+        """Record a reservation that another home granted before.
+
+        The node knows where its request runs; what this home has recorded for it
+        otherwise is from before the node asked the other home.
+        """
         existing = self._reserved.get(holder)
-        if existing is not None:
+        if existing is not None and existing.track.crc == reservation.upstream:
             if reservation.unread_tokens == 0:
                 existing.track.record_first_event(existing.request.number)
             return
         track = self.scheduler.track(reservation.upstream)
-        if track is None or holder in self._waiting:
+        if track is None:
             return
+        if existing is not None:
+            self._release(holder)
+        elif holder in self._waiting:
+            self._withdraw(holder)
         request = PlacementRequest(
             rank=0,
             arrived_at=now,
--- a/tests/gateway/decisions/test_cell_queue.py
+++ b/tests/gateway/decisions/test_cell_queue.py
@@ -216,3 +216,18 @@
     assert grants[0] is grants[1] is not None
     queue.apply_update(RequestKey(1, 7), UpdateKind.RELEASED, None, OPEN)
     assert queue.scheduler.free_slots(OPEN) == free
+
+
+@pytest.mark.parametrize("granted", [False, True])
+def test_report_tells_where_a_request_runs_that_another_home_placed(granted):
+    """The node took this home for dead and asked another one meanwhile."""
+    queue = make_queue(("e1", "e2"))
+    request_slot(queue, 1, 7, excluded={"e2"})
+    if granted:
+        grant_slots(queue)
+    item = SlotReservation(number=7, upstream=name_crc("e2"), unread_tokens=0)
+    queue.apply_report(1, [item], [], OPEN)
+    assert grant_slots(queue) == []
+    in_flight = {name: len(one.own) for name, one in queue.scheduler.tracks.items()}
+    assert in_flight == {"e1": 0, "e2": 1}
+    assert queue.upstream_of(RequestKey(1, 7)).instance == "e2"
