Count a closed connection as a crash only if the upstream has ended

What callers saw: `make platform-demo` failed at times. Stream 35 ended in the middle, streams 38 and 41 got 503 crashes_upstreams, though no upstream had ended.

Cause: a connection that an upstream closed at the start of a request was strong evidence that the request had ended it. Two of them quarantine it. The demo's streams differ in their id only and have one digest; its engines cut 14 and 35 once and run on. Both are in the first wave, so no stream is served before the second cut: the digest was quarantined, 35 was denied the retry that it had left, and further streams were refused until a served one cleared it.

Now a lost answer is weak evidence at first. A new connection to the upstream shows whether it has ended: refused, or closed at once as by a proxy before it, makes the evidence strong; accepted, it stays weak, and the connection goes to the pool. All requests that an upstream loses share the connection. A retry waits for the result only where it would quarantine the request, so a request that crashes upstreams gets no further run meanwhile.

Evidence, failing before this change: test_request_cut_by_upstreams_that_stay_up_is_not_quarantined (503 for 200) and test_stream_is_resumed_although_a_copy_was_cut_elsewhere (cut, reason quarantined). test_crash_behind_a_proxy_that_accepts_connections_is_certain holds the other side.

--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -165,6 +165,17 @@
         """Whether it is open and no bytes follow the exchange that has ended."""
         return not self.gone and not self.http.trailing_data[0]
 
+    async def closes_within(self, seconds: float) -> bool:
+        """Whether the connection ends within a time; nothing else may use it."""
+        closed = asyncio.get_running_loop().create_future()
+        self.on_gone = lambda: closed.done() or closed.set_result(None)
+        try:
+            if not self.gone:
+                await asyncio.wait({closed}, timeout=seconds)
+        finally:
+            self.on_gone = None
+        return self.gone
+
     def close(self) -> None:
         """Close after flushing what was written."""
         if self.transport is not None:
--- /dev/null
+++ b/baobabwing/gateway/crash_checks.py
@@ -0,0 +1,97 @@
+"""Whether upstreams have ended that closed the connection of a request."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from baobabwing.exceptions import ConnectionLostError, PeerClosedError
+from baobabwing.gateway.call import Call
+from baobabwing.gateway.decisions.quarantine import Quarantine, just_started
+from baobabwing.gateway.decisions.scheduling import Grant
+from baobabwing.gateway.events import UPSTREAM_STILL_UP
+from baobabwing.gateway.model import UpstreamEntry
+from baobabwing.gateway.upstream_connections import ConnectionPool, UpstreamConnection
+from baobabwing.reports.events import log
+
+__all__ = ["CrashChecks"]
+
+
+class CrashChecks:
+    """Records lost answers as crashes, strong ones once their upstreams have ended.
+
+    An upstream that closes one connection may well keep all others: it ran into a
+    limit, or a device on the path cut the connection. Until it is found to have ended,
+    a lost answer is weak evidence against the request.
+
+    :param quarantine: adds up the crashes.
+    :param connections: pool of persistent connections to upstreams.
+    """
+
+    def __init__(self, *, quarantine: Quarantine, connections: ConnectionPool) -> None:
+        self._quarantine = quarantine
+        self._connections = connections
+        self._probes: dict[str, asyncio.Task[bool]] = {}
+        self._checks: dict[int, dict[int, asyncio.Task[None]]] = {}
+
+    def lost(
+        self,
+        call: Call,
+        grant: Grant,
+        connection: UpstreamConnection,
+        exc: ConnectionLostError,
+    ) -> None:
+        """Record that the connection of a running request was lost."""
+        now = time.monotonic()
+        began_at = call.output_began_at
+        begun_s = None if began_at is None else now - began_at
+        upstream = grant.track.crc
+        counts = self._quarantine.lost(
+            call.digest, upstream, now=now, begun_s=begun_s, sure=False
+        )
+        closed = isinstance(exc, PeerClosedError)
+        if not counts or not closed or not just_started(begun_s):
+            return
+        if connection.may_have_closed_before_request(now):
+            return
+        checks = self._checks.setdefault(call.digest, {})
+        if upstream not in checks:
+            checks[upstream] = asyncio.ensure_future(
+                self._check(call.digest, upstream, grant.track.entry)
+            )
+
+    async def settle(self, call: Call, until: float) -> None:
+        """Wait for checks that may quarantine a request before it is sent again.
+
+        :param until: longest time to wait, by the monotonic clock.
+        """
+        checks = self._checks.get(call.digest)
+        if checks and self._quarantine.held_if_confirmed(call.digest, checks):
+            await asyncio.wait(checks.values(), timeout=until - time.monotonic())
+
+    async def _check(self, digest: int, upstream: int, entry: UpstreamEntry) -> None:
+        try:
+            if await self._has_ended(entry):
+                self._quarantine.confirm(digest, upstream, now=time.monotonic())
+        finally:
+            checks = self._checks[digest]
+            del checks[upstream]
+            if not checks:
+                del self._checks[digest]
+
+    async def _has_ended(self, entry: UpstreamEntry) -> bool:
+        """Return the result of a probe that all lost requests of an upstream share."""
+        probe = self._probes.get(entry.instance)
+        if probe is None:
+            probe = asyncio.ensure_future(self._probe(entry))
+            self._probes[entry.instance] = probe
+        return await probe
+
+    async def _probe(self, entry: UpstreamEntry) -> bool:
+        try:
+            ended = await self._connections.has_ended(entry.address, entry.instance)
+        finally:
+            del self._probes[entry.instance]
+        if not ended:
+            log(UPSTREAM_STILL_UP, upstream=entry.instance)
+        return ended
--- a/baobabwing/gateway/decisions/quarantine.py
+++ b/baobabwing/gateway/decisions/quarantine.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-__all__ = ["CrashReport", "CrashReportKind", "Quarantine", "RecordChange"]
+__all__ = [
+    "CrashReport",
+    "CrashReportKind",
+    "Quarantine",
+    "RecordChange",
+    "just_started",
+]
 
 # Weight of a crash. An upstream that crashes right after it began to run a request is
 # strong evidence against that request. Evidence is weak if
 # - the upstream crashed long after: several requests run there then, most of them long;
 # - it may have ended before: behind a proxy of its own it still accepts connections and
 #   resets each of them at once, as it does with too many connections;
-# - it only became unresponsive: it may have ended, or be overloaded.
+# - it only became unresponsive: it may have ended, or be overloaded;
+# - it is not known to have ended: it may have closed a single connection.
 _STRONG_WEIGHT = 3
 _WEAK_WEIGHT = 1
 # Weight at which a request is quarantined: two strong crashes, or six weak ones. A
@@ -105,6 +112,11 @@
     def weight(self) -> int:
         return sum(self.crashes.values())
 
+    @property
+    def needed_weight(self) -> int:
+        """Weight of crashes not yet counted that starts the next quarantine."""
+        return _STRONG_WEIGHT if self.times else _QUARANTINE_WEIGHT
+
 
 class Quarantine:
     """Quarantined requests, from crashes at this node and reports of other nodes.
@@ -138,7 +150,7 @@
         now: float,
         begun_s: float | None = None,
         sure: bool = True,
-    ) -> None:
+    ) -> bool:
         """Record that an upstream crashed while running a request of this node.
 
         The first crash after a complete answer is ignored: if many callers send the
@@ -148,16 +160,42 @@
         :param begun_s: time since the request's first event; ``None`` if it had none.
         :param sure: whether the upstream certainly ran when the request was sent, and
             has ended.
+        :returns: whether it counts against the request.
         """
         if digest in self._served:
             del self._served[digest]
-            return
-        just_started = begun_s is None or begun_s < _JUST_STARTED_S
-        weight = _STRONG_WEIGHT if just_started and sure else _WEAK_WEIGHT
+            return False
+        strong = sure and just_started(begun_s)
+        weight = _STRONG_WEIGHT if strong else _WEAK_WEIGHT
         record = self._get_record(digest, now)
-        if self._add_crash(digest, record, upstream, weight, now):
-            quarantined = now < record.until
-            self.on_news(RecordChange(digest=digest, own=True, verdict=quarantined))
+        self._add_own_crash(digest, record, upstream, weight, now)
+        return True
+
+    def confirm(self, digest: int, upstream: int, *, now: float) -> None:
+        """Make a recorded crash at the start of a request a strong one.
+
+        Without effect if the request has been served since.
+
+        :param upstream: crc of the incarnation that has certainly ended.
+        """
+        record = self._records.get(digest)
+        if record is not None and upstream in record.crashes:
+            self._add_own_crash(digest, record, upstream, _STRONG_WEIGHT, now)
+
+    def held_if_confirmed(self, digest: int, upstreams: Iterable[int]) -> bool:
+        """Whether a request would be quarantined if crashes of it were confirmed.
+
+        :param upstreams: crcs of the incarnations that may have ended.
+        """
+        record = self._records.get(digest)
+        if record is None:
+            return False
+        added = sum(
+            _STRONG_WEIGHT - record.crashes[upstream]
+            for upstream in upstreams
+            if upstream in record.crashes
+        )
+        return record.weight + added - record.counted_weight >= record.needed_weight
 
     def served(self, digest: int) -> None:
         """Record that a request of this node got a complete answer."""
@@ -237,6 +275,13 @@
         self._add_crash(report.digest, record, report.upstream, report.weight, now)
         return not was_quarantined and now < record.until
 
+    def _add_own_crash(
+        self, digest: int, record: _CrashRecord, upstream: int, weight: int, now: float
+    ) -> None:
+        if self._add_crash(digest, record, upstream, weight, now):
+            quarantined = now < record.until
+            self.on_news(RecordChange(digest=digest, own=True, verdict=quarantined))
+
     def _add_crash(
         self, digest: int, record: _CrashRecord, upstream: int, weight: int, now: float
     ) -> bool:
@@ -255,8 +300,7 @@
             # current quarantine already covers this crash.
             record.counted_weight = record.weight
             return
-        needed = _STRONG_WEIGHT if record.times else _QUARANTINE_WEIGHT
-        if record.weight - record.counted_weight < needed:
+        if record.weight - record.counted_weight < record.needed_weight:
             return
         record.times += 1
         growth = _QUARANTINE_GROWTH ** (record.times - 1)
@@ -314,6 +358,14 @@
         self._records.popitem(last=False)
 
 
+def just_started(begun_s: float | None) -> bool:
+    """Whether a request counts as just begun.
+
+    :param begun_s: time since its first event; ``None`` if it had none.
+    """
+    return begun_s is None or begun_s < _JUST_STARTED_S
+
+
 def _is_expired(record: _CrashRecord, now: float) -> bool:
     retention_s = _QUARANTINED_RETENTION_S if record.times else _RETENTION_S
     return now - record.updated_at > retention_s and now >= record.until
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -50,6 +50,7 @@
     "UPSTREAM_FAILED",
     "UPSTREAM_SAID_LEAVING",
     "UPSTREAM_START_REPLACED",
+    "UPSTREAM_STILL_UP",
     "UPSTREAM_UNREADABLE",
     "UPSTREAM_UNRESPONSIVE",
 ]
@@ -122,6 +123,12 @@
     "An upstream sent this node nothing for `idle_ms`, which is beyond the timeout of "
     "a request there. `own`: this node's requests at the upstream.",
 )
+UPSTREAM_STILL_UP = define(
+    2511,
+    "upstream_still_up",
+    "An upstream closed the connection of a request that had just begun, but accepts "
+    "others: it did not crash, and this is weak evidence against the request.",
+)
 UPSTREAMS_CHANGED = define(
     2502,
     "upstreams_changed",
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -11,13 +11,13 @@
     ConnectionLostError,
     MalformedError,
     NoSlotError,
-    PeerClosedError,
     UnresponsiveError,
 )
 from baobabwing.gateway.admission import Admission
 from baobabwing.gateway.answers import CallerAnswer, Refusal
 from baobabwing.gateway.call import AttemptResult, Call
 from baobabwing.gateway.charging import Charging
+from baobabwing.gateway.crash_checks import CrashChecks
 from baobabwing.gateway.decisions.cell_queue import UpdateKind
 from baobabwing.gateway.decisions.scheduling import Grant, PlacementRequest
 from baobabwing.gateway.events import UPSTREAM_CLOSED
@@ -76,6 +76,9 @@
             retries=self._retries,
             placement_request=self._placement_request,
         )
+        self._crash_checks = CrashChecks(
+            quarantine=state.quarantine, connections=connections
+        )
         self._moves = StreamMoves(
             retries=self._retries, replacements=self._replacements
         )
@@ -132,6 +135,10 @@
                 return
             if call.replacement is None:
                 await self._replacements.stop(call, pool)
+                if result is AttemptResult.FAILED:
+                    await self._crash_checks.settle(
+                        call, until=call.ends_at - RETURN_TRIP_S
+                    )
                 call.end_reason = self._retries.take(call, pool, result)
             if call.end_reason:
                 await self._fail(call, pool, result)
@@ -350,22 +357,12 @@
         The cause of a crash is unknown: it may be this request, which would crash every
         upstream that starts to run it, or any other one that ran there.
         """
-        now = time.monotonic()
         if not isinstance(exc, UnresponsiveError):
-            grant.track.record_failure(now)
+            grant.track.record_failure(time.monotonic())
             call.release_kind = UpdateKind.FAILED
         self._recorder.attempt_failed(call, grant, exc)
         if isinstance(exc, ConnectionLostError):
-            closed = isinstance(exc, PeerClosedError)
-            self._state.quarantine.lost(
-                call.digest,
-                grant.track.crc,
-                now=now,
-                begun_s=None
-                if call.output_began_at is None
-                else now - call.output_began_at,
-                sure=closed and not connection.may_have_closed_before_request(now),
-            )
+            self._crash_checks.lost(call, grant, connection, exc)
 
     def _record_answered_failure(self, call: Call, grant: Grant, now: float) -> None:
         """Count a 5xx answer against the upstream, unless a second one fails too.
--- a/baobabwing/gateway/upstream_connections.py
+++ b/baobabwing/gateway/upstream_connections.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from baobabwing.exceptions import PeerClosedError
+from baobabwing.exceptions import ConnectionLostError, PeerClosedError
 from baobabwing.gateway.connection import HttpConnection, open_connection
 from baobabwing.gateway.headers import HOP_BY_HOP, HeaderNames
 from baobabwing.gateway.request_head import Headers
@@ -22,6 +22,9 @@
 # A reset within two connect times and this margin after sending may not be caused by
 # the request: the upstream, or a proxy in front of it, may accept no connections.
 _REFUSED_RESET_S = 0.005
+# A proxy in front of an upstream that has ended accepts a connection, and closes it
+# once it fails to connect.
+_REFUSED_CLOSE_S = 0.1
 # Upper limit on the time for which an upstream can close itself by ``Retry-After``.
 _MAX_CLOSED_S = 3600.0
 # An upstream that states how long it keeps idle connections closes them at about that
@@ -240,6 +243,22 @@
         self._remove_busy((address, instance), connection)
         connection.conn.abort()
 
+    async def has_ended(self, address: str, instance: str) -> bool:
+        """Whether an upstream that closed a connection accepts no other one.
+
+        A new one shows it; idle ones may be closed for their age, or be kept open by a
+        proxy.
+        """
+        try:
+            connection = await self.acquire(address, instance, new=True)
+        except ConnectionLostError:
+            return True
+        if await connection.conn.closes_within(_REFUSED_CLOSE_S):
+            self.discard(address, instance, connection)
+            return True
+        self.put_back(address, instance, connection)
+        return False
+
     def abandon(self, address: str, instance: str) -> None:
         """Abort all connections to an incarnation that has ended.
 
--- a/tests/gateway/decisions/test_quarantine.py
+++ b/tests/gateway/decisions/test_quarantine.py
@@ -76,6 +76,36 @@
     assert quarantine.held_s(BAD, 0.0) > 0.0
 
 
+def test_unconfirmed_crashes_count_once_they_are_confirmed():
+    quarantine = Quarantine()
+    for upstream in (1, 2):
+        record_crash(quarantine, upstream, sure=False)
+    assert quarantine.held_if_confirmed(BAD, [1, 2])
+    quarantine.confirm(BAD, 1, now=0.0)
+    assert quarantine.held_s(BAD, 0.0) == 0.0
+    assert quarantine.held_if_confirmed(BAD, [2])
+    quarantine.confirm(BAD, 2, now=0.0)
+    assert quarantine.held_s(BAD, 0.0) == 10.0
+
+
+def test_one_unconfirmed_crash_is_not_enough_when_the_other_upstream_stayed_up():
+    quarantine = Quarantine()
+    for upstream in (1, 2):
+        record_crash(quarantine, upstream, sure=False)
+    assert not quarantine.held_if_confirmed(BAD, [2])
+
+
+def test_crash_is_not_confirmed_after_the_request_was_served():
+    quarantine = Quarantine()
+    for upstream in (1, 2):
+        record_crash(quarantine, upstream, sure=False)
+    quarantine.served(BAD)
+    for upstream in (1, 2):
+        quarantine.confirm(BAD, upstream, now=0.0)
+    assert not quarantine.held_if_confirmed(BAD, [1, 2])
+    assert quarantine.held_s(BAD, 0.0) == 0.0
+
+
 def test_request_that_is_answered_in_between_is_not_quarantined():
     """Many callers send the same request while upstreams crash for other reasons."""
     quarantine = Quarantine()
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -34,6 +34,7 @@
     :ivar crashed: names of the crashed incarnations, in order.
     :ivar by_name: behaviour of single upstreams, which overrides ``usual``.
     :ivar usual: behaviour of upstreams, by pool.
+    :ivar by_request: behaviour for single requests, which overrides all others.
     """
 
     def __init__(self, *, nodes=3, engines=4, services=3, cfg=None):
@@ -42,6 +43,7 @@
         self.upstreams = {}
         self.crashed = []
         self.by_name = {}
+        self.by_request = lambda seen: None
         self.usual = {"engines": Behaviour(events=5), "services": Behaviour()}
         self._counts = {"engines": engines, "services": services}
         self._nodes = nodes
@@ -112,7 +114,8 @@
         def behave(request):
             crashes = b"crash" in request.body
             crash = Behaviour(delay_s=CRASH_DELAY_S, crash=True)
-            return crash if crashes else self.by_name.get(name, self.usual[pool])
+            usual = self.by_name.get(name, self.usual[pool])
+            return crash if crashes else self.by_request(request) or usual
 
         upstream = GatewayUpstream(
             instance=name,
@@ -155,11 +158,18 @@
             name in self.upstreams for name in self.crashed
         )
 
-    def list_all(self):
-        """Send the list of running upstreams to all gateways."""
+    def list_all(self, addresses=None):
+        """Send the list of running upstreams to all gateways.
+
+        :param addresses: other addresses by which gateways reach upstreams, by name.
+        """
+        addresses = addresses or {}
         entries = [
             UpstreamEntry(
-                instance=name, pool=pool, address=upstream.address, slots=SLOTS
+                instance=name,
+                pool=pool,
+                address=addresses.get(name, upstream.address),
+                slots=SLOTS,
             )
             for name, (upstream, pool) in self.upstreams.items()
         ]
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -1,11 +1,13 @@
 """A request that crashes each upstream that begins to run it, and is repeated."""
 
 import asyncio
+import itertools
 import time
 
 import pytest
 
 from baobabwing.standins.gateway_upstream import Behaviour
+from baobabwing.standins.loopback_proxy import LoopbackProxy
 from tests.gateway.gateway_fleet import GatewayFleet
 from tests.gateway.harness import NAMES, eventually
 
@@ -143,3 +145,80 @@
             assert answer.status == 200
 
     run(scenario())
+
+
+def test_request_cut_by_upstreams_that_stay_up_is_not_quarantined(run):
+    """Each cut answer was taken for a crash, and all copies were refused for 10 s."""
+
+    async def scenario():
+        async with GatewayFleet() as fleet:
+            fleet.usual["services"] = Behaviour(cut_after=1)
+            turns = itertools.count()
+
+            def cut_by():
+                return sum(bool(fleet.at(name)) for name in fleet.upstreams)
+
+            while cut_by() < 2:
+                turn = next(turns)
+                answer = await fleet.ask(turn % 3, "/unsafe/cut", f"c{turn}")
+                assert answer.status == 502
+            fleet.usual["services"] = Behaviour()
+            for node in range(3):
+                answer = await fleet.ask(node, "/unsafe/cut", f"after-{node}")
+                assert answer.status == 200
+
+    run(scenario())
+
+
+def test_stream_is_resumed_although_a_copy_was_cut_elsewhere(run):
+    """Its upstream and the copy's stay up; no copy has been served so far."""
+    cut = Behaviour(events=5, cut_after=2)
+    fresh_runs = set()
+
+    def by_request(seen):
+        if NAMES.last_event not in seen.headers:
+            fresh_runs.add(seen.request_id)
+            return cut
+        return Behaviour(mute=True) if seen.request_id == "copy" else None
+
+    async def scenario():
+        async with GatewayFleet() as fleet:
+            fleet.by_request = by_request
+            copy = asyncio.ensure_future(fleet.ask(0, "/resumable/c", "copy"))
+            await eventually(lambda: fleet.runs("copy") == 2, "the copy is resumed")
+            cut_at = next(
+                name
+                for name, (upstream, _) in fleet.upstreams.items()
+                if any(NAMES.last_event not in seen.headers for seen in upstream.seen)
+            )
+            cutting, _ = fleet.upstreams.pop(cut_at)
+            fleet.list_all()
+            answer = await fleet.ask(1, "/resumable/c", "later")
+            copy.cancel()
+            cutting.stop()
+            assert (answer.status, answer.whole) == (200, True)
+            assert answer.body.count(b"data: ") == 5
+            assert fresh_runs == {"copy", "later"}
+
+    run(scenario())
+
+
+def test_crash_behind_a_proxy_that_accepts_connections_is_certain(run):
+    async def scenario():
+        async with GatewayFleet(services=3) as fleet:
+            proxies = {
+                name: LoopbackProxy(target=upstream.address)
+                for name, (upstream, _) in fleet.upstreams.items()
+            }
+            for proxy in proxies.values():
+                await proxy.start()
+            fleet.list_all({name: proxy.address for name, proxy in proxies.items()})
+            for turn in range(3):
+                await fleet.ask(turn, "/safe/a", f"first-{turn}", body=b"other")
+            await fleet.ask(0, "/safe/a", "c1", body=b"crash")
+            await eventually(lambda: quarantined_everywhere(fleet), "quarantined")
+            assert len(fleet.crashed) == 2
+            for proxy in proxies.values():
+                proxy.stop()
+
+    run(scenario())
