Expect a new plain upstream to be as fast as the best of its pool

What callers saw: nothing at once. An upstream of a plain service that came, or came back, got no request from a node as long as the others answered faster than 20 ms, however long; where they answered more slowly, it got all requests first, beyond its slots.

Cause: the expected time of an upstream without measurements was a fixed 20 ms, and it was compared with the learned times of the others.

It is now the shortest learned time of the pool: such an upstream ties with the best one when both are idle, and goes first when that one has requests in flight. Its first answer replaces the guess. The 20 ms stay for a pool of which nothing is known. Engines are not touched; they have the pool's typical figures as a prior already.

Evidence: both new tests failed before (0 of 9 requests at 6 ms, 9 of 9 at 100 ms, where 3 are its share; none of 20 one by one). All of tests/gateway and tests/platform_adapter pass.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -45,6 +45,8 @@
 # is late in any case, and a longer delay lets more of the burst pass; a second refusal
 # is final. Callers honour a delay of at most a third of their time.
 _RETRY_AFTER_SHARE = 0.3
+# Time for the whole answer of a plain service, until there are measurements.
+_INITIAL_ANSWER_S = 0.02
 # Time for which a request keeps its slot, until there are measurements.
 _INITIAL_HOLDING_S = 0.5
 # Weight of a new sample in the moving average of that time.
@@ -92,6 +94,7 @@
         self._typical_interval_s: float | None = None
         self._typical_first_ratio = 1.0
         self._best_first_ratio = 1.0
+        self._best_answer_s = _INITIAL_ANSWER_S
         self.holding_s = _INITIAL_HOLDING_S
         self.max_own: int | None = None
         self._max_route_rank = 0
@@ -335,7 +338,7 @@
     def _grant(
         self, request: PlacementRequest, track: UpstreamTrack, now: float
     ) -> Grant:
-        baseline_s = track.baseline_s(request.prompt_tokens)
+        baseline_s = track.baseline_s(request.prompt_tokens, self._best_answer_s)
         predicted_s = track.predict_s(baseline_s, self._first_event_ratio(track), now)
         track.add_request(
             request.number,
@@ -366,7 +369,7 @@
     def _first_event_s(
         self, request: PlacementRequest, track: UpstreamTrack, now: float
     ) -> float:
-        baseline_s = track.baseline_s(request.prompt_tokens)
+        baseline_s = track.baseline_s(request.prompt_tokens, self._best_answer_s)
         return track.predict_s(baseline_s, self._first_event_ratio(track), now)
 
     def _first_event_ratio(self, track: UpstreamTrack) -> float:
@@ -389,13 +392,14 @@
         return first_event_s + _OUTPUT_WEIGHT * generation_s + past_end_s
 
     def _update_typical(self) -> None:
-        """Update the median event interval, and the median and best first ratio."""
+        """Update the median event interval, the shortest answer time and the ratios."""
         intervals = sorted(
             track.event_interval_s
             for track in self.tracks.values()
             if track.event_interval_s is not None
         )
         self._typical_interval_s = intervals[len(intervals) // 2] if intervals else None
+        self._best_answer_s = intervals[0] if intervals else _INITIAL_ANSWER_S
         ratios = sorted(
             track.first_ratio
             for track in self.tracks.values()
--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -15,8 +15,6 @@
 # between events is learned separately.
 PREFILL_TOKENS_PER_S = 39_300.0
 FIRST_EVENT_S = 0.045
-# Time for the whole answer of a plain service, until there are measurements.
-_INITIAL_ANSWER_S = 0.02
 # Delay of a first event per sequence in the batch: 0.036 ms in each step of 6.3 ms, and
 # the share of prefill that each sequence brings.
 _PER_SEQUENCE_S = 0.02
@@ -229,15 +227,16 @@
         """
         return ratio * baseline_s + self.stalled_s(now)
 
-    def baseline_s(self, prompt_tokens: int) -> float:
+    def baseline_s(self, prompt_tokens: int, unmeasured_s: float) -> float:
         """Return the time that an upstream of baseline speed takes under this load.
 
         For an engine to its first event, for a plain service to the whole answer.
+
+        :param unmeasured_s: answer time of an idle plain service without measurements.
         """
         if self.engine is None:
-            return (self.event_interval_s or _INITIAL_ANSWER_S) * (
-                1 + self.in_flight / self.slots
-            )
+            answer_s = self.event_interval_s or unmeasured_s
+            return answer_s * (1 + self.in_flight / self.slots)
         prefill_s = (self.queued_prompt_tokens() + prompt_tokens) / PREFILL_TOKENS_PER_S
         batching_s = _PER_SEQUENCE_S * self.in_flight
         overload_s = (
--- a/tests/gateway/decisions/test_scheduling.py
+++ b/tests/gateway/decisions/test_scheduling.py
@@ -387,6 +387,34 @@
     assert set(used[32:]) == {"c"}
 
 
+def make_service_pool(*, answer_s):
+    """Return services "a" and "b" with a measured answer time, and "c", just listed."""
+    scheduler = PoolScheduler(engine=None, rng=random.Random(5))
+    scheduler.set_upstreams([make_entry(name, slots=8) for name in "abc"])
+    for name in "ab":
+        scheduler.tracks[name].record_interval(answer_s)
+    return scheduler
+
+
+@pytest.mark.parametrize("answer_s", [0.006, 0.1])
+def test_new_service_gets_its_share_of_concurrent_requests(answer_s):
+    """Against a fixed guess of 20 ms it got none of nine, or the first nine."""
+    scheduler = make_service_pool(answer_s=answer_s)
+    used = [place(scheduler)[0].track.entry.instance for _ in range(9)]
+    assert [used.count(name) for name in "abc"] == [3, 3, 3]
+
+
+def test_new_service_is_tried_by_requests_that_come_one_by_one():
+    """It got none of them, as long as the others answered within 20 ms."""
+    scheduler = make_service_pool(answer_s=0.006)
+    used = set()
+    for _ in range(20):
+        (grant,) = place(scheduler)
+        used.add(grant.track.entry.instance)
+        grant.track.remove_request(grant.request.number)
+    assert "c" in used
+
+
 def test_request_that_has_run_is_not_refused_as_a_late_newcomer():
     """Its caller has a part of the answer, and nothing to come back with."""
     scheduler = make_crowded_scheduler(10, granted=0)
