--- a/baobabwing/gateway/replacements.py
+++ b/baobabwing/gateway/replacements.py
@@ -175,10 +175,10 @@
 
     def _take_retry(self, call: Call, pool: PoolRuntime, found: Replacement) -> bool:
         """Pay for the use of a replacement; release it if there is no retry."""
-        if not self._retries.take(call, pool, AttemptResult.FAILED):
-            return True
-        self._release(pool, found)
-        return False
+        refused_because = self._retries.take(call, pool, AttemptResult.FAILED)
+        if refused_because:
+            self._release(pool, found)
+        return not refused_because
 
 
 def _found(call: Call) -> Replacement | None:
--- a/baobabwing/gateway/upstream_timeouts.py
+++ b/baobabwing/gateway/upstream_timeouts.py
@@ -1,4 +1,4 @@
-"""Reading from an upstream, with a timeout if it is unresponsive."""
+"""Reading from an upstream that may be unresponsive."""
 
 from __future__ import annotations
 
@@ -17,15 +17,15 @@
 
 __all__ = ["read_while_responsive"]
 
-# A call that may be retried is sent to another upstream after this many times the usual
+# A call that may be retried seeks another upstream after this many times the usual
 # response time, and not before the minimum: ordinary queueing takes up to that long.
 _SERVICE_TIMEOUT_RATIO = 6.0
 _MIN_SERVICE_TIMEOUT_S = 0.12
-# A resumable stream leaves an upstream that sent nothing on any stream for this many
-# times the gap objective. Prefill of long prompts makes one stream pause for half a
-# second, but not all streams for twice that.
+# A resumable stream seeks another upstream if its own sent nothing on any stream of
+# this node for this many times the gap objective. Prefill of several long prompts may
+# take as long, so the stream stays until another upstream can take it.
 _STREAM_TIMEOUT_GAPS = 2.0
-# Before its first event, a stream also waits for this many times the predicted time.
+# Before its first event, a stream waits at least this many times the predicted time.
 _FIRST_EVENT_TIMEOUT_RATIO = 3.0
 # Before an upstream counts as unresponsive, its connection is read once more for this
 # long: if this node itself was stalled, the answer may be unread in the socket buffer
