--- a/baobabwing/gateway/limit_aggregators.py
+++ b/baobabwing/gateway/limit_aggregators.py
@@ -148,14 +148,6 @@
         ]
         return min(numbers, default=-1)
 
-    def responsive(self, now: float, unresponsive_s: float) -> list[int]:
-        """Return the ids of the aggregators that have sent totals of late."""
-        return [
-            aggregator_id
-            for aggregator_id, aggregator in self._by_id.items()
-            if now - aggregator.received_at <= unresponsive_s
-        ]
-
     def drop_unresponsive(
         self, addresses: Collection[str], now: float, unresponsive_s: float
     ) -> list[int]:
--- a/baobabwing/gateway/limits_exchange.py
+++ b/baobabwing/gateway/limits_exchange.py
@@ -254,7 +254,14 @@
         aggregator_id, aggregators = message.home, self._aggregators
         if not aggregators.record(message, address, self._names_by_crc(), now):
             return
-        self._select(aggregator_id, now)
+        before = aggregators.current
+        if aggregators.select(
+            aggregator_id, self._aggregator_addresses, now, self._unresponsive_s()
+        ):
+            silent = before is None or now - before.received_at > self._unresponsive_s()
+            heard = message.heard
+            log(SUMS_TAKEN_FROM, peer=address, heard=heard, others_silent=silent)
+            self._state.quotas.set_aggregator(str(aggregator_id), now)
         # Both aggregators' totals hold the same units; counted twice they would halve
         # each limit. Those of the other one are recorded only, so that differences
         # start from them if it is selected later.
@@ -264,22 +271,6 @@
         self._acknowledge(aggregator_id, message.number)
         self._update_node_count()
 
-    def _select(self, aggregator_id: int, now: float) -> None:
-        """Apply the totals of an aggregator from now on, if it is the better one."""
-        before, limit_s = self._aggregators.current, self._unresponsive_s()
-        if not self._aggregators.select(
-            aggregator_id, self._aggregator_addresses, now, limit_s
-        ):
-            return
-        selected = self._aggregators[aggregator_id]
-        log(
-            SUMS_TAKEN_FROM,
-            peer=selected.address,
-            heard=selected.nodes,
-            others_silent=before is None or now - before.received_at > limit_s,
-        )
-        self._state.quotas.set_aggregator(str(aggregator_id), now)
-
     def _acknowledge(self, aggregator_id: int, number: int) -> None:
         """Record that an aggregator has received a report of this node."""
         for sent in self._sent:
@@ -294,12 +285,8 @@
     def _update_node_count(self) -> None:
         """Set this node's share of limits by the nodes of its partition."""
         now = time.monotonic()
-        limit_s = self._unresponsive_s()
-        for aggregator_id in self._aggregators.responsive(now, limit_s):
-            # Without one, this node would count only itself until the next totals.
-            self._select(aggregator_id, now)
         for aggregator_id in self._aggregators.drop_unresponsive(
-            self._aggregator_addresses, now, limit_s
+            self._aggregator_addresses, now, self._unresponsive_s()
         ):
             self._state.quotas.forget_acknowledgements(str(aggregator_id))
         current = self._aggregators.current
