Share the steps of two tests of streams that wait for a slot

Both lose their first engine while the other one is full. The test of an engine that has ended now also checks that the stream ran twice. With the guard taken out that keeps requests that have run in the queue, both fail: the stream is cut after two of six events.

--- a/tests/gateway/test_unresponsive_upstreams.py
+++ b/tests/gateway/test_unresponsive_upstreams.py
@@ -173,46 +173,35 @@
     run(scenario())
 
 
-def test_unresponsive_engine_is_left_as_soon_as_a_slot_is_free(run):
-    """The engine never goes on, and the only other one is full at first."""
+async def lose_first_engine_while_the_other_is_full(behaviour):
+    """Return once a stream has gone on at a slot that came free late.
+
+    :param behaviour: how the first engine of the stream stops to send.
+    """
+    async with GatewayHarness(configuration()) as harness:
+        fillers = await fill(harness, "engines-2")
+        harness.behaviour["engines-1"] = behaviour
+        conn = await harness.caller()
+        answer = asyncio.ensure_future(ask(conn, "/resumable/x", "p1"))
+        await eventually(lambda: harness.runs("p1") == 1, "first run")
+        # The stream must outlast the time after which late requests are refused.
+        await asyncio.sleep(PAUSE_S)
+        harness.behaviour["engines-2"] = Behaviour(events=EVENTS)
+        fillers[0].abort()
+        answer = await answer
+        assert (answer.whole, answer.body) == (True, whole("p1"))
+        assert harness.runs("p1") == 2
 
-    async def scenario():
-        async with GatewayHarness(configuration()) as harness:
-            fillers = await fill(harness, "engines-2")
-            harness.behaviour["engines-1"] = Behaviour(
-                events=EVENTS, stall_after=2, stall_s=60.0
-            )
-            conn = await harness.caller()
-            answer = asyncio.ensure_future(ask(conn, "/resumable/x", "p1"))
-            await eventually(lambda: harness.runs("p1") == 1, "first run")
-            # The stream must outlast the time after which late requests are refused.
-            await asyncio.sleep(PAUSE_S)
-            harness.behaviour["engines-2"] = Behaviour(events=EVENTS)
-            fillers[0].abort()
-            answer = await answer
-            assert (answer.whole, answer.body) == (True, whole("p1"))
-            assert harness.runs("p1") == 2
 
-    run(scenario())
+def test_unresponsive_engine_is_left_as_soon_as_a_slot_is_free(run):
+    silent = Behaviour(events=EVENTS, stall_after=2, stall_s=60.0)
+    run(lose_first_engine_while_the_other_is_full(silent))
 
 
 def test_stream_whose_engine_ended_waits_for_a_slot_elsewhere(run):
     """A refusal would cut it, where a request that has not run comes back."""
-
-    async def scenario():
-        async with GatewayHarness(configuration()) as harness:
-            fillers = await fill(harness, "engines-2")
-            harness.behaviour["engines-1"] = Behaviour(events=EVENTS, cut_after=2)
-            conn = await harness.caller()
-            answer = asyncio.ensure_future(ask(conn, "/resumable/x", "p1"))
-            await eventually(lambda: harness.runs("p1") == 1, "first run")
-            await asyncio.sleep(PAUSE_S)
-            harness.behaviour["engines-2"] = Behaviour(events=EVENTS)
-            fillers[0].abort()
-            answer = await answer
-            assert (answer.whole, answer.body) == (True, whole("p1"))
-
-    run(scenario())
+    cut = Behaviour(events=EVENTS, cut_after=2)
+    run(lose_first_engine_while_the_other_is_full(cut))
 
 
 @pytest.mark.parametrize(
