Count first sends and retries apart; log what the retry budget is split by

To tell why upstreams got more repeated requests than allowed, an operator had nothing to add up over all nodes: tries_total counts every attempt, and 1503 named the budget that is left, but neither how many nodes share it nor for how long the node had counted.

baobabwing_gateway_sends_total has a series for first sends and one for retries, by pool; 1503 names nodes and up_s. The stand-in upstream records when a request arrived, and the fleet of the tests can kill gateways and start them again.

--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -350,6 +350,8 @@
             last_event=call.last_event,
         )
         self._charging.sending(call)
+        self._recorder.passed_on(call)
+        call.passed_on += 1
         sent_at = call.sent_at = time.monotonic()
         request_head = call.request_head
         await connection.send(
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -11,7 +11,7 @@
     LightMetricSet,
 )
 
-__all__ = ["GatewayMetrics", "Outcome", "Units"]
+__all__ = ["GatewayMetrics", "Outcome", "Sends", "Units"]
 
 # Finest around the objectives of 0.1 s for calls and 0.8 s for streams.
 _WAIT_BUCKETS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
@@ -34,6 +34,13 @@
     CALLER_LEFT = "caller_left"
 
 
+class Sends(StrEnum):
+    """Whether a send is the first one of its request, or a retry."""
+
+    FIRST = "first"
+    RETRY = "retry"
+
+
 class Units(StrEnum):
     """Kinds of sends, by which the units they use are counted.
 
@@ -69,6 +76,14 @@
             meaning="Tries at upstreams by how they ended.",
             label_names=("pool", "step"),
         )
+        self.sends = LightCounter(
+            name="baobabwing_gateway_sends_total",
+            meaning=(
+                "Requests sent to upstreams: the first send of each, and retries, "
+                "which the budget of retries bounds over all nodes."
+            ),
+            label_names=("pool", "kind"),
+        )
         self.truncated_answers = LightCounter(
             name="baobabwing_gateway_truncated_answers_total",
             meaning=(
--- a/baobabwing/gateway/request_recorder.py
+++ b/baobabwing/gateway/request_recorder.py
@@ -18,7 +18,7 @@
     STREAM_TAKEN_UP,
     UPSTREAM_FAILED,
 )
-from baobabwing.gateway.metrics import GatewayMetrics, Outcome, Units
+from baobabwing.gateway.metrics import GatewayMetrics, Outcome, Sends, Units
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.request_head import RequestHead
 from baobabwing.gateway.state import GatewayState
@@ -41,6 +41,7 @@
     def __init__(self, *, state: GatewayState, metrics: GatewayMetrics) -> None:
         self._state = state
         self._metrics = metrics
+        self._started_at = time.monotonic()
 
     def refused_at_admission(self, request_head: RequestHead, refusal: Refusal) -> None:
         """Record a request that was refused at admission."""
@@ -100,6 +101,11 @@
             waited_ms=_ms(time.monotonic() - call.arrived),
         )
 
+    def passed_on(self, call: Call) -> None:
+        """Count a send over an open connection, about to be made."""
+        kind = Sends.RETRY if call.passed_on else Sends.FIRST
+        self._metrics.sends.labels(call.pool, kind).inc()
+
     def sent(self, call: Call) -> None:
         """Count the units of an organisation's limit that a send used."""
         kind = Units.FIRST if call.runs == 1 else Units.AGAIN
@@ -152,6 +158,8 @@
             budget_left=round(
                 pool.budget.remaining(time.monotonic(), self._state.nodes), 1
             ),
+            nodes=self._state.nodes,
+            up_s=round(time.monotonic() - self._started_at, 1),
             last_event=call.last_event,
         )
 
--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -115,13 +115,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class SeenRequest:
-    """A request as received by the upstream."""
+    """A request as received by the upstream.
+
+    :param at: monotonic time of its arrival.
+    """
 
     method: str
     target: str
     headers: dict[bytes, bytes] = field(repr=False)
     body: bytes = field(repr=False)
     request_id: str = ""
+    at: float = field(default_factory=time.monotonic)
 
 
 class GatewayUpstream:
--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import contextvars
+import dataclasses
 import itertools
 import random
 import time
@@ -11,7 +12,7 @@
 from baobabwing.gateway.connection import open_connection
 from baobabwing.gateway.gateway import Gateway
 from baobabwing.gateway.model import UpstreamEntry
-from baobabwing.gateway.settings import GatewaySettings
+from baobabwing.gateway.settings import GatewaySettings, RetrySettings
 from baobabwing.standins.gateway_upstream import Behaviour, GatewayUpstream
 from tests.gateway.harness import (
     NAMES,
@@ -41,8 +42,9 @@
     :ivar software: version of an upstream's software by its name.
     """
 
-    def __init__(self, *, nodes=3, engines=4, services=3, cfg=None):
+    def __init__(self, *, nodes=3, engines=4, services=3, cfg=None, repeats=None):
         self.cfg = cfg or default_configuration()
+        self._repeats = repeats or RetrySettings()
         self.gateways = []
         self.upstreams = {}
         self.crashed = []
@@ -60,7 +62,7 @@
             for number in range(1, count + 1):
                 await self.add(pool, number)
         self.gateways = [self._gateway(f"node-{n}") for n in range(self._nodes)]
-        hosts = [
+        self._hosts = [
             Host(
                 name=gateway.settings.name,
                 incarnation=0,
@@ -71,25 +73,46 @@
             )
             for gateway in self.gateways
         ]
-        self.list_all()
         for gateway in self.gateways:
-            gateway._origins._list_checked_at = time.monotonic
-            gateway.members.list_candidates(hosts)
-            gateway.state.take_configuration(self.cfg, source="test")
-            in_node = contextvars.copy_context()
-            in_node.run(NODE.set, gateway.settings.name)
-            self._tasks.append(asyncio.create_task(gateway.run(), context=in_node))
+            self._start(gateway)
         for gateway in self.gateways:
-            await eventually(
-                lambda gateway=gateway: (
-                    len(gateway.members.others()) == self._nodes - 1
-                ),
-                "all nodes have joined",
+            await self._joined(gateway)
+        return self
+
+    def _start(self, gateway):
+        gateway._origins._list_checked_at = time.monotonic
+        gateway.members.list_candidates(self._hosts)
+        gateway.state.take_configuration(self.cfg, source="test")
+        gateway.state.take_upstreams(self._entries(), source="test")
+        in_node = contextvars.copy_context()
+        in_node.run(NODE.set, gateway.settings.name)
+        self._tasks.append(asyncio.create_task(gateway.run(), context=in_node))
+
+    async def _joined(self, gateway):
+        await eventually(
+            lambda: len(gateway.members.others()) == self._nodes - 1,
+            "all nodes have joined",
+        )
+        await eventually(lambda: gateway.callers.listening, "listening")
+
+    async def restart(self, *nodes):
+        """Kill gateways at the same moment and start them again."""
+        for node in nodes:
+            self.kill(node)
+        await asyncio.gather(
+            *(self._tasks[node] for node in nodes), return_exceptions=True
+        )
+        for node in nodes:
+            settings = dataclasses.replace(
+                self.gateways[node].settings, first_start=False
             )
-            await eventually(
-                lambda gateway=gateway: gateway.callers.listening, "listening"
+            self.gateways[node] = Gateway(
+                settings=settings, rng=random.Random(settings.name)
             )
-        return self
+            self._start(self.gateways[node])
+            self._tasks[node] = self._tasks.pop()
+        for node in nodes:
+            await self._joined(self.gateways[node])
 
     async def __aexit__(self, *exc_info):
         for task in self._tasks:
@@ -113,6 +136,7 @@
             address_keep_s=0.1,
             first_start=True,
             names=NAMES,
+            repeats=self._repeats,
         )
         return Gateway(settings=settings, rng=random.Random(name))
 
@@ -185,8 +209,13 @@
 
         :param addresses: other addresses by which gateways reach upstreams, by name.
         """
+        entries = self._entries(addresses)
+        for gateway in self.gateways:
+            gateway.state.take_upstreams(entries, source="test")
+
+    def _entries(self, addresses=None):
         addresses = addresses or {}
-        entries = [
+        return [
             UpstreamEntry(
                 instance=name,
                 pool=pool,
@@ -196,8 +225,6 @@
             )
             for name, (upstream, pool) in self.upstreams.items()
         ]
-        for gateway in self.gateways:
-            gateway.state.take_upstreams(entries, source="test")
 
     async def ask(self, node, target, request_id, **options):
         """Send a request to a node over a new connection, and return its answer."""
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -571,3 +571,16 @@
             assert track.event_interval_s is None
 
     run(scenario())
+
+
+def test_first_sends_and_retries_are_counted_apart(run):
+    async def scenario():
+        async with GatewayHarness() as harness:
+            harness.behaviour["services"] = Behaviour(status=500)
+            conn = await harness.caller()
+            assert (await ask(conn, "/safe/x", "m1")).status == 500
+            sends = harness.gateway.metrics.sends
+            assert sends.labels("services", "first").value == 1
+            assert sends.labels("services", "retry").value == harness.runs("m1") - 1
+
+    run(scenario())
