Keep the retries of a window within their budget across restarts

Cause: a bound over a window of time was kept by counts that a restart forgets. Each process counted its own retries of the last 10 s; a start had a whole new part of the fixed allowance, and 0.2 of its requests again. Nodes that left were no longer counted, which raised the parts of the others at once, while what they had sent was still in the window. 0.7 of the bound covered neither.

The budget is a token bucket now, and empty at a start: a request adds 0.2, time a part of the allowance, and the capacity is the rest of that. Whatever processes follow each other, the tokens of the allowance exist once. A retry that was decided on keeps its room in the bucket until it is sent, so that sends which waited don't add to others; the number of nodes is pushed when it changes. Streams move only from a bucket that is almost full, as it holds less than a window's worth.

Tests that change: those of the window's form (a retry given back takes the oldest one's place) are replaced by the bucket's; the tests of streams over versions, which need a retry of each of 12 streams at once, state an allowance for that.

--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -98,6 +98,7 @@
     :param full: those of them that refused it for load, and may be tried again later.
     :param sends: attempts, including those that no upstream received or ran.
     :param passed_on: attempts in which the request was sent, over an open connection.
+    :param has_retry: whether a retry is set aside for its next send.
     :param runs: sends that an upstream may have run.
     :param first_event_at: when the caller's first event arrived.
     :param last_event_at: when the last event arrived that the caller has received.
@@ -134,6 +135,7 @@
     full: set[str] = field(default_factory=set)
     sends: int = 0
     passed_on: int = 0
+    has_retry: bool = False
     runs: int = 0
     splitter: EventSplitter = field(default_factory=EventSplitter)
     first_event_at: float | None = None
--- a/baobabwing/gateway/decisions/retry_budget.py
+++ b/baobabwing/gateway/decisions/retry_budget.py
@@ -2,74 +2,115 @@
 
 from __future__ import annotations
 
-from collections import deque
-
 __all__ = ["RetryBudget"]
 
-# Share of the bound that is used. The windows of the nodes and of an outside observer
-# are not aligned, so using all of it could exceed the bound in some windows.
-_SAFETY_FACTOR = 0.7
+# Share of the bound that is used; retries may be held up on their way to the upstreams
+# and arrive together with later ones.
+_SAFETY_FACTOR = 0.95
+# Share of the fixed allowance that may be used at once; the rest comes back over a
+# window.
+_BURST_SHARE = 0.5
+# Retries that may be used at once at least, as far as the fixed allowance has so many.
+_MIN_BURST = 2.0
 
 
 class RetryBudget:
-    """One node's share of the retries that all nodes may make for a pool.
+    """One node's part of the retries that all nodes may make for a pool.
 
-    The ratio applies to each node's own requests, and the fixed allowance is split
-    evenly, so the bound on the sum holds in every partition without coordination.
+    A token bucket. Each request of a caller adds ``ratio`` tokens and time adds a part
+    of the fixed allowance; the rest of that is the bucket's capacity. So in any window
+    all nodes together send no more than ``ratio`` of the requests in that window and
+    the fixed allowance, with no need to hear each other. A node that starts has an
+    empty bucket, as an earlier process of it, or a node that has left, may have used
+    what it held a moment ago.
 
     :param ratio: allowed retries per request of a caller.
     :param slack: further retries allowed per window, over all nodes.
     :param window_s: length of the sliding window.
+    :param now: monotonic time of the start.
+    :param nodes: number of nodes between which the fixed allowance is split.
+    :param full: whether the bucket is full at first, as no node has run before.
     """
 
-    def __init__(self, *, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        now: float,
+        nodes: int = 1,
+        full: bool = False,
+    ) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._first_attempts: deque[float] = deque()
-        self._retries: deque[float] = deque()
-
-    def reload(self, *, ratio: float, slack: float, window_s: float) -> None:
-        """Replace the bounds; the counts of the current window stay."""
+        self._nodes = max(nodes, 1)
+        self._updated_at = now
+        self._set_aside = 0
+        self._level = self.capacity if full else 0.0
+
+    @property
+    def capacity(self) -> float:
+        """Retries that this node may make at once."""
+        share = self._share
+        return max(_BURST_SHARE * share, min(_MIN_BURST, share))
+
+    @property
+    def _share(self) -> float:
+        """Return this node's part of the fixed allowance."""
+        return _SAFETY_FACTOR * self._slack / self._nodes
+
+    def reload(
+        self, *, ratio: float, slack: float, window_s: float, now: float
+    ) -> None:
+        """Replace the bounds; the retries of the current window count on."""
+        self._update(now)
         self._ratio, self._slack, self._window_s = ratio, slack, window_s
+        self._update(now)
+
+    def set_nodes(self, nodes: int, now: float) -> None:
+        """Set the number of nodes between which the fixed allowance is split."""
+        self._update(now)
+        self._nodes = max(nodes, 1)
+        self._update(now)
 
     def count_request(self, now: float) -> None:
         """Count the first attempt of a caller's request."""
-        self._first_attempts.append(now)
-        self._expire(now)
+        self._update(now)
+        self._level += _SAFETY_FACTOR * self._ratio
 
-    def try_take(self, now: float, nodes: int) -> bool:
-        """Consume one retry, if one is left.
+    def try_take(self, now: float) -> bool:
+        """Set one retry aside, if one is left.
+
+        It counts as unused until it is sent, however late that is.
 
-        :param nodes: number of nodes among which the fixed allowance is split.
         :returns: whether the retry is allowed.
         """
-        if self.remaining(now, nodes) < 1:
+        if self.remaining(now) < 1:
             return False
-        self._retries.append(now)
+        self._level -= 1
+        self._set_aside += 1
         return True
 
-    def give_back(self, now: float, *, since: float) -> None:
-        """Give back a retry that was taken and not sent.
-
-        The oldest one goes, so that the others count no shorter than they should.
-
-        :param since: a time after which it was taken.
-        """
-        self._expire(now)
-        if self._retries and since >= now - self._window_s:
-            self._retries.popleft()
-
-    def remaining(self, now: float, nodes: int) -> float:
-        """Return the retries that are left in this window; may be negative.
-
-        :param nodes: number of nodes among which the fixed allowance is split.
-        """
-        self._expire(now)
-        allowed = self._ratio * len(self._first_attempts) + self._slack / max(nodes, 1)
-        return _SAFETY_FACTOR * allowed - len(self._retries)
-
-    def _expire(self, now: float) -> None:
-        for times in (self._first_attempts, self._retries):
-            while times and times[0] < now - self._window_s:
-                times.popleft()
+    def spend(self) -> None:
+        """Count a retry that was set aside as sent."""
+        self._set_aside -= 1
+
+    def give_back(self) -> None:
+        """Give back a retry that was set aside and not sent."""
+        self._set_aside -= 1
+        self._level += 1
+
+    def remaining(self, now: float) -> float:
+        """Return the retries that are left now."""
+        self._update(now)
+        return self._level
+
+    def _update(self, now: float) -> None:
+        """Add what time has brought, and drop what exceeds the capacity."""
+        capacity = self.capacity
+        gained = (self._share - capacity) * (now - self._updated_at) / self._window_s
+        most = max(capacity - self._set_aside, 0.0)
+        self._level = min(self._level + gained, most)
+        self._updated_at = now
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -126,6 +126,7 @@
             pool = self._state.pool(call.pool)
             self._origins.ended(call)
             self._charging.over(call)
+            self._retries.over(call, pool)
             if call.replacement is not None:
                 self._replacements.give_back(pool, call.replacement)
             await self._replacements.stop(call, pool)
@@ -156,6 +157,7 @@
             replacement, call.replacement = call.replacement, None
             if replacement is not None:
                 grant, connection = replacement.grant, replacement.connection
+                call.has_retry = True
             else:
                 grant, connection = await self._reserve_slot(call, pool), None
             if grant is None:
@@ -351,7 +353,7 @@
         )
         self._charging.sending(call)
         self._recorder.passed_on(call)
-        call.passed_on += 1
+        self._retries.sending(call, pool)
         sent_at = call.sent_at = time.monotonic()
         request_head = call.request_head
         await connection.send(
--- a/baobabwing/gateway/replacements.py
+++ b/baobabwing/gateway/replacements.py
@@ -95,8 +95,7 @@
     def give_back(self, pool: PoolRuntime, replacement: Replacement) -> None:
         """Give back a replacement that is not used: slot, connection and retry."""
         self._release(pool, replacement)
-        since = replacement.grant.granted_at
-        pool.budget.give_back(time.monotonic(), since=since)
+        pool.budget.give_back()
 
     def _give_back_found(
         self, pool: PoolRuntime, search: asyncio.Task[Replacement | None]
@@ -174,11 +173,12 @@
         return Replacement(grant=grant, connection=connection)
 
     def _take_retry(self, call: Call, pool: PoolRuntime, found: Replacement) -> bool:
-        """Pay for the use of a replacement; release it if there is no retry."""
-        refused_because = self._retries.take(call, pool, AttemptResult.FAILED)
-        if refused_because:
-            self._release(pool, found)
-        return not refused_because
+        """Set a retry aside for a replacement; release it if there is none."""
+        may_go_on = not self._retries.obstacle(call, AttemptResult.FAILED)
+        if may_go_on and pool.budget.try_take(time.monotonic()):
+            return True
+        self._release(pool, found)
+        return False
 
 
 def _found(call: Call) -> Replacement | None:
--- a/baobabwing/gateway/request_recorder.py
+++ b/baobabwing/gateway/request_recorder.py
@@ -149,17 +149,16 @@
 
     def retried(self, call: Call, result: AttemptResult, pool: PoolRuntime) -> None:
         """Record that a request is sent to another upstream."""
+        now = time.monotonic()
         log(
             REQUEST_REPEATED,
             request=call.request_head.request_id,
             after=result.value,
             sends=call.sends,
             runs=call.runs,
-            budget_left=round(
-                pool.budget.remaining(time.monotonic(), self._state.nodes), 1
-            ),
+            budget_left=round(pool.budget.remaining(now), 1),
             nodes=self._state.nodes,
-            up_s=round(time.monotonic() - self._started_at, 1),
+            up_s=round(now - self._started_at, 1),
             last_event=call.last_event,
         )
 
--- a/baobabwing/gateway/retries.py
+++ b/baobabwing/gateway/retries.py
@@ -15,6 +15,10 @@
 RETURN_TRIP_S = 0.01
 # Limit on sends of one request, including those that upstreams provably did not run.
 _MAX_SENDS = 4
+# Retries that have to be left for a stream to move, and the share of what the budget
+# holds at most, where that is less.
+_MIN_MOVE_BUDGET = 3.0
+_MIN_MOVE_SHARE = 0.9
 
 
 class Retries:
@@ -56,17 +60,40 @@
 
     def budget_left(self, pool: PoolRuntime) -> float:
         """Return the retries that are left for a pool at this node."""
-        return pool.budget.remaining(time.monotonic(), self._state.nodes)
+        return pool.budget.remaining(time.monotonic())
+
+    def may_move(self, pool: PoolRuntime) -> bool:
+        """Whether a stream that runs may use a retry to go on elsewhere.
+
+        Failed requests go first: only a bucket that is almost full has some to spare.
+        """
+        needed = min(_MIN_MOVE_BUDGET, _MIN_MOVE_SHARE * pool.budget.capacity)
+        return self.budget_left(pool) >= max(needed, 1.0)
 
     def take(self, call: Call, pool: PoolRuntime, result: AttemptResult) -> str:
-        """Take a retry from the budget; return why there is none, or nothing.
+        """Set a retry aside for a call; return why there is none, or nothing.
 
-        :param result: how the last attempt ended; one without a connection was no
-            send, and the next one is no retry.
+        A request that was never passed on is no retry when it is sent.
+
+        :param result: how the last attempt ended.
         """
         obstacle = self.obstacle(call, result)
-        if obstacle or result is AttemptResult.UNSENT:
+        if obstacle or not call.passed_on or call.has_retry:
             return obstacle
-        if not pool.budget.try_take(time.monotonic(), self._state.nodes):
+        if not pool.budget.try_take(time.monotonic()):
             return "retry budget used up"
+        call.has_retry = True
         return ""
+
+    def sending(self, call: Call, pool: PoolRuntime) -> None:
+        """Count a send, about to be made over an open connection."""
+        if call.has_retry:
+            pool.budget.spend()
+            call.has_retry = False
+        call.passed_on += 1
+
+    def over(self, call: Call, pool: PoolRuntime) -> None:
+        """Give back the retry of a request that has ended before it was sent again."""
+        if call.has_retry:
+            pool.budget.give_back()
+            call.has_retry = False
--- a/baobabwing/gateway/settings.py
+++ b/baobabwing/gateway/settings.py
@@ -90,10 +90,17 @@
     tolerance: Tolerance = field(default_factory=Tolerance)
     rollouts: RolloutSettings = field(default_factory=RolloutSettings)
 
-    def budget(self) -> RetryBudget:
-        """Return a new budget of retries for one pool."""
+    def budget(self, *, nodes: int, now: float) -> RetryBudget:
+        """Return a new budget of retries for one pool.
+
+        :param nodes: number of nodes that may be running.
+        :param now: monotonic time.
+        """
         return RetryBudget(
             ratio=self.repeats.ratio,
             slack=self.repeats.slack,
             window_s=self.repeats.window_s,
+            nodes=nodes,
+            now=now,
+            full=self.first_start,
         )
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -93,6 +93,7 @@
                 ratio=settings.repeats.ratio,
                 slack=settings.repeats.slack,
                 window_s=settings.repeats.window_s,
+                now=time.monotonic(),
             )
 
     @property
@@ -246,8 +247,11 @@
         if (heard, total) != (self._reachable_nodes, self.nodes):
             log(SHARE_CHANGED, heard=heard, total=total, before=self._reachable_nodes)
         self._reachable_nodes, self.nodes = heard, total
+        now = time.monotonic()
+        for pool in self.pools.values():
+            pool.budget.set_nodes(total, now)
         share = min(heard / total, 1.0)
-        self.quotas.set_share(share, time.monotonic(), nodes=heard)
+        self.quotas.set_share(share, now, nodes=heard)
 
     def pool(self, name: str) -> PoolRuntime:
         """Return a pool; create one without upstreams for an unknown name."""
@@ -268,7 +272,7 @@
                 scheduler=make_scheduler(
                     self.settings.policy, engine=engine, rng=self.rng
                 ),
-                budget=self.settings.budget(),
+                budget=self.settings.budget(nodes=self.nodes, now=time.monotonic()),
                 placer=self.placer,
                 software=SoftwareHistory(complete=self.settings.first_start),
             )
--- a/baobabwing/gateway/stream_moves.py
+++ b/baobabwing/gateway/stream_moves.py
@@ -19,9 +19,6 @@
 # A stream moves if the rest of its output would take at least this share of the time
 # that is left.
 _MAX_REMAINING_SHARE = 0.6
-# A move uses the retry budget too; it needs this much of it, so that failed requests
-# can still be retried.
-_MIN_RETRY_BUDGET = 3
 
 
 class StreamMoves:
@@ -90,7 +87,7 @@
             < _MAX_REMAINING_SHARE * left_s
         ):
             return False
-        return self._retries.budget_left(pool) >= _MIN_RETRY_BUDGET
+        return self._retries.may_move(pool)
 
 
 def _generated_tokens(call: Call, pool: PoolRuntime) -> int:
--- a/tests/gateway/placement/fleet_model.py
+++ b/tests/gateway/placement/fleet_model.py
@@ -234,7 +234,9 @@
             pool = PoolRuntime(
                 name="p",
                 scheduler=PoolScheduler(engine=spec, rng=rng),
-                budget=RetryBudget(ratio=0.2, slack=50.0, window_s=10.0),
+                budget=RetryBudget(
+                    ratio=0.2, slack=50.0, window_s=10.0, now=0.0, full=True
+                ),
                 placer=placer,
             )
             pool.scheduler.set_upstreams(entries)
--- a/tests/gateway/test_replacements.py
+++ b/tests/gateway/test_replacements.py
@@ -21,7 +21,7 @@
 
 
 def allow_one_retry(pool):
-    pool.budget.reload(ratio=0.0, slack=2.0, window_s=10.0)
+    pool.budget.reload(ratio=0.0, slack=2.0, window_s=10.0, now=time.monotonic())
 
 
 async def find_replacement(harness):
@@ -36,7 +36,7 @@
         call, forwarder._replacements.find(call, pool, current)
     )
     assert await search is not None
-    pool.budget.reload(ratio=0.0, slack=0.0, window_s=10.0)
+    pool.budget.reload(ratio=0.0, slack=0.0, window_s=10.0, now=time.monotonic())
     other = {"engines-1": "engines-2", "engines-2": "engines-1"}
     harness.behaviour[other[current.track.entry.instance]] = Behaviour(events=EVENTS)
 
@@ -86,7 +86,7 @@
         grant = await pool.place(request, nodes=1)
         entry = grant.track.entry
         connection = await gateway.connections.acquire(entry.address, entry.instance)
-        assert pool.budget.try_take(time.monotonic(), nodes=1)
+        assert pool.budget.try_take(time.monotonic())
         return Replacement(grant=grant, connection=connection)
 
     replacements = gateway.callers._forwarder._replacements
@@ -100,7 +100,7 @@
     await eventually(lambda: queue.reserved_count == 0, "free slot at the home")
     assert not any(track.own for track in pool.scheduler.tracks.values())
     assert not gateway.connections._busy
-    assert pool.budget.remaining(time.monotonic(), nodes=1) >= 1
+    assert pool.budget.remaining(time.monotonic()) >= 1
 
 
 def test_replacement_that_is_not_needed_is_given_back(run):
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -8,6 +8,7 @@
 
 from baobabwing.gateway.decisions.rollouts import RolloutPhase
 from baobabwing.gateway.model import RolloutOrder
+from baobabwing.gateway.settings import RetrySettings
 from baobabwing.standins.gateway_upstream import Behaviour
 from tests.gateway.gateway_fleet import GatewayFleet
 from tests.gateway.harness import NAMES, eventually
@@ -16,6 +17,8 @@
 EVENTS = 9
 CUT_AFTER = 3
 STREAMS = 12
+# Enough for a retry of each stream at any node.
+REPEATS = RetrySettings(slack=100.0 * STREAMS)
 WHOLE = Behaviour(events=EVENTS)
 CUT = Behaviour(events=EVENTS, cut_after=CUT_AFTER)
 # The caller hears more events than were sent before an upstream's end is noticed.
@@ -81,9 +84,6 @@
 @way
 async def retry_while_the_other_versions_slots_are_free(fleet):
     """All streams come at once: those of one version wait for its slots."""
-    for gateway in fleet.gateways:
-        budget = gateway.state.pool("engines").budget
-        budget.reload(ratio=0.0, slack=100.0 * STREAMS, window_s=10.0)
     fleet.by_request = lambda seen: CUT if begins(seen) else WHOLE
     names = [f"s{number}" for number in range(2 * STREAMS)]
     answers = await asyncio.gather(*(ask(fleet, 0, name) for name in names))
@@ -226,7 +226,7 @@
 @pytest.mark.parametrize("name", WAYS)
 def test_streams_hold_events_of_one_version(run, name):
     async def scenario():
-        async with GatewayFleet(nodes=3) as fleet:
+        async with GatewayFleet(nodes=3, repeats=REPEATS) as fleet:
             fleet.software = MIXED
             fleet.list_all()
             await WAYS[name](fleet)
@@ -236,7 +236,7 @@
 
 def in_mixed_fleet(run, scenario, **options):
     async def begin():
-        async with GatewayFleet(nodes=3, **options) as fleet:
+        async with GatewayFleet(nodes=3, repeats=REPEATS, **options) as fleet:
             fleet.software = MIXED
             fleet.list_all()
             await scenario(fleet)
@@ -295,7 +295,7 @@
 @pytest.mark.parametrize("first", ["", "nobody-knows-it"])
 def test_stream_that_nobody_knows_goes_on_at_the_only_version(run, first):
     async def scenario():
-        async with GatewayFleet(nodes=3) as fleet:
+        async with GatewayFleet(nodes=3, repeats=REPEATS) as fleet:
             fleet.usual["engines"] = WHOLE
             for node in range(3):
                 answer = await ask(fleet, node, f"s{node}", after=3, first=first)
--- a/tests/gateway/test_unresponsive_upstreams.py
+++ b/tests/gateway/test_unresponsive_upstreams.py
@@ -87,7 +87,7 @@
 
 async def retry_budget_used_up(harness):
     pool = harness.gateway.state.pool("engines")
-    pool.budget.reload(ratio=0.0, slack=1.0, window_s=10.0)
+    pool.budget.reload(ratio=0.0, slack=1.0, window_s=10.0, now=time.monotonic())
 
 
 async def quarantined_elsewhere(harness):
