Count the listed nodes while none of them has been met

A node that was cut off from the others as it started counted only itself three seconds later: it used the whole of each organisation's limit, and would have the whole allowance of retries, beside the nodes that it could not reach.

Members that have never joined are unknown to the membership, so they were left out of the number of nodes that may be running. As long as none has joined, the listed hosts count, for as long as a partition may last. The test failed before (1 for 6).

--- a/baobabwing/gateway/members.py
+++ b/baobabwing/gateway/members.py
@@ -169,7 +169,10 @@
     def _count_nodes(self, now: float) -> int:
         members = self.view.members if self.view is not None else ()
         names = {member.host.name for member in members if self._may_run(member, now)}
-        if now - self._started_at >= _JOIN_TIME_S:
+        up_s = now - self._started_at
+        # A node that was cut off before it joined knows no member; the others run.
+        cut_off = self.joining and up_s < _DEAD_COUNTED_S
+        if up_s >= _JOIN_TIME_S and not cut_off:
             return max(len(names), 1)
         if self._candidates is None:
             return max(len(names), _MAX_NODES)
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -78,3 +78,18 @@
     assert members.total == 4
     members.clock[0] += 1.5
     assert members.total == 3
+
+
+def test_node_that_was_cut_off_as_it_started_counts_the_listed_nodes(members):
+    """It used the whole of each limit, beside the nodes that it could not reach."""
+    members.list_candidates([host(number) for number in range(6)])
+    members._set_view(view(1))
+    assert members.total == 6
+    members._set_view(view(2))
+    assert members.total == 2
+
+
+def test_node_without_other_candidates_counts_only_itself(members):
+    members.list_candidates([host(0)])
+    members._set_view(view(1))
+    assert members.total == 1
