--- a/baobabwing/gateway/decisions/retry_budget.py
+++ b/baobabwing/gateway/decisions/retry_budget.py
@@ -30,6 +30,7 @@
     :param now: monotonic time of the start.
     :param nodes: number of nodes between which the fixed allowance is split.
     :param full: whether the bucket is full at first, as no node has run before.
+    :ivar set_aside: retries that were decided on and are not sent yet.
     """
 
     def __init__(
@@ -47,7 +48,7 @@
         self._window_s = window_s
         self._nodes = max(nodes, 1)
         self._updated_at = now
-        self._set_aside = 0
+        self.set_aside = 0
         self._level = self.capacity if full else 0.0
 
     @property
@@ -90,16 +91,16 @@
         if self.remaining(now) < 1:
             return False
         self._level -= 1
-        self._set_aside += 1
+        self.set_aside += 1
         return True
 
     def spend(self) -> None:
         """Count a retry that was set aside as sent."""
-        self._set_aside -= 1
+        self.set_aside -= 1
 
     def give_back(self) -> None:
         """Give back a retry that was set aside and not sent."""
-        self._set_aside -= 1
+        self.set_aside -= 1
         self._level += 1
 
     def remaining(self, now: float) -> float:
@@ -111,6 +112,6 @@
         """Add what time has brought, and drop what exceeds the capacity."""
         capacity = self.capacity
         gained = (self._share - capacity) * (now - self._updated_at) / self._window_s
-        most = max(capacity - self._set_aside, 0.0)
+        most = max(capacity - self.set_aside, 0.0)
         self._level = min(self._level + gained, most)
         self._updated_at = now
