Have the soak count retries at each service against their budget

All windows of ten seconds, by what the workers received and the callers sent, under the drawn faults, kills of all nodes among them. It would have found the retries that a restart renewed.

--- a/tests/platform_adapter/demo.py
+++ b/tests/platform_adapter/demo.py
@@ -18,7 +18,7 @@
 import sys
 import tempfile
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from functools import partial
 from pathlib import Path
@@ -110,6 +110,7 @@
         self._states: dict[str, str] = {}
         self._versions: dict[str, str] = {}
         self._version_by_instance: dict[str, str] = {}
+        self._service_by_instance: dict[str, str] = {}
         self.next_version: Callable[[str], str] = lambda before: before
         self._writes: Counter[str] = Counter()
         self._nodes = nodes
@@ -170,6 +171,18 @@
             for seen in worker.seen
         ]
 
+    def arrivals(self) -> dict[str, list[tuple[str, float]]]:
+        """Return request ids with the times of their arrivals, by service, in turn."""
+        by_service: dict[str, list[tuple[str, float]]] = defaultdict(list)
+        for worker in self.workers:
+            by_service[self._service_by_instance[worker.instance]] += [
+                (seen.request_id, seen.at) for seen in worker.seen
+            ]
+        return {
+            service: sorted(arrived, key=lambda arrival: arrival[1])
+            for service, arrived in by_service.items()
+        }
+
     def run_starts(self) -> list[tuple[str, float]]:
         """Return request ids with the times they began to run, ordered by time."""
         runs = [run for worker in self.workers for run in worker.began]
@@ -278,6 +291,7 @@
         # Runs beside each other reuse ports; names tell their workers apart.
         instance = f"{name}-{len(self.workers)}-{self._run}"
         self._version_by_instance[instance] = version
+        self._service_by_instance[instance] = service
         worker = GatewayUpstream(
             instance=instance, names=HEADERS, behave=behave, on_crash=on_crash
         )
--- a/tests/platform_adapter/soak/checks.py
+++ b/tests/platform_adapter/soak/checks.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import time
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -17,7 +18,7 @@
 from baobabwing_platform.dialect import HEADERS
 from tests.platform_adapter.demo import request_headers
 
-__all__ = ["Kind", "Outcome", "Records", "Reply", "ask", "expected"]
+__all__ = ["Kind", "Outcome", "Records", "Reply", "ask", "expected", "service_of"]
 
 _ATTEMPTS = 2
 _PATIENCE_S = 6.0
@@ -31,6 +32,10 @@
 _DRAIN_S = 2.0
 # The window in which the operator counts, as the nodes' settings have it.
 _LIMIT_WINDOW_S = 8.0
+# The budget of retries, as the nodes' settings have it at most.
+_RETRY_RATIO = 0.2
+_RETRY_SLACK = 51.0
+_RETRY_WINDOW_S = 10.0
 
 
 class Kind(StrEnum):
@@ -197,6 +202,34 @@
                 self.wrong.append(f"{number}: {count} in a window, {most} are allowed")
                 return
 
+    def judge_retries(
+        self, service: str, arrivals: Iterable[tuple[str, float]]
+    ) -> None:
+        """Compare what arrived again at a service with its budget of retries.
+
+        :param arrivals: requests that arrived at its workers and when, in turn.
+        """
+        known: set[str] = set()
+        again = []
+        for number, at in arrivals:
+            if number in known:
+                again.append(at)
+            known.add(number)
+        asked = sorted(
+            self._sent[number][1]
+            for number, ended in self._ended.items()
+            if service_of(ended.kind) == service
+        )
+        for begin in again:
+            count = _within(again, begin)
+            requests = max(
+                _within(asked, begin - back * _RETRY_WINDOW_S) for back in (0, 0.5, 1)
+            )
+            most = _RETRY_RATIO * requests + _RETRY_SLACK
+            if count > most:
+                self.wrong.append(f"{service}: {count} retries, {most:.0f} are allowed")
+                return
+
     def judge_runs(self, runs: Counter[str]) -> None:
         """Compare all replies with what the workers ran."""
         for number, ended in self._ended.items():
@@ -214,6 +247,17 @@
             self.wrong.append(f"{number}: ran, and nobody asked for it")
 
 
+def service_of(kind: Kind) -> str:
+    """Return the service that requests of a kind go to."""
+    return "engines" if kind is Kind.STREAM else "services"
+
+
+def _within(times: Sequence[float], begin: float) -> int:
+    """Return how many of some ordered times are in the window from one on."""
+    end = bisect.bisect_left(times, begin + _RETRY_WINDOW_S)
+    return end - bisect.bisect_left(times, begin)
+
+
 def expected(number: str, kind: Kind, events: int, *, after: int = 0) -> bytes:
     """Return the whole answer to a request."""
     name = number.encode()
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -125,6 +125,8 @@
         self.records.judge_leaving(self.deployment.received_requests())
         self.records.judge_versions(self.deployment.stream_runs())
         self.records.judge_runs(self.deployment.runs())
+        for service, arrivals in self.deployment.arrivals().items():
+            self.records.judge_retries(service, arrivals)
         self.records.judge_limit(
             self.deployment.run_starts(), self._limited, _MOST_LIMITED
         )
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.platform_adapter.soak.checks import Records
+from tests.platform_adapter.soak.checks import Kind, Records, Reply
 from tests.platform_adapter.soak.run import Soak
 from tests.platform_adapter.soak.seeds import FAILED_ONCE
 
@@ -58,3 +58,16 @@
     assert records.wrong == []
     records.judge_limit(began, {"a", "b", "c"}, 2)
     assert records.wrong == ["c: 3 in a window, 2 are allowed"]
+
+
+def test_more_retries_than_their_budget_in_one_window_are_found():
+    records = Records(planned_only=False)
+    numbers = [f"n{number}" for number in range(100)]
+    for number in numbers:
+        records.sent(number, 0)
+        records.ended(number, Kind.STREAM, Reply(), 0)
+    arrivals = [(number, time.monotonic()) for number in [*numbers, *numbers[:71]]]
+    records.judge_retries("engines", arrivals)
+    assert records.wrong == []
+    records.judge_retries("engines", [*arrivals, ("n99", time.monotonic())])
+    assert records.wrong == ["engines: 72 retries, 71 are allowed"]
