Learn the rate limits that upstreams state, and tell of them

Each node keeps the limits of single incarnations as their answers state them: 2516 when one begins, changes or ends, 2517 for a value that is no limit (and changes nothing), baobabwing_gateway_rate_limits for their number. Nothing is decided by them yet. An answer without the header ends a limit only if its request was sent after this node learned of it: answers on different connections cross.

--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -26,6 +26,8 @@
     "NODES_UNREAD",
     "PLACED_ALONE",
     "PROCESS_LATE",
+    "RATE_LIMIT",
+    "RATE_LIMIT_INVALID",
     "REFUSAL_LIMIT",
     "REQUEST_CLEARED",
     "REQUEST_ENDED",
@@ -84,7 +86,8 @@
     1503,
     "request_repeated",
     "A request is retried at another upstream, because it did not run or may run "
-    "again.",
+    "again. `nodes`: between how many the fixed part of the budget is split; `up_s`: "
+    "since when this node counts.",
 )
 STREAM_TAKEN_UP = define(
     1511,
@@ -179,6 +182,19 @@
     "The upstreams of a pool say that each of them fails if it refuses more than "
     "`per_s` requests in a second; null once they no longer say so.",
 )
+RATE_LIMIT = define(
+    2516,
+    "upstream_rate_limit",
+    "An upstream takes `per_s` requests a second from all nodes together, as its own "
+    "answer or another node says (`by`); null once it no longer says so.",
+)
+RATE_LIMIT_INVALID = define(
+    2517,
+    "upstream_rate_limit_invalid",
+    "An upstream states a limit that is no number of requests a second; what it stated "
+    "before stays in force.",
+    level="warning",
+)
 UPSTREAMS_CHANGED = define(
     2502,
     "upstreams_changed",
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -20,7 +20,7 @@
 from baobabwing.gateway.crash_checks import CrashChecks
 from baobabwing.gateway.decisions.cell_queue import UpdateKind
 from baobabwing.gateway.decisions.scheduling import Grant, PlacementRequest
-from baobabwing.gateway.events import UPSTREAM_CLOSED
+from baobabwing.gateway.events import RATE_LIMIT_INVALID, UPSTREAM_CLOSED
 from baobabwing.gateway.metrics import Outcome
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.replacements import Replacements
@@ -57,6 +57,8 @@
 # A request whose deadline is this much shorter than that of others on its route is a
 # retry by the caller; clock differences and rounding stay below it.
 _CALLER_RETRY_THRESHOLD_S = 0.05
+# Bytes of an invalid header that are logged.
+_LOGGED_BYTES = 32
 
 
 class Forwarder:
@@ -363,7 +365,7 @@
             call, pool, grant, connection.read_head, replacements=self._replacements
         )
         call.framing = head.framing
-        self._apply_upstream_notices(pool, grant, head)
+        self._apply_upstream_notices(pool, grant, head, sent_at)
         if head.request_id and head.request_id != request_head.request_id:
             raise MalformedError(
                 "answer carries another request's id",
@@ -377,18 +379,37 @@
         return await self._relay_complete(call, grant, connection, head, sent_at)
 
     def _apply_upstream_notices(
-        self, pool: PoolRuntime, grant: Grant, head: AnswerHead
+        self, pool: PoolRuntime, grant: Grant, head: AnswerHead, sent_at: float
     ) -> None:
-        """Handle what the head states about the upstream: leaving, closed, fragile."""
+        """Handle what the head states about the upstream.
+
+        It may leave, be closed or fragile, or limit what it takes.
+        """
         entry = grant.track.entry
         if head.signed or head.not_executed:
             pool.note_refusal_limit(head.refusal_limit)
+            self._apply_rate_limit(pool, grant, head, sent_at)
         if head.leaving and self._state.note_leaving(entry, source="answer"):
             pool.report_leaving(grant)
         if head.status == HTTPStatus.SERVICE_UNAVAILABLE and head.retry_after_s:
             log(UPSTREAM_CLOSED, upstream=entry.instance, seconds=head.retry_after_s)
             pool.pause_upstream(grant, head.retry_after_s)
 
+    def _apply_rate_limit(
+        self, pool: PoolRuntime, grant: Grant, head: AnswerHead, sent_at: float
+    ) -> None:
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            # Another incarnation answers.
+            return
+        if head.invalid_rate_limit is not None:
+            log(
+                RATE_LIMIT_INVALID,
+                upstream=grant.track.entry.instance,
+                value=head.invalid_rate_limit[:_LOGGED_BYTES].decode("latin-1"),
+            )
+            return
+        pool.note_rate_limit(grant.track, head.rate_limit, sent_at=sent_at)
+
     async def _handle_not_run(
         self,
         call: Call,
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -277,6 +277,9 @@
                 for pool in self.state.pools.values()
             )
         )
+        metrics.rate_limits.set(
+            sum(len(pool.rate_limits) for pool in self.state.pools.values())
+        )
         metrics.recorded_pools.set(self._origins.recorded_pools)
         metrics.stream_records.set(self._origins.records)
         metrics.blocked_paths.set(self.paths.blocked)
--- a/baobabwing/gateway/headers.py
+++ b/baobabwing/gateway/headers.py
@@ -37,6 +37,7 @@
     :param signature: present on answers that come from an upstream itself.
     :param load: running requests, waiting requests and slots of an upstream.
     :param refusal_limit: requests a second that an upstream can refuse before it fails.
+    :param rate_limit: requests a second that an upstream takes from all nodes.
     :param tokens: prompt tokens and maximum output tokens, separated by a comma.
     :param prefix: parts of a prompt in order, as ``ID:TOKENS`` entries.
     :param length_hint: the caller's estimate of output tokens.
@@ -57,6 +58,7 @@
     signature: bytes = b"x-signature"
     load: bytes = b"x-load"
     refusal_limit: bytes = b"x-refusal-limit"
+    rate_limit: bytes = b"x-rate-limit"
     tokens: bytes = b"x-tokens"
     prefix: bytes = b"x-prompt-parts"
     length_hint: bytes = b"x-length-hint"
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -167,6 +167,10 @@
             name="baobabwing_gateway_refusal_limits",
             meaning="Pools whose upstreams fail if they refuse too many requests.",
         )
+        self.rate_limits = LightGauge(
+            name="baobabwing_gateway_rate_limits",
+            meaning="Upstreams that limit how many requests a second they take.",
+        )
         self.blocked_paths = LightGauge(
             name="baobabwing_gateway_blocked_paths",
             meaning="Upstreams that this node reaches through other nodes only.",
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -9,6 +9,7 @@
 
 from baobabwing.exceptions import NoSlotError
 from baobabwing.gateway.decisions.cell_queue import UpdateKind
+from baobabwing.gateway.decisions.rate_limits import RateLimits
 from baobabwing.gateway.decisions.retry_budget import RetryBudget
 from baobabwing.gateway.decisions.scheduling import (
     Grant,
@@ -16,7 +17,8 @@
     PoolScheduler,
 )
 from baobabwing.gateway.decisions.stream_origins import SoftwareHistory
-from baobabwing.gateway.events import PLACED_ALONE, REFUSAL_LIMIT
+from baobabwing.gateway.decisions.tracking import UpstreamTrack
+from baobabwing.gateway.events import PLACED_ALONE, RATE_LIMIT, REFUSAL_LIMIT
 from baobabwing.gateway.placement.cell_homes import CellPool
 from baobabwing.gateway.placement.placer import Placer
 from baobabwing.reports.events import log
@@ -61,6 +63,7 @@
     ) -> None:
         self.scheduler = scheduler
         self.budget = budget
+        self.rate_limits = RateLimits()
         self.cells = CellPool(name=name, scheduler=scheduler)
         self._placer = placer
         self._waiters: dict[int, asyncio.Future[Grant]] = {}
@@ -144,6 +147,34 @@
             log(REFUSAL_LIMIT, pool=self.cells.name, before=limit.per_s, per_s=per_s)
             limit.per_s = per_s
 
+    def note_rate_limit(
+        self, track: UpstreamTrack, per_s: float | None, *, sent_at: float
+    ) -> bool:
+        """Record what an answer says of an upstream's rate limit.
+
+        :param per_s: the limit; ``None`` if the answer states none.
+        :param sent_at: when the request was sent. An answer to one that was sent before
+            this node learned of the limit may be from before it began.
+        :returns: whether that is new to this node.
+        """
+        limit = self.rate_limits.get(track.crc)
+        if per_s is not None:
+            changed = self.rate_limits.set(track.crc, per_s, time.monotonic())
+        elif limit is None or sent_at <= limit.learned_at:
+            return False
+        else:
+            changed = self.rate_limits.end(track.crc)
+        if changed:
+            log(
+                RATE_LIMIT,
+                pool=self.cells.name,
+                upstream=track.entry.instance,
+                before=limit.per_s if limit else None,
+                per_s=per_s,
+                by="answer",
+            )
+        return changed
+
     def any_open(self, excluded: AbstractSet[str], software: int = 0) -> bool:
         """Whether an upstream accepts requests, beside those that are excluded.
 
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -29,6 +29,7 @@
     UpstreamEntry,
 )
 from baobabwing.gateway.placement.cell_homes import CellPool
+from baobabwing.gateway.placement.codec import name_crc
 from baobabwing.gateway.placement.placer import Placer
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.rollouts import Rollouts
@@ -297,6 +298,7 @@
         listed = self._entries.get(name, ())
         pool.software.set_listed((entry.version for entry in listed), time.monotonic())
         entries = self.rollouts.list_upstreams(name, listed)
+        pool.rate_limits.retain(name_crc(entry.instance) for entry in listed)
         pool.scheduler.set_upstreams(entries)
         pool.cells.set_upstreams(entries)
         self.on_pool(pool.cells)
--- a/baobabwing/gateway/upstream_connections.py
+++ b/baobabwing/gateway/upstream_connections.py
@@ -39,6 +39,8 @@
 _PROBED_PATHS = 3
 # Upper limit on the time for which an upstream can close itself by ``Retry-After``.
 _MAX_CLOSED_S = 3600.0
+# Longest text of a stated limit.
+_MAX_LIMIT_BYTES = 32
 # An upstream that states how long it keeps idle connections closes them at about that
 # time; a request that is in transit then is lost.
 _KEEP_ALIVE_MARGIN_S = 0.5
@@ -77,6 +79,9 @@
     :param load: running, waiting and slots of the upstream; ``None`` if not stated.
     :param refusal_limit: requests a second that the upstream can refuse for load before
         it fails; ``None`` if not stated.
+    :param rate_limit: requests a second that the upstream takes from all nodes;
+        ``None`` if not stated.
+    :param invalid_rate_limit: the value of that header if it is no such number.
     """
 
     status: int
@@ -91,6 +96,8 @@
     retry_after_s: float
     load: tuple[int, int, int] | None
     refusal_limit: float | None
+    rate_limit: float | None
+    invalid_rate_limit: bytes | None
 
 
 class ProbeResult(Enum):
@@ -221,6 +228,8 @@
                 forwarded.append((name, value))
         self._keep_alive_s = _parse_keep_alive_s(values)
         names = self._names
+        stated = values.get(names.rate_limit)
+        rate_limit = None if stated is None else _parse_limit(stated)
         return AnswerHead(
             status=event.status_code,
             reason=event.reason,
@@ -234,6 +243,8 @@
             retry_after_s=retry_after_s(values.get(b"retry-after", b"")),
             load=_parse_load(values.get(names.load)),
             refusal_limit=_parse_limit(values.get(names.refusal_limit, b"")),
+            rate_limit=rate_limit,
+            invalid_rate_limit=stated if rate_limit is None else None,
         )
 
 
@@ -431,6 +442,8 @@
 
 def _parse_limit(value: bytes) -> float | None:
     """Return a limit that is a finite number from 0 on; ``None`` for anything else."""
+    if len(value) > _MAX_LIMIT_BYTES:
+        return None
     try:
         limit = float(value)
     except ValueError:
--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -139,6 +139,8 @@
     :param fragility: room of an upstream that fails after refusals; ``None`` for one
         that takes all requests.
     :ivar leaving: whether all answers announce that the upstream is leaving.
+    :ivar rate_limit: value of the header that states how many requests a second it
+        takes; ``None`` for none.
     :ivar seen: all requests received.
     :ivar runs: number of executions per request id.
     :ivar began: request id and monotonic start time of each execution.
@@ -164,6 +166,7 @@
         self.fragility = fragility
         self._refused_at: deque[float] = deque()
         self.leaving = False
+        self.rate_limit: bytes | None = None
         self.seen: list[SeenRequest] = []
         self.runs: Counter[str] = Counter()
         self.began: list[tuple[str, float]] = []
@@ -365,7 +368,7 @@
     ) -> None:
         headers = self._response_headers(request, wrong_id=wrong_id)
         if not_run:
-            headers = [(self.names.not_executed, b"1"), *self._stated_limit()]
+            headers = [(self.names.not_executed, b"1"), *self._stated_limits()]
         headers.extend(extra_headers)
         headers.append((b"Content-Length", b"%d" % len(body)))
         await conn.send(h11.Response(status_code=status, headers=headers))
@@ -382,12 +385,15 @@
         ]
         if self.leaving or self.behave(request).leaving:
             headers.append((self.names.leaving, b"1"))
-        return [*headers, *self._stated_limit()]
-
-    def _stated_limit(self) -> list[tuple[bytes, bytes]]:
-        if self.fragility is None:
-            return []
-        return [(self.names.refusal_limit, b"%d" % self.fragility.per_s)]
+        return [*headers, *self._stated_limits()]
+
+    def _stated_limits(self) -> list[tuple[bytes, bytes]]:
+        stated = []
+        if self.fragility is not None:
+            stated.append((self.names.refusal_limit, b"%d" % self.fragility.per_s))
+        if self.rate_limit is not None:
+            stated.append((self.names.rate_limit, self.rate_limit))
+        return stated
 
     def _fails_by_refusal(self) -> bool:
         """Whether this upstream fails as it refuses one more request."""
