Send to upstreams that limit their requests by permits of one node

Cause: nothing decided by the stated limit. A share for each node is no way: of 1.9 a second, each of 300 nodes would have a request in minutes, or all of them one at once.

One node issues permits for each upstream with a limit, at its rate: for engines the home of their cell, whose slot is the permit, for plain services the node that would be. All placements pass one check, also streams that go on, replacements, moves and canary requests. Limits are told to all nodes when they change, once a second while they are stated, and to nodes that join; they end with an answer that no longer states them. A new issuer waits 2 s and begins with nothing earned; each side of a partition uses its share. Requests beyond the limits of all upstreams are refused at once, the less urgent first, with the time at which there is room.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -14,6 +14,7 @@
 from random import Random
 from typing import NamedTuple
 
+from baobabwing.gateway.decisions.rate_limits import RateLimits
 from baobabwing.gateway.decisions.refusal_limit import RefusalLimit
 from baobabwing.gateway.decisions.scheduling import (
     Grant,
@@ -111,6 +112,7 @@
     :param rng: breaks ties.
     :param now: when this node became the cell's home.
     :param refusal_limit: limit on refusals of the engines; by default none.
+    :param rate_limits: limits that the engines state; by default none.
     :ivar grants_from: when the first grants are given.
     :ivar last_used_at: when a node last sent something about this cell.
     """
@@ -122,9 +124,13 @@
         rng: Random,
         now: float,
         refusal_limit: RefusalLimit | None = None,
+        rate_limits: RateLimits | None = None,
     ) -> None:
         self.scheduler = PoolScheduler(
-            engine=engine, rng=rng, refusal_limit=refusal_limit
+            engine=engine,
+            rng=rng,
+            refusal_limit=refusal_limit,
+            rate_limits=rate_limits,
         )
         self.grants_from = now + _COLLECTION_S
         self.last_used_at = now
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from baobabwing.gateway.decisions.rate_limits import RateLimits
 from baobabwing.gateway.decisions.refusal_limit import RefusalLimit
 from baobabwing.gateway.decisions.tracking import (
     FIRST_EVENT_S,
@@ -49,6 +50,8 @@
 # Requests that a search for grants passes over because they wait for faster engines;
 # bounds its cost.
 _MAX_WAITING_FOR_FASTER = 8
+# Requests a second that limited upstreams count as taking together, at least.
+_MIN_TAKEN_PER_S = 0.05
 # Upper bound of the retry delay given to refused callers: bursts last 2 to 5 s.
 _MAX_RETRY_AFTER_S = 5.0
 # Minimum retry delay of a refused late request, as a share of the time it has left. It
@@ -89,6 +92,8 @@
     :param engine: figures of the pool's engines; ``None`` for plain services.
     :param rng: breaks ties.
     :param refusal_limit: limit on refusals of the upstreams; by default none.
+    :param rate_limits: limits that the upstreams state, if requests that are placed
+        here need no further permit; by default none.
     :ivar tracks: the listed upstreams by incarnation.
     :ivar waiting: the queued requests.
     :ivar holding_s: mean time for which a request keeps its slot.
@@ -103,6 +108,7 @@
         engine: EngineSpec | None,
         rng: Random,
         refusal_limit: RefusalLimit | None = None,
+        rate_limits: RateLimits | None = None,
     ) -> None:
         self.engine = engine
         self.tracks: dict[str, UpstreamTrack] = {}
@@ -117,6 +123,7 @@
         self.max_own: int | None = None
         self.nodes = 1
         self.refusal_limit = refusal_limit or RefusalLimit()
+        self._rate_limits = RateLimits() if rate_limits is None else rate_limits
         self._max_route_rank = 0
         self._closed: set[str] = set()
         self._late_grants: deque[float] = deque()
@@ -219,7 +226,7 @@
         requests must leave free are for urgent requests that are late, too.
         """
         granted: list[Grant] = []
-        if not self.waiting or not self._any_free_slot():
+        if not self.waiting or not self._any_free_slot(now):
             return granted
         self._update_typical()
         blocked: list[PlacementRequest] = []
@@ -278,9 +285,9 @@
         :returns: the requests, each with the seconds after which its caller should
             retry: the estimated wait for a slot, within bounds.
         """
+        removed = self._remove_beyond_limits(now)
         late = self.waiting.late(now)
         slots_per_s = self.late_slots_per_s(now)
-        removed = []
         for position, request in enumerate(late, 1):
             if request.has_run:
                 continue
@@ -294,6 +301,36 @@
             self._contended_until = now + _CONTENDED_S
         return removed
 
+    def _remove_beyond_limits(self, now: float) -> list[tuple[PlacementRequest, float]]:
+        """Remove queued requests for which the upstreams' rate limits leave no room.
+
+        :returns: the requests, each with the seconds until there is room again.
+        """
+        taken_per_s = self._taken_per_s(now)
+        if taken_per_s is None:
+            return []
+        removed = []
+        ahead = 0
+        for request in self.waiting.by_urgency():
+            wait_s = (ahead + 1) / taken_per_s
+            if request.has_run or now + wait_s <= request.deadline_at:
+                ahead += 1
+                continue
+            removed.append((request, min(wait_s, _MAX_RETRY_AFTER_S)))
+        for request, _ in removed:
+            self.waiting.remove(request)
+        return removed
+
+    def _taken_per_s(self, now: float) -> float | None:
+        """Return the requests a second that the upstreams take together.
+
+        ``None`` unless all of them have a rate limit.
+        """
+        usable = [track.crc for track in self.tracks.values() if track.is_usable(now)]
+        if not usable or any(self._rate_limits.get(crc) is None for crc in usable):
+            return None
+        return max(self._rate_limits.rate(usable), _MIN_TAKEN_PER_S)
+
     def late_slots_per_s(self, now: float) -> float:
         """Return the rate at which late requests were granted slots of late."""
         while self._late_grants and self._late_grants[0] < now - _LATE_RATE_WINDOW_S:
@@ -334,7 +371,8 @@
             for track in self.tracks.values()
             if track.is_usable(now)
             and track.may_continue(request.software)
-            and self._free_slots(track) > _EXTRA_REQUESTS + _MOVE_SPARE_SLOTS
+            and self._rate_limits.get(track.crc) is None
+            and self._free_slots(track, now) > _EXTRA_REQUESTS + _MOVE_SPARE_SLOTS
             and track.event_interval_s is not None
             and track.event_interval_s < _MOVE_MAX_RATIO * interval_s
         ]
@@ -352,7 +390,7 @@
     def free_slots(self, now: float) -> int:
         """Return how many requests could be placed at once."""
         return sum(
-            max(self._free_slots(track), 0)
+            max(self._free_slots(track, now), 0)
             for track in self.tracks.values()
             if track.is_usable(now)
         )
@@ -360,12 +398,14 @@
     def wait_s(self, request: PlacementRequest, now: float) -> float:
         """Return the estimated wait of a request for its slot."""
         ahead = sum(1 for waiting in self.waiting if waiting.rank <= request.rank)
-        return ahead * self.turnover_s()
+        return ahead * self.turnover_s(now)
 
-    def turnover_s(self) -> float:
-        """Return the mean time between two releases of a slot."""
+    def turnover_s(self, now: float) -> float:
+        """Return the mean time between two requests that get a slot, under load."""
         slots = sum(track.slots for track in self.tracks.values()) or 1
-        return self.holding_s / slots
+        taken_per_s = self._taken_per_s(now)
+        limited_s = 0.0 if taken_per_s is None else 1.0 / taken_per_s
+        return max(self.holding_s / slots, limited_s)
 
     def record_holding(self, seconds: float) -> None:
         """Add a sample of the time for which a request kept its slot."""
@@ -390,16 +430,19 @@
         baseline_s = FIRST_EVENT_S + request.prompt_tokens / PREFILL_TOKENS_PER_S
         return self._best_first_ratio * baseline_s
 
-    def _any_free_slot(self) -> bool:
+    def _any_free_slot(self, now: float) -> bool:
         """Whether any upstream has a free slot and this node may use it."""
         if self.max_own is not None:
             own = sum(len(track.own) for track in self.tracks.values())
             if own >= self.max_own:
                 return False
-        return any(self._free_slots(track) > 0 for track in self.tracks.values())
+        return any(self._free_slots(track, now) > 0 for track in self.tracks.values())
 
-    def _free_slots(self, track: UpstreamTrack) -> int:
+    def _free_slots(self, track: UpstreamTrack, now: float) -> int:
         """Return how many more requests an upstream may get, beyond its slots too."""
+        if self._rate_limits.get(track.crc) is not None:
+            open_now = self._rate_limits.opens_at(track.crc, now) <= now
+            return min(track.slots - track.in_flight, int(open_now))
         if self.refusal_limit.in_force:
             return self._free_sure_slots(track)
         if self.engine is None:
@@ -422,7 +465,7 @@
         return [
             track
             for track in self._candidates(request, now)
-            if self._free_slots(track) > reserved_slots(track)
+            if self._free_slots(track, now) > reserved_slots(track)
         ]
 
     def _place(
@@ -437,6 +480,7 @@
             free,
             key=lambda track: (self._cost_s(request, track, now), self._rng.random()),
         )
+        self._rate_limits.take(best.crc, now)
         return self._grant(request, best, now)
 
     def _without_too_slow(
@@ -520,7 +564,9 @@
         least_urgent = self._is_least_urgent(request)
 
         def reserved(track: UpstreamTrack) -> int:
-            return int(track.slots * _RESERVED_SHARE) if least_urgent else 0
+            if not least_urgent or self._rate_limits.get(track.crc) is not None:
+                return 0
+            return int(track.slots * _RESERVED_SHARE)
 
         return reserved
 
--- a/baobabwing/gateway/decisions/waiting.py
+++ b/baobabwing/gateway/decisions/waiting.py
@@ -151,6 +151,10 @@
                 return request
         return None
 
+    def by_urgency(self) -> list[PlacementRequest]:
+        """Return all requests, the most urgent first, and those that have run."""
+        return sorted(self._requests.values(), key=_urgency_key)
+
     def late(self, now: float) -> list[PlacementRequest]:
         """Return the late requests, in the order in which they would be taken."""
         late = [
@@ -167,6 +171,15 @@
         return kept
 
 
+def _urgency_key(request: PlacementRequest) -> tuple[bool, int, int, float]:
+    return (
+        not (request.has_run or request.software),
+        request.rank,
+        request.route_rank,
+        request.objective_at,
+    )
+
+
 def _late_key(request: PlacementRequest) -> tuple[bool, int, int, bool, float]:
     return (
         not (request.has_run or request.software),
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -215,7 +215,7 @@
         """Reserve a slot, or give the call its final answer and return ``None``."""
         request = self._placement_request(call)
         try:
-            grant = self._place_canary(call, request)
+            grant = await self._place_canary(call, pool, request)
             if grant is None:
                 grant = await pool.place(request, self._state.nodes)
         except TimeoutError:
@@ -236,16 +236,19 @@
             return None
         return grant
 
-    def _place_canary(self, call: Call, request: PlacementRequest) -> Grant | None:
+    async def _place_canary(
+        self, call: Call, pool: PoolRuntime, request: PlacementRequest
+    ) -> Grant | None:
         """Place a request at a version that is rolled out, if it is drawn for that.
 
         One that failed there goes to the other upstreams.
         """
         if call.sends or call.software or not self._state.rollouts:
             return None
-        return self._state.rollouts.place_canary(
+        grant = self._state.rollouts.place_canary(
             call.pool, call.route, request, time.monotonic(), nodes=self._state.nodes
         )
+        return grant if grant is not None and await pool.permit(grant) else None
 
     def _placement_request(
         self,
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -35,6 +35,7 @@
 from baobabwing.gateway.refusal_notices import RefusalNotices
 from baobabwing.gateway.request_recorder import RequestRecorder
 from baobabwing.gateway.rollout_exchange import RolloutExchange
+from baobabwing.gateway.send_permits import SendPermits
 from baobabwing.gateway.settings import GatewaySettings
 from baobabwing.gateway.state import GatewayState
 from baobabwing.gateway.stream_origins import StreamOrigins
@@ -85,6 +86,14 @@
             watch=self._loop_delay_monitor,
         )
         self.state.placer = self._placer
+        self.metrics = GatewayMetrics()
+        self._permits = SendPermits(
+            state=self.state,
+            members=self.members,
+            link=self.link,
+            metrics=self.metrics,
+        )
+        self.state.permits = self._permits
         self.state.on_pool = self._list_pool
         self._homes.on_leaving = lambda entry: self.state.note_leaving(
             entry, source="peer"
@@ -123,7 +132,6 @@
         self.state.on_restarted = lambda entry: self.connections.abandon(
             entry.address, entry.instance
         )
-        self.metrics = GatewayMetrics()
         forwarder = Forwarder(
             state=self.state,
             connections=self.connections,
@@ -235,6 +243,7 @@
     def _list_pool(self, pool: CellPool) -> None:
         self._homes.list_pool(pool)
         self._placer.list_pool(pool)
+        self._permits.update_issuers()
         self._origins.list_pool(pool.crc)
 
     async def _drain(self) -> None:
@@ -263,6 +272,7 @@
             await asyncio.sleep(_SWEEP_INTERVAL_S)
             listed = self.state.listed()
             self.connections.retain(listed)
+            self._permits.forget_unlimited()
             self.paths.forget({address for address, _ in listed})
 
     async def _answer_metrics(self, method: str, target: str) -> PlainAnswer:
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -167,6 +167,14 @@
             name="baobabwing_gateway_refusal_limits",
             meaning="Pools whose upstreams fail if they refuse too many requests.",
         )
+        self.send_permits = LightCounter(
+            name="baobabwing_gateway_send_permits_total",
+            meaning=(
+                "Permits for upstreams with rate limits that this node wanted beside "
+                "those of homes: granted, refused, or unanswered."
+            ),
+            label_names=("pool", "result"),
+        )
         self.rate_limits = LightGauge(
             name="baobabwing_gateway_rate_limits",
             meaning="Upstreams that limit how many requests a second they take.",
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -12,6 +12,7 @@
 
 from baobabwing.gateway.decisions.cell_queue import CellQueue, RequestKey, UpdateKind
 from baobabwing.gateway.decisions.cells import cell_layout
+from baobabwing.gateway.decisions.rate_limits import RateLimits
 from baobabwing.gateway.decisions.scheduling import (
     Grant,
     PlacementRequest,
@@ -41,7 +42,12 @@
 )
 from baobabwing.reports.events import log
 
-__all__ = ["CellHomes", "CellPool", "reservation_report_interval_s"]
+__all__ = [
+    "CellHomes",
+    "CellPool",
+    "cell_resource",
+    "reservation_report_interval_s",
+]
 
 # Interval at which unresponsive nodes, expired requests and engines whose ejection has
 # ended are handled.
@@ -64,25 +70,51 @@
     return _RESERVATION_REPORT_INTERVAL_S * max(1.0, nodes / _MAX_NODES_AT_FULL_RATE)
 
 
+def cell_resource(pool: str, index: int) -> str:
+    """Return the name by which the members rank the homes of a cell."""
+    return f"cell/{pool}/{index}"
+
+
 class CellPool:
     """The engines of one pool, divided into cells.
 
     :param name: name of the pool.
     :param scheduler: the pool's scheduler at this node, with its own measurements of
         the engines.
+    :param rate_limits: limits that the engines state; by default none.
     """
 
-    def __init__(self, *, name: str, scheduler: PoolScheduler) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        scheduler: PoolScheduler,
+        rate_limits: RateLimits | None = None,
+    ) -> None:
         self.name = name
         self.crc = name_crc(name)
         self.scheduler = scheduler
+        self.rate_limits = RateLimits() if rate_limits is None else rate_limits
         self.layout: tuple[tuple[str, ...], ...] = ((),)
         self._entries: dict[str, UpstreamEntry] = {}
+        self._index_by_crc: dict[int, int] = {}
 
     def set_upstreams(self, entries: Iterable[UpstreamEntry]) -> None:
         """Replace the list of engines, and divide it into cells again."""
         self._entries = {entry.instance: entry for entry in entries}
         self.layout = cell_layout(self._entries)
+        self._index_by_crc = {
+            name_crc(instance): index
+            for index, cell in enumerate(self.layout)
+            for instance in cell
+        }
+
+    def index_of(self, upstream: int) -> int:
+        """Return the cell of an upstream; 0 for one that is in no cell.
+
+        :param upstream: crc of its incarnation.
+        """
+        return self._index_by_crc.get(upstream, 0)
 
     def has_software(self, index: int, software: int) -> bool:
         """Whether an engine of a cell that does not leave may go on with a stream.
@@ -317,7 +349,13 @@
         pool = self._pools.get(key.pool)
         engine = pool.scheduler.engine if pool else None
         limit = pool.scheduler.refusal_limit if pool else None
-        queue = CellQueue(engine=engine, rng=self._rng, now=now, refusal_limit=limit)
+        queue = CellQueue(
+            engine=engine,
+            rng=self._rng,
+            now=now,
+            refusal_limit=limit,
+            rate_limits=pool.rate_limits if pool else None,
+        )
         self._queues[key] = queue
         if pool is not None:
             queue.set_upstreams(pool.entries(key.index))
@@ -404,7 +442,7 @@
         return CellLoad(
             queued=len(scheduler.waiting),
             free=scheduler.free_slots(now),
-            turnover_s=scheduler.turnover_s(),
+            turnover_s=scheduler.turnover_s(now),
         )
 
     def _pool_name(self, key: CellKey) -> str:
--- a/baobabwing/gateway/placement/codec.py
+++ b/baobabwing/gateway/placement/codec.py
@@ -36,6 +36,7 @@
     Message,
     OrganisationUsage,
     Queued,
+    RateLimitNotice,
     Refused,
     RequestUpdate,
     RequestUpdates,
@@ -43,6 +44,8 @@
     ReservationReportAck,
     RolloutEvidence,
     RolloutReport,
+    SendPermitAnswer,
+    SendPermitRequest,
     SlotRequest,
     StreamQuery,
     StreamQueryAnswer,
@@ -104,6 +107,12 @@
 
 # Refusal by an upstream: pool, upstream, limit on its refusals a second.
 _UPSTREAM_REFUSED = struct.Struct("!IIf")
+# Rate limit of an upstream: pool, upstream, whether there is one, requests a second.
+_RATE_LIMIT_NOTICE = struct.Struct("!II?f")
+# Request for a permit: number, pool, upstream, limit, ms that it can wait.
+_PERMIT_REQUEST = struct.Struct("!IIIfH")
+# Answer: number, whether granted, ms until the send or the next request.
+_PERMIT_ANSWER = struct.Struct("!I?H")
 # Record of a stream: stream, pool, software, tenths of a second left.
 _STREAM_RECORD = struct.Struct("!QIIH")
 # Query for a stream: number, pool, stream.
@@ -573,6 +582,62 @@
     return UpstreamRefused(pool=pool, upstream=upstream, per_s=per_s)
 
 
+@_encoder_for(RateLimitNotice, b"l")
+def _pack_rate_limit_notice(message: RateLimitNotice) -> bytes:
+    limited = message.per_s is not None
+    per_s = message.per_s if limited else 0.0
+    return _RATE_LIMIT_NOTICE.pack(message.pool, message.upstream, limited, per_s)
+
+
+@_decoder_for(b"l")
+def _read_rate_limit_notice(reader: _Reader) -> RateLimitNotice:
+    pool, upstream, limited, per_s = reader.unpack(_RATE_LIMIT_NOTICE)
+    per_s = _checked_rate(per_s) if limited else None
+    return RateLimitNotice(pool=pool, upstream=upstream, per_s=per_s)
+
+
+@_encoder_for(SendPermitRequest, b"p")
+def _pack_permit_request(message: SendPermitRequest) -> bytes:
+    return _PERMIT_REQUEST.pack(
+        message.number % _MODULUS,
+        message.pool,
+        message.upstream,
+        message.per_s,
+        _to_ms(message.wait_s),
+    )
+
+
+@_decoder_for(b"p")
+def _read_permit_request(reader: _Reader) -> SendPermitRequest:
+    number, pool, upstream, per_s, wait_ms = reader.unpack(_PERMIT_REQUEST)
+    return SendPermitRequest(
+        number=number,
+        pool=pool,
+        upstream=upstream,
+        per_s=_checked_rate(per_s),
+        wait_s=wait_ms / _MS_PER_S,
+    )
+
+
+@_encoder_for(SendPermitAnswer, b"a")
+def _pack_permit_answer(message: SendPermitAnswer) -> bytes:
+    return _PERMIT_ANSWER.pack(
+        message.number % _MODULUS, message.granted, _to_ms(message.seconds)
+    )
+
+
+@_decoder_for(b"a")
+def _read_permit_answer(reader: _Reader) -> SendPermitAnswer:
+    number, granted, ms = reader.unpack(_PERMIT_ANSWER)
+    return SendPermitAnswer(number=number, granted=granted, seconds=ms / _MS_PER_S)
+
+
+def _checked_rate(per_s: float) -> float:
+    if not 0 <= per_s < math.inf:
+        raise ValueError(f"limit of {per_s} requests a second")
+    return per_s
+
+
 @_encoder_for(StreamRecords, b"S")
 def _pack_stream_records(message: StreamRecords) -> bytes:
     packed = [
--- a/baobabwing/gateway/placement/messages.py
+++ b/baobabwing/gateway/placement/messages.py
@@ -21,6 +21,7 @@
     "Message",
     "OrganisationUsage",
     "Queued",
+    "RateLimitNotice",
     "Refused",
     "RequestUpdate",
     "RequestUpdates",
@@ -28,6 +29,8 @@
     "ReservationReportAck",
     "RolloutEvidence",
     "RolloutReport",
+    "SendPermitAnswer",
+    "SendPermitRequest",
     "SlotRequest",
     "StreamQuery",
     "StreamQueryAnswer",
@@ -291,6 +294,51 @@
     per_s: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RateLimitNotice:
+    """What an upstream states of the requests that it takes.
+
+    :param pool: CRC-32 of the pool's name.
+    :param upstream: CRC-32 of its incarnation.
+    :param per_s: requests a second from all nodes; ``None`` if it has no limit.
+    """
+
+    pool: int
+    upstream: int
+    per_s: float | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendPermitRequest:
+    """A node's request to send one request to an upstream with a rate limit.
+
+    :param number: the sender's number for it.
+    :param pool: CRC-32 of the pool's name.
+    :param upstream: CRC-32 of its incarnation.
+    :param per_s: the limit that the sender knows.
+    :param wait_s: time that the request can wait.
+    """
+
+    number: int
+    pool: int
+    upstream: int
+    per_s: float
+    wait_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendPermitAnswer:
+    """Answer to a :class:`SendPermitRequest`.
+
+    :param seconds: if granted, the time after which the request may be sent; otherwise
+        the time after which to ask again.
+    """
+
+    number: int
+    granted: bool
+    seconds: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StreamRecord:
     """Where a stream began.
@@ -350,6 +398,9 @@
     | RolloutEvidence
     | RolloutReport
     | UpstreamRefused
+    | RateLimitNotice
+    | SendPermitRequest
+    | SendPermitAnswer
     | StreamRecords
     | StreamQuery
     | StreamQueryAnswer
--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -17,6 +17,7 @@
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.placement.cell_homes import (
     CellPool,
+    cell_resource,
     reservation_report_interval_s,
 )
 from baobabwing.gateway.placement.cell_selector import CellSelector
@@ -459,7 +460,8 @@
     def _home_of(self, key: CellKey, pool: CellPool) -> str | None:
         """Return the first home in the cell's ranking that is not excluded."""
         now = time.monotonic()
-        for address in self._members.homes(f"cell/{pool.name}/{key.index}", _MAX_HOMES):
+        resource = cell_resource(pool.name, key.index)
+        for address in self._members.homes(resource, _MAX_HOMES):
             if not self._timeouts.is_excluded(address, now):
                 return address
         return None
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 from collections.abc import Set as AbstractSet
+from typing import Protocol
 
 from baobabwing.exceptions import NoSlotError
 from baobabwing.gateway.decisions.cell_queue import UpdateKind
@@ -31,9 +32,32 @@
 # An upstream that crashed is replaced after some seconds.
 _SOFTWARE_RETRY_AFTER_S = 1.0
 
+# Part of the time to its deadline for which the most urgent request waits for a permit
+# where all upstreams have rate limits, and the longest wait. Less urgent ones wait
+# shorter, and so leave the permits to it.
+_PERMIT_WAIT_SHARE = 0.5
+_MAX_PERMIT_WAIT_S = 1.0
+
 _PlaceAside = Callable[[PlacementRequest], Grant | None]
 
 
+class _Permit(Protocol):
+    granted: bool
+    seconds: float
+
+
+class Permits(Protocol):
+    """What a pool needs of :class:`~baobabwing.gateway.send_permits.SendPermits`."""
+
+    async def obtain(
+        self, pool: PoolRuntime, track: UpstreamTrack, wait_s: float
+    ) -> _Permit:
+        """Obtain a permit for one request to a limited upstream."""
+
+    def announce(self, pool: PoolRuntime, track: UpstreamTrack, *, new: bool) -> None:
+        """Tell the other nodes what an answer states of a limit."""
+
+
 class PoolRuntime:
     """Reserves and releases slots of one pool at this node.
 
@@ -48,6 +72,8 @@
     :param software: versions that the upstreams have had lately; none by default.
     :ivar place_aside: returns a slot at an upstream of the pool that the scheduler does
         not list, for a stream that goes on, or ``None``.
+    :ivar permits: grants the sends to upstreams with rate limits, and tells the other
+        nodes of these; ``None`` if nothing is limited.
     :ivar on_refusal: called with the crc of a plain service that has refused a request
         while there is a limit on refusals.
     """
@@ -64,11 +90,14 @@
         self.scheduler = scheduler
         self.budget = budget
         self.rate_limits = RateLimits()
-        self.cells = CellPool(name=name, scheduler=scheduler)
+        self.cells = CellPool(
+            name=name, scheduler=scheduler, rate_limits=self.rate_limits
+        )
         self._placer = placer
         self._waiters: dict[int, asyncio.Future[Grant]] = {}
         self.software = software or SoftwareHistory()
         self.place_aside: _PlaceAside = lambda request: None
+        self.permits: Permits | None = None
         self.on_refusal: Callable[[int], None] = lambda upstream: None
         self._reopening: asyncio.TimerHandle | None = None
 
@@ -83,25 +112,72 @@
         if request.software and not self.scheduler.has_software(
             request.software, request.excluded
         ):
-            return self._place_aside(request)
-        await self._wait_until_open(request)
+            return await self._place_aside(request)
+        permit_by = time.monotonic() + self._permit_wait_s(request)
         async with asyncio.timeout_at(request.deadline_at):
-            if self.scheduler.engine is None or self._placer is None:
-                return await self._place_locally(request)
             while True:
-                grant = await self._placer.place(self.cells, request)
-                if grant is None:
-                    grant = await self._place_without_home(request, nodes)
-                if grant is not None:
+                await self._wait_until_open(request, permit_by)
+                grant = await self._place_once(request, nodes)
+                if grant is not None and await self.permit(grant, permit_by):
                     return grant
 
-    def _place_aside(self, request: PlacementRequest) -> Grant:
+    async def _place_once(self, request: PlacementRequest, nodes: int) -> Grant | None:
+        """Reserve a slot by the home of a cell, or by this node's own knowledge."""
+        if self.scheduler.engine is None or self._placer is None:
+            return await self._place_locally(request)
+        grant = await self._placer.place(self.cells, request)
+        if grant is None:
+            grant = await self._place_without_home(request, nodes)
+        return grant
+
+    async def permit(self, grant: Grant, permit_by: float = 0.0) -> bool:
+        """Obtain a permit for a slot at an upstream with a rate limit.
+
+        A slot from a home has one already. Without one the slot is released, and the
+        upstream left until its next permit.
+
+        :param permit_by: until when the request waits for the permit if no upstream
+            without a limit is open.
+        :returns: whether the request may be sent.
+        """
+        track, request, now = grant.track, grant.request, time.monotonic()
+        limited = self.permits is not None and self.rate_limits.get(track.crc)
+        if not limited or (self._placer is not None and self._placer.ticket(grant)):
+            return True
+        try:
+            wait_s = 0.0 if self._any_unlimited(request) else permit_by - now
+            permit = await self.permits.obtain(self, track, max(wait_s, 0.0))
+        except asyncio.CancelledError:
+            track.remove_request(request.number)
+            raise
+        if not permit.granted:
+            track.remove_request(request.number)
+            self.scheduler.close(track, time.monotonic() + permit.seconds)
+            asyncio.get_running_loop().call_later(permit.seconds, self.pump)
+        return permit.granted
+
+    def _any_unlimited(self, request: PlacementRequest) -> bool:
+        """Whether an upstream without a rate limit is open for a request."""
+        now = time.monotonic()
+        return any(
+            self.rate_limits.get(track.crc) is None
+            for instance, track in self.scheduler.tracks.items()
+            if instance not in request.excluded and track.is_usable(now)
+        )
+
+    def _permit_wait_s(self, request: PlacementRequest) -> float:
+        """Return how long a request waits for a permit where all have rate limits."""
+        left_s = max(request.deadline_at - time.monotonic(), 0.0)
+        wait_s = _PERMIT_WAIT_SHARE * left_s / (1 + request.rank)
+        return min(wait_s, _MAX_PERMIT_WAIT_S)
+
+    async def _place_aside(self, request: PlacementRequest) -> Grant:
         """Reserve a slot outside the scheduler for a stream that goes on.
 
         :raises NoSlotError: if no upstream of its version has a free slot.
         """
         grant = self.place_aside(request)
-        if grant is None:
+        if grant is None or not await self.permit(grant):
             raise NoSlotError(
                 "no upstream of the stream's version serves",
                 retry_after_s=_SOFTWARE_RETRY_AFTER_S,
@@ -149,31 +225,32 @@
 
     def note_rate_limit(
         self, track: UpstreamTrack, per_s: float | None, *, sent_at: float
-    ) -> bool:
+    ) -> None:
         """Record what an answer says of an upstream's rate limit.
 
         :param per_s: the limit; ``None`` if the answer states none.
         :param sent_at: when the request was sent. An answer to one that was sent before
             this node learned of the limit may be from before it began.
-        :returns: whether that is new to this node.
         """
         limit = self.rate_limits.get(track.crc)
+        before = limit.per_s if limit is not None else None
         if per_s is not None:
             changed = self.rate_limits.set(track.crc, per_s, time.monotonic())
         elif limit is None or sent_at <= limit.learned_at:
-            return False
+            return
         else:
             changed = self.rate_limits.end(track.crc)
+        if self.permits is not None:
+            self.permits.announce(self, track, new=changed)
         if changed:
             log(
                 RATE_LIMIT,
                 pool=self.cells.name,
                 upstream=track.entry.instance,
-                before=limit.per_s if limit else None,
+                before=before,
                 per_s=per_s,
                 by="answer",
             )
-        return changed
 
     def any_open(self, excluded: AbstractSet[str], software: int = 0) -> bool:
         """Whether an upstream accepts requests, beside those that are excluded.
@@ -268,7 +345,9 @@
     def turnover_s(self) -> float:
         """Mean time between two releases of a slot."""
         state = self._placer.state_of(self.cells) if self._placer else None
-        return state.turnover_s if state else self.scheduler.turnover_s()
+        if state is not None:
+            return state.turnover_s
+        return self.scheduler.turnover_s(time.monotonic())
 
     def opens_in_s(self) -> float:
         """Return the time until an upstream is open; 0 or less if one is now."""
@@ -283,15 +362,23 @@
         free = self.scheduler.free_slots(time.monotonic())
         return not self.scheduler.waiting and free > 0
 
-    async def _wait_until_open(self, request: PlacementRequest) -> None:
+    async def _wait_until_open(
+        self, request: PlacementRequest, permit_by: float
+    ) -> None:
         """Wait while all upstreams of the pool are closed.
 
-        :raises NoSlotError: if they stay closed past the request's deadline.
+        :param permit_by: until when the request waits for upstreams with rate limits.
+        :raises NoSlotError: if they stay closed for longer, or past its deadline.
         """
         wait_s = self.opens_in_s()
         if wait_s <= 0:
             return
-        if time.monotonic() + wait_s >= request.deadline_at:
+        until = (
+            min(request.deadline_at, permit_by)
+            if self.rate_limits
+            else (request.deadline_at)
+        )
+        if time.monotonic() + wait_s >= until:
             raise NoSlotError(
                 "all upstreams are closed", retry_after_s=wait_s, step="place"
             )
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -31,7 +31,7 @@
 from baobabwing.gateway.placement.cell_homes import CellPool
 from baobabwing.gateway.placement.codec import name_crc
 from baobabwing.gateway.placement.placer import Placer
-from baobabwing.gateway.pool import PoolRuntime
+from baobabwing.gateway.pool import Permits, PoolRuntime
 from baobabwing.gateway.rollouts import Rollouts
 from baobabwing.gateway.routing import RouteTable
 from baobabwing.gateway.settings import GatewaySettings
@@ -52,6 +52,8 @@
     :ivar leaving_since: when this node began to leave, by the monotonic clock; ``None``
         until then.
     :ivar placer: places requests at upstreams; ``None`` before it is set.
+    :ivar permits: grants the sends to upstreams with rate limits; ``None`` before it is
+        set.
     :ivar on_pool: called with each pool whose upstreams or engine have been set.
     :ivar on_restarted: called with the entry of an upstream's previous incarnation
         once another one is listed.
@@ -75,6 +77,7 @@
         self.pools: dict[str, PoolRuntime] = {}
         self.leaving_since: float | None = None
         self.placer: Placer | None = None
+        self.permits: Permits | None = None
         self.on_pool: Callable[[CellPool], None] = lambda pool: None
         self.on_restarted: Callable[[UpstreamEntry], None] = lambda entry: None
         self.on_refusal: Callable[[PoolRuntime, int], None] = lambda pool, crc: None
@@ -251,9 +254,18 @@
         now = time.monotonic()
         for pool in self.pools.values():
             pool.budget.set_nodes(total, now)
-        share = min(heard / total, 1.0)
+            pool.rate_limits.share = self._share
+        share = self._share
         self.quotas.set_share(share, now, nodes=heard)
 
+    @property
+    def _share(self) -> float:
+        """Part of the nodes that may be running that this node hears, itself included.
+
+        Two parts of a fleet that is cut in two use no more than a limit together.
+        """
+        return min(self._reachable_nodes / self.nodes, 1.0)
+
     def pool(self, name: str) -> PoolRuntime:
         """Return a pool; create one without upstreams for an unknown name."""
         return self._pool(name)
@@ -277,6 +289,8 @@
                 placer=self.placer,
                 software=SoftwareHistory(complete=self.settings.first_start),
             )
+            runtime.permits = self.permits
+            runtime.rate_limits.share = self._share
             runtime.on_refusal = lambda upstream: self.on_refusal(runtime, upstream)
             runtime.place_aside = lambda request: self.rollouts.place_begun(
                 name, request, time.monotonic(), nodes=self.nodes
