Have workers of the soak state limits of what they take

What it gets from nodes that have passed that on half a second before, and have run since, is counted in windows of 4 s from 3 s on.

--- a/tests/platform_adapter/demo.py
+++ b/tests/platform_adapter/demo.py
@@ -183,6 +183,15 @@
             for service, arrived in by_service.items()
         }
 
+    def arrivals_at(self, instance: str) -> list[tuple[str, float]]:
+        """Return request ids with the times of their arrivals at a worker, in turn."""
+        return [
+            (seen.request_id, seen.at)
+            for worker in self.workers
+            if worker.instance == instance
+            for seen in worker.seen
+        ]
+
     def run_starts(self) -> list[tuple[str, float]]:
         """Return request ids with the times they began to run, ordered by time."""
         runs = [run for worker in self.workers for run in worker.began]
--- a/tests/platform_adapter/soak/checks.py
+++ b/tests/platform_adapter/soak/checks.py
@@ -18,7 +18,16 @@
 from baobabwing_platform.dialect import HEADERS
 from tests.platform_adapter.demo import request_headers
 
-__all__ = ["Kind", "Outcome", "Records", "Reply", "ask", "expected", "service_of"]
+__all__ = [
+    "Kind",
+    "Outcome",
+    "Records",
+    "Reply",
+    "StatedLimit",
+    "ask",
+    "expected",
+    "service_of",
+]
 
 _ATTEMPTS = 2
 _PATIENCE_S = 6.0
@@ -36,6 +45,13 @@
 _RETRY_RATIO = 0.2
 _RETRY_SLACK = 51.0
 _RETRY_WINDOW_S = 10.0
+# What a worker that limits what it takes may get in a window, from when on, and how
+# long a node has to know of it.
+_RATE_WINDOW_S = 4.0
+_LIMIT_FACTOR = 1.5
+_LIMIT_SLACK = 5.0
+_STABLE_S = 3.0
+_HEARD_S = 0.5
 
 
 class Kind(StrEnum):
@@ -53,14 +69,26 @@
     :param status: 0 if it got no head of an answer.
     :param whole: whether the answer came to its end.
     :param leaving: the worker that says in it that it leaves, if it does.
+    :param limiting: the worker that states in it a limit of what it takes, if it does.
     """
 
     status: int = 0
     leaving: str = ""
+    limiting: str = ""
     body: bytes = field(default=b"", repr=False)
     whole: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class StatedLimit:
+    """A limit that a worker has stated for a while, in requests a second."""
+
+    instance: str
+    per_s: float
+    since: float
+    until: float
+
+
 class Outcome(StrEnum):
     """What a caller can make of a reply."""
 
@@ -91,6 +119,7 @@
         self._first: dict[str, str] = {}
         self._sent: dict[str, tuple[int, float]] = {}
         self._told: dict[tuple[int, str], float] = {}
+        self._told_limit: dict[tuple[int, str], float] = {}
         self._disturbed: dict[int, float] = {}
         self._refused_key: dict[int, float] = {}
 
@@ -155,6 +184,40 @@
         node, _ = self._sent[number]
         self._told.setdefault((node, instance), time.monotonic())
 
+    def told_limit(self, number: str, instance: str) -> None:
+        """Note that a node has passed on that a worker limits what it takes."""
+        node, _ = self._sent[number]
+        self._told_limit.setdefault((node, instance), time.monotonic())
+
+    def judge_rate_limit(
+        self, limit: StatedLimit, arrivals: Iterable[tuple[str, float]]
+    ) -> None:
+        """Compare what a worker got with the limit that it stated.
+
+        :param arrivals: requests that arrived at it and when, in turn.
+        """
+        counted = [
+            at
+            for number, at in arrivals
+            if limit.since + _STABLE_S <= at <= limit.until
+            and self._knows_limit(self.node_of(number), limit.instance, at)
+        ]
+        most = _LIMIT_FACTOR * limit.per_s * _RATE_WINDOW_S + _LIMIT_SLACK
+        for begin in counted:
+            count = sum(begin <= at < begin + _RATE_WINDOW_S for at in counted)
+            if count > most:
+                self.wrong.append(
+                    f"{limit.instance}: {count} in a window, {most:.0f} are allowed"
+                )
+                return
+
+    def _knows_limit(self, node: int, instance: str, at: float) -> bool:
+        """Whether a node was told of a limit in time, and has run all the while."""
+        told_at = self._told_limit.get((node, instance))
+        if told_at is None or at - told_at < _HEARD_S:
+            return False
+        return self._disturbed.get(node, 0.0) < told_at
+
     def spare_key_used(self, number: str, status: int) -> None:
         """Judge the answer to a key that had been taken away when it was used."""
         node, sent_at = self._sent[number]
@@ -283,7 +346,7 @@
 
     :param more: headers beside the usual ones.
     """
-    status, body, leaving = 0, b"", ""
+    status, body, leaving, limiting = 0, b"", "", ""
     length = (b"Content-Length", b"%d" % len(text))
     headers = [*request_headers(number, key), length, *more]
     try:
@@ -295,20 +358,25 @@
             while not isinstance(event := await conn.next_event(), h11.EndOfMessage):
                 if isinstance(event, h11.Response):
                     status = event.status_code
-                    leaving = _leaving(event)
+                    leaving = _worker_with(HEADERS.leaving, event)
+                    limiting = _worker_with(HEADERS.rate_limit, event)
                 elif isinstance(event, h11.Data):
                     body += bytes(event.data)
                 else:
-                    return Reply(status=status, body=body, leaving=leaving)
+                    return Reply(
+                        status=status, body=body, leaving=leaving, limiting=limiting
+                    )
     except (ConnectionLostError, MalformedError, TimeoutError):
-        return Reply(status=status, body=body, leaving=leaving)
-    return Reply(status=status, body=body, whole=True, leaving=leaving)
+        return Reply(status=status, body=body, leaving=leaving, limiting=limiting)
+    return Reply(
+        status=status, body=body, whole=True, leaving=leaving, limiting=limiting
+    )
 
 
-def _leaving(event: h11.Response) -> str:
-    """Return the worker that answers, if it says that it is leaving."""
+def _worker_with(header: bytes, event: h11.Response) -> str:
+    """Return the worker that answers, if its answer has a header."""
     found = {name.lower(): value for name, value in event.headers}
-    if HEADERS.leaving not in found:
+    if header not in found:
         return ""
     return found[HEADERS.signature].decode().removeprefix("signed-")
 
--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -12,7 +13,7 @@
 from baobabwing.standins.loopback_proxy import PathFault
 from baobabwing_platform.standin_store import StoreFault
 from tests.platform_adapter.demo import CRASH
-from tests.platform_adapter.soak.checks import Kind
+from tests.platform_adapter.soak.checks import Kind, StatedLimit
 
 if TYPE_CHECKING:
     from tests.platform_adapter.soak.run import Soak
@@ -200,6 +201,25 @@
     soak.deployment.cut_off.difference_update(nodes)
 
 
+@_later(19_000)
+async def _limit_worker(soak: Soak) -> None:
+    """Have a worker state for a while how many requests a second it takes."""
+    worker = soak.deployment.worker(soak.rng.choice(soak.deployment.names))
+    per_s = round(soak.rng.uniform(0.5, 6.0), 1)
+    since = time.monotonic()
+    worker.rate_limit = b"%.1f" % per_s
+    await asyncio.sleep(soak.rng.uniform(4.0, 9.0))
+    worker.rate_limit = None
+    soak.stated_limits.append(
+        StatedLimit(
+            instance=worker.instance,
+            per_s=per_s,
+            since=since,
+            until=time.monotonic(),
+        )
+    )
+
+
 async def _after(pause_s: float, action: Callable[[], None]) -> None:
     await asyncio.sleep(pause_s)
     action()
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -5,10 +5,11 @@
 that their settings changed; connections to workers and to the store that are delayed,
 reset, held one way or both; nodes that are cut off from all workers; a store that
 refuses, loses answers, forgets its history or comes back from an older copy; workers
-that drain, go or come, or say so in their answers alone; requests that end each worker
-that runs them, again and again; configurations that take a key away. One organisation
-asks for far more than its limit. Callers keep their connections until these end, and
-take up streams that broke off, at any node; workers of several versions serve.
+that drain, go or come, or say so in their answers alone; workers that limit how many
+requests a second they take; requests that end each worker that runs them, again and
+again; configurations that take a key away. One organisation asks for far more than its
+limit. Callers keep their connections until these end, and take up streams that broke
+off, at any node; workers of several versions serve.
 Seeds that ever failed are in ``seeds.py``.
 """
 
@@ -30,7 +31,14 @@
 from baobabwing_platform.dialect import HEADERS
 from baobabwing_platform.standin_store import StoreFault
 from tests.platform_adapter.demo import KEY, Deployment, configuration, resolve
-from tests.platform_adapter.soak.checks import Kind, Outcome, Records, Reply, ask
+from tests.platform_adapter.soak.checks import (
+    Kind,
+    Outcome,
+    Records,
+    Reply,
+    StatedLimit,
+    ask,
+)
 from tests.platform_adapter.soak.faults import LATER, PLANNED, UNPLANNED
 from tests.platform_adapter.soak.seeds import FAILED_ONCE
 
@@ -94,6 +102,7 @@
         self.version = 1
         self.revoked = False
         self.faults: list[str] = []
+        self.stated_limits: list[StatedLimit] = []
         self._numbers = itertools.count(seed * 1_000_000 + 1)
         self._began = 0.0
         self._stopping: set[int] = set()
@@ -125,6 +134,9 @@
         self.records.judge_leaving(self.deployment.received_requests())
         self.records.judge_versions(self.deployment.stream_runs())
         self.records.judge_runs(self.deployment.runs())
+        for limit in self.stated_limits:
+            arrivals = self.deployment.arrivals_at(limit.instance)
+            self.records.judge_rate_limit(limit, arrivals)
         for service, arrivals in self.deployment.arrivals().items():
             self.records.judge_retries(service, arrivals)
         self.records.judge_limit(
@@ -324,6 +336,8 @@
             self._limited.add(number)
         revoked = self.revoked
         reply = await ask(conn, number, kind, key, **text)
+        if reply.limiting:
+            self.records.told_limit(number, reply.limiting)
         if reply.leaving:
             self.records.told(number, reply.leaving)
         if key == _SPARE_KEY and revoked:
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.platform_adapter.soak.checks import Kind, Records, Reply
+from tests.platform_adapter.soak.checks import Kind, Records, Reply, StatedLimit
 from tests.platform_adapter.soak.run import Soak
 from tests.platform_adapter.soak.seeds import FAILED_ONCE
 
@@ -22,6 +22,7 @@
         10_202,
         11_001,
         18_003,
+        19_001,
         *sorted(FAILED_ONCE.keys() - {CRASHES_BESIDE_CUTS}),
     ],
 )
@@ -71,3 +72,16 @@
     assert records.wrong == []
     records.judge_retries("engines", [*arrivals, ("n99", time.monotonic())])
     assert records.wrong == ["engines: 72 retries, 71 are allowed"]
+
+
+def test_more_than_a_worker_states_that_it_takes_is_found():
+    records = Records(planned_only=False)
+    records.sent("first", 0)
+    records.told_limit("first", "w")
+    now = time.monotonic()
+    limit = StatedLimit(instance="w", per_s=2.0, since=now - 1.0, until=now + 20.0)
+    arrivals = [("first", now + 3.0 + 0.1 * number) for number in range(17)]
+    records.judge_rate_limit(limit, arrivals)
+    assert records.wrong == []
+    records.judge_rate_limit(limit, [*arrivals, ("first", now + 5.0)])
+    assert records.wrong == ["w: 18 in a window, 17 are allowed"]
