Don't refuse for rate limits while other engines are left out for a moment

What upstreams take together counts as limited only if all that are open have limits; ejected ones are open.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -326,10 +326,11 @@
 
         ``None`` unless all of them have a rate limit.
         """
-        usable = [track.crc for track in self.tracks.values() if track.is_usable(now)]
-        if not usable or any(self._rate_limits.get(crc) is None for crc in usable):
+        # Those that are ejected count: they are back within seconds.
+        open_now = [track.crc for track in self.tracks.values() if track.is_open(now)]
+        if not open_now or any(self._rate_limits.get(crc) is None for crc in open_now):
             return None
-        return max(self._rate_limits.rate(usable), _MIN_TAKEN_PER_S)
+        return max(self._rate_limits.rate(open_now), _MIN_TAKEN_PER_S)
 
     def late_slots_per_s(self, now: float) -> float:
         """Return the rate at which late requests were granted slots of late."""
--- a/tests/gateway/decisions/test_rate_limits.py
+++ b/tests/gateway/decisions/test_rate_limits.py
@@ -187,3 +187,11 @@
     for request in requests:
         request.has_run = True
     assert scheduler.remove_unservable(10.0) == []
+
+
+def test_requests_wait_for_engines_that_are_left_out_for_a_moment():
+    """All of them were refused, while only the limited engine seemed usable."""
+    scheduler = engines("e0")
+    scheduler.tracks["e1"].eject_until = 10.8
+    submit(scheduler, 20, now=10.0)
+    assert scheduler.remove_unservable(10.0) == []
