Issue permits at the present share, not at that of a node's first moment

Cause: the next permit was due at a time that was computed with the share of the fleet that the node heard then. A node that has just started counts itself one of 460: at 3.7 requests a second the first permit was due after four minutes, and stayed so when it heard the others a moment later.

When the share or the limit changes, permits wait no longer than the present rate requires. The test failed before.

--- a/baobabwing/gateway/decisions/rate_limits.py
+++ b/baobabwing/gateway/decisions/rate_limits.py
@@ -72,11 +72,15 @@
         if math.isclose(limit.per_s, per_s, rel_tol=1e-6):
             return False
         limit.per_s = per_s
-        # What was issued at a lower rate takes no longer to be earned at this one.
-        full_s = _BURST * self._interval_s(limit)
-        limit.drained_at = min(limit.drained_at, now + full_s)
+        self._bound_wait(limit, now)
         return True
 
+    def set_share(self, share: float, now: float) -> None:
+        """Set the part of each limit that the nodes on this side use."""
+        self.share = share
+        for limit in self._limits.values():
+            self._bound_wait(limit, now)
+
     def end(self, upstream: int) -> bool:
         """Record that an upstream has no limit; return whether it had one."""
         return self._limits.pop(upstream, None) is not None
@@ -147,5 +151,14 @@
         """Return what some limited upstreams take together from this side, a second."""
         return self.share * sum(self._limits[crc].per_s for crc in upstreams)
 
+    def _bound_wait(self, limit: RateLimit, now: float) -> None:
+        """Have permits wait no longer than their present rate requires.
+
+        Those issued before may have been counted at a much lower one.
+        """
+        since = now if limit.issues_from == math.inf else max(limit.issues_from, now)
+        latest = since + _BURST * self._interval_s(limit)
+        limit.drained_at = min(limit.drained_at, latest)
+
     def _interval_s(self, limit: RateLimit) -> float:
         return 1.0 / max(limit.per_s * self.share, _MIN_SHARED_PER_S)
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -254,7 +254,7 @@
         now = time.monotonic()
         for pool in self.pools.values():
             pool.budget.set_nodes(total, now)
-            pool.rate_limits.share = self._share
+            pool.rate_limits.set_share(self._share, now)
         share = self._share
         self.quotas.set_share(share, now, nodes=heard)
 
@@ -290,7 +290,7 @@
                 software=SoftwareHistory(complete=self.settings.first_start),
             )
             runtime.permits = self.permits
-            runtime.rate_limits.share = self._share
+            runtime.rate_limits.set_share(self._share, time.monotonic())
             runtime.on_refusal = lambda upstream: self.on_refusal(runtime, upstream)
             runtime.place_aside = lambda request: self.rollouts.place_begun(
                 name, request, time.monotonic(), nodes=self.nodes
--- a/tests/gateway/decisions/test_rate_limits.py
+++ b/tests/gateway/decisions/test_rate_limits.py
@@ -77,12 +77,22 @@
 def test_two_sides_of_a_partition_use_one_limit_together():
     sides = [issuing(2.0) for _ in range(2)]
     for side, share in zip(sides, (0.25, 0.75), strict=True):
-        side.share = share
+        side.set_share(share, 0.0)
     counts = [len(issued(side, A, since=0.0, seconds=40.0)) for side in sides]
     assert 70 <= sum(counts) <= 2.0 * 40.0 + 4
     assert counts[0] < counts[1] / 2
 
 
+def test_node_that_hears_others_issues_at_the_higher_share_at_once():
+    """A node that had just started counted itself one of hundreds, for minutes."""
+    limits = RateLimits()
+    limits.set_share(1 / 460, 0.0)
+    limits.set(A, 4.0, 0.0)
+    limits.issue_from(A, 2.0)
+    limits.set_share(1.0, 0.5)
+    assert len(issued(limits, A, since=2.0, seconds=5.0)) >= 16
+
+
 def test_higher_limit_is_used_at_once():
     limits = issuing(0.0)
     issued(limits, A, since=0.0, seconds=20.0)
--- a/tests/gateway/placement/permit_model.py
+++ b/tests/gateway/placement/permit_model.py
@@ -172,13 +172,13 @@
 
     def see_all(self, known):
         for pool in self.pools:
-            pool.rate_limits.share = 1.0
+            pool.rate_limits.set_share(1.0, self.clock.now)
             self.members[pool.address].see(known)
 
     def see_part(self, part):
         for pool in self.pools:
             if pool.address in part:
-                pool.rate_limits.share = len(part) / self.total
+                pool.rate_limits.set_share(len(part) / self.total, self.clock.now)
                 self.members[pool.address].see(part)
 
     def later(self, seconds, action):
