--- a/tests/platform_adapter/soak/seeds.py
+++ b/tests/platform_adapter/soak/seeds.py
@@ -20,6 +20,11 @@
     "no node can tell from the end of the stream; such workers end with a reset now"
 )
 
+_SHARE = (
+    "a node that had just started counted itself one of hundreds, and issued the next "
+    "permit for a worker with a rate limit minutes later"
+)
+
 FAILED_ONCE: dict[int, str] = {
     4: _LATE,
     11: _EARLY,
@@ -30,4 +35,5 @@
     10015: _SHARED,
     17001: _BETWEEN_EVENTS,
     17003: _BETWEEN_EVENTS,
+    19015: _SHARE,
 }
