Let a node without others issue permits at once

A fleet of one node refused requests for a service with a limit for two seconds after it had first stated it (test_rate_limits.py beside load: 8 of 8 cases failed with 503 in a run of tests/gateway), and any node whose first limit this was waited as long: the time since it joined was counted from the limit on.

The time to wait for an earlier issuer counts from when the node has met the others, and there is none where it is alone.

--- a/baobabwing/gateway/send_permits.py
+++ b/baobabwing/gateway/send_permits.py
@@ -168,6 +168,7 @@
         return next(iter(self._members.homes(resource, 1)), self._members.work)
 
     def _handle_members(self) -> None:
+        self._is_member()
         self.update_issuers()
         self._greet_new_members()
 
@@ -185,9 +186,10 @@
 
     def update_issuers(self) -> None:
         """Begin or stop to issue permits as the members or the cells have changed."""
+        since = time.monotonic() + self._takeover_s
         for pool in self._state.pools.values():
             for upstream in pool.rate_limits:
-                self._update_issuer(pool, upstream, time.monotonic() + _TAKEOVER_S)
+                self._update_issuer(pool, upstream, since)
 
     def _update_issuer(self, pool: PoolRuntime, upstream: int, since: float) -> None:
         """Have this node issue an upstream's permits, if that is up to it.
@@ -199,6 +201,11 @@
         else:
             pool.rate_limits.stop_issuing(upstream)
 
+    @property
+    def _takeover_s(self) -> float:
+        """Time until this node may issue in another one's place."""
+        return _TAKEOVER_S if self._members.total > 1 else 0.0
+
     def _is_member(self) -> bool:
         """Whether this node has joined the others; before, it ranks itself first."""
         if self._members.joining:
@@ -236,7 +243,7 @@
         """
         since = now
         if self._is_member():
-            since = max(now, self._member_since + _TAKEOVER_S)
+            since = max(now, self._member_since + self._takeover_s)
         self._update_issuer(pool, upstream, since)
 
     def _send_notice(self, pool: PoolRuntime, upstream: int) -> None:
