Refuse unrun what a stopping node cannot answer before its end

Cause: a stopping node took whatever came until its end. Now it decides for each request, when it comes (fastest engine, estimated length, wait) and when it has a slot (that engine's speed, twice the estimate and twice the time, at most what the request states as its maximum): what can't be whole gets 503 with Retry-After of 20 ms on a connection that closes, and has not run. What can, or has its own deadline before the end, is served. What is cut all the same is logged (1512) and counted.

--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -104,6 +104,8 @@
     :param last_event_at: when the last event arrived that the caller has received.
     :param max_gap_s: longest gap between two events.
     :param failure: last 5xx answer of an upstream, head and body.
+    :param expected_s: how long its answer was expected to take when it was sent, by a
+        node that is stopping; ``None`` if it was not.
     :param counted: whether its outcome is in the metrics already.
     :param search: search for a replacement, beside the current attempt.
     :param replacement: where the call goes on after the current attempt.
@@ -143,6 +145,7 @@
     max_gap_s: float = 0.0
     failure: tuple[AnswerHead, bytes] | None = None
     attempts: list[Attempt] = field(default_factory=list)
+    expected_s: float | None = None
     counted: bool = False
     search: asyncio.Task[Replacement | None] | None = None
     replacement: Replacement | None = None
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -228,7 +228,7 @@
         granted: list[Grant] = []
         if not self.waiting or not self._any_free_slot(now):
             return granted
-        self._update_typical()
+        self.update_typical()
         blocked: list[PlacementRequest] = []
         waiting_for_faster = 0
         while self.waiting and waiting_for_faster < _MAX_WAITING_FOR_FASTER:
@@ -571,9 +571,10 @@
 
         return reserved
 
-    def _first_event_s(
+    def first_event_s(
         self, request: PlacementRequest, track: UpstreamTrack, now: float
     ) -> float:
+        """Return the expected time to a first event, or to a plain service's answer."""
         baseline_s = track.baseline_s(request.prompt_tokens, self._best_answer_s)
         return track.predict_s(baseline_s, self._first_event_ratio(track), now)
 
@@ -587,7 +588,7 @@
     def _cost_s(
         self, request: PlacementRequest, track: UpstreamTrack, now: float
     ) -> float:
-        first_event_s = self._first_event_s(request, track, now)
+        first_event_s = self.first_event_s(request, track, now)
         if self.engine is None:
             return first_event_s
         generation_s = self.generation_s(request.expected_output_tokens, track)
@@ -601,11 +602,11 @@
 
         It is cut off at the end, and all the work for it is wasted.
         """
-        first_event_s = self._first_event_s(request, track, now)
+        first_event_s = self.first_event_s(request, track, now)
         generation_s = self.generation_s(request.expected_output_tokens, track)
         return max(now + first_event_s + generation_s - request.ends_at, 0.0)
 
-    def _update_typical(self) -> None:
+    def update_typical(self) -> None:
         """Update the median event interval, the shortest answer time and the ratios."""
         intervals = sorted(
             track.event_interval_s
--- /dev/null
+++ b/baobabwing/gateway/decisions/stopping.py
@@ -0,0 +1,61 @@
+"""Whether a request can be whole before its node stops."""
+
+from __future__ import annotations
+
+from baobabwing.gateway.decisions.scheduling import PlacementRequest, PoolScheduler
+from baobabwing.gateway.decisions.tracking import UpstreamTrack
+
+__all__ = ["expected_answer_s", "fits_before_stop", "shortest_answer_s"]
+
+# Callers' estimates of their outputs are often exceeded, and engines slow down under
+# load.
+_OUTPUT_MARGIN = 2.0
+_TIME_MARGIN = 2.0
+
+
+def expected_answer_s(
+    scheduler: PoolScheduler,
+    request: PlacementRequest,
+    track: UpstreamTrack,
+    now: float,
+    *,
+    max_output_tokens: int,
+) -> float:
+    """Return how long a whole answer takes at an upstream, with a margin.
+
+    :param max_output_tokens: the most that it may generate; 0 if not stated.
+    """
+    tokens = _OUTPUT_MARGIN * request.expected_output_tokens
+    if max_output_tokens:
+        tokens = min(tokens, max_output_tokens)
+    scheduler.update_typical()
+    answer_s = scheduler.first_event_s(request, track, now)
+    return _TIME_MARGIN * (answer_s + scheduler.generation_s(int(tokens), track))
+
+
+def shortest_answer_s(
+    scheduler: PoolScheduler, request: PlacementRequest, wait_s: float, now: float
+) -> float:
+    """Return how long a whole answer takes at best, if it is as long as estimated.
+
+    :param wait_s: expected wait for a slot.
+    """
+    scheduler.update_typical()
+    answers = [
+        scheduler.first_event_s(request, track, now)
+        + scheduler.generation_s(request.expected_output_tokens, track)
+        for track in scheduler.tracks.values()
+        if track.is_usable(now)
+    ]
+    return wait_s + min(answers, default=0.0)
+
+
+def fits_before_stop(
+    answer_s: float, *, now: float, ends_at: float, stops_at: float
+) -> bool:
+    """Whether an answer is whole before its node stops, or has ended before by itself.
+
+    :param ends_at: when its caller stops waiting for it.
+    :param stops_at: when the node closes its connections.
+    """
+    return min(now + answer_s, ends_at) <= stops_at
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -36,6 +36,7 @@
     "REQUEST_REFUSED",
     "REQUEST_REPEATED",
     "REQUEST_SENT",
+    "REQUEST_STOPPED",
     "REQUESTS_SHED",
     "ROLLOUT_ORDERED",
     "ROLLOUT_PHASE",
@@ -97,6 +98,13 @@
     "pool has had no other), or unknown: the request is refused, since another version "
     "may not go on with the stream. `waited_ms`: time until that was clear.",
 )
+REQUEST_STOPPED = define(
+    1512,
+    "request_cut_by_stop",
+    "This node stopped before an answer was complete. `expected_ms`: how long it was "
+    "expected to take when it was sent; null if that was before the stop.",
+    level="warning",
+)
 REQUEST_ENDED = define(
     1504,
     "request_ended",
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Set as AbstractSet
 from http import HTTPStatus
@@ -20,6 +21,11 @@
 from baobabwing.gateway.crash_checks import CrashChecks
 from baobabwing.gateway.decisions.cell_queue import UpdateKind
 from baobabwing.gateway.decisions.scheduling import Grant, PlacementRequest
+from baobabwing.gateway.decisions.stopping import (
+    expected_answer_s,
+    fits_before_stop,
+    shortest_answer_s,
+)
 from baobabwing.gateway.events import RATE_LIMIT_INVALID, UPSTREAM_CLOSED
 from baobabwing.gateway.metrics import Outcome
 from baobabwing.gateway.pool import PoolRuntime
@@ -48,6 +54,8 @@
 # Shortest delay after which a stream may be taken up again of which no node knows where
 # it began.
 _UNKNOWN_RETRY_AFTER_S = 0.5
+# Delay after which callers that a stopping node refuses come back to another one.
+_STOPPING_RETRY_AFTER_S = 0.02
 # Time after which a full upstream may have room again, for each send of the request.
 _FULL_PAUSE_S = 0.05
 # Shortest delay of a retry after upstreams have refused a request for load, as a share
@@ -120,9 +128,13 @@
             if await self._find_origin(call):
                 pool = self._state.pool(call.pool)
                 pool.budget.count_request(time.monotonic())
-                await self._serve(call, pool)
+                if not await self._refused_by_stop(call, pool):
+                    await self._serve(call, pool)
         except (asyncio.CancelledError, ConnectionLostError):
-            self._recorder.caller_left(call)
+            if self._state.leaving_since is not None and not call.answer.conn.gone:
+                self._recorder.cut_by_stop(call)
+            else:
+                self._recorder.caller_left(call)
             raise
         finally:
             pool = self._state.pool(call.pool)
@@ -228,6 +240,11 @@
             code = "version_gone" if call.software and gone else "no_place"
             await self._give_up(call, exc.retry_after_s, code=code)
             return None
+        if not self._fits_before_stop(call, pool, grant):
+            pool.free(grant, UpdateKind.RELEASED)
+            call.end_reason = "the node stops before"
+            await self._give_up(call, _STOPPING_RETRY_AFTER_S, code="stopping")
+            return None
         quarantined_s = self._retries.quarantined_s(call)
         if quarantined_s > 0:
             pool.free(grant, UpdateKind.RELEASED)
@@ -236,6 +253,39 @@
             return None
         return grant
 
+    def _fits_before_stop(self, call: Call, pool: PoolRuntime, grant: Grant) -> bool:
+        """Whether a call can be whole before this node stops, if it does.
+
+        One that has run or begun can't be refused any more.
+        """
+        stops_at, now = self._state.stops_at, time.monotonic()
+        if call.runs or call.answer.started or stops_at == math.inf:
+            return True
+        call.expected_s = expected_answer_s(
+            pool.scheduler,
+            grant.request,
+            grant.track,
+            now,
+            max_output_tokens=call.request_head.tokens_out,
+        )
+        return fits_before_stop(
+            call.expected_s, now=now, ends_at=call.ends_at, stops_at=stops_at
+        )
+
+    async def _refused_by_stop(self, call: Call, pool: PoolRuntime) -> bool:
+        """Refuse a call at once that can't be whole before this node stops."""
+        stops_at, now = self._state.stops_at, time.monotonic()
+        if stops_at == math.inf:
+            return False
+        request = self._placement_request(call)
+        wait_s = pool.queued * pool.turnover_s
+        answer_s = shortest_answer_s(pool.scheduler, request, wait_s, now)
+        if fits_before_stop(answer_s, now=now, ends_at=call.ends_at, stops_at=stops_at):
+            return False
+        call.expected_s, call.end_reason = answer_s, "the node stops before"
+        await self._give_up(call, _STOPPING_RETRY_AFTER_S, code="stopping")
+        return True
+
     async def _place_canary(
         self, call: Call, pool: PoolRuntime, request: PlacementRequest
     ) -> Grant | None:
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -254,13 +254,13 @@
         """
         began = time.monotonic()
         self.state.leaving_since = began
+        self.state.stops_at = began + self.settings.stop_s - _STOP_MARGIN_S
         self.tunnels.accepting = False
         log(GATEWAY_LEAVING, open_requests=self.callers.open_requests)
         addresses_kept_until = (
             began + _ADDRESS_KEEP_FACTOR * self.settings.address_keep_s
         )
-        stop_at = began + self.settings.stop_s - _STOP_MARGIN_S
-        while time.monotonic() < stop_at:
+        while time.monotonic() < self.state.stops_at:
             idle = not self.callers.open_requests and not self.tunnels.active
             if idle and time.monotonic() >= addresses_kept_until:
                 break
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -22,7 +22,8 @@
     """Outcome of a request; each request is counted once.
 
     ``BROKEN``: the answer was cut after it had started; ``REFUSED``: the request did
-    not run; ``FAILED``: it may have run, but no upstream answered.
+    not run; ``FAILED``: it may have run, but no upstream answered; ``STOPPED``: this
+    node stopped before the answer was complete.
     """
 
     IN_TIME = "in_time"
@@ -32,6 +33,7 @@
     REFUSED = "refused"
     FAILED = "failed"
     CALLER_LEFT = "caller_left"
+    STOPPED = "stopped"
 
 
 class Sends(StrEnum):
--- a/baobabwing/gateway/request_recorder.py
+++ b/baobabwing/gateway/request_recorder.py
@@ -15,6 +15,7 @@
     REQUEST_REFUSED,
     REQUEST_REPEATED,
     REQUEST_SENT,
+    REQUEST_STOPPED,
     STREAM_TAKEN_UP,
     UPSTREAM_FAILED,
 )
@@ -223,6 +224,24 @@
             tries=[attempt.summary() for attempt in call.attempts],
         )
 
+    def cut_by_stop(self, call: Call) -> None:
+        """Record that this node stopped before the answer was complete."""
+        if call.counted:
+            return
+        self._count(call, Outcome.STOPPED)
+        now = time.monotonic()
+        log(
+            REQUEST_STOPPED,
+            request=call.request_head.request_id,
+            route=call.route.name,
+            age_ms=_ms(now - call.arrived),
+            stopping_ms=_ms(now - (self._state.leaving_since or now)),
+            expected_ms=None if call.expected_s is None else _ms(call.expected_s),
+            left_ms=_ms(call.ends_at - now),
+            events=call.splitter.events,
+            tries=[attempt.summary() for attempt in call.attempts],
+        )
+
     def _log_upstream_failed(
         self,
         call: Call,
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Iterable
@@ -51,6 +52,8 @@
     :ivar table: routes of the configuration in force; ``None`` before the first.
     :ivar leaving_since: when this node began to leave, by the monotonic clock; ``None``
         until then.
+    :ivar stops_at: when it will close the connections that are still open; infinity
+        until it leaves.
     :ivar placer: places requests at upstreams; ``None`` before it is set.
     :ivar permits: grants the sends to upstreams with rate limits; ``None`` before it is
         set.
@@ -76,6 +79,7 @@
         self.rollouts.on_change = lambda name: self._list_upstreams(self._pool(name))
         self.pools: dict[str, PoolRuntime] = {}
         self.leaving_since: float | None = None
+        self.stops_at = math.inf
         self.placer: Placer | None = None
         self.permits: Permits | None = None
         self.on_pool: Callable[[CellPool], None] = lambda pool: None
--- /dev/null
+++ b/tests/gateway/decisions/test_stopping.py
@@ -0,0 +1,82 @@
+"""What a stopping node takes is whole before its end."""
+
+import random
+
+import pytest
+
+from baobabwing.gateway.decisions.scheduling import PlacementRequest, PoolScheduler
+from baobabwing.gateway.decisions.stopping import (
+    expected_answer_s,
+    fits_before_stop,
+    shortest_answer_s,
+)
+from baobabwing.gateway.model import EngineSpec, UpstreamEntry
+
+NOW = 100.0
+INTERVALS_S = {"fast": 0.01, "slow": 0.05}
+
+
+def scheduler(engine=True):
+    spec = EngineSpec(slots=4, kv_tokens=100_000, tokens_per_event=1)
+    one = PoolScheduler(engine=spec if engine else None, rng=random.Random(1))
+    one.set_upstreams(
+        UpstreamEntry(instance=name, pool="p", address="a", slots=4)
+        for name in INTERVALS_S
+    )
+    for name, interval_s in INTERVALS_S.items():
+        one.tracks[name].event_interval_s = interval_s
+    return one
+
+
+def request(tokens):
+    return PlacementRequest(
+        rank=0,
+        arrived_at=NOW,
+        objective_at=NOW + 1.0,
+        deadline_at=NOW + 9.0,
+        expected_output_tokens=tokens,
+    )
+
+
+@pytest.mark.parametrize("tokens", [10, 100, 400])
+def test_estimate_covers_outputs_that_are_longer_than_their_callers_expect(tokens):
+    one = scheduler()
+    for name, interval_s in INTERVALS_S.items():
+        answer_s = expected_answer_s(
+            one, request(tokens), one.tracks[name], NOW, max_output_tokens=0
+        )
+        assert 3 * tokens * interval_s <= answer_s <= 4 * tokens * interval_s + 0.4
+
+
+def test_stated_maximum_bounds_the_estimate():
+    one = scheduler()
+    answer_s = expected_answer_s(
+        one, request(100), one.tracks["slow"], NOW, max_output_tokens=110
+    )
+    assert 110 * 0.05 <= answer_s <= 2 * (110 * 0.05 + 0.2)
+
+
+def test_request_that_any_engine_can_answer_in_time_is_not_refused_at_once():
+    one = scheduler()
+    answer_s = shortest_answer_s(one, request(200), 0.5, NOW)
+    assert 200 * 0.01 + 0.5 <= answer_s <= 200 * 0.02 + 0.5
+
+
+def test_plain_service_takes_its_usual_time():
+    one = scheduler(engine=False)
+    answer_s = expected_answer_s(
+        one, request(0), one.tracks["slow"], NOW, max_output_tokens=0
+    )
+    assert answer_s <= 0.1
+
+
+@pytest.mark.parametrize(
+    ("answer_s", "ends_in_s", "fits"),
+    [(1.0, 9.0, True), (5.0, 9.0, False), (5.0, 2.0, True)],
+)
+def test_request_fits_if_it_or_its_deadline_ends_before_the_stop(
+    answer_s, ends_in_s, fits
+):
+    assert fits is fits_before_stop(
+        answer_s, now=NOW, ends_at=NOW + ends_in_s, stops_at=NOW + 3.0
+    )
