Move slow streams that would be cut as their node stops

A stream moved to a faster engine only for its own deadline; one that its node's stop would cut, seconds earlier, stayed. The end that counts is the earlier of both.

--- a/baobabwing/gateway/stream_moves.py
+++ b/baobabwing/gateway/stream_moves.py
@@ -1,4 +1,4 @@
-"""Moves slow streams to a faster engine before their deadline."""
+"""Moves slow streams to a faster engine before their deadline, or the node's stop."""
 
 from __future__ import annotations
 
@@ -71,7 +71,8 @@
         call.move_checked_at = now
         if self._retries.obstacle(call, AttemptResult.FAILED):
             return False
-        return now - call.arrived >= _MIN_ELAPSED_SHARE * (call.ends_at - call.arrived)
+        time_s = self._retries.ends_at(call) - call.arrived
+        return now - call.arrived >= _MIN_ELAPSED_SHARE * time_s
 
     def _is_too_slow(
         self, call: Call, pool: PoolRuntime, grant: Grant, now: float
@@ -81,7 +82,7 @@
         expected_total = max(
             call.request_head.expected_out, int(_MIN_OUTPUT_GROWTH * generated)
         )
-        left_s = call.ends_at - now
+        left_s = self._retries.ends_at(call) - now
         if (
             pool.scheduler.generation_s(expected_total - generated, grant.track)
             < _MAX_REMAINING_SHARE * left_s
--- a/tests/gateway/test_stream_moves.py
+++ b/tests/gateway/test_stream_moves.py
@@ -1,5 +1,6 @@
 """Streams move to a faster engine only if that one can take them."""
 
+import asyncio
 import time
 
 from baobabwing.gateway.model import EngineSpec, PoolSpec, UpstreamEntry
@@ -9,6 +10,7 @@
     GatewayHarness,
     ask,
     default_configuration,
+    eventually,
     free_address,
 )
 
@@ -86,3 +88,26 @@
             assert harness.runs("m1") == 1
 
     run(scenario())
+
+
+def test_slow_stream_moves_if_its_node_stops_before_its_end(run):
+    """Its deadline was far, and its answer was cut as the node ended."""
+
+    async def scenario():
+        async with GatewayHarness(configuration()) as harness:
+            await begin_at_the_slow_engine(harness)
+            harness.behaviour["engines-1"] = Behaviour(events=EVENTS, gap_s=0.15)
+            conn = await harness.caller()
+            headers = [(NAMES.deadline, b"12000"), (NAMES.length_hint, b"240")]
+            asking = asyncio.ensure_future(
+                ask(conn, "/resumable/x", "m1", headers=headers)
+            )
+            await eventually(lambda: harness.runs("m1"), "run")
+            stops_at = time.monotonic() + 2.6
+            harness.gateway.state.stops_at = stops_at
+            answer = await asking
+            assert time.monotonic() < stops_at
+            assert (answer.whole, answer.body) == (True, whole("m1"))
+            assert harness.runs("m1") == 2
+
+    run(scenario())
