--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -326,6 +326,8 @@
 
         ``None`` unless all of them have a rate limit.
         """
+        if not self._rate_limits:
+            return None
         # Those that are ejected count: they are back within seconds.
         open_now = [track.crc for track in self.tracks.values() if track.is_open(now)]
         if not open_now or any(self._rate_limits.get(crc) is None for crc in open_now):
