Use engines again that once seemed slow, also beside few requests

Beside few requests an engine whose estimate was once above the others' got nothing for 10 s and more: the others were always expected to be faster, and only requests of its own would have changed that. Its estimate drifts to the mean of its generation, which is not below the engines that are used.

An upstream without a request for 2 s and with none running is compared with 0.7 of its expected completion: it goes before others that are hardly faster by what was learned, and what it answers renews that. One that is much slower stays unused.

--- a/baobabwing/pools/policies/search.py
+++ b/baobabwing/pools/policies/search.py
@@ -23,6 +23,10 @@
 SERVICE_ESTIMATE_FACTOR = 0.9
 # Added to the expected completion for each request in flight on the upstream.
 _CROWDING_PENALTY_S = 0.001
+# An upstream without a request for this long goes before others that are hardly faster
+# by what was learned: the share of its expected completion that is compared.
+_UNUSED_S = 2.0
+_UNUSED_SHARE = 0.7
 # During a hold an upstream runs this part of its capacity.
 _HELD_CAPACITY_DIVISOR = 4
 _NO_CACHED_BLOCKS: dict[str, int] = {}
@@ -161,6 +165,8 @@
                 else PlacementBlocker.BUSY
             )
             return
+        if self._is_unused(upstream):
+            completion_s *= _UNUSED_SHARE
         completion_s += _CROWDING_PENALTY_S * len(upstream.permits) + delay_s
         if completion_s < self._best_s:
             self._best = upstream
@@ -168,6 +174,14 @@
             self._best_uncached = uncached_tokens
             self._best_long = is_long_prefill
 
+    def _is_unused(self, upstream: TrackedUpstream) -> bool:
+        """Whether an upstream has had no request for a while.
+
+        What was learned of its speed may be out of date, and only requests renew it.
+        """
+        unused_s = self._now - upstream.last_event_at
+        return not upstream.permits and unused_s >= _UNUSED_S
+
     def _record_blocker(self, blocker: PlacementBlocker) -> None:
         # A busy upstream will be usable soon, so BUSY outweighs UNUSABLE: lower
         # tiers have to wait.
