--- a/baobabwing/gateway/decisions/rate_limits.py
+++ b/baobabwing/gateway/decisions/rate_limits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 __all__ = ["RateLimit", "RateLimits"]
@@ -55,7 +55,7 @@
     def __len__(self) -> int:
         return len(self._limits)
 
-    def __iter__(self) -> Iterable[int]:
+    def __iter__(self) -> Iterator[int]:
         return iter(tuple(self._limits))
 
     def get(self, upstream: int) -> RateLimit | None:
