Don't move streams that have all the tokens they may have

An output is expected to grow by half for as long as it runs; that is bounded by the most that its request states now. The test failed before.

--- a/baobabwing/gateway/stream_moves.py
+++ b/baobabwing/gateway/stream_moves.py
@@ -82,6 +82,9 @@
         expected_total = max(
             call.request_head.expected_out, int(_MIN_OUTPUT_GROWTH * generated)
         )
+        if call.request_head.tokens_out:
+            # One that may be at its end has nothing left to go on with elsewhere.
+            expected_total = min(expected_total, call.request_head.tokens_out)
         left_s = self._retries.ends_at(call) - now
         if (
             pool.scheduler.generation_s(expected_total - generated, grant.track)
--- a/tests/gateway/test_stream_moves.py
+++ b/tests/gateway/test_stream_moves.py
@@ -1,9 +1,15 @@
 """Streams move to a faster engine only if that one can take them."""
 
 import asyncio
+import random
 import time
+from types import SimpleNamespace
 
+import pytest
+
+from baobabwing.gateway.decisions.scheduling import PoolScheduler
 from baobabwing.gateway.model import EngineSpec, PoolSpec, UpstreamEntry
+from baobabwing.gateway.stream_moves import StreamMoves
 from baobabwing.standins.gateway_upstream import Behaviour
 from tests.gateway.harness import (
     NAMES,
@@ -111,3 +117,27 @@
             assert harness.runs("m1") == 2
 
     run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("tokens_out", "moves"), [(0, True), (400, True), (240, False)]
+)
+def test_stream_that_has_all_its_tokens_does_not_move(tokens_out, moves):
+    """Nothing was left to generate at the other engine, and the answer was cut."""
+    retries = SimpleNamespace(
+        ends_at=lambda call: 11.0,
+        obstacle=lambda call, result: "",
+        may_move=lambda pool: True,
+    )
+    scheduler = PoolScheduler(
+        engine=EngineSpec(slots=4, kv_tokens=100_000, tokens_per_event=10),
+        rng=random.Random(1),
+    )
+    track = SimpleNamespace(event_interval_s=0.5)
+    call = SimpleNamespace(
+        request_head=SimpleNamespace(expected_out=240, tokens_out=tokens_out),
+        splitter=SimpleNamespace(events=24),
+    )
+    stream_moves = StreamMoves(retries=retries, replacements=None)
+    pool, grant = SimpleNamespace(scheduler=scheduler), SimpleNamespace(track=track)
+    assert stream_moves._is_too_slow(call, pool, grant, 10.0) is moves
