--- a/baobabwing/gateway/decisions/policies.py
+++ b/baobabwing/gateway/decisions/policies.py
@@ -66,7 +66,7 @@
     serve first come, first served.
     """
 
-    def _free_slots(self, track: UpstreamTrack) -> int:
+    def _free_slots(self, track: UpstreamTrack, now: float) -> int:
         return 1
 
     def _reserved_slots(
