--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -134,9 +134,12 @@
 async def _drain_worker(soak: Soak) -> None:
     """Have a worker say that it leaves, go on for a while, and come back as another."""
     name = soak.rng.choice(soak.deployment.names)
+    worker = soak.deployment.worker(name)
     soak.deployment.write_row(name, state="draining")
     await asyncio.sleep(2.0)
-    await soak.deployment.replace_worker(name)
+    # Another one may have come meanwhile, which has not said that it leaves.
+    if soak.deployment.worker(name) is worker:
+        await soak.deployment.replace_worker(name)
 
 
 @_unplanned
--- a/tests/platform_adapter/soak/seeds.py
+++ b/tests/platform_adapter/soak/seeds.py
@@ -25,6 +25,11 @@
     "permit for a worker with a rate limit minutes later"
 )
 
+_DRAINED_TWICE = (
+    "a worker was drained while it was being drained already; the one that took its "
+    "place was then ended without a word, with the streams that it ran"
+)
+
 FAILED_ONCE: dict[int, str] = {
     4: _LATE,
     11: _EARLY,
@@ -36,4 +41,5 @@
     17001: _BETWEEN_EVENTS,
     17003: _BETWEEN_EVENTS,
     19015: _SHARE,
+    19132: _DRAINED_TWICE,
 }
