Keep the retry budget of a first start full until its first retry

A node that starts counts itself one of 460 for some milliseconds. A full bucket was cut to that part of the allowance, and stayed so when the node heard how many there are, although no node had sent anything yet. On a fleet's first start the bucket now follows its capacity until the first retry. The stand-in deployment says, as the platform does, that its first start is one; nodes that it starts again are told that theirs is not.

--- a/baobabwing/gateway/decisions/retry_budget.py
+++ b/baobabwing/gateway/decisions/retry_budget.py
@@ -29,7 +29,8 @@
     :param window_s: length of the sliding window.
     :param now: monotonic time of the start.
     :param nodes: number of nodes between which the fixed allowance is split.
-    :param full: whether the bucket is full at first, as no node has run before.
+    :param full: whether the bucket is full until the first retry, however many nodes
+        there are by then, as no node has run before.
     :ivar set_aside: retries that were decided on and are not sent yet.
     """
 
@@ -49,7 +50,8 @@
         self._nodes = max(nodes, 1)
         self._updated_at = now
         self.set_aside = 0
-        self._level = self.capacity if full else 0.0
+        self._full = full
+        self._level = 0.0
 
     @property
     def capacity(self) -> float:
@@ -90,6 +92,7 @@
         """
         if self.remaining(now) < 1:
             return False
+        self._full = False
         self._level -= 1
         self.set_aside += 1
         return True
@@ -113,5 +116,5 @@
         capacity = self.capacity
         gained = (self._share - capacity) * (now - self._updated_at) / self._window_s
         most = max(capacity - self.set_aside, 0.0)
-        self._level = min(self._level + gained, most)
+        self._level = most if self._full else min(self._level + gained, most)
         self._updated_at = now
--- a/tests/gateway/decisions/test_retry_budget.py
+++ b/tests/gateway/decisions/test_retry_budget.py
@@ -49,6 +49,19 @@
     assert budget.try_take(0.0)
 
 
+def test_first_start_is_full_once_the_node_knows_the_others():
+    """It counts hundreds of nodes at first, whose parts have no retry at all."""
+    budget = make_budget(full=True)
+    budget.set_nodes(460, 0.1)
+    assert budget.remaining(0.2) < 1
+    budget.set_nodes(6, 0.3)
+    assert budget.remaining(0.4) == pytest.approx(budget.capacity)
+    while budget.try_take(0.4):
+        budget.spend()
+    budget.set_nodes(1, 0.5)
+    assert budget.remaining(0.5) < 1
+
+
 def test_single_failure_is_retried_seconds_after_a_restart():
     budget = make_budget(nodes=6)
     budget.count_request(WINDOW_S / 2)
--- a/tests/platform_adapter/demo.py
+++ b/tests/platform_adapter/demo.py
@@ -353,6 +353,7 @@
 
     async def restart(self, number: int) -> None:
         """Start a node that has ended, with the settings it had."""
+        self.change_settings(number, "bootstrap=false")
         self.processes[number] = await self._launch(number)
 
     async def _start_node(self, number: int) -> None:
@@ -402,6 +403,7 @@
             f"listen.directory=127.0.0.1:{ports[2]}",
             f"internal_ports={internal},{internal + 2}",
             f"platform.address={store}",
+            "bootstrap=true",
             "bounds.grace_s=4",
             "bounds.ttl_max_s=0.3",
             "bounds.quota_slack=72000",
