Count a path's refusal after one lost connection as evidence of a crash

What callers saw: a request that ends each upstream that runs it ended six of them where two are enough, at a node without other nodes, and wherever the other nodes were late; each takes the answers of all other requests that run there.

Cause: when a new connection was lost unanswered, the node put its own path in doubt, and only then asked whether the upstream had ended. A refusal on a path in doubt counts for nothing, so only relays could tell. A single node has none, and late ones open no tunnels. The crash stayed weak evidence.

Now a path counts as lost if another one worked while it did not, or if it has broken connections twice with no answer between. A single loss only puts it last. If the upstream turns out to have ended, the loss was not the path's, and the suspicion is dropped; so an upstream that starts again at its address is judged as before.

Two tests with real connections (a single node; relays that answer 503) failed each time before with six ended, and one of the paths; all pass now. A path that broke connections twice is still not believed.

--- a/baobabwing/gateway/upstream_paths.py
+++ b/baobabwing/gateway/upstream_paths.py
@@ -89,6 +89,8 @@
         self._rng = rng or Random()
         self._loop_late_s = loop_late_s
         self._blocked_until: dict[str, float] = {}
+        # Direct paths known to have failed, not only suspected once.
+        self._lost: set[str] = set()
         self._down_until: dict[str, float] = {}
         self._suspected_s: dict[str, float] = {}
         self._avoided_until: dict[str, float] = {}
@@ -119,7 +121,7 @@
         down = agreeing is None and now < self._down_until.get(address, 0.0)
         attempts = [] if down else self._tunnel_attempts(address, now)
         is_blocked = self.blocked_s(address, now) > 0
-        direct = self._direct(address, was_lost=address in self._blocked_until)
+        direct = self._direct(address, was_lost=address in self._lost)
         attempts.insert(len(attempts) if is_blocked else 0, direct)
         head_start_s = _STAGGER_S if is_blocked else self._head_start_s(address)
         timeout_s = _OPEN_TIMEOUT_S if agreeing is None else _VERDICT_TIMEOUT_S
@@ -128,6 +130,8 @@
                 path = await _first_open(attempts, head_start_s, agreeing)
         except (ConnectionLostError, TimeoutError) as exc:
             self._down_until[address] = time.monotonic() + _DOWN_S
+            if agreeing is not None and _is_refusal(exc):
+                self._acquit(address)
             if isinstance(exc, ConnectionLostError):
                 raise
             raise ConnectionLostError(
@@ -158,6 +162,8 @@
         if relay:
             self._avoid(relay)
             return
+        if address in self._blocked_until:
+            self._lost.add(address)
         pause_s = self._suspected_s.get(address, _BLOCKED_S)
         self._suspected_s[address] = min(2 * pause_s, _MAX_SUSPECTED_S)
         self._blocked_until[address] = time.monotonic() + pause_s
@@ -165,6 +171,7 @@
     def confirm(self, address: str) -> None:
         """Record that an answer has come over a direct path."""
         self._suspected_s.pop(address, None)
+        self._lost.discard(address)
         if self._blocked_until.pop(address, None) is not None:
             log(UPSTREAM_PATH_BACK, upstream=address)
 
@@ -174,6 +181,7 @@
         :param listed: addresses of the listed upstreams.
         """
         now = time.monotonic()
+        self._lost &= listed
         for table in (self._blocked_until, self._down_until, self._suspected_s):
             for address in tuple(table):
                 if address not in listed:
@@ -191,8 +199,15 @@
         if not was_blocked:
             if address not in self._blocked_until:
                 log(UPSTREAM_PATH_LOST, upstream=address, via=path.relay)
+            self._lost.add(address)
             self._blocked_until[address] = time.monotonic() + _BLOCKED_S
 
+    def _acquit(self, address: str) -> None:
+        """Drop the suspicion of a path that lost a connection as its upstream ended."""
+        if address not in self._lost:
+            self._suspected_s.pop(address, None)
+            self._blocked_until.pop(address, None)
+
     def _head_start_s(self, address: str) -> float:
         """Return how long a direct path may be pending before a relay is tried.
 
@@ -205,8 +220,8 @@
     def _direct(self, address: str, *, was_lost: bool) -> _Attempt:
         """Return the attempt to connect directly.
 
-        :param was_lost: whether other paths worked lately while this one did not; then
-            its refusal tells of the path.
+        :param was_lost: whether other paths worked lately while this one did not, or it
+            has broken connections more than once; then its refusal tells of the path.
         """
 
         async def attempt() -> OpenPath:
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -3,9 +3,11 @@
 import asyncio
 import itertools
 import time
+from http import HTTPStatus
 
 import pytest
 
+from baobabwing.gateway.tunnels import TunnelServer
 from baobabwing.gateway.upstream_connections import UpstreamConnection
 from baobabwing.standins.gateway_upstream import Behaviour
 from baobabwing.standins.loopback_proxy import LoopbackProxy
@@ -245,6 +247,35 @@
     run(scenario())
 
 
+def test_crash_is_certain_to_a_single_node(run):
+    """With no other node to ask, its own refused connection has to be enough."""
+
+    async def scenario():
+        async with GatewayFleet(nodes=1) as fleet:
+            for turn in range(3):
+                await fleet.ask(0, "/resumable/a", f"c{turn}", body=b"crash")
+                await eventually(lambda: fleet.all_running, "upstreams are back")
+            assert len(fleet.crashed) == 2
+
+    run(scenario())
+
+
+@pytest.mark.usefixtures("slow_connects")
+def test_crash_is_certain_while_the_other_nodes_are_late(run, monkeypatch):
+    """Late nodes open no tunnels, so they can't tell whether an upstream has ended."""
+
+    async def scenario():
+        async with GatewayFleet() as fleet:
+            monkeypatch.setattr(TunnelServer, "_refusal", refuse_as_late)
+            await crash_until_quarantined(fleet, "/resumable/a")
+
+    run(scenario())
+
+
+def refuse_as_late(server, request, address):
+    return HTTPStatus.SERVICE_UNAVAILABLE
+
+
 @pytest.mark.usefixtures("slow_connects")
 def test_proxy_that_closes_at_once_is_no_evidence_against_a_request(run):
     """Its upstream may have ended before the request arrived."""
--- a/tests/gateway/test_upstream_paths.py
+++ b/tests/gateway/test_upstream_paths.py
@@ -286,6 +286,42 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("crashes", [1, 3])
+def test_one_lost_connection_does_not_make_the_refusals_of_a_path_worthless(
+    run, monkeypatch, crashes
+):
+    """A request ended six upstreams, since each loss put its own path in doubt."""
+
+    async def scenario():
+        network = FakeNetwork(monkeypatch, near=3, far=0)
+        network.relays = {host.work: "fail" for host in network.hosts}
+        for _ in range(crashes):
+            network.direct = "open"
+            assert not (await network.paths.open(ADDRESS)).relay
+            network.direct = "refuse"
+            network.paths.suspect(ADDRESS, "")
+            with pytest.raises(ConnectionRefusedByPeerError):
+                await network.paths.open(ADDRESS, agreeing=3)
+
+    run(scenario())
+
+
+def test_refusals_of_a_path_that_broke_connections_twice_show_nothing(run, monkeypatch):
+    async def scenario():
+        network = FakeNetwork(monkeypatch, near=3, far=0)
+        network.relays = {host.work: "fail" for host in network.hosts}
+        for _ in range(2):
+            network.direct = "open"
+            assert not (await network.paths.open(ADDRESS)).relay
+            network.paths.suspect(ADDRESS, "")
+        network.direct = "refuse"
+        with pytest.raises(ConnectionLostError) as found:
+            await network.paths.open(ADDRESS, agreeing=3)
+        assert not isinstance(found.value, ConnectionRefusedByPeerError)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("near", [0, 1, 3])
 def test_upstream_has_ended_if_all_paths_are_refused(run, monkeypatch, near):
     async def scenario():
