Look a second time at an upstream that seemed up after a lost answer

What callers saw: a request that ends each upstream that runs it ended seven of them where six are allowed, with all other requests that ran there.

Cause: behind a proxy of its own, an upstream that has ended still accepts connections; that it closes them within 0.1 s shows its end. A proxy on a busy host closes later, and the upstream was taken to be up: weak evidence, of which six pieces are needed instead of two. A longer wait at once would hold up the request that is to be sent again.

Now the request waits no longer than before, and a second connection is watched for 1 s. If it is closed, the crash is confirmed then, in time for the next attempt at any node. An upstream that has started again at the address keeps it open.

A test with proxies that close 0.3 s late failed before (the request was not quarantined at all after its two crashes), and passes.

--- a/baobabwing/gateway/crash_checks.py
+++ b/baobabwing/gateway/crash_checks.py
@@ -35,7 +35,8 @@
     def __init__(self, *, quarantine: Quarantine, connections: ConnectionPool) -> None:
         self._quarantine = quarantine
         self._connections = connections
-        self._probes: dict[str, asyncio.Task[ProbeResult]] = {}
+        self._probes: dict[tuple[str, bool], asyncio.Task[ProbeResult]] = {}
+        self._late_checks: set[asyncio.Task[None]] = set()
         self._checks: dict[int, dict[int, asyncio.Task[None]]] = {}
 
     def lost(
@@ -83,28 +84,56 @@
         """
         try:
             result = await self._shared_probe(entry)
-            ended = result is ProbeResult.REFUSED
-            if ended or (result is ProbeResult.CLOSED and not early):
-                self._quarantine.confirm(digest, upstream, now=time.monotonic())
+            self._judge(result, digest, upstream, early=early)
+            if result is ProbeResult.OPEN:
+                self._look_again(digest, upstream, entry, early=early)
         finally:
             checks = self._checks[digest]
             del checks[upstream]
             if not checks:
                 del self._checks[digest]
 
-    async def _shared_probe(self, entry: UpstreamEntry) -> ProbeResult:
+    def _look_again(
+        self, digest: int, upstream: int, entry: UpstreamEntry, *, early: bool
+    ) -> None:
+        """Confirm a crash later if the upstream seemed up; no request waits for it.
+
+        :param early: as in ``_check``.
+        """
+
+        async def check_late() -> None:
+            result = await self._shared_probe(entry, patient=True)
+            self._judge(result, digest, upstream, early=early)
+
+        task = asyncio.ensure_future(check_late())
+        self._late_checks.add(task)
+        task.add_done_callback(self._late_checks.discard)
+
+    def _judge(
+        self, result: ProbeResult, digest: int, upstream: int, *, early: bool
+    ) -> None:
+        ended = result is ProbeResult.REFUSED
+        if ended or (result is ProbeResult.CLOSED and not early):
+            self._quarantine.confirm(digest, upstream, now=time.monotonic())
+
+    async def _shared_probe(
+        self, entry: UpstreamEntry, *, patient: bool = False
+    ) -> ProbeResult:
         """Return the result of a probe that all lost requests of an upstream share."""
-        probe = self._probes.get(entry.instance)
+        key = (entry.instance, patient)
+        probe = self._probes.get(key)
         if probe is None:
-            probe = asyncio.ensure_future(self._probe(entry))
-            self._probes[entry.instance] = probe
+            probe = asyncio.ensure_future(self._probe(entry, patient))
+            self._probes[key] = probe
         return await probe
 
-    async def _probe(self, entry: UpstreamEntry) -> ProbeResult:
+    async def _probe(self, entry: UpstreamEntry, patient: bool) -> ProbeResult:
         try:
-            result = await self._connections.probe(entry.address, entry.instance)
+            result = await self._connections.probe(
+                entry.address, entry.instance, patient=patient
+            )
         finally:
-            del self._probes[entry.instance]
-        if result is ProbeResult.OPEN:
+            del self._probes[entry.instance, patient]
+        if result is ProbeResult.OPEN and patient:
             log(UPSTREAM_STILL_UP, upstream=entry.instance)
         return result
--- a/baobabwing/gateway/upstream_connections.py
+++ b/baobabwing/gateway/upstream_connections.py
@@ -34,8 +34,9 @@
 # the request: the upstream, or a proxy in front of it, may accept no connections.
 _REFUSED_RESET_S = 0.005
 # A proxy in front of an upstream that has ended accepts a connection, and closes it
-# once it fails to connect.
+# once it fails to connect; it may be late itself.
 _REFUSED_CLOSE_S = 0.1
+_LATE_REFUSED_CLOSE_S = 1.0
 _PROBED_PATHS = 3
 # Upper limit on the time for which an upstream can close itself by ``Retry-After``.
 _MAX_CLOSED_S = 3600.0
@@ -328,13 +329,18 @@
         self._remove_busy((address, instance), connection)
         connection.conn.abort()
 
-    async def probe(self, address: str, instance: str) -> ProbeResult:
+    async def probe(
+        self, address: str, instance: str, *, patient: bool = False
+    ) -> ProbeResult:
         """Open a new connection to an upstream that has closed one.
 
         Idle ones show nothing; they may be closed for their age, or be kept open by a
         proxy. What one path shows may be true of the path alone, so others are tried;
         a node that stands still and does not answer delays nothing.
+
+        :param patient: wait for proxies that are late to close the connection.
         """
+        wait_s = _LATE_REFUSED_CLOSE_S if patient else _REFUSED_CLOSE_S
         for _ in range(_PROBED_PATHS):
             try:
                 connection = await self.acquire(
@@ -344,8 +350,12 @@
                 return ProbeResult.REFUSED
             except ConnectionLostError:
                 return ProbeResult.UNKNOWN
-            if not await connection.conn.closes_within(_REFUSED_CLOSE_S):
-                self.put_back(address, instance, connection)
+            if not await connection.conn.closes_within(wait_s):
+                if patient:
+                    # Another incarnation may have started there meanwhile.
+                    self.discard(address, instance, connection)
+                else:
+                    self.put_back(address, instance, connection)
                 return ProbeResult.OPEN
             self._paths.suspect(address, connection.relay)
             self.discard(address, instance, connection)
--- a/baobabwing/standins/loopback_proxy.py
+++ b/baobabwing/standins/loopback_proxy.py
@@ -42,6 +42,8 @@
     :param cut_off: whether a client at a local port is cut off from the target; its
         new connections are then reset.
     :ivar fault: fault in force.
+    :ivar refuses_after_s: time from a failure to connect to the target until the client
+        sees it.
     :ivar address: listening address, ``ip:port``; empty before ``start()``.
     """
 
@@ -54,6 +56,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.fault = PathFault.NONE
+        self.refuses_after_s = 0.0
         self.address = ""
 
     async def start(self) -> None:
@@ -100,6 +103,7 @@
                 host, int(port)
             )
         except OSError:
+            await asyncio.sleep(self.refuses_after_s)
             _reset(writer)
             return
         self._writers |= {writer, target_writer}
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -227,6 +227,30 @@
     run(scenario())
 
 
+def test_crash_behind_a_proxy_that_closes_late_is_certain(run):
+    """Seven upstreams ended, since each of them was taken to be up."""
+
+    async def scenario():
+        async with GatewayFleet(services=3) as fleet:
+            proxies = {
+                name: LoopbackProxy(target=upstream.address)
+                for name, (upstream, _) in fleet.upstreams.items()
+            }
+            for proxy in proxies.values():
+                proxy.refuses_after_s = 0.3
+                await proxy.start()
+            fleet.list_all({name: proxy.address for name, proxy in proxies.items()})
+            for turn in range(3):
+                await fleet.ask(turn, "/safe/a", f"first-{turn}", body=b"other")
+            await fleet.ask(0, "/safe/a", "c1", body=b"crash")
+            await eventually(lambda: quarantined_everywhere(fleet), "quarantined")
+            assert len(fleet.crashed) == 2
+            for proxy in proxies.values():
+                proxy.stop()
+
+    run(scenario())
+
+
 @pytest.fixture
 def slow_connects(monkeypatch):
     """Connections that took longer to open than upstreams take to crash."""
