Let the requests after a promotion count in the verdict on a version

Now the time after the promotion decides: it is twice as long while the score is doubtful (2), and ends with a rollback from 4.5 on; so a version is promoted up to 5.5. What the budget keeps for that time covers both.

--- a/baobabwing/gateway/decisions/rollouts.py
+++ b/baobabwing/gateway/decisions/rollouts.py
@@ -49,15 +49,19 @@
 _LAST_SHARE = 0.12
 _MIN_LAST_S = 1.0
 # Time from the promotion to the verdict, as a share and at least. The new version gets
-# all requests meanwhile: what is left of the exposure budget covers that.
+# all requests meanwhile: what is left of the exposure budget covers that. While the
+# evidence is doubtful it takes longer, by this factor at most.
 _PROMOTED_SHARE = 0.03
 _MIN_PROMOTED_S = 0.3
-# Scores of the evidence: a version is bad at the first; it is not promoted before the
-# last moment from the second on, and then not from the third on. A bad version that is
-# done serves all callers, a good one that is rolled back can be ordered again.
+_DOUBTFUL_FACTOR = 2.0
+# Scores of the evidence. A version is bad at the first. From the second on it is
+# neither promoted nor done before the last moment; from the third on it is not promoted
+# even then, and from the fourth on not done. The requests after the promotion are
+# evidence as well, so that a doubtful version may be promoted.
 _BAD_SCORE = 11.0
 _DOUBTFUL_SCORE = 2.0
-_TOO_DOUBTFUL_SCORE = 3.5
+_MAX_PROMOTED_SCORE = 5.5
+_MAX_DONE_SCORE = 4.5
 
 
 class RolloutPhase(IntEnum):
@@ -260,19 +264,35 @@
     if score >= _BAD_SCORE:
         return RolloutPhase.ROLLED_BACK
     if rollout.phase is RolloutPhase.PROMOTED:
-        promoted_s = max(_PROMOTED_SHARE * duration_s, _MIN_PROMOTED_S)
-        over = now - rollout.promoted_at >= promoted_s
-        return RolloutPhase.DONE if over else RolloutPhase.PROMOTED
+        return _after_promotion(score, now - rollout.promoted_at, duration_s)
     if not majority or age_s < duration_s - _margin_s(duration_s):
         return RolloutPhase.CANARY
     if evidence.is_sufficient() and score < _DOUBTFUL_SCORE:
         return RolloutPhase.PROMOTED
     if age_s < duration_s - max(_LAST_SHARE * duration_s, _MIN_LAST_S):
         return RolloutPhase.CANARY
-    good = evidence.new_answers > 0 and score < _TOO_DOUBTFUL_SCORE
+    good = evidence.new_answers > 0 and score < _MAX_PROMOTED_SCORE
     return RolloutPhase.PROMOTED if good else RolloutPhase.ROLLED_BACK
 
 
+def _after_promotion(
+    score: float, promoted_s: float, duration_s: float
+) -> RolloutPhase:
+    """Return the phase of a promoted version that is not clearly bad.
+
+    :param promoted_s: time since the promotion.
+    """
+    usual_s = max(_PROMOTED_SHARE * duration_s, _MIN_PROMOTED_S)
+    if promoted_s < usual_s:
+        return RolloutPhase.PROMOTED
+    if score < _DOUBTFUL_SCORE:
+        return RolloutPhase.DONE
+    if promoted_s < _DOUBTFUL_FACTOR * usual_s:
+        return RolloutPhase.PROMOTED
+    good = score < _MAX_DONE_SCORE
+    return RolloutPhase.DONE if good else RolloutPhase.ROLLED_BACK
+
+
 def _margin_s(duration_s: float) -> float:
     margin_s = min(max(_MARGIN_SHARE * duration_s, _MIN_MARGIN_S), _MAX_MARGIN_S)
     return min(margin_s, _MAX_MARGIN_SHARE * duration_s)
--- a/tests/gateway/decisions/test_rollouts.py
+++ b/tests/gateway/decisions/test_rollouts.py
@@ -172,3 +172,30 @@
     assert found is RolloutPhase.ROLLED_BACK
     found = next_phase(rollout, evidence(0, 100), 10.3, majority=True)
     assert found is RolloutPhase.DONE
+
+
+@pytest.mark.parametrize(
+    ("bad", "good", "promoted_s", "phase"),
+    [
+        (0, 20, 0.3, RolloutPhase.PROMOTED),
+        (0, 20, 0.4, RolloutPhase.DONE),
+        (2, 4, 0.4, RolloutPhase.PROMOTED),
+        (5, 10, 0.4, RolloutPhase.PROMOTED),
+        (2, 4, 0.8, RolloutPhase.DONE),
+        (5, 10, 0.8, RolloutPhase.ROLLED_BACK),
+    ],
+)
+def test_promoted_version_is_done_only_if_its_evidence_allows(
+    bad, good, promoted_s, phase
+):
+    """A version that failed on one route was done 0.4 s after its promotion."""
+    rollout = make_rollout()
+    rollout.advance(RolloutPhase.PROMOTED, 10.0)
+    now = 10.0 + promoted_s
+    assert next_phase(rollout, evidence(bad, good), now, majority=True) is phase
+
+
+def test_doubtful_version_is_promoted_at_the_last_moment():
+    """A good one was rolled back, without the evidence of all requests."""
+    found = next_phase(make_rollout(), evidence(3, 9), 11.0, majority=True)
+    assert found is RolloutPhase.PROMOTED
