Put a path in doubt once for connections that are lost together

An upstream that ends under several requests on new connections put its direct path in doubt once for each, which made it count as lost: its refusals showed nothing then, and the path was left out for up to 16 s instead of 2 s.

A connection that was opened before the latest suspicion adds nothing to it now.

--- a/baobabwing/gateway/upstream_connections.py
+++ b/baobabwing/gateway/upstream_connections.py
@@ -122,6 +122,7 @@
     :param names: header names in use.
     :param opened_in_s: time to connect; at least one round trip.
     :param relay: address of the node through which it goes; empty if direct.
+    :ivar opened_at: when it was opened, by the monotonic clock.
     """
 
     def __init__(
@@ -134,7 +135,7 @@
     ) -> None:
         self.conn = conn
         self.relay = relay
-        self._opened_at = time.monotonic()
+        self.opened_at = time.monotonic()
         self._names = names
         self.opened_in_s = opened_in_s
         self._sent_at = 0.0
@@ -196,7 +197,7 @@
         """Whether the next request may use this connection."""
         http = self.conn.http
         done = http.our_state is h11.DONE and http.their_state is h11.DONE
-        if self.relay and time.monotonic() - self._opened_at > _MAX_TUNNEL_AGE_S:
+        if self.relay and time.monotonic() - self.opened_at > _MAX_TUNNEL_AGE_S:
             return False
         return done and self.conn.clean and self._keep_alive_s > 0
 
@@ -357,7 +358,7 @@
                 else:
                     self.put_back(address, instance, connection)
                 return ProbeResult.OPEN
-            self._paths.suspect(address, connection.relay)
+            self._suspect(address, connection)
             self.discard(address, instance, connection)
         return ProbeResult.CLOSED
 
@@ -367,7 +368,7 @@
         A device on the path may accept connections for upstreams that it can't reach.
         """
         if not (connection.used or connection.conn.received):
-            self._paths.suspect(address, connection.relay)
+            self._suspect(address, connection)
 
     def abandon(self, address: str, instance: str) -> None:
         """Abort all connections to an incarnation that has ended.
@@ -380,6 +381,9 @@
         for connection in (*self._busy.pop(key, ()), *self._idle.pop(key, ())):
             connection.conn.abort()
 
+    def _suspect(self, address: str, connection: UpstreamConnection) -> None:
+        self._paths.suspect(address, connection.relay, opened_at=connection.opened_at)
+
     def _remove_busy(
         self, key: tuple[str, str], connection: UpstreamConnection
     ) -> None:
--- a/baobabwing/gateway/upstream_paths.py
+++ b/baobabwing/gateway/upstream_paths.py
@@ -60,6 +60,18 @@
     relay: str = ""
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Suspicion:
+    """A direct path lost a connection unanswered.
+
+    :param at: when, by the monotonic clock.
+    :param pause_s: time for which the path was left out.
+    """
+
+    at: float
+    pause_s: float
+
+
 _Attempt = Callable[[], Awaitable[OpenPath]]
 
 
@@ -92,7 +104,7 @@
         # Direct paths known to have failed, not only suspected once.
         self._lost: set[str] = set()
         self._down_until: dict[str, float] = {}
-        self._suspected_s: dict[str, float] = {}
+        self._suspicions: dict[str, _Suspicion] = {}
         self._avoided_until: dict[str, float] = {}
         self._good: deque[str] = deque(maxlen=_MAX_GOOD_RELAYS)
 
@@ -151,26 +163,32 @@
             )
         return await open_transport(address, SplicedEnd, timeout_s=_CONNECT_TIMEOUT_S)
 
-    def suspect(self, address: str, relay: str) -> None:
+    def suspect(self, address: str, relay: str, *, opened_at: float) -> None:
         """Use other paths first for a while: a connection was lost unanswered.
 
         A direct path is left for longer each time until it has brought an answer, since
         each look at it costs a request.
 
         :param relay: node through which it went; empty if it was direct.
+        :param opened_at: when the connection was opened. Several that are lost together
+            count once.
         """
         if relay:
             self._avoid(relay)
             return
+        earlier = self._suspicions.get(address)
+        if earlier is not None and opened_at <= earlier.at:
+            return
         if address in self._blocked_until:
             self._lost.add(address)
-        pause_s = self._suspected_s.get(address, _BLOCKED_S)
-        self._suspected_s[address] = min(2 * pause_s, _MAX_SUSPECTED_S)
-        self._blocked_until[address] = time.monotonic() + pause_s
+        pause_s = min(2 * earlier.pause_s, _MAX_SUSPECTED_S) if earlier else _BLOCKED_S
+        now = time.monotonic()
+        self._suspicions[address] = _Suspicion(at=now, pause_s=pause_s)
+        self._blocked_until[address] = now + pause_s
 
     def confirm(self, address: str) -> None:
         """Record that an answer has come over a direct path."""
-        self._suspected_s.pop(address, None)
+        self._suspicions.pop(address, None)
         self._lost.discard(address)
         if self._blocked_until.pop(address, None) is not None:
             log(UPSTREAM_PATH_BACK, upstream=address)
@@ -182,7 +200,7 @@
         """
         now = time.monotonic()
         self._lost &= listed
-        for table in (self._blocked_until, self._down_until, self._suspected_s):
+        for table in (self._blocked_until, self._down_until, self._suspicions):
             for address in tuple(table):
                 if address not in listed:
                     del table[address]
@@ -205,7 +223,7 @@
     def _acquit(self, address: str) -> None:
         """Drop the suspicion of a path that lost a connection as its upstream ended."""
         if address not in self._lost:
-            self._suspected_s.pop(address, None)
+            self._suspicions.pop(address, None)
             self._blocked_until.pop(address, None)
 
     def _head_start_s(self, address: str) -> float:
--- a/tests/gateway/test_upstream_connections.py
+++ b/tests/gateway/test_upstream_connections.py
@@ -185,7 +185,7 @@
         )
         return OpenPath(conn=conn, relay=f"relay-{len(self.suspected)}")
 
-    def suspect(self, address, relay):
+    def suspect(self, address, relay, *, opened_at):
         self.suspected.append(relay)
 
 
--- a/tests/gateway/test_upstream_paths.py
+++ b/tests/gateway/test_upstream_paths.py
@@ -153,12 +153,12 @@
         pauses = []
         for _ in range(6):
             before = time.monotonic()
-            network.paths.suspect(ADDRESS, relay="")
+            network.paths.suspect(ADDRESS, "", opened_at=time.monotonic())
             pauses.append(round(network.paths.blocked_s(ADDRESS, before)))
         assert pauses == [2, 4, 8, 16, 16, 16]
         network.paths.confirm(ADDRESS)
         assert network.paths.blocked == 0
-        network.paths.suspect(ADDRESS, relay="")
+        network.paths.suspect(ADDRESS, "", opened_at=time.monotonic())
         assert round(network.paths.blocked_s(ADDRESS, time.monotonic())) == 2
 
     run(scenario())
@@ -169,7 +169,7 @@
         network = FakeNetwork(monkeypatch, near=1, far=3)
         network.direct = "fail"
         first = (await network.paths.open(ADDRESS)).relay
-        network.paths.suspect(ADDRESS, first)
+        network.paths.suspect(ADDRESS, first, opened_at=time.monotonic())
         for _ in range(10):
             assert (await network.paths.open(ADDRESS)).relay != first
 
@@ -299,13 +299,35 @@
             network.direct = "open"
             assert not (await network.paths.open(ADDRESS)).relay
             network.direct = "refuse"
-            network.paths.suspect(ADDRESS, "")
+            network.paths.suspect(ADDRESS, "", opened_at=time.monotonic())
             with pytest.raises(ConnectionRefusedByPeerError):
                 await network.paths.open(ADDRESS, agreeing=3)
 
     run(scenario())
 
 
+def test_connections_that_are_lost_together_put_their_path_in_doubt_once(
+    run, monkeypatch
+):
+    """An upstream that ended under three requests seemed to have a broken path."""
+
+    async def scenario():
+        network = FakeNetwork(monkeypatch, near=3, far=0)
+        network.relays = {host.work: "fail" for host in network.hosts}
+        opened_at = []
+        for _ in range(3):
+            assert not (await network.paths.open(ADDRESS)).relay
+            opened_at.append(time.monotonic())
+        network.direct = "refuse"
+        for at in opened_at:
+            network.paths.suspect(ADDRESS, "", opened_at=at)
+        assert network.paths.blocked_s(ADDRESS, time.monotonic()) <= 2.0
+        with pytest.raises(ConnectionRefusedByPeerError):
+            await network.paths.open(ADDRESS, agreeing=3)
+
+    run(scenario())
+
+
 def test_refusals_of_a_path_that_broke_connections_twice_show_nothing(run, monkeypatch):
     async def scenario():
         network = FakeNetwork(monkeypatch, near=3, far=0)
@@ -313,7 +335,7 @@
         for _ in range(2):
             network.direct = "open"
             assert not (await network.paths.open(ADDRESS)).relay
-            network.paths.suspect(ADDRESS, "")
+            network.paths.suspect(ADDRESS, "", opened_at=time.monotonic())
         network.direct = "refuse"
         with pytest.raises(ConnectionLostError) as found:
             await network.paths.open(ADDRESS, agreeing=3)
