Have the soak judge a stream's version by what its caller got

The request to v1 was held up by the cut, reached its worker afterwards, and the check took the latest run from the start for the beginning.

Now the worker that signed the answer tells at which version its stream began; where a caller has got no event, the runs are judged as before. So a node that goes on at another version than its caller saw is found, and also one that resumes within an answer.

--- a/tests/platform_adapter/demo.py
+++ b/tests/platform_adapter/demo.py
@@ -109,7 +109,7 @@
         self._current: dict[str, tuple[GatewayUpstream, str]] = {}
         self._states: dict[str, str] = {}
         self._versions: dict[str, str] = {}
-        self._version_by_instance: dict[str, str] = {}
+        self.version_by_instance: dict[str, str] = {}
         self._service_by_instance: dict[str, str] = {}
         self.next_version: Callable[[str], str] = lambda before: before
         self._writes: Counter[str] = Counter()
@@ -200,7 +200,7 @@
     def stream_runs(self) -> list[tuple[StreamRun, str]]:
         """Return all runs of streams with their workers' versions, ordered by time."""
         runs = [
-            (run, self._version_by_instance[worker.instance])
+            (run, self.version_by_instance[worker.instance])
             for worker in self.workers
             for run in worker.streams
         ]
@@ -299,7 +299,7 @@
 
         # Runs beside each other reuse ports; names tell their workers apart.
         instance = f"{name}-{len(self.workers)}-{self._run}"
-        self._version_by_instance[instance] = version
+        self.version_by_instance[instance] = version
         self._service_by_instance[instance] = service
         worker = GatewayUpstream(
             instance=instance, names=HEADERS, behave=behave, on_crash=on_crash
--- a/tests/platform_adapter/soak/checks.py
+++ b/tests/platform_adapter/soak/checks.py
@@ -6,7 +6,7 @@
 import bisect
 import time
 from collections import Counter, deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -68,11 +68,13 @@
 
     :param status: 0 if it got no head of an answer.
     :param whole: whether the answer came to its end.
+    :param worker: the worker that answers, if its head arrived.
     :param leaving: the worker that says in it that it leaves, if it does.
     :param limiting: the worker that states in it a limit of what it takes, if it does.
     """
 
     status: int = 0
+    worker: str = ""
     leaving: str = ""
     limiting: str = ""
     body: bytes = field(default=b"", repr=False)
@@ -146,20 +148,38 @@
         self._first[number] = first
         self.outcomes[f"taken up {outcome}"] += 1
 
-    def judge_versions(self, runs: Iterable[tuple[StreamRun, str]]) -> None:
+    def judge_versions(
+        self, runs: Iterable[tuple[StreamRun, str]], versions: Mapping[str, str]
+    ) -> None:
         """Compare the versions that wrote each stream, over all tries of its caller.
 
+        A run that was given up may reach its worker late, and count for nothing: what
+        the caller has got tells at which version its stream began.
+
         :param runs: all runs of streams with their workers' versions, in turn.
+        :param versions: of all workers.
         """
-        began_at: dict[str, str] = {}
+        seen = self._first_versions(versions)
+        latest: dict[str, str] = {}
         for run, version in runs:
             first = self._first.get(run.request_id, run.request_id)
-            if run.last_event and began_at.get(first, version) != version:
+            began_at = seen.get(first) or latest.get(first, version)
+            if run.last_event and began_at != version:
                 self.wrong.append(
-                    f"stream {first}: of {began_at[first]}, goes on at {version}"
+                    f"stream {first}: of {began_at}, goes on at {version}"
                     f" as {run.request_id} after event {run.last_event}"
                 )
-            began_at[first] = version
+            latest[first] = version
+
+    def _first_versions(self, versions: Mapping[str, str]) -> dict[str, str]:
+        """Return the version of the first event that callers got, by stream."""
+        began_at: dict[str, str] = {}
+        for number, ended in self._ended.items():
+            first = self._first.get(number, number)
+            reply = ended.reply
+            if ended.kind is Kind.STREAM and reply.body and reply.worker in versions:
+                began_at.setdefault(first, versions[reply.worker])
+        return began_at
 
     def judge_crashes(self, crashed: Counter[str]) -> None:
         """Compare what ended workers with how many it may end."""
@@ -346,7 +366,18 @@
 
     :param more: headers beside the usual ones.
     """
-    status, body, leaving, limiting = 0, b"", "", ""
+    status, body, worker, leaving, limiting = 0, b"", "", "", ""
+
+    def reply(*, whole: bool) -> Reply:
+        return Reply(
+            status=status,
+            worker=worker,
+            leaving=leaving,
+            limiting=limiting,
+            body=body,
+            whole=whole,
+        )
+
     length = (b"Content-Length", b"%d" % len(text))
     headers = [*request_headers(number, key), length, *more]
     try:
@@ -358,27 +389,22 @@
             while not isinstance(event := await conn.next_event(), h11.EndOfMessage):
                 if isinstance(event, h11.Response):
                     status = event.status_code
-                    leaving = _worker_with(HEADERS.leaving, event)
-                    limiting = _worker_with(HEADERS.rate_limit, event)
+                    found = {name.lower(): value for name, value in event.headers}
+                    worker = _worker(found)
+                    leaving = worker if HEADERS.leaving in found else ""
+                    limiting = worker if HEADERS.rate_limit in found else ""
                 elif isinstance(event, h11.Data):
                     body += bytes(event.data)
                 else:
-                    return Reply(
-                        status=status, body=body, leaving=leaving, limiting=limiting
-                    )
+                    return reply(whole=False)
     except (ConnectionLostError, MalformedError, TimeoutError):
-        return Reply(status=status, body=body, leaving=leaving, limiting=limiting)
-    return Reply(
-        status=status, body=body, whole=True, leaving=leaving, limiting=limiting
-    )
+        return reply(whole=False)
+    return reply(whole=True)
 
 
-def _worker_with(header: bytes, event: h11.Response) -> str:
-    """Return the worker that answers, if its answer has a header."""
-    found = {name.lower(): value for name, value in event.headers}
-    if header not in found:
-        return ""
-    return found[HEADERS.signature].decode().removeprefix("signed-")
+def _worker(headers: Mapping[bytes, bytes]) -> str:
+    """Return the worker that signed an answer; empty if none did."""
+    return headers.get(HEADERS.signature, b"").decode().removeprefix("signed-")
 
 
 def _outcome(reply: Reply) -> Outcome:
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -76,6 +76,9 @@
 # Requests at the same time that two workers of a kind have no places for: a node gives
 # one that was slow when it last heard of it nothing while others have places.
 _BESIDE = 40
+# Delay of this process from which on it is noted: workers and callers stand still then.
+_LATE_S = 0.3
+_LATE_CHECK_S = 0.05
 
 
 class Soak:
@@ -122,17 +125,21 @@
                     for _ in range(_LIMITED_CALLERS)
                 ]
             keeper = asyncio.ensure_future(self._keep_running())
+            clock = asyncio.ensure_future(self._note_delays())
             await self._play()
             await self._calm()
             await self._recovers()
             self._ended = True
             await asyncio.gather(*callers)
             keeper.cancel()
+            clock.cancel()
         finally:
             await self.deployment.stop()
         self.records.judge_crashes(self.deployment.crashed)
         self.records.judge_leaving(self.deployment.received_requests())
-        self.records.judge_versions(self.deployment.stream_runs())
+        self.records.judge_versions(
+            self.deployment.stream_runs(), self.deployment.version_by_instance
+        )
         self.records.judge_runs(self.deployment.runs())
         for limit in self.stated_limits:
             arrivals = self.deployment.arrivals_at(limit.instance)
@@ -181,6 +188,15 @@
         """Draw a node."""
         return self.rng.randrange(_NODES)
 
+    async def _note_delays(self) -> None:
+        """Note when this process itself stands still, with all workers and callers."""
+        while True:
+            due = time.monotonic() + _LATE_CHECK_S
+            await asyncio.sleep(_LATE_CHECK_S)
+            late_s = time.monotonic() - due
+            if late_s > _LATE_S:
+                self.note(f"the soak has stood still for {late_s:.1f} s")
+
     async def stop_node(self, number: int) -> None:
         """Tell a node to stop, and start it again when it has ended.
 
--- a/tests/platform_adapter/soak/seeds.py
+++ b/tests/platform_adapter/soak/seeds.py
@@ -30,6 +30,11 @@
     "place was then ended without a word, with the streams that it ran"
 )
 
+_LATE_RUN = (
+    "a run that its node had given up reached its worker behind a proxy that was cut "
+    "off, after the run that served the caller, and counted as the beginning"
+)
+
 FAILED_ONCE: dict[int, str] = {
     4: _LATE,
     11: _EARLY,
@@ -42,4 +47,5 @@
     17003: _BETWEEN_EVENTS,
     19015: _SHARE,
     19132: _DRAINED_TWICE,
+    20038: _LATE_RUN,
 }
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from tests.platform_adapter.soak.checks import Kind, Records, Reply, StatedLimit
+from baobabwing.standins.gateway_upstream import StreamRun
+from tests.platform_adapter.soak.checks import (
+    Kind,
+    Outcome,
+    Records,
+    Reply,
+    StatedLimit,
+)
 from tests.platform_adapter.soak.run import Soak
 from tests.platform_adapter.soak.seeds import FAILED_ONCE
 
@@ -85,3 +92,30 @@
     assert records.wrong == []
     records.judge_rate_limit(limit, [*arrivals, ("first", now + 5.0)])
     assert records.wrong == ["w: 18 in a window, 17 are allowed"]
+
+
+def stream_run(number, after, version):
+    return StreamRun(request_id=number, last_event=after, began_at=0.0), version
+
+
+@pytest.mark.parametrize(
+    ("runs", "wrong"),
+    [
+        ([("a", 0, "v2"), ("a", 0, "v1"), ("b", 2, "v2")], []),
+        ([("a", 0, "v2"), ("b", 2, "v1")], ["v2, goes on at v1"]),
+        ([("a", 0, "v1"), ("a", 2, "v1")], ["v2, goes on at v1"]),
+        ([("x", 0, "v1"), ("x", 0, "v2"), ("x", 2, "v2")], []),
+        ([("x", 0, "v1"), ("x", 2, "v2")], ["v1, goes on at v2"]),
+    ],
+)
+def test_stream_that_goes_on_at_another_version_than_its_caller_saw_is_found(
+    runs, wrong
+):
+    """A run that was given up reached its worker late, and counted as the beginning."""
+    records = Records(planned_only=False)
+    begun = Reply(status=200, worker="w2", body=b"id: 1\ndata: x\n\n")
+    records.ended("a", Kind.STREAM, begun, 12)
+    records.taken_up("b", "a", Outcome.SERVED)
+    records.wrong.clear()
+    records.judge_versions([stream_run(*run) for run in runs], {"w1": "v1", "w2": "v2"})
+    assert [one.split(" of ")[1].split(" as ")[0] for one in records.wrong] == wrong
