Put the proxies of the crash tests into one place

Three tests set them up line by line; two of them are one test with two delays now, with the same checks. The proxies are stopped also if a test fails. A method of the paths is named after what it does.

--- a/baobabwing/gateway/upstream_paths.py
+++ b/baobabwing/gateway/upstream_paths.py
@@ -143,7 +143,7 @@
         except (ConnectionLostError, TimeoutError) as exc:
             self._down_until[address] = time.monotonic() + _DOWN_S
             if agreeing is not None and _is_refusal(exc):
-                self._acquit(address)
+                self._clear_suspicion(address)
             if isinstance(exc, ConnectionLostError):
                 raise
             raise ConnectionLostError(
@@ -220,7 +220,7 @@
             self._lost.add(address)
             self._blocked_until[address] = time.monotonic() + _BLOCKED_S
 
-    def _acquit(self, address: str) -> None:
+    def _clear_suspicion(self, address: str) -> None:
         """Drop the suspicion of a path that lost a connection as its upstream ended."""
         if address not in self._lost:
             self._suspicions.pop(address, None)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """A request that crashes each upstream that begins to run it, and is repeated."""
 
 import asyncio
+import contextlib
 import itertools
 import time
 from http import HTTPStatus
@@ -206,47 +207,38 @@
     run(scenario())
 
 
-def test_crash_behind_a_proxy_that_accepts_connections_is_certain(run):
-    async def scenario():
-        async with GatewayFleet(services=3) as fleet:
-            proxies = {
-                name: LoopbackProxy(target=upstream.address)
-                for name, (upstream, _) in fleet.upstreams.items()
-            }
-            for proxy in proxies.values():
-                await proxy.start()
-            fleet.list_all({name: proxy.address for name, proxy in proxies.items()})
-            for turn in range(3):
-                await fleet.ask(turn, "/safe/a", f"first-{turn}", body=b"other")
-            await fleet.ask(0, "/safe/a", "c1", body=b"crash")
-            await eventually(lambda: quarantined_everywhere(fleet), "quarantined")
-            assert len(fleet.crashed) == 2
-            for proxy in proxies.values():
-                proxy.stop()
-
-    run(scenario())
-
-
-def test_crash_behind_a_proxy_that_closes_late_is_certain(run):
-    """Seven upstreams ended, since each of them was taken to be up."""
+@contextlib.asynccontextmanager
+async def behind_proxies(fleet, *, refuses_after_s=0.0):
+    """Put a proxy in front of each upstream; those of replacements have none."""
+    proxies = {
+        name: LoopbackProxy(target=upstream.address)
+        for name, (upstream, _) in fleet.upstreams.items()
+    }
+    for proxy in proxies.values():
+        proxy.refuses_after_s = refuses_after_s
+        await proxy.start()
+    fleet.list_all({name: proxy.address for name, proxy in proxies.items()})
+    try:
+        yield
+    finally:
+        for proxy in proxies.values():
+            proxy.stop()
+
+
+@pytest.mark.parametrize("refuses_after_s", [0.0, 0.3])
+def test_crash_behind_a_proxy_that_accepts_connections_is_certain(run, refuses_after_s):
+    """Seven upstreams ended whose proxies closed late: each was taken to be up."""
 
     async def scenario():
-        async with GatewayFleet(services=3) as fleet:
-            proxies = {
-                name: LoopbackProxy(target=upstream.address)
-                for name, (upstream, _) in fleet.upstreams.items()
-            }
-            for proxy in proxies.values():
-                proxy.refuses_after_s = 0.3
-                await proxy.start()
-            fleet.list_all({name: proxy.address for name, proxy in proxies.items()})
+        async with (
+            GatewayFleet(services=3) as fleet,
+            behind_proxies(fleet, refuses_after_s=refuses_after_s),
+        ):
             for turn in range(3):
                 await fleet.ask(turn, "/safe/a", f"first-{turn}", body=b"other")
             await fleet.ask(0, "/safe/a", "c1", body=b"crash")
             await eventually(lambda: quarantined_everywhere(fleet), "quarantined")
             assert len(fleet.crashed) == 2
-            for proxy in proxies.values():
-                proxy.stop()
 
     run(scenario())
 
@@ -305,14 +297,7 @@
     """Its upstream may have ended before the request arrived."""
 
     async def scenario():
-        async with GatewayFleet(services=3) as fleet:
-            proxies = {
-                name: LoopbackProxy(target=upstream.address)
-                for name, (upstream, _) in fleet.upstreams.items()
-            }
-            for proxy in proxies.values():
-                await proxy.start()
-            fleet.list_all({name: proxy.address for name, proxy in proxies.items()})
+        async with GatewayFleet(services=3) as fleet, behind_proxies(fleet):
             await fleet.ask(0, "/safe/a", "c1", body=b"crash")
             assert len(fleet.crashed) == 2
             # The probes take less time than the restarts.
