Name the shared parts of a prompt in the lines of failed attempts

Callers saw answers broken off as engines crashed one after the other. The lines 2501 of the requests under them have digests that never repeat, and nothing shows what these requests have in common. The parts but the last are logged, eight at most.

--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -153,8 +153,9 @@
     "upstream_failed",
     "An attempt at an upstream failed: the step and the reason, how long the request "
     "was there (`age_ms`), how long ago its first event came (`begun_ms`) and how many "
-    "events it had. The `digest` is the same each time that the same request is sent. "
-    "`framing` and `incomplete_bytes` as in line 1504.",
+    "events it had. The `digest` is the same each time that the same request is sent; "
+    "`parts` are the first parts of its prompt that others may share. `framing` and "
+    "`incomplete_bytes` as in line 1504.",
 )
 UPSTREAM_UNRESPONSIVE = define(
     2510,
--- a/baobabwing/gateway/request_head.py
+++ b/baobabwing/gateway/request_head.py
@@ -53,6 +53,11 @@
     last_event: str = ""
     resumes: str = ""
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts that other requests may have too; the last one is the caller's own."""
+        return self.parts[:-1]
+
 
 def read_request_head(
     method: str, target: str, headers: Headers, names: HeaderNames
--- a/baobabwing/gateway/request_recorder.py
+++ b/baobabwing/gateway/request_recorder.py
@@ -26,10 +26,13 @@
 from baobabwing.gateway.stream_origins import FoundOrigin
 from baobabwing.reports.events import log
 
-__all__ = ["RequestRecorder"]
+__all__ = ["RequestRecorder", "part_names"]
 
 # Higher tiers are counted under this label, which bounds the number of label values.
 _MAX_TIER_LABEL = 9
+# Parts of a prompt that are logged, and characters of their names.
+_LOGGED_PARTS = 8
+_LOGGED_PART_CHARS = 32
 
 
 class RequestRecorder:
@@ -261,6 +264,7 @@
             peer=exc.peer,
             reason=exc.message,
             digest=f"{call.digest:016x}",
+            parts=part_names(call.request_head),
             age_ms=_ms(now - grant.granted_at),
             begun_ms=None if began_at is None else _ms(now - began_at),
             events=events,
@@ -305,5 +309,11 @@
     return str(min(call.rank, _MAX_TIER_LABEL))
 
 
+def part_names(request_head: RequestHead) -> list[str]:
+    """Return the names of the first shared parts of a prompt, for the log."""
+    parts = request_head.shared_parts[:_LOGGED_PARTS]
+    return [part.name[:_LOGGED_PART_CHARS] for part in parts]
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * 1000, 1)
--- a/tests/gateway/test_request_recorder.py
+++ b/tests/gateway/test_request_recorder.py
@@ -7,6 +7,8 @@
 
 from baobabwing.gateway.metrics import Outcome
 from baobabwing.gateway.model import CallerLimits
+from baobabwing.gateway.request_head import PromptPart, RequestHead
+from baobabwing.gateway.request_recorder import part_names
 from baobabwing.standins.gateway_upstream import Behaviour
 from tests.gateway.harness import (
     NAMES,
@@ -201,3 +203,14 @@
             assert (sent["last_event"], sent["resumes"]) == ("2", "first")
 
     run(scenario())
+
+
+def test_failed_attempt_names_the_parts_that_others_may_share():
+    """Crashes of requests that have one part in common looked unrelated."""
+    head = RequestHead(
+        method="POST",
+        target="/",
+        headers=[],
+        parts=tuple(PromptPart(name=name, tokens=9) for name in ("a", "b", "own")),
+    )
+    assert part_names(head) == ["a", "b"]
