--- a/tests/gateway/gateway_fleet.py
+++ b/tests/gateway/gateway_fleet.py
@@ -31,6 +31,17 @@
 SLOTS = 4
 
 
+def part_names(prefix):
+    """Return the names of the parts in a header of prompt parts."""
+    return [entry.partition(":")[0] for entry in prefix.split(",")]
+
+
+def prompt(*parts):
+    """Return the header of a prompt of parts, whose last is the request's own."""
+    value = ",".join(f"{part}:40" for part in parts)
+    return [(NAMES.prefix, value.encode())]
+
+
 class GatewayFleet:
     """Gateways that are members of one fleet, and upstreams that restart after crashes.
 
@@ -40,6 +51,7 @@
     :ivar usual: behaviour of upstreams, by pool.
     :ivar by_request: behaviour for single requests, which overrides all others.
     :ivar software: version of an upstream's software by its name.
+    :ivar deadly_parts: parts of prompts that crash each engine that begins to answer.
     """
 
     def __init__(self, *, nodes=3, engines=4, services=3, cfg=None, repeats=None):
@@ -51,6 +63,7 @@
         self.by_name = {}
         self.by_request = lambda seen: None
         self.software = {}
+        self.deadly_parts = set()
         self.usual = {"engines": Behaviour(events=5), "services": Behaviour()}
         self._counts = {"engines": engines, "services": services}
         self._nodes = nodes
@@ -145,7 +158,7 @@
         name = f"{pool}-{number or next(self._numbers)}"
 
         def behave(request):
-            crashes = b"crash" in request.body
+            crashes = b"crash" in request.body or self.is_deadly(request)
             crash = Behaviour(delay_s=CRASH_DELAY_S, crash=True)
             usual = self.by_name.get(name, self.usual[pool])
             return crash if crashes else self.by_request(request) or usual
@@ -159,6 +172,11 @@
         await upstream.start()
         self.upstreams[name] = (upstream, pool)
 
+    def is_deadly(self, request):
+        """Whether a request crashes the engines that begin to answer it."""
+        names = part_names(request.headers.get(NAMES.prefix, b"").decode())
+        return not self.deadly_parts.isdisjoint(names[:-1])
+
     def crash(self, pool):
         """Stop one upstream of a pool, with all requests that it runs."""
         name = next(
