--- a/baobabwing/gateway/crash_reports.py
+++ b/baobabwing/gateway/crash_reports.py
@@ -8,10 +8,7 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections import defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from time import monotonic
 
 from baobabwing.gateway.batches import batches
@@ -25,6 +22,7 @@
 from baobabwing.gateway.members import Members
 from baobabwing.gateway.placement.gateway_link import GatewayLink
 from baobabwing.gateway.placement.messages import CrashReports
+from baobabwing.gateway.resends import Resends
 from baobabwing.reports.events import log
 
 __all__ = ["CrashReportExchange"]
@@ -32,30 +30,10 @@
 _RESOURCE = "findings"
 # Two, so that one may fail without any effect.
 _COLLECTORS = 2
-# Delay before sending, so that the reports that all nodes produce on one crash are sent
-# together.
-_BATCH_DELAY_S = 0.01
-# Datagrams may be lost, and nodes partitioned for seconds before the membership detects
-# it. So each report is sent again after this pause, which doubles each time up to the
-# maximum: six times within 8 s.
-_MIN_RESEND_PAUSE_S = 0.25
-_MAX_RESEND_PAUSE_S = 4.0
 # Reports that fit a datagram that is not fragmented.
 _MAX_PER_DATAGRAM = 60
 
 
-@dataclass(kw_only=True)
-class _Resend:
-    """The next send of a report.
-
-    :param at: when it is due, by the monotonic clock.
-    :param pause_s: from then to the send after it.
-    """
-
-    at: float
-    pause_s: float = _MIN_RESEND_PAUSE_S
-
-
 class CrashReportExchange:
     """Sends this node's crash reports, and forwards the quarantines of collectors.
 
@@ -72,9 +50,8 @@
         self._quarantine = book
         self._members = members
         self._link = link
-        self._pending: dict[str, dict[int, _Resend]] = defaultdict(dict)
+        self._resends = Resends(send=self._send_to)
         self._targets: frozenset[tuple[str, int]] = frozenset()
-        self._report_scheduled = asyncio.Event()
         self.on_verdict: Callable[[CrashReport], None] = lambda finding: None
         book.on_news = self._handle_news
         book.on_verdict = self._handle_verdict
@@ -83,13 +60,7 @@
 
     async def run(self) -> None:
         """Send new reports for as long as the node runs."""
-        while True:
-            await self._report_scheduled.wait()
-            self._report_scheduled.clear()
-            await asyncio.sleep(_BATCH_DELAY_S)
-            while self._pending:
-                self._send_due()
-                await asyncio.sleep(_MIN_RESEND_PAUSE_S)
+        await self._resends.run()
 
     def restore(self, quarantined: Iterable[CrashReport]) -> None:
         """Quarantine the requests that were quarantined before this node started."""
@@ -118,12 +89,8 @@
             self._schedule(collectors, (news.digest,))
 
     def _schedule(self, targets: Iterable[str], digests: Iterable[int]) -> None:
-        now = monotonic()
-        for target in targets:
-            if target != self._members.work:
-                for digest in digests:
-                    self._pending[target][digest] = _Resend(at=now)
-                    self._report_scheduled.set()
+        others = (target for target in targets if target != self._members.work)
+        self._resends.schedule(others, digests)
 
     def _collectors(self) -> list[str]:
         return self._members.homes(_RESOURCE, _COLLECTORS)
@@ -156,29 +123,16 @@
         if self._members.work in self._collectors():
             self.on_verdict(finding)
 
-    def _send_due(self) -> None:
-        now = monotonic()
-        for target in tuple(self._pending):
-            self._send_to(target, now)
-            if not self._pending[target]:
-                del self._pending[target]
-
-    def _send_to(self, target: str, now: float) -> None:
-        """Send the due reports to a node.
+    def _send_to(self, target: str, digests: list[int]) -> None:
+        """Send what is known of requests to a node.
 
         Collectors also receive the crashes on which a quarantine is based.
         """
+        now = monotonic()
         verdict_only = target not in self._collectors()
         reports: list[CrashReport] = []
-        pending = self._pending[target]
-        for digest, due in tuple(pending.items()):
-            if now < due.at:
-                continue
+        for digest in digests:
             reports += self._quarantine.findings(digest, now, verdict_only=verdict_only)
-            if due.pause_s > _MAX_RESEND_PAUSE_S:
-                del pending[digest]
-            else:
-                pending[digest] = _Resend(at=now + due.pause_s, pause_s=2 * due.pause_s)
         for batch in batches(reports, _MAX_PER_DATAGRAM):
             self._link.send(target, CrashReports(findings=batch))
 
