Leave upstreams whose answers have no end

What callers saw: 504 after their whole time, for each request that came to an upstream which sends bytes without end in a body or an event; the next request came to the same upstream, and the node's memory grew with what it sent (16 MB in 5 s from one caller).

Cause: bodies and events were read until the caller's deadline, without a bound. Only heads had one, but not the interim answers before them.

Now a body without a length ends at max_answer_bytes (4 MiB) or two fifths of the time that is left, an event at 256 KiB, a stream at as many events as tokens were asked for, and interim answers after 16. The connection is closed, the upstream ejected as after a lost connection, and the request sent elsewhere where it may run again.

--- a/baobabwing/exceptions.py
+++ b/baobabwing/exceptions.py
@@ -5,6 +5,7 @@
     "ConfigurationError",
     "ConflictError",
     "ConnectionLostError",
+    "EndlessAnswerError",
     "MalformedError",
     "NoSlotError",
     "NotAdmittedError",
@@ -137,6 +138,10 @@
         self.status = status
 
 
+class EndlessAnswerError(MalformedError):
+    """An upstream sends more than an answer may have, as if it never ended."""
+
+
 class WireError(BaobabwingError):
     """A message between nodes is malformed, too large or not authentic."""
 
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -10,6 +10,7 @@
 
 from baobabwing.exceptions import (
     ConnectionLostError,
+    EndlessAnswerError,
     MalformedError,
     NoSlotError,
     PeerClosedError,
@@ -67,6 +68,10 @@
 # A request whose deadline is this much shorter than that of others on its route is a
 # retry by the caller; clock differences and rounding stay below it.
 _CALLER_RETRY_THRESHOLD_S = 0.05
+# Bytes that a stream may have without an event, and share of the time that is left when
+# the head of a plain answer comes in which a body without a length has to end.
+_MAX_EVENT_BYTES = 256 * 1024
+_MAX_BODY_TIME_SHARE = 0.4
 # Bytes of an invalid header that are logged.
 _LOGGED_BYTES = 32
 
@@ -484,8 +489,7 @@
         else:
             pool.record_refusal(grant)
             call.release_kind = UpdateKind.FULL
-        while await connection.read_body() is not None:
-            pass
+        await self._read_whole(call, connection, head)
         return AttemptResult.NOT_RUN
 
     async def _relay_complete(
@@ -496,10 +500,7 @@
         head: AnswerHead,
         sent_at: float,
     ) -> AttemptResult:
-        pieces = []
-        while (piece := await connection.read_body()) is not None:
-            pieces.append(piece)
-        body = b"".join(pieces)
+        body = await self._read_whole(call, connection, head)
         now = time.monotonic()
         if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self._record_answered_failure(call, grant, now)
@@ -514,6 +515,36 @@
         await self._send_complete(call, head, body)
         return AttemptResult.DONE
 
+    async def _read_whole(
+        self, call: Call, connection: UpstreamConnection, head: AnswerHead
+    ) -> bytes:
+        """Read the whole body of an answer.
+
+        :raises EndlessAnswerError: if it states no length, and has too many bytes or
+            takes so long that another upstream could not answer any more.
+        """
+        pieces: list[bytes] = []
+        bounded = head.framing is not Framing.LENGTH
+        max_bytes = self._state.settings.max_answer_bytes if bounded else math.inf
+        left_s = call.ends_at - RETURN_TRIP_S - time.monotonic()
+        peer = connection.conn.peer
+        try:
+            async with asyncio.timeout(
+                max(_MAX_BODY_TIME_SHARE * left_s, 0.0) if bounded else None
+            ):
+                while (piece := await connection.read_body()) is not None:
+                    pieces.append(piece)
+                    max_bytes -= len(piece)
+                    if max_bytes < 0:
+                        raise EndlessAnswerError(
+                            "body without a length is too long", step="body", peer=peer
+                        )
+        except TimeoutError as exc:
+            raise EndlessAnswerError(
+                "body without a length takes too long", step="body", peer=peer
+            ) from exc
+        return b"".join(pieces)
+
     def _record_success(self, call: Call, grant: Grant) -> None:
         grant.track.record_success()
         call.release_kind = UpdateKind.DONE
@@ -556,9 +587,10 @@
         The cause of a crash is unknown: it may be this request, which would crash every
         upstream that starts to run it, or any other one that ran there.
         """
+        endless = isinstance(exc, EndlessAnswerError)
         if not call.unresponsive:
-            grant.track.record_failure(time.monotonic())
-            call.release_kind = UpdateKind.FAILED
+            grant.track.record_failure(time.monotonic(), hard=endless)
+            call.release_kind = UpdateKind.LOST if endless else UpdateKind.FAILED
         else:
             self._record_evidence(call, grant)
         self._recorder.attempt_failed(call, grant, exc)
@@ -608,6 +640,7 @@
             if piece is None:
                 break
             complete = call.splitter.feed(piece)
+            _check_stream_size(call, connection)
             if not complete:
                 continue
             if last_at is None:
@@ -697,6 +730,23 @@
     return [item for item in head.headers if item[0].lower() != b"content-length"]
 
 
+def _check_stream_size(call: Call, connection: UpstreamConnection) -> None:
+    """Check that a stream has no more than its upstream was asked for.
+
+    :raises EndlessAnswerError: if it has too many bytes without an event, or more
+        events than tokens.
+    """
+    splitter, max_events = call.splitter, call.request_head.tokens_out
+    too_long = splitter.bytes_without_event > _MAX_EVENT_BYTES
+    if too_long or 0 < max_events < splitter.events:
+        reason = (
+            "too many bytes without an event"
+            if too_long
+            else ("more events than tokens")
+        )
+        raise EndlessAnswerError(reason, step="body", peer=connection.conn.peer)
+
+
 def _check_stream_end(
     call: Call, connection: UpstreamConnection, head: AnswerHead
 ) -> None:
--- a/baobabwing/gateway/upstream_connections.py
+++ b/baobabwing/gateway/upstream_connections.py
@@ -13,6 +13,7 @@
 from baobabwing.exceptions import (
     ConnectionLostError,
     ConnectionRefusedByPeerError,
+    EndlessAnswerError,
     PeerClosedError,
 )
 from baobabwing.gateway.connection import HttpConnection
@@ -38,6 +39,8 @@
 _REFUSED_CLOSE_S = 0.1
 _LATE_REFUSED_CLOSE_S = 1.0
 _PROBED_PATHS = 3
+# Interim answers that may come before the head of an answer.
+_MAX_INTERIM_ANSWERS = 16
 # Upper limit on the time for which an upstream can close itself by ``Retry-After``.
 _MAX_CLOSED_S = 3600.0
 # Longest text of a stated limit.
@@ -157,8 +160,9 @@
         """Read the head of the answer, skipping interim (1xx) ones.
 
         :raises PeerClosedError: if the connection ends before it.
+        :raises EndlessAnswerError: after too many interim answers.
         """
-        while True:
+        for _ in range(_MAX_INTERIM_ANSWERS + 1):
             event = await self.conn.next_event()
             if isinstance(event, h11.Response):
                 return self._parse_head(event)
@@ -168,6 +172,9 @@
                     step="head",
                     peer=self.conn.peer,
                 )
+        raise EndlessAnswerError(
+            "interim answers without end", step="head", peer=self.conn.peer
+        )
 
     async def read_body(self) -> bytes | None:
         """Return the next bytes of the body; ``None`` once it is complete.
--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -25,6 +25,9 @@
 ]
 
 _MAX_HEAD_BYTES = 65_536
+# What an upstream sends at once that sends without end, and its pause.
+_ENDLESS_PIECE_BYTES = 16_384
+_ENDLESS_PAUSE_S = 0.001
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -52,6 +55,9 @@
     :param close: close the connection after the answer.
     :param leaving: announce in the answer that the upstream is leaving.
     :param retry_after: with ``refuse``, value of ``Retry-After`` in seconds.
+    :param endless: send bytes until the connection is closed: ``noise`` or ``interim``
+        answers in place of a head, ``unframed`` or ``chunks`` in place of a body,
+        ``event`` or ``comments`` in place of events, or ``extra`` after a whole answer.
     :param crash: stop the whole upstream after ``delay_s``, with all requests that it
         is running.
     """
@@ -76,6 +82,7 @@
     leaving: bool = False
     retry_after: bytes = b""
     crash: bool = False
+    endless: str = ""
 
 
 def _unframed_head(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
@@ -146,6 +153,7 @@
     :ivar began: request id and monotonic start time of each execution.
     :ivar streams: streams that it began or went on with, in turn.
     :ivar working: number of requests being run.
+    :ivar endless: number of connections on which it sends without end.
     :ivar left_early: number of requests whose connection closed before their end.
     :ivar bodies: body of the plain answer per request id.
     """
@@ -172,6 +180,7 @@
         self.began: list[tuple[str, float]] = []
         self.streams: list[StreamRun] = []
         self.working = 0
+        self.endless = 0
         self.left_early = 0
         self.bodies: dict[str, bytes] = defaultdict(bytes)
         self._listener = Listener(serve=self._serve, head_bytes=lambda: _MAX_HEAD_BYTES)
@@ -259,6 +268,9 @@
             self.stop()
             self.on_crash(request)
             return False
+        if behaviour.endless:
+            await self._send_endlessly(conn, request, behaviour.endless)
+            return False
         if behaviour.events:
             return await self._stream(conn, request, behaviour)
         body = b"answer to " + request.request_id.encode()
@@ -273,6 +285,41 @@
             await conn.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
         return not behaviour.close
 
+    async def _send_endlessly(
+        self, conn: HttpConnection, request: SeenRequest, form: str
+    ) -> None:
+        """Send bytes until the connection is closed.
+
+        :raises ConnectionLostError: once it is.
+        """
+        headers = self._response_headers(request)
+        if form in ("event", "comments"):
+            headers.append((b"Content-Type", b"text/event-stream"))
+        head = _unframed_head(headers)
+        chunk = b"x" * _ENDLESS_PIECE_BYTES
+        starts = {
+            "noise": b"",
+            "interim": b"",
+            "unframed": head,
+            "chunks": head[:-2] + b"Transfer-Encoding: chunked\r\n\r\n",
+            "event": head + b"id: 1\ndata: ",
+            "comments": head,
+            "extra": head[:-2] + b"Content-Length: 5\r\n\r\nwhole",
+        }
+        pieces = {
+            "interim": b"HTTP/1.1 100 Continue\r\n\r\n" * 100,
+            "chunks": b"%x\r\n%b\r\n" % (len(chunk), chunk),
+            "comments": b": x\n\n" * 1000,
+        }
+        await conn.write(starts[form])
+        self.endless += 1
+        try:
+            while True:
+                await conn.write(pieces.get(form, chunk))
+                await asyncio.sleep(_ENDLESS_PAUSE_S)
+        finally:
+            self.endless -= 1
+
     async def _stream(
         self, conn: HttpConnection, request: SeenRequest, behaviour: Behaviour
     ) -> bool:
