--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -1,5 +1,7 @@
 """The settings file of the platform."""
 
+import pytest
+
 from baobabwing.gateway.settings import RolloutSettings
 from baobabwing_platform import settings_file
 
@@ -62,3 +64,24 @@
     file = tmp_path / "boot.conf"
     file.write_text(f"{TEXT}bootstrap=true\n")
     assert settings_file.load(file).gateway.first_start
+
+
+@pytest.mark.parametrize("first", ["", TEXT[:60]])
+def test_node_that_starts_while_its_file_is_written_waits_for_it(
+    tmp_path, monkeypatch, first
+):
+    """It ended by itself with KeyError, and callers lost a node."""
+    file = tmp_path / "boot.conf"
+    file.write_text(first)
+    monkeypatch.setattr(
+        settings_file.time, "sleep", lambda seconds: file.write_text(TEXT)
+    )
+    assert settings_file.load_at_start(file).gateway.name == "front-a-1"
+
+
+def test_file_that_stays_incomplete_ends_the_start(tmp_path, monkeypatch):
+    file = tmp_path / "boot.conf"
+    file.write_text("node=front-a-1\n")
+    monkeypatch.setattr(settings_file.time, "sleep", lambda seconds: None)
+    with pytest.raises(KeyError):
+        settings_file.load_at_start(file)
