--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -245,8 +245,9 @@
     "part_held",
     "Upstreams crashed each time that they began to answer a request with this part in "
     "its prompt, and none has survived one; requests with it are refused. `times`: how "
-    "often it has been held; after `left_s` one request of all nodes is tried. The "
-    "requests and upstreams are in the lines 2501 of all nodes that name the part.",
+    "often it has been held; after `left_s` one request of all nodes is tried. "
+    "`requests`: digests of those that this node knows, whose lines 2501 at all nodes "
+    "name the parts and the upstreams. Refusals (1501) name the held part.",
     level="warning",
 )
 PART_CLEARED = define(
--- a/baobabwing/gateway/part_reports.py
+++ b/baobabwing/gateway/part_reports.py
@@ -48,6 +48,7 @@
 # Parts of one request that are reported, and requests in one datagram.
 _MAX_PARTS = 16
 _MAX_REQUESTS = 8
+_LOGGED_REQUESTS = 8
 
 
 class PartReportExchange:
@@ -201,12 +202,19 @@
                 part=f"{part:016x}",
                 times=report.times,
                 left_s=round(report.left_s, 1),
+                requests=self._accusing(part),
             )
         else:
             log(PART_CLEARED, part=f"{part:016x}")
         if self._is_collector():
             self.on_verdict(report)
 
+    def _accusing(self, part: int) -> list[str]:
+        """Return the digests of some requests with a part, for the log."""
+        requests = self._book.requests(monotonic())
+        digests = {one.digest for one in requests if part in one.parts}
+        return [f"{digest:016x}" for digest in sorted(digests)[:_LOGGED_REQUESTS]]
+
     def _send_crashes(self, target: str, keys: list[tuple[int, int]]) -> None:
         now = monotonic()
         requests = (self._book.request(key) for key in keys)
