Refuse prompts under which engines are lost one after the other, beside the gateway

The same cause as with parts of prompts: nothing remembered a job under which an engine was lost, so that jobs with one bad beginning, under any key, each ended another one. Each node now blames the chained digests of a prompt's blocks by the same rules, and refuses such prompts unrun (crashes_engines) with when to come back; one is tried at a time. Other nodes are not told.

A stub of test_serving passed no call of the upstream, and does now.

--- a/baobabwing/entry/context.py
+++ b/baobabwing/entry/context.py
@@ -8,6 +8,7 @@
 
 from baobabwing.brands.catalogue import Organisation
 from baobabwing.entry.credentials import CredentialIndex
+from baobabwing.entry.held_prompts import HeldPrompts
 from baobabwing.entry.open_calls import OpenCalls
 from baobabwing.exceptions import RequestError
 from baobabwing.fleet.host import Host
@@ -140,6 +141,7 @@
         and returns the version in force afterwards.
     :param version_in_force: version that all components of the node have applied.
     :param leaving: set while the node stops.
+    :param held_prompts: prompts that are refused as engines crash under them.
     """
 
     settings: NodeSettings
@@ -160,6 +162,7 @@
     catalogue: Catalogue | None = None
     leaving: threading.Event = field(default_factory=threading.Event)
     open_calls: OpenCalls = field(default_factory=OpenCalls)
+    held_prompts: HeldPrompts = field(default_factory=HeldPrompts)
 
     def require_catalogue(self) -> Catalogue:
         """Return the catalogue in force.
--- a/baobabwing/entry/dispatch.py
+++ b/baobabwing/entry/dispatch.py
@@ -112,6 +112,7 @@
     :param answer: head of the answer; ``None`` if the connection broke after the
         request may have run, or if the answer has to be fetched again.
     :param dispatched_at: monotonic time just before sending.
+    :param lost_at: when its stream was lost; ``None`` while it is not, or goes on.
     :param finished: whether the permit was released, or belongs to another
         dispatch.
     """
@@ -119,6 +120,7 @@
     placement: Placement
     answer: UpstreamAnswer | None
     dispatched_at: float
+    lost_at: float | None = None
     finished: bool = field(default=False)
     resumable: bool = True
 
@@ -162,6 +164,14 @@
         :raises StateError: if the request was given up before the dispatch.
         :raises CallerGoneError: if the caller disconnected before the dispatch.
         """
+        refused_s = self._context.held_prompts.refused_s(call.prefix)
+        if refused_s > 0:
+            raise RefusedError(
+                "engines have crashed under prompts that begin like this one",
+                code="crashes_engines",
+                retry_after_s=refused_s,
+                step="dispatch",
+            )
         exclude: list[str] = []
         facts = request.facts
         retries = self._context.retries
@@ -182,6 +192,16 @@
             step="dispatch",
         )
 
+    def resume_dispatch(
+        self, dispatch: Dispatch, report: RelayReport, until: float
+    ) -> UpstreamAnswer | None:
+        """Resume the broken stream of a dispatch, and note whether it is lost."""
+        dispatch.lost_at = time.monotonic()
+        answer = self.resume(dispatch.placement, report, until)
+        if answer is not None:
+            dispatch.lost_at = None
+        return answer
+
     def resume(
         self, placement: Placement, report: RelayReport, until: float
     ) -> UpstreamAnswer | None:
--- a/baobabwing/entry/serving.py
+++ b/baobabwing/entry/serving.py
@@ -135,6 +135,28 @@
             raise
         delivery = self._answer(call, request, dispatch, deliver, arrived_at, charge)
         charge.tokens = request.facts.prompt_tokens + delivery.report.next_id
+        self._record_prompt(request, upstream_call, dispatch, delivery)
+
+    def _record_prompt(
+        self,
+        request: Request,
+        upstream_call: UpstreamCall,
+        dispatch: Dispatch,
+        delivery: Delivery,
+    ) -> None:
+        """Record whether the engine lived on after it began to answer a prompt."""
+        began_at = delivery.report.first_event_at
+        held_prompts = self.context.held_prompts
+        if delivery.outcome is Outcome.ANSWERED:
+            held_prompts.answered(upstream_call.prefix, began_at or time.monotonic())
+        elif dispatch.lost_at is not None:
+            held_prompts.lost(
+                request.facts.request_id,
+                upstream_call.prefix,
+                sent_at=dispatch.dispatched_at,
+                lost_at=dispatch.lost_at,
+                began_at=began_at,
+            )
 
     def _close_undispatched(self, request: Request) -> None:
         """Close a request whose dispatch failed with an unexpected error.
@@ -172,7 +194,7 @@
     ) -> UpstreamAnswer | None:
         """Resume a broken stream; return ``None`` if the rest is lost."""
         until = time.monotonic() + RESUME_BUDGET_S
-        return self.dispatcher.resume(dispatch.placement, report, until)
+        return self.dispatcher.resume_dispatch(dispatch, report, until)
 
     def _answer(
         self,
@@ -357,7 +379,7 @@
         if answer is None and open_calls.stopping:
             return None
         if answer is None:
-            answer = serving.dispatcher.resume(placement, RelayReport(), until)
+            answer = serving.dispatcher.resume_dispatch(dispatch, RelayReport(), until)
         if answer is None:
             return None
         try:
--- a/tests/entry/test_serving.py
+++ b/tests/entry/test_serving.py
@@ -6,7 +6,8 @@
 import pytest
 
 from baobabwing.brands.catalogue import Organisation
-from baobabwing.entry.dispatch import Dispatch, attempt_id
+from baobabwing.entry.dispatch import Dispatch, UpstreamCall, attempt_id
+from baobabwing.entry.held_prompts import HeldPrompts
 from baobabwing.entry.relay_report import RelayReport
 from baobabwing.entry.serving import Delivery, Serving
 from baobabwing.exceptions import RequestError
@@ -49,6 +50,7 @@
         limits=FakeLimits(),
         metrics=NodeMetrics(),
         registry=registry,
+        held_prompts=HeldPrompts(),
         permits=SimpleNamespace(release=lambda message: None),
     )
     service = Serving(context=context)
@@ -82,6 +84,9 @@
 
 
 CALL = SimpleNamespace(caller_socket=None)
+UPSTREAM_CALL = UpstreamCall(
+    method="POST", target="/", body=b"", headers={}, prefix=(1, 2)
+)
 
 
 def test_an_organisation_is_charged_the_tokens_used(serving):
@@ -94,10 +99,27 @@
     def deliver(request, dispatch):
         return Delivery(outcome=Outcome.ANSWERED, report=RelayReport(next_id=3))
 
-    serving.run(CALL, registered_request(serving), None, deliver)
+    serving.run(CALL, registered_request(serving), UPSTREAM_CALL, deliver)
     assert serving.context.limits.settled == [13]
 
 
+@pytest.mark.parametrize("lost", [True, False])
+def test_lost_engine_accuses_the_prompt_that_it_began(serving, monkeypatch, lost):
+    """Jobs with one bad beginning each ended another engine."""
+    recorded = []
+    held_prompts = serving.context.held_prompts
+    monkeypatch.setattr(
+        held_prompts, "lost", lambda *args, **times: recorded.append(args)
+    )
+
+    def deliver(request, dispatch):
+        dispatch.lost_at = 1.0 if lost else None
+        return Delivery(outcome=Outcome.UNKNOWN)
+
+    serving.run(CALL, registered_request(serving), UPSTREAM_CALL, deliver)
+    assert recorded == ([("r", (1, 2))] if lost else [])
+
+
 def test_a_request_that_fails_before_dispatch_is_closed(serving):
     """A graceful stop would wait until its deadline for a request left open.
 
