Weigh crash reports on parts together, 20 ms after the first

A collector weighed all evidence on each datagram. A crash of all engines of hundreds of nodes brings some 300 of them at once, 2 to 3 ms each.

--- a/baobabwing/gateway/decisions/prompt_parts.py
+++ b/baobabwing/gateway/decisions/prompt_parts.py
@@ -292,14 +292,12 @@
 
     def failed_trials(self, now: float) -> list[int]:
         """Return the held parts under which an upstream crashed after their hold."""
-        return [
-            part
-            for part, hold in self._holds.items()
-            if any(
-                part in request.parts and request.sent_at >= hold.until
-                for request in self.requests(now)
-            )
-        ]
+        failed = set()
+        for request in self.requests(now):
+            for part in self.held_in(request.parts):
+                if request.sent_at >= self._holds[part].until:
+                    failed.add(part)
+        return sorted(failed)
 
     # Holds.
 
--- a/baobabwing/gateway/part_reports.py
+++ b/baobabwing/gateway/part_reports.py
@@ -41,6 +41,8 @@
 # those that have not answered are left out.
 _INQUIRY_TIMES_S = (0.0, 0.05)
 _INQUIRY_S = 0.15
+# Delay of a decision, so that the reports on one crash are weighed together.
+_JUDGE_DELAY_S = 0.02
 # Time in which a collector answers whether a request may be tried.
 _TRIAL_ANSWER_S = 0.1
 # Items that fit a datagram that is not fragmented.
@@ -68,6 +70,7 @@
         self._link = link
         self._crash_resends = Resends(send=self._send_crashes)
         self._verdict_resends = Resends(send=self._send_verdicts)
+        self._judgement: asyncio.TimerHandle | None = None
         self._inquired: set[int] = set()
         self._inquiries: set[asyncio.Task[None]] = set()
         self._numbers = itertools.count(1)
@@ -93,7 +96,7 @@
         if not request.parts or not self._book.crashed(request):
             return
         self._crash_resends.schedule(self._other_collectors(), (request.key,))
-        self._judge()
+        self._schedule_judgement()
 
     def survived(self, parts: Iterable[int], began_at: float) -> None:
         """Report an answer of this node at an upstream that lived on.
@@ -143,10 +146,14 @@
 
     # Decisions of collectors.
 
+    def _schedule_judgement(self) -> None:
+        if self._judgement is None and self._is_collector():
+            loop = asyncio.get_running_loop()
+            self._judgement = loop.call_later(_JUDGE_DELAY_S, self._judge)
+
     def _judge(self) -> None:
         """Hold parts that failed their trial; inquire after parts that are blamed."""
-        if not self._is_collector():
-            return
+        self._judgement = None
         now = monotonic()
         for part in self._book.failed_trials(now):
             self._hold(part)
@@ -178,7 +185,7 @@
         for part in blamed:
             if part in parts:
                 self._hold(part)
-        self._judge()
+        self._schedule_judgement()
 
     def _hold(self, part: int) -> None:
         self._book.hold(part, monotonic())
@@ -235,7 +242,7 @@
             self._book.crashed(_from_report(report, now)) for report in message.requests
         ]
         if any(news):
-            self._judge()
+            self._schedule_judgement()
 
     def _handle_inquiry(self, message: PartInquiry, address: str) -> None:
         now = monotonic()
