Serve requests whose held part is released while they ask for its trial

Callers got an internal error: the part was looked up again after the answer, and the time until its trial of no part at all raised TypeError. Found by reading; the test failed before. A node whose ranking is empty asks nobody instead of raising IndexError.

--- a/baobabwing/gateway/admission.py
+++ b/baobabwing/gateway/admission.py
@@ -71,8 +71,9 @@
             return Refusal(
                 status=503, code="crashes_upstreams", retry_after_s=quarantined_s
             )
-        held = self._state.parts.held_in(_part_digests(request_head))
-        if held and not (len(held) == 1 and await self._may_try(held[0])):
+        parts = _part_digests(request_head)
+        tried_part = await self._take_trial(parts)
+        if tried_part is None and (held := self._state.parts.held_in(parts)):
             return self._refuse_parts(request_head, held)
         pool = pick_pool(route, self._state.rng)
         charge = await self._charge(request_head, route, organisation, pool)
@@ -90,11 +91,21 @@
             asked_before_s=self._first_attempt_age_s(request_head, route),
             ends_at=arrived + timeout_s,
             answer=answer,
-            tried_part=held[0] if held else None,
+            tried_part=tried_part,
         )
 
+    async def _take_trial(self, parts: list[int]) -> int | None:
+        """Return the held part that a request may try; ``None`` if there is none.
+
+        A request with several is never tried: its end would not tell which is bad.
+        """
+        held = self._state.parts.held_in(parts)
+        if len(held) == 1 and await self._may_try(held[0]):
+            return held[0]
+        return None
+
     def _refuse_parts(self, request_head: RequestHead, held: list[int]) -> Refusal:
-        """Refuse a request with held parts of prompts; several are never tried."""
+        """Refuse a request with held parts of prompts."""
         names = [
             part.name[:_LOGGED_PART_CHARS]
             for part in request_head.shared_parts
--- a/baobabwing/gateway/decisions/prompt_parts.py
+++ b/baobabwing/gateway/decisions/prompt_parts.py
@@ -354,7 +354,7 @@
     def retry_after_s(self, parts: Iterable[int], now: float) -> float:
         """Return when a request with held parts may be worth sending again."""
         left_s = (self._holds[part].until - now for part in self.held_in(parts))
-        return max(_TRIAL_RETRY_S, *left_s)
+        return max([_TRIAL_RETRY_S, *left_s])
 
     def is_due(self, part: int, now: float) -> bool:
         """Whether a trial of a held part is due."""
--- a/baobabwing/gateway/part_reports.py
+++ b/baobabwing/gateway/part_reports.py
@@ -112,13 +112,13 @@
 
         A part whose trial is not due is refused without asking.
         """
-        if not self._book.is_due(part, monotonic()):
+        collectors = self._collectors()
+        if not collectors or not self._book.is_due(part, monotonic()):
             return False
         number = next(self._numbers)
         fut = asyncio.get_running_loop().create_future()
         self._asked[number] = fut
-        collector = self._collectors()[0]
-        self._link.send(collector, PartTrialRequest(number=number, part=part))
+        self._link.send(collectors[0], PartTrialRequest(number=number, part=part))
         try:
             async with asyncio.timeout(_TRIAL_ANSWER_S):
                 granted = await fut
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from baobabwing.gateway.digest import part_digest
 from tests.gateway.gateway_fleet import GatewayFleet, prompt
 from tests.gateway.harness import eventually
 
@@ -207,6 +208,29 @@
     run(scenario())
 
 
+def test_request_is_served_whose_part_is_released_while_it_asks_for_a_trial(
+    run, monkeypatch
+):
+    """It was answered with an internal error."""
+
+    async def scenario():
+        async with GatewayFleet(nodes=1) as fleet:
+            (gateway,) = fleet.gateways
+            part = part_digest("bad")
+            gateway.state.parts.hold(part, time.monotonic())
+
+            async def release(asked):
+                gateway.state.parts.release(asked, time.monotonic())
+                return False
+
+            forwarder = gateway.callers._forwarder
+            monkeypatch.setattr(forwarder._admission, "_may_try", release)
+            answer = await ask_prompt(fleet, 0, "/stream/p", "r", "common", "bad")
+            assert answer.status == 200
+
+    run(scenario())
+
+
 def make_trial_due(fleet):
     """End the hold of each part at all nodes."""
     for gateway in fleet.gateways:
