Keep an endless refusal of an upstream a refusal

The head of such an answer says that the request was not run; its endless body counted as a lost answer, so that a request that may run once was given up.

--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -489,7 +489,13 @@
         else:
             pool.record_refusal(grant)
             call.release_kind = UpdateKind.FULL
-        await self._read_whole(call, connection, head)
+        try:
+            await self._read_whole(call, connection, head)
+        except EndlessAnswerError as exc:
+            # What its head says holds all the same.
+            grant.track.record_failure(time.monotonic(), hard=True)
+            call.release_kind = UpdateKind.LOST
+            self._recorder.attempt_failed(call, grant, exc)
         return AttemptResult.NOT_RUN
 
     async def _relay_complete(
@@ -739,11 +745,9 @@
     splitter, max_events = call.splitter, call.request_head.tokens_out
     too_long = splitter.bytes_without_event > _MAX_EVENT_BYTES
     if too_long or 0 < max_events < splitter.events:
-        reason = (
-            "too many bytes without an event"
-            if too_long
-            else ("more events than tokens")
-        )
+        reason = "more events than tokens"
+        if too_long:
+            reason = "too many bytes without an event"
         raise EndlessAnswerError(reason, step="body", peer=connection.conn.peer)
 
 
