--- a/tests/platform_adapter/soak/seeds.py
+++ b/tests/platform_adapter/soak/seeds.py
@@ -35,6 +35,11 @@
     "off, after the run that served the caller, and counted as the beginning"
 )
 
+_LIMITED_TWICE = (
+    "a worker was limited twice; the end of the first limit lifted the second, and what"
+    " came then was held against the nodes"
+)
+
 FAILED_ONCE: dict[int, str] = {
     4: _LATE,
     11: _EARLY,
@@ -48,4 +53,5 @@
     19015: _SHARE,
     19132: _DRAINED_TWICE,
     20038: _LATE_RUN,
+    21001: _LIMITED_TWICE,
 }
