--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -72,6 +72,10 @@
 # the head of a plain answer comes in which a body without a length has to end.
 _MAX_EVENT_BYTES = 256 * 1024
 _MAX_BODY_TIME_SHARE = 0.4
+# Events that a stream may have for each output token that was asked for, and beside
+# these: some have no token, such as the last one.
+_MAX_EVENTS_PER_TOKEN = 2
+_MAX_OTHER_EVENTS = 16
 # Bytes of an invalid header that are logged.
 _LOGGED_BYTES = 32
 
@@ -740,11 +744,12 @@
     """Check that a stream has no more than its upstream was asked for.
 
     :raises EndlessAnswerError: if it has too many bytes without an event, or more
-        events than tokens.
+        events than its tokens need.
     """
-    splitter, max_events = call.splitter, call.request_head.tokens_out
+    splitter, tokens = call.splitter, call.request_head.tokens_out
     too_long = splitter.bytes_without_event > _MAX_EVENT_BYTES
-    if too_long or 0 < max_events < splitter.events:
+    max_events = _MAX_EVENTS_PER_TOKEN * tokens + _MAX_OTHER_EVENTS
+    if too_long or (tokens and splitter.events > max_events):
         reason = "more events than tokens"
         if too_long:
             reason = "too many bytes without an event"
