--- a/tests/platform_adapter/demo.py
+++ b/tests/platform_adapter/demo.py
@@ -36,8 +36,8 @@
 )
 from baobabwing.standins.loopback_proxy import LoopbackProxy
 from baobabwing_platform.dialect import HEADERS
-from baobabwing_platform.standin_store import StandinStore
 from tests.platform_adapter.local_sockets import holds_socket, socket_inode
+from tests.platform_adapter.standin_store import StandinStore
 
 __all__ = [
     "BAD_PART",
--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -11,9 +11,9 @@
 from typing import TYPE_CHECKING
 
 from baobabwing.standins.loopback_proxy import PathFault
-from baobabwing_platform.standin_store import StoreFault
 from tests.platform_adapter.demo import BAD_PART, CRASH
 from tests.platform_adapter.soak.checks import Kind, StatedLimit
+from tests.platform_adapter.standin_store import StoreFault
 
 if TYPE_CHECKING:
     from tests.platform_adapter.soak.run import Soak
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -32,7 +32,6 @@
 from baobabwing.gateway.connection import HttpConnection, open_connection
 from baobabwing.standins.loopback_proxy import PathFault
 from baobabwing_platform.dialect import HEADERS
-from baobabwing_platform.standin_store import StoreFault
 from tests.platform_adapter.demo import KEY, Deployment, configuration, resolve
 from tests.platform_adapter.soak.checks import (
     Kind,
@@ -44,6 +43,7 @@
 )
 from tests.platform_adapter.soak.faults import LATER, PLANNED, UNPLANNED
 from tests.platform_adapter.soak.seeds import FAILED_ONCE
+from tests.platform_adapter.standin_store import StoreFault
 
 __all__ = ["Soak", "main"]
 
--- a/tests/platform_adapter/test_crashing_requests.py
+++ b/tests/platform_adapter/test_crashing_requests.py
@@ -3,8 +3,8 @@
 import asyncio
 import signal
 
-from baobabwing_platform.standin_store import StoreFault
 from tests.platform_adapter import demo
+from tests.platform_adapter.standin_store import StoreFault
 from tests.platform_adapter.test_processes import ask, eventually, with_deployment
 
 CRASH = demo.CRASH
--- a/tests/platform_adapter/test_eras.py
+++ b/tests/platform_adapter/test_eras.py
@@ -6,8 +6,8 @@
 
 from baobabwing.exceptions import PlatformUnavailableError, PlatformUncertainError
 from baobabwing_platform.eras import EraError, StoreEras
-from baobabwing_platform.standin_store import StandinStore
 from baobabwing_platform.store import StoreClient
+from tests.platform_adapter.standin_store import StandinStore
 
 
 def take(eras, text):
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 
 from baobabwing_platform.dialect import HEADERS
-from baobabwing_platform.standin_store import StoreFault
 from tests.platform_adapter import demo
+from tests.platform_adapter.standin_store import StoreFault
 
 WAIT_S = 20.0
 
--- a/tests/platform_adapter/test_rollout_rows.py
+++ b/tests/platform_adapter/test_rollout_rows.py
@@ -15,8 +15,8 @@
     decode_orders,
     encode_orders,
 )
-from baobabwing_platform.standin_store import StandinStore, StoreFault
 from baobabwing_platform.store import Row, StoreClient
+from tests.platform_adapter.standin_store import StandinStore, StoreFault
 
 KEY = "rollout/services"
 ORDER = RolloutOrder(pool="services", number=9, version="v2", duration_s=12.0)
--- a/tests/platform_adapter/test_software_rows.py
+++ b/tests/platform_adapter/test_software_rows.py
@@ -6,8 +6,8 @@
 from baobabwing_platform import software_rows
 from baobabwing_platform.eras import StoreEras
 from baobabwing_platform.software_rows import SoftwareRows
-from baobabwing_platform.standin_store import StandinStore, StoreFault
 from baobabwing_platform.store import StoreClient
+from tests.platform_adapter.standin_store import StandinStore, StoreFault
 
 KEY = "software/engines"
 
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -8,9 +8,9 @@
 from baobabwing.exceptions import PlatformUnavailableError, PlatformUncertainError
 from baobabwing_platform import watching
 from baobabwing_platform.eras import StoreEras
-from baobabwing_platform.standin_store import StandinStore, StoreFault
 from baobabwing_platform.store import HistoryLostError, StoreClient
 from baobabwing_platform.watching import TableWatch
+from tests.platform_adapter.standin_store import StandinStore, StoreFault
 
 WAIT_S = 10.0
 
