Send to a limited engine by a home's slot only if the home counted it

Callers: an engine that states how many requests a second it takes got more than one and a half times that after its cell's home had been killed and started again.

Cause: a slot from a home counted as a permit, as the home issues the permits of its engines. A home that has just started knows of no limit until an answer's notice reaches it, up to a second later, and knows no pool before its first configuration; the others, which have not noticed its death, send it requests at once, and it grants them all. The class: one side takes for granted what only the other one can know.

A slot says now whether it was counted, in the top bit of its predicted time. Whoever knows the limit asks for a permit where it was not, and with that tells the issuer of the limit. Slots for moves go the same way; without a permit they are given back. An older build takes the bit for 33 s more of predicted time, for limited engines only; a newer node beside an older home pays a second permit for such a slot.

--- a/baobabwing/gateway/decisions/rate_limits.py
+++ b/baobabwing/gateway/decisions/rate_limits.py
@@ -115,12 +115,16 @@
         earned_at = limit.drained_at - (_BURST - 1) * self._interval_s(limit)
         return max(earned_at, limit.issues_from, now)
 
-    def take(self, upstream: int, at: float) -> None:
-        """Count a request that is sent to an upstream at some time from now on."""
+    def take(self, upstream: int, at: float) -> bool:
+        """Count a request that is sent to an upstream at some time from now on.
+
+        :returns: whether it was counted: whether the upstream has a limit.
+        """
         limit = self._limits.get(upstream)
-        if limit is not None:
-            interval_s = self._interval_s(limit)
-            limit.drained_at = max(limit.drained_at, at) + interval_s
+        if limit is None:
+            return False
+        limit.drained_at = max(limit.drained_at, at) + self._interval_s(limit)
+        return True
 
     def reserve(self, upstream: int, now: float, wait_s: float) -> float | None:
         """Issue a permit that is valid within some time; ``None`` if there is none.
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -75,12 +75,14 @@
     :param predicted_s: expected seconds from ``granted_at`` to its first event, or to
         the whole answer of a plain service.
     :param granted_at: when the slot was granted.
+    :param has_permit: whether it is counted against the upstream's rate limit.
     """
 
     request: PlacementRequest
     track: UpstreamTrack
     predicted_s: float
     granted_at: float
+    has_permit: bool = False
 
 
 class PoolScheduler:
@@ -483,8 +485,8 @@
             free,
             key=lambda track: (self._cost_s(request, track, now), self._rng.random()),
         )
-        self._rate_limits.take(best.crc, now)
-        return self._grant(request, best, now)
+        has_permit = self._rate_limits.take(best.crc, now)
+        return self._grant(request, best, now, has_permit=has_permit)
 
     def _without_too_slow(
         self, request: PlacementRequest, free: list[UpstreamTrack], now: float
@@ -516,7 +518,12 @@
         return usable or [track for track in listed if track.is_open(now)]
 
     def _grant(
-        self, request: PlacementRequest, track: UpstreamTrack, now: float
+        self,
+        request: PlacementRequest,
+        track: UpstreamTrack,
+        now: float,
+        *,
+        has_permit: bool = False,
     ) -> Grant:
         baseline_s = track.baseline_s(request.prompt_tokens, self._best_answer_s)
         predicted_s = track.predict_s(baseline_s, self._first_event_ratio(track), now)
@@ -531,7 +538,11 @@
         )
         self._pace(track, now)
         return Grant(
-            request=request, track=track, predicted_s=predicted_s, granted_at=now
+            request=request,
+            track=track,
+            predicted_s=predicted_s,
+            granted_at=now,
+            has_permit=has_permit,
         )
 
     def _is_paced(self, now: float) -> bool:
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -415,6 +415,7 @@
             cell=key,
             upstream=grant.track.crc,
             predicted_s=grant.predicted_s,
+            has_permit=grant.has_permit,
             state=self._cell_state(queue, now),
         )
         self._link.send(self._addresses[holder.node], granted)
--- a/baobabwing/gateway/placement/codec.py
+++ b/baobabwing/gateway/placement/codec.py
@@ -89,8 +89,11 @@
 # a message: they would place the stream at any version.
 _HAS_SOFTWARE = 0x04
 _NUMBER = struct.Struct("!I")
-# Grant: number, upstream, predicted ms.
+# Grant: number, upstream, predicted ms below a flag. Builds that don't know the flag
+# take it for another 33 s.
 _GRANT = struct.Struct("!IIH")
+_HAS_PERMIT = 0x8000
+_MAX_PREDICTED_MS = _HAS_PERMIT - 1
 # Refusal: number, ms until a retry.
 _REFUSAL = struct.Struct("!IH")
 # Request update: number, kind, event interval in us or 0 for none.
@@ -395,8 +398,11 @@
 
 @encoder_for(Granted, b"G")
 def _pack_granted(message: Granted) -> bytes:
+    predicted = to_ms(message.predicted_s, _MAX_PREDICTED_MS)
     grant = _GRANT.pack(
-        message.number % _MODULUS, message.upstream, to_ms(message.predicted_s)
+        message.number % _MODULUS,
+        message.upstream,
+        predicted | _HAS_PERMIT * message.has_permit,
     )
     return _pack_cell(message.cell) + grant + _pack_state(message.state)
 
@@ -408,7 +414,8 @@
         number=number,
         cell=cell,
         upstream=upstream,
-        predicted_s=predicted / _MS_PER_S,
+        predicted_s=(predicted & _MAX_PREDICTED_MS) / _MS_PER_S,
+        has_permit=bool(predicted & _HAS_PERMIT),
         state=reader.state(),
     )
 
--- a/baobabwing/gateway/placement/messages.py
+++ b/baobabwing/gateway/placement/messages.py
@@ -133,6 +133,7 @@
 
     :param upstream: CRC-32 of the engine's incarnation.
     :param predicted_s: predicted time to the first event.
+    :param has_permit: whether the home counted it against the engine's rate limit.
     """
 
     number: int
@@ -140,6 +141,7 @@
     upstream: int
     predicted_s: float
     state: CellLoad
+    has_permit: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -377,6 +377,7 @@
             track=track,
             predicted_s=predicted_s,
             granted_at=now,
+            has_permit=message.has_permit,
         )
         self._granted_slots[message.number] = GrantedSlot(
             cell=message.cell,
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -133,8 +133,8 @@
     async def permit(self, grant: Grant, permit_by: float = 0.0) -> bool:
         """Obtain a permit for a slot at an upstream with a rate limit.
 
-        A slot from a home has one already. Without one the slot is released, and the
-        upstream left until its next permit.
+        A slot from a home that knows the limit has one already. Without one the slot is
+        released, and the upstream left until its next permit.
 
         :param permit_by: until when the request waits for the permit if no upstream
             without a limit is open.
@@ -142,20 +142,24 @@
         """
         track, request, now = grant.track, grant.request, time.monotonic()
         limited = self.permits is not None and self.rate_limits.get(track.crc)
-        if not limited or (self._placer is not None and self._placer.ticket(grant)):
+        if not limited or grant.has_permit:
             return True
         try:
             wait_s = 0.0 if self._any_unlimited(request) else permit_by - now
             permit = await self.permits.obtain(self, track, max(wait_s, 0.0))
         except asyncio.CancelledError:
-            track.remove_request(request.number)
+            self._release_unused(grant)
             raise
         if not permit.granted:
-            track.remove_request(request.number)
+            self._release_unused(grant)
             self.scheduler.close(track, time.monotonic() + permit.seconds)
             asyncio.get_running_loop().call_later(permit.seconds, self.pump)
         return permit.granted
 
+    def _release_unused(self, grant: Grant) -> None:
+        self._notify_home(grant, UpdateKind.RELEASED)
+        grant.track.remove_request(grant.request.number)
+
     def _any_unlimited(self, request: PlacementRequest) -> bool:
         """Whether an upstream without a rate limit is open for a request."""
         now = time.monotonic()
@@ -282,7 +286,8 @@
         """
         if self._placer is None:
             return None
-        return await self._placer.move(self.cells, request, grant)
+        moved = await self._placer.move(self.cells, request, grant)
+        return moved if moved is not None and await self.permit(moved) else None
 
     def free(self, grant: Grant, kind: UpdateKind, pace_s: float | None = None) -> None:
         """Release a slot.
--- a/tests/gateway/placement/permit_model.py
+++ b/tests/gateway/placement/permit_model.py
@@ -13,7 +13,7 @@
 from baobabwing.gateway.loop_delay import LoopDelayMonitor
 from baobabwing.gateway.metrics import GatewayMetrics
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
-from baobabwing.gateway.placement.cell_homes import CellHomes
+from baobabwing.gateway.placement.cell_homes import CellHomes, cell_resource
 from baobabwing.gateway.placement.placer import Placer
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.send_permits import SendPermits
@@ -103,9 +103,12 @@
         for members in self.members.values():
             members.see(set(self.links))
 
-    def add_node(self):
-        """Start a node that knows nobody yet."""
-        address = f"10.0.0.{next(self._numbers)}:1"
+    def add_node(self, address=None, listed_after_s=0.0):
+        """Start a node that knows nobody yet.
+
+        :param listed_after_s: until then it knows no pool, and gets no requests.
+        """
+        address = address or f"10.0.0.{next(self._numbers)}:1"
         link = _CutLink(self, address)
         self.links[address] = link
         members = self.members[address] = NodeMembers(self, address)
@@ -126,16 +129,25 @@
         ]
         pool.scheduler.set_upstreams(entries)
         pool.cells.set_upstreams(entries)
-        homes.list_pool(pool.cells)
+        pools = {}
         state = SimpleNamespace(
-            pools={"p": pool},
-            pool_by_crc=lambda crc: pool if crc == pool.cells.crc else None,
+            pools=pools,
+            pool_by_crc=lambda crc: pools["p"] if pools else None,
         )
         pool.permits = SendPermits(
             state=state, members=members, link=link, metrics=GatewayMetrics()
         )
         pool.address = address
-        self.pools.append(pool)
+
+        def list_pool():
+            pools["p"] = pool
+            homes.list_pool(pool.cells)
+            self.pools.append(pool)
+
+        if listed_after_s:
+            self.later(listed_after_s, list_pool)
+        else:
+            list_pool()
         self.running[pool] = [
             asyncio.ensure_future(homes.run()),
             asyncio.ensure_future(placer.run()),
@@ -143,13 +155,30 @@
         self.tasks += self.running[pool]
         return address
 
+    def kill(self, pool):
+        """Kill a node; the others don't learn of it."""
+        self.pools.remove(pool)
+        self.links[pool.address].stopped = True
+        for task in self.running.pop(pool):
+            task.cancel()
+
+    def restart_homes(self, *, listed_after_s):
+        """Kill the homes of all cells, and start them again at the same addresses.
+
+        The others take them for running all the while.
+        """
+        members, cells = self.members[self.pools[0].address], self.pools[0].cells
+        resources = [cell_resource("p", index) for index in range(len(cells.layout))]
+        homes = {address for one in resources for address in members.homes(one, 1)}
+        for pool in [pool for pool in self.pools if pool.address in homes]:
+            self.kill(pool)
+            self.add_node(pool.address, listed_after_s)
+        self.later(JOIN_S, lambda: self.see_all({pool.address for pool in self.pools}))
+
     def kill_nodes(self, count):
         """Kill nodes; the others learn of it later."""
         for pool in self.rng.sample(self.pools, count):
-            self.pools.remove(pool)
-            self.links[pool.address].stopped = True
-            for task in self.running.pop(pool):
-                task.cancel()
+            self.kill(pool)
         running = {pool.address for pool in self.pools}
         self.later(DETECTION_S, lambda: self.see_all(running))
 
--- a/tests/gateway/placement/test_codec.py
+++ b/tests/gateway/placement/test_codec.py
@@ -84,6 +84,14 @@
     dataclasses.replace(SLOT_REQUEST, software=2**32 - 1),
     Queued(number=1, cell=CELL, state=STATE),
     Granted(number=1, cell=CELL, upstream=8, predicted_s=0.125, state=STATE),
+    Granted(
+        number=1,
+        cell=CELL,
+        upstream=8,
+        predicted_s=0.125,
+        has_permit=True,
+        state=STATE,
+    ),
     Refused(number=1, cell=CELL, retry_after_s=0.75, state=STATE),
     RequestUpdates(
         node=4,
--- a/tests/gateway/placement/test_rate_limits_at_size.py
+++ b/tests/gateway/placement/test_rate_limits_at_size.py
@@ -39,6 +39,10 @@
     fleet.later(1.0, lambda: fleet.join(max(fleet.total // 10, 1)))
 
 
+def homes_restart(fleet):
+    fleet.restart_homes(listed_after_s=0.4)
+
+
 @pytest.mark.parametrize("nodes", SIZES)
 @pytest.mark.parametrize("plain", [False, True], ids=["engines", "services"])
 @pytest.mark.parametrize(
@@ -49,6 +53,7 @@
         half_are_cut_off,
         many_join,
         some_are_killed_and_others_join,
+        homes_restart,
     ],
 )
 def test_upstreams_get_what_they_state_and_no_more(monkeypatch, change, plain, nodes):
