Give a home's queue the limits of its pool when the pool becomes known

Callers: engines that take few requests a second, or that fail when they have to refuse many, got more than they stated from a home that had just started, for as long as the cell was in use.

Cause: the queue of a cell takes the limits of its pool when it is made. Where a request comes before the node's first list of engines, there is no pool yet; the queue got limits of its own, which nothing updates, and kept them when the pool became known. Found by reading, on the way of the slots that were not counted.

Evidence: a home that gets three requests before its list of engines granted all three, none counted, where two are allowed by a rate limit; and three at an engine of two slots with a limit on refusals in force. Both tests failed before. A list of a pool's engines sets the limits of its queues now, as it does their figures.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -138,6 +138,11 @@
         for track in self.tracks.values():
             track.engine = engine
 
+    def set_limits(self, refusal_limit: RefusalLimit, rate_limits: RateLimits) -> None:
+        """Replace the limits, which the pool goes on to update."""
+        self.refusal_limit = refusal_limit
+        self._rate_limits = rate_limits
+
     def set_upstreams(self, entries: Iterable[UpstreamEntry]) -> None:
         """Replace the list of upstreams; those already known keep their state."""
         listed = {entry.instance: entry for entry in entries}
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -177,6 +177,9 @@
         for key, queue in self._queues.items():
             if key.pool == pool.crc:
                 queue.scheduler.set_engine(pool.scheduler.engine)
+                queue.scheduler.set_limits(
+                    pool.scheduler.refusal_limit, pool.rate_limits
+                )
                 queue.set_upstreams(pool.entries(key.index))
                 self._schedule_placement(key)
 
--- /dev/null
+++ b/tests/gateway/placement/test_cell_homes.py
@@ -0,0 +1,96 @@
+"""Homes that get requests before they know the pool."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from baobabwing.gateway.decisions.refusal_limit import RefusalLimit
+from baobabwing.gateway.decisions.scheduling import PoolScheduler
+from baobabwing.gateway.model import EngineSpec, UpstreamEntry
+from baobabwing.gateway.placement.cell_homes import CellHomes, CellPool
+from baobabwing.gateway.placement.codec import name_crc
+from baobabwing.gateway.placement.messages import CellKey, Granted, SlotRequest
+from tests.gateway.harness import eventually
+
+NODE = "10.0.0.2:1"
+ENGINE = EngineSpec(slots=2, kv_tokens=100_000)
+# An engine gets one request more than its slots, unless its refusals are limited.
+MOST_UNLIMITED = 3
+# Requests that a rate limit lets follow each other at once.
+AFTER_A_PAUSE = 2
+
+
+class RecordingLink:
+    """Hands messages to a home, and keeps what it answers."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.sent = []
+
+    def handle(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def send(self, address, message):
+        self.sent.append(message)
+
+    def grants(self):
+        return [message for message in self.sent if isinstance(message, Granted)]
+
+
+def slot_request(pool, number):
+    return SlotRequest(
+        node=7,
+        number=number,
+        cell=CellKey(pool=pool.crc, index=0),
+        rank=0,
+        route_rank=0,
+        waited_s=0.0,
+        objective_s=5.0,
+        deadline_s=10.0,
+        ends_s=15.0,
+        prompt_tokens=10,
+        expected_out=10,
+    )
+
+
+async def grants_of_early_requests(pool, count):
+    """Have a home get requests before its list of engines; return its first grants."""
+    members = SimpleNamespace(total=2, on_change=lambda listener: None)
+    link = RecordingLink()
+    homes = CellHomes(link=link, members=members, rng=random.Random(1))
+    running = asyncio.ensure_future(homes.run())
+    for number in range(1, count + 1):
+        link.handlers[SlotRequest](slot_request(pool, number), NODE)
+    entry = UpstreamEntry(instance="e0", pool="p", address="a", slots=2)
+    pool.scheduler.set_upstreams([entry])
+    pool.set_upstreams([entry])
+    homes.list_pool(pool)
+    await eventually(link.grants, "a grant")
+    running.cancel()
+    return link.grants()
+
+
+def test_rate_limits_hold_for_requests_that_came_before_the_list_of_engines(run):
+    async def scenario():
+        scheduler = PoolScheduler(engine=ENGINE, rng=random.Random(1))
+        pool = CellPool(name="p", scheduler=scheduler)
+        pool.rate_limits.set(name_crc("e0"), 2.0, 0.0)
+        pool.rate_limits.issue_from(name_crc("e0"), 0.0)
+        grants = await grants_of_early_requests(pool, MOST_UNLIMITED)
+        assert [grant.has_permit for grant in grants] == [True] * AFTER_A_PAUSE
+
+    run(scenario())
+
+
+def test_refusal_limit_holds_for_requests_that_came_before_the_list_of_engines(run):
+    async def scenario():
+        limit = RefusalLimit()
+        limit.per_s = 8.0
+        scheduler = PoolScheduler(
+            engine=ENGINE, rng=random.Random(1), refusal_limit=limit
+        )
+        pool = CellPool(name="p", scheduler=scheduler)
+        grants = await grants_of_early_requests(pool, MOST_UNLIMITED)
+        assert len(grants) == ENGINE.slots
+
+    run(scenario())
