Leave a fragile service while its refusals of the last second near its limit

Callers: at 300 and 460 nodes, in a rush, plain services that fail when they refuse more than eight requests a second failed one after the other, and their requests with them.

Cause: a refusal makes all nodes leave the service for 0.1 to 0.65 s, whatever has been refused before. With a request waiting at each of hundreds of nodes, those that come back first are refused again; after three or four rounds within a second the limit is passed. Nobody counted, though each node hears of each refusal.

Each node keeps when an upstream refused within the last second. From three quarters of the limit on it leaves the upstream until they are fewer, and comes back at a random time within 1.5 s after that, as all others do.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -168,7 +168,8 @@
         """
         track.record_refusal(now)
         if self.refusal_limit.in_force:
-            self.close(track, now + self.refusal_limit.hold_s(self._rng))
+            hold_s = self.refusal_limit.hold_s(track.refused_at, now, self._rng)
+            self.close(track, now + hold_s)
 
     def reopens_in_s(self, now: float) -> float:
         """Return the time until a closed upstream opens or a pause ends; 0 if none."""
--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import zlib
+from collections import deque
 from dataclasses import dataclass
 
+from baobabwing.gateway.decisions.refusal_limit import REFUSAL_WINDOW_S
 from baobabwing.gateway.decisions.stream_origins import software_crc
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 
@@ -80,6 +82,7 @@
     :ivar failure_rate: moving average of failures, from 0 to 1.
     :ivar eject_until: end of its ejection.
     :ivar closed_until: until when it asked for no new requests.
+    :ivar refused_at: when it refused requests for load lately.
     :ivar received_at: when a part of an answer last arrived from it.
     :ivar departed: whether it is no longer listed.
     :ivar crc: short form of its incarnation, for reports between nodes.
@@ -97,6 +100,7 @@
         self.failure_rate = 0.0
         self.eject_until = 0.0
         self.closed_until = 0.0
+        self.refused_at: deque[float] = deque()
         self.received_at = 0.0
         self._next_eject_s = _MIN_EJECT_S
         self.departed = False
@@ -201,6 +205,9 @@
     def record_refusal(self, now: float) -> None:
         """Record that it refused a request for load; eject it briefly."""
         self.eject_until = max(self.eject_until, now + _REFUSAL_EJECT_S)
+        self.refused_at.append(now)
+        while self.refused_at[0] <= now - REFUSAL_WINDOW_S:
+            self.refused_at.popleft()
 
     def queued_prompt_tokens(self) -> int:
         """Return the prompt tokens of all nodes' requests still to be processed."""
