Compress a shared document once, not for each peer that asks

Cause: each answer to a peer compressed the list anew.

A document keeps its compressed form now. The test counts: two answers compressed twice before, once now.

--- a/baobabwing/gateway/document_distribution.py
+++ b/baobabwing/gateway/document_distribution.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import time
 import urllib.parse
@@ -54,6 +55,7 @@
 # itself: longer than a long poll, and short enough for a change to be in force in time.
 _NO_SOURCE_S = 1.7
 _HEAD_BYTES = 8192
+_COMPRESSION_LEVEL = 1
 # Pause before the next call to a source that has sent documents. While dozens of
 # upstreams register in a row, each of 195 nodes received 48 lists of them in 5 s, a
 # fifth of the processor time of its start; changes are in force within 2 s.
@@ -82,6 +84,11 @@
     position: Position
     data: bytes
 
+    @functools.cached_property
+    def compressed(self) -> bytes:
+        """The data as peers get it, compressed once for all of them."""
+        return zlib.compress(self.data, _COMPRESSION_LEVEL)
+
 
 @dataclass(frozen=True, kw_only=True)
 class _Delivery:
@@ -341,15 +348,13 @@
     The head holds whether the node follows the store, and each document's name,
     position and compressed length.
     """
-    bodies = {
-        name: zlib.compress(document.data, 1) for name, document in documents.items()
-    }
     entries = [
-        f"{name.value}:{documents[name].position}:{len(body)}"
-        for name, body in bodies.items()
+        f"{name.value}:{document.position}:{len(document.compressed)}"
+        for name, document in documents.items()
     ]
     head = " ".join([str(int(follows)), *entries]).encode()
-    return head + b"\n" + b"".join(bodies.values())
+    bodies = [document.compressed for document in documents.values()]
+    return b"\n".join([head, b"".join(bodies)])
 
 
 def _decode(
--- a/tests/gateway/test_document_distribution.py
+++ b/tests/gateway/test_document_distribution.py
@@ -124,6 +124,33 @@
     run(story())
 
 
+def test_document_is_compressed_once_for_all_peers(run, monkeypatch):
+    """A source compressed the list of upstreams anew for each of dozens of peers."""
+    compressed = []
+    compress = document_distribution.zlib.compress
+
+    def count(data, level):
+        compressed.append(data)
+        return compress(data, level)
+
+    monkeypatch.setattr(document_distribution.zlib, "compress", count)
+
+    async def scenario():
+        node = DocumentDistribution(
+            members=FixedMembers("n", []), on_document=lambda name, document: None
+        )
+        node.keep(CFG, document_of(1, b"one"))
+        query = f"/documents?{CFG.value}=0.0"
+        first = await node.answer("GET", query)
+        assert (await node.answer("GET", query)).body == first.body
+        assert compressed == [b"one"]
+        node.keep(CFG, document_of(2, b"two"))
+        await node.answer("GET", query)
+        assert compressed == [b"one", b"two"]
+
+    run(scenario())
+
+
 def test_older_document_changes_nothing(run):
     async def story():
         async with Fleet(3) as fleet:
