Divide a pool's upstreams into cells when a cell is needed, not with each list

Cause, by a profile of one node that takes lists of 3,000 made-up workers in six pools: 73 ms a list, of which 31 in the gateway's state, most of that for the cells of each pool (a hash and a jump for each worker) and for the numbers of all workers, to forget the rate limits of those that are gone, also where no worker has a limit. Some forty lists come while workers register, and no request yet.

The test counts the divisions: three before, none now until one is asked for.

--- a/baobabwing/gateway/decisions/rate_limits.py
+++ b/baobabwing/gateway/decisions/rate_limits.py
@@ -87,6 +87,8 @@
 
     def retain(self, upstreams: Iterable[int]) -> None:
         """Forget the limits of all upstreams but some."""
+        if not self._limits:
+            return
         kept = set(upstreams)
         self._limits = {crc: one for crc, one in self._limits.items() if crc in kept}
 
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -95,25 +95,37 @@
         self.crc = name_crc(name)
         self.scheduler = scheduler
         self.rate_limits = RateLimits() if rate_limits is None else rate_limits
-        self.layout: tuple[tuple[str, ...], ...] = ((),)
         self._entries: dict[str, UpstreamEntry] = {}
-        self._index_by_crc: dict[int, int] = {}
+        self._layout: tuple[tuple[str, ...], ...] | None = None
+        self._index_by_crc: dict[int, int] | None = None
 
     def set_upstreams(self, entries: Iterable[UpstreamEntry]) -> None:
-        """Replace the list of engines, and divide it into cells again."""
+        """Replace the list of engines; it is divided into cells when one is needed.
+
+        While thousands of upstreams register, lists follow each other faster than
+        requests.
+        """
         self._entries = {entry.instance: entry for entry in entries}
-        self.layout = cell_layout(self._entries)
-        self._index_by_crc = {
-            name_crc(instance): index
-            for index, cell in enumerate(self.layout)
-            for instance in cell
-        }
+        self._layout = self._index_by_crc = None
+
+    @property
+    def layout(self) -> tuple[tuple[str, ...], ...]:
+        """Incarnations of each cell."""
+        if self._layout is None:
+            self._layout = cell_layout(self._entries)
+        return self._layout
 
     def index_of(self, upstream: int) -> int:
         """Return the cell of an upstream; 0 for one that is in no cell.
 
         :param upstream: crc of its incarnation.
         """
+        if self._index_by_crc is None:
+            self._index_by_crc = {
+                name_crc(instance): index
+                for index, cell in enumerate(self.layout)
+                for instance in cell
+            }
         return self._index_by_crc.get(upstream, 0)
 
     def has_software(self, index: int, software: int) -> bool:
--- a/tests/gateway/placement/test_cell_homes.py
+++ b/tests/gateway/placement/test_cell_homes.py
@@ -1,4 +1,4 @@
-"""Homes that get requests before they know the pool."""
+"""Homes that get requests before they know the pool, and pools without requests."""
 
 import asyncio
 import random
@@ -7,6 +7,7 @@
 from baobabwing.gateway.decisions.refusal_limit import RefusalLimit
 from baobabwing.gateway.decisions.scheduling import PoolScheduler
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
+from baobabwing.gateway.placement import cell_homes
 from baobabwing.gateway.placement.cell_homes import CellHomes, CellPool
 from baobabwing.gateway.placement.codec import name_crc
 from baobabwing.gateway.placement.messages import CellKey, Granted, SlotRequest
@@ -94,3 +95,25 @@
         assert len(grants) == ENGINE.slots
 
     run(scenario())
+
+
+def test_lists_without_requests_are_not_divided_into_cells(monkeypatch):
+    """Each of 300 hosts divided forty lists of thousands of workers at its start."""
+    divided = []
+
+    def count(names):
+        divided.append(len(names))
+        return (tuple(sorted(names)),)
+
+    monkeypatch.setattr(cell_homes, "cell_layout", count)
+    scheduler = PoolScheduler(engine=ENGINE, rng=random.Random(1))
+    pool = CellPool(name="p", scheduler=scheduler)
+    for listed in range(1, 4):
+        pool.set_upstreams(
+            UpstreamEntry(instance=f"e{n}", pool="p", address="a", slots=2)
+            for n in range(listed)
+        )
+    assert divided == []
+    assert pool.index_of(name_crc("e2")) == 0
+    assert pool.layout == (("e0", "e1", "e2"),)
+    assert divided == [3]
