Fetch documents less often the more processor time they take

Cause: while workers register, each node takes the newest list from each of its two sources every 0.15 s, whatever a list costs. At 100 workers that is some 2 ms, at 3,000 it is 50.

After documents have been taken, the calls to all sources pause for ten times the processor time that took, 0.75 s at most, so that lists take a tenth of a core at most and a change that passes two nodes is in force within 2 s. Below some 1,000 workers nothing changes: 0.15 s is longer. A node that lacks a document that it needs to serve does not pause.

--- a/baobabwing/gateway/document_distribution.py
+++ b/baobabwing/gateway/document_distribution.py
@@ -60,6 +60,11 @@
 # upstreams register in a row, each of 195 nodes received 48 lists of them in 5 s, a
 # fifth of the processor time of its start; changes are in force within 2 s.
 _BATCH_DELAY_S = 0.15
+# The pause lasts at least this many times the processor time that the documents took,
+# so that lists of thousands of upstreams take a tenth of it at most. It ends in time
+# for a change that passes two nodes to be in force within 2 s.
+_PAUSE_PER_WORK = 10.0
+_MAX_PAUSE_S = 0.75
 
 
 class DocumentName(StrEnum):
@@ -127,6 +132,7 @@
         self._documents: dict[DocumentName, Document] = {}
         self._changed = asyncio.Event()
         self._answered: set[int] = set()
+        self._calls_from = 0.0
         self.heard = asyncio.Event()
         self._store_path_at = time.monotonic()
         self._store_away = True
@@ -156,7 +162,7 @@
             self._members.joining
             and time.monotonic() - self._store_path_at < _NO_SOURCE_S
         ):
-            return any(self.position(name) == NOWHERE for name in _NEEDED)
+            return not self._can_serve
         total = len(self._members.serving())
         if total <= _SMALL_FLEET_NODES:
             return True
@@ -164,6 +170,10 @@
             return True
         return time.monotonic() - self._store_path_at > _NO_SOURCE_S
 
+    @property
+    def _can_serve(self) -> bool:
+        return all(self.position(name) != NOWHERE for name in _NEEDED)
+
     def note_store_answer(self) -> None:
         """Note that the store has answered this node with the list of upstreams."""
         self.list_checked_at = time.monotonic()
@@ -256,16 +266,31 @@
             while self._source(index) == source:
                 async with asyncio.timeout(_LONG_POLL_S + _TIMEOUT_S):
                     delivery = await self._request(conn, source)
-                for name, document in delivery.documents.items():
-                    self._accept(source, name, document)
+                self._accept_all(source, delivery.documents)
                 if delivery.follows:
                     self._record_store_path()
                 self._record_answer(index)
                 if delivery.documents:
                     await asyncio.sleep(_BATCH_DELAY_S)
+                await self._wait_for_next_call()
         finally:
             conn.close()
 
+    def _accept_all(
+        self, source: Host, documents: dict[DocumentName, Document]
+    ) -> None:
+        """Take documents; pause the calls to all sources by what that cost."""
+        began = time.thread_time()
+        for name, document in documents.items():
+            self._accept(source, name, document)
+        pause_s = min(_PAUSE_PER_WORK * (time.thread_time() - began), _MAX_PAUSE_S)
+        if self._can_serve:
+            self._calls_from = max(self._calls_from, time.monotonic() + pause_s)
+
+    async def _wait_for_next_call(self) -> None:
+        while (wait_s := self._calls_from - time.monotonic()) > 0:
+            await asyncio.sleep(wait_s)
+
     def _record_answer(self, index: int) -> None:
         self._answered.add(index)
         if len(self._answered) == _SOURCES:
--- a/tests/gateway/test_document_distribution.py
+++ b/tests/gateway/test_document_distribution.py
@@ -124,6 +124,36 @@
     run(story())
 
 
+def test_documents_that_cost_much_are_fetched_less_often(run):
+    """Lists of 3,000 upstreams took a third of a core of each node while they came."""
+    work_s = 0.04
+
+    def take(name, document):
+        taken.append(document.position.version)
+        ends_at = time.thread_time() + work_s
+        while time.thread_time() < ends_at:
+            pass
+
+    taken = []
+
+    async def scenario():
+        async with Fleet(12) as fleet:
+            fleet.nodes[11]._on_document = take
+            for name in document_distribution._NEEDED:
+                fleet.nodes[11].keep(name, document_of(1, b"{}"))
+            began = time.monotonic()
+            for version in range(2, 151):
+                for node in fleet.nodes[:4]:
+                    node.keep(CFG, document_of(version, b"{}"))
+                await asyncio.sleep(0.01)
+            await eventually(lambda: taken and taken[-1] == 150)
+            pause_s = document_distribution._PAUSE_PER_WORK * work_s
+            pauses = (time.monotonic() - began) / pause_s + 1
+            assert len(taken) <= document_distribution._SOURCES * pauses
+
+    run(scenario())
+
+
 def test_document_is_compressed_once_for_all_peers(run, monkeypatch):
     """A source compressed the list of upstreams anew for each of dozens of peers."""
     compressed = []
