Expect a usual output of requests whose callers state no length, at a stop

Callers: a stream was cut in the middle 3.7 s after its node's SIGTERM; the node had taken it 2.2 s after the SIGTERM.

Cause: whether a request can be whole before the stop is estimated from the tokens that its caller expects.

Such an output is expected now to take as long as others have kept their slots, as this node has measured, times the engine's slowness. The test failed before (18 ms expected where others took 0.6 s). Refused is more, unrun, with the time to come back, near the end of a stop and for such requests only.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -398,6 +398,12 @@
         interval_s = track.event_interval_s or self._typical_interval_s or 0.0
         return tokens * interval_s / self.engine.tokens_per_event
 
+    def usual_output_s(self, track: UpstreamTrack) -> float:
+        """Return how long an output of unknown length takes at an upstream."""
+        if self.engine is None:
+            return 0.0
+        return self.holding_s * track.slowness(self._typical_interval_s)
+
     def free_slots(self, now: float) -> int:
         """Return how many requests could be placed at once."""
         return sum(
--- a/baobabwing/gateway/decisions/stopping.py
+++ b/baobabwing/gateway/decisions/stopping.py
@@ -23,6 +23,9 @@
 ) -> float:
     """Return how long a whole answer takes at an upstream, with a margin.
 
+    A request whose caller expects no number of tokens is expected to take as long as
+    others have kept their slots, longer on a slow engine.
+
     :param max_output_tokens: the most that it may generate; 0 if not stated.
     """
     tokens = _OUTPUT_MARGIN * request.expected_output_tokens
@@ -30,7 +33,12 @@
         tokens = min(tokens, max_output_tokens)
     scheduler.update_typical()
     answer_s = scheduler.first_event_s(request, track, now)
-    return _TIME_MARGIN * (answer_s + scheduler.generation_s(int(tokens), track))
+    output_s = (
+        scheduler.generation_s(int(tokens), track)
+        if tokens
+        else scheduler.usual_output_s(track)
+    )
+    return _TIME_MARGIN * (answer_s + output_s)
 
 
 def shortest_answer_s(
--- a/tests/gateway/decisions/test_stopping.py
+++ b/tests/gateway/decisions/test_stopping.py
@@ -56,6 +56,22 @@
     assert 110 * 0.05 <= answer_s <= 2 * (110 * 0.05 + 0.2)
 
 
+def test_output_without_an_estimate_is_expected_to_take_what_others_took():
+    """A stream of which nothing was known was taken for one of a single event."""
+    one = scheduler()
+    for _ in range(200):
+        one.record_holding(0.6)
+    expected = {
+        name: expected_answer_s(
+            one, request(0), one.tracks[name], NOW, max_output_tokens=0
+        )
+        for name in INTERVALS_S
+    }
+    assert 2 * 0.6 / 5 <= expected["fast"] <= 2 * (0.6 + 0.2)
+    assert expected["slow"] >= 2 * 0.6
+    assert expected["slow"] >= 4 * expected["fast"]
+
+
 def test_request_that_any_engine_can_answer_in_time_is_not_refused_at_once():
     one = scheduler()
     answer_s = shortest_answer_s(one, request(200), 0.5, NOW)
