--- a/baobabwing/gateway/decisions/incarnations.py
+++ b/baobabwing/gateway/decisions/incarnations.py
@@ -77,10 +77,15 @@
         for name in list(departed)[: max(len(departed) - _MAX_DEPARTED, 0)]:
             del departed[name]
         self._latest = departed | {
-            name: _LatestEntry(entry=entry, listed=True)
-            for name, entry in current.items()
+            name: self._listed(name, entry) for name, entry in current.items()
         }
 
+    def _listed(self, name: str, entry: UpstreamEntry) -> _LatestEntry:
+        latest = self._latest.get(name)
+        if latest is not None and latest.listed and latest.entry is entry:
+            return latest
+        return _LatestEntry(entry=entry, listed=True)
+
 
 def _is_older(entry: UpstreamEntry, latest: UpstreamEntry) -> bool:
     """Whether an entry was written before the latest known one."""
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -212,6 +212,7 @@
     assert decoder.decode({"i-1": {**row, "slots": 2}}).entries[0].slots == 2
     assert decoder.decode({"i-1": {**row, "slots": True}}).entries == ()
     assert decoder.decode({"i-1": row}).unreadable == {}
+    assert decoder.decode({"i-1": {**row, "slots": 1.0}}).entries == ()
     assert decoder.decode({}).entries == ()
 
 
