--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -50,7 +50,7 @@
 def pytest_collection_modifyitems(config, items):
     red = known_red()
     for item in items:
-        line = red.get(item.nodeid.split("[")[0])
+        line = red.get(item.nodeid) or red.get(item.nodeid.split("[")[0])
         if line:
             item.add_marker(pytest.mark.xfail(reason=line, strict=False))
     if config.getoption("--matrix"):
