Plan of the parts for scarce and uneven capacity, and what they have in common

Two deployments join whose upstreams share their machines and tell it. Parts that are in force for such pools only need one place that says so, and a setting each.

--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -102,6 +102,8 @@
     :ivar max_own: maximum number of this node's requests in flight while it places
         them without a home; ``None`` for no bound.
     :ivar nodes: nodes that send to the same upstreams without a home.
+    :ivar shares_machines: whether the upstreams share their machines with others, as
+        far as they tell.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         self.holding_s = _INITIAL_HOLDING_S
         self.max_own: int | None = None
         self.nodes = 1
+        self.shares_machines = False
         self.refusal_limit = refusal_limit or RefusalLimit()
         self._rate_limits = RateLimits() if rate_limits is None else rate_limits
         self._max_route_rank = 0
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -205,6 +205,7 @@
                 logged_at = now
                 self._log_load()
             for key, queue in tuple(self._queues.items()):
+                self._copy_sharing(key, queue)
                 queue.expire(
                     now, repeat_s=reservation_report_interval_s(self._members.total)
                 )
@@ -215,6 +216,11 @@
                 else:
                     self._place_waiting(key)
 
+    def _copy_sharing(self, key: CellKey, queue: CellQueue) -> None:
+        pool = self._pools.get(key.pool)
+        if pool is not None:
+            queue.scheduler.shares_machines = pool.scheduler.shares_machines
+
     def _shed(self, key: CellKey, queue: CellQueue, now: float) -> None:
         """Refuse the queued requests that will hardly get a slot in time."""
         shed = queue.remove_unservable(now)
@@ -372,6 +378,7 @@
             rate_limits=pool.rate_limits if pool else None,
         )
         self._queues[key] = queue
+        self._copy_sharing(key, queue)
         if pool is not None:
             queue.set_upstreams(pool.entries(key.index))
             queue.copy_intervals(pool.scheduler.tracks)
--- a/baobabwing/gateway/settings.py
+++ b/baobabwing/gateway/settings.py
@@ -8,7 +8,12 @@
 from baobabwing.gateway.decisions.retry_budget import RetryBudget
 from baobabwing.gateway.headers import HeaderNames
 
-__all__ = ["GatewaySettings", "RetrySettings", "RolloutSettings"]
+__all__ = [
+    "GatewaySettings",
+    "RetrySettings",
+    "RolloutSettings",
+    "SharedMachineSettings",
+]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -40,6 +45,25 @@
     stop_s: float = 5.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class SharedMachineSettings:
+    """What is done for pools whose upstreams share their machines with others.
+
+    Such upstreams tell how long work takes on their machine.
+
+    :param serve_in_time: whether late requests leave the slots to those that can be in
+        time.
+    :param share_plain_slots: whether the slots of few plain services are granted by
+        one node for all.
+    :param zone_price_s_per_mb: seconds of a caller's time that a megabyte between
+        availability zones is worth; 0 to place without regard to zones.
+    """
+
+    serve_in_time: bool = True
+    share_plain_slots: bool = True
+    zone_price_s_per_mb: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True)
 class GatewaySettings:
     """Addresses, times and bounds of one gateway.
@@ -69,6 +93,7 @@
     :param repeats: budget of retries.
     :param tolerance: permitted overage of organisations' limits.
     :param rollouts: exposure budget of new versions.
+    :param shared_machines: what is done for pools that share their machines.
     """
 
     name: str
@@ -91,6 +116,9 @@
     repeats: RetrySettings = field(default_factory=RetrySettings)
     tolerance: Tolerance = field(default_factory=Tolerance)
     rollouts: RolloutSettings = field(default_factory=RolloutSettings)
+    shared_machines: SharedMachineSettings = field(
+        default_factory=SharedMachineSettings
+    )
 
     def budget(self, *, nodes: int, now: float) -> RetryBudget:
         """Return a new budget of retries for one pool.
