Let a node that was late carry a few tunnels

A node that was over 0.1 s late refused all tunnels for one to two seconds. A late node carries 16 now, and logs each refusal for want of capacity.

The new test failed before.

--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -186,7 +186,7 @@
     2514,
     "tunnel_refused",
     "Another node (`peer`) asked this one for a path to an upstream that this one does "
-    "not reach either.",
+    "not reach either, or it has no capacity for another one (`reason`).",
 )
 REFUSAL_LIMIT = define(
     2515,
--- a/baobabwing/gateway/tunnels.py
+++ b/baobabwing/gateway/tunnels.py
@@ -34,6 +34,9 @@
 # A node with most of its zone cut off lives on the others; this bounds the descriptors
 # that one of them spends on tunnels.
 _MAX_TUNNELS = 512
+# A node that was late within the last seconds carries fewer. It carries some: all nodes
+# may have been late at the same moment, and cut off nodes would then serve nobody.
+_MAX_TUNNELS_WHEN_LATE = 16
 # Longest time to receive the request for a tunnel.
 _REQUEST_TIMEOUT_S = 1.0
 
@@ -93,7 +96,7 @@
         ``ConnectionLostError``.
     :param listed: whether an address is that of a listed upstream; there are no tunnels
         to other addresses.
-    :param is_late: whether this node is too busy to carry more.
+    :param is_late: whether this node has lately been too busy to carry many.
     :ivar active: number of open tunnels.
     """
 
@@ -142,7 +145,7 @@
 
     async def _answer(self, conn: HttpConnection, request: h11.Request) -> None:
         address = request.target.decode("latin-1")
-        status = self._refusal(request, address)
+        status = self._refusal(conn, request, address)
         if status is None:
             try:
                 upstream = await self._connect(address)
@@ -161,14 +164,17 @@
             raise
         self._splice(conn.transport, upstream)
 
-    def _refusal(self, request: h11.Request, address: str) -> HTTPStatus | None:
+    def _refusal(
+        self, conn: HttpConnection, request: h11.Request, address: str
+    ) -> HTTPStatus | None:
         """Return why there is no tunnel, as a status; ``None`` if there may be one."""
         if request.method != b"CONNECT":
             return HTTPStatus.METHOD_NOT_ALLOWED
         if not self._listed(address):
             return HTTPStatus.FORBIDDEN
-        full = self.active >= _MAX_TUNNELS or self._is_late()
-        if full or not self.accepting:
+        most = _MAX_TUNNELS_WHEN_LATE if self._is_late() else _MAX_TUNNELS
+        if self.active >= most or not self.accepting:
+            log(TUNNEL_REFUSED, peer=conn.peer, upstream=address, reason="no capacity")
             return HTTPStatus.SERVICE_UNAVAILABLE
         return None
 
--- a/tests/gateway/test_tunnels.py
+++ b/tests/gateway/test_tunnels.py
@@ -15,10 +15,11 @@
 class Tunnel:
     """A relay and one upstream."""
 
-    def __init__(self, behaviour=None, *, listed=True, reachable=True):
+    def __init__(self, behaviour=None, *, listed=True, reachable=True, late=False):
         self._behaviour = behaviour or Behaviour()
         self._listed = listed
         self._reachable = reachable
+        self._late = late
 
     async def __aenter__(self):
         self.upstream = GatewayUpstream(
@@ -29,6 +30,7 @@
         self.server = TunnelServer(
             connect=self._connect,
             listed=lambda address: self._listed and address == self.upstream.address,
+            is_late=lambda: self._late,
         )
         await self.server.start(self.relay)
         return self
@@ -152,3 +154,17 @@
             assert (await ask(conn, "/x", "t1")).status == 405
 
     run(scenario())
+
+
+def test_late_node_still_carries_a_few_tunnels(run):
+    """All nodes had been late once; cut off nodes served nobody for two seconds."""
+
+    async def scenario():
+        async with Tunnel(late=True) as tunnel:
+            open_ones = [await tunnel.open() for _ in range(16)]
+            with pytest.raises(ConnectionLostError):
+                await tunnel.open()
+            for conn in open_ones:
+                conn.abort()
+
+    run(scenario())
