Keep nodes that start from renewing a quarantine that is over

Nodes report the crashes of a request for two hours, but its quarantine only until its end. A node that started in between counted the old crashes anew, refused the request for 10 s and told the others that had started since; a collector that knew the quarantine but not its crashes began the next one, of 80 s. A sound request stayed refused at all nodes for as long as nodes started one after the other. A report of a crash now names the quarantine that covers it (a field that was unused), and a quarantine that is over goes with it.

Before, test_quarantine_that_is_over_is_not_renewed_by_nodes_that_start failed:

> assert fleet.quarantining(clock()) == [] E AssertionError: assert ['n000', ...] == []

--- a/baobabwing/gateway/crash_reports.py
+++ b/baobabwing/gateway/crash_reports.py
@@ -154,7 +154,9 @@
     """
     digests_by_kind = {kind: set() for kind in CrashReportKind}
     for finding in message.findings:
-        digests_by_kind[finding.kind].add(finding.digest)
+        is_over = finding.kind is CrashReportKind.HELD and finding.left_s <= 0
+        if not is_over:
+            digests_by_kind[finding.kind].add(finding.digest)
     crashing = (
         digests_by_kind[CrashReportKind.ENDED] - digests_by_kind[CrashReportKind.HELD]
     )
--- a/baobabwing/gateway/decisions/quarantine.py
+++ b/baobabwing/gateway/decisions/quarantine.py
@@ -74,8 +74,9 @@
     :param digest: short form of the request's caller, path and body.
     :param upstream: crc of the incarnation that crashed, with ``ENDED``.
     :param weight: weight of the crash, with ``ENDED``.
-    :param times: how often the request has been quarantined, with ``HELD``.
-    :param left_s: remaining seconds of the quarantine, with ``HELD``.
+    :param times: how often the request has been quarantined, with ``HELD``; with
+        ``ENDED`` the quarantine that already covers the crash, or 0.
+    :param left_s: remaining seconds of the quarantine, with ``HELD``; 0 if it is over.
     """
 
     digest: int
@@ -106,14 +107,15 @@
 
     :param updated_at: when the record last changed.
     :param crashes: weight by crc of the incarnation.
-    :param counted_weight: weight that earlier quarantines rest on; it counts no more.
+    :param counted: weight that quarantines already cover, by crc of the incarnation; it
+        counts no more.
     :param times: number of quarantines.
     :param until: end of the latest quarantine.
     """
 
     updated_at: float
     crashes: dict[int, int] = field(default_factory=dict)
-    counted_weight: int = 0
+    counted: dict[int, int] = field(default_factory=dict)
     times: int = 0
     until: float = 0.0
 
@@ -121,11 +123,20 @@
     def weight(self) -> int:
         return sum(self.crashes.values())
 
+    @property
+    def new_weight(self) -> int:
+        """Weight of crashes that no quarantine covers."""
+        return self.weight - sum(self.counted.values())
+
     @property
     def needed_weight(self) -> int:
         """Weight of crashes not yet counted that starts the next quarantine."""
         return _STRONG_WEIGHT if self.times else _QUARANTINE_WEIGHT
 
+    def covers(self, upstream: int) -> bool:
+        """Whether quarantines cover the crash of an upstream with all its weight."""
+        return self.counted.get(upstream, 0) >= self.crashes[upstream]
+
     def explains(self, other: _CrashRecord) -> bool:
         """Whether this request may have caused all crashes of another one's quarantine.
 
@@ -214,7 +225,7 @@
             for upstream in upstreams
             if upstream in record.crashes
         )
-        return record.weight + added - record.counted_weight >= record.needed_weight
+        return record.new_weight + added >= record.needed_weight
 
     def served(self, digest: int) -> None:
         """Record that a request of this node got a complete answer."""
@@ -261,7 +272,10 @@
     ) -> list[CrashReport]:
         """Return the crash reports to send about a request.
 
-        :param verdict_only: leave out the crashes that a quarantine rests on.
+        Crashes that a quarantine covers say so, and come with that quarantine even if
+        it is over: a node that has just started would count them anew.
+
+        :param verdict_only: leave out the crashes, and a quarantine that is over.
         """
         if digest in self._served:
             return [CrashReport(digest=digest, kind=CrashReportKind.CLEARED)]
@@ -276,10 +290,12 @@
                     kind=CrashReportKind.ENDED,
                     upstream=upstream,
                     weight=weight,
+                    times=record.times if record.covers(upstream) else 0,
                 )
                 for upstream, weight in record.crashes.items()
             ]
-        if now < record.until:
+        was_held = record.times > 0 and not verdict_only
+        if now < record.until or was_held:
             reports.append(_quarantine_report(digest, record, now))
         return reports
 
@@ -291,6 +307,9 @@
         """Count a crash at another node; return whether a quarantine starts."""
         record = self._get_record(report.digest, now)
         was_quarantined = now < record.until
+        if report.times:
+            known = record.counted.get(report.upstream, 0)
+            record.counted[report.upstream] = max(known, report.weight)
         self._add_crash(report.digest, record, report.upstream, report.weight, now)
         return not was_quarantined and now < record.until
 
@@ -318,9 +337,9 @@
         if now < record.until:
             # The request was sent before the quarantine, or the report is late: the
             # current quarantine already covers this crash.
-            record.counted_weight = record.weight
+            record.counted = dict(record.crashes)
             return
-        if record.weight - record.counted_weight < record.needed_weight:
+        if record.new_weight < record.needed_weight:
             return
         record.times += 1
         others = (one for one in self._records.values() if one is not record)
@@ -346,20 +365,23 @@
         """
         record = self._get_record(report.digest, now)
         until = now + min(report.left_s, _MAX_QUARANTINE_S)
-        shortened = until < record.until - _REPORT_JITTER_S
+        is_over = report.left_s <= 0
+        shortened = not is_over and until < record.until - _REPORT_JITTER_S
         if report.times < record.times:
             return False
         if report.times == record.times and not shortened:
             return False
         record.updated_at = now
         record.times = report.times
+        if is_over:
+            return False
         record.until = until
         self._start_quarantine(report.digest, record, now)
         return True
 
     def _start_quarantine(self, digest: int, record: _CrashRecord, now: float) -> None:
         """Count all crashes so far as used, and announce the quarantine and its end."""
-        record.counted_weight = record.weight
+        record.counted = dict(record.crashes)
         self._latest_until = max(self._latest_until, record.until)
         self.on_verdict(_quarantine_report(digest, record, now))
 
@@ -425,5 +447,5 @@
         digest=digest,
         kind=CrashReportKind.HELD,
         times=record.times,
-        left_s=record.until - now,
+        left_s=max(record.until - now, 0.0),
     )
--- a/tests/gateway/test_crash_reports.py
+++ b/tests/gateway/test_crash_reports.py
@@ -283,3 +283,29 @@
 
     fleet = simulated(5, scenario)
     assert [len(node.verdicts) for node in fleet.nodes.values()] == [1, 1, 0, 0, 0]
+
+
+def test_quarantine_that_is_over_is_not_renewed_by_nodes_that_start(simulated):
+    """Each node that started counted the old crashes anew, and refused the request.
+
+    So nodes that started one after the other refused a sound request at all nodes for
+    as long as such starts went on, although no upstream had ended since.
+    """
+
+    async def scenario(fleet, clock):
+        fleet.record_crash("n002", 1, clock())
+        fleet.record_crash("n003", 2, clock())
+        await asyncio.sleep(11.0)
+        assert fleet.quarantining(clock()) == []
+        for work in sorted(fleet.nodes):
+            fleet.start(work)
+            asyncio.ensure_future(fleet.nodes[work].exchange.run())
+            fleet.notify_members_changed()
+            await asyncio.sleep(2.0)
+            assert fleet.quarantining(clock()) == []
+        fleet.record_crash("n002", 3, clock())
+        await asyncio.sleep(0.5)
+        assert len(fleet.quarantining(clock())) == 5
+        assert fleet.nodes["n000"].book.held_s(BAD, clock()) > 70.0
+
+    simulated(5, scenario)
