--- a/tests/platform_adapter/test_fleet_rows.py
+++ b/tests/platform_adapter/test_fleet_rows.py
@@ -1,12 +1,18 @@
 """The system's own table."""
 
+import asyncio
+import time
 from collections import Counter
 from random import Random
 from types import SimpleNamespace
 
 import pytest
 
+from baobabwing.exceptions import ConnectionLostError
+from baobabwing.gateway.decisions.quarantine import CrashReport, CrashReportKind
+from baobabwing_platform import fleet_rows
 from baobabwing_platform.fleet_rows import (
+    QuarantineRows,
     era_is_settled,
     node_row,
     read_rows,
@@ -76,3 +82,46 @@
 def test_row_of_another_writer_says_nothing_of_eras(wrong):
     found = table(a={"peer": "10.0.0.1:7600", "zone": "z"} | wrong)
     assert found.seen_s == {}
+
+
+class FailingClient:
+    """Fails the first writes, and keeps the rows of the others."""
+
+    def __init__(self, failures):
+        self.failures, self.rows = failures, {}
+
+    async def put(self, table, key, value):
+        if self.failures:
+            self.failures -= 1
+            raise ConnectionLostError("away", step="write", peer="store")
+        self.rows[key] = value
+
+    def close(self):
+        pass
+
+
+@pytest.mark.parametrize("left_s, failures", [((10.0, 2.0), 0), ((2.0,), 3)])
+def test_row_ends_with_its_quarantine(monkeypatch, left_s, failures):
+    """All nodes that start hold the request for as long as its row says.
+
+    The row kept its end when the quarantine was shortened, and got a later one when it
+    was written late.
+    """
+    monkeypatch.setattr(fleet_rows, "_RETRY_S", 0.2)
+    client = FailingClient(failures)
+
+    async def scenario():
+        rows, began = QuarantineRows(client=client), time.time()
+        task = asyncio.ensure_future(rows.run())
+        for left in left_s:
+            rows.schedule_write(
+                CrashReport(digest=7, kind=CrashReportKind.HELD, times=1, left_s=left)
+            )
+            await asyncio.sleep(0.05)
+        while not client.rows:
+            await asyncio.sleep(0.05)
+        task.cancel()
+        (row,) = client.rows.values()
+        assert row["until_ms"] / 1000 - began == pytest.approx(2.0, abs=0.2)
+
+    asyncio.run(scenario())
