Compare other upstreams before a closed connection proves a crash

A node probes the upstream of a lost answer on up to three paths, and took it for ended if all of them accepted and closed the connection, as a proxy does whose upstream has ended. When all paths were cut off, copies of a sound request at two upstreams counted as two crashes, and all nodes refused it for 10 s. A path counts now only if another upstream keeps a connection open on it.

--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -127,7 +127,11 @@
             rng=rng,
             loop_late_s=lambda: self._loop_delay_monitor.late_s,
         )
-        self.connections = ConnectionPool(names=settings.names, paths=self.paths)
+        self.connections = ConnectionPool(
+            names=settings.names,
+            paths=self.paths,
+            listed=self.state.listed,
+        )
         self.tunnels = TunnelServer(
             connect=self.paths.connect_for_peer,
             listed=self.state.lists_address,
--- a/baobabwing/gateway/upstream_connections.py
+++ b/baobabwing/gateway/upstream_connections.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
+import random
 import time
 from collections import deque
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum, StrEnum
 
@@ -39,6 +42,9 @@
 _REFUSED_CLOSE_S = 0.1
 _LATE_REFUSED_CLOSE_S = 1.0
 _PROBED_PATHS = 3
+# Other upstreams that show whether the paths work on which one closes connections; some
+# of them may have ended as well.
+_COMPARED_UPSTREAMS = 3
 # Interim answers that may come before the head of an answer.
 _MAX_INTERIM_ANSWERS = 16
 # Upper limit on the time for which an upstream can close itself by ``Retry-After``.
@@ -109,7 +115,7 @@
 
     ``REFUSED``: no process accepts it. ``CLOSED``: it is accepted and closed at once,
     as by a proxy whose upstream has ended. ``OPEN``: the upstream is up. ``UNKNOWN``:
-    too few paths showed anything.
+    too few paths showed anything, or they close connections to other upstreams too.
     """
 
     REFUSED = "refused"
@@ -262,15 +268,21 @@
 
     :param names: header names in use.
     :param paths: opens connections; by default direct ones.
+    :param listed: returns the address and instance of all listed upstreams.
     """
 
     def __init__(
-        self, *, names: HeaderNames, paths: UpstreamPaths | None = None
+        self,
+        *,
+        names: HeaderNames,
+        paths: UpstreamPaths | None = None,
+        listed: Callable[[], Iterable[tuple[str, str]]] = tuple,
     ) -> None:
         self._names = names
         self._paths = paths or UpstreamPaths()
         self._idle: dict[tuple[str, str], deque[UpstreamConnection]] = {}
         self._busy: dict[tuple[str, str], set[UpstreamConnection]] = {}
+        self._listed = listed
 
     async def acquire(
         self,
@@ -344,11 +356,13 @@
 
         Idle ones show nothing; they may be closed for their age, or be kept open by a
         proxy. What one path shows may be true of the path alone, so others are tried;
-        a node that stands still and does not answer delays nothing.
+        a node that stands still and does not answer delays nothing. A path that is cut
+        off may accept and close connections to all upstreams, so others are compared.
 
         :param patient: wait for proxies that are late to close the connection.
         """
         wait_s = _LATE_REFUSED_CLOSE_S if patient else _REFUSED_CLOSE_S
+        closing: set[str] = set()
         for _ in range(_PROBED_PATHS):
             try:
                 connection = await self.acquire(
@@ -365,9 +379,43 @@
                 else:
                     self.put_back(address, instance, connection)
                 return ProbeResult.OPEN
+            closing.add(connection.relay)
             self._suspect(address, connection)
             self.discard(address, instance, connection)
-        return ProbeResult.CLOSED
+        works = await self._any_path_works(closing, address, wait_s)
+        return ProbeResult.CLOSED if works else ProbeResult.UNKNOWN
+
+    async def _any_path_works(
+        self, relays: Iterable[str], address: str, wait_s: float
+    ) -> bool:
+        """Whether another upstream is up by some of the paths that close connections.
+
+        :param relays: nodes through which they go; empty for the direct path.
+        :param address: upstream that closed connections.
+        :param wait_s: time for which a connection has to stay open.
+        """
+        others = sorted({other for other, _ in self._listed()} - {address})
+        if not others:
+            return True
+        compared = random.sample(others, min(_COMPARED_UPSTREAMS, len(others)))
+        stays_open = await asyncio.gather(
+            *(
+                self._stays_open(other, relay, wait_s)
+                for relay in relays
+                for other in compared
+            )
+        )
+        return any(stays_open)
+
+    async def _stays_open(self, address: str, relay: str, wait_s: float) -> bool:
+        try:
+            conn = await self._paths.open_by(address, relay)
+        except ConnectionLostError:
+            return False
+        try:
+            return not await conn.closes_within(wait_s)
+        finally:
+            conn.abort()
 
     def suspect_path(self, address: str, connection: UpstreamConnection) -> None:
         """Take another path for a while if a lost connection was new and unanswered.
--- a/baobabwing/gateway/upstream_paths.py
+++ b/baobabwing/gateway/upstream_paths.py
@@ -152,6 +152,20 @@
         self._record_open(address, path, was_blocked=is_blocked)
         return path
 
+    async def open_by(self, address: str, relay: str) -> HttpConnection:
+        """Connect to an upstream by one path, whatever is known of it.
+
+        :param relay: address of the node through which it goes; empty if direct.
+        :raises ConnectionLostError: if that path does not lead there.
+        """
+        if not relay:
+            return await open_connection(
+                address, timeout_s=_CONNECT_TIMEOUT_S, head_bytes=_HEAD_BYTES
+            )
+        return await open_tunnel(
+            relay, address, timeout_s=_CONNECT_TIMEOUT_S, head_bytes=_HEAD_BYTES
+        )
+
     async def connect_for_peer(self, address: str) -> SplicedEnd:
         """Connect directly to an upstream, as one end of a tunnel.
 
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -18,6 +18,8 @@
 # Three crashes may pass before the request is quarantined, and three more in retries.
 MAX_CRASHES = 3 + 3
 REPETITIONS = 12
+# Time in which nodes have found out whether an upstream has ended, and told the others.
+PROBES_S = 0.5
 
 
 @pytest.mark.parametrize(
@@ -208,10 +210,10 @@
 
 
 @contextlib.asynccontextmanager
-async def behind_proxies(fleet, *, refuses_after_s=0.0):
+async def behind_proxies(fleet, *, refuses_after_s=0.0, cut_off=lambda port: False):
     """Put a proxy in front of each upstream; those of replacements have none."""
     proxies = {
-        name: LoopbackProxy(target=upstream.address)
+        name: LoopbackProxy(target=upstream.address, cut_off=cut_off)
         for name, (upstream, _) in fleet.upstreams.items()
     }
     for proxy in proxies.values():
@@ -219,7 +221,7 @@
         await proxy.start()
     fleet.list_all({name: proxy.address for name, proxy in proxies.items()})
     try:
-        yield
+        yield list(proxies.values())
     finally:
         for proxy in proxies.values():
             proxy.stop()
@@ -308,3 +310,39 @@
             )
 
     run(scenario())
+
+
+@pytest.mark.parametrize("target", ["/unsafe/a", "/safe/a"])
+def test_request_is_not_quarantined_when_all_paths_close_connections(run, target):
+    """All nodes were cut off while copies of it ran at several upstreams.
+
+    Each new connection was accepted and closed, as by a proxy whose upstream has ended.
+    All nodes refused the request for 10 s, although no upstream had ended.
+    """
+
+    async def scenario():
+        cut = []
+        async with (
+            GatewayFleet(services=4) as fleet,
+            behind_proxies(fleet, cut_off=lambda port: bool(cut)) as proxies,
+        ):
+            fleet.usual["services"] = Behaviour(delay_s=0.4)
+            copies = [
+                asyncio.ensure_future(fleet.ask(node, target, f"c{node}-{copy}"))
+                for node in range(3)
+                for copy in range(2)
+            ]
+            await asyncio.sleep(0.2)
+            assert sum(bool(fleet.at(name)) for name in fleet.upstreams) > 1
+            cut.append(True)
+            for proxy in proxies:
+                proxy.reset_cut_off()
+            await asyncio.gather(*copies)
+            await asyncio.sleep(PROBES_S)
+            assert fleet.crashed == []
+            assert not any(
+                gateway.state.quarantine.any_held(time.monotonic())
+                for gateway in fleet.gateways
+            )
+
+    run(scenario())
