Keep the load that upstreams report, and note pools that share machines

A header with a fourth figure was dropped as a whole. Each figure is now checked by itself, and the latest report is kept with the upstream. A pool shares its machines from the first report of work time until 60 s pass without one. Nothing is placed by the reports yet.

--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -8,6 +8,7 @@
 
 from baobabwing.gateway.decisions.refusal_limit import REFUSAL_WINDOW_S
 from baobabwing.gateway.decisions.stream_origins import software_crc
+from baobabwing.gateway.decisions.told_load import ToldLoad
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 
 __all__ = ["InFlightRequest", "UpstreamTrack"]
@@ -84,6 +85,7 @@
     :ivar closed_until: until when it asked for no new requests.
     :ivar refused_at: when it refused requests for load lately.
     :ivar received_at: when a part of an answer last arrived from it.
+    :ivar told: its latest report of its load, by an answer to this node.
     :ivar departed: whether it is no longer listed.
     :ivar crc: short form of its incarnation, for reports between nodes.
     """
@@ -102,6 +104,7 @@
         self.closed_until = 0.0
         self.refused_at: deque[float] = deque()
         self.received_at = 0.0
+        self.told: ToldLoad | None = None
         self._next_eject_s = _MIN_EJECT_S
         self.departed = False
         self.crc = zlib.crc32(entry.instance.encode())
@@ -180,6 +183,11 @@
         else:
             self.event_interval_s += _ALPHA * (seconds - self.event_interval_s)
 
+    def record_told_load(self, load: ToldLoad) -> None:
+        """Keep a report of its load, unless a later one has arrived."""
+        if self.told is None or load.at >= self.told.at:
+            self.told = load
+
     def record_success(self) -> None:
         """Record a successful answer."""
         self.failure_rate *= 1 - _FAIL_ALPHA
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -22,6 +22,7 @@
     "LIMIT_CHANGED",
     "LIMIT_REACHED",
     "LINES_LEFT_OUT",
+    "MACHINES_SHARED",
     "MESSAGE_DROPPED",
     "NODES_UNREAD",
     "PART_CLEARED",
@@ -188,6 +189,12 @@
     "Another node (`peer`) asked this one for a path to an upstream that this one does "
     "not reach either, or it has no capacity for another one (`reason`).",
 )
+MACHINES_SHARED = define(
+    2530,
+    "machines_shared",
+    "The upstreams of a pool share their machines with others: an answer of `upstream` "
+    "reports how long work takes there (`shared`); or none did for a minute.",
+)
 REFUSAL_LIMIT = define(
     2515,
     "refusal_limit",
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -450,12 +450,14 @@
     ) -> None:
         """Handle what the head states about the upstream.
 
-        It may leave, be closed or fragile, or limit what it takes.
+        It may leave, be closed or fragile, limit what it takes, or report its load.
         """
         entry = grant.track.entry
         if head.signed or head.not_executed:
             pool.note_refusal_limit(head.refusal_limit)
             self._apply_rate_limit(pool, grant, head, sent_at)
+            if head.status != HTTPStatus.MISDIRECTED_REQUEST:
+                pool.note_load(grant.track, head.load, time.monotonic())
         if head.leaving and self._state.note_leaving(entry, source="answer"):
             pool.report_leaving(grant)
         if head.status == HTTPStatus.SERVICE_UNAVAILABLE and head.retry_after_s:
--- a/baobabwing/gateway/headers.py
+++ b/baobabwing/gateway/headers.py
@@ -35,7 +35,8 @@
     :param not_executed: present if the request was not run.
     :param leaving: whether the answering upstream is leaving; 0 or 1.
     :param signature: present on answers that come from an upstream itself.
-    :param load: running requests, waiting requests and slots of an upstream.
+    :param load: running requests, waiting requests and slots of an upstream, and how
+        long work takes on its machine, in percent of the usual time.
     :param refusal_limit: requests a second that an upstream can refuse before it fails.
     :param rate_limit: requests a second that an upstream takes from all nodes.
     :param tokens: prompt tokens and maximum output tokens, separated by a comma.
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -18,8 +18,14 @@
     PoolScheduler,
 )
 from baobabwing.gateway.decisions.stream_origins import SoftwareHistory
+from baobabwing.gateway.decisions.told_load import ToldLoad
 from baobabwing.gateway.decisions.tracking import UpstreamTrack
-from baobabwing.gateway.events import PLACED_ALONE, RATE_LIMIT, REFUSAL_LIMIT
+from baobabwing.gateway.events import (
+    MACHINES_SHARED,
+    PLACED_ALONE,
+    RATE_LIMIT,
+    REFUSAL_LIMIT,
+)
 from baobabwing.gateway.placement.cell_homes import CellPool
 from baobabwing.gateway.placement.placer import Placer
 from baobabwing.reports.events import log
@@ -37,6 +43,9 @@
 # shorter, and so leave the permits to it.
 _PERMIT_WAIT_SHARE = 0.5
 _MAX_PERMIT_WAIT_S = 1.0
+# Time without a report of work time after which a pool no longer counts as sharing its
+# machines: longer than the pauses of a pool with few requests.
+_SHARING_TIMEOUT_S = 60.0
 
 _PlaceAside = Callable[[PlacementRequest], Grant | None]
 
@@ -100,6 +109,7 @@
         self.permits: Permits | None = None
         self.on_refusal: Callable[[int], None] = lambda upstream: None
         self._reopening: asyncio.TimerHandle | None = None
+        self._sharing_until = 0.0
 
     async def place(self, request: PlacementRequest, nodes: int) -> Grant:
         """Reserve a slot at an upstream, waiting until one is free.
@@ -256,6 +266,35 @@
                 by="answer",
             )
 
+    def note_load(
+        self, track: UpstreamTrack, load: ToldLoad | None, now: float
+    ) -> None:
+        """Record what an answer reports of its upstream's load.
+
+        :param load: ``None`` if the answer reports none.
+        """
+        if load is None:
+            return
+        track.record_told_load(load)
+        if load.work_percent is None:
+            return
+        self._sharing_until = max(self._sharing_until, now + _SHARING_TIMEOUT_S)
+        if not self.scheduler.shares_machines:
+            self._set_sharing(True, upstream=track.entry.instance)
+            self._end_sharing_when_due()
+
+    def _set_sharing(self, shares: bool, *, upstream: str = "") -> None:
+        self.scheduler.shares_machines = shares
+        log(MACHINES_SHARED, pool=self.cells.name, shared=shares, upstream=upstream)
+
+    def _end_sharing_when_due(self) -> None:
+        left_s = self._sharing_until - time.monotonic()
+        if left_s > 0:
+            loop = asyncio.get_running_loop()
+            loop.call_later(left_s, self._end_sharing_when_due)
+        else:
+            self._set_sharing(False)
+
     def any_open(self, excluded: AbstractSet[str], software: int = 0) -> bool:
         """Whether an upstream accepts requests, beside those that are excluded.
 
--- a/baobabwing/gateway/upstream_connections.py
+++ b/baobabwing/gateway/upstream_connections.py
@@ -20,6 +20,7 @@
     PeerClosedError,
 )
 from baobabwing.gateway.connection import HttpConnection
+from baobabwing.gateway.decisions.told_load import ToldLoad, parse_told_load
 from baobabwing.gateway.headers import HOP_BY_HOP, HeaderNames
 from baobabwing.gateway.request_head import Headers
 from baobabwing.gateway.upstream_paths import UpstreamPaths
@@ -86,7 +87,7 @@
     :param not_executed: whether the upstream states that it did not run the request.
     :param leaving: whether the upstream announces that it is leaving.
     :param retry_after_s: how long the upstream accepts no requests; 0 if not stated.
-    :param load: running, waiting and slots of the upstream; ``None`` if not stated.
+    :param load: load that the upstream reports; ``None`` if it reports none.
     :param refusal_limit: requests a second that the upstream can refuse for load before
         it fails; ``None`` if not stated.
     :param rate_limit: requests a second that the upstream takes from all nodes;
@@ -104,7 +105,7 @@
     not_executed: bool
     leaving: bool
     retry_after_s: float
-    load: tuple[int, int, int] | None
+    load: ToldLoad | None
     refusal_limit: float | None
     rate_limit: float | None
     invalid_rate_limit: bytes | None
@@ -256,7 +257,7 @@
             not_executed=names.not_executed in values,
             leaving=values.get(names.leaving, b"0").strip() not in (b"", b"0"),
             retry_after_s=retry_after_s(values.get(b"retry-after", b"")),
-            load=_parse_load(values.get(names.load)),
+            load=parse_told_load(values.get(names.load), time.monotonic()),
             refusal_limit=_parse_limit(values.get(names.refusal_limit, b"")),
             rate_limit=rate_limit,
             invalid_rate_limit=stated if rate_limit is None else None,
@@ -518,11 +519,3 @@
     except ValueError:
         return None
     return limit if 0 <= limit < math.inf else None
-
-
-def _parse_load(value: bytes | None) -> tuple[int, int, int] | None:
-    fields = (value or b"").split(b",")
-    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
-        return None
-    running, waiting, slots = (int(field) for field in fields)
-    return running, waiting, slots
--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -148,6 +148,7 @@
     :ivar leaving: whether all answers announce that the upstream is leaving.
     :ivar rate_limit: value of the header that states how many requests a second it
         takes; ``None`` for none.
+    :ivar load: value of the header that reports its load; ``None`` for none.
     :ivar seen: all requests received.
     :ivar runs: number of executions per request id.
     :ivar began: request id and monotonic start time of each execution.
@@ -175,6 +176,7 @@
         self._refused_at: deque[float] = deque()
         self.leaving = False
         self.rate_limit: bytes | None = None
+        self.load: bytes | None = None
         self.seen: list[SeenRequest] = []
         self.runs: Counter[str] = Counter()
         self.began: list[tuple[str, float]] = []
@@ -440,6 +442,8 @@
             stated.append((self.names.refusal_limit, b"%d" % self.fragility.per_s))
         if self.rate_limit is not None:
             stated.append((self.names.rate_limit, self.rate_limit))
+        if self.load is not None:
+            stated.append((self.names.load, self.load))
         return stated
 
     def _fails_by_refusal(self) -> bool:
