Use reported loads and work times for placement on shared machines

Reported work time is the prior for an upstream without samples; it fades within seconds, and measured times outweigh it. For plain services that a node places independently, running and waiting are a lower bound on the load of other nodes, and the node takes the better of two random ones.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -332,6 +332,15 @@
             if instance in measured:
                 track.event_interval_s = measured[instance].event_interval_s
 
+    def share_reports(self, tracks: Mapping[str, UpstreamTrack]) -> None:
+        """Use the work times that the upstreams report to this node.
+
+        :param tracks: the node's own tracks by incarnation, which it goes on to update.
+        """
+        for instance, track in self.scheduler.tracks.items():
+            if instance in tracks:
+                track.usual_work = tracks[instance].usual_work
+
     @property
     def idle(self) -> bool:
         """Whether there are neither queued requests nor reservations."""
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -11,6 +11,7 @@
 
 from baobabwing.gateway.decisions.rate_limits import RateLimits
 from baobabwing.gateway.decisions.refusal_limit import RefusalLimit
+from baobabwing.gateway.decisions.told_evidence import forget_reports, weigh_reports
 from baobabwing.gateway.decisions.tracking import (
     FIRST_EVENT_S,
     PREFILL_TOKENS_PER_S,
@@ -42,6 +43,10 @@
 # Plain services answer within some 20 ms; with requests for twice their slots, their
 # own queue is short enough that none of these misses an objective of 100 ms.
 _PLAIN_DEPTH = 2
+# Random plain services on shared machines of which a node takes the best. Where it
+# chose from all of them, more requests were rejected in simulated fleets, since all
+# nodes chose the same one.
+_INDEPENDENT_CHOICES = 2
 # Window over which grants to late requests are counted: some ten grants in a full cell,
 # and short compared with the 3 s for which callers wait.
 _LATE_RATE_WINDOW_S = 1.0
@@ -101,7 +106,7 @@
     :ivar holding_s: mean time for which a request keeps its slot.
     :ivar max_own: maximum number of this node's requests in flight while it places
         them without a home; ``None`` for no bound.
-    :ivar nodes: nodes that send to the same upstreams without a home.
+    :ivar nodes: nodes that send to the same upstreams without a home; 1 at a home.
     :ivar shares_machines: whether the upstreams share their machines with others, as
         far as they tell.
     """
@@ -134,6 +139,7 @@
         self._late_grants: deque[float] = deque()
         self._contended_until = 0.0
         self._paced_until = 0.0
+        self._reports_count = False
 
     def set_engine(self, engine: EngineSpec) -> None:
         """Replace the figures of the pool's engines."""
@@ -240,6 +246,7 @@
         if not self.waiting or not self._any_free_slot(now):
             return granted
         self.update_typical()
+        self._weigh_reports(now)
         blocked: list[PlacementRequest] = []
         waiting_for_faster = 0
         while self.waiting and waiting_for_faster < _MAX_WAITING_FOR_FASTER:
@@ -398,7 +405,8 @@
         """Return how long an upstream takes to generate so many tokens."""
         if self.engine is None:
             return 0.0
-        interval_s = track.event_interval_s or self._typical_interval_s or 0.0
+        typical_s = track.told_slowness * (self._typical_interval_s or 0.0)
+        interval_s = track.event_interval_s or typical_s
         return tokens * interval_s / self.engine.tokens_per_event
 
     def usual_output_s(self, track: UpstreamTrack) -> float:
@@ -497,12 +505,37 @@
         if not free:
             return None
         best = min(
-            free,
+            self._choices(free),
             key=lambda track: (self._cost_s(request, track, now), self._rng.random()),
         )
         has_permit = self._rate_limits.take(best.crc, now)
         return self._grant(request, best, now, has_permit=has_permit)
 
+    def _choices(self, free: list[UpstreamTrack]) -> list[UpstreamTrack]:
+        """Return the free upstreams of which a request goes to the best."""
+        if not self._places_independently or len(free) <= _INDEPENDENT_CHOICES:
+            return free
+        return self._rng.sample(free, _INDEPENDENT_CHOICES)
+
+    @property
+    def _places_independently(self) -> bool:
+        """Whether other nodes use the upstreams, and only reports tell how much."""
+        return self.shares_machines and self.engine is None and self.nodes > 1
+
+    def _weigh_reports(self, now: float) -> None:
+        if self.shares_machines:
+            self._reports_count = True
+            weigh_reports(
+                self.tracks.values(),
+                typical_s=self._typical_interval_s,
+                plain=self.engine is None,
+                independent=self._places_independently,
+                now=now,
+            )
+        elif self._reports_count:
+            self._reports_count = False
+            forget_reports(self.tracks.values())
+
     def _without_too_slow(
         self, request: PlacementRequest, free: list[UpstreamTrack], now: float
     ) -> list[UpstreamTrack]:
--- a/baobabwing/gateway/decisions/told_load.py
+++ b/baobabwing/gateway/decisions/told_load.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
-__all__ = ["ToldLoad", "parse_told_load"]
+__all__ = ["USUAL_PERCENT", "ToldLoad", "UsualWork", "parse_told_load"]
 
+# Work time of a machine that others do not use.
+USUAL_PERCENT = 100.0
 # Largest figures accepted. A machine with more requests, or one that takes more than a
 # hundred times as long as usual, reports wrong figures.
 _MAX_REQUESTS = 100_000
@@ -13,6 +16,12 @@
 # Digits of a figure; bounds the cost of its conversion.
 _MAX_DIGITS = 6
 _FIGURES = 4
+# Time constant with which reports fade: some disturbances, so that their mean is the
+# usual speed, and short enough that a false report does not keep requests away.
+_MEMORY_S = 5.0
+# Reports within this time count as one: a disturbance lasts some hundred ms, and
+# several answers within one tell no more than one of them.
+_DISTURBANCE_S = 0.6
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -36,6 +45,34 @@
     rejected: int = 0
 
 
+class UsualWork:
+    """Usual time that work takes on a machine: a fading mean of its reports.
+
+    :ivar percent: the mean, in percent of the usual time; ``None`` without reports.
+    """
+
+    def __init__(self) -> None:
+        self.percent: float | None = None
+        self._weight = 0.0
+        self._at = -math.inf
+
+    def add(self, percent: int, at: float) -> None:
+        """Add a report; reports soon after another one count less."""
+        if at <= self._at:
+            return
+        new_weight = min((at - self._at) / _DISTURBANCE_S, 1.0)
+        old_weight = self._weight * math.exp((self._at - at) / _MEMORY_S)
+        self._weight, self._at = old_weight + new_weight, at
+        if self.percent is None:
+            self.percent = float(percent)
+        else:
+            self.percent += new_weight / self._weight * (percent - self.percent)
+
+    def confidence(self, now: float) -> float:
+        """Return how far the mean counts: 1 after a report, fading to 0."""
+        return min(math.exp((self._at - now) / _MEMORY_S), 1.0)
+
+
 def parse_told_load(value: bytes | None, at: float) -> ToldLoad | None:
     """Decode the header in which an upstream reports its load, figure by figure.
 
--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -8,7 +8,7 @@
 
 from baobabwing.gateway.decisions.refusal_limit import REFUSAL_WINDOW_S
 from baobabwing.gateway.decisions.stream_origins import software_crc
-from baobabwing.gateway.decisions.told_load import ToldLoad
+from baobabwing.gateway.decisions.told_load import ToldLoad, UsualWork
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 
 __all__ = ["InFlightRequest", "UpstreamTrack"]
@@ -39,6 +39,11 @@
 # The first ejection, and the longest; each ejection doubles the next one.
 _MIN_EJECT_S = 0.8
 _MAX_EJECT_S = 6.0
+# Measured answers as many as which a plain service's reports count: from the second
+# one on these outweigh them. The most that count, as the moving average keeps some
+# eight.
+_TOLD_SAMPLES = 1
+_MAX_SAMPLES = 8
 # Number of free slots up to which an upstream counts as nearly full, so that changes
 # are worth reporting to other nodes at once.
 _NEARLY_FULL_SLOTS = 3
@@ -86,6 +91,14 @@
     :ivar refused_at: when it refused requests for load lately.
     :ivar received_at: when a part of an answer last arrived from it.
     :ivar told: its latest report of its load, by an answer to this node.
+    :ivar usual_work: mean of the work time that it reports.
+    :ivar told_slowness: ratio of its time to the pool's by its reports; 1 if they do
+        not count.
+    :ivar told_answer_s: answer time of a plain service by its reports; ``None`` if they
+        do not count.
+    :ivar told_others: requests of other nodes that it has at least by its reports, and
+        that are not counted otherwise.
+    :ivar own_when_told: this node's requests in flight there at its latest report.
     :ivar departed: whether it is no longer listed.
     :ivar crc: short form of its incarnation, for reports between nodes.
     """
@@ -105,6 +118,12 @@
         self.refused_at: deque[float] = deque()
         self.received_at = 0.0
         self.told: ToldLoad | None = None
+        self.usual_work = UsualWork()
+        self.told_slowness = 1.0
+        self.told_answer_s: float | None = None
+        self.told_others = 0.0
+        self.own_when_told = 0
+        self._samples = 0
         self._next_eject_s = _MIN_EJECT_S
         self.departed = False
         self.crc = zlib.crc32(entry.instance.encode())
@@ -178,6 +197,7 @@
 
     def record_interval(self, seconds: float) -> None:
         """Add a sample of its event interval, or of the time of a whole answer."""
+        self._samples = min(self._samples + 1, _MAX_SAMPLES)
         if self.event_interval_s is None:
             self.event_interval_s = seconds
         else:
@@ -187,6 +207,9 @@
         """Keep a report of its load, unless a later one has arrived."""
         if self.told is None or load.at >= self.told.at:
             self.told = load
+            self.own_when_told = len(self.own)
+        if load.work_percent is not None:
+            self.usual_work.add(load.work_percent, load.at)
 
     def record_success(self) -> None:
         """Record a successful answer."""
@@ -263,8 +286,8 @@
         :param unmeasured_s: answer time of an idle plain service without measurements.
         """
         if self.engine is None:
-            answer_s = self.event_interval_s or unmeasured_s
-            return answer_s * (1 + self.in_flight / self.slots)
+            load = (self.in_flight + self.told_others) / self.slots
+            return self._answer_s(unmeasured_s) * (1 + load)
         prefill_s = (self.queued_prompt_tokens() + prompt_tokens) / PREFILL_TOKENS_PER_S
         batching_s = _PER_SEQUENCE_S * self.in_flight
         overload_s = (
@@ -272,11 +295,24 @@
         )
         return FIRST_EVENT_S + prefill_s + batching_s + overload_s
 
+    def _answer_s(self, unmeasured_s: float) -> float:
+        """Return the expected answer time of an idle plain service."""
+        if self.told_answer_s is None:
+            return self.event_interval_s or unmeasured_s
+        if self.event_interval_s is None:
+            return self.told_answer_s
+        samples = max(self._samples, 1)
+        told_s = _TOLD_SAMPLES * self.told_answer_s
+        total_s = samples * self.event_interval_s + told_s
+        return total_s / (samples + _TOLD_SAMPLES)
+
     def slowness(self, typical_s: float | None) -> float:
-        """Return the ratio of its event interval to the pool's; 1 if unknown.
+        """Return the ratio of its event interval to the pool's.
+
+        Without samples it is what its reports say, or 1.
 
         :param typical_s: median event interval of the pool.
         """
         if self.event_interval_s is None or not typical_s:
-            return 1.0
+            return self.told_slowness
         return min(max(self.event_interval_s / typical_s, 1 / _MAX_RATIO), _MAX_RATIO)
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -220,6 +220,8 @@
         pool = self._pools.get(key.pool)
         if pool is not None:
             queue.scheduler.shares_machines = pool.scheduler.shares_machines
+            if queue.scheduler.shares_machines:
+                queue.share_reports(pool.scheduler.tracks)
 
     def _shed(self, key: CellKey, queue: CellQueue, now: float) -> None:
         """Refuse the queued requests that will hardly get a slot in time."""
