--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -84,7 +84,11 @@
     "An upstream was chosen for a request, with the figures behind the choice. "
     "`software`: version of the upstream's software; `version`: that of the "
     "configuration. `last_event` and `resumes`: where a stream goes on, and the "
-    "caller's attempt that began it.",
+    "caller's attempt that began it. Where the pool shares its machines, the last "
+    "report of the upstream (`told`: running, waiting, slots, work time in percent), "
+    "the mean work time (`usual_work`), the ratio to the pool's that it gives where "
+    "nothing is measured (`told_slowness`; at a home, its own counts), and requests of "
+    "other nodes that it shows (`told_others`).",
     routine=True,
 )
 REQUEST_REPEATED = define(
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -458,6 +458,7 @@
             self._apply_rate_limit(pool, grant, head, sent_at)
             if head.status != HTTPStatus.MISDIRECTED_REQUEST:
                 pool.note_load(grant.track, head.load, time.monotonic())
+                self._recorder.load_reported(pool, head.load)
         if head.leaving and self._state.note_leaving(entry, source="answer"):
             pool.report_leaving(grant)
         if head.status == HTTPStatus.SERVICE_UNAVAILABLE and head.retry_after_s:
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -300,6 +300,11 @@
         metrics.rate_limits.set(
             sum(len(pool.rate_limits) for pool in self.state.pools.values())
         )
+        metrics.reported_work.values = {
+            (name, kind): value
+            for name, pool in self.state.pools.items()
+            for kind, value in pool.reported_work().items()
+        }
         metrics.recorded_pools.set(self._origins.recorded_pools)
         metrics.stream_records.set(self._origins.records)
         metrics.blocked_paths.set(self.paths.blocked)
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -8,6 +8,7 @@
     LightCounter,
     LightGauge,
     LightHistogram,
+    LightLabelledGauge,
     LightMetricSet,
 )
 
@@ -181,6 +182,20 @@
             name="baobabwing_gateway_rate_limits",
             meaning="Upstreams that limit how many requests a second they take.",
         )
+        self.reported_work = LightLabelledGauge(
+            name="baobabwing_gateway_reported_work_ratio",
+            meaning=(
+                "Time that work takes on the machines of a pool that shares them, as "
+                "its upstreams report it: mean and highest of the last seconds; 1 is "
+                "usual."
+            ),
+            label_names=("pool", "kind"),
+        )
+        self.rejected_figures = LightCounter(
+            name="baobabwing_gateway_rejected_load_figures_total",
+            meaning="Figures of reported loads that are no numbers or out of range.",
+            label_names=("pool",),
+        )
         self.blocked_paths = LightGauge(
             name="baobabwing_gateway_blocked_paths",
             meaning="Upstreams that this node reaches through other nodes only.",
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -18,7 +18,7 @@
     PoolScheduler,
 )
 from baobabwing.gateway.decisions.stream_origins import SoftwareHistory
-from baobabwing.gateway.decisions.told_load import ToldLoad
+from baobabwing.gateway.decisions.told_load import USUAL_PERCENT, ToldLoad
 from baobabwing.gateway.decisions.tracking import UpstreamTrack
 from baobabwing.gateway.events import (
     MACHINES_SHARED,
@@ -295,6 +295,21 @@
         else:
             self._set_sharing(False)
 
+    def reported_work(self) -> dict[str, float]:
+        """Return the mean and the highest reported work time, 1 being usual.
+
+        Empty unless the pool shares its machines.
+        """
+        percents = [
+            track.usual_work.percent
+            for track in self.scheduler.tracks.values()
+            if track.usual_work.percent is not None
+        ]
+        if not (self.scheduler.shares_machines and percents):
+            return {}
+        mean, highest = sum(percents) / len(percents), max(percents)
+        return {"mean": mean / USUAL_PERCENT, "highest": highest / USUAL_PERCENT}
+
     def any_open(self, excluded: AbstractSet[str], software: int = 0) -> bool:
         """Whether an upstream accepts requests, beside those that are excluded.
 
--- a/baobabwing/gateway/request_recorder.py
+++ b/baobabwing/gateway/request_recorder.py
@@ -8,6 +8,7 @@
 from baobabwing.gateway.answers import Refusal
 from baobabwing.gateway.call import Attempt, AttemptResult, Call
 from baobabwing.gateway.decisions.scheduling import Grant
+from baobabwing.gateway.decisions.told_load import ToldLoad
 from baobabwing.gateway.events import (
     CALLER_LEFT,
     REQUEST_ENDED,
@@ -91,6 +92,7 @@
             failed_share=round(track.failure_rate, 2),
             version=self._state.version,
             **pool.describe(grant),
+            **_describe_reports(grant, pool),
         )
 
     def taken_up(self, call: Call, found: FoundOrigin | None) -> None:
@@ -106,6 +108,11 @@
             waited_ms=_ms(time.monotonic() - call.arrived),
         )
 
+    def load_reported(self, pool: PoolRuntime, load: ToldLoad | None) -> None:
+        """Count the figures of a reported load that were rejected."""
+        if load is not None and load.rejected:
+            self._metrics.rejected_figures.labels(pool.cells.name).inc(load.rejected)
+
     def passed_on(self, call: Call) -> None:
         """Count a send over an open connection, about to be made."""
         kind = Sends.RETRY if call.passed_on else Sends.FIRST
@@ -310,6 +317,22 @@
     return str(min(call.rank, _MAX_TIER_LABEL))
 
 
+def _describe_reports(grant: Grant, pool: PoolRuntime) -> dict[str, object]:
+    """Return what the upstream's reports say, if its pool shares its machines."""
+    track = grant.track
+    if not pool.scheduler.shares_machines or track.told is None:
+        return {}
+    told = track.told
+    percent = track.usual_work.percent
+    return {
+        "told": [told.running, told.waiting, told.slots, told.work_percent],
+        "told_age_ms": _ms(grant.granted_at - told.at),
+        "usual_work": None if percent is None else round(percent),
+        "told_slowness": round(track.told_slowness, 2),
+        "told_others": round(track.told_others, 1),
+    }
+
+
 def part_names(request_head: RequestHead) -> list[str]:
     """Return the names of the first shared parts of a prompt, for the log."""
     parts = request_head.shared_parts[:_LOGGED_PARTS]
--- a/baobabwing/reports/light_metrics.py
+++ b/baobabwing/reports/light_metrics.py
@@ -13,7 +13,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-__all__ = ["LightCounter", "LightGauge", "LightHistogram", "LightMetricSet"]
+__all__ = [
+    "LightCounter",
+    "LightGauge",
+    "LightHistogram",
+    "LightLabelledGauge",
+    "LightMetricSet",
+]
 
 _COUNTER_SUFFIX = "_total"
 
@@ -147,6 +153,33 @@
     describe = collect
 
 
+@dataclass(kw_only=True, eq=False)
+class LightLabelledGauge:
+    """A gauge with labels; its values are replaced as a whole.
+
+    :param name: metric name.
+    :param meaning: help text of the metric.
+    :param label_names: names for the label values, in order.
+    :ivar values: value by label values.
+    """
+
+    name: str
+    meaning: str
+    label_names: tuple[str, ...]
+    values: dict[tuple[str, ...], float] = field(default_factory=dict)
+
+    def collect(self) -> list[Any]:
+        """Return the metric as a ``prometheus_client`` metric family."""
+        from prometheus_client.core import GaugeMetricFamily
+
+        family = GaugeMetricFamily(self.name, self.meaning, labels=self.label_names)
+        for labels, value in tuple(self.values.items()):
+            family.add_metric(labels, value)
+        return [family]
+
+    describe = collect
+
+
 class LightMetricSet:
     """Base class for the metrics of one process.
 
--- a/baobabwing/reports/reference.py
+++ b/baobabwing/reports/reference.py
@@ -18,7 +18,12 @@
 
 import baobabwing.settings.rules  # noqa: F401  (registers the rules of the fields)
 from baobabwing.gateway.metrics import GatewayMetrics
-from baobabwing.reports.light_metrics import LightCounter, LightGauge, LightHistogram
+from baobabwing.reports.light_metrics import (
+    LightCounter,
+    LightGauge,
+    LightHistogram,
+    LightLabelledGauge,
+)
 from baobabwing.reports.metrics import NodeMetrics
 from baobabwing.settings.checker import Rule, rule_of
 from baobabwing.settings.configuration import Configuration
@@ -206,7 +211,9 @@
     name = family.name + (_COUNTER_SUFFIX if family.type == "counter" else "")
     # prometheus_client exposes labels and buckets publicly only on samples, and a
     # metric without observations has no samples.
-    light = isinstance(metric, (LightCounter, LightGauge, LightHistogram))
+    light = isinstance(
+        metric, (LightCounter, LightGauge, LightHistogram, LightLabelledGauge)
+    )
     names = metric.label_names if light else metric._labelnames
     labels = ", ".join(f"`{label}`" for label in names)
     buckets = ""
--- a/tests/gateway/test_told_load.py
+++ b/tests/gateway/test_told_load.py
@@ -9,7 +9,7 @@
 from baobabwing.gateway.decisions.told_load import parse_told_load
 from baobabwing.gateway.headers import HeaderNames
 from baobabwing.standins.gateway_upstream import Behaviour
-from tests.gateway.harness import GatewayHarness, ask, eventually
+from tests.gateway.harness import NAMES, GatewayHarness, ask, eventually
 
 
 async def ask_reporting(harness, load, target="/safe/x"):
@@ -17,7 +17,8 @@
     pool = "engines" if target.startswith("/stream") else "services"
     harness.list_all(without=(f"{pool}-2",))
     harness.upstreams[f"{pool}-1"][0].load = load
-    await ask(await harness.caller(), target, "r")
+    deadline = (NAMES.deadline, b"500")
+    await ask(await harness.caller(), target, "r", headers=(deadline,))
     return harness.gateway.state.pool(pool).scheduler
 
 
@@ -65,6 +66,26 @@
     run(scenario())
 
 
+def test_rejected_figures_and_work_times_are_counted(run):
+    async def scenario():
+        async with GatewayHarness() as harness:
+            with structlog.testing.capture_logs() as lines:
+                await ask_reporting(harness, b"3,-,5,170")
+                await ask_reporting(harness, b"3,0,5,130")
+            gateway = harness.gateway
+            await gateway._answer_metrics("GET", "/metrics")
+            rejected = gateway.metrics.rejected_figures.labels("services").value
+            assert rejected == 1
+            work = gateway.metrics.reported_work.values
+            assert set(work) == {("services", "mean"), ("services", "highest")}
+            assert all(1.3 < value < 1.7 for value in work.values())
+            sent = [line for line in lines if line["event"] == "request_sent"]
+            assert "told" not in sent[0]
+            assert sent[1]["told"] == [3, None, 5, 170]
+
+    run(scenario())
+
+
 def test_sharing_ends_a_minute_after_the_last_report(run):
     async def scenario():
         async with GatewayHarness() as harness:
