--- a/tests/gateway/decisions/test_told_evidence.py
+++ b/tests/gateway/decisions/test_told_evidence.py
@@ -1,10 +1,18 @@
 """Placement by the loads and work times that upstreams report."""
 
+import random
+
 import pytest
 
+from baobabwing.gateway.decisions.cell_queue import CellQueue
 from baobabwing.gateway.decisions.scheduling import PoolScheduler
 from baobabwing.gateway.decisions.told_load import ToldLoad
-from tests.gateway.decisions.test_scheduling import make_request, make_scheduler, place
+from tests.gateway.decisions.test_scheduling import (
+    ENGINE,
+    make_request,
+    make_scheduler,
+    place,
+)
 from tests.gateway.decisions.told_load_model import SPEEDS, Play, Told, TwoChoices
 
 # Requests a second that three services of 6 slots can serve beside disturbances.
@@ -37,6 +45,17 @@
     assert times["a"] / times["b"] == pytest.approx(170 / 60)
 
 
+def test_home_uses_what_its_own_node_hears():
+    """A home measures engines by other nodes' updates, but gets no reports itself."""
+    node = reporting_scheduler({"a": 170, "b": 60})
+    queue = CellQueue(engine=ENGINE, rng=random.Random(1), now=0.0)
+    queue.set_upstreams([track.entry for track in node.tracks.values()])
+    queue.scheduler.shares_machines = True
+    queue.share_reports(node.tracks)
+    times = expected_s(queue.scheduler, 0.0)
+    assert times["a"] / times["b"] == pytest.approx(170 / 60)
+
+
 def test_report_fades():
     times = expected_s(reporting_scheduler({"a": 170, "b": 60}), 60.0)
     assert times["a"] == pytest.approx(times["b"], rel=0.01)
