--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -132,6 +132,7 @@
             refusal_limit=refusal_limit,
             rate_limits=rate_limits,
         )
+        self.scheduler.at_home = True
         self.grants_from = now + _COLLECTION_S
         self.last_used_at = now
         self._waiting: dict[RequestKey, PlacementRequest] = {}
@@ -326,11 +327,18 @@
     def copy_intervals(self, measured: Mapping[str, UpstreamTrack]) -> None:
         """Take over the event intervals that this node measured itself.
 
+        Requests keep the slot of a plain service for the time of an answer.
+
         :param measured: the node's own tracks by incarnation.
         """
+        answers_s = []
         for instance, track in self.scheduler.tracks.items():
             if instance in measured:
                 track.event_interval_s = measured[instance].event_interval_s
+                answers_s.append(track.event_interval_s)
+        known_s = [answer_s for answer_s in answers_s if answer_s is not None]
+        if self.scheduler.engine is None and known_s:
+            self.scheduler.holding_s = sum(known_s) / len(known_s)
 
     def share_reports(self, tracks: Mapping[str, UpstreamTrack]) -> None:
         """Use the work times that the upstreams report to this node.
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -47,6 +47,14 @@
 # chose from all of them, more requests were rejected in simulated fleets, since all
 # nodes chose the same one.
 _INDEPENDENT_CHOICES = 2
+# Requests that a plain service gets from a home in excess of its slots. Requests queued
+# there can't be ordered, but the next one starts without a round trip to the home.
+_EXTRA_PLAIN_REQUESTS = 1
+# Answer times of a plain service are up to this many times the mean. A request granted
+# a slot any later is likely to be late. Below half of the time to its objective, as
+# requests would else be late when they arrive.
+_LONG_ANSWER_RATIO = 1.5
+_MAX_ANSWER_SHARE = 0.5
 # Window over which grants to late requests are counted: some ten grants in a full cell,
 # and short compared with the 3 s for which callers wait.
 _LATE_RATE_WINDOW_S = 1.0
@@ -109,6 +117,7 @@
     :ivar nodes: nodes that send to the same upstreams without a home; 1 at a home.
     :ivar shares_machines: whether the upstreams share their machines with others, as
         far as they tell.
+    :ivar at_home: whether it places the requests of all nodes.
     """
 
     def __init__(
@@ -132,6 +141,7 @@
         self.max_own: int | None = None
         self.nodes = 1
         self.shares_machines = False
+        self.at_home = False
         self.refusal_limit = refusal_limit or RefusalLimit()
         self._rate_limits = RateLimits() if rate_limits is None else rate_limits
         self._max_route_rank = 0
@@ -454,10 +464,15 @@
 
     def _min_first_event_s(self, request: PlacementRequest) -> float:
         if self.engine is None:
-            return 0.0
+            return self._min_answer_s(request) if self.at_home else 0.0
         baseline_s = FIRST_EVENT_S + request.prompt_tokens / PREFILL_TOKENS_PER_S
         return self._best_first_ratio * baseline_s
 
+    def _min_answer_s(self, request: PlacementRequest) -> float:
+        """Return how long before its objective a plain request needs its slot."""
+        aim_s = max(request.objective_at - request.arrived_at, 0.0)
+        return min(_LONG_ANSWER_RATIO * self._best_answer_s, _MAX_ANSWER_SHARE * aim_s)
+
     def _any_free_slot(self, now: float) -> bool:
         """Whether any upstream has a free slot and this node may use it."""
         if self.max_own is not None:
@@ -473,13 +488,15 @@
             return min(track.slots - track.in_flight, int(open_now))
         if self.refusal_limit.in_force:
             return self._free_sure_slots(track)
+        if self.engine is None and self.at_home:
+            return track.slots + _EXTRA_PLAIN_REQUESTS - track.in_flight
         if self.engine is None:
             return track.slots * _PLAIN_DEPTH - track.in_flight
         return track.slots + _EXTRA_REQUESTS - track.in_flight
 
     def _free_sure_slots(self, track: UpstreamTrack) -> int:
         """Return how many more requests an upstream will hardly refuse."""
-        if self.engine is None:
+        if self.engine is None and not self.at_home:
             return max(track.slots // self.nodes, 1) - len(track.own)
         return track.slots - track.in_flight
 
@@ -603,7 +620,9 @@
         With the first bound alone, a node that was idle could send one request to each
         service at once, and so could all others at the start of a rush.
         """
-        if self.engine is not None or not self.refusal_limit.in_force:
+        if self.engine is not None or self.at_home:
+            return
+        if not self.refusal_limit.in_force:
             return
         requests_per_s = sum(
             map(self._served_per_s, filter(_accepts, self.tracks.values()))
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -525,6 +525,8 @@
             self._note_survival(call, now)
         if not call.route.streams:
             grant.track.record_interval(now - sent_at)
+            if grant.track.engine is None:
+                call.event_interval_s = now - sent_at
         await self._send_complete(call, head, body)
         return AttemptResult.DONE
 
@@ -617,11 +619,13 @@
 
         Some requests fail wherever they run; if each failure counted, a few of them
         would eject every upstream, although all serve other requests well. So when a
-        second one fails, the failure of the first is withdrawn.
+        second one fails, the failure of the first is withdrawn. The home of a cell of
+        plain services is not told: it would eject them for all nodes.
         """
         if call.failed_track is None:
             call.failed_track = grant.track
-            call.release_kind = UpdateKind.FAILED
+            if grant.track.engine is not None:
+                call.release_kind = UpdateKind.FAILED
             grant.track.record_failure(now)
         else:
             call.failed_track.undo_failure()
--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -139,9 +139,17 @@
         link.handle(ReservationReportAck, self._handle_report_ack)
         members.on_change(self._withdraw_from_former_homes)
 
-    async def place(self, pool: CellPool, request: PlacementRequest) -> Grant | None:
+    async def place(
+        self,
+        pool: CellPool,
+        request: PlacementRequest,
+        *,
+        max_answer_s: float | None = None,
+    ) -> Grant | None:
         """Wait for a slot from the home of a cell.
 
+        :param max_answer_s: how long to wait for a home to grant, queue or refuse the
+            request; ``None``: as long as the home answers others.
         :returns: the grant, or ``None`` if no home granted or refused a slot; the
             caller then places the request itself.
         :raises NoSlotError: if the home expects no slot to become free in time.
@@ -152,13 +160,19 @@
             home = self._home_of(key, pool) if key is not None else None
             if home is None:
                 return None
+            asked_at = time.monotonic()
             try:
                 async with asyncio.timeout(self._cell_wait_s(home, pool, request)):
-                    grant = await self._request_slot(home, key, pool, request)
+                    grant = await self._request_slot(
+                        home, key, pool, request, max_answer_s=max_answer_s
+                    )
             except TimeoutError:
                 continue
             if grant is not None:
                 return grant
+            asked_s = time.monotonic() - asked_at
+            if max_answer_s is not None and asked_s >= max_answer_s:
+                return None
             attempts += 1
         return None
 
@@ -261,6 +275,7 @@
         request: PlacementRequest,
         *,
         moves_from: int = 0,
+        max_answer_s: float | None = None,
     ) -> Grant | None:
         fut: asyncio.Future[Grant | None] = asyncio.get_running_loop().create_future()
 
@@ -281,6 +296,9 @@
             requested_at=time.monotonic(),
         )
         self._start(pending)
+        if max_answer_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(max_answer_s, self._leave_slow_home, pending)
         try:
             return await fut
         except asyncio.CancelledError:
@@ -319,6 +337,12 @@
         else:
             self._send(pending)
 
+    def _leave_slow_home(self, pending: _PendingRequest) -> None:
+        """Withdraw a request that its home has not answered."""
+        waits = self._pending.get(pending.message.number) is pending
+        if waits and not pending.acknowledged:
+            self._withdraw_pending(pending)
+
     def _finish(
         self, pending: _PendingRequest, result: Grant | NoSlotError | None
     ) -> None:
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -6,10 +6,12 @@
 import time
 from collections.abc import Callable
 from collections.abc import Set as AbstractSet
+from random import Random
 from typing import Protocol
 
 from baobabwing.exceptions import NoSlotError
 from baobabwing.gateway.decisions.cell_queue import UpdateKind
+from baobabwing.gateway.decisions.plain_slots import HomeBackoff, needs_home
 from baobabwing.gateway.decisions.rate_limits import RateLimits
 from baobabwing.gateway.decisions.retry_budget import RetryBudget
 from baobabwing.gateway.decisions.scheduling import (
@@ -27,6 +29,7 @@
     REFUSAL_LIMIT,
 )
 from baobabwing.gateway.placement.cell_homes import CellPool
+from baobabwing.gateway.placement.messages import CellLoad
 from baobabwing.gateway.placement.placer import Placer
 from baobabwing.reports.events import log
 
@@ -35,6 +38,9 @@
 # If no home responds, a node places requests itself for this long before it contacts
 # the homes again.
 _LOCAL_PLACEMENT_S = 0.25
+# Longest wait of a request for a plain service until a home answers: an eighth of the
+# shortest usual objectives, which are some 400 ms.
+_MAX_PLAIN_ANSWER_S = 0.05
 # An upstream that crashed is replaced after some seconds.
 _SOFTWARE_RETRY_AFTER_S = 1.0
 
@@ -73,12 +79,15 @@
     Requests for engines are placed by the home of a cell, which receives those of all
     nodes: engines admit in order of arrival, so requests must be queued where they can
     be ordered. Requests for plain services are placed by this node: they take some ms,
-    and the round trip to a home would be a large part of that.
+    and the round trip to a home would be a large part of that. Services that share
+    their machines take longer; if the nodes outnumber their slots, a home grants these.
 
     :param scheduler: this node's own measurements of the upstreams; places requests for
         plain services, and all requests while no home responds.
     :param placer: client of the homes; ``None`` if this node does not use homes.
     :param software: versions that the upstreams have had lately; none by default.
+    :param share_plain_slots: whether homes grant the slots of few plain services.
+    :param rng: spreads the times after which an overloaded home is asked again.
     :ivar place_aside: returns a slot at an upstream of the pool that the scheduler does
         not list, for a stream that goes on, or ``None``.
     :ivar permits: grants the sends to upstreams with rate limits, and tells the other
@@ -95,6 +104,8 @@
         budget: RetryBudget,
         placer: Placer | None,
         software: SoftwareHistory | None = None,
+        share_plain_slots: bool = True,
+        rng: Random | None = None,
     ) -> None:
         self.scheduler = scheduler
         self.budget = budget
@@ -103,6 +114,8 @@
             name=name, scheduler=scheduler, rate_limits=self.rate_limits
         )
         self._placer = placer
+        self._share_plain_slots = share_plain_slots
+        self._backoff = HomeBackoff(rng=rng or Random())
         self._waiters: dict[int, asyncio.Future[Grant]] = {}
         self.software = software or SoftwareHistory()
         self.place_aside: _PlaceAside = lambda request: None
@@ -133,13 +146,44 @@
 
     async def _place_once(self, request: PlacementRequest, nodes: int) -> Grant | None:
         """Reserve a slot by the home of a cell, or by this node's own knowledge."""
-        if self.scheduler.engine is None or self._placer is None:
+        if not self._uses_homes():
+            self.scheduler.max_own = None
             return await self._place_locally(request)
-        grant = await self._placer.place(self.cells, request)
+        if self.scheduler.engine is None:
+            grant = await self._place_plain(request)
+        else:
+            grant = await self._placer.place(self.cells, request)
         if grant is None:
             grant = await self._place_without_home(request, nodes)
         return grant
 
+    async def _place_plain(self, request: PlacementRequest) -> Grant | None:
+        """Reserve a slot at a plain service by a home, if one answers in time."""
+        if not self._backoff.may_ask(time.monotonic()):
+            return None
+        try:
+            grant = await self._placer.place(
+                self.cells, request, max_answer_s=_MAX_PLAIN_ANSWER_S
+            )
+        except NoSlotError:
+            self._backoff.record_answer()
+            raise
+        if grant is None:
+            self._backoff.record_silence(time.monotonic())
+        else:
+            self._backoff.record_answer()
+        return grant
+
+    def _uses_homes(self) -> bool:
+        """Whether the homes of the cells place requests of this pool."""
+        if self._placer is None:
+            return False
+        if self.scheduler.engine is not None:
+            return True
+        return self._share_plain_slots and needs_home(
+            self.scheduler, self.scheduler.nodes
+        )
+
     async def permit(self, grant: Grant, permit_by: float = 0.0) -> bool:
         """Obtain a permit for a slot at an upstream with a rate limit.
 
@@ -338,7 +382,7 @@
         :param grant: the slot at which it runs now.
         :returns: the new slot; ``None`` if there is none at once.
         """
-        if self._placer is None:
+        if self._placer is None or self.scheduler.engine is None:
             return None
         moved = await self._placer.move(self.cells, request, grant)
         return moved if moved is not None and await self.permit(moved) else None
@@ -394,16 +438,20 @@
         loop = asyncio.get_running_loop()
         self._reopening = loop.call_later(reopens_in_s, self.pump)
 
+    def _home_state(self) -> CellLoad | None:
+        """Return the load as the homes reported it, if these place the requests."""
+        return self._placer.state_of(self.cells) if self._uses_homes() else None
+
     @property
     def queued(self) -> int:
         """Requests queued for a slot: at the home if its state is known, else here."""
-        state = self._placer.state_of(self.cells) if self._placer else None
+        state = self._home_state()
         return state.queued if state else len(self.scheduler.waiting)
 
     @property
     def turnover_s(self) -> float:
         """Mean time between two releases of a slot."""
-        state = self._placer.state_of(self.cells) if self._placer else None
+        state = self._home_state()
         if state is not None:
             return state.turnover_s
         return self.scheduler.turnover_s(time.monotonic())
@@ -415,7 +463,7 @@
 
     def places_free(self) -> bool:
         """Whether a request would now get a slot without delaying another one."""
-        state = self._placer.state_of(self.cells) if self._placer else None
+        state = self._home_state()
         if state is not None:
             return state.queued == 0 and state.free > 0
         free = self.scheduler.free_slots(time.monotonic())
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -294,6 +294,8 @@
                 budget=self.settings.budget(nodes=self.nodes, now=time.monotonic()),
                 placer=self.placer,
                 software=SoftwareHistory(complete=self.settings.first_start),
+                share_plain_slots=self.settings.shared_machines.share_plain_slots,
+                rng=self.rng,
             )
             runtime.permits = self.permits
             runtime.rate_limits.set_share(self._share, time.monotonic())
--- a/tests/gateway/placement/fleet_model.py
+++ b/tests/gateway/placement/fleet_model.py
@@ -214,9 +214,11 @@
         if event.name == "home_silent":
             self.exclusion_times.append(self.clock.now)
 
+    def engine_spec(self):
+        return EngineSpec(slots=self._slots, kv_tokens=1_000_000)
+
     async def start(self):
         members = self._members(self)
-        spec = EngineSpec(slots=self._slots, kv_tokens=1_000_000)
         entries = [
             UpstreamEntry(instance=name, pool="p", address="a", slots=self._slots)
             for name in self.in_flight
@@ -234,7 +236,7 @@
             )
             pool = PoolRuntime(
                 name="p",
-                scheduler=PoolScheduler(engine=spec, rng=rng),
+                scheduler=PoolScheduler(engine=self.engine_spec(), rng=rng),
                 budget=RetryBudget(
                     ratio=0.2, slack=50.0, window_s=10.0, now=0.0, full=True
                 ),
