--- a/tests/gateway/placement/permit_model.py
+++ b/tests/gateway/placement/permit_model.py
@@ -71,12 +71,15 @@
     """Nodes with one pool of upstreams, some of which limit what they take.
 
     :param plain: whether the upstreams are plain services.
+    :param shares: whether homes grant the slots of these.
     :ivar limits: requests a second that upstreams take, by name.
     :ivar arrivals: when requests arrived at each upstream.
     :ivar side: part of a partition that a node is in, by its address; 0 by default.
     """
 
-    def __init__(self, monkeypatch, *, nodes, upstreams, slots=8, plain, seed=1):
+    def __init__(
+        self, monkeypatch, *, nodes, upstreams, slots=8, plain, shares=False, seed=1
+    ):
         super().__init__(
             monkeypatch,
             nodes=nodes,
@@ -89,6 +92,7 @@
             monkeypatch.setattr(f"baobabwing.gateway.{module}.log", _log_nothing)
         self.total = nodes
         self.plain = plain
+        self.shares = shares
         self.limits = {}
         self.arrivals = defaultdict(list)
         self.side = defaultdict(int)
@@ -121,8 +125,10 @@
             name="p",
             scheduler=PoolScheduler(engine=spec, rng=rng),
             budget=RetryBudget(ratio=0.2, slack=50.0, window_s=10.0, now=0.0),
-            placer=None if self.plain else placer,
+            placer=None if self.plain and not self.shares else placer,
+            rng=rng,
         )
+        pool.scheduler.shares_machines = self.shares
         entries = [
             UpstreamEntry(instance=name, pool="p", address="a", slots=self._slots)
             for name in self.in_flight
--- a/tests/gateway/placement/test_rate_limits_at_size.py
+++ b/tests/gateway/placement/test_rate_limits_at_size.py
@@ -11,6 +11,12 @@
 STABLE_S = 3.0
 UPSTREAMS = 8
 SIZES = [6, 60, 300, 460]
+# Engines, services that each node picks itself, and services that a home picks.
+KINDS = pytest.mark.parametrize(
+    ("plain", "shares"),
+    [(False, False), (True, False), (True, True)],
+    ids=["engines", "services", "shared_services"],
+)
 
 
 def most_allowed(per_s):
@@ -44,7 +50,7 @@
 
 
 @pytest.mark.parametrize("nodes", SIZES)
-@pytest.mark.parametrize("plain", [False, True], ids=["engines", "services"])
+@KINDS
 @pytest.mark.parametrize(
     "change",
     [
@@ -56,10 +62,17 @@
         homes_restart,
     ],
 )
-def test_upstreams_get_what_they_state_and_no_more(monkeypatch, change, plain, nodes):
+def test_upstreams_get_what_they_state_and_no_more(
+    monkeypatch, change, plain, shares, nodes
+):
     """A limit of two requests a second is one in minutes for each of many nodes."""
     fleet = PermitFleet(
-        monkeypatch, nodes=nodes, upstreams=UPSTREAMS, plain=plain, slots=4
+        monkeypatch,
+        nodes=nodes,
+        upstreams=UPSTREAMS,
+        plain=plain,
+        shares=shares,
+        slots=4,
     )
     limited = {"e0": 1.9, "e1": 0.7, "e2": 12.0}
 
@@ -87,11 +100,16 @@
 
 
 @pytest.mark.parametrize("nodes", [6, 300])
-@pytest.mark.parametrize("plain", [False, True], ids=["engines", "services"])
-def test_requests_beyond_all_limits_are_refused_soon(monkeypatch, plain, nodes):
+@KINDS
+def test_requests_beyond_all_limits_are_refused_soon(monkeypatch, plain, shares, nodes):
     """All upstreams take less than is asked: the rest is told when to come back."""
     fleet = PermitFleet(
-        monkeypatch, nodes=nodes, upstreams=UPSTREAMS, plain=plain, slots=4
+        monkeypatch,
+        nodes=nodes,
+        upstreams=UPSTREAMS,
+        plain=plain,
+        shares=shares,
+        slots=4,
     )
 
     async def scenario():
@@ -110,9 +128,11 @@
     run_scenario(fleet, scenario)
 
 
-@pytest.mark.parametrize("plain", [False, True], ids=["engines", "services"])
-def test_limit_that_ends_is_forgotten_by_all_nodes(monkeypatch, plain):
-    fleet = PermitFleet(monkeypatch, nodes=60, upstreams=4, plain=plain, slots=4)
+@KINDS
+def test_limit_that_ends_is_forgotten_by_all_nodes(monkeypatch, plain, shares):
+    fleet = PermitFleet(
+        monkeypatch, nodes=60, upstreams=4, plain=plain, shares=shares, slots=4
+    )
 
     async def scenario():
         await fleet.load(40.0, 1.0, first_event_s=0.02, hold_s=0.05)
