--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -48,8 +48,10 @@
 # nodes chose the same one.
 _INDEPENDENT_CHOICES = 2
 # Requests that a plain service gets from a home in excess of its slots. Requests queued
-# there can't be ordered, but the next one starts without a round trip to the home.
-_EXTRA_PLAIN_REQUESTS = 1
+# there can't be ordered, but the next one starts without a round trip to the home. In a
+# surge at 113 nodes 0, 1, 2 and 4 had 780, 829, 858 and 877 answers in time; 4 keep an
+# urgent request waiting twice as long as 2.
+_EXTRA_PLAIN_REQUESTS = 2
 # Answer times of a plain service are up to this many times the mean. A request granted
 # a slot any later is likely to be late. Below half of the time to its objective, as
 # requests would else be late when they arrive.
