--- a/baobabwing/gateway/decisions/policies.py
+++ b/baobabwing/gateway/decisions/policies.py
@@ -74,6 +74,9 @@
     ) -> Callable[[UpstreamTrack], int]:
         return lambda track: 0
 
+    def _weighs_zones(self, request: PlacementRequest) -> bool:
+        return False
+
     def _cost_s(
         self, request: PlacementRequest, track: UpstreamTrack, now: float
     ) -> float:
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
-from collections import deque
-from collections.abc import Callable, Iterable
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Iterable, Iterator
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
+from itertools import islice
 from random import Random
 
 from baobabwing.gateway.decisions.rate_limits import RateLimits
@@ -19,6 +20,11 @@
     UpstreamTrack,
 )
 from baobabwing.gateway.decisions.waiting import PlacementRequest, WaitingRequests
+from baobabwing.gateway.decisions.zone_choice import (
+    ZoneQueue,
+    ZoneStates,
+    crossing_cost_s,
+)
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 
 __all__ = ["Grant", "PlacementRequest", "PoolScheduler"]
@@ -76,6 +82,12 @@
 # is late in any case, and a longer delay lets more of the burst pass; a second refusal
 # is final. Callers honour a delay of at most a third of their time.
 _RETRY_AFTER_SHARE = 0.3
+# Interval at which the need of the zones is sampled; it takes a look at each request
+# in flight.
+_ZONE_SAMPLE_S = 0.05
+# Requests of a zone and rank that a search for one for a free slot looks at; bounds its
+# cost.
+_MAX_RESIDENTS = 16
 # Time for the whole answer of a plain service, until there are measurements.
 _INITIAL_ANSWER_S = 0.02
 # Time for which a request keeps its slot, until there are measurements.
@@ -125,6 +137,9 @@
     :ivar at_home: whether it places the requests of all nodes.
     :ivar alone: whether this node sends plain services its share only, as it places
         requests without the home that usually does.
+    :ivar zone_price_s_per_mb: seconds that a megabyte between availability zones is
+        worth; 0 to place without regard to zones.
+    :ivar zones: which zones send requests out.
     """
 
     def __init__(
@@ -150,6 +165,11 @@
         self.shares_machines = False
         self.at_home = False
         self.alone = False
+        self.zone_price_s_per_mb = 0.0
+        self.zones = ZoneStates()
+        self._zones_sampled_at = -math.inf
+        self._held_at = -math.inf
+        self._held: defaultdict[int, set[int]] = defaultdict(set)
         self.refusal_limit = refusal_limit or RefusalLimit()
         self._rate_limits = RateLimits() if rate_limits is None else rate_limits
         self._max_route_rank = 0
@@ -411,6 +431,7 @@
             if track.is_usable(now)
             and track.may_continue(request.software)
             and self._rate_limits.get(track.crc) is None
+            and not self._leaves_zone(request, track, current)
             and self._free_slots(track, now) > _EXTRA_REQUESTS + _MOVE_SPARE_SLOTS
             and track.event_interval_s is not None
             and track.event_interval_s < _MOVE_MAX_RATIO * interval_s
@@ -530,6 +551,13 @@
             free = self._without_too_slow(request, free, now)
         if not free:
             return None
+        if self._weighs_zones(request):
+            return self._place_by_zone(request, free, now)
+        return self._grant_best(request, free, now)
+
+    def _grant_best(
+        self, request: PlacementRequest, free: list[UpstreamTrack], now: float
+    ) -> Grant:
         best = min(
             self._choices(free),
             key=lambda track: (self._cost_s(request, track, now), self._rng.random()),
@@ -562,6 +590,217 @@
             self._reports_count = False
             forget_reports(self.tracks.values())
 
+    @property
+    def weighs_zones(self) -> bool:
+        """Whether requests are placed with regard to availability zones."""
+        return self.shares_machines and self.zone_price_s_per_mb > 0
+
+    def _weighs_zones(self, request: PlacementRequest) -> bool:
+        return self.weighs_zones and request.zone != 0
+
+    def _leaves_zone(
+        self,
+        request: PlacementRequest,
+        track: UpstreamTrack,
+        current: UpstreamTrack | None = None,
+    ) -> bool:
+        """Whether a request has to leave its zone for an upstream.
+
+        :param current: the upstream where it runs; it may go on in that one's zone.
+        """
+        if not self._weighs_zones(request) or not track.zone:
+            return False
+        return track.zone not in (request.zone, current.zone if current else 0)
+
+    def _place_by_zone(
+        self, request: PlacementRequest, free: list[UpstreamTrack], now: float
+    ) -> Grant | None:
+        """Grant a slot in the request's zone, or in another one if that pays.
+
+        If the request waits for its zone, or the slot is for those of the slot's zone,
+        one of these gets it, and the request goes back to the queue.
+        """
+        self._sample_zones(request.zone, now)
+        own = [track for track in free if not self._leaves_zone(request, track)]
+        others = [track for track in free if self._leaves_zone(request, track)]
+        if not others:
+            return self._grant_best(request, own, now)
+        if own:
+            spare = self._spare(request, others, now, would_be_late=False)
+            return self._grant_best(
+                request, self._in_time(request, own, spare, now), now
+            )
+        leaves, would_be_late = self._may_leave(request, now)
+        if not leaves:
+            return self._grant_resident(request, others, now, equal_rank=False)
+        spare = self._spare(request, others, now, would_be_late=would_be_late)
+        if spare:
+            return self._grant_best(request, spare, now)
+        return self._grant_resident(request, others, now, equal_rank=True)
+
+    def _in_time(
+        self,
+        request: PlacementRequest,
+        own: list[UpstreamTrack],
+        others: list[UpstreamTrack],
+        now: float,
+    ) -> list[UpstreamTrack]:
+        """Return the free upstreams to choose from.
+
+        Those of other zones alone, whatever the price, if only they are in time.
+        """
+        left_s = request.objective_at - now
+
+        def fits(track: UpstreamTrack) -> bool:
+            return self.first_event_s(request, track, now) <= left_s
+
+        if any(map(fits, own)) or not any(map(fits, others)):
+            return own + others
+        self.zones.record_too_few(request.zone, now)
+        return [track for track in others if fits(track)]
+
+    def _may_leave(self, request: PlacementRequest, now: float) -> tuple[bool, bool]:
+        """Whether a request leaves its zone, where no slot is free for it.
+
+        :returns: whether it leaves, and whether it or another one would be late else.
+        """
+        own = [
+            track
+            for track in self._candidates(request, now)
+            if not self._leaves_zone(request, track)
+            and self._rate_limits.get(track.crc) is None
+        ]
+        if not own:
+            return True, True
+        queue = self._zone_queue(request, own, now)
+        late = self._is_late(request, now)
+        if not late and queue.too_few_slots(
+            now,
+            first_objective_at=request.objective_at,
+            last_objective_at=self._last_objective_at(request, now),
+        ):
+            self.zones.record_too_few(request.zone, now)
+            return True, True
+        cost_s = crossing_cost_s(self.zone_price_s_per_mb, request.expected_bytes)
+        sends_out = late or self.zones.sends_out(request.zone)
+        return sends_out and queue.wait_s > cost_s, False
+
+    def _zone_queue(
+        self, request: PlacementRequest, own: list[UpstreamTrack], now: float
+    ) -> ZoneQueue:
+        waiting = sum(
+            len(of_rank)
+            for urgency, of_rank in self.waiting.of_zone(request.zone).items()
+            if urgency <= request.urgency
+        )
+        return ZoneQueue(
+            waiting=waiting + len(self._held_in(request.zone, now) | {request.number}),
+            slots=sum(track.slots for track in own),
+            holding_s=self.holding_s,
+            first_event_s=min(self.first_event_s(request, track, now) for track in own),
+        )
+
+    def _last_objective_at(self, request: PlacementRequest, now: float) -> float:
+        """Return the objective of the last request of a zone and rank.
+
+        Infinity if there is none, or if it is late already.
+        """
+        of_rank = self.waiting.of_zone(request.zone).get(request.urgency)
+        if not of_rank:
+            return math.inf
+        last = next(reversed(of_rank.values()))
+        return math.inf if self._is_late(last, now) else last.objective_at
+
+    def _held_in(self, zone: int, now: float) -> set[int]:
+        """Return the requests of a zone that were held in this search for grants."""
+        if self._held_at != now:
+            self._held_at = now
+            self._held.clear()
+        return self._held[zone]
+
+    def _spare(
+        self,
+        request: PlacementRequest,
+        others: list[UpstreamTrack],
+        now: float,
+        *,
+        would_be_late: bool,
+    ) -> list[UpstreamTrack]:
+        """Leave out upstreams whose zone has equally urgent requests of its own.
+
+        A zone that keeps in can take those later, and still in time.
+        """
+        needed = {
+            zone: any(self._residents(zone, request, now, equal_rank=True))
+            and not (would_be_late and not self.zones.sends_out(zone))
+            for zone in {track.zone for track in others}
+        }
+        return [track for track in others if not needed[track.zone]]
+
+    def _residents(
+        self, zone: int, request: PlacementRequest, now: float, *, equal_rank: bool
+    ) -> Iterator[PlacementRequest]:
+        """Return waiting requests of a zone that may get its slots before another one.
+
+        :param request: the other one; those returned are late only if it is.
+        :param equal_rank: whether only those as urgent as it may.
+        """
+        late = self._is_late(request, now)
+        of_zone = self.waiting.of_zone(zone)
+        equal_rank = equal_rank or late
+        ranks = [request.urgency] if equal_rank else sorted(of_zone)
+        for urgency in ranks:
+            # Of the late ones, the newest go first.
+            of_rank = tuple(of_zone.get(urgency, {}).values())
+            for resident in islice(of_rank[::-1] if late else of_rank, _MAX_RESIDENTS):
+                if self._is_late(resident, now) is late and not (
+                    equal_rank and _goes_behind(resident, request)
+                ):
+                    yield resident
+
+    def _grant_resident(
+        self,
+        request: PlacementRequest,
+        others: list[UpstreamTrack],
+        now: float,
+        *,
+        equal_rank: bool,
+    ) -> Grant | None:
+        """Grant a slot of another zone to one of its own requests.
+
+        Without one, the request is held for this search.
+        """
+        for zone in dict.fromkeys(track.zone for track in others):
+            for resident in self._residents(zone, request, now, equal_rank=equal_rank):
+                free = [
+                    track
+                    for track in self._free_tracks(resident, now)
+                    if track.zone == zone
+                ]
+                if resident.length_class and now < self._contended_until:
+                    free = self._without_too_slow(resident, free, now)
+                if free:
+                    self.waiting.remove(resident)
+                    self.waiting.add(request)
+                    return self._grant_best(resident, free, now)
+        self._held_in(request.zone, now).add(request.number)
+        return None
+
+    def _sample_zones(self, zone: int, now: float) -> None:
+        """Record what the requests of each zone need of its slots."""
+        if now - self._zones_sampled_at < _ZONE_SAMPLE_S:
+            return
+        self._zones_sampled_at = now
+        slots: Counter[int] = Counter()
+        needed: Counter[int] = Counter()
+        for track in self.tracks.values():
+            if track.is_usable(now):
+                slots[track.zone] += track.slots
+            needed.update(item.zone for item in track.own.values())
+        for known in {zone, *self.zones}:
+            waiting = sum(map(len, self.waiting.of_zone(known).values()))
+            self.zones.record_need(known, needed[known] + waiting, slots[known], now)
+
     def _without_too_slow(
         self, request: PlacementRequest, free: list[UpstreamTrack], now: float
     ) -> list[UpstreamTrack]:
@@ -608,6 +847,7 @@
                 sent_at=now,
                 predicted_s=predicted_s,
                 baseline_s=baseline_s,
+                zone=request.zone,
             ),
         )
         self._pace(track, now)
@@ -697,6 +937,10 @@
         self, request: PlacementRequest, track: UpstreamTrack, now: float
     ) -> float:
         first_event_s = self.first_event_s(request, track, now)
+        if self._leaves_zone(request, track):
+            first_event_s += crossing_cost_s(
+                self.zone_price_s_per_mb, request.expected_bytes
+            )
         if self.engine is None:
             return first_event_s
         generation_s = self.generation_s(request.expected_output_tokens, track)
@@ -733,5 +977,15 @@
             self._best_first_ratio = ratios[0]
 
 
+def _goes_behind(resident: PlacementRequest, request: PlacementRequest) -> bool:
+    """Whether a request of equal rank would be taken after another by its kind."""
+    return (
+        bool(resident.software) < bool(request.software)
+        or resident.has_run < request.has_run
+        or resident.prioritized < request.prioritized
+        or resident.length_class > request.length_class
+    )
+
+
 def _accepts(track: UpstreamTrack) -> bool:
     return not (track.departed or track.entry.draining)
--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -9,6 +9,7 @@
 from baobabwing.gateway.decisions.refusal_limit import REFUSAL_WINDOW_S
 from baobabwing.gateway.decisions.stream_origins import software_crc
 from baobabwing.gateway.decisions.told_load import ToldLoad, UsualWork
+from baobabwing.gateway.decisions.zone_choice import zone_crc
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 
 __all__ = ["InFlightRequest", "UpstreamTrack"]
@@ -66,6 +67,7 @@
     :param baseline_s: the same for an engine of baseline speed; 0 if its first event
         is no measurement of speed.
     :param started: whether its first event has arrived.
+    :param zone: CRC-32 of the availability zone of its node; 0 if unknown.
     """
 
     prompt_tokens: int
@@ -73,6 +75,7 @@
     predicted_s: float
     baseline_s: float = 0.0
     started: bool = False
+    zone: int = 0
 
 
 class UpstreamTrack:
@@ -133,6 +136,11 @@
         """Short form of the version of its software."""
         return software_crc(self.entry.version)
 
+    @property
+    def zone(self) -> int:
+        """CRC-32 of the name of its availability zone; 0 if unknown."""
+        return zone_crc(self.entry.zone)
+
     @property
     def slots(self) -> int:
         """Number of requests that it processes concurrently."""
--- a/baobabwing/gateway/decisions/waiting.py
+++ b/baobabwing/gateway/decisions/waiting.py
@@ -39,6 +39,9 @@
         stream; 0 if any may run it.
     :param excluded: incarnations that it must not be sent to again.
     :param unusable_crcs: crcs of incarnations that the requesting node can't use.
+    :param zone: CRC-32 of its node's availability zone; 0 if unknown, or if it is
+        placed without regard to zones.
+    :param expected_bytes: bytes that it and its answer will probably have.
     :param requested_at: when this scheduler received the placement request.
     :param number: identifies the placement request within the process.
     """
@@ -57,6 +60,8 @@
     software: int = 0
     excluded: set[str] = field(default_factory=set)
     unusable_crcs: set[int] = field(default_factory=set)
+    zone: int = 0
+    expected_bytes: int = 0
     requested_at: float = 0.0
     number: int = field(default_factory=itertools.count(1).__next__)
 
@@ -65,6 +70,11 @@
         """Whether it may go to some upstreams only."""
         return bool(self.excluded or self.software)
 
+    @property
+    def urgency(self) -> tuple[int, int]:
+        """Its ranks; the lower goes first."""
+        return self.rank, self.route_rank
+
 
 class WaitingRequests:
     """Queue of requests; those that can still meet their objective go first.
@@ -91,6 +101,9 @@
     def __init__(self, *, is_late: Callable[[PlacementRequest, float], bool]) -> None:
         self._is_late = is_late
         self._requests: dict[int, PlacementRequest] = {}
+        self._by_zone: dict[
+            int, dict[tuple[int, int], dict[int, PlacementRequest]]
+        ] = {}
         self._on_time: list[tuple[int, int, bool, int, float, int]] = []
         self._late: list[tuple[bool, int, int, bool, float, int]] = []
 
@@ -106,6 +119,9 @@
     def add(self, request: PlacementRequest) -> None:
         """Queue a request."""
         self._requests[request.number] = request
+        if request.zone:
+            of_zone = self._by_zone.setdefault(request.zone, {})
+            of_zone.setdefault(request.urgency, {})[request.number] = request
         key = (
             request.rank,
             request.route_rank,
@@ -118,7 +134,7 @@
 
     def remove(self, request: PlacementRequest) -> None:
         """Remove a request; does nothing if it is not queued."""
-        self._requests.pop(request.number, None)
+        self._pop(request.number)
         if (
             len(self._on_time) + len(self._late)
             > 2 * len(self._requests) + _MIN_SWEEP_SIZE
@@ -136,7 +152,7 @@
             if request is None:
                 continue
             if not self._is_late(request, now):
-                return self._requests.pop(request.number)
+                return self._pop(request.number)
             heapq.heappush(self._late, (*_late_key(request), request.number))
         request = self.take_late()
         if request is None:
@@ -146,7 +162,7 @@
     def take_late(self) -> PlacementRequest | None:
         """Remove and return the first of the requests that were found to be late."""
         while self._late:
-            request = self._requests.pop(heapq.heappop(self._late)[-1], None)
+            request = self._pop(heapq.heappop(self._late)[-1])
             if request is not None:
                 return request
         return None
@@ -165,6 +181,20 @@
         late.sort(key=_late_key)
         return late
 
+    def of_zone(self, zone: int) -> dict[tuple[int, int], dict[int, PlacementRequest]]:
+        """Return the requests of a zone by their ranks, in the order of queueing."""
+        return self._by_zone.get(zone, {})
+
+    def _pop(self, number: int) -> PlacementRequest | None:
+        request = self._requests.pop(number, None)
+        if request is not None and request.zone:
+            of_zone = self._by_zone[request.zone]
+            of_rank = of_zone[request.urgency]
+            del of_rank[number]
+            if not of_rank:
+                del of_zone[request.urgency]
+        return request
+
     def _without_removed(self, heap: list[_Key]) -> list[_Key]:
         kept = [key for key in heap if key[-1] in self._requests]
         heapq.heapify(kept)
