Carry the zone of a request to the homes, and count what crosses zones

Homes of earlier builds take the zone and the bytes for two excluded upstreams that they do not list: they would refuse bytes after the last field.

--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -47,6 +47,7 @@
     """One attempt at an upstream.
 
     :param software: version of the upstream's software; empty if it is not listed.
+    :param zone: the upstream's availability zone; empty if it is not listed.
     :param waited_s: time from the request's arrival to the grant of the slot.
     :param predicted_s: predicted time to the first event or the answer.
     :param relay: node through which it was sent; empty if sent directly.
@@ -57,6 +58,7 @@
     waited_s: float
     predicted_s: float
     software: str = ""
+    zone: str = ""
     relay: str = ""
     ended: str = ""
 
@@ -110,6 +112,7 @@
     :param search: search for a replacement, beside the current attempt.
     :param replacement: where the call goes on after the current attempt.
     :param sent_at: when the current attempt was sent; ``None`` before.
+    :param answer_bytes: bytes of the body that the current attempt has brought.
     :param framing: how the answer of the current attempt is framed; ``None`` before its
         head.
     :param output_began_at: when the current attempt had its first event.
@@ -153,6 +156,7 @@
     search: asyncio.Task[Replacement | None] | None = None
     replacement: Replacement | None = None
     sent_at: float | None = None
+    answer_bytes: int = 0
     framing: Framing | None = None
     output_began_at: float | None = None
     prior_events: int = 0
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -647,18 +647,35 @@
     ) -> list[UpstreamTrack]:
         """Return the free upstreams to choose from.
 
-        Those of other zones alone, whatever the price, if only they are in time.
+        Those of other zones alone, whatever the price, if only they are in time; those
+        of its own zone alone, if that keeps in.
         """
+        self._sample_gain(request, own, others, now)
         left_s = request.objective_at - now
 
         def fits(track: UpstreamTrack) -> bool:
             return self.first_event_s(request, track, now) <= left_s
 
         if any(map(fits, own)) or not any(map(fits, others)):
-            return own + others
+            return own + others if self.zones.sends_out(request.zone) else own
         self.zones.record_too_few(request.zone, now)
         return [track for track in others if fits(track)]
 
+    def _sample_gain(
+        self,
+        request: PlacementRequest,
+        own: list[UpstreamTrack],
+        others: list[UpstreamTrack],
+        now: float,
+    ) -> None:
+        """Record what the request would gain in another zone."""
+        if not others or not self.zones.samples_gain(request.zone, now):
+            return
+        cost_s = crossing_cost_s(self.zone_price_s_per_mb, request.expected_bytes)
+        own_s = min(self._cost_s(request, track, now) for track in own)
+        other_s = min(self._cost_s(request, track, now) for track in others)
+        self.zones.record_gain(request.zone, own_s - other_s + cost_s, cost_s, now)
+
     def _may_leave(self, request: PlacementRequest, now: float) -> tuple[bool, bool]:
         """Whether a request leaves its zone, where no slot is free for it.
 
--- a/baobabwing/gateway/decisions/zone_choice.py
+++ b/baobabwing/gateway/decisions/zone_choice.py
@@ -28,14 +28,25 @@
 # A zone that sends out keeps in again once its requests need less than this share of
 # its own slots. Above it, the bursts of random arrivals fill them again and again.
 _KEEP_IN_SHARE = 0.8
-# Time over which that need is averaged: longer than most requests keep a slot, and
+# A zone also sends out while its requests would gain more elsewhere than leaving costs
+# them, on average, and until the gain is below this share of the cost: requests that
+# leave make it smaller.
+_KEEP_IN_GAIN = 0.5
+# Time over which the gain is averaged. It is for upstreams that stay slower than those
+# of other zones; with 1 s, chance alone made zones at 0.7 of their capacity send out.
+_GAIN_TIME_S = 10.0
+# Interval between two samples of the gain; each compares all free upstreams.
+_GAIN_SAMPLE_S = 0.05
+# Time over which the need is averaged: longer than most requests keep a slot, and
 # short compared with the 17 s of the waves of demand.
 _NEED_TIME_S = 1.0
 # Time without any request that its zone could not take in time, before the zone keeps
 # in again: bursts come within seconds of each other.
 _SETTLE_S = 2.0
-# Need that is recorded for a zone without slots.
+# Need that is recorded for a zone without slots, and bound of a sample of the gain: one
+# stalled upstream must not decide for its zone.
 _MAX_NEED = 10.0
+_MAX_GAIN = 3.0
 # Bytes of a plain answer, and of an answer for each output token, until there are
 # measurements: a small document, and a token in the frame of an event.
 _INITIAL_ANSWER_BYTES = 2_000.0
@@ -103,17 +114,24 @@
 
     :param zone: CRC-32 of its name.
     :param need: mean need of its requests, as a share of its own slots.
+    :param gain: mean gain of a request that leaves, in relation to its cost.
     """
 
     zone: int
     sends_out: bool
     need: float
+    gain: float
 
 
 @dataclass(kw_only=True, slots=True)
 class _ZoneState:
+    """State of a zone; ``pays``: whether it sends out because of the gain."""
+
     sends_out: bool = False
     need: float = 0.0
+    gain: float = 0.0
+    gain_at: float = -math.inf
+    pays: bool = False
     sampled_at: float = -math.inf
     too_few_at: float = -math.inf
 
@@ -121,8 +139,10 @@
 class ZoneStates:
     """Which zones send requests out, by the CRC-32 of their names.
 
-    A zone starts to send out when its own upstreams can't take a request in time. It
-    stops when its requests, wherever they run, would leave some of its own slots free.
+    A zone starts to send out when its own upstreams can't take a request in time, or
+    when its requests would gain more elsewhere than leaving costs. It stops when its
+    requests, wherever they run, would leave some of its own slots free; or, if it sends
+    out for the gain, once that is small.
 
     :ivar changes: starts and stops that were not logged yet.
     """
@@ -153,18 +173,43 @@
         """
         state = self._states.setdefault(zone, _ZoneState())
         need = min(needed / slots, _MAX_NEED) if slots else _MAX_NEED
-        weight = 1 - math.exp(-(now - state.sampled_at) / _NEED_TIME_S)
-        state.need += weight * (need - state.need)
+        state.need += _weight(now - state.sampled_at, _NEED_TIME_S) * (
+            need - state.need
+        )
         state.sampled_at = now
         settled = now - state.too_few_at >= _SETTLE_S
-        if state.sends_out and settled and state.need < _KEEP_IN_SHARE:
+        state.pays = state.pays and state.gain >= _KEEP_IN_GAIN
+        enough = state.need < _KEEP_IN_SHARE and not state.pays
+        if state.sends_out and settled and enough:
+            # What was gained while slots were too few does not count any more.
+            state.gain = min(state.gain, _KEEP_IN_GAIN)
             self._set(zone, state, sends_out=False)
 
+    def samples_gain(self, zone: int, now: float) -> bool:
+        """Whether it is time for another sample of a zone's gain."""
+        state = self._states.get(zone)
+        return state is None or now - state.gain_at >= _GAIN_SAMPLE_S
+
+    def record_gain(self, zone: int, gain_s: float, cost_s: float, now: float) -> None:
+        """Record what a request would gain by leaving a zone that has a slot for it.
+
+        :param cost_s: result of :func:`crossing_cost_s`.
+        """
+        state = self._states.setdefault(zone, _ZoneState(gain_at=now))
+        gain = max(0.0, min(gain_s / cost_s, _MAX_GAIN))
+        state.gain += _weight(now - state.gain_at, _GAIN_TIME_S) * (gain - state.gain)
+        state.gain_at = now
+        if state.gain > 1.0 and not state.sends_out:
+            state.pays, state.too_few_at = True, now
+            self._set(zone, state, sends_out=True)
+
     def _set(self, zone: int, state: _ZoneState, *, sends_out: bool) -> None:
         if state.sends_out is sends_out:
             return
         state.sends_out = sends_out
-        self.changes.append(ZoneChange(zone=zone, sends_out=sends_out, need=state.need))
+        self.changes.append(
+            ZoneChange(zone=zone, sends_out=sends_out, need=state.need, gain=state.gain)
+        )
 
     def take_changes(self) -> list[ZoneChange]:
         """Return the changes since the last call."""
@@ -195,3 +240,8 @@
             self._token_bytes += _SIZE_ALPHA * (size / tokens - self._token_bytes)
         else:
             self._answer_bytes += _SIZE_ALPHA * (size - self._answer_bytes)
+
+
+def _weight(since_s: float, averaged_s: float) -> float:
+    """Return the weight of a sample so long after the one before, in a mean."""
+    return 1 - math.exp(-since_s / averaged_s)
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -69,6 +69,8 @@
     "UPSTREAM_START_REPLACED",
     "UPSTREAM_STILL_UP",
     "UPSTREAM_UNREADABLE",
+    "ZONE_KEEPS_IN",
+    "ZONE_SENDS_OUT",
     "UPSTREAM_UNRESPONSIVE",
 ]
 
@@ -89,6 +91,8 @@
     "the mean work time (`usual_work`), the ratio to the pool's that it gives where "
     "nothing is measured (`told_slowness`; at a home, its own counts), and requests of "
     "other nodes that it shows (`told_others`).",
+    "caller's attempt that began it. `zone`: the upstream's availability zone, unless "
+    "it is this node's.",
     routine=True,
 )
 REQUEST_REPEATED = define(
@@ -251,6 +255,22 @@
     "request_cleared",
     "A request that had been quarantined was served and is no longer suspected.",
 )
+ZONE_SENDS_OUT = define(
+    2521,
+    "zone_sends_out",
+    "The upstreams of an availability zone can't take its requests in time, or are "
+    "slower than those of other zones by more than leaving costs; requests for which "
+    "it pays go to other zones. `cell`: the cell whose home decided, none for a node "
+    "that placed its own requests. `need`: mean number of the zone's requests, waiting "
+    "or running anywhere, for each of its slots. `gain`: mean gain of one that leaves, "
+    "in relation to its cost.",
+)
+ZONE_KEEPS_IN = define(
+    2522,
+    "zone_keeps_in",
+    "The upstreams of an availability zone can take its requests in time again, with a "
+    "margin; they wait for these. Fields as in line 2521.",
+)
 PART_HELD = define(
     2518,
     "part_held",
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -179,6 +179,7 @@
             repeats=settings.repeats,
             tolerance=settings.tolerance,
             rollouts=settings.rollouts,
+            shared_machines=settings.shared_machines,
         )
         self.state.reload(self.settings)
 
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -12,7 +12,7 @@
     LightMetricSet,
 )
 
-__all__ = ["GatewayMetrics", "Outcome", "Sends", "Units"]
+__all__ = ["Crossing", "GatewayMetrics", "Outcome", "Sends", "Units"]
 
 # Finest around the objectives of 0.1 s for calls and 0.8 s for streams.
 _WAIT_BUCKETS_S = (0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
@@ -44,6 +44,17 @@
     RETRY = "retry"
 
 
+class Crossing(StrEnum):
+    """Whether a send stays within its node's availability zone.
+
+    ``UNKNOWN``: the zone of the node or of the upstream is not known.
+    """
+
+    WITHIN = "within"
+    ACROSS = "across"
+    UNKNOWN = "unknown"
+
+
 class Units(StrEnum):
     """Kinds of sends, by which the units they use are counted.
 
@@ -87,6 +98,22 @@
             ),
             label_names=("pool", "kind"),
         )
+        self.zone_sends = LightCounter(
+            name="baobabwing_gateway_zone_sends_total",
+            meaning=(
+                "Requests sent to upstreams within this node's availability zone and "
+                "across to another one."
+            ),
+            label_names=("pool", "crossing"),
+        )
+        self.zone_bytes = LightCounter(
+            name="baobabwing_gateway_zone_bytes_total",
+            meaning=(
+                "Bytes of the bodies of these requests and of what their upstreams "
+                "answered."
+            ),
+            label_names=("pool", "crossing"),
+        )
         self.truncated_answers = LightCounter(
             name="baobabwing_gateway_truncated_answers_total",
             meaning=(
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -40,6 +40,7 @@
     ReservationReportAck,
     SlotRequest,
 )
+from baobabwing.gateway.zone_reports import log_zone_changes
 from baobabwing.reports.events import log
 
 __all__ = [
@@ -222,6 +223,7 @@
             queue.scheduler.shares_machines = pool.scheduler.shares_machines
             if queue.scheduler.shares_machines:
                 queue.share_reports(pool.scheduler.tracks)
+            queue.scheduler.zone_price_s_per_mb = pool.scheduler.zone_price_s_per_mb
 
     def _shed(self, key: CellKey, queue: CellQueue, now: float) -> None:
         """Refuse the queued requests that will hardly get a slot in time."""
@@ -425,6 +427,7 @@
         now = time.monotonic()
         for holder, grant in queue.grants(now):
             self._send_grant(key, queue, holder, grant, now)
+        log_zone_changes(queue.scheduler, self._pool_name(key), cell=key.index)
 
     def _send_grant(
         self,
@@ -496,5 +499,7 @@
         has_run=message.has_run,
         software=message.software,
         excluded=excluded,
+        zone=message.zone,
+        expected_bytes=message.expected_bytes,
         requested_at=now,
     )
--- a/baobabwing/gateway/placement/codec.py
+++ b/baobabwing/gateway/placement/codec.py
@@ -88,6 +88,11 @@
 # The message ends with the software of its stream. Builds without this flag drop such
 # a message: they would place the stream at any version.
 _HAS_SOFTWARE = 0x04
+# The last two of the excluded incarnations are the zone and the expected bytes. Builds
+# without this flag refuse bytes after the last field, and take these two for
+# incarnations that are not in their list.
+_HAS_ZONE = 0x08
+_ZONE_NUMBERS = 2
 _NUMBER = struct.Struct("!I")
 # Grant: number, upstream, predicted ms below a flag. Builds that don't know the flag
 # take it for another 33 s.
@@ -307,6 +312,10 @@
 def _pack_slot_request(message: SlotRequest) -> bytes:
     objective = round(message.objective_s * _MS_PER_S)
     excluded = message.excluded[:_MAX_U8]
+    if message.zone:
+        expected_bytes = min(message.expected_bytes, _MAX_U32)
+        excluded = excluded[: _MAX_U8 - _ZONE_NUMBERS]
+        excluded += (message.zone, expected_bytes)
     head = _SLOT_REQUEST.pack(
         message.node,
         message.number % _MODULUS,
@@ -320,7 +329,8 @@
         min(message.expected_out, _MAX_U16),
         _COMMITTED * message.committed
         | _HAS_RUN * message.has_run
-        | _HAS_SOFTWARE * bool(message.software),
+        | _HAS_SOFTWARE * bool(message.software)
+        | _HAS_ZONE * bool(message.zone),
         message.moves_from,
         len(excluded),
     )
@@ -347,6 +357,10 @@
         moves_from,
         count,
     ) = reader.unpack(_SLOT_REQUEST)
+    excluded = reader.numbers(count)
+    zone = expected_bytes = 0
+    if flags & _HAS_ZONE:
+        *excluded, zone, expected_bytes = excluded
     return SlotRequest(
         node=node,
         number=number,
@@ -361,9 +375,11 @@
         expected_out=out,
         committed=bool(flags & _COMMITTED),
         has_run=bool(flags & _HAS_RUN),
-        excluded=reader.numbers(count),
+        excluded=tuple(excluded),
         moves_from=moves_from,
         software=reader.unpack(_NUMBER)[0] if flags & _HAS_SOFTWARE else 0,
+        zone=zone,
+        expected_bytes=expected_bytes,
     )
 
 
--- a/baobabwing/gateway/placement/messages.py
+++ b/baobabwing/gateway/placement/messages.py
@@ -98,6 +98,10 @@
         faster one; 0 otherwise.
     :param software: CRC-32 of the only version that may go on with its stream; 0 if any
         may run it.
+    :param zone: CRC-32 of the availability zone of its node; 0 if unknown, or if the
+        request is placed without regard to zones.
+    :param expected_bytes: bytes that it and its answer will probably have; 0 without a
+        zone.
     """
 
     node: int
@@ -116,6 +120,8 @@
     excluded: tuple[int, ...] = ()
     moves_from: int = 0
     software: int = 0
+    zone: int = 0
+    expected_bytes: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/baobabwing/gateway/placement/placer.py
+++ b/baobabwing/gateway/placement/placer.py
@@ -457,6 +457,7 @@
         moves_from: int = 0,
     ) -> SlotRequest:
         now = time.monotonic()
+        weighs_zones = pool.scheduler.weighs_zones
         excluded = (
             *map(name_crc, request.excluded),
             *request.unusable_crcs,
@@ -479,6 +480,8 @@
             excluded=tuple(dict.fromkeys(excluded)),
             moves_from=moves_from,
             software=request.software,
+            zone=request.zone if weighs_zones else 0,
+            expected_bytes=request.expected_bytes if weighs_zones else 0,
         )
 
     def _rebuild_request(self, pending: _PendingRequest) -> SlotRequest:
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -28,9 +28,12 @@
     RATE_LIMIT,
     REFUSAL_LIMIT,
 )
+from baobabwing.gateway.decisions.zone_choice import AnswerSize
+from baobabwing.gateway.events import PLACED_ALONE, RATE_LIMIT, REFUSAL_LIMIT
 from baobabwing.gateway.placement.cell_homes import CellPool
 from baobabwing.gateway.placement.messages import CellLoad
 from baobabwing.gateway.placement.placer import Placer
+from baobabwing.gateway.zone_reports import log_zone_changes
 from baobabwing.reports.events import log
 
 __all__ = ["PoolRuntime"]
@@ -53,6 +56,10 @@
 # machines: longer than the pauses of a pool with few requests.
 _SHARING_TIMEOUT_S = 60.0
 
+# Interval at which requests that wait here for a slot in their zone are looked at, as
+# they may have to leave it to be in time.
+_ZONE_CHECK_S = 0.05
+
 _PlaceAside = Callable[[PlacementRequest], Grant | None]
 
 
@@ -88,6 +95,7 @@
     :param software: versions that the upstreams have had lately; none by default.
     :param share_plain_slots: whether homes grant the slots of few plain services.
     :param rng: spreads the times after which an overloaded home is asked again.
+    :ivar answer_size: mean size of the pool's answers.
     :ivar place_aside: returns a slot at an upstream of the pool that the scheduler does
         not list, for a stream that goes on, or ``None``.
     :ivar permits: grants the sends to upstreams with rate limits, and tells the other
@@ -118,6 +126,7 @@
         self._backoff = HomeBackoff(rng=rng or Random())
         self._waiters: dict[int, asyncio.Future[Grant]] = {}
         self.software = software or SoftwareHistory()
+        self.answer_size = AnswerSize()
         self.place_aside: _PlaceAside = lambda request: None
         self.permits: Permits | None = None
         self.on_refusal: Callable[[int], None] = lambda upstream: None
@@ -425,12 +434,15 @@
                 future.set_result(grant)
             else:
                 grant.track.remove_request(grant.request.number)
+        log_zone_changes(self.scheduler, self.cells.name)
         if self.scheduler.waiting:
             self._pump_when_open(now)
 
     def _pump_when_open(self, now: float) -> None:
         """Pump again once the next closed upstream opens."""
         reopens_in_s = self.scheduler.reopens_in_s(now)
+        if self.scheduler.weighs_zones:
+            reopens_in_s = _earlier(reopens_in_s, _ZONE_CHECK_S)
         if reopens_in_s <= 0:
             return
         if self._reopening is not None:
@@ -530,3 +542,11 @@
         finally:
             self._waiters.pop(request.number, None)
             self.scheduler.withdraw(request)
+
+
+def _earlier(reopens_in_s: float, check_s: float) -> float:
+    """Return the time to the next look at the queue.
+
+    :param reopens_in_s: time until an upstream opens; 0 or less if none is closed.
+    """
+    return min(reopens_in_s, check_s) if reopens_in_s > 0 else check_s
--- a/baobabwing/gateway/request_recorder.py
+++ b/baobabwing/gateway/request_recorder.py
@@ -20,7 +20,7 @@
     STREAM_TAKEN_UP,
     UPSTREAM_FAILED,
 )
-from baobabwing.gateway.metrics import GatewayMetrics, Outcome, Sends, Units
+from baobabwing.gateway.metrics import Crossing, GatewayMetrics, Outcome, Sends, Units
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.request_head import RequestHead
 from baobabwing.gateway.state import GatewayState
@@ -70,6 +70,7 @@
             Attempt(
                 upstream=track.entry.instance,
                 software=track.entry.version,
+                zone=track.entry.zone,
                 waited_s=waited_s,
                 predicted_s=grant.predicted_s,
             )
@@ -91,6 +92,7 @@
             own=len(track.own),
             failed_share=round(track.failure_rate, 2),
             version=self._state.version,
+            **self._other_zone(track.entry.zone),
             **pool.describe(grant),
             **_describe_reports(grant, pool),
         )
@@ -117,6 +119,27 @@
         """Count a send over an open connection, about to be made."""
         kind = Sends.RETRY if call.passed_on else Sends.FIRST
         self._metrics.sends.labels(call.pool, kind).inc()
+        crossing = self._crossing(call)
+        self._metrics.zone_sends.labels(call.pool, crossing).inc()
+        self._metrics.zone_bytes.labels(call.pool, crossing).inc(len(call.body))
+
+    def received(self, call: Call) -> None:
+        """Count the bytes that an attempt has brought, also if it failed."""
+        if call.answer_bytes:
+            self._metrics.zone_bytes.labels(call.pool, self._crossing(call)).inc(
+                call.answer_bytes
+            )
+
+    def _crossing(self, call: Call) -> Crossing:
+        zone, own = call.attempts[-1].zone, self._state.settings.zone
+        if not zone or not own:
+            return Crossing.UNKNOWN
+        return Crossing.WITHIN if zone == own else Crossing.ACROSS
+
+    def _other_zone(self, zone: str) -> dict[str, str]:
+        """Return the zone of an upstream for the log, if it is not this node's."""
+        own = self._state.settings.zone
+        return {"zone": zone} if zone and own and zone != own else {}
 
     def sent(self, call: Call) -> None:
         """Count the units of an organisation's limit that a send used."""
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -99,6 +99,9 @@
         self.rollouts.settings = settings
         self.quotas.set_tolerance(settings.tolerance)
         for pool in self.pools.values():
+            pool.scheduler.zone_price_s_per_mb = (
+                settings.shared_machines.zone_price_s_per_mb
+            )
             pool.budget.reload(
                 ratio=settings.repeats.ratio,
                 slack=settings.repeats.slack,
@@ -297,6 +300,9 @@
                 share_plain_slots=self.settings.shared_machines.share_plain_slots,
                 rng=self.rng,
             )
+            runtime.scheduler.zone_price_s_per_mb = (
+                self.settings.shared_machines.zone_price_s_per_mb
+            )
             runtime.permits = self.permits
             runtime.rate_limits.set_share(self._share, time.monotonic())
             runtime.on_refusal = lambda upstream: self.on_refusal(runtime, upstream)
--- a/tests/gateway/placement/test_codec.py
+++ b/tests/gateway/placement/test_codec.py
@@ -82,6 +82,7 @@
     dataclasses.replace(SLOT_REQUEST, committed=False),
     dataclasses.replace(SLOT_REQUEST, has_run=False),
     dataclasses.replace(SLOT_REQUEST, software=2**32 - 1),
+    dataclasses.replace(SLOT_REQUEST, zone=2**32 - 1, expected_bytes=7_000, software=3),
     Queued(number=1, cell=CELL, state=STATE),
     Granted(number=1, cell=CELL, upstream=8, predicted_s=0.125, state=STATE),
     Granted(
@@ -248,3 +249,33 @@
     without_flag[: len(plain)] = plain
     with pytest.raises(WireError):
         decode(bytes(without_flag))
+
+
+def test_builds_that_know_no_zones_read_requests_with_one():
+    """They would drop bytes after the last field, and the request would be lost."""
+    plain = encode(SLOT_REQUEST)
+    zoned = bytearray(
+        encode(dataclasses.replace(SLOT_REQUEST, zone=8, expected_bytes=9_000))
+    )
+    # The flags are followed by the engine it moves from, the count and the excluded.
+    flags_at = len(plain) - 4 * len(SLOT_REQUEST.excluded) - 6
+    zoned[flags_at] = plain[flags_at]
+    assert decode(bytes(zoned)) == dataclasses.replace(
+        SLOT_REQUEST, excluded=(*SLOT_REQUEST.excluded, 8, 9_000)
+    )
+
+
+def test_slot_request_with_a_zone_excludes_two_fewer():
+    message = dataclasses.replace(
+        SLOT_REQUEST, excluded=tuple(range(300)), zone=8, expected_bytes=2**40
+    )
+    decoded = decode(encode(message))
+    assert decoded.excluded == tuple(range(253))
+    assert (decoded.zone, decoded.expected_bytes) == (8, 2**32 - 1)
+
+
+def test_slot_request_with_a_zone_but_no_numbers_is_refused():
+    data = bytearray(encode(dataclasses.replace(SLOT_REQUEST, excluded=())))
+    data[-6] |= 0x08
+    with pytest.raises(WireError):
+        decode(bytes(data))
