--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -81,8 +81,9 @@
     :ivar software: version of an upstream's software by its name.
     """
 
-    def __init__(self, cfg=None):
+    def __init__(self, cfg=None, *, zone="", upstream_zone=""):
         self.cfg = cfg or default_configuration()
+        self.zone, self.upstream_zone = zone, upstream_zone
         self.upstreams = {}
         self.behaviour = {}
         self.software = {}
@@ -92,6 +93,7 @@
     async def __aenter__(self):
         settings = GatewaySettings(
             name="node-1",
+            zone=self.zone,
             callers=free_address(),
             peers=free_address(),
             work=free_address(),
@@ -140,6 +142,7 @@
                     address=upstream.address,
                     slots=4,
                     draining=name in draining,
+                    zone=self.upstream_zone,
                     version=self.software.get(name, ""),
                 )
                 for name, (upstream, pool) in self.upstreams.items()
--- a/tests/gateway/placement/fleet_model.py
+++ b/tests/gateway/placement/fleet_model.py
@@ -17,6 +17,7 @@
 from baobabwing.gateway.decisions.cell_queue import UpdateKind
 from baobabwing.gateway.decisions.retry_budget import RetryBudget
 from baobabwing.gateway.decisions.scheduling import PlacementRequest, PoolScheduler
+from baobabwing.gateway.decisions.zone_choice import zone_crc
 from baobabwing.gateway.loop_delay import LoopDelayMonitor
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 from baobabwing.gateway.placement import placer
@@ -92,7 +93,11 @@
         data = encode(message)
         loop = asyncio.get_running_loop()
         target = self._fleet.links.get(address)
-        if target is not None and not self.stopped:
+        if (
+            target is not None
+            and not self.stopped
+            and self._fleet.reaches(self, target)
+        ):
             if target is not self:
                 self.bytes += len(data) + HEADER_BYTES
                 target.bytes += len(data) + HEADER_BYTES
@@ -157,6 +162,7 @@
 class SecondStats:
     """Outcome of the requests that arrived in one second.
 
+    :param crossed: requests placed in another zone than their node's.
     :param placed_locally: requests that their node placed without a home.
     :param refused: requests without a slot, refused or past their deadline.
     """
@@ -165,6 +171,7 @@
     placed_by_home: int = 0
     placed_locally: int = 0
     refused: int = 0
+    crossed: int = 0
     waits_s: list = field(default_factory=list)
 
 
@@ -174,6 +181,9 @@
     :param message_cpu_s: processor time of a node for one datagram.
     :param members: class of the simulated membership.
     :cvar uses_homes: whether the nodes ask homes for slots.
+    :param zones: availability zones of the nodes and of the engines, in turn.
+    :param zone_price_s_per_mb: price of leaving a zone.
+    :ivar cut: two zones between which no datagram arrives.
     :ivar exclusion_times: when a node excluded a home, in simulated time.
     :ivar seconds: outcomes of requests by the second of their arrival.
     """
@@ -190,7 +200,12 @@
         message_cpu_s,
         seed=1,
         members=FixedRankingMembers,
+        zones=("",),
+        zone_price_s_per_mb=0.0,
     ):
+        self.zones = zones
+        self.cut = ()
+        self._zone_price_s_per_mb = zone_price_s_per_mb
         self.clock = Clock()
         for module in (
             "baobabwing.gateway.placement.placer",
@@ -223,14 +238,21 @@
     async def start(self):
         members = self._members(self)
         entries = [
-            UpstreamEntry(instance=name, pool="p", address="a", slots=self._slots)
-            for name in self.in_flight
+            UpstreamEntry(
+                instance=name,
+                pool="p",
+                address="a",
+                slots=self._slots,
+                zone=self.zones[index % len(self.zones)],
+            )
+            for index, name in enumerate(self.in_flight)
         ]
         self.tasks, self.pools = [], []
         self.running = {}
         for number in range(self._nodes):
             address = f"10.0.0.{number}:1"
             link = SimulatedLink(self, address, self._message_cpu_s)
+            link.zone = self.zones[number % len(self.zones)]
             self.links[address] = link
             rng = Random(self.rng.random())
             homes = CellHomes(link=link, members=members, rng=rng)
@@ -246,6 +268,8 @@
                 placer=placer if self.uses_homes else None,
                 rng=rng,
             )
+            pool.scheduler.shares_machines = bool(self._zone_price_s_per_mb)
+            pool.scheduler.zone_price_s_per_mb = self._zone_price_s_per_mb
             pool.scheduler.set_upstreams(entries)
             pool.cells.set_upstreams(entries)
             homes.list_pool(pool.cells)
@@ -255,6 +279,11 @@
                 asyncio.ensure_future(placer.run()),
             ]
             self.tasks += self.running[pool]
+        self.all_pools = tuple(self.pools)
+
+    def reaches(self, sender, target):
+        """Whether datagrams arrive, which a cut between two zones prevents."""
+        return {sender.zone, target.zone} != set(self.cut)
 
     async def kill(self, fraction, *, detection_delay_s):
         """Stop the last nodes; their requests end, and their death is declared later.
@@ -281,18 +310,19 @@
         for task in self.tasks:
             task.cancel()
 
-    async def load(self, rate, seconds, *, first_event_s=0.2, hold_s=0.5):
+    async def load(self, rate, seconds, *, first_event_s=0.2, hold_s=0.5, pools=()):
         """Send requests to random nodes for some seconds.
 
         :param rate: mean requests per second.
         :param first_event_s: time from the grant to the first event.
         :param hold_s: a request holds its slot for 0.5 to 1.5 times this, and half of
             ``first_event_s``.
+        :param pools: those of the nodes that get the requests; all by default.
         """
         ends_at = self.clock.now + seconds
         while self.clock.now < ends_at:
             await asyncio.sleep(self.rng.expovariate(rate))
-            pool = self.rng.choice(self.pools)
+            pool = self.rng.choice(pools or self.pools)
             task = asyncio.ensure_future(self._request(pool, first_event_s, hold_s))
             self.tasks.append(task)
             self.running[pool].append(task)
@@ -301,6 +331,7 @@
         started_at = self.clock.now
         second = self.seconds.setdefault(int(started_at), SecondStats())
         second.requested += 1
+        zone = self.zones[self.all_pools.index(pool) % len(self.zones)]
         request = PlacementRequest(
             rank=0,
             arrived_at=started_at,
@@ -309,6 +340,8 @@
             ends_at=started_at + 6.0,
             prompt_tokens=1000,
             expected_output_tokens=40,
+            zone=zone_crc(zone),
+            expected_bytes=10_000,
         )
         try:
             grant = await pool.place(request, self._nodes)
@@ -320,6 +353,7 @@
             second.placed_by_home += 1
         else:
             second.placed_locally += 1
+        second.crossed += grant.track.entry.zone != zone
         engine = grant.track.entry.instance
         self.in_flight[engine] += 1
         self.max_in_flight = max(self.max_in_flight, self.in_flight[engine])
--- a/tests/gateway/test_request_recorder.py
+++ b/tests/gateway/test_request_recorder.py
@@ -1,6 +1,7 @@
 """Each request is counted once, under its outcome."""
 
 import asyncio
+import re
 
 import pytest
 import structlog
@@ -214,3 +215,29 @@
         parts=tuple(PromptPart(name=name, tokens=9) for name in ("a", "b", "own")),
     )
     assert part_names(head) == ["a", "b"]
+
+
+@pytest.mark.parametrize(
+    ("zone", "upstream_zone", "crossing"),
+    [("za", "za", "within"), ("za", "zb", "across"), ("za", "", "unknown")],
+)
+def test_what_crosses_zones_is_counted_and_logged(run, zone, upstream_zone, crossing):
+    async def scenario():
+        async with GatewayHarness(zone=zone, upstream_zone=upstream_zone) as harness:
+            conn = await harness.caller()
+            await ask(conn, "/safe/x", "z1", body=b"0123456789")
+            await ask(conn, "/stream/x", "z2", body=b"0123456789")
+            await asyncio.sleep(0)
+            return harness.gateway.metrics.render().decode()
+
+    with structlog.testing.capture_logs() as lines:
+        text = run(scenario())
+    for pool in ("services", "engines"):
+        labels = f'{{crossing="{crossing}",pool="{pool}"}}'
+        assert f"baobabwing_gateway_zone_sends_total{labels} 1.0" in text
+        (size,) = re.findall(
+            rf"^baobabwing_gateway_zone_bytes_total{labels} (\S+)$", text, re.M
+        )
+        assert float(size) > 10
+    named = [line.get("zone") for line in lines if line["event"] == "request_sent"]
+    assert named == [upstream_zone if crossing == "across" else None] * 2
