--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -168,8 +168,8 @@
         self.zone_price_s_per_mb = 0.0
         self.zones = ZoneStates()
         self._zones_sampled_at = -math.inf
-        self._held_at = -math.inf
         self._held: defaultdict[int, set[int]] = defaultdict(set)
+        self._free_as_held: dict[tuple, list[UpstreamTrack]] = {}
         self.refusal_limit = refusal_limit or RefusalLimit()
         self._rate_limits = RateLimits() if rate_limits is None else rate_limits
         self._max_route_rank = 0
@@ -285,6 +285,8 @@
             return granted
         self.update_typical()
         self._weigh_reports(now)
+        self._held.clear()
+        self._free_as_held.clear()
         blocked: list[PlacementRequest] = []
         waiting_for_faster = 0
         while self.waiting and waiting_for_faster < _MAX_WAITING_FOR_FASTER:
@@ -536,6 +538,10 @@
         """Return the upstreams that have a free slot for a request."""
         if self._is_paced(now):
             return []
+        if self._weighs_zones(request):
+            free = self._free_of_held(request, now)
+            if free:
+                return free
         reserved_slots = self._reserved_slots(request)
         return [
             track
@@ -621,8 +627,9 @@
         one of these gets it, and the request goes back to the queue.
         """
         self._sample_zones(request.zone, now)
-        own = [track for track in free if not self._leaves_zone(request, track)]
-        others = [track for track in free if self._leaves_zone(request, track)]
+        within = (0, request.zone)
+        own = [track for track in free if track.zone in within]
+        others = [track for track in free if track.zone not in within]
         if not others:
             return self._grant_best(request, own, now)
         if own:
@@ -630,6 +637,9 @@
             return self._grant_best(
                 request, self._in_time(request, own, spare, now), now
             )
+        if self._free_of_held(request, now):
+            self._held[request.zone].add(request.number)
+            return None
         leaves, would_be_late = self._may_leave(request, now)
         if not leaves:
             return self._grant_resident(request, others, now, equal_rank=False)
@@ -684,7 +694,7 @@
         own = [
             track
             for track in self._candidates(request, now)
-            if not self._leaves_zone(request, track)
+            if track.zone in (0, request.zone)
             and self._rate_limits.get(track.crc) is None
         ]
         if not own:
@@ -711,7 +721,7 @@
             if urgency <= request.urgency
         )
         return ZoneQueue(
-            waiting=waiting + len(self._held_in(request.zone, now) | {request.number}),
+            waiting=waiting + len(self._held[request.zone] | {request.number}),
             slots=sum(track.slots for track in own),
             holding_s=self.holding_s,
             first_event_s=min(self.first_event_s(request, track, now) for track in own),
@@ -728,12 +738,21 @@
         last = next(reversed(of_rank.values()))
         return math.inf if self._is_late(last, now) else last.objective_at
 
-    def _held_in(self, zone: int, now: float) -> set[int]:
-        """Return the requests of a zone that were held in this search for grants."""
-        if self._held_at != now:
-            self._held_at = now
-            self._held.clear()
-        return self._held[zone]
+    def _free_of_held(
+        self, request: PlacementRequest, now: float
+    ) -> list[UpstreamTrack]:
+        """Return what was free for a request like this one that was held.
+
+        Empty if none was held in this search. Nothing has become free since, so that
+        this one is held too, without another look at all upstreams.
+        """
+        if not self._free_as_held or request.is_restricted:
+            return []
+        return self._free_as_held.get(self._kind(request, now), [])
+
+    def _kind(self, request: PlacementRequest, now: float) -> tuple:
+        """Return what decides whether an unrestricted request is held."""
+        return request.zone, request.urgency, self._is_late(request, now)
 
     def _spare(
         self,
@@ -800,7 +819,9 @@
                     self.waiting.remove(resident)
                     self.waiting.add(request)
                     return self._grant_best(resident, free, now)
-        self._held_in(request.zone, now).add(request.number)
+        self._held[request.zone].add(request.number)
+        if not request.is_restricted:
+            self._free_as_held[self._kind(request, now)] = others
         return None
 
     def _sample_zones(self, zone: int, now: float) -> None:
--- a/tests/gateway/decisions/test_zone_choice.py
+++ b/tests/gateway/decisions/test_zone_choice.py
@@ -331,3 +331,18 @@
 def test_queue_without_slots_can_take_nothing_in_time():
     queue = ZoneQueue(waiting=1, slots=0, holding_s=0.5, first_event_s=0.1)
     assert queue.too_few_slots(0.0, first_objective_at=9.0, last_objective_at=9.0)
+
+
+def test_slot_that_becomes_free_at_the_time_of_a_search_is_granted():
+    """What one search found is no longer true after a release."""
+    cell = ZonedCell()
+    cell.list_engines(za=1)
+    for _ in range(SLOTS + 3):
+        cell.submit("za")
+    cell.place()
+    assert len(cell.granted) == SLOTS + 1
+    first = cell.granted[0]
+    first.track.remove_request(first.request.number)
+    cell.place()
+    assert len(cell.granted) == SLOTS + 2
+    assert {grant.track.entry.zone for grant in cell.granted} == {"za"}
