--- a/tests/gateway/decisions/test_zone_choice.py
+++ b/tests/gateway/decisions/test_zone_choice.py
@@ -154,7 +154,6 @@
     cell.list_engines(za=2)
     cell.reset_counts()
     cell.run(15, usual(0.7))
-    print("half lost", cell.asked, cell.in_time, cell.crossed, cell.changes)
     assert cell.share(cell.in_time, "za") > 0.95
     assert 0.3 < cell.share(cell.crossed, "za") < 0.6
     assert cell.crossed["zb"] + cell.crossed["zc"] == 0
@@ -179,7 +178,6 @@
     cell.run(3, usual(0.5, za=2.0))
     cell.reset_counts()
     cell.run(10, usual(0.4, za=1.9))
-    print("twice", cell.asked, cell.in_time, cell.crossed, cell.changes)
     for zone in ZONES:
         assert cell.share(cell.in_time, zone) > 0.95
     assert cell.share(cell.crossed, "za") < 0.6
@@ -190,7 +188,6 @@
     cell.run(3, usual(1.5))
     cell.reset_counts()
     cell.run(10, usual(1.5))
-    print("all full", cell.asked, cell.in_time, cell.crossed, cell.changes)
     assert sum(cell.crossed.values()) < 0.02 * len(cell.granted)
     slots_per_s = len(ZONES) * FULL_PER_S
     assert len(cell.granted) > 0.95 * 10 * slots_per_s
@@ -203,7 +200,6 @@
         cell = ZonedCell(price=price)
         cell.run(15, usual(1.4, za=1.8, zb=1.1), ranks=(0, 1, 2))
         served.append((sum(cell.in_time.values()), len(cell.granted)))
-    print("served with and without", served)
     assert served[0][0] > 0.95 * served[1][0]
     assert served[0][1] > 0.97 * served[1][1]
 
@@ -212,7 +208,6 @@
     for load in (0.8, 0.9, 1.0):
         cell = ZonedCell(seed=3)
         cell.run(60, usual(0.4, za=load))
-        print("near", load, cell.changes, cell.crossed)
         assert len(cell.changes) <= 6
 
 
@@ -223,7 +218,6 @@
     other = "zb" if cut == "za" else "za"
     excluded = {f"{other}{n}" for n in range(ENGINES)}
     cell.run(10, {cut: 1.4}, excluded=excluded)
-    print("cut", cell.asked, cell.in_time, cell.crossed)
     assert cell.share(cell.in_time, cut) > 0.95
     assert {grant.track.entry.zone for grant in cell.granted} == {cut, "zc"}
 
--- a/tests/gateway/placement/test_zones.py
+++ b/tests/gateway/placement/test_zones.py
@@ -3,6 +3,9 @@
 import pytest
 import structlog
 
+from baobabwing.gateway.placement.codec import encode
+from baobabwing.gateway.placement.messages import SlotRequest
+from tests.gateway.placement import fleet_model
 from tests.gateway.placement.fleet_model import ModelFleet, run_scenario
 
 ZONES = ("za", "zb", "zc")
@@ -71,6 +74,26 @@
     run_scenario(fleet, scenario)
     requested = sum(second.requested for second in fleet.seconds.values())
     refused = sum(second.refused for second in fleet.seconds.values())
-    print(requested, refused, crossed_share(fleet))
     assert refused < 0.01 * requested
     assert crossed_share(fleet) < 0.1
+
+
+@pytest.mark.parametrize("price", [0.0, 5.0])
+def test_zone_is_sent_only_where_it_is_used(monkeypatch, price):
+    """Without a price, messages are those of earlier builds."""
+    sent = []
+    monkeypatch.setattr(
+        fleet_model, "encode", lambda message: sent.append(message) or encode(message)
+    )
+    fleet = make_fleet(monkeypatch, price)
+
+    async def scenario():
+        await fleet.load(0.3 * FULL_PER_S, 1)
+
+    run_scenario(fleet, scenario)
+    zoned = {
+        (message.zone != 0, message.expected_bytes)
+        for message in sent
+        if isinstance(message, SlotRequest)
+    }
+    assert zoned == ({(True, 10_000)} if price else {(False, 0)})
