--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -640,7 +640,15 @@
         if self._free_of_held(request, now):
             self._held[request.zone].add(request.number)
             return None
-        leaves, would_be_late = self._may_leave(request, now)
+        usual = [
+            track
+            for track in self._candidates(request, now)
+            if track.zone in within and self._rate_limits.get(track.crc) is None
+        ]
+        if not usual:
+            # It has no zone to wait for, and no slots of its own while all are full.
+            return self._grant_best(request, others, now)
+        leaves, would_be_late = self._may_leave(request, usual, now)
         if not leaves:
             return self._grant_resident(request, others, now, equal_rank=False)
         spare = self._spare(request, others, now, would_be_late=would_be_late)
@@ -686,19 +694,14 @@
         other_s = min(self._cost_s(request, track, now) for track in others)
         self.zones.record_gain(request.zone, own_s - other_s + cost_s, cost_s, now)
 
-    def _may_leave(self, request: PlacementRequest, now: float) -> tuple[bool, bool]:
+    def _may_leave(
+        self, request: PlacementRequest, own: list[UpstreamTrack], now: float
+    ) -> tuple[bool, bool]:
         """Whether a request leaves its zone, where no slot is free for it.
 
+        :param own: the upstreams of its zone that it may use.
         :returns: whether it leaves, and whether it or another one would be late else.
         """
-        own = [
-            track
-            for track in self._candidates(request, now)
-            if track.zone in (0, request.zone)
-            and self._rate_limits.get(track.crc) is None
-        ]
-        if not own:
-            return True, True
         queue = self._zone_queue(request, own, now)
         late = self._is_late(request, now)
         if not late and queue.too_few_slots(
--- a/tests/gateway/decisions/test_zone_choice.py
+++ b/tests/gateway/decisions/test_zone_choice.py
@@ -193,6 +193,16 @@
     assert len(cell.granted) > 0.95 * 10 * slots_per_s
 
 
+def test_zone_without_engines_is_served_while_the_others_are_full():
+    """It has no slot that could be kept for it, and would get none at all."""
+    cell = ZonedCell()
+    cell.list_engines(za=0)
+    cell.run(3, usual(1.2))
+    cell.reset_counts()
+    cell.run(10, usual(1.2))
+    assert cell.crossed["za"] > 0.25 * len(cell.granted)
+
+
 def test_full_zones_serve_as_many_in_time_as_without_the_rule():
     """A rule that left slots idle, or served late requests first, would serve fewer."""
     served = []
@@ -222,34 +232,38 @@
     assert {grant.track.entry.zone for grant in cell.granted} == {cut, "zc"}
 
 
-def test_urgent_request_takes_the_slot_of_another_zone():
-    """The rule never overrides urgency: the slot's zone has less urgent ones only."""
+def full_zones():
+    """Return a cell with one engine in each of two zones, which send out."""
     cell = ZonedCell()
-    cell.list_engines(za=0, zb=1, zc=0)
-    for _ in range(SLOTS + 1):
-        cell.submit("zb")
+    cell.list_engines(za=1, zb=1, zc=0)
+    for zone in ("za", "zb"):
+        for _ in range(SLOTS + 1):
+            cell.submit(zone, aim_s=9.0)
+        cell.scheduler.zones.record_too_few(zone_crc(zone), cell.now)
+    cell.place()
+    return cell
+
+
+def free_slot(cell, zone):
+    grant = next(one for one in cell.granted if one.track.entry.zone == zone)
+    grant.track.remove_request(grant.request.number)
     cell.place()
+    return cell.granted[-1].request
+
+
+def test_urgent_request_takes_the_slot_of_another_zone():
+    """The rule never overrides urgency: the slot's zone has less urgent ones only."""
+    cell = full_zones()
     cell.submit("zb", rank=1)
     urgent = cell.submit("za", rank=0)
-    first = cell.granted[0]
-    first.track.remove_request(first.request.number)
-    cell.place()
-    assert cell.granted[-1].request is urgent
+    assert free_slot(cell, "zb") is urgent
 
 
 def test_slot_of_a_full_zone_goes_to_its_own_request_of_equal_rank():
-    cell = ZonedCell()
-    cell.list_engines(za=0, zb=1, zc=0)
-    for _ in range(SLOTS + 1):
-        cell.submit("zb")
-    cell.place()
-    cell.scheduler.zones.record_too_few(zone_crc("zb"), cell.now)
+    cell = full_zones()
     cell.submit("za")
     own = cell.submit("zb")
-    first = cell.granted[0]
-    first.track.remove_request(first.request.number)
-    cell.place()
-    assert cell.granted[-1].request is own
+    assert free_slot(cell, "zb") is own
     assert len(cell.scheduler.waiting) == 1
 
 
