--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -650,11 +650,16 @@
             return self._grant_best(request, others, now)
         leaves, would_be_late = self._may_leave(request, usual, now)
         if not leaves:
-            return self._grant_resident(request, others, now, equal_rank=False)
+            grant = self._grant_resident(request, others, now, equal_rank=False)
+            if grant is None:
+                self._hold(request, others, now)
+            return grant
         spare = self._spare(request, others, now, would_be_late=would_be_late)
         if spare:
             return self._grant_best(request, spare, now)
-        return self._grant_resident(request, others, now, equal_rank=True)
+        grant = self._grant_resident(request, others, now, equal_rank=True)
+        # Those of the zone may be unable to use the slot, which must not idle.
+        return grant or self._grant_best(request, others, now)
 
     def _in_time(
         self,
@@ -805,10 +810,7 @@
         *,
         equal_rank: bool,
     ) -> Grant | None:
-        """Grant a slot of another zone to one of its own requests.
-
-        Without one, the request is held for this search.
-        """
+        """Grant a slot of another zone to a request of its own that can use it."""
         for zone in dict.fromkeys(track.zone for track in others):
             for resident in self._residents(zone, request, now, equal_rank=equal_rank):
                 free = [
@@ -822,10 +824,15 @@
                     self.waiting.remove(resident)
                     self.waiting.add(request)
                     return self._grant_best(resident, free, now)
+        return None
+
+    def _hold(
+        self, request: PlacementRequest, others: list[UpstreamTrack], now: float
+    ) -> None:
+        """Record that a request waits for its zone, until the next search."""
         self._held[request.zone].add(request.number)
         if not request.is_restricted:
             self._free_as_held[self._kind(request, now)] = others
-        return None
 
     def _sample_zones(self, zone: int, now: float) -> None:
         """Record what the requests of each zone need of its slots."""
--- a/tests/gateway/decisions/test_zone_choice.py
+++ b/tests/gateway/decisions/test_zone_choice.py
@@ -267,6 +267,14 @@
     assert len(cell.scheduler.waiting) == 1
 
 
+def test_slot_that_its_zone_cannot_use_goes_to_another_zone():
+    """It would idle while requests of both zones wait."""
+    cell = full_zones()
+    other = cell.submit("za")
+    cell.submit("zb", excluded={"zb0"})
+    assert free_slot(cell, "zb") is other
+
+
 def test_request_that_would_be_late_leaves_whatever_the_price():
     cell = ZonedCell(price=1e6)
     cell.list_engines(za=1)
