Put the events of the merged parts in order; compare few nodes with nodes without homes

The outcome of few nodes was compared with a pool that does not share its machines, whose requests are placed by other rules since reported loads count.

--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -69,9 +69,9 @@
     "UPSTREAM_START_REPLACED",
     "UPSTREAM_STILL_UP",
     "UPSTREAM_UNREADABLE",
+    "UPSTREAM_UNRESPONSIVE",
     "ZONE_KEEPS_IN",
     "ZONE_SENDS_OUT",
-    "UPSTREAM_UNRESPONSIVE",
 ]
 
 REQUEST_REFUSED = define(
@@ -90,9 +90,8 @@
     "report of the upstream (`told`: running, waiting, slots, work time in percent), "
     "the mean work time (`usual_work`), the ratio to the pool's that it gives where "
     "nothing is measured (`told_slowness`; at a home, its own counts), and requests of "
-    "other nodes that it shows (`told_others`).",
-    "caller's attempt that began it. `zone`: the upstream's availability zone, unless "
-    "it is this node's.",
+    "other nodes that it shows (`told_others`). `zone`: the upstream's availability "
+    "zone, unless it is this node's.",
     routine=True,
 )
 REQUEST_REPEATED = define(
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -22,14 +22,13 @@
 from baobabwing.gateway.decisions.stream_origins import SoftwareHistory
 from baobabwing.gateway.decisions.told_load import USUAL_PERCENT, ToldLoad
 from baobabwing.gateway.decisions.tracking import UpstreamTrack
+from baobabwing.gateway.decisions.zone_choice import AnswerSize
 from baobabwing.gateway.events import (
     MACHINES_SHARED,
     PLACED_ALONE,
     RATE_LIMIT,
     REFUSAL_LIMIT,
 )
-from baobabwing.gateway.decisions.zone_choice import AnswerSize
-from baobabwing.gateway.events import PLACED_ALONE, RATE_LIMIT, REFUSAL_LIMIT
 from baobabwing.gateway.placement.cell_homes import CellPool
 from baobabwing.gateway.placement.messages import CellLoad
 from baobabwing.gateway.placement.placer import Placer
--- a/tests/gateway/placement/test_plain_fleet.py
+++ b/tests/gateway/placement/test_plain_fleet.py
@@ -86,13 +86,12 @@
 
 
 def test_few_nodes_place_requests_themselves(monkeypatch):
-    """With fewer nodes than slots nothing changes: the outcome is the same."""
-    alone, shared = (
-        surge(monkeypatch, nodes=6, message_cpu_s=CHEAP_MESSAGE_S, shared=shared)
-        for shared in (False, True)
-    )
-    assert shared.counts == alone.counts
-    assert shared.counts["by_home"] == 0
+    """With fewer nodes than slots the outcome is the same as without homes."""
+    with_homes = surge(monkeypatch, nodes=6, message_cpu_s=CHEAP_MESSAGE_S, shared=True)
+    monkeypatch.setattr(PlainFleet, "uses_homes", False)
+    without = surge(monkeypatch, nodes=6, message_cpu_s=CHEAP_MESSAGE_S, shared=True)
+    assert with_homes.counts == without.counts
+    assert with_homes.counts["by_home"] == 0
 
 
 def test_nothing_changes_for_pools_that_do_not_share_their_machines(monkeypatch):
