Leave the slots of shared machines to requests that can be in time

The demand of requests in time is their arrival rate by kind times their holding time. Late requests get the slots beyond it, and are refused at once if none is left over before their deadline, as are requests that will be late when their turn comes. Pools that do not share their machines are served as before.

--- a/baobabwing/gateway/decisions/cell_queue.py
+++ b/baobabwing/gateway/decisions/cell_queue.py
@@ -236,7 +236,7 @@
             grant.track.record_first_event(grant.request.number, first_at)
             return
         self._record_outcome(grant.track, kind, interval_s, now)
-        self.scheduler.record_holding(now - grant.granted_at)
+        self.scheduler.record_holding(now - grant.granted_at, grant.request.number)
         self._release(holder)
 
     def apply_report(
--- a/baobabwing/gateway/decisions/policies.py
+++ b/baobabwing/gateway/decisions/policies.py
@@ -66,6 +66,10 @@
     serve first come, first served.
     """
 
+    @property
+    def _leaves_slots(self) -> bool:
+        return False
+
     def _free_slots(self, track: UpstreamTrack, now: float) -> int:
         return 1
 
--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -12,9 +12,11 @@
 
 from baobabwing.gateway.decisions.rate_limits import RateLimits
 from baobabwing.gateway.decisions.refusal_limit import RefusalLimit
+from baobabwing.gateway.decisions.slot_demand import Kind, SlotDemand
 from baobabwing.gateway.decisions.told_evidence import forget_reports, weigh_reports
 from baobabwing.gateway.decisions.tracking import (
     FIRST_EVENT_S,
+    PER_SEQUENCE_S,
     PREFILL_TOKENS_PER_S,
     InFlightRequest,
     UpstreamTrack,
@@ -88,6 +90,28 @@
 # Requests of a zone and rank that a search for one for a free slot looks at; bounds its
 # cost.
 _MAX_RESIDENTS = 16
+# Longest retry delay of a request that gets no slot because those in time need them,
+# as a share of the time it has left: homes add up to a fifth, and callers honour a
+# third. Delays are spread from this part of the longest on: bursts last 2 to 5 s, so a
+# shorter delay ends within the same burst.
+_MAX_SPREAD_SHARE = 0.27
+_MIN_SPREAD = 0.55
+# A request in time is refused if its expected wait is longer than this many times what
+# it can wait, and by this many seconds: turnover is a mean of some twenty requests, and
+# a refusal that was not needed costs more than one that comes late.
+_WAIT_MARGIN = 1.5
+_WAIT_MARGIN_S = 0.05
+# The same for a request whose caller came back in time: it was told to come back later,
+# and coming back early may not pay.
+_RETURN_WAIT_SHARE = 0.25
+# Least part of the slots that a kind is expected to get beside more urgent ones.
+_MIN_SHARE_OF_SLOTS = 0.05
+# Longest part of its objective that a first event is expected to take. Else prompts
+# that are read for longer would be late on arrival, and never get a slot under load.
+_MAX_FIRST_EVENT_SHARE = 0.6
+# Mean time between two free slots up to which no slots are reserved for urgent
+# requests: it is an eighth of their shortest objective, some 0.6 s.
+_SHORT_TURNOVER_S = 0.075
 # Time for the whole answer of a plain service, until there are measurements.
 _INITIAL_ANSWER_S = 0.02
 # Time for which a request keeps its slot, until there are measurements.
@@ -126,6 +150,8 @@
     :param refusal_limit: limit on refusals of the upstreams; by default none.
     :param rate_limits: limits that the upstreams state, if requests that are placed
         here need no further permit; by default none.
+    :param serve_in_time: whether late requests leave the slots to those that can be in
+        time, while the upstreams share their machines.
     :ivar tracks: the listed upstreams by incarnation.
     :ivar waiting: the queued requests.
     :ivar holding_s: mean time for which a request keeps its slot.
@@ -140,6 +166,9 @@
     :ivar zone_price_s_per_mb: seconds that a megabyte between availability zones is
         worth; 0 to place without regard to zones.
     :ivar zones: which zones send requests out.
+    :ivar demand: what requests in time need of the slots.
+    :ivar refused_for_in_time: requests refused so far because those in time need the
+        slots.
     """
 
     def __init__(
@@ -149,6 +178,7 @@
         rng: Random,
         refusal_limit: RefusalLimit | None = None,
         rate_limits: RateLimits | None = None,
+        serve_in_time: bool = True,
     ) -> None:
         self.engine = engine
         self.tracks: dict[str, UpstreamTrack] = {}
@@ -170,6 +200,9 @@
         self._zones_sampled_at = -math.inf
         self._held: defaultdict[int, set[int]] = defaultdict(set)
         self._free_as_held: dict[tuple, list[UpstreamTrack]] = {}
+        self.serve_in_time = serve_in_time
+        self.demand = SlotDemand()
+        self.refused_for_in_time = 0
         self.refusal_limit = refusal_limit or RefusalLimit()
         self._rate_limits = RateLimits() if rate_limits is None else rate_limits
         self._max_route_rank = 0
@@ -268,6 +301,15 @@
         self._max_route_rank = max(self._max_route_rank, request.route_rank)
         request.length_class = self._length_class(request)
         self.waiting.add(request)
+        if self._leaves_slots:
+            self._record_arrival(request)
+        elif self.demand.is_observed:
+            self.demand = SlotDemand()
+
+    def _record_arrival(self, request: PlacementRequest) -> None:
+        arrived_at = max(request.arrived_at, request.requested_at)
+        if not (_is_exempt(request) or self._is_late(request, arrived_at)):
+            self.demand.record_arrival(_kind(request), arrived_at)
 
     def withdraw(self, request: PlacementRequest) -> None:
         """Remove a request from the queue."""
@@ -291,6 +333,9 @@
         waiting_for_faster = 0
         while self.waiting and waiting_for_faster < _MAX_WAITING_FOR_FASTER:
             request = self.waiting.take_first(now)
+            if self._needs_slot_left_over(request, now) and not self._late_slots(now):
+                blocked.append(request)
+                break
             free = self._free_tracks(request, now)
             grant = self._place(request, free, now)
             if grant is None:
@@ -313,7 +358,9 @@
         blocked = []
         while (request := self.waiting.take_late()) is not None:
             grant = None
-            if not self._is_least_urgent(request):
+            if not self._is_least_urgent(request) and (
+                not self._needs_slot_left_over(request, now) or self._late_slots(now)
+            ):
                 free = self._free_tracks(request, now)
                 grant = self._place(request, free, now)
             if grant is not None:
@@ -332,6 +379,46 @@
             self._late_grants.append(now)
             self._contended_until = now + _CONTENDED_S
 
+    @property
+    def _leaves_slots(self) -> bool:
+        """Whether late requests leave the slots to those that can be in time.
+
+        A node that places requests for plain services beside others knows only its own
+        of the requests that need their slots.
+        """
+        knows_all = self.engine is not None or self.nodes == 1
+        return self.shares_machines and self.serve_in_time and knows_all
+
+    def _needs_slot_left_over(self, request: PlacementRequest, now: float) -> bool:
+        """Whether a request gets only slots that those in time will not need."""
+        return (
+            self._leaves_slots
+            and not _is_exempt(request)
+            and self._is_late(request, now)
+        )
+
+    def slots_left_over(self, now: float) -> float | None:
+        """Return how many slots requests in time will not need.
+
+        :returns: ``None`` without an estimate, or if it is not used.
+        """
+        if not self._leaves_slots:
+            return None
+        needed = self.demand.needed_slots(now, self.holding_s)
+        if needed is None:
+            return None
+        slots = sum(track.slots for track in self.tracks.values() if _accepts(track))
+        if self.max_own is not None:
+            slots = min(slots, self.max_own)
+        return max(slots - needed, 0.0)
+
+    def _late_slots(self, now: float) -> float:
+        """Return how many slots late requests may be granted now."""
+        left_over = self.slots_left_over(now)
+        if left_over is None:
+            return math.inf
+        return max(math.floor(left_over) - self.demand.late_running(), 0)
+
     def remove_unservable(self, now: float) -> list[tuple[PlacementRequest, float]]:
         """Remove queued requests that will hardly get a slot before their deadline.
 
@@ -344,9 +431,24 @@
             retry: the estimated wait for a slot, within bounds.
         """
         removed = self._remove_beyond_limits(now)
-        late = self.waiting.late(now)
+        left_over = self.slots_left_over(now)
+        if left_over is None:
+            removed += self._late_beyond_rate(now)
+        else:
+            unreachable = self._late_beyond_left_over(left_over, now)
+            unreachable += self._unreachable_in_time(now)
+            self.refused_for_in_time += len(unreachable)
+            removed += unreachable
+        for request, _ in removed:
+            self.waiting.remove(request)
+            self._contended_until = now + _CONTENDED_S
+        return removed
+
+    def _late_beyond_rate(self, now: float) -> list[tuple[PlacementRequest, float]]:
+        """Return the late requests in excess of what late ones were granted of late."""
+        removed = []
         slots_per_s = self.late_slots_per_s(now)
-        for position, request in enumerate(late, 1):
+        for position, request in enumerate(self.waiting.late(now), 1):
             if request.has_run:
                 continue
             left_s = request.deadline_at - now
@@ -354,11 +456,49 @@
                 wait_s = position / slots_per_s if slots_per_s else left_s
                 wait_s = max(wait_s, _RETRY_AFTER_SHARE * (request.ends_at - now))
                 removed.append((request, min(wait_s, _MAX_RETRY_AFTER_S)))
-        for request, _ in removed:
-            self.waiting.remove(request)
-            self._contended_until = now + _CONTENDED_S
         return removed
 
+    def _late_beyond_left_over(
+        self, left_over: float, now: float
+    ) -> list[tuple[PlacementRequest, float]]:
+        """Return the late requests for which no slot is left over by their deadline."""
+        removed = []
+        free = left_over - self.demand.late_running()
+        slots_per_s = left_over / self.holding_s
+        for position, request in enumerate(self.waiting.late(now), 1):
+            left_s = request.deadline_at - now
+            if not _is_exempt(request) and position > free + slots_per_s * left_s:
+                removed.append((request, self._spread_retry_s(request, now)))
+        return removed
+
+    def _unreachable_in_time(self, now: float) -> list[tuple[PlacementRequest, float]]:
+        """Return the requests in time that will be late when their turn comes.
+
+        Those that came back early go last of their kind: their caller did not wait, and
+        gains nothing over those that do.
+        """
+        removed = []
+        ahead = 0
+        turnover_s = self.turnover_s(now)
+        for request in sorted(self.waiting.in_time(now), key=_refusal_key):
+            urgent_per_s = self.demand.urgent_per_s(_kind(request), now)
+            share = max(1.0 - urgent_per_s * turnover_s, _MIN_SHARE_OF_SLOTS)
+            left_s = request.objective_at - now - self._min_first_event_s(request)
+            wait_s = ahead * turnover_s / share
+            longest_s = _WAIT_MARGIN * left_s + _WAIT_MARGIN_S
+            if request.prioritized:
+                longest_s = _RETURN_WAIT_SHARE * left_s
+            if _is_exempt(request) or wait_s <= longest_s:
+                ahead += 1
+            else:
+                removed.append((request, self._spread_retry_s(request, now)))
+        return removed
+
+    def _spread_retry_s(self, request: PlacementRequest, now: float) -> float:
+        """Return a retry delay, at random within those that the caller honors."""
+        longest_s = min(_MAX_SPREAD_SHARE * (request.ends_at - now), _MAX_RETRY_AFTER_S)
+        return longest_s * self._rng.uniform(_MIN_SPREAD, 1.0)
+
     def _remove_beyond_limits(self, now: float) -> list[tuple[PlacementRequest, float]]:
         """Remove queued requests for which the upstreams' rate limits leave no room.
 
@@ -471,14 +611,22 @@
 
     def turnover_s(self, now: float) -> float:
         """Return the mean time between two requests that get a slot, under load."""
-        slots = sum(track.slots for track in self.tracks.values()) or 1
         taken_per_s = self._taken_per_s(now)
         limited_s = 0.0 if taken_per_s is None else 1.0 / taken_per_s
-        return max(self.holding_s / slots, limited_s)
+        return max(self._mean_release_s(), limited_s)
+
+    def _mean_release_s(self) -> float:
+        """Return the mean time between two slots that become free, if all are used."""
+        slots = sum(track.slots for track in self.tracks.values()) or 1
+        return self.holding_s / slots
+
+    def record_holding(self, seconds: float, number: int = 0) -> None:
+        """Add a sample of the time for which a request kept its slot.
 
-    def record_holding(self, seconds: float) -> None:
-        """Add a sample of the time for which a request kept its slot."""
+        :param number: the number of the request; 0 if it is not known.
+        """
         self.holding_s += _HOLDING_ALPHA * (seconds - self.holding_s)
+        self.demand.record_holding(number, seconds)
 
     def _is_late(self, request: PlacementRequest, now: float) -> bool:
         return now + self._min_first_event_s(request) > request.objective_at
@@ -498,6 +646,8 @@
             ordered = self.at_home or self.alone
             return self._min_answer_s(request) if ordered else 0.0
         baseline_s = FIRST_EVENT_S + request.prompt_tokens / PREFILL_TOKENS_PER_S
+        if self._leaves_slots:
+            return self._usual_first_event_s(request, baseline_s)
         return self._best_first_ratio * baseline_s
 
     def _min_answer_s(self, request: PlacementRequest) -> float:
@@ -505,6 +655,21 @@
         aim_s = max(request.objective_at - request.arrived_at, 0.0)
         return min(_LONG_ANSWER_RATIO * self._best_answer_s, _MAX_ANSWER_SHARE * aim_s)
 
+    def _usual_first_event_s(
+        self, request: PlacementRequest, baseline_s: float
+    ) -> float:
+        """Return the time to a first event at a usual engine with no slot free.
+
+        With the shortest time instead, the last requests granted as in time are late.
+        """
+        engine_slots = self.engine.slots if self.engine is not None else 1
+        baseline_s += PER_SEQUENCE_S * (engine_slots - 1)
+        objective_s = max(request.objective_at - request.arrived_at, 0.0)
+        return min(
+            self._typical_first_ratio * baseline_s,
+            _MAX_FIRST_EVENT_SHARE * objective_s,
+        )
+
     def _any_free_slot(self, now: float) -> bool:
         """Whether any upstream has a free slot and this node may use it."""
         if self.max_own is not None:
@@ -524,7 +689,17 @@
             return track.slots + _EXTRA_PLAIN_REQUESTS - track.in_flight
         if self.engine is None:
             return track.slots * _PLAIN_DEPTH - track.in_flight
-        return track.slots + _EXTRA_REQUESTS - track.in_flight
+        return track.slots + self._extra_requests - track.in_flight
+
+    @property
+    def _extra_requests(self) -> int:
+        """Requests that an engine gets in excess of its slots.
+
+        None where requests in time need the slots: one of them would wait for the next
+        slot of one engine, which long outputs keep for seconds. Queued here, it gets
+        the next one of any.
+        """
+        return 0 if self._leaves_slots else _EXTRA_REQUESTS
 
     def _free_sure_slots(self, track: UpstreamTrack) -> int:
         """Return how many more requests an upstream will hardly refuse."""
@@ -569,6 +744,11 @@
             key=lambda track: (self._cost_s(request, track, now), self._rng.random()),
         )
         has_permit = self._rate_limits.take(best.crc, now)
+        if self._leaves_slots:
+            is_late = self._is_late(request, now)
+            self.demand.record_grant(
+                _kind(request), request.number, best, is_late=is_late
+            )
         return self._grant(request, best, now, has_permit=has_permit)
 
     def _choices(self, free: list[UpstreamTrack]) -> list[UpstreamTrack]:
@@ -959,6 +1139,8 @@
         if self.engine is None:
             return lambda track: 0
         least_urgent = self._is_least_urgent(request)
+        if self._leaves_slots and self._mean_release_s() <= _SHORT_TURNOVER_S:
+            return lambda track: 0
 
         def reserved(track: UpstreamTrack) -> int:
             if not least_urgent or self._rate_limits.get(track.crc) is not None:
@@ -1035,5 +1217,19 @@
     )
 
 
+def _refusal_key(request: PlacementRequest) -> tuple[int, int, bool]:
+    came_back = request.prioritized and not _is_exempt(request)
+    return request.rank, request.route_rank, came_back
+
+
+def _is_exempt(request: PlacementRequest) -> bool:
+    """Whether a request may not be refused: its work, or its stream, would be lost."""
+    return bool(request.has_run or request.software)
+
+
+def _kind(request: PlacementRequest) -> Kind:
+    return request.rank, request.route_rank
+
+
 def _accepts(track: UpstreamTrack) -> bool:
     return not (track.departed or track.entry.draining)
--- a/baobabwing/gateway/decisions/tracking.py
+++ b/baobabwing/gateway/decisions/tracking.py
@@ -12,7 +12,13 @@
 from baobabwing.gateway.decisions.zone_choice import zone_crc
 from baobabwing.gateway.model import EngineSpec, UpstreamEntry
 
-__all__ = ["InFlightRequest", "UpstreamTrack"]
+__all__ = [
+    "FIRST_EVENT_S",
+    "PER_SEQUENCE_S",
+    "PREFILL_TOKENS_PER_S",
+    "InFlightRequest",
+    "UpstreamTrack",
+]
 
 # Baseline of the prediction: prompt tokens processed per second, and the time to the
 # first token of an empty prompt, as of some current engines. The time that an upstream
@@ -22,7 +28,7 @@
 FIRST_EVENT_S = 0.045
 # Delay of a first event per sequence in the batch: 0.036 ms in each step of 6.3 ms, and
 # the share of prefill that each sequence brings.
-_PER_SEQUENCE_S = 0.02
+PER_SEQUENCE_S = 0.02
 # Weight of a new sample: the average follows a change of speed within some ten events.
 _ALPHA = 0.12
 # Bound of measured ratios, and by its reciprocal of the slowness from below.
@@ -297,9 +303,9 @@
             load = (self.in_flight + self.told_others) / self.slots
             return self._answer_s(unmeasured_s) * (1 + load)
         prefill_s = (self.queued_prompt_tokens() + prompt_tokens) / PREFILL_TOKENS_PER_S
-        batching_s = _PER_SEQUENCE_S * self.in_flight
+        batching_s = PER_SEQUENCE_S * self.in_flight
         overload_s = (
-            max(self.in_flight - self.slots + 1, 0) * _PER_SEQUENCE_S * self.slots
+            max(self.in_flight - self.slots + 1, 0) * PER_SEQUENCE_S * self.slots
         )
         return FIRST_EVENT_S + prefill_s + batching_s + overload_s
 
--- a/baobabwing/gateway/decisions/waiting.py
+++ b/baobabwing/gateway/decisions/waiting.py
@@ -122,15 +122,7 @@
         if request.zone:
             of_zone = self._by_zone.setdefault(request.zone, {})
             of_zone.setdefault(request.urgency, {})[request.number] = request
-        key = (
-            request.rank,
-            request.route_rank,
-            not request.software,
-            request.length_class,
-            request.objective_at,
-            request.number,
-        )
-        heapq.heappush(self._on_time, key)
+        heapq.heappush(self._on_time, _in_time_key(request))
 
     def remove(self, request: PlacementRequest) -> None:
         """Remove a request; does nothing if it is not queued."""
@@ -195,12 +187,35 @@
                 del of_zone[request.urgency]
         return request
 
+    def in_time(self, now: float) -> list[PlacementRequest]:
+        """Return the requests in time, in the order in which they would be taken."""
+        in_time = [
+            request
+            for request in self._requests.values()
+            if not self._is_late(request, now)
+        ]
+        in_time.sort(key=_in_time_key)
+        return in_time
+
     def _without_removed(self, heap: list[_Key]) -> list[_Key]:
         kept = [key for key in heap if key[-1] in self._requests]
         heapq.heapify(kept)
         return kept
 
 
+def _in_time_key(
+    request: PlacementRequest,
+) -> tuple[int, int, bool, int, float, int]:
+    return (
+        request.rank,
+        request.route_rank,
+        not request.software,
+        request.length_class,
+        request.objective_at,
+        request.number,
+    )
+
+
 def _urgency_key(request: PlacementRequest) -> tuple[bool, int, int, float]:
     return (
         not (request.has_run or request.software),
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -224,6 +224,7 @@
             if queue.scheduler.shares_machines:
                 queue.share_reports(pool.scheduler.tracks)
             queue.scheduler.zone_price_s_per_mb = pool.scheduler.zone_price_s_per_mb
+            queue.scheduler.serve_in_time = pool.scheduler.serve_in_time
 
     def _shed(self, key: CellKey, queue: CellQueue, now: float) -> None:
         """Refuse the queued requests that will hardly get a slot in time."""
--- a/baobabwing/gateway/pool.py
+++ b/baobabwing/gateway/pool.py
@@ -403,7 +403,8 @@
         """
         self._notify_home(grant, kind, pace_s)
         grant.track.remove_request(grant.request.number)
-        self.scheduler.record_holding(time.monotonic() - grant.granted_at)
+        held_s = time.monotonic() - grant.granted_at
+        self.scheduler.record_holding(held_s, grant.request.number)
         self.pump()
 
     def describe(self, grant: Grant) -> dict[str, object]:
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -303,6 +303,8 @@
             runtime.scheduler.zone_price_s_per_mb = (
                 self.settings.shared_machines.zone_price_s_per_mb
             )
+            shared = self.settings.shared_machines
+            runtime.scheduler.serve_in_time = shared.serve_in_time
             runtime.permits = self.permits
             runtime.rate_limits.set_share(self._share, time.monotonic())
             runtime.on_refusal = lambda upstream: self.on_refusal(runtime, upstream)
