--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -370,7 +370,9 @@
     "slot in time: how many, those of them that had been run or refused before "
     "(`prioritized`), those that stay queued, and the slots that late requests got in "
     "the last second. `late_ms` and `left_ms`: how far the most urgent one refused was "
-    "past its objective, and the time that it had left to get a slot.",
+    "past its objective, and the time that it had left to get a slot. `left_over`: the "
+    "slots that requests in time will not need, if upstreams share their machines; "
+    "then also requests are refused that will be late when their turn comes.",
 )
 MESSAGE_DROPPED = define(
     3507,
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -96,6 +96,7 @@
         )
         self.state.permits = self._permits
         self.state.on_pool = self._list_pool
+        self._homes.on_refused_for_in_time = self._count_refused_for_in_time
         self._homes.on_leaving = lambda entry: self.state.note_leaving(
             entry, source="peer"
         )
@@ -277,6 +278,9 @@
                 break
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
 
+    def _count_refused_for_in_time(self, pool: str, count: int) -> None:
+        self.metrics.refused_for_in_time.labels(pool).inc(count)
+
     async def _sweep(self) -> None:
         """Close idle connections that are stale or lead to unlisted upstreams."""
         while True:
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -85,6 +85,14 @@
             meaning="Final answers of the gateway's own, by reason.",
             label_names=("code",),
         )
+        self.refused_for_in_time = LightCounter(
+            name="baobabwing_gateway_refused_for_in_time_total",
+            meaning=(
+                "Requests that this node, as the home of a cell, refused as requests "
+                "that can be in time need the slots, or as their turn would come late."
+            ),
+            label_names=("pool",),
+        )
         self.attempts = LightCounter(
             name="baobabwing_gateway_tries_total",
             meaning="Tries at upstreams by how they ended.",
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -53,6 +53,9 @@
 # Interval at which unresponsive nodes, expired requests and engines whose ejection has
 # ended are handled.
 _TICK_S = 0.1
+# The same while upstreams share their machines: requests that will not be served are
+# refused within an eighth of their objective, of which the shortest are some 0.4 s.
+_SHARING_TICK_S = 0.05
 # Interval at which a node reports its slots at the engines of a cell, so that a new
 # home learns them soon. It grows with the fleet above this many nodes, which keeps the
 # reports at some 2 KB/s.
@@ -166,6 +169,8 @@
     :param members: the fleet's membership.
     :param rng: breaks ties, and spreads the times after which requests are retried.
     :ivar on_leaving: called with an engine that a node reports to be leaving.
+    :ivar on_refused_for_in_time: called with a pool's name and how many of its requests
+        were refused because those in time need the slots.
     """
 
     def __init__(self, *, link: GatewayLink, members: Members, rng: Random) -> None:
@@ -179,6 +184,9 @@
         self._unacknowledged: dict[CellKey, set[RequestKey]] = defaultdict(set)
         self._loads: dict[CellKey, _CellWork] = defaultdict(_CellWork)
         self.on_leaving: Callable[[UpstreamEntry], object] = lambda entry: None
+        self.on_refused_for_in_time: Callable[[str, int], object] = lambda pool, count: (
+            None
+        )
         members.on_change(self._drop_departed)
         link.handle(SlotRequest, self._measured(self._handle_slot_request))
         link.handle(RequestUpdates, self._measured(self._handle_updates))
@@ -200,7 +208,7 @@
         """Expire, refuse and place queued requests and log the load of the cells."""
         logged_at = time.monotonic()
         while True:
-            await asyncio.sleep(_TICK_S)
+            await asyncio.sleep(self._tick_s())
             now = time.monotonic()
             if now - logged_at >= _LOAD_LOG_INTERVAL_S:
                 logged_at = now
@@ -217,6 +225,12 @@
                 else:
                     self._place_waiting(key)
 
+    def _tick_s(self) -> float:
+        sharing = any(
+            queue.scheduler.shares_machines for queue in self._queues.values()
+        )
+        return _SHARING_TICK_S if sharing else _TICK_S
+
     def _copy_sharing(self, key: CellKey, queue: CellQueue) -> None:
         pool = self._pools.get(key.pool)
         if pool is not None:
@@ -228,11 +242,16 @@
 
     def _shed(self, key: CellKey, queue: CellQueue, now: float) -> None:
         """Refuse the queued requests that will hardly get a slot in time."""
+        refused_before = queue.scheduler.refused_for_in_time
         shed = queue.remove_unservable(now)
+        refused_for_in_time = queue.scheduler.refused_for_in_time - refused_before
+        if refused_for_in_time:
+            self.on_refused_for_in_time(self._pool_name(key), refused_for_in_time)
         for holder, _, wait_s in shed:
             self._refuse(key, queue, holder, wait_s, now)
         if shed:
             _, first, _ = shed[0]
+            left_over = queue.scheduler.slots_left_over(now)
             log(
                 REQUESTS_SHED,
                 pool=self._pool_name(key),
@@ -241,6 +260,7 @@
                 prioritized=sum(request.prioritized for _, request, _ in shed),
                 waiting=len(queue.scheduler.waiting),
                 slots_per_s=queue.scheduler.late_slots_per_s(now),
+                left_over=None if left_over is None else round(left_over, 1),
                 late_ms=round(1000 * (now - first.objective_at), 1),
                 left_ms=round(1000 * (first.deadline_at - now), 1),
             )
--- a/tests/gateway/placement/test_cell_homes.py
+++ b/tests/gateway/placement/test_cell_homes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import time
+from dataclasses import replace
 from types import SimpleNamespace
 
 from baobabwing.gateway.decisions.refusal_limit import RefusalLimit
@@ -117,3 +119,34 @@
     assert pool.index_of(name_crc("e2")) == 0
     assert pool.layout == (("e0", "e1", "e2"),)
     assert divided == [3]
+
+
+def test_late_requests_are_refused_at_once_while_others_need_the_slots(run):
+    """They got slots for seconds, or heard of their refusal after their objective."""
+
+    async def scenario():
+        scheduler = PoolScheduler(engine=ENGINE, rng=random.Random(1))
+        scheduler.shares_machines = True
+        pool = CellPool(name="p", scheduler=scheduler)
+        entry = UpstreamEntry(instance="e0", pool="p", address="a", slots=2)
+        scheduler.set_upstreams([entry])
+        pool.set_upstreams([entry])
+        members = SimpleNamespace(total=2, on_change=lambda listener: None)
+        link, refused = RecordingLink(), []
+        homes = CellHomes(link=link, members=members, rng=random.Random(1))
+        homes.on_refused_for_in_time = lambda name, count: refused.append(name)
+        homes.list_pool(pool)
+        running = asyncio.ensure_future(homes.run())
+        for number in range(1, 24):
+            request = slot_request(pool, number)
+            link.handlers[SlotRequest](request, NODE)
+            await asyncio.sleep(0.05)
+        late = replace(slot_request(pool, 99), objective_s=-1.0, committed=True)
+        link.handlers[SlotRequest](late, NODE)
+        asked_at = time.monotonic()
+        await eventually(lambda: refused, "a refusal")
+        assert time.monotonic() - asked_at < 0.3
+        assert 99 not in [grant.number for grant in link.grants()]
+        running.cancel()
+
+    run(scenario())
