--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -99,7 +99,7 @@
 # A request in time is refused if its expected wait is longer than this many times what
 # it can wait, and by this many seconds: turnover is a mean of some twenty requests, and
 # a refusal that was not needed costs more than one that comes late.
-_WAIT_MARGIN = 1.5
+_WAIT_MARGIN = 2.5
 _WAIT_MARGIN_S = 0.05
 # The same for a request whose caller came back in time: it was told to come back later,
 # and coming back early may not pay.
--- a/baobabwing/gateway/placement/cell_homes.py
+++ b/baobabwing/gateway/placement/cell_homes.py
@@ -184,9 +184,7 @@
         self._unacknowledged: dict[CellKey, set[RequestKey]] = defaultdict(set)
         self._loads: dict[CellKey, _CellWork] = defaultdict(_CellWork)
         self.on_leaving: Callable[[UpstreamEntry], object] = lambda entry: None
-        self.on_refused_for_in_time: Callable[[str, int], object] = lambda pool, count: (
-            None
-        )
+        self.on_refused_for_in_time: Callable[[str, int], object] = _ignore_refused
         members.on_change(self._drop_departed)
         link.handle(SlotRequest, self._measured(self._handle_slot_request))
         link.handle(RequestUpdates, self._measured(self._handle_updates))
@@ -499,6 +497,10 @@
         return pool.name if pool else f"crc {key.pool}"
 
 
+def _ignore_refused(pool: str, count: int) -> None:
+    pass
+
+
 def _placement_request(
     message: SlotRequest, queue: CellQueue, now: float
 ) -> PlacementRequest:
--- a/tests/gateway/decisions/test_slot_demand.py
+++ b/tests/gateway/decisions/test_slot_demand.py
@@ -152,7 +152,7 @@
 def test_least_urgent_requests_end_in_time_under_bursts(seed):
     """Half of the least urgent that were served were late and held slots for seconds.
 
-    Shares of worth by rank without the rule, seeds 1 to 3: 0.95, 0.85, 0.49 (mean).
+    Shares of worth by rank without the rule, seeds 1 to 3: 0.95, 0.84, 0.50 (mean).
     """
     load = UnevenLoad(seed, shares_machines=True).run()
     shares = [load.shares(rank) for rank in KINDS]
