--- a/tests/gateway/placement/test_plain_fleet.py
+++ b/tests/gateway/placement/test_plain_fleet.py
@@ -101,7 +101,7 @@
     )
     assert sum(link.handled for link in with_homes.links.values()) == 0
     monkeypatch.setattr(PlainFleet, "uses_homes", False)
-    without = surge(monkeypatch, nodes=91, message_cpu_s=CHEAP_MESSAGE_S, shared=True)
+    without = surge(monkeypatch, nodes=91, message_cpu_s=CHEAP_MESSAGE_S, shared=False)
     assert with_homes.counts == without.counts
 
 
