--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -586,8 +586,9 @@
         """Return how long an upstream takes to generate so many tokens."""
         if self.engine is None:
             return 0.0
-        typical_s = track.told_slowness * (self._typical_interval_s or 0.0)
-        interval_s = track.event_interval_s or typical_s
+        interval_s = track.event_interval_s
+        if interval_s is None:
+            interval_s = track.told_slowness * (self._typical_interval_s or 0.0)
         return tokens * interval_s / self.engine.tokens_per_event
 
     def usual_output_s(self, track: UpstreamTrack) -> float:
