--- a/baobabwing/gateway/decisions/scheduling.py
+++ b/baobabwing/gateway/decisions/scheduling.py
@@ -178,7 +178,7 @@
         rng: Random,
         refusal_limit: RefusalLimit | None = None,
         rate_limits: RateLimits | None = None,
-        serve_in_time: bool = True,
+        serve_in_time: bool = False,
     ) -> None:
         self.engine = engine
         self.tracks: dict[str, UpstreamTrack] = {}
--- a/baobabwing/gateway/settings.py
+++ b/baobabwing/gateway/settings.py
@@ -59,7 +59,7 @@
         availability zones is worth; 0 to place without regard to zones.
     """
 
-    serve_in_time: bool = True
+    serve_in_time: bool = False
     share_plain_slots: bool = True
     zone_price_s_per_mb: float = 0.0
 
--- a/tests/gateway/placement/test_cell_homes.py
+++ b/tests/gateway/placement/test_cell_homes.py
@@ -125,7 +125,9 @@
     """They got slots for seconds, or heard of their refusal after their objective."""
 
     async def scenario():
-        scheduler = PoolScheduler(engine=ENGINE, rng=random.Random(1))
+        scheduler = PoolScheduler(
+            engine=ENGINE, rng=random.Random(1), serve_in_time=True
+        )
         scheduler.shares_machines = True
         pool = CellPool(name="p", scheduler=scheduler)
         entry = UpstreamEntry(instance="e0", pool="p", address="a", slots=2)
