--- a/baobabwing/gateway/tunnels.py
+++ b/baobabwing/gateway/tunnels.py
@@ -145,7 +145,10 @@
 
     async def _answer(self, conn: HttpConnection, request: h11.Request) -> None:
         address = request.target.decode("latin-1")
-        status = self._refusal(conn, request, address)
+        status = self._refusal(request, address)
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            reason = "no capacity"
+            log(TUNNEL_REFUSED, peer=conn.peer, upstream=address, reason=reason)
         if status is None:
             try:
                 upstream = await self._connect(address)
@@ -164,9 +167,7 @@
             raise
         self._splice(conn.transport, upstream)
 
-    def _refusal(
-        self, conn: HttpConnection, request: h11.Request, address: str
-    ) -> HTTPStatus | None:
+    def _refusal(self, request: h11.Request, address: str) -> HTTPStatus | None:
         """Return why there is no tunnel, as a status; ``None`` if there may be one."""
         if request.method != b"CONNECT":
             return HTTPStatus.METHOD_NOT_ALLOWED
@@ -174,7 +175,6 @@
             return HTTPStatus.FORBIDDEN
         most = _MAX_TUNNELS_WHEN_LATE if self._is_late() else _MAX_TUNNELS
         if self.active >= most or not self.accepting:
-            log(TUNNEL_REFUSED, peer=conn.peer, upstream=address, reason="no capacity")
             return HTTPStatus.SERVICE_UNAVAILABLE
         return None
 
