Notice that the callers of long requests leave

Cause: reading pauses once more than 64 KiB come before the reader waits for data. If these bytes end the request, nobody waits for more, reading stays paused, and the end of a connection that is not read is never reported.

Reading now resumes once a message is whole, unless more than 64 KiB wait beyond it, which bounds what a caller can have a node keep. Kept connections to upstreams were paused after long answers in the same way; the same change covers them.

Both tests failed before and pass.

--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -143,6 +143,8 @@
                 raise MalformedError(
                     str(exc), status=exc.error_status_hint, step="read", peer=self.peer
                 ) from exc
+            if isinstance(event, h11.EndOfMessage):
+                self._read_beyond_message()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return event
             self._unread = 0
@@ -213,10 +215,23 @@
         if self.transport is not None:
             self.transport.abort()
 
-    async def _wait_for_data(self) -> None:
+    def _read_beyond_message(self) -> None:
+        """Resume reading unless much waits beyond the message that is whole now.
+
+        The end of a connection is not reported while it is not read, and nobody waits
+        for data while the message is handled.
+        """
+        self._unread = len(self.http.trailing_data[0])
+        if self._unread <= _HIGH_WATER_BYTES:
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
         if self._read_paused and self.transport is not None:
             self._read_paused = False
             self.transport.resume_reading()
+
+    async def _wait_for_data(self) -> None:
+        self._resume_reading()
         self._readable = asyncio.get_running_loop().create_future()
         try:
             await self._readable
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -4,9 +4,18 @@
 
 import pytest
 
-from baobabwing.gateway.model import UpstreamEntry
+from baobabwing.gateway.model import RouteKind, UpstreamEntry
 from baobabwing.standins.gateway_upstream import Behaviour
-from tests.gateway.harness import NAMES, GatewayHarness, ask, eventually, read, send
+from tests.gateway.harness import (
+    NAMES,
+    GatewayHarness,
+    ask,
+    default_configuration,
+    eventually,
+    read,
+    route,
+    send,
+)
 
 HOST = (b"Host", b"service")
 
@@ -360,6 +369,25 @@
     run(scenario())
 
 
+def test_upstream_stops_when_the_caller_of_a_long_request_disconnects(run):
+    """A long request left its connection unread, so that nobody saw the caller go."""
+    slow = route("unsafe", "/unsafe/", RouteKind.UNSAFE, attempts=1, timeout_s=60.0)
+
+    async def scenario():
+        async with GatewayHarness(default_configuration(routes=(slow,))) as harness:
+            harness.behaviour["services"] = Behaviour(mute=True)
+            conn = await harness.caller()
+            headers = [(NAMES.deadline, b"60000")]
+            body = b"x" * 110_000
+            await send(conn, "/unsafe/x", "l1", body=body, headers=headers)
+            await eventually(lambda: harness.runs("l1") == 1, "run")
+            conn.abort()
+            services = [harness.upstreams[f"services-{n}"][0] for n in (1, 2)]
+            await eventually(lambda: sum(s.left_early for s in services) == 1, "stop")
+
+    run(scenario())
+
+
 def test_queued_request_of_a_caller_that_left_is_never_sent(run):
     """All slots are in use, and a caller disconnects while its request is queued.
 
--- a/tests/gateway/test_upstream_connections.py
+++ b/tests/gateway/test_upstream_connections.py
@@ -197,6 +197,20 @@
     asyncio.run(scenario())
 
 
+def test_kept_connection_is_read_after_a_long_answer():
+    """A pause that its last bytes caused would hide that the upstream closes it."""
+
+    async def scenario():
+        body = b"x" * 200_000
+        head = answered(b"mine").replace(b"Length: 0", b"Length: %d" % len(body))
+        received, connection, transport = await read_answer([head + body], end="")
+        assert received[1] == body
+        assert not transport.paused
+        assert connection.reusable
+
+    asyncio.run(scenario())
+
+
 def test_connection_that_the_upstream_closes_is_not_kept():
     async def scenario():
         data = answer(framing="length").replace(
