Report answers whose head is cut as lost beside the gateway

An upstream that stops within its answer's head and closes must not pass for one whose answer is whole. The property test beside it allowed a cut head for answers that end with their connection; it no longer does.

Beside the gateway, http.client takes the end of the connection for the end of the headers. Answers that had stated a length of 0 by then counted as whole; others were refused as bodies without a length. The reader of heads now reports a line without its end as a lost connection.

--- a/baobabwing/entry/upstream.py
+++ b/baobabwing/entry/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import io
 import select
 import socket
 import threading
@@ -69,6 +70,20 @@
     """Wraps an error of the ``before_send`` hook, to tell it from network errors."""
 
 
+class _HeadReader(io.BufferedReader):
+    """Reads the lines of a head, which ends with an empty one.
+
+    The library takes the end of the connection for the end of the headers.
+    """
+
+    def readline(self, size: int | None = -1) -> bytes:
+        line = super().readline(size)
+        at_limit = size is not None and len(line) == size
+        if not line.endswith(b"\n") and not at_limit:
+            raise http.client.RemoteDisconnected("connection closed within the head")
+        return line
+
+
 class _Connection(HTTPConnection):
     """A connection that never reconnects, with a hook before its first byte."""
 
@@ -98,6 +113,7 @@
         self, sock: socket.socket, *args: object, **options: object
     ) -> http.client.HTTPResponse:
         self.raw = http.client.HTTPResponse(sock, *args, **options)
+        self.raw.fp = _HeadReader(self.raw.fp.detach())
         return self.raw
 
 
--- a/tests/gateway/test_upstream_connections.py
+++ b/tests/gateway/test_upstream_connections.py
@@ -108,8 +108,9 @@
     cut_short = cut < len(data)
     if framing == "close":
         # Such an answer is delimited by the end of the connection only, so that any
-        # orderly end counts as its end.
-        assert received is None or end == "eof"
+        # orderly end counts as its end, once its head is whole.
+        whole_head = cut >= data.index(BODY)
+        assert received is None or (end == "eof" and whole_head)
         return
     assert (received is None) == cut_short
     if received is not None:
@@ -117,6 +118,23 @@
         assert connection.reusable == (not extra and end == "open")
 
 
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+@pytest.mark.parametrize("end", ["eof", "reset"])
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+def test_answer_whose_head_is_cut_is_lost(framing, end, interim):
+    """It must not pass for a whole answer without a body."""
+
+    async def scenario():
+        data = answer(framing=framing)
+        head = data[: data.index(b"\r\n\r\n") + 4]
+        for cut in range(len(head)):
+            received, connection, _ = await read_answer([interim + head[:cut]], end=end)
+            assert received is None
+            assert not connection.reusable
+
+    asyncio.run(scenario())
+
+
 def test_kept_connection_that_gets_a_late_answer_is_closed():
     """An upstream answers twice, the second time while the connection is idle.
 
