Store a version of an upstream before streams begin there

Cause: the versions that served are in the store for nodes that start, but a version was written 1 to 4 s after it was listed, and used at once; where the store refused writes, it was used for as long as that lasted. If all nodes died before the write and the version's upstreams were gone when they were back, the row vouched for the other version alone. Besides, a node that did not follow the store at the time of a write dropped it, and nobody made it.

Change: while a stored version serves, upstreams of one that is not stored are left out of the pool for 5 s at most, at homes too, so that no stream begins there. What is stored is a document that nodes pass on like the list of upstreams, with its position in the store, so that other nodes need not read it. The rows of all services are read by one call, and a write that can't be made now is tried again.

--- a/baobabwing/gateway/decisions/stored_software.py
+++ b/baobabwing/gateway/decisions/stored_software.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from typing import Any
 
 from baobabwing.gateway.decisions.stream_origins import SOFTWARE_KEPT_S
 
-__all__ = ["StoredSoftware", "decode_software", "encode_software"]
+__all__ = ["HeldVersions", "StoredSoftware", "decode_software", "encode_software"]
+
+# Time for which a version's upstreams get no requests while the version can't be
+# stored. Longer than a node that starts takes to find the others and write.
+_MAX_HELD_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -77,3 +82,57 @@
         "gone": stored.gone,
         "since_s": stored.since_s,
     }
+
+
+class HeldVersions:
+    """Versions of a pool that get no requests until they are stored; reads no clock.
+
+    When all nodes are killed, only the stored versions are known to have served. A
+    stream of another one would go on at those.
+    """
+
+    def __init__(self) -> None:
+        self._release_at: dict[str, float] = {}
+        self._held: frozenset[str] = frozenset()
+
+    def __bool__(self) -> bool:
+        return bool(self._held)
+
+    def __contains__(self, version: str) -> bool:
+        return version in self._held
+
+    @property
+    def release_at(self) -> float:
+        """When the next held version gets requests all the same."""
+        return min(self._release_at[version] for version in self._held)
+
+    def update(
+        self,
+        listed: AbstractSet[str],
+        serving: AbstractSet[str],
+        stored: AbstractSet[str],
+        now: float,
+    ) -> AbstractSet[str]:
+        """Hold the versions that are not stored while a stored one serves.
+
+        A version that was released is not held again.
+
+        :param listed: versions of all listed upstreams.
+        :param serving: versions of those that do not leave.
+        :param stored: versions that are stored as listed; empty if that is unknown.
+        :returns: versions that were held before and are not any more.
+        """
+        before = self._held
+        if not stored:
+            self._held = frozenset()
+            return before
+        self._release_at = {
+            version: self._release_at.get(version, now + _MAX_HELD_S)
+            for version in listed - stored
+        }
+        if not serving & stored:
+            self._release_at = dict.fromkeys(self._release_at, now)
+        self._held = frozenset(
+            version for version, until in self._release_at.items() if now < until
+        )
+        return before - self._held
--- a/baobabwing/gateway/document_distribution.py
+++ b/baobabwing/gateway/document_distribution.py
@@ -73,6 +73,7 @@
     CONFIGURATION = "configuration"
     UPSTREAMS = "upstreams"
     ROLLOUTS = "rollouts"
+    SOFTWARE = "software"
 
 
 # Documents without which a node can't serve.
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -70,6 +70,8 @@
     "UPSTREAM_STILL_UP",
     "UPSTREAM_UNREADABLE",
     "UPSTREAM_UNRESPONSIVE",
+    "VERSIONS_HELD",
+    "VERSIONS_RELEASED",
     "ZONE_KEEPS_IN",
     "ZONE_SENDS_OUT",
 ]
@@ -393,6 +395,19 @@
     "After a kill of all nodes, streams that were running may be refused.",
     level="warning",
 )
+VERSIONS_HELD = define(
+    8520,
+    "versions_held",
+    "Upstreams of versions that are not stored get no requests for now: after a kill "
+    "of all nodes, their streams would go on at another version. `stored`: versions "
+    "that are.",
+)
+VERSIONS_RELEASED = define(
+    8521,
+    "versions_released",
+    "Held versions get requests from now on. `stored`: whether they are stored; if "
+    "not, no stored version serves any more, or that took too long.",
+)
 HELD_UNWRITTEN = define(
     5505,
     "held_unwritten",
--- a/baobabwing/gateway/routing.py
+++ b/baobabwing/gateway/routing.py
@@ -16,6 +16,7 @@
     on the number of routes.
 
     :param cfg: the configuration to index.
+    :ivar resumable_pools: names of the pools whose streams their callers may take up.
     """
 
     def __init__(self, *, cfg: GatewayConfiguration) -> None:
@@ -24,6 +25,12 @@
         self._routes: dict[tuple[str, str], Route] = {}
         for route in cfg.routes:
             self._routes.setdefault((route.host.lower(), route.prefix), route)
+        self.resumable_pools = {
+            target.pool
+            for route in cfg.routes
+            if route.resumable
+            for target in route.targets
+        }
         self._by_key = {
             key: organisation
             for organisation in cfg.organisations
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import time
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from random import Random
 
@@ -13,7 +14,7 @@
 from baobabwing.gateway.decisions.prompt_parts import PartQuarantine
 from baobabwing.gateway.decisions.quarantine import Quarantine
 from baobabwing.gateway.decisions.quotas import QuotaBook
-from baobabwing.gateway.decisions.stored_software import StoredSoftware
+from baobabwing.gateway.decisions.stored_software import HeldVersions, StoredSoftware
 from baobabwing.gateway.decisions.stream_origins import SoftwareHistory
 from baobabwing.gateway.events import (
     CONFIGURATION_TAKEN,
@@ -22,6 +23,8 @@
     UPSTREAM_SAID_LEAVING,
     UPSTREAM_START_REPLACED,
     UPSTREAMS_CHANGED,
+    VERSIONS_HELD,
+    VERSIONS_RELEASED,
 )
 from baobabwing.gateway.model import (
     EngineSpec,
@@ -92,6 +95,9 @@
         self._reachable_nodes = 1
         self._entries: dict[str, tuple[UpstreamEntry, ...]] = {}
         self._leaving: OrderedDict[str, None] = OrderedDict()
+        self._stored_versions: Mapping[str, frozenset[str]] = {}
+        self._held: dict[str, HeldVersions] = {}
+        self._release_timers: dict[str, asyncio.TimerHandle] = {}
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings of retry budgets, limits' tolerance and rollouts."""
@@ -242,6 +248,16 @@
                 one.recent(store_s), store_s - one.since_s, time.monotonic()
             )
 
+    def set_stored_versions(self, stored: Mapping[str, frozenset[str]]) -> None:
+        """Set the versions that the store names as listed, by pool.
+
+        :param stored: pools of which nothing is known are left out.
+        """
+        before, self._stored_versions = self._stored_versions, stored
+        for name in set(self.pools) & {*before, *stored}:
+            if before.get(name) != stored.get(name):
+                self._list_upstreams(self._pool(name))
+
     def lists_address(self, address: str) -> bool:
         """Whether an upstream with this address is listed."""
         return any(
@@ -327,13 +343,50 @@
         name = pool.cells.name
         listed = self._entries.get(name, ())
         pool.software.set_listed((entry.version for entry in listed), time.monotonic())
-        entries = self.rollouts.list_upstreams(name, listed)
+        entries = self.rollouts.list_upstreams(name, self._without_held(name, listed))
         pool.rate_limits.retain(name_crc(entry.instance) for entry in listed)
         pool.scheduler.set_upstreams(entries)
         pool.cells.set_upstreams(entries)
         self.on_pool(pool.cells)
         pool.pump()
 
+    def _without_held(
+        self, name: str, listed: Sequence[UpstreamEntry]
+    ) -> Sequence[UpstreamEntry]:
+        """Return the upstreams of a pool whose versions are not held."""
+        if self.table is None or name not in self.table.resumable_pools:
+            return listed
+        held, now = self._held.setdefault(name, HeldVersions()), time.monotonic()
+        had = bool(held)
+        stored = self._stored_versions.get(name, frozenset())
+        released = held.update(
+            {entry.version for entry in listed},
+            {entry.version for entry in listed if not entry.draining},
+            stored,
+            now,
+        )
+        if released:
+            log(
+                VERSIONS_RELEASED,
+                pool=name,
+                versions=sorted(released),
+                stored=released <= stored,
+            )
+        if not held:
+            return listed
+        if not had:
+            log(VERSIONS_HELD, pool=name, stored=sorted(stored))
+        self._schedule_release(name, held.release_at - now)
+        return [entry for entry in listed if entry.version not in held]
+
+    def _schedule_release(self, name: str, delay_s: float) -> None:
+        timer = self._release_timers.get(name)
+        if timer is not None:
+            timer.cancel()
+        self._release_timers[name] = asyncio.get_running_loop().call_later(
+            delay_s, lambda: self._list_upstreams(self._pool(name))
+        )
+
 
 async def _never_confirmed() -> bool:
     return False
--- a/tests/gateway/decisions/test_stored_software.py
+++ b/tests/gateway/decisions/test_stored_software.py
@@ -3,6 +3,7 @@
 import pytest
 
 from baobabwing.gateway.decisions.stored_software import (
+    HeldVersions,
     decode_software,
     encode_software,
 )
@@ -64,3 +65,40 @@
     assert history.needs_records(5.0) == (sole is None)
     if sole is not None:
         assert history.view(5.0).sole == software_crc(sole)
+
+
+OLD, NEW, BOTH = frozenset({"v1"}), frozenset({"v2"}), frozenset({"v1", "v2"})
+
+
+@pytest.mark.parametrize(
+    ("serving", "stored", "is_held"),
+    [
+        (BOTH, OLD, True),
+        (BOTH, BOTH, False),
+        (BOTH, frozenset(), False),
+        (NEW, OLD, False),
+    ],
+)
+def test_version_is_held_until_it_is_stored(serving, stored, is_held):
+    """Streams began at versions that nodes which start later can't know of."""
+    held = HeldVersions()
+    held.update(BOTH, serving, stored, 1.0)
+    assert ("v2" in held) == is_held
+    assert "v1" not in held
+
+
+def test_version_that_can_not_be_stored_is_not_held_for_ever():
+    held = HeldVersions()
+    held.update(BOTH, BOTH, OLD, 1.0)
+    assert held.update(BOTH, BOTH, OLD, held.release_at - 0.1) == set()
+    assert held.update(BOTH, BOTH, OLD, held.release_at) == NEW
+    held.update(BOTH, BOTH, OLD, 9.0)
+    assert not held
+
+
+def test_version_is_held_again_when_it_returns():
+    held = HeldVersions()
+    held.update(BOTH, BOTH, BOTH, 1.0)
+    held.update(OLD, OLD, OLD, 20.0)
+    held.update(BOTH, BOTH, OLD, 60.0)
+    assert "v2" in held
--- a/tests/platform_adapter/standin_store.py
+++ b/tests/platform_adapter/standin_store.py
@@ -35,6 +35,7 @@
     SILENT = "silent"
     RESET = "reset"
     LOSE_ANSWERS = "lose_answers"
+    READ_ONLY = "read_only"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -180,8 +181,9 @@
             return False
         if fault is StoreFault.SILENT:
             await asyncio.Event().wait()
-        if fault in (StoreFault.BUSY, StoreFault.MANY):
-            await self._send(conn, 503 if fault is StoreFault.BUSY else 429, {})
+        refuses = fault is StoreFault.READ_ONLY and request.method == b"POST"
+        if refuses or fault in (StoreFault.BUSY, StoreFault.MANY):
+            await self._send(conn, 429 if fault is StoreFault.MANY else 503, {})
             return True
         status, answer = await self._answer(target, body)
         if fault is StoreFault.LOSE_ANSWERS:
@@ -203,12 +205,15 @@
         return 404, {}
 
     def _read_page(self, query: dict[str, str]) -> dict[str, Any]:
-        start, limit = query.get("from", ""), int(query.get("limit", _PAGE_ROWS))
+        start, end = query.get("from", ""), query.get("to")
+        limit = int(query.get("limit", _PAGE_ROWS))
         matching = sorted(
             (
                 entry
                 for (table, key), entry in self._rows.items()
-                if table == query["table"] and key >= start
+                if table == query["table"]
+                and key >= start
+                and (end is None or key < end)
             ),
             key=lambda entry: entry.key,
         )
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -5,11 +5,13 @@
 import time
 from pathlib import Path
 
+from baobabwing.standins.gateway_upstream import Behaviour
 from baobabwing_platform.dialect import HEADERS
 from tests.platform_adapter import demo
 from tests.platform_adapter.standin_store import StoreFault
 
 WAIT_S = 20.0
+STREAM = Behaviour(events=12, gap_s=0.01)
 
 
 async def ask(address, number, kind="safe", key="demo-key", text=b"x", more=()):
@@ -33,6 +35,14 @@
         await asyncio.sleep(0.05)
 
 
+def has_versions(deployment):
+    async def condition():
+        rows = ("software/engines", "software/services")
+        return all(deployment.store.read("fleet", row) for row in rows)
+
+    return condition
+
+
 def with_deployment(tmp_path, story, nodes=2):
     async def play():
         deployment = demo.Deployment(nodes=nodes, folder=tmp_path)
@@ -179,6 +189,8 @@
     """
 
     async def story(deployment):
+        # Until then the others read the versions themselves.
+        await eventually(has_versions(deployment), "the versions are stored")
         deployment.send_signal(9, signal.SIGKILL)
         await deployment.processes[9].wait()
         await asyncio.sleep(3.0)
@@ -198,3 +210,54 @@
         assert 1 <= sum("rows-get?table=fleet&" in call for call in calls) <= 3
 
     with_deployment(tmp_path, story, nodes=10)
+
+
+def test_stream_of_a_version_that_nobody_stored_does_not_go_on_at_another(tmp_path):
+    """All nodes were killed, and none knew of the version that began its streams."""
+
+    async def story(deployment):
+        store = deployment.store
+        await eventually(has_versions(deployment), "the versions are stored")
+        long_ago_s = time.monotonic() - 100.0
+        value = {"listed": ["v1"], "gone": {}, "since_s": long_ago_s}
+        store.write("fleet", "software/engines", value)
+        store.fault = StoreFault.READ_ONLY
+        await deployment.start_version("engines", "v2", lambda seen: STREAM)
+
+        def begin(numbers):
+            address = deployment.callers[0]
+            return asyncio.gather(*(ask(address, one, "stream") for one in numbers))
+
+        begun = range(100, 140)
+        assert {status for status, _ in await begin(begun)} == {200}
+        deployment.stop_version("engines", "v2")
+        for number, process in enumerate(deployment.processes):
+            deployment.send_signal(number, signal.SIGKILL)
+            await process.wait()
+        store.fault = StoreFault.NONE
+        for number in range(len(deployment.processes)):
+            await deployment.restart(number)
+
+        async def serves():
+            return len(await demo.resolve(deployment.directories[0])) == 2
+
+        await eventually(serves, "all serve")
+        for number in begun:
+            more = [(HEADERS.resumes, b"%d" % number), (HEADERS.last_event, b"5")]
+            await ask(deployment.callers[0], number + 100, "stream", more=more)
+        versions = {}
+        for run, version in deployment.stream_runs():
+            versions.setdefault(int(run.request_id) % 100, []).append(version)
+        assert min(map(len, versions.values())) >= 2
+        assert [names for names in versions.values() if len(set(names)) > 1] == []
+
+        await deployment.start_version("engines", "v3", lambda seen: STREAM)
+
+        async def begins_at_new():
+            await begin(range(300, 340))
+            return any(version == "v3" for _, version in deployment.stream_runs())
+
+        await eventually(begins_at_new, "streams begin at the new version")
+        assert "v3" in store.read("fleet", "software/engines")["listed"]
+
+    with_deployment(tmp_path, story)
--- a/tests/platform_adapter/test_rollout_rows.py
+++ b/tests/platform_adapter/test_rollout_rows.py
@@ -171,7 +171,7 @@
         with pytest.raises(ConflictError):
             await client.put_rows(
                 [("status", "b", {}), ("fleet", "a", {"n": 2})],
-                expected=("fleet", "a", 0),
+                expected=[("fleet", "a", 0)],
             )
         client.close()
         assert one.store.read("status", "b") is None
--- a/tests/platform_adapter/test_software_rows.py
+++ b/tests/platform_adapter/test_software_rows.py
@@ -3,18 +3,25 @@
 import asyncio
 import random
 
+import pytest
+
+from baobabwing.gateway.position import Position
 from baobabwing_platform import software_rows
 from baobabwing_platform.eras import StoreEras
-from baobabwing_platform.software_rows import SoftwareRows
+from baobabwing_platform.software_rows import (
+    SoftwareRows,
+    decode_stored_versions,
+    encode_stored_versions,
+)
 from baobabwing_platform.store import StoreClient
 from tests.platform_adapter.standin_store import StandinStore, StoreFault
 
 KEY = "software/engines"
 
 
-def with_rows(monkeypatch, story):
-    monkeypatch.setattr(software_rows, "_MIN_DELAY_S", 0.0)
-    monkeypatch.setattr(software_rows, "_MAX_DELAY_S", 0.02)
+def with_rows(monkeypatch, story, *, delay_s=0.0, may_write=lambda: True):
+    monkeypatch.setattr(software_rows, "_MIN_DELAY_S", delay_s)
+    monkeypatch.setattr(software_rows, "_MAX_DELAY_S", delay_s + 0.02)
     monkeypatch.setattr(software_rows, "_RETRY_S", 0.02)
 
     async def scenario():
@@ -26,7 +33,8 @@
                 client=StoreClient(address=store.address, eras=StoreEras()),
                 table="fleet",
                 listed=lambda: listed,
-                may_write=lambda: True,
+                may_write=may_write,
+                on_stored=lambda stored, position: None,
                 rng=random.Random(seed),
             )
             for seed in range(3)
@@ -78,3 +86,48 @@
         await until(lambda: listed_in(store) == ["v1"])
 
     with_rows(monkeypatch, story)
+
+
+def test_change_is_written_by_a_node_that_follows_the_store_later(monkeypatch):
+    """A node that did not follow the store at that moment never wrote its change."""
+    asked = []
+
+    def may_write():
+        asked.append(True)
+        return len(asked) > 1
+
+    async def story(store, listed, rows):
+        rows[0].check()
+        await until(lambda: listed_in(store) == ["v1"])
+
+    with_rows(monkeypatch, story, may_write=may_write)
+
+
+def test_version_that_is_held_is_written_without_the_usual_delay(monkeypatch):
+    async def story(store, listed, rows):
+        value = {"listed": ["v1"], "gone": {}, "since_s": 0.0}
+        position = Position(version=store.write("fleet", KEY, value))
+        rows[0].take(listed, position)
+        listed["engines"] = frozenset({"v1", "v2"})
+        rows[0].check()
+        await until(lambda: listed_in(store) == ["v1", "v2"])
+
+    with_rows(monkeypatch, story, delay_s=60.0)
+
+
+def test_node_that_hears_of_a_write_reads_no_rows(monkeypatch):
+    async def story(store, listed, rows):
+        rows[0].check()
+        rows[0].take(dict(listed), Position(version=1))
+        await asyncio.sleep(0.1)
+        assert store.calls == []
+
+    with_rows(monkeypatch, story)
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b'{"a": "v1"}', b'{"a": [1]}'])
+def test_unreadable_versions_of_a_peer_are_errors(data):
+    with pytest.raises(ValueError):
+        decode_stored_versions(data)
+    versions = {"engines": frozenset({"v1", "v2"}), "none": frozenset()}
+    assert decode_stored_versions(encode_stored_versions(versions)) == versions
