--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -1,12 +1,13 @@
 """The client of the platform's store, and tables that are followed."""
 
 import asyncio
+import random
 import time
 
 import pytest
 
 from baobabwing.exceptions import PlatformUnavailableError, PlatformUncertainError
-from baobabwing_platform import watching
+from baobabwing_platform import store, watching
 from baobabwing_platform.eras import StoreEras
 from baobabwing_platform.store import HistoryLostError, StoreClient
 from baobabwing_platform.watching import TableWatch
@@ -25,8 +26,10 @@
 class Followed:
     """A store, and one table of it as a watch sees it."""
 
+    def __init__(self, table_store=None):
+        self.store = table_store or StandinStore()
+
     async def __aenter__(self):
-        self.store = StandinStore()
         await self.store.start()
         self.rows = None
         self.after_outage = []
@@ -267,3 +270,47 @@
 
     asyncio.run(story())
     assert paused[: len(pauses)] == pauses
+
+
+class ChangingStore(StandinStore):
+    """A store whose rows change before each later page is read."""
+
+    def __init__(self, *, rows, seed):
+        super().__init__()
+        self.rng = random.Random(seed)
+        self.left = 40
+        for number in range(rows):
+            self.write("servers", f"i-{number:03}", {"n": 0})
+
+    def _read_page(self, query):
+        if query.get("from") and self.left:
+            for _ in range(3):
+                self.change()
+        return super()._read_page(query)
+
+    def change(self):
+        self.left -= 1
+        key = f"i-{self.rng.randrange(100):03}"
+        value = None if self.rng.random() < 0.3 else {"n": self.left}
+        self.write("servers", key, value)
+        if self.rng.random() < 0.1:
+            self.forget_history()
+
+    def table(self):
+        return {key: self.read("servers", key) for key in self.keys("servers")}
+
+
+@pytest.mark.parametrize("pages", [1, 2, 8])
+@pytest.mark.parametrize("seed", range(5))
+def test_table_that_changes_between_its_pages_is_read_whole(monkeypatch, pages, seed):
+    """A worker that left between two pages stayed in the list."""
+    monkeypatch.setattr(store, "_PAGE_ROWS", 10)
+
+    async def story():
+        changing = ChangingStore(rows=10 * pages - 5, seed=seed)
+        async with Followed(changing) as one:
+            await eventually(lambda: one.rows == changing.table(), "the same rows")
+            reads = [call for call in changing.calls if "rows-get" in call]
+            assert len(reads) <= pages * (1 + 40)
+
+    asyncio.run(story())
