Tell workers that left from lapsed ones by how many are missing

Nodes whose open connections to the store had gone silent sent requests to a worker up to 5.1 s after the store had acknowledged its removal (rule DRAIN).

Cause: the loss of a node's own connection was taken for an outage of the store, and each entry that was missing within 2.5 s after it for one that had expired, on both paths: own connection, and sources that were away.

Change: missing entries are kept if half of their pool's entries or more are missing, since an outage that is long enough for entries to expire concerns most workers; then to the end of the 2.5 s, since they come back one by one. Fewer are workers that left. After a restore from a copy all are kept, as before.

Of the new tests the one of a worker that left fails before.

--- a/tests/platform_adapter/test_worker_list.py
+++ b/tests/platform_adapter/test_worker_list.py
@@ -44,6 +44,41 @@
     assert names(workers.refresh(13.5)) == {"a": False, "b": False}
 
 
+FOUR = {"a": False, "b": False, "c": False, "d": False}
+
+
+def after_outage(*views):
+    """Return what is used of four workers after each list, which come 0.1 s apart."""
+    workers, version = WorkerList(heartbeat_s=1.0), 9
+    taken(workers, listed(**dict.fromkeys(FOUR, "ready")), era=1, version=9, now=0.0)
+    workers.note_store_unavailable(5.0)
+    return [
+        taken(
+            workers,
+            listed(**dict.fromkeys(view, "ready")),
+            era=1,
+            version=version + number,
+            now=5.0 + number / 10,
+        )
+        for number, view in enumerate(views)
+    ]
+
+
+def test_worker_that_left_while_a_node_was_cut_off_gets_nothing():
+    """Its entry counted as expired in an outage, and was kept for 2.5 s."""
+    used = {"a": False, "b": False, "c": False}
+    assert after_outage("abc", "abcd", "abc") == [used, FOUR, used]
+
+
+@pytest.mark.parametrize("views", [("",), ("ab", "abc"), ("ab", "abcd", "abc")])
+def test_pool_whose_entries_expired_keeps_its_workers(views):
+    assert all(used == FOUR for used in after_outage(*views))
+
+
+def test_pool_whose_entries_expire_one_by_one_is_not_emptied():
+    assert after_outage("abcd", "abc", "ab", "a", "")[2:] == [FOUR] * 3
+
+
 def test_worker_in_service_on_trust_is_not_taken_for_one_that_left():
     """Its row lapsed during an outage; then the copy lists it.
 
