Notice that a caller leaves while its bytes are not read

Cause: such a connection stays paused, which bounds the memory that a caller takes, and the end of a connection that is not read is not reported.

Change: while a caller's connection is paused, its socket is asked every 0.2 s whether the caller has closed it (POLLRDHUP), which does not depend on unread bytes. That covers callers whose body an upstream takes slowly, too. Connections to upstreams are not asked: these may close after an answer that has yet to be read.

Measured: with 100,000 bytes beyond the request the new case of the test failed before (the upstream worked on for the 10 s of the test) and passes.

--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -19,6 +20,7 @@
 
 __all__ = [
     "HttpConnection",
+    "closed_by_peer",
     "enable_keepalive",
     "open_connection",
     "open_transport",
@@ -27,6 +29,9 @@
 
 # Reading pauses while more bytes than this wait unparsed; a few events or one prompt.
 _HIGH_WATER_BYTES = 64 * 1024
+# While a caller's connection is not read, this often it is checked whether the caller
+# has closed it. Upstreams may work on for half a second after that.
+_CLOSED_CHECK_S = 0.2
 # TCP keepalive: a peer that does not acknowledge is considered dead after about three
 # seconds: one idle second, then a probe each second. The kernel accepts whole seconds
 # only.
@@ -103,6 +108,8 @@
         ):
             self._read_paused = True
             self.transport.pause_reading()
+            if self._role is h11.SERVER:
+                self._check_closed_later()
         self._wake_reader()
 
     def eof_received(self) -> bool:
@@ -230,6 +237,22 @@
             self._read_paused = False
             self.transport.resume_reading()
 
+    def _check_closed_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(_CLOSED_CHECK_S, self._check_closed)
+
+    def _check_closed(self) -> None:
+        """Notice that the caller has closed a connection that is not read now.
+
+        An upstream may close its own after an answer that has yet to be read.
+        """
+        if self.gone or not self._read_paused:
+            return
+        if closed_by_peer(self.transport):
+            self.abort()
+        else:
+            self._check_closed_later()
+
     async def _wait_for_data(self) -> None:
         self._resume_reading()
         self._readable = asyncio.get_running_loop().create_future()
@@ -260,6 +283,16 @@
         return kind(reason, step="exchange", peer=self.peer)
 
 
+def closed_by_peer(transport: asyncio.Transport) -> bool:
+    """Whether the peer has closed a connection, however many bytes are unread."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def set_reset_on_close(transport: asyncio.Transport, enabled: bool) -> None:
     """Have the end of a connection, also that of the process, send a reset."""
     sock = transport.get_extra_info("socket")
--- a/tests/gateway/test_forwarding.py
+++ b/tests/gateway/test_forwarding.py
@@ -369,7 +369,8 @@
     run(scenario())
 
 
-def test_upstream_stops_when_the_caller_of_a_long_request_disconnects(run):
+@pytest.mark.parametrize("beyond", [0, 100_000])
+def test_upstream_stops_when_the_caller_of_a_long_request_disconnects(run, beyond):
     """A long request left its connection unread, so that nobody saw the caller go."""
     slow = route("unsafe", "/unsafe/", RouteKind.UNSAFE, attempts=1, timeout_s=60.0)
 
@@ -380,8 +381,9 @@
             headers = [(NAMES.deadline, b"60000")]
             body = b"x" * 110_000
             await send(conn, "/unsafe/x", "l1", body=body, headers=headers)
+            conn.transport.write(b"x" * beyond)
             await eventually(lambda: harness.runs("l1") == 1, "run")
-            conn.abort()
+            conn.close()
             services = [harness.upstreams[f"services-{n}"][0] for n in (1, 2)]
             await eventually(lambda: sum(s.left_early for s in services) == 1, "stop")
 
