Store where streams began while several versions serve

Cause: where a stream began was known to nodes alone. When all are killed, nothing tells a stream's version, and it is refused, as it has to be.

Change: beside several versions records of streams are written to the store every 0.1 s, in rows that a node overwrites in turn, by each node in fleets of up to eight and by those that follow the store in larger ones. A node that finds no record at others reads the rows, once for all streams that wait. A record that is missing or can't be read means a refusal, never a guess. Line 8522; `known_by` of line 1511 may be `stored`.

--- a/baobabwing/gateway/decisions/stream_origins.py
+++ b/baobabwing/gateway/decisions/stream_origins.py
@@ -39,12 +39,13 @@
     """How a node knows the software that began a stream.
 
     ``OWN``: by its own record; ``PEER``: by another node's; ``SOLE``: the pool has had
-    no other one.
+    no other one; ``STORED``: by a stored record.
     """
 
     OWN = "own"
     PEER = "peer"
     SOLE = "sole"
+    STORED = "stored"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/baobabwing/gateway/document_distribution.py
+++ b/baobabwing/gateway/document_distribution.py
@@ -171,6 +171,13 @@
             return True
         return time.monotonic() - self._store_path_at > _NO_SOURCE_S
 
+    @property
+    def followers(self) -> list[Host]:
+        """The nodes that follow the store; empty in a small fleet, where all do."""
+        if len(self._members.serving()) <= _SMALL_FLEET_NODES:
+            return []
+        return self._followers()
+
     @property
     def _can_serve(self) -> bool:
         return all(self.position(name) != NOWHERE for name in _NEEDED)
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -58,6 +58,7 @@
     "STORE_RESTORED",
     "STREAM_TAKEN_UP",
     "SUMS_TAKEN_FROM",
+    "STREAMS_UNSTORED",
     "UPSTREAMS_CHANGED",
     "UPSTREAMS_RESTORED",
     "TUNNEL_REFUSED",
@@ -107,9 +108,9 @@
     1511,
     "stream_taken_up",
     "A caller takes up the stream that its attempt `resumes` began. `known_by`: how "
-    "this node knows the software that began it: own or peer (a record), sole (the "
-    "pool has had no other), or unknown: the request is refused, since another version "
-    "may not go on with the stream. `waited_ms`: time until that was clear.",
+    "this node knows the software that began it: own, peer or stored (a record), sole "
+    "(the pool has had no other), or unknown: the request is refused, since another "
+    "version may not go on with the stream. `waited_ms`: time until that was clear.",
 )
 REQUEST_STOPPED = define(
     1512,
@@ -408,6 +409,13 @@
     "Held versions get requests from now on. `stored`: whether they are stored; if "
     "not, no stored version serves any more, or that took too long.",
 )
+STREAMS_UNSTORED = define(
+    8522,
+    "streams_unstored",
+    "Records of where `streams` streams began could not be written, or read if 0. "
+    "After a kill of all nodes, these streams may be refused.",
+    level="warning",
+)
 HELD_UNWRITTEN = define(
     5505,
     "held_unwritten",
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -116,11 +116,12 @@
         self.rollout_exchange = RolloutExchange(
             rollouts=self.state.rollouts, members=self.members, link=self.link
         )
-        self._origins = StreamOrigins(
+        self.origins = StreamOrigins(
             state=self.state,
             members=self.members,
             link=self.link,
             list_checked_at=lambda: self.sharing.list_checked_at,
+            store_followers=lambda: self.sharing.followers,
         )
         self.paths = UpstreamPaths(
             relays=self.members.others,
@@ -145,7 +146,7 @@
             state=self.state,
             connections=self.connections,
             recorder=RequestRecorder(state=self.state, metrics=self.metrics),
-            origins=self._origins,
+            origins=self.origins,
             parts=self.part_reports,
         )
         self.callers = CallerServer(state=self.state, forwarder=forwarder)
@@ -211,7 +212,8 @@
                 self.findings.run(),
                 self.part_reports.run(),
                 self.rollout_exchange.run(),
-                self._origins.run(),
+                self.origins.run(),
+                self.origins.archive.run(),
                 self.sharing.run(),
                 self._sweep(),
             )
@@ -256,7 +258,7 @@
         self._homes.list_pool(pool)
         self._placer.list_pool(pool)
         self._permits.update_issuers()
-        self._origins.list_pool(pool.crc)
+        self.origins.list_pool(pool.crc)
 
     async def _drain(self) -> None:
         """Keep serving while callers may still use this address, then return.
@@ -310,8 +312,8 @@
             for name, pool in self.state.pools.items()
             for kind, value in pool.reported_work().items()
         }
-        metrics.recorded_pools.set(self._origins.recorded_pools)
-        metrics.stream_records.set(self._origins.records)
+        metrics.recorded_pools.set(self.origins.recorded_pools)
+        metrics.stream_records.set(self.origins.records)
         metrics.blocked_paths.set(self.paths.blocked)
         metrics.tunnels.set(self.tunnels.active)
         metrics.peers.set(len(self.members.others()))
--- a/baobabwing/gateway/stream_origins.py
+++ b/baobabwing/gateway/stream_origins.py
@@ -5,6 +5,7 @@
 the first node may have ended. So while a pool may have several versions, each node
 sends what it knows of its own streams to a few others, ranked by the stream, before the
 caller gets the first event; a node that is asked to go on with a stream asks these.
+Beside several versions, a node that follows the store also stores it.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 import itertools
 import time
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from baobabwing.fleet.host import Host
@@ -45,6 +46,7 @@
 )
 from baobabwing.gateway.pool import PoolRuntime
 from baobabwing.gateway.state import GatewayState
+from baobabwing.gateway.stream_archive import StreamArchive
 
 __all__ = ["FoundOrigin", "StreamOrigins", "stream_keepers"]
 
@@ -166,6 +168,8 @@
     :param link: carries the messages.
     :param list_checked_at: returns when the list of upstreams was last known to be
         current, by the monotonic clock.
+    :param store_followers: returns the nodes that follow the store; none if all do.
+    :ivar archive: stores records for nodes that start.
     """
 
     def __init__(
@@ -175,11 +179,14 @@
         members: Members,
         link: GatewayLink,
         list_checked_at: Callable[[], float],
+        store_followers: Callable[[], Sequence[Host]] = tuple,
     ) -> None:
         self._state = state
         self._members = members
         self._link = link
         self._list_checked_at = list_checked_at
+        self._store_followers = store_followers
+        self.archive = StreamArchive()
         self._records = BegunStreams()
         self._open: dict[int, tuple[StreamOrigin, float]] = {}
         self._recorded: set[int] = set()
@@ -269,7 +276,8 @@
         query.own = self._view(runtime)
         software = query.sole(confirmations=1)
         if not software:
-            return None
+            stored = await self.archive.find(stream)
+            return stored and FoundOrigin(origin=stored, known_by=KnownBy.STORED)
         origin = StreamOrigin(pool=runtime.cells.crc, software=software)
         return FoundOrigin(origin=origin, known_by=KnownBy.SOLE)
 
@@ -332,16 +340,34 @@
             if origin.pool not in self._recorded:
                 continue
             record = StreamRecord(stream=stream, origin=origin, left_s=until - now)
-            for address in self._keepers(stream, _COPIES):
+            addresses = set(self._keepers(stream, _COPIES))
+            if self._has_several_versions(origin.pool, now):
+                addresses.add(self._archivist(stream))
+            if self._members.work in addresses:
+                addresses.remove(self._members.work)
+                self.archive.add(record)
+            for address in addresses:
                 by_address[address].append(record)
         for address, records in by_address.items():
             for batch in batches(records, _MAX_PER_DATAGRAM):
                 self._link.send(address, StreamRecords(records=batch))
 
+    def _has_several_versions(self, pool: int, now: float) -> bool:
+        runtime = self._state.pool_by_crc(pool)
+        return runtime is not None and runtime.software.view(now).versions > 1
+
+    def _archivist(self, stream: int) -> str:
+        """Return the address of the node that stores the record of a stream."""
+        hosts = stream_keepers(stream, self._store_followers(), 1)
+        return hosts[0].work if hosts else self._members.work
+
     def _handle_records(self, message: StreamRecords, address: str) -> None:
         now = time.monotonic()
+        own, is_large = self._members.work, bool(self._store_followers())
         for record in message.records:
             self._records.add(record.stream, record.origin, now + record.left_s)
+            if is_large and self._archivist(record.stream) == own:
+                self.archive.add(record)
 
     def _handle_query(self, message: StreamQuery, address: str) -> None:
         now = time.monotonic()
