--- a/tests/platform_adapter/test_software_rows.py
+++ b/tests/platform_adapter/test_software_rows.py
@@ -115,6 +115,21 @@
     with_rows(monkeypatch, story, delay_s=60.0)
 
 
+def test_nodes_that_list_different_versions_do_not_keep_writing(monkeypatch):
+    """Each read after its write that the other one had written, and wrote at once."""
+
+    async def story(store, listed, rows):
+        value = {"listed": ["v1"], "gone": {}, "since_s": 0.0}
+        position = Position(version=store.write("fleet", KEY, value))
+        rows[1]._listed = lambda: {"engines": frozenset({"v2"})}
+        rows[0]._on_stored, rows[1]._on_stored = rows[1].take, rows[0].take
+        rows[0].take(listed, position)
+        await asyncio.sleep(1.0)
+        assert 0 < sum("rows-tx" in call for call in store.calls) < 30
+
+    with_rows(monkeypatch, story, delay_s=60.0)
+
+
 def test_node_that_hears_of_a_write_reads_no_rows(monkeypatch):
     async def story(store, listed, rows):
         rows[0].check()
