Keep the faults that earlier seeds of the soak draw

A store that refuses writes was added to the faults that the soak chooses from, so that each seed drew another series of faults, those that once failed too. Seeds below 23000 draw from the same faults as before; later ones from all of them.

--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -20,6 +20,9 @@
 
 __all__ = ["LATER", "PLANNED", "UNPLANNED", "Action"]
 
+# First seed whose store may answer reads and refuse writes.
+_READ_ONLY_FROM = 23_000
+
 # Writes of others that a copy may lack.
 _MOST_OTHERS = 200
 # Three heartbeats, as the nodes' settings have them by default.
@@ -113,7 +116,10 @@
 @_unplanned
 async def _harm_store(soak: Soak) -> None:
     store = soak.deployment.store
-    store.fault = soak.rng.choice(list(StoreFault))
+    faults = [fault for fault in StoreFault if fault is not StoreFault.READ_ONLY]
+    if soak.seed >= _READ_ONLY_FROM:
+        faults.append(StoreFault.READ_ONLY)
+    store.fault = soak.rng.choice(faults)
     if soak.rng.random() < 0.5:
         store.cut_connections()
     await asyncio.sleep(soak.rng.uniform(0.2, 3.0))
