--- a/baobabwing/gateway/decisions/stored_software.py
+++ b/baobabwing/gateway/decisions/stored_software.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+import json
+from collections.abc import Mapping
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from typing import Any
 
 from baobabwing.gateway.decisions.stream_origins import SOFTWARE_KEPT_S
 
-__all__ = ["HeldVersions", "StoredSoftware", "decode_software", "encode_software"]
+__all__ = [
+    "HeldVersions",
+    "StoredSoftware",
+    "decode_software",
+    "decode_stored_versions",
+    "encode_software",
+    "encode_stored_versions",
+]
 
 # Time for which a version's upstreams get no requests while the version can't be
 # stored. Longer than a node that starts takes to find the others and write.
@@ -31,6 +40,11 @@
     gone: dict[str, float]
     since_s: float
 
+    @classmethod
+    def first(cls, pool: str, store_s: float) -> StoredSoftware:
+        """Return what is to be stored of a pool of which nothing was."""
+        return cls(pool=pool, listed=frozenset(), gone={}, since_s=store_s)
+
     def successor(self, listed: frozenset[str], store_s: float) -> StoredSoftware:
         """Return what is to be stored once other versions are listed."""
         gone = self.gone | dict.fromkeys(self.listed, store_s)
@@ -84,6 +98,27 @@
     }
 
 
+def encode_stored_versions(stored: Mapping[str, frozenset[str]]) -> bytes:
+    """Return the stored versions of each pool as nodes send them to each other."""
+    return json.dumps({name: sorted(stored[name]) for name in sorted(stored)}).encode()
+
+
+def decode_stored_versions(data: bytes) -> dict[str, frozenset[str]]:
+    """Decode the stored versions of each pool.
+
+    :raises ValueError: if they are not valid.
+    """
+    value = json.loads(data)
+    if not isinstance(value, dict):
+        raise ValueError("no versions by pool")
+    for versions in value.values():
+        if not isinstance(versions, list) or not all(
+            isinstance(version, str) for version in versions
+        ):
+            raise ValueError("a version is not a text")
+    return {name: frozenset(versions) for name, versions in value.items()}
+
+
 class HeldVersions:
     """Versions of a pool that get no requests until they are stored; reads no clock.
 
--- a/tests/gateway/decisions/test_stored_software.py
+++ b/tests/gateway/decisions/test_stored_software.py
@@ -5,7 +5,9 @@
 from baobabwing.gateway.decisions.stored_software import (
     HeldVersions,
     decode_software,
+    decode_stored_versions,
     encode_software,
+    encode_stored_versions,
 )
 from baobabwing.gateway.decisions.stream_origins import (
     SOFTWARE_KEPT_S,
@@ -102,3 +104,11 @@
     held.update(OLD, OLD, OLD, 20.0)
     held.update(BOTH, BOTH, OLD, 60.0)
     assert "v2" in held
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b'{"a": "v1"}', b'{"a": [1]}'])
+def test_unreadable_versions_of_a_peer_are_errors(data):
+    with pytest.raises(ValueError):
+        decode_stored_versions(data)
+    versions = {"engines": frozenset({"v1", "v2"}), "none": frozenset()}
+    assert decode_stored_versions(encode_stored_versions(versions)) == versions
--- a/tests/platform_adapter/test_software_rows.py
+++ b/tests/platform_adapter/test_software_rows.py
@@ -3,16 +3,10 @@
 import asyncio
 import random
 
-import pytest
-
 from baobabwing.gateway.position import Position
 from baobabwing_platform import software_rows
 from baobabwing_platform.eras import StoreEras
-from baobabwing_platform.software_rows import (
-    SoftwareRows,
-    decode_stored_versions,
-    encode_stored_versions,
-)
+from baobabwing_platform.software_rows import SoftwareRows
 from baobabwing_platform.store import StoreClient
 from tests.platform_adapter.standin_store import StandinStore, StoreFault
 
@@ -138,11 +132,3 @@
         assert store.calls == []
 
     with_rows(monkeypatch, story)
-
-
-@pytest.mark.parametrize("data", [b"", b"[]", b'{"a": "v1"}', b'{"a": [1]}'])
-def test_unreadable_versions_of_a_peer_are_errors(data):
-    with pytest.raises(ValueError):
-        decode_stored_versions(data)
-    versions = {"engines": frozenset({"v1", "v2"}), "none": frozenset()}
-    assert decode_stored_versions(encode_stored_versions(versions)) == versions
