Wait in two tests of versions for what they rely on

The test of streams that go on after a kill of all nodes counted streams that may have ended before the node knew of a second version, of which there is no record. It begins its streams after that now, and waits for their records by their digests. The test of writers whose lists differ waits for a write.

--- a/baobabwing/gateway/stream_origins.py
+++ b/baobabwing/gateway/stream_origins.py
@@ -48,7 +48,7 @@
 from baobabwing.gateway.state import GatewayState
 from baobabwing.gateway.stream_archive import StreamArchive
 
-__all__ = ["FoundOrigin", "StreamOrigins", "stream_keepers"]
+__all__ = ["FoundOrigin", "StreamOrigins", "stream_digest", "stream_keepers"]
 
 # Nodes that keep the record of a stream, beside the one that serves it.
 _COPIES = 3
@@ -108,10 +108,11 @@
 
 @functools.lru_cache(maxsize=_MAX_CACHED_NAMES)
 def _name_key(name: str) -> int:
-    return _digest(name)
+    return stream_digest(name)
 
 
-def _digest(text: str) -> int:
+def stream_digest(text: str) -> int:
+    """Return the 64-bit digest of a stream's id."""
     data = text.encode("latin-1", "replace")
     return int.from_bytes(
         hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest(), "big"
@@ -230,7 +231,7 @@
         call.software = software_crc(entry.version)
         if not call.route.resumable:
             return
-        stream = _digest(call.stream_id)
+        stream = stream_digest(call.stream_id)
         origin = StreamOrigin(pool=name_crc(call.pool), software=call.software)
         wait_s = call.request_head.deadline_s or call.route.timeout_s
         until = call.arrived + wait_s + _RECORD_MARGIN_S
@@ -241,7 +242,7 @@
     def ended(self, call: Call) -> None:
         """Note that a stream has ended at this node; its caller may take it up."""
         if call.software:
-            self._open.pop(_digest(call.stream_id), None)
+            self._open.pop(stream_digest(call.stream_id), None)
 
     def list_pool(self, pool: int) -> None:
         """Send the records of a pool's streams once it may have several versions.
@@ -260,7 +261,7 @@
 
         :returns: ``None`` if that is not certain.
         """
-        stream = _digest(call.stream_id)
+        stream = stream_digest(call.stream_id)
         origin = self._records.find(stream, time.monotonic())
         if origin is not None:
             return FoundOrigin(origin=origin, known_by=KnownBy.OWN)
--- a/tests/platform_adapter/test_processes.py
+++ b/tests/platform_adapter/test_processes.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import base64
+import itertools
 import signal
 import time
 from pathlib import Path
 
 from baobabwing.gateway.placement.codec import decode
+from baobabwing.gateway.stream_origins import stream_digest
 from baobabwing.standins.gateway_upstream import Behaviour
 from baobabwing_platform.dialect import HEADERS
 from tests.platform_adapter import demo
@@ -14,6 +16,8 @@
 
 WAIT_S = 20.0
 STREAM = Behaviour(events=12, gap_s=0.01)
+# Added to the number of a request by the one that takes its stream up.
+TAKEN_UP = 100_000
 
 
 async def ask(address, number, kind="safe", key="demo-key", text=b"x", more=()):
@@ -45,8 +49,15 @@
     return condition
 
 
-def decoded_records(text):
-    return len(decode(base64.b64decode(text)).records)
+def stored_streams(deployment):
+    """Return the digests of the streams of which the store has a record."""
+    return {
+        record.stream
+        for key in deployment.store.keys("streams")
+        for record in decode(
+            base64.b64decode(deployment.store.read("streams", key)["records"])
+        ).records
+    }
 
 
 def with_deployment(tmp_path, story, nodes=2):
@@ -222,7 +233,7 @@
     """Return the versions at which streams ran, taken up ones under their first id."""
     versions = {number: [] for number in numbers}
     for run, version in deployment.stream_runs():
-        number = int(run.request_id) % 1000
+        number = int(run.request_id) % TAKEN_UP
         if number in versions:
             versions[number].append(version)
     return list(versions.values())
@@ -237,7 +248,7 @@
 async def take_up(deployment, numbers):
     for number in numbers:
         more = [(HEADERS.resumes, b"%d" % number), (HEADERS.last_event, b"5")]
-        await ask(deployment.callers[0], number + 1000, "stream", more=more)
+        await ask(deployment.callers[0], number + TAKEN_UP, "stream", more=more)
 
 
 async def kill_all(deployment):
@@ -286,7 +297,7 @@
     async def story(deployment):
         await eventually(has_versions(deployment), "the versions are stored")
         await deployment.start_version("engines", "v2", lambda seen: STREAM)
-        blocks = iter(range(100, 1000, 40))
+        blocks = itertools.count(100, 40)
 
         async def begins_at_new():
             first = next(blocks)
@@ -295,14 +306,12 @@
 
         await eventually(begins_at_new, "streams begin at the new version")
         assert "v2" in deployment.store.read("fleet", "software/engines")["listed"]
-        begun = range(100, next(blocks))
+        # Earlier ones may have ended before the node knew of a second version.
+        begun = range(next(blocks), next(blocks))
+        await begin(deployment, begun)
 
         async def are_stored():
-            rows = [
-                deployment.store.read("streams", key)["records"]
-                for key in deployment.store.keys("streams")
-            ]
-            return sum(map(decoded_records, rows)) >= len(begun)
+            return stored_streams(deployment) >= {stream_digest(str(n)) for n in begun}
 
         await eventually(are_stored, "the streams are stored")
         await kill_all(deployment)
--- a/tests/platform_adapter/test_software_rows.py
+++ b/tests/platform_adapter/test_software_rows.py
@@ -118,8 +118,13 @@
         rows[1]._listed = lambda: {"engines": frozenset({"v2"})}
         rows[0]._on_stored, rows[1]._on_stored = rows[1].take, rows[0].take
         rows[0].take(listed, position)
-        await asyncio.sleep(1.0)
-        assert 0 < sum("rows-tx" in call for call in store.calls) < 30
+
+        def writes():
+            return sum("rows-tx" in call for call in store.calls)
+
+        await until(writes)
+        await asyncio.sleep(0.5)
+        assert writes() < 30
 
     with_rows(monkeypatch, story, delay_s=60.0)
 
