--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -58,8 +58,9 @@
     :param leaving: announce in the answer that the upstream is leaving.
     :param retry_after: with ``refuse``, value of ``Retry-After`` in seconds.
     :param endless: send bytes until the connection is closed: ``noise`` or ``interim``
-        answers in place of a head, ``unframed`` or ``chunks`` in place of a body,
-        ``event`` or ``comments`` in place of events, or ``extra`` after a whole answer.
+        answers in place of a head, ``unframed``, ``chunks`` or ``length`` (stated as more
+        than anybody can hold) in place of a body, ``event`` or ``comments`` in place of
+        events, or ``extra`` after a whole answer.
     :param crash: stop the whole upstream after ``delay_s``, with all requests that it
         is running.
     """
@@ -290,7 +291,7 @@
             self.on_crash(request)
             return False
         if behaviour.endless:
-            await self._send_endlessly(conn, request, behaviour.endless)
+            await self._send_endlessly(conn, request, behaviour)
             return False
         if behaviour.events:
             return await self._stream(conn, request, behaviour)
@@ -307,22 +308,26 @@
         return not behaviour.close
 
     async def _send_endlessly(
-        self, conn: HttpConnection, request: SeenRequest, form: str
+        self, conn: HttpConnection, request: SeenRequest, behaviour: Behaviour
     ) -> None:
         """Send bytes until the connection is closed.
 
         :raises ConnectionLostError: once it is.
         """
+        form = behaviour.endless
         headers = self._response_headers(request)
+        if behaviour.refuse:
+            headers.append((self.names.not_executed, b"1"))
         if form in ("event", "comments"):
             headers.append((b"Content-Type", b"text/event-stream"))
-        head = _unframed_head(headers)
+        head = _unframed_head(headers, b"%d X" % behaviour.status)
         chunk = b"x" * _ENDLESS_PIECE_BYTES
         starts = {
             "noise": b"",
             "interim": b"",
             "unframed": head,
             "chunks": head[:-2] + b"Transfer-Encoding: chunked\r\n\r\n",
+            "length": head[:-2] + b"Content-Length: 99999999999\r\n\r\n",
             "event": head + b"id: 1\ndata: ",
             "comments": head,
             "extra": head[:-2] + b"Content-Length: 5\r\n\r\nwhole",
--- a/tests/platform_adapter/demo.py
+++ b/tests/platform_adapter/demo.py
@@ -90,6 +90,7 @@
     :param spare: whether there is a spare service.
     :param grace_s: how long a node may take to stop.
     :param ttl_s: how long callers may keep the addresses of nodes.
+    :param settings: further lines of the nodes' settings files.
     :ivar crashed: number of crashes by requests with the body ``CRASH``, by target.
     :ivar crashed_at: times of the crashes by parts of prompts, by part.
     :ivar callers: addresses of the nodes for callers.
@@ -110,8 +111,10 @@
         spare: bool = False,
         grace_s: float = 4,
         ttl_s: float = 0.3,
+        settings: Iterable[str] = (),
     ) -> None:
         self.folder = folder
+        self._settings = tuple(settings)
         self._spare = spare
         self._times = {"grace_s": grace_s, "ttl_s": ttl_s}
         self.store = StandinStore()
@@ -392,7 +395,8 @@
 
     async def _start_node(self, number: int) -> None:
         file = self._settings_file(number)
-        file.write_text(settings_text(number, self._store_address, **self._times))
+        text = settings_text(number, self._store_address, **self._times)
+        file.write_text("\n".join([text, *self._settings]))
         fields = dict(line.split("=", 1) for line in file.read_text().splitlines())
         self.directories.append(fields["listen.directory"])
         self.callers.append(fields["listen.front"])
