--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -58,9 +58,9 @@
     :param leaving: announce in the answer that the upstream is leaving.
     :param retry_after: with ``refuse``, value of ``Retry-After`` in seconds.
     :param endless: send bytes until the connection is closed: ``noise`` or ``interim``
-        answers in place of a head, ``unframed``, ``chunks`` or ``length`` (stated as more
-        than anybody can hold) in place of a body, ``event`` or ``comments`` in place of
-        events, or ``extra`` after a whole answer.
+        answers in place of a head, ``unframed``, ``chunks`` or ``length`` (a huge one
+        is stated) in place of a body, ``event`` or ``comments`` in place of events, or
+        ``extra`` after a whole answer.
     :param crash: stop the whole upstream after ``delay_s``, with all requests that it
         is running.
     """
@@ -253,6 +253,8 @@
             self.stop()
             self.on_crash(request)
             return False
+        if behaviour.refuse and behaviour.endless:
+            await self._send_endlessly(conn, request, behaviour)
         if behaviour.refuse or full:
             extra_headers = (
                 [(b"Retry-After", behaviour.retry_after)]
