Keep bytes of others within one bound for the whole node

Callers saw: their requests ended without an answer, as the node that held them ran out of memory. A worker that stated a length of 100 GB and sent on took 467 MB of each of two nodes in 8 s with eight requests each; 48 answers without a length, each within its own bound, took 90 to 98 MB, and 100 bodies whose callers kept the last byte back 166 MB.

Cause: a bound on each answer, but none on all; a stated length counted as a bound, though the faulty side states it. The class: others decide how much a process keeps.

A holder gets at most as much as stays free, so that an upstream or an organisation that sends without end takes no room from the rest. An answer that states a longer length than is kept of one is passed on as it comes; a length over 1 GiB, a long failure and what finds no room at the upstream that takes most end at once. A body that finds no room is refused unread with 503 and Retry-After. At most 64 KiB are received at once, bodies are written in parts of that size, and the body of a refusal is not kept at all.

--- a/baobabwing/exceptions.py
+++ b/baobabwing/exceptions.py
@@ -7,6 +7,7 @@
     "ConnectionLostError",
     "EndlessAnswerError",
     "MalformedError",
+    "NoRoomError",
     "NoSlotError",
     "NotAdmittedError",
     "PeerClosedError",
@@ -142,6 +143,10 @@
     """An upstream sends more than an answer may have, as if it never ended."""
 
 
+class NoRoomError(BaobabwingError):
+    """More bytes came for a request than this node can keep at the moment."""
+
+
 class WireError(BaobabwingError):
     """A message between nodes is malformed, too large or not authentic."""
 
--- a/baobabwing/gateway/answers.py
+++ b/baobabwing/gateway/answers.py
@@ -14,6 +14,9 @@
 
 __all__ = ["CallerAnswer", "Refusal"]
 
+# Longer parts of a body are written one by one, each once the caller has read most of
+# those before it: all that is not yet sent would be copied.
+_MAX_WRITE_BYTES = 64 * 1024
 _NO_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -71,10 +74,15 @@
             h11.Response(status_code=status, headers=framed, reason=reason)
         )
 
-    async def data(self, piece: bytes) -> None:
+    async def data(self, piece: bytes | bytearray) -> None:
         """Send a part of the body."""
-        if piece:
-            await self.conn.send(h11.Data(data=piece))
+        if len(piece) <= _MAX_WRITE_BYTES:
+            if piece:
+                await self.conn.send(h11.Data(data=bytes(piece)))
+            return
+        for start in range(0, len(piece), _MAX_WRITE_BYTES):
+            part = bytes(piece[start : start + _MAX_WRITE_BYTES])
+            await self.conn.send(h11.Data(data=part))
 
     async def end(self) -> None:
         """Send the end of the answer."""
--- a/baobabwing/gateway/call.py
+++ b/baobabwing/gateway/call.py
@@ -13,6 +13,7 @@
 from baobabwing.gateway.decisions.scheduling import Grant
 from baobabwing.gateway.decisions.tracking import UpstreamTrack
 from baobabwing.gateway.digest import part_digest, request_digest
+from baobabwing.gateway.held_bytes import Holding
 from baobabwing.gateway.model import OrganisationSpec, Route
 from baobabwing.gateway.request_head import RequestHead
 from baobabwing.gateway.sse import EventSplitter
@@ -106,6 +107,9 @@
     :param last_event_at: when the last event arrived that the caller has received.
     :param max_gap_s: longest gap between two events.
     :param failure: last 5xx answer of an upstream, head and body.
+    :param holdings: bytes that are kept of its answers, by attempt.
+    :param passed_through: whether a plain answer was passed on before it was whole, so
+        that no other upstream can answer any more.
     :param expected_s: how long its answer was expected to take when it was sent, by a
         node that is stopping; ``None`` if it was not.
     :param counted: whether its outcome is in the metrics already.
@@ -149,7 +153,9 @@
     first_event_at: float | None = None
     last_event_at: float | None = None
     max_gap_s: float = 0.0
-    failure: tuple[AnswerHead, bytes] | None = None
+    failure: tuple[AnswerHead, bytes | bytearray] | None = None
+    holdings: list[Holding] = field(default_factory=list)
+    passed_through: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     expected_s: float | None = None
     counted: bool = False
--- a/baobabwing/gateway/caller_server.py
+++ b/baobabwing/gateway/caller_server.py
@@ -10,14 +10,19 @@
 
 import h11
 
-from baobabwing.exceptions import ConnectionLostError, MalformedError
+from baobabwing.exceptions import ConnectionLostError, MalformedError, NoRoomError
 from baobabwing.gateway.answers import CallerAnswer, Refusal
 from baobabwing.gateway.connection import HttpConnection
 from baobabwing.gateway.events import CONNECTION_FAULT
 from baobabwing.gateway.forwarding import Forwarder
+from baobabwing.gateway.held_bytes import Holding
 from baobabwing.gateway.listener import Listener
 from baobabwing.gateway.model import CallerLimits
-from baobabwing.gateway.request_head import Headers, read_request_head
+from baobabwing.gateway.request_head import (
+    Headers,
+    RequestHead,
+    read_request_head,
+)
 from baobabwing.gateway.state import GatewayState
 from baobabwing.reports.events import log
 
@@ -26,6 +31,8 @@
 # A refused connection stays open this long, so that the caller can read the refusal.
 _LINGER_S = 0.05
 _FLUSH_CHECK_S = 0.01
+# Shortest delay after which callers may come back that this node has no room for.
+_NO_ROOM_RETRY_S = 0.2
 # Colon, space and CRLF of a header line.
 _HEADER_OVERHEAD_BYTES = 4
 
@@ -43,6 +50,7 @@
         self._listener = Listener(
             serve=self._serve,
             head_bytes=lambda: self._limits_since(time.monotonic()).head_bytes,
+            new_holding=state.held_requests.holding,
         )
         self.open_requests = 0
         # Bytes received when a connection began to wait for a request; ``None`` while
@@ -128,6 +136,16 @@
         """Read and answer one request; return whether the connection can be reused."""
         self._received_before[conn] = conn.received
         answer = CallerAnswer(conn=conn, closes=False)
+        with contextlib.ExitStack() as holdings:
+            return await self._read_and_answer(conn, answer, holdings)
+
+    async def _read_and_answer(
+        self, conn: HttpConnection, answer: CallerAnswer, holdings: contextlib.ExitStack
+    ) -> bool:
+        """Read and answer one request; return whether the connection can be reused.
+
+        :param holdings: gives back at its end what was kept of the request.
+        """
         try:
             request = await self._read_head(conn)
             if request is None:
@@ -137,16 +155,28 @@
             _check_framing(headers, conn.peer)
             head_bytes = self._limits_since(arrived).head_bytes
             _check_size(request, head_bytes, conn.peer)
-            body = await self._read_body(conn, arrived)
+            request_head = read_request_head(
+                request.method.decode("ascii"),
+                request.target.decode("latin-1"),
+                headers,
+                self._state.settings.names,
+            )
+            holder = self._holder(request_head, conn)
+            holding = self._state.held_requests.holding(holder)
+            holdings.enter_context(holding)
+            body = await self._read_body(conn, arrived, headers, holding)
             self._received_before[conn] = None
         except MalformedError as exc:
-            return await self._reject(conn, answer, exc)
-        request_head = read_request_head(
-            request.method.decode("ascii"),
-            request.target.decode("latin-1"),
-            headers,
-            self._state.settings.names,
-        )
+            refusal = Refusal(status=exc.status, code="malformed")
+            return await self._reject(conn, answer, refusal)
+        except NoRoomError as exc:
+            refusal = Refusal(
+                status=503,
+                code="no_room",
+                retry_after_s=_NO_ROOM_RETRY_S * self._state.rng.uniform(1.0, 2.0),
+                reason=exc.message,
+            )
+            return await self._reject(conn, answer, refusal)
         answer.closes = self._state.leaving
         await self._answer(conn, answer, request_head, body, arrived)
         return answer.ended and conn.http.our_state is h11.DONE
@@ -217,12 +247,26 @@
                 if began_at + timeout_s(self._limits_since(began_at)) <= until:
                     raise
 
-    async def _read_body(self, conn: HttpConnection, arrived: float) -> bytes:
-        """Return the body of a request whose head has arrived."""
+    def _holder(self, request_head: RequestHead, conn: HttpConnection) -> str:
+        """Return whose room a body takes: its organisation's, or else its host's."""
+        table = self._state.table
+        organisation = table.organisation(request_head.key) if table else None
+        return organisation.name if organisation else conn.peer.rpartition(":")[0]
+
+    async def _read_body(
+        self, conn: HttpConnection, arrived: float, headers: Headers, holding: Holding
+    ) -> bytes:
+        """Return the body of a request whose head has arrived.
+
+        :param holding: counts its bytes.
+        :raises NoRoomError: if there is no room, at once for one of a stated length.
+        """
+        if not holding.fits(_stated_length(headers)):
+            holding.refuse(_stated_length(headers))
+            raise NoRoomError("no room for a body", step="body", peer=conn.peer)
         if conn.http.they_are_waiting_for_100_continue:
             await conn.send(h11.InformationalResponse(status_code=100, headers=[]))
-        pieces: list[bytes] = []
-        size = 0
+        body = bytearray()
         while True:
             try:
                 event = await self._next_event(conn, _idle_timeout_s)
@@ -231,22 +275,23 @@
                     "body took too long", status=408, step="body", peer=conn.peer
                 ) from exc
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(pieces)
+                return bytes(body)
             if not isinstance(event, h11.Data):
                 raise ConnectionLostError("caller left", step="body", peer=conn.peer)
-            size += len(event.data)
+            size = len(body) + len(event.data)
             if size > self._limits_since(arrived).body_bytes:
                 raise MalformedError(
                     "body too long", status=413, step="body", peer=conn.peer
                 )
-            pieces.append(bytes(event.data))
+            if not holding.resize(size):
+                raise NoRoomError("no room for a body", step="body", peer=conn.peer)
+            body += event.data
 
     async def _reject(
-        self, conn: HttpConnection, answer: CallerAnswer, exc: MalformedError
+        self, conn: HttpConnection, answer: CallerAnswer, refusal: Refusal
     ) -> bool:
         """Refuse, then close: where the next request starts is unknown."""
         answer.closes = True
-        refusal = Refusal(status=exc.status, code="malformed")
         with contextlib.suppress(h11.LocalProtocolError):
             await answer.refuse(refusal)
         await asyncio.sleep(_LINGER_S)
@@ -269,6 +314,12 @@
     return conn.received == received and not conn.http.trailing_data[0]
 
 
+def _stated_length(headers: Headers) -> int:
+    """Return the length of a body; 0 if none is stated."""
+    lengths = [value for name, value in headers if name.lower() == b"content-length"]
+    return int(lengths[0]) if lengths else 0
+
+
 def _check_size(request: h11.Request, max_bytes: int, peer: str) -> None:
     """Refuse a head over its limit that arrived in one piece.
 
--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import sys
+import threading
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -16,8 +17,10 @@
     ConnectionLostError,
     ConnectionRefusedByPeerError,
     MalformedError,
+    NoRoomError,
     PeerClosedError,
 )
+from baobabwing.gateway.held_bytes import Holding
 
 __all__ = [
     "HttpConnection",
@@ -30,6 +33,8 @@
 
 # Reading pauses while more bytes than this wait unparsed; a few events or one prompt.
 _HIGH_WATER_BYTES = 64 * 1024
+# Most bytes that are received at once.
+_READ_BYTES = 64 * 1024
 # While a caller's connection is not read, this often it is checked whether the caller
 # has closed it. Upstreams may work on for half a second after that.
 _CLOSED_CHECK_S = 0.2
@@ -45,15 +50,26 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _NO_LINGER = struct.pack("ii", 0, 0)
 
-_Protocol = TypeVar("_Protocol", bound=asyncio.Protocol)
+_Protocol = TypeVar("_Protocol", bound=asyncio.BaseProtocol)
 
 
-class HttpConnection(asyncio.Protocol):
+class _ReadBuffer(threading.local):
+    """Buffer into which all connections of an event loop receive, one after another."""
+
+    def __init__(self) -> None:
+        self.view = memoryview(bytearray(_READ_BYTES))
+
+
+_read_buffer = _ReadBuffer()
+
+
+class HttpConnection(asyncio.BufferedProtocol):
     """One connection, read and written by a single task.
 
     :param role: ``h11.SERVER`` towards callers, ``h11.CLIENT`` towards upstreams.
     :param head_bytes: returns the maximum size of a head, which may change.
     :param on_open: called with this connection when a caller has connected.
+    :param holding: counts the bytes that have been received and not handled yet.
     :ivar on_gone: called once when the connection ends.
     :ivar on_unsolicited_data: if set, called when data arrives, which is then dropped.
     :ivar peer: address of the peer, as ``ip:port``.
@@ -67,7 +83,9 @@
         role: Any,
         head_bytes: Callable[[], int],
         on_open: Callable[[HttpConnection], None] | None = None,
+        holding: Holding | None = None,
     ) -> None:
+        self._holding = holding
         self._role = role
         self._head_bytes = head_bytes
         self._on_open = on_open
@@ -94,6 +112,14 @@
         if self._on_open is not None:
             self._on_open(self)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to receive."""
+        return _read_buffer.view
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle what was received."""
+        self.data_received(bytes(_read_buffer.view[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the parser and wake the reader."""
         self.received += len(data)
@@ -102,11 +128,8 @@
             return
         self.http.receive_data(data)
         self._unread += len(data)
-        if (
-            self._unread > _HIGH_WATER_BYTES
-            and not self._read_paused
-            and self.transport
-        ):
+        too_much = self._unread > _HIGH_WATER_BYTES or not self._hold_unread()
+        if too_much and not self._read_paused and self.transport:
             self._read_paused = True
             self.transport.pause_reading()
             if self._role is h11.SERVER:
@@ -141,6 +164,7 @@
 
         :raises ConnectionLostError: if the connection ended before it.
         :raises MalformedError: if the bytes received violate the protocol.
+        :raises NoRoomError: if there is no room for the part of it that has come.
         """
         while True:
             try:
@@ -155,22 +179,25 @@
                 self._read_beyond_message()
             if event is not h11.NEED_DATA and event is not h11.PAUSED:
                 return event
-            self._check_incomplete_size(event)
-            self._unread = 0
+            self._check_incomplete(event)
             if self._reset_error is not None or (
                 self._eof_received and event is h11.PAUSED
             ):
                 raise self._lost_error()
             await self._wait_for_data()
 
-    def _check_incomplete_size(self, event: Any) -> None:
+    def _check_incomplete(self, event: Any) -> None:
         """Refuse a head that is over its limit before it is complete.
 
         The parser's own limit can't change while a connection is open.
         """
+        self._unread = 0
         if event is not h11.NEED_DATA:
             return
-        if len(self.http.trailing_data[0]) > self._head_bytes():
+        self._unread = len(self.http.trailing_data[0])
+        if not self._hold_unread():
+            raise NoRoomError("no room for a head", step="read", peer=self.peer)
+        if self._unread > self._head_bytes():
             raise MalformedError(
                 "head too long", status=431, step="read", peer=self.peer
             )
@@ -241,6 +268,10 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _hold_unread(self) -> bool:
+        """Count what is not handled yet; return whether there is room for it."""
+        return self._holding is None or self._holding.resize(self._unread)
+
     def _read_beyond_message(self) -> None:
         """Resume reading unless much waits beyond the message that is whole now.
 
@@ -248,6 +279,7 @@
         for data while the message is handled.
         """
         self._unread = len(self.http.trailing_data[0])
+        self._hold_unread()
         if self._unread <= _HIGH_WATER_BYTES:
             self._resume_reading()
 
@@ -287,6 +319,8 @@
     def _mark_gone(self) -> None:
         newly_gone = not self.gone
         self.gone = True
+        if self._holding is not None:
+            self._holding.release()
         self._wake_reader()
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -3,6 +3,7 @@
 from baobabwing.reports.events import define
 
 __all__ = [
+    "BYTES_REFUSED",
     "CALLER_LEFT",
     "CELL_DROPPED",
     "CELL_LOAD",
@@ -124,6 +125,16 @@
     "and `max_out`: tokens that its caller expected, and allowed at most.",
     level="warning",
 )
+BYTES_REFUSED = define(
+    1513,
+    "bytes_refused",
+    "This node has no room for more bytes of others. `cause`: answers of upstreams or "
+    "requests of callers; `holder`: the upstream, if it is one; `kept`: what that "
+    "holder has, `total`: what all have, of `max` at most; `holders`: how many there "
+    "are; `refused`: how often since the last such line. Of answers, look at the "
+    "upstream; of requests, at who sends large bodies.",
+    level="warning",
+)
 REQUEST_ENDED = define(
     1504,
     "request_ended",
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
+import contextlib
 import time
 from collections.abc import Set as AbstractSet
 from functools import partial
@@ -13,10 +13,12 @@
     ConnectionLostError,
     EndlessAnswerError,
     MalformedError,
+    NoRoomError,
     NoSlotError,
     PeerClosedError,
 )
 from baobabwing.gateway.admission import Admission
+from baobabwing.gateway.answer_bodies import AnswerBody, keep
 from baobabwing.gateway.answers import CallerAnswer, Refusal
 from baobabwing.gateway.call import AttemptResult, Call
 from baobabwing.gateway.charging import Charging
@@ -157,6 +159,8 @@
             self._retries.over(call, pool)
             if call.replacement is not None:
                 self._replacements.give_back(pool, call.replacement)
+            for holding in call.holdings:
+                holding.release()
             await self._replacements.stop(call, pool)
 
     async def _admit(
@@ -479,6 +483,7 @@
             self._recorder.attempt_failed(call, grant, exc)
             return AttemptResult.UNSENT
         call.attempts[-1].relay = connection.relay
+        call.holdings.append(self._state.held_answers.holding(entry.instance))
         if not connection.used:
             self._recorder.connected(call, connection.opened_in_s)
         self._state.rollouts.sent(call.pool, call.route, entry)
@@ -492,12 +497,14 @@
         except TimeoutError:
             self._record_evidence(call, grant)
             result = AttemptResult.FAILED
-        except (ConnectionLostError, MalformedError) as exc:
+        except (ConnectionLostError, MalformedError, NoRoomError) as exc:
             if call.answer.conn.gone:
                 raise
             self._record_lost_answer(call, grant, connection, exc)
             result = AttemptResult.FAILED
         finally:
+            if call.failure is None:
+                call.holdings[-1].release()
             if complete:
                 self._connections.release(entry.address, entry.instance, connection)
             else:
@@ -600,13 +607,16 @@
         else:
             pool.record_refusal(grant)
             call.release_kind = UpdateKind.FULL
+        body = self._answer_body(call, connection, head)
         try:
-            await self._read_whole(call, connection, head)
+            await body.skip()
         except EndlessAnswerError as exc:
             # What its head says holds all the same.
             grant.track.record_failure(time.monotonic(), hard=True)
             call.release_kind = UpdateKind.LOST
             self._recorder.attempt_failed(call, grant, exc)
+        finally:
+            call.answer_bytes += body.received
         return AttemptResult.NOT_RUN
 
     async def _relay_complete(
@@ -617,12 +627,22 @@
         head: AnswerHead,
         sent_at: float,
     ) -> AttemptResult:
-        body = await self._read_whole(call, connection, head)
+        failed = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        body = self._answer_body(call, connection, head)
+        try:
+            whole = await body.read_whole()
+        except NoRoomError:
+            if failed or head.framing is not Framing.LENGTH:
+                raise
+            await self._pass_through(call, head, body)
+            whole = None
+        finally:
+            call.answer_bytes += body.received
         now = time.monotonic()
-        if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        if failed:
             self._record_answered_failure(call, grant, now)
             self._record_evidence(call, grant, failed=True)
-            call.failure = (head, body)
+            call.failure = (head, whole)
             return AttemptResult.ANSWERED_FAILURE
         self._record_success(call, grant)
         if head.status == HTTPStatus.OK:
@@ -631,39 +651,35 @@
             grant.track.record_interval(now - sent_at)
             if grant.track.engine is None:
                 call.event_interval_s = now - sent_at
-        await self._send_complete(call, head, body)
+        if whole is not None:
+            await self._send_complete(call, head, whole)
         return AttemptResult.DONE
 
-    async def _read_whole(
+    def _answer_body(
         self, call: Call, connection: UpstreamConnection, head: AnswerHead
-    ) -> bytes:
-        """Read the whole body of an answer.
-
-        :raises EndlessAnswerError: if it states no length, and has too many bytes or
-            takes so long that another upstream could not answer any more.
-        """
-        pieces: list[bytes] = []
-        bounded = head.framing is not Framing.LENGTH
-        max_bytes = self._state.settings.max_answer_bytes if bounded else math.inf
+    ) -> AnswerBody:
+        """Return the body of an answer, to be read."""
         left_s = call.ends_at - RETURN_TRIP_S - time.monotonic()
-        peer = connection.conn.peer
-        try:
-            async with asyncio.timeout(
-                max(_MAX_BODY_TIME_SHARE * left_s, 0.0) if bounded else None
-            ):
-                while (piece := await connection.read_body()) is not None:
-                    pieces.append(piece)
-                    call.answer_bytes += len(piece)
-                    max_bytes -= len(piece)
-                    if max_bytes < 0:
-                        raise EndlessAnswerError(
-                            "body without a length is too long", step="body", peer=peer
-                        )
-        except TimeoutError as exc:
-            raise EndlessAnswerError(
-                "body without a length takes too long", step="body", peer=peer
-            ) from exc
-        return b"".join(pieces)
+        return AnswerBody(
+            connection=connection,
+            head=head,
+            holding=call.holdings[-1],
+            max_bytes=self._state.settings.max_answer_bytes,
+            max_stated_bytes=self._state.settings.max_stated_bytes,
+            timeout_s=max(_MAX_BODY_TIME_SHARE * left_s, 0.0),
+        )
+
+    async def _pass_through(
+        self, call: Call, head: AnswerHead, body: AnswerBody
+    ) -> None:
+        """Pass an answer of a stated length on as it comes."""
+        headers = [*_without_length(head), (b"Content-Length", b"%d" % head.length)]
+        call.passed_through = True
+        await call.answer.start(head.status, head.reason, headers)
+        async with contextlib.aclosing(body.pass_on()) as pieces:
+            async for piece in pieces:
+                await call.answer.data(piece)
+        await call.answer.end()
 
     def _record_success(self, call: Call, grant: Grant) -> None:
         grant.track.record_success()
@@ -700,17 +716,19 @@
         call: Call,
         grant: Grant,
         connection: UpstreamConnection,
-        exc: ConnectionLostError | MalformedError,
+        exc: ConnectionLostError | MalformedError | NoRoomError,
     ) -> None:
         """Record a lost answer as a failure of the upstream and of the request.
 
         The cause of a crash is unknown: it may be this request, which would crash every
         upstream that starts to run it, or any other one that ran there. Tunnels end
-        with their relay, which shows nothing of either.
+        with their relay, which shows nothing of either, and neither does a lack of room
+        at this node.
         """
         lost = isinstance(exc, ConnectionLostError)
         withdrawn = self._connections.is_withdrawn(connection)
-        if lost and withdrawn and not call.unresponsive:
+        by_node = isinstance(exc, NoRoomError) or (lost and withdrawn)
+        if by_node and not call.unresponsive:
             self._recorder.attempt_failed(call, grant, exc)
             return
         endless = isinstance(exc, EndlessAnswerError)
@@ -741,7 +759,9 @@
         else:
             call.failed_track.undo_failure()
 
-    async def _send_complete(self, call: Call, head: AnswerHead, body: bytes) -> None:
+    async def _send_complete(
+        self, call: Call, head: AnswerHead, body: bytes | bytearray
+    ) -> None:
         headers = [*_without_length(head), (b"Content-Length", b"%d" % len(body))]
         await call.answer.start(head.status, head.reason, headers)
         await call.answer.data(body)
@@ -770,6 +790,9 @@
             call.answer_bytes += len(piece)
             complete = call.splitter.feed(piece)
             _check_stream_size(call, connection)
+            keep(
+                call.holdings[-1], call.splitter.incomplete_bytes, connection.conn.peer
+            )
             if not complete:
                 continue
             if last_at is None:
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -24,6 +24,7 @@
     SETTINGS_RELOADED,
 )
 from baobabwing.gateway.forwarding import Forwarder
+from baobabwing.gateway.held_bytes import Cause
 from baobabwing.gateway.limits_exchange import LimitsExchange
 from baobabwing.gateway.loop_delay import LoopDelayMonitor
 from baobabwing.gateway.members import Members
@@ -96,6 +97,8 @@
         self.state.placer = self._placer
         self.state.other_serves = lambda: bool(self.members.others())
         self.metrics = GatewayMetrics()
+        for held in (self.state.held_answers, self.state.held_requests):
+            held.on_refused = self._count_refused_bytes
         self.unreadable_rows = UnreadableRows(counter=self.metrics.unreadable_rows)
         self._permits = SendPermits(
             state=self.state,
@@ -197,6 +200,7 @@
             tolerance=settings.tolerance,
             rollouts=settings.rollouts,
             shared_machines=settings.shared_machines,
+            held_bytes=settings.held_bytes,
         )
         self.state.reload(self.settings)
 
@@ -326,6 +330,9 @@
     def _count_refused_for_in_time(self, pool: str, count: int) -> None:
         self.metrics.refused_for_in_time.labels(pool).inc(count)
 
+    def _count_refused_bytes(self, cause: Cause) -> None:
+        self.metrics.refused_bytes.labels(cause).inc()
+
     async def _sweep(self) -> None:
         """Close idle connections that are stale or lead to unlisted upstreams."""
         while True:
@@ -350,6 +357,11 @@
         metrics.rate_limits.set(
             sum(len(pool.rate_limits) for pool in self.state.pools.values())
         )
+        metrics.held_bytes.values = {
+            (held.cause, kind): size
+            for held in (self.state.held_answers, self.state.held_requests)
+            for kind, size in held.sizes.items()
+        }
         metrics.reported_work.values = {
             (name, kind): value
             for name, pool in self.state.pools.items()
--- a/baobabwing/gateway/listener.py
+++ b/baobabwing/gateway/listener.py
@@ -8,6 +8,7 @@
 import h11
 
 from baobabwing.gateway.connection import HttpConnection
+from baobabwing.gateway.held_bytes import Holding
 
 __all__ = ["Listener"]
 
@@ -21,6 +22,8 @@
 
     :param serve: serves one connection until it ends, and closes it.
     :param head_bytes: returns the maximum size of a request head, which may change.
+    :param new_holding: returns what counts the bytes that a connection has received and
+        that are not handled yet.
     """
 
     def __init__(
@@ -28,7 +31,9 @@
         *,
         serve: Callable[[HttpConnection], Awaitable[None]],
         head_bytes: Callable[[], int],
+        new_holding: Callable[[], Holding | None] = lambda: None,
     ) -> None:
+        self._new_holding = new_holding
         self._serve = serve
         self._head_bytes = head_bytes
         self._tasks: set[asyncio.Task[None]] = set()
@@ -67,7 +72,10 @@
 
     def _create_connection(self) -> HttpConnection:
         return HttpConnection(
-            role=h11.SERVER, head_bytes=self._head_bytes, on_open=self._start_serving
+            role=h11.SERVER,
+            head_bytes=self._head_bytes,
+            on_open=self._start_serving,
+            holding=self._new_holding(),
         )
 
     def _start_serving(self, conn: HttpConnection) -> None:
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -266,6 +266,19 @@
             meaning="Versions of rows of the store that were left out as unreadable.",
             label_names=("table",),
         )
+        self.held_bytes = LightLabelledGauge(
+            name="baobabwing_gateway_held_bytes",
+            meaning=(
+                "Bytes that are kept for others, by cause: now, at most so far (peak), "
+                "and the bound (max)."
+            ),
+            label_names=("cause", "kind"),
+        )
+        self.refused_bytes = LightCounter(
+            name="baobabwing_gateway_refused_bytes_total",
+            meaning="Times that there was no room for bytes of others, by cause.",
+            label_names=("cause",),
+        )
         self.rollouts = LightGauge(
             name="baobabwing_gateway_rollouts",
             meaning="Rollouts of versions without a verdict.",
--- a/baobabwing/gateway/retries.py
+++ b/baobabwing/gateway/retries.py
@@ -54,6 +54,8 @@
 
         :param result: how its last attempt ended.
         """
+        if call.passed_through:
+            return "answer has begun"
         if self.quarantined_s(call) > 0:
             return "quarantined"
         if time.monotonic() >= call.ends_at - RETURN_TRIP_S:
--- a/baobabwing/gateway/settings.py
+++ b/baobabwing/gateway/settings.py
@@ -84,7 +84,11 @@
     :param address_keep_s: how long callers may cache an answer of the directory.
     :param log_bytes_per_s: maximum rate of the log; a busy node of 15 requests a second
         writes some 10 KB.
-    :param max_answer_bytes: longest body of a plain answer that states no length.
+    :param held_bytes: most bytes that are kept for others at a time: a half of it for
+        answers of upstreams, a half for requests of callers.
+    :param max_answer_bytes: longest body of a plain answer that is kept until it is
+        whole. A longer one is passed on as it comes if it states its length.
+    :param max_stated_bytes: longest length that an answer may state.
     :param policy: name of the policy by which requests are queued and placed, in the
         registry of ``decisions/policies.py``.
     :param first_start: whether the whole fleet starts for the first time, so that no
@@ -109,7 +113,9 @@
     stop_s: float = 8.0
     address_keep_s: float = 1.0
     log_bytes_per_s: int = 32_768
+    held_bytes: int = 64 * 1024 * 1024
     max_answer_bytes: int = 4 * 1024 * 1024
+    max_stated_bytes: int = 1024 * 1024 * 1024
     policy: str = "queued"
     first_start: bool = False
     names: HeaderNames = field(default_factory=HeaderNames)
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -26,6 +26,7 @@
     VERSIONS_HELD,
     VERSIONS_RELEASED,
 )
+from baobabwing.gateway.held_bytes import Cause, HeldBytes
 from baobabwing.gateway.model import (
     EngineSpec,
     GatewayConfiguration,
@@ -57,6 +58,8 @@
     :ivar table: routes of the configuration in force; ``None`` before the first.
     :ivar caller_limits: limits on callers' requests, in force now and before.
     :ivar shutdown: when this node stops, if it does.
+    :ivar held_answers: bytes that are kept of upstreams' answers.
+    :ivar held_requests: bytes that are kept of callers' requests.
     :ivar other_serves: returns whether another node accepts new callers.
     :ivar placer: places requests at upstreams; ``None`` before it is set.
     :ivar permits: grants the sends to upstreams with rate limits; ``None`` before it is
@@ -76,6 +79,12 @@
         self.rng = rng
         self.table: RouteTable | None = None
         self.caller_limits = LimitsHistory()
+        self.held_answers = HeldBytes(
+            cause=Cause.ANSWERS, max_bytes=settings.held_bytes // 2
+        )
+        self.held_requests = HeldBytes(
+            cause=Cause.REQUESTS, max_bytes=settings.held_bytes // 2
+        )
         self.quotas = QuotaBook(
             tolerance=settings.tolerance, now=time.monotonic(), rng=rng
         )
@@ -103,6 +112,8 @@
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings of retry budgets, limits' tolerance and rollouts."""
         self.settings = settings
+        for held in (self.held_answers, self.held_requests):
+            held.max_bytes = settings.held_bytes // 2
         self.rollouts.settings = settings
         self.quotas.set_tolerance(settings.tolerance)
         for pool in self.pools.values():
--- a/baobabwing/gateway/upstream_connections.py
+++ b/baobabwing/gateway/upstream_connections.py
@@ -62,6 +62,9 @@
 # A connection through another node is replaced after this time, which shows whether the
 # direct path is back.
 _MAX_TUNNEL_AGE_S = 4.0
+# A body that is longer than this is written in parts, each once the peer has read most
+# of those before it: all that is not yet sent would be copied.
+_MAX_WRITE_BYTES = 64 * 1024
 # A connection is closed after this many requests, all of whose ids it remembers.
 _MAX_REQUESTS = 256
 
@@ -84,6 +87,7 @@
 
     :param headers: without hop-by-hop headers.
     :param framing: what marks the end of the body.
+    :param length: stated length of the body; 0 if none is stated.
     :param event_stream: whether the body is an event stream, as far as its type says.
     :param request_id: id of the request that is answered, or empty.
     :param signed: whether the header is present that shows it is an upstream's own.
@@ -102,6 +106,7 @@
     reason: bytes
     headers: Headers
     framing: Framing
+    length: int
     event_stream: bool
     request_id: str
     signed: bool
@@ -172,18 +177,24 @@
         *,
         request_id: str = "",
     ) -> None:
-        """Write a request in a single write, waiting while the peer does not read.
+        """Write a request, a short one in a single write.
+
+        This waits while the peer does not read.
 
         :param request_id: id that the answer repeats.
         """
         head = h11.Request(method=method, target=target, headers=headers)
         parts = [self.conn.http.send(head)]
-        if body:
-            parts.append(self.conn.http.send(h11.Data(data=body)))
-        parts.append(self.conn.http.send(h11.EndOfMessage()))
         self._sent_at = time.monotonic()
         self._request_id = request_id
         self._sent_ids.add(request_id)
+        for start in range(0, len(body), _MAX_WRITE_BYTES):
+            if start:
+                await self.conn.write(b"".join(parts))
+                parts.clear()
+            piece = body[start : start + _MAX_WRITE_BYTES]
+            parts.append(self.conn.http.send(h11.Data(data=piece)))
+        parts.append(self.conn.http.send(h11.EndOfMessage()))
         await self.conn.write(b"".join(part for part in parts if part))
 
     async def read_head(self) -> AnswerHead:
@@ -299,6 +310,7 @@
             reason=event.reason,
             headers=forwarded,
             framing=_parse_framing(values),
+            length=_parse_length(values),
             event_stream=_may_be_event_stream(values),
             request_id=request_id,
             signed=names.signature in values,
@@ -567,6 +579,13 @@
     return Framing.CLOSE
 
 
+def _parse_length(values: dict[bytes, bytes]) -> int:
+    """Return the stated length of a body; the parser has checked that it is one."""
+    if _parse_framing(values) is not Framing.LENGTH:
+        return 0
+    return int(values[b"content-length"])
+
+
 def _may_be_event_stream(values: dict[bytes, bytes]) -> bool:
     content_type = values.get(b"content-type", _EVENT_STREAM).strip().lower()
     return content_type.startswith(_EVENT_STREAM)
--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -47,7 +47,7 @@
     :param mute: never answer.
     :param unframed: send neither length nor chunks; closing the connection ends the
         answer.
-    :param padding: bytes added to each event, as other text has other lengths.
+    :param padding: bytes added to each event or to a plain answer.
     :param sized: state the length of the whole stream in its head.
     :param false_end: after ``cut_after``, send the last chunk, as if complete.
     :param extra: send a second answer after the first.
@@ -297,7 +297,7 @@
             return False
         if behaviour.events:
             return await self._stream(conn, request, behaviour)
-        body = b"answer to " + request.request_id.encode()
+        body = b"answer to " + request.request_id.encode() + b"x" * behaviour.padding
         self.bodies[request.request_id] = body
         if behaviour.cut_after is not None or behaviour.unframed:
             await self._send_truncated(conn, request, behaviour, body)
