Bound the documents that a node takes from its peers

What callers saw: nothing yet; a node that follows a peer whose answer has no end, or whose documents decompress to gigabytes, runs out of memory and ends.

Cause: the body of a peer's answer was kept at any length, decompressed without a limit, and could name the same document any number of times.

Change: an answer has 16 MB at most, its documents 32 MB together when decompressed, and no more documents than there are. Beyond that it is refused as malformed; a node without a source follows the store itself, as before.

--- a/baobabwing/gateway/document_distribution.py
+++ b/baobabwing/gateway/document_distribution.py
@@ -61,6 +61,10 @@
 _NO_SOURCE_S = 1.7
 _HEAD_BYTES = 8192
 _COMPRESSION_LEVEL = 1
+# One answer, compressed.
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Its documents together, decompressed: some 5 kB for each of 6,600 upstreams.
+_MAX_DOCUMENTS_BYTES = 32 * 1024 * 1024
 # Pause before the next call to a source that has sent documents. While dozens of
 # upstreams register in a row, each of 195 nodes received 48 lists of them in 5 s, a
 # fifth of the processor time of its start; changes are in force within 2 s.
@@ -337,12 +341,18 @@
         headers = [(b"Host", source.peer.encode())]
         await conn.send(h11.Request(method="GET", target=target, headers=headers))
         await conn.send(h11.EndOfMessage())
-        status, body = 0, b""
+        status, body = 0, bytearray()
         while not isinstance(event := await conn.next_event(), h11.EndOfMessage):
             if isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
-                body += bytes(event.data)
+                body += event.data
+                if len(body) > _MAX_ANSWER_BYTES:
+                    raise WireError(
+                        f"answer over {_MAX_ANSWER_BYTES} bytes",
+                        step="documents",
+                        peer=source.peer,
+                    )
             else:
                 raise ConnectionLostError("cut", step="documents", peer=source.peer)
         if status != 200:
@@ -350,7 +360,7 @@
                 f"status {status}", step="documents", peer=source.peer
             )
         conn.http.start_next_cycle()
-        return _decode(body, source.peer, have=self.position)
+        return _decode(bytes(body), source.peer, have=self.position)
 
     def _accept(self, source: Host, name: DocumentName, document: Document) -> None:
         previous = self.position(name)
@@ -420,24 +430,36 @@
     """Decode an answer; documents that the other source has sent are left out.
 
     :param have: returns the present position of this node's document.
-    :raises WireError: if the answer is malformed.
+    :raises WireError: if the answer is malformed, or if its documents are longer than
+        ``_MAX_DOCUMENTS_BYTES``.
     """
     head, _, rest = body.partition(b"\n")
     try:
         if not head:
             raise ValueError("empty")
         follows, *entries = head.decode().split(" ")
-        documents = {}
+        if len(entries) > len(DocumentName):
+            raise ValueError("more documents than there are")
+        documents, left_bytes = {}, _MAX_DOCUMENTS_BYTES
         for entry in entries:
             name, text, size = entry.split(":")
             position = Position.parse(text)
             data, rest = rest[: int(size)], rest[int(size) :]
             if position > have(DocumentName(name)):
-                documents[DocumentName(name)] = Document(
-                    position=position, data=zlib.decompress(data)
-                )
+                plain = _decompress(data, left_bytes)
+                left_bytes -= len(plain)
+                documents[DocumentName(name)] = Document(position=position, data=plain)
         return _Delivery(follows=follows == "1", documents=documents)
     except (ValueError, zlib.error) as exc:
         raise WireError(
             f"malformed documents: {exc!r}", step="documents", peer=peer
         ) from exc
+
+
+def _decompress(data: bytes, most_bytes: int) -> bytes:
+    decompressor = zlib.decompressobj()
+    # With 0 there would be no limit.
+    plain = decompressor.decompress(data, max(most_bytes, 1))
+    if not decompressor.eof:
+        raise ValueError("documents too long, or cut")
+    return plain
--- a/tests/gateway/test_document_distribution.py
+++ b/tests/gateway/test_document_distribution.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import zlib
 from types import SimpleNamespace
 
 import pytest
@@ -17,6 +18,7 @@
 )
 from baobabwing.gateway.plain_http import PlainServer
 from baobabwing.gateway.position import Position
+from tests.gateway.endless_server import HEADS, EndlessServer
 from tests.gateway.harness import eventually, free_address
 from tests.gateway.placement.fleet_model import Clock
 
@@ -360,6 +362,47 @@
         document_distribution._decode(body, "peer")
 
 
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+def test_answer_without_end_is_not_kept(run, monkeypatch, head):
+    monkeypatch.setattr(document_distribution, "_TIMEOUT_S", 20.0)
+
+    async def story():
+        node = Fleet(1).nodes[0]
+        async with EndlessServer(head) as endless:
+            source = Host(
+                name="n",
+                incarnation=1,
+                zone="z",
+                region="r",
+                peer=endless.address,
+                http="",
+            )
+            node._members.hosts = [source] * 12
+            with pytest.raises(WireError):
+                await node._follow_source(0, source)
+            most = document_distribution._MAX_ANSWER_BYTES + 8 * 1024 * 1024
+            assert endless.sent <= most
+
+    run(story())
+
+
+@pytest.mark.parametrize("documents", [1, 4])
+def test_documents_that_grow_without_bound_are_refused(documents):
+    size = 2 * document_distribution._MAX_DOCUMENTS_BYTES // documents
+    data = zlib.compress(b" " * size)
+    heads = [f"{name.value}:0.7:{len(data)}" for name in DocumentName][:documents]
+    body = " ".join(["1", *heads]).encode() + b"\n" + documents * data
+    with pytest.raises(WireError):
+        document_distribution._decode(body, "peer")
+
+
+def test_document_that_comes_twice_is_refused():
+    data = zlib.compress(b"{}")
+    head = " ".join(["1", *[f"configuration:0.7:{len(data)}"] * 5])
+    with pytest.raises(WireError):
+        document_distribution._decode(head.encode() + b"\n" + 5 * data, "peer")
+
+
 def test_peer_of_an_earlier_build_gets_no_document_that_it_does_not_know(run):
     """It would take the whole answer for malformed."""
 
