Bound the memory that foreign JSON takes once it is decoded

What callers saw: nothing yet; an answer of the store, a row or a peer's document of a few megabytes could take twenty times that, and a MemoryError of one row was none of the errors that leave out just that row.

Cause: only nesting was bounded; three bytes of JSON make a value of some 70.

Change: all foreign JSON of the gateway and the adapter is decoded by foreign_values.parse_json, which refuses more than 250,000 values and turns errors of depth and memory into ValueError. Changes of a table that are over it lead to a read page by page, as ones that are too long do.

Nesting that is too deep in the store's answers was refused before; the tests that show it are kept.

--- a/baobabwing/gateway/decisions/stored_software.py
+++ b/baobabwing/gateway/decisions/stored_software.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from baobabwing.gateway.decisions.stream_origins import SOFTWARE_KEPT_S
-from baobabwing.gateway.foreign_values import name, number, string
+from baobabwing.gateway.foreign_values import name, number, parse_json, string
 
 __all__ = [
     "HeldVersions",
@@ -107,7 +107,7 @@
 
     :raises ValueError: if they are not valid.
     """
-    value = json.loads(data)
+    value = parse_json(data)
     if not isinstance(value, dict):
         raise ValueError("no versions by pool")
     for versions in value.values():
--- a/baobabwing/gateway/foreign_values.py
+++ b/baobabwing/gateway/foreign_values.py
@@ -15,12 +15,14 @@
 __all__ = [
     "DECODING_ERRORS",
     "MAX_COUNT",
+    "TooManyValuesError",
     "check_value",
     "count",
     "load_json",
     "load_object",
     "name",
     "number",
+    "parse_json",
     "socket_address",
     "string",
 ]
@@ -34,6 +36,9 @@
     TypeError,
     ValueError,
 )
+# Values in one document: 37 for each of 6,600 upstreams. A value of three bytes takes
+# some 70 once it is decoded, one of a key of its own some 200.
+_MAX_VALUES = 250_000
 # Levels of arrays and objects; no row or document has more than six.
 _MAX_DEPTH = 32
 # Larger integers can't be converted to a float.
@@ -45,15 +50,34 @@
 _TOKENS = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL)
 
 
+class TooManyValuesError(ValueError):
+    """JSON that would take many times its length once it is decoded."""
+
+
+def parse_json(data: bytes | str, **options: Any) -> Any:
+    """Decode JSON whose values are checked elsewhere, within a bounded memory.
+
+    :param options: of ``json.loads``.
+    :raises TooManyValuesError: if there are more values than in any sound document.
+    :raises ValueError: if it is malformed, or nested too deeply to be decoded.
+    """
+    # Each value but the first follows a comma, or the start of an array or object.
+    marks = (",", "[", "{") if isinstance(data, str) else (b",", b"[", b"{")
+    values = sum(data.count(mark) for mark in marks)
+    if values > _MAX_VALUES:
+        raise TooManyValuesError(f"over {_MAX_VALUES} values")
+    try:
+        return json.loads(data, **options)
+    except (MemoryError, RecursionError) as exc:
+        raise ValueError(f"can't be decoded: {exc!r:.200}") from exc
+
+
 def load_json(data: bytes | str) -> Any:
     """Decode JSON that another program wrote.
 
     :raises ValueError: if it is malformed, or if its value can't be used.
     """
-    try:
-        value = json.loads(data)
-    except RecursionError as exc:
-        raise ValueError("nested too deeply") from exc
+    value = parse_json(data)
     check_value(value)
     return value
 
@@ -67,11 +91,13 @@
     :raises ValueError: if it is not a JSON object.
     """
     try:
-        value = json.loads(data)
-    except (RecursionError, ValueError):
+        value = parse_json(data)
+    except TooManyValuesError:
+        raise
+    except ValueError:
         # Bytes that are no UTF-8 become halves of surrogate pairs.
         text = data.decode(errors="surrogateescape")
-        value = json.loads(_without_deep_parts(text), parse_int=_parse_integer)
+        value = parse_json(_without_deep_parts(text), parse_int=_parse_integer)
     if not isinstance(value, dict):
         raise ValueError(f"not an object: {_excerpt(value)}")
     return value
--- a/tests/gateway/endless_server.py
+++ b/tests/gateway/endless_server.py
@@ -1,4 +1,4 @@
-"""A server whose answers have no end."""
+"""A server whose answers have no end, or a body that a test sets."""
 
 import asyncio
 import contextlib
@@ -17,11 +17,13 @@
 class EndlessServer:
     """Answers each call with a head and a body that does not end.
 
+    :ivar body: sent instead, if it is set.
     :ivar sent: bytes of the longest answer that a client has read.
     """
 
     def __init__(self, head):
         self.head, self.sent, self.address = head, 0, ""
+        self.body = b""
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -37,7 +39,8 @@
         with contextlib.suppress(ConnectionError):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self.head)
-            while sent < _SENT_MOST:
+            writer.write(self.body)
+            while not self.body and sent < _SENT_MOST:
                 writer.write(_PIECE)
                 await writer.drain()
                 sent += len(_PIECE)
--- a/tests/platform_adapter/test_long_store_answers.py
+++ b/tests/platform_adapter/test_long_store_answers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from baobabwing.exceptions import PlatformError
+from baobabwing.gateway import foreign_values
 from baobabwing_platform import store
 from baobabwing_platform.eras import StoreEras
 from baobabwing_platform.store import StoreClient
@@ -37,8 +38,17 @@
     asyncio.run(story())
 
 
-def test_changes_too_long_for_one_answer_are_read_page_by_page(monkeypatch):
-    monkeypatch.setattr(store, "_MAX_ANSWER_BYTES", 200_000)
+@pytest.mark.parametrize(
+    ("module", "bound", "most"),
+    [
+        (store, "_MAX_ANSWER_BYTES", 200_000),
+        (foreign_values, "_MAX_VALUES", 4000),
+    ],
+)
+def test_changes_too_long_for_one_answer_are_read_page_by_page(
+    monkeypatch, module, bound, most
+):
+    monkeypatch.setattr(module, bound, most)
 
     async def story():
         standin, looks = StandinStore(), []
@@ -64,6 +74,25 @@
     asyncio.run(story())
 
 
+@pytest.mark.parametrize(
+    "odd",
+    ["[" * 100_000 + "]" * 100_000, "[" * 100_000, f"[{'[],' * 500_000}1]"],
+    ids=["deep", "open", "many"],
+)
+def test_answer_that_fills_the_memory_once_decoded_is_refused(odd):
+    async def story():
+        async with EndlessServer(HEADS["close"]) as server:
+            text = f'{{"rows": [], "ver": 1, "x": {odd}}}'
+            server.body = text.encode()
+            client = StoreClient(
+                address=server.address, eras=StoreEras(), timeout_s=20.0
+            )
+            with pytest.raises(PlatformError):
+                await client.read_all("servers")
+
+    asyncio.run(story())
+
+
 class PagesWithoutEnd(StandinStore):
     """Says of each page that more follow.
 
--- a/tests/platform_adapter/test_odd_rows.py
+++ b/tests/platform_adapter/test_odd_rows.py
@@ -51,6 +51,7 @@
     "object": '{"a": []}',
 }
 VALUES = [b"", b"\xff\xfe", b"null", b"[]", b"7", b'"\\ud800"', b"{", b"[" * 100_000]
+MANY = b'{"a": [' + b"[]," * 500_000 + b"1]}"
 KEYS = ["", " a", "\ud800", "a\udfff", "a\r\nb", "a\0", "k" * 100_000]
 PLACES = pytest.mark.parametrize("key", ["a-odd", "z-odd"])
 STARTS = pytest.mark.parametrize("at_start", [True, False])
@@ -419,7 +420,7 @@
 
 
 @pytest.mark.parametrize("name", DocumentName)
-@pytest.mark.parametrize("data", [*VALUES, b"{}", b"[[]]", b'{"a": 1}', b"1e999"])
+@pytest.mark.parametrize("data", [*VALUES, b"{}", b"[[]]", b'{"a": 1}', b"1e999", MANY])
 def test_odd_document_of_a_peer_changes_nothing(tmp_path, name, data):
     async def story():
         node = new_node(tmp_path)
