Bound the pools of names that no configuration has named

What callers saw: nothing yet; each name of a service in a row of an upstream made a pool, with its scheduler and cells, that was kept for good.

Cause: the list of upstreams made pools for all its names, configured or not.

Change: 256 names get one before a configuration names them. Later ones get theirs with the configuration, as its names always did.

Evidence: 4 of 4 tests failed before (2,000 names, in one list and in 20, with and without a configuration first); 4 of 4 pass.

--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -243,8 +243,9 @@
 UPSTREAMS_CHANGED = define(
     2502,
     "upstreams_changed",
-    "The list of upstreams changed; number of upstreams listed per pool, and those "
-    "draining.",
+    "The list of upstreams changed; number of upstreams listed per pool, those "
+    "draining, and the number of names that no configuration has named and that are "
+    "too many to get pools.",
 )
 UPSTREAM_START_REPLACED = define(
     2503,
--- a/baobabwing/gateway/state.py
+++ b/baobabwing/gateway/state.py
@@ -48,6 +48,9 @@
 
 # Leaving upstreams that are remembered; they end within seconds.
 _MAX_LEAVING = 1024
+# Pools of names that rows of upstreams bear and no configuration has named yet. Others
+# get theirs with the configuration.
+_MAX_UNCONFIGURED_POOLS = 256
 
 
 class GatewayState:
@@ -93,6 +96,7 @@
         self.rollouts = Rollouts(settings=settings, rng=rng)
         self.rollouts.on_change = lambda name: self._list_upstreams(self._pool(name))
         self.pools: dict[str, PoolRuntime] = {}
+        self._unconfigured_pools = 0
         self.shutdown = Shutdown()
         self.other_serves: Callable[[], bool] = lambda: False
         self.placer: Placer | None = None
@@ -156,6 +160,7 @@
         self._configure_limits(cfg.organisations)
         for name in self.table.pools:
             self._pool(name)
+        self._count_unconfigured()
         return True
 
     def _configure_limits(self, organisations: Iterable[OrganisationSpec]) -> None:
@@ -184,8 +189,9 @@
             name: tuple(map(self._with_leaving, listed))
             for name, listed in by_pool.items()
         }
-        for name in set(by_pool) | set(self.pools):
-            self._list_upstreams(self._pool(name))
+        for name in sorted(set(by_pool) | set(self.pools)):
+            if self._may_have_pool(name):
+                self._list_upstreams(self._pool(name))
         for entry in previous:
             if instances.get(entry.name, entry.instance) != entry.instance:
                 log(UPSTREAM_START_REPLACED, upstream=entry.instance, by=source)
@@ -193,7 +199,12 @@
         log(
             UPSTREAMS_CHANGED,
             by=source,
-            listed={name: len(listed) for name, listed in self._entries.items()},
+            listed={
+                name: len(listed)
+                for name, listed in self._entries.items()
+                if name in self.pools
+            },
+            names_without_pool=len(set(by_pool) - set(self.pools)),
             draining=[
                 entry.instance
                 for listed in self._entries.values()
@@ -252,6 +263,7 @@
         return {
             name: frozenset(entry.version for entry in listed)
             for name, listed in self._entries.items()
+            if name in self.pools
         }
 
     def restore_software(
@@ -262,6 +274,8 @@
         :param store_s: the store's monotonic clock now.
         """
         for one in stored:
+            if not self._may_have_pool(one.pool):
+                continue
             self._pool(one.pool).software.restore(
                 one.recent(store_s), store_s - one.since_s, time.monotonic()
             )
@@ -319,6 +333,20 @@
             (pool for pool in self.pools.values() if pool.cells.crc == crc), None
         )
 
+    def _may_have_pool(self, name: str) -> bool:
+        """Whether there is a pool of this name, or room for one that nobody uses."""
+        if name in self.pools or self._is_configured(name):
+            return True
+        return self._unconfigured_pools < _MAX_UNCONFIGURED_POOLS
+
+    def _count_unconfigured(self) -> None:
+        self._unconfigured_pools = sum(
+            not self._is_configured(name) for name in self.pools
+        )
+
+    def _is_configured(self, name: str) -> bool:
+        return self.table is not None and name in self.table.pools
+
     def _pool(self, name: str) -> PoolRuntime:
         runtime = self.pools.get(name)
         engine = self._engine(name)
@@ -346,6 +374,7 @@
                 name, request, time.monotonic(), nodes=self.nodes
             )
             self.pools[name] = runtime
+            self._count_unconfigured()
             self._list_upstreams(runtime)
         if engine is not None and runtime.scheduler.engine != engine:
             runtime.scheduler.set_engine(engine)
