Bound what the way beside the gateway keeps of the store's answers

What callers saw: nothing yet; an answer of the store without end was read whole into memory by the client beside the gateway, too, and nesting that is too deep came through as RecursionError, which its callers don't handle.

Change: an answer has 64 MB at most, the length of the longest configuration; beyond it, it counts as no answer. Deep nesting is refused as no JSON.

--- a/baobabwing/store/http.py
+++ b/baobabwing/store/http.py
@@ -20,6 +20,9 @@
 _MAX_CONNECTIONS = 8
 _REFUSED_WITHOUT_EFFECT = (429, 503)
 _FIRST_SERVER_ERROR = 500
+_BLOCK_BYTES = 65_536
+# Configurations are the longest objects; a page of rows is shorter.
+_MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -40,7 +43,7 @@
         """
         try:
             value = json.loads(self.body)
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             raise PlatformError("answer is not JSON", step=step, peer=peer) from exc
         if not isinstance(value, dict):
             raise PlatformError("answer is not a JSON object", step=step, peer=peer)
@@ -90,7 +93,9 @@
                 body=body,
                 headers=headers,
                 redirect=False,
+                preload_content=False,
             )
+            data = _read_bounded(response)
         except (NewConnectionError, ConnectTimeoutError) as exc:
             raise self._unavailable("no connection", step) from exc
         except (HTTPError, OSError) as exc:
@@ -99,15 +104,20 @@
             # The request was sent but no answer arrived: the write may have taken
             # effect or do so later. Only reading back can show it.
             raise self._uncertain("answer lost", step) from exc
-        return self._classify(response, is_read=is_read, step=step)
+        return self._classify(response, data, is_read=is_read, step=step)
 
     def _classify(
-        self, response: urllib3.BaseHTTPResponse, *, is_read: bool, step: str
+        self,
+        response: urllib3.BaseHTTPResponse,
+        data: bytes,
+        *,
+        is_read: bool,
+        step: str,
     ) -> PlatformAnswer:
         status = response.status
         answer = PlatformAnswer(
             status=status,
-            body=response.data,
+            body=data,
             retry_after_s=_parse_seconds(response.headers.get("Retry-After", "")),
         )
         if status in self._returned_statuses:
@@ -136,6 +146,25 @@
     return urllib.parse.quote(part, safe="/")
 
 
+def _read_bounded(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Read a whole body; its connection is closed unless that succeeds.
+
+    :raises HTTPError: if the body is cut, or longer than ``_MAX_ANSWER_BYTES``.
+    """
+    try:
+        data = bytearray()
+        while len(data) <= _MAX_ANSWER_BYTES:
+            block = response.read(_BLOCK_BYTES)
+            if not block:
+                response.release_conn()
+                return bytes(data)
+            data += block
+        raise HTTPError(f"answer over {_MAX_ANSWER_BYTES} bytes")
+    except BaseException:
+        response.close()
+        raise
+
+
 def _parse_seconds(text: str) -> float:
     try:
         return max(float(text), 0.0)
