Bound callers' connections by the descriptors of the process

Callers saw: with 150 descriptors and 300 connections that send nothing, no new caller was answered (0 of 20), and nothing else could be opened. Cause: connections were accepted without a bound, and asyncio's accept repeats a failed call up to the backlog in one turn, with a line each. Change: each listener has a bound, a part of the smaller of RLIMIT_NOFILE and the stated limit, read at the start and at a reload. At the bound an idle connection makes way, those that never sent anything first, then kept ones idle for 5 s, never one with a request; if none may, the listener rests. Line 8506, at most one in 10 s for each listener, and two gauges.

A test closed a private asyncio server to stop a listener; it calls Listener.close, which does the same.

--- a/baobabwing/gateway/caller_server.py
+++ b/baobabwing/gateway/caller_server.py
@@ -42,15 +42,24 @@
 
     :param state: configuration in force and phase of this node.
     :param forwarder: answers the requests.
+    :param bound: as in :class:`Listener`.
     """
 
-    def __init__(self, *, state: GatewayState, forwarder: Forwarder) -> None:
+    def __init__(
+        self,
+        *,
+        state: GatewayState,
+        forwarder: Forwarder,
+        bound: Callable[[], int] | None = None,
+    ) -> None:
         self._state = state
         self._forwarder = forwarder
         self._listener = Listener(
             serve=self._serve,
             head_bytes=lambda: self._limits_since(time.monotonic()).head_bytes,
             new_holding=state.held_requests.holding,
+            name="callers",
+            bound=bound,
         )
         self.open_requests = 0
         # Bytes received when a connection began to wait for a request; ``None`` while
@@ -67,6 +76,11 @@
         """Whether callers can connect."""
         return self._listener.listening
 
+    @property
+    def open_connections(self) -> int:
+        """Number of callers' open connections."""
+        return self._listener.open_connections
+
     @property
     def busy(self) -> bool:
         """Whether a request or the bytes of an answer are on their way."""
@@ -135,6 +149,7 @@
     async def _serve_request(self, conn: HttpConnection) -> bool:
         """Read and answer one request; return whether the connection can be reused."""
         self._received_before[conn] = conn.received
+        conn.await_request()
         answer = CallerAnswer(conn=conn, closes=False)
         with contextlib.ExitStack() as holdings:
             return await self._read_and_answer(conn, answer, holdings)
@@ -166,6 +181,7 @@
             holdings.enter_context(holding)
             body = await self._read_body(conn, arrived, headers, holding)
             self._received_before[conn] = None
+            conn.take_request()
         except MalformedError as exc:
             refusal = Refusal(status=exc.status, code="malformed")
             return await self._reject(conn, answer, refusal)
--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -8,6 +8,7 @@
 import struct
 import sys
 import threading
+import time
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -70,6 +71,7 @@
     :param head_bytes: returns the maximum size of a head, which may change.
     :param on_open: called with this connection when a caller has connected.
     :param holding: counts the bytes that have been received and not handled yet.
+    :param on_close: called with this connection once its socket is closed.
     :ivar on_gone: called once when the connection ends.
     :ivar on_unsolicited_data: if set, called when data arrives, which is then dropped.
     :ivar peer: address of the peer, as ``ip:port``.
@@ -84,11 +86,13 @@
         head_bytes: Callable[[], int],
         on_open: Callable[[HttpConnection], None] | None = None,
         holding: Holding | None = None,
+        on_close: Callable[[HttpConnection], None] | None = None,
     ) -> None:
         self._holding = holding
         self._role = role
         self._head_bytes = head_bytes
         self._on_open = on_open
+        self._on_close = on_close
         self.http = _new_parser(role)
         self.transport: asyncio.Transport | None = None
         self.on_gone: Callable[[], None] | None = None
@@ -103,6 +107,8 @@
         self._write_paused = False
         self._unread = 0
         self._read_paused = False
+        self._awaited_since: float | None = None
+        self._received_before = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and the address of the peer."""
@@ -148,6 +154,8 @@
         if exc is not None or not self._eof_received:
             self._reset_error = exc or ConnectionResetError("connection closed")
         self._mark_gone()
+        if self._on_close is not None:
+            self._on_close(self)
 
     def pause_writing(self) -> None:
         """Block writers: the peer reads more slowly than it is sent data."""
@@ -230,6 +238,26 @@
         """Whether it is open and no bytes follow the exchange that has ended."""
         return not self.gone and not self.http.trailing_data[0]
 
+    def await_request(self) -> None:
+        """Note that nothing of the next request has been read yet."""
+        self._awaited_since = time.monotonic()
+        self._received_before = self.received
+
+    def take_request(self) -> None:
+        """Note that a request is handled from now on."""
+        self._awaited_since = None
+
+    @property
+    def idle_since(self) -> float | None:
+        """When it began to wait for a request of which nothing has arrived."""
+        untouched = self.received == self._received_before and self.clean
+        return self._awaited_since if untouched else None
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether something else has taken over its transport."""
+        return self.transport is not None and self.transport.get_protocol() is not self
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that were written and that the kernel has not taken yet."""
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -10,6 +10,7 @@
     "CELL_TAKEN",
     "CONFIGURATION_HELD",
     "CONFIGURATION_TAKEN",
+    "CONNECTIONS_FULL",
     "CONNECTION_FAULT",
     "COUNTS_LATE",
     "DOCUMENT_TAKEN",
@@ -568,6 +569,15 @@
     "Timers of the process fired late: the largest delay, and the processor time used "
     "meanwhile. If that is small, the process was kept from running.",
 )
+CONNECTIONS_FULL = define(
+    8506,
+    "connections_full",
+    "A listener had no room for a new connection: its `bound` was reached, or a call "
+    "failed (`reason`). `closed`: idle connections closed since the last such line; "
+    "`rests`: how often it rested as none could be closed. At most one line in ten "
+    "seconds for each listener.",
+    level="warning",
+)
 GATEWAY_STOPPED = define(
     8503,
     "gateway_stopped",
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from baobabwing.gateway.caller_server import CallerServer
+from baobabwing.gateway.connection_bounds import ConnectionBounds, descriptor_limit
 from baobabwing.gateway.crash_reports import CrashReportExchange
 from baobabwing.gateway.directory import caller_addresses
 from baobabwing.gateway.document_distribution import (
@@ -83,6 +84,7 @@
     ) -> None:
         self.settings = settings
         self._rng = rng
+        self._bounds = _bounds(settings)
         self.state = GatewayState(settings=settings, rng=rng)
         self.members = Members(settings=settings, work=settings.work)
         self.link = GatewayLink()
@@ -155,6 +157,7 @@
             connect=self.paths.connect_for_peer,
             listed=self.state.lists_address,
             is_late=lambda: self._loop_delay_monitor.late_s > _MAX_RELAY_LATE_S,
+            bound=lambda: self._bounds.tunnels,
         )
         self.state.on_restarted = lambda entry: self.connections.abandon(
             entry.address, entry.instance
@@ -166,7 +169,11 @@
             origins=self.origins,
             parts=self.part_reports,
         )
-        self.callers = CallerServer(state=self.state, forwarder=forwarder)
+        self.callers = CallerServer(
+            state=self.state,
+            forwarder=forwarder,
+            bound=lambda: self._bounds.callers,
+        )
         self.sharing = DocumentDistribution(
             members=self.members, on_document=on_document
         )
@@ -174,12 +181,21 @@
         self._leave_requested = asyncio.Event()
         self._told_to_leave_at: float | None = None
 
-    async def serve(self, address: str, answer: Callable[..., Awaitable]) -> None:
+    async def serve(
+        self,
+        address: str,
+        answer: Callable[..., Awaitable],
+        *,
+        bound: Callable[[], int] | None = None,
+    ) -> None:
         """Listen on one more address for requests without a body.
 
         :param answer: called with method and target; returns a ``PlainAnswer``.
+        :param bound: returns the most connections that are kept.
         """
-        server = PlainServer(answer=answer)
+        server = PlainServer(
+            answer=answer, name=address, bound=bound or (lambda: self._bounds.others)
+        )
         await server.start(address)
         self._servers.append(server)
 
@@ -196,12 +212,14 @@
             self.settings,
             stop_s=settings.stop_s,
             address_keep_s=settings.address_keep_s,
+            max_descriptors=settings.max_descriptors,
             repeats=settings.repeats,
             tolerance=settings.tolerance,
             rollouts=settings.rollouts,
             shared_machines=settings.shared_machines,
             held_bytes=settings.held_bytes,
         )
+        self._bounds = _bounds(self.settings)
         self.state.reload(self.settings)
 
     def leave(self, told_at: float | None = None) -> None:
@@ -223,7 +241,11 @@
         self.members.start()
         if self.settings.readiness:
             await self.serve(self.settings.readiness, self._answer_ready)
-        await self.serve(self.settings.peers, self.sharing.answer)
+        await self.serve(
+            self.settings.peers,
+            self.sharing.answer,
+            bound=lambda: self._bounds.peers,
+        )
         if self.settings.metrics:
             await self.serve(self.settings.metrics, self._answer_metrics)
         await self.callers.start(self.settings.callers)
@@ -345,6 +367,8 @@
     async def _answer_metrics(self, method: str, target: str) -> PlainAnswer:
         metrics = self.metrics
         metrics.open_requests.set(self.callers.open_requests)
+        metrics.caller_connections.set(self.callers.open_connections)
+        metrics.caller_connections_bound.set(self._bounds.callers)
         metrics.queued.set(sum(pool.queued for pool in self.state.pools.values()))
         metrics.limits_share.set(self.state.quotas.share)
         metrics.version.set(self.state.version)
@@ -390,3 +414,7 @@
         return PlainAnswer(
             status=status, body=json.dumps({"ready": self.state.ready}).encode()
         )
+
+
+def _bounds(settings: GatewaySettings) -> ConnectionBounds:
+    return ConnectionBounds.within(descriptor_limit(settings.max_descriptors))
--- a/baobabwing/gateway/metrics.py
+++ b/baobabwing/gateway/metrics.py
@@ -189,6 +189,14 @@
             name="baobabwing_gateway_open_requests",
             meaning="Requests without an answer yet.",
         )
+        self.caller_connections = LightGauge(
+            name="baobabwing_gateway_caller_connections",
+            meaning="Open connections of callers.",
+        )
+        self.caller_connections_bound = LightGauge(
+            name="baobabwing_gateway_caller_connections_bound",
+            meaning="Most connections of callers that are kept.",
+        )
         self.queued = LightGauge(
             name="baobabwing_gateway_queued_requests",
             meaning="Requests that wait for a place.",
--- a/baobabwing/gateway/plain_http.py
+++ b/baobabwing/gateway/plain_http.py
@@ -35,11 +35,21 @@
     """Answers requests without a body on one address.
 
     :param answer: called with method and target; returns the answer.
+    :param name: as in :class:`Listener`.
+    :param bound: as in :class:`Listener`.
     """
 
-    def __init__(self, *, answer: Handler) -> None:
+    def __init__(
+        self,
+        *,
+        answer: Handler,
+        name: str = "",
+        bound: Callable[[], int] | None = None,
+    ) -> None:
         self._answer = answer
-        self._listener = Listener(serve=self._serve, head_bytes=lambda: _HEAD_BYTES)
+        self._listener = Listener(
+            serve=self._serve, head_bytes=lambda: _HEAD_BYTES, name=name, bound=bound
+        )
 
     async def start(self, address: str) -> None:
         """Start listening on ``ip:port``."""
@@ -56,12 +66,14 @@
         conn.close()
 
     async def _serve_request(self, conn: HttpConnection) -> bool:
+        conn.await_request()
         async with asyncio.timeout(_IDLE_TIMEOUT_S):
             request = await conn.next_event()
             if not isinstance(request, h11.Request):
                 return False
             while not isinstance(await conn.next_event(), h11.EndOfMessage):
                 pass
+        conn.take_request()
         method = request.method.decode("ascii")
         answer = await self._answer(method, request.target.decode("latin-1"))
         headers = [(b"Content-Length", b"%d" % len(answer.body))]
--- a/baobabwing/gateway/settings.py
+++ b/baobabwing/gateway/settings.py
@@ -89,6 +89,8 @@
     :param max_answer_bytes: longest body of a plain answer that is kept until it is
         whole. A longer one is passed on as it comes if it states its length.
     :param max_stated_bytes: longest length that an answer may state.
+    :param max_descriptors: most descriptors that this process may open, where that is
+        less than its own limit; 0 for none.
     :param policy: name of the policy by which requests are queued and placed, in the
         registry of ``decisions/policies.py``.
     :param first_start: whether the whole fleet starts for the first time, so that no
@@ -116,6 +118,7 @@
     held_bytes: int = 64 * 1024 * 1024
     max_answer_bytes: int = 4 * 1024 * 1024
     max_stated_bytes: int = 1024 * 1024 * 1024
+    max_descriptors: int = 0
     policy: str = "queued"
     first_start: bool = False
     names: HeaderNames = field(default_factory=HeaderNames)
--- a/baobabwing/gateway/tunnels.py
+++ b/baobabwing/gateway/tunnels.py
@@ -97,6 +97,7 @@
     :param listed: whether an address is that of a listed upstream; there are no tunnels
         to other addresses.
     :param is_late: whether this node has lately been too busy to carry many.
+    :param bound: as in :class:`Listener`; also the most tunnels.
     :ivar accepting: whether there are new tunnels; false while this node stops.
     :ivar active: number of open tunnels.
     """
@@ -107,11 +108,18 @@
         connect: Callable[[str], Awaitable[SplicedEnd]],
         listed: Callable[[str], bool],
         is_late: Callable[[], bool] = lambda: False,
+        bound: Callable[[], int] = lambda: _MAX_TUNNELS,
     ) -> None:
         self._connect = connect
         self._is_late = is_late
         self._listed = listed
-        self._listener = Listener(serve=self._serve, head_bytes=lambda: _HEAD_BYTES)
+        self._bound = bound
+        self._listener = Listener(
+            serve=self._serve,
+            head_bytes=lambda: _HEAD_BYTES,
+            name="tunnels",
+            bound=bound,
+        )
         self._tunnels: set[asyncio.Transport] = set()
         self.accepting = True
 
@@ -180,7 +188,7 @@
         if not self._listed(address):
             return HTTPStatus.FORBIDDEN
         most = _MAX_TUNNELS_WHEN_LATE if self._is_late() else _MAX_TUNNELS
-        if self.active >= most or not self.accepting:
+        if self.active >= min(most, self._bound()) or not self.accepting:
             return HTTPStatus.SERVICE_UNAVAILABLE
         return None
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -361,7 +361,7 @@
         asking = [asyncio.ensure_future(ask(fleet, 0, name)) for name in names]
         await eventually(lambda: all(map(fleet.runs, names)), "all streams run")
         begun = [name for name in names if fleet.versions_of(name) == {"v1"}]
-        fleet.upstreams["engines-1"][0]._listener._server.close()
+        fleet.upstreams["engines-1"][0]._listener.close()
         ended_at = time.monotonic()
         answers = dict(zip(names, await asyncio.gather(*asking), strict=True))
         assert begun
