Tell a shortage of descriptors from a failed upstream

Callers saw: a request for which a node could open no socket was refused after its whole time, and sound upstreams were ejected. Cause: an error to open a socket here counted as a lost connection, for the upstream, its path, a relay, and at a relay as a refusal there. Change: DescriptorShortageError. It counts against nobody; the request tries again after a pause, and a relay without room answers 503.

--- a/baobabwing/exceptions.py
+++ b/baobabwing/exceptions.py
@@ -5,6 +5,7 @@
     "ConfigurationError",
     "ConflictError",
     "ConnectionLostError",
+    "DescriptorShortageError",
     "EndlessAnswerError",
     "MalformedError",
     "NoRoomError",
@@ -114,6 +115,10 @@
     """A connection could not be made, or ended before the message on it did."""
 
 
+class DescriptorShortageError(ConnectionLostError):
+    """No socket can be opened here, which tells nothing of the other side."""
+
+
 class PeerClosedError(ConnectionLostError):
     """The other side ended or reset a connection; it did not just fall silent."""
 
--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import select
 import socket
 import struct
@@ -17,6 +18,7 @@
 from baobabwing.exceptions import (
     ConnectionLostError,
     ConnectionRefusedByPeerError,
+    DescriptorShortageError,
     MalformedError,
     NoRoomError,
     PeerClosedError,
@@ -47,6 +49,8 @@
 # Also decides when probes give up, whatever their number. A sound upstream may be
 # silent for a second or so, and that may begin just before the first probe.
 _UNACKED_TIMEOUT_MS = 3000
+# Errors of a process or host that has no room for another socket.
+_SHORTAGES = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
 # Values of SO_LINGER: with zero seconds, closing the socket sends a reset.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _NO_LINGER = struct.pack("ii", 0, 0)
@@ -427,6 +431,7 @@
     :param address: ``ip:port``.
     :param timeout_s: longest time to connect.
     :raises ConnectionRefusedByPeerError: if it is refused.
+    :raises DescriptorShortageError: if this process can open none.
     :raises ConnectionLostError: if it fails otherwise, or times out.
     """
     host, _, port = address.rpartition(":")
@@ -441,8 +446,8 @@
             f"no connection: {exc!r}", step="connect", peer=address
         ) from exc
     except (OSError, TimeoutError) as exc:
-        raise ConnectionLostError(
-            f"no connection: {exc!r}", step="connect", peer=address
-        ) from exc
+        short = getattr(exc, "errno", None) in _SHORTAGES
+        kind = DescriptorShortageError if short else ConnectionLostError
+        raise kind(f"no connection: {exc!r}", step="connect", peer=address) from exc
     enable_keepalive(transport)
     return protocol
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -11,6 +11,7 @@
 
 from baobabwing.exceptions import (
     ConnectionLostError,
+    DescriptorShortageError,
     EndlessAnswerError,
     MalformedError,
     NoRoomError,
@@ -477,6 +478,11 @@
                     entry.instance,
                     request_id=call.request_head.request_id,
                 )
+        except DescriptorShortageError as exc:
+            # It may be tried again in a moment, as one that was full.
+            call.full.add(entry.instance)
+            self._recorder.attempt_failed(call, grant, exc)
+            return AttemptResult.UNSENT
         except ConnectionLostError as exc:
             grant.track.record_failure(time.monotonic(), hard=True)
             call.release_kind = UpdateKind.LOST
--- a/baobabwing/gateway/replacements.py
+++ b/baobabwing/gateway/replacements.py
@@ -8,7 +8,11 @@
 from functools import partial
 from typing import Protocol
 
-from baobabwing.exceptions import ConnectionLostError, NoSlotError
+from baobabwing.exceptions import (
+    ConnectionLostError,
+    DescriptorShortageError,
+    NoSlotError,
+)
 from baobabwing.gateway.call import AttemptResult, Call, Replacement
 from baobabwing.gateway.decisions.cell_queue import UpdateKind
 from baobabwing.gateway.decisions.scheduling import Grant, PlacementRequest
@@ -166,6 +170,10 @@
                 entry.instance,
                 request_id=call.request_head.request_id,
             )
+        except DescriptorShortageError as exc:
+            pool.free(grant, UpdateKind.RELEASED)
+            self._recorder.unreachable(call, grant, exc)
+            return None
         except ConnectionLostError as exc:
             grant.track.record_failure(time.monotonic(), hard=True)
             pool.free(grant, UpdateKind.LOST)
--- a/baobabwing/gateway/tunnels.py
+++ b/baobabwing/gateway/tunnels.py
@@ -16,6 +16,7 @@
 from baobabwing.exceptions import (
     ConnectionLostError,
     ConnectionRefusedByPeerError,
+    DescriptorShortageError,
     MalformedError,
 )
 from baobabwing.gateway.connection import (
@@ -158,6 +159,8 @@
         if status is None:
             try:
                 upstream = await self._connect(address)
+            except DescriptorShortageError:
+                status = HTTPStatus.SERVICE_UNAVAILABLE
             except ConnectionLostError as exc:
                 status = HTTPStatus.BAD_GATEWAY
                 log(TUNNEL_REFUSED, peer=conn.peer, upstream=address, reason=str(exc))
--- a/baobabwing/gateway/upstream_paths.py
+++ b/baobabwing/gateway/upstream_paths.py
@@ -10,7 +10,11 @@
 from dataclasses import dataclass
 from random import Random
 
-from baobabwing.exceptions import ConnectionLostError, ConnectionRefusedByPeerError
+from baobabwing.exceptions import (
+    ConnectionLostError,
+    ConnectionRefusedByPeerError,
+    DescriptorShortageError,
+)
 from baobabwing.fleet.host import Host
 from baobabwing.gateway.connection import (
     HttpConnection,
@@ -131,6 +135,7 @@
         :raises ConnectionRefusedByPeerError: with ``agreeing``, if so many paths were
             refused, or any while none was open in time. A refusal of this node's own
             path does not count if that path was lost before.
+        :raises DescriptorShortageError: if this process can open no connection.
         :raises ConnectionLostError: if no path leads there.
         """
         now = time.monotonic()
@@ -144,6 +149,8 @@
         try:
             async with asyncio.timeout(timeout_s):
                 path = await _first_open(attempts, head_start_s, agreeing)
+        except DescriptorShortageError:
+            raise
         except (ConnectionLostError, TimeoutError) as exc:
             self._down_until[address] = time.monotonic() + _DOWN_S
             if agreeing is not None and _is_refusal(exc):
@@ -284,6 +291,8 @@
                 conn = await open_tunnel(
                     relay, address, timeout_s=_CONNECT_TIMEOUT_S, head_bytes=_HEAD_BYTES
                 )
+            except DescriptorShortageError:
+                raise
             except ConnectionLostError:
                 self._avoid(relay)
                 raise
