Give up callers that read nothing of what waits for them

Callers saw nothing; a node kept the connection and a task of each caller that sent requests one after the other and read no refusal, for ever. Cause: a write waits until the peer reads, without a time of its own; a closed connection with bytes left is open until they are read. Change: a caller's connection ends once no byte that waits is taken for 30 s. Slow readers go on, as each byte that is taken counts.

Evidence: test_caller_that_never_reads_its_refusals_is_given_up without the check: failed 1 of 1 (not given up in the time of the test). With it 0 of 10 failed.

--- a/baobabwing/gateway/connection.py
+++ b/baobabwing/gateway/connection.py
@@ -41,6 +41,8 @@
 # While a caller's connection is not read, this often it is checked whether the caller
 # has closed it. Upstreams may work on for half a second after that.
 _CLOSED_CHECK_S = 0.2
+# A caller that takes no byte of what waits for it for this long is given up.
+_UNREAD_S = 30.0
 # TCP keepalive: a peer that does not acknowledge is considered dead after about three
 # seconds: one idle second, then a probe each second. The kernel accepts whole seconds
 # only.
@@ -113,6 +115,7 @@
         self._read_paused = False
         self._awaited_since: float | None = None
         self._received_before = 0
+        self._unread_check: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and the address of the peer."""
@@ -164,6 +167,8 @@
     def pause_writing(self) -> None:
         """Block writers: the peer reads more slowly than it is sent data."""
         self._write_paused = True
+        if self._role is h11.SERVER:
+            self.abort_when_unread()
 
     def resume_writing(self) -> None:
         """Unblock writers."""
@@ -262,6 +267,25 @@
         """Whether something else has taken over its transport."""
         return self.transport is not None and self.transport.get_protocol() is not self
 
+    def abort_when_unread(self) -> None:
+        """Abort once the peer takes no byte of what waits for it any more."""
+        if self._unread_check is None:
+            self._check_unread_later(self.unsent_bytes)
+
+    def _check_unread_later(self, waiting: int) -> None:
+        loop = asyncio.get_running_loop()
+        self._unread_check = loop.call_later(_UNREAD_S, self._check_unread, waiting)
+
+    def _check_unread(self, waiting: int) -> None:
+        self._unread_check = None
+        left = self.unsent_bytes
+        if not left:
+            return
+        if left >= waiting:
+            self.abort()
+        else:
+            self._check_unread_later(left)
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that were written and that the kernel has not taken yet."""
--- a/baobabwing/gateway/listener.py
+++ b/baobabwing/gateway/listener.py
@@ -207,3 +207,5 @@
         conn.take_request()
         if conn.handed_over:
             self._connections.discard(conn)
+        elif conn.unsent_bytes:
+            conn.abort_when_unread()
--- a/tests/gateway/test_descriptor_shortage.py
+++ b/tests/gateway/test_descriptor_shortage.py
@@ -1,14 +1,18 @@
-"""A node that can open no socket for a while."""
+"""A node that can open no socket for a while, and callers that never read."""
 
 import asyncio
 import os
 import resource
+import socket
 import time
 
 import pytest
 
+from baobabwing.gateway import connection
 from tests.gateway.harness import GatewayHarness, ask, eventually
 
+SMALL_BYTES = 4096
+PIPELINED = 2000
 SHORT_S = 0.05
 
 
@@ -47,3 +51,26 @@
             assert (await asking).status == 200
 
     run(scenario())
+
+
+def test_caller_that_never_reads_its_refusals_is_given_up(run, monkeypatch):
+    """It kept its connection, and a task that waited to write, for ever."""
+    monkeypatch.setattr(connection, "_UNREAD_S", 0.2)
+
+    async def scenario():
+        async with GatewayHarness() as harness:
+            callers = harness.gateway.callers
+            caller = await harness.caller()
+            await eventually(lambda: callers._received_before, "connected")
+            (conn,) = callers._received_before
+            sock = conn.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BYTES)
+            caller.transport.pause_reading()
+            own = caller.transport.get_extra_info("socket")
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BYTES)
+            request = b"GET /unknown HTTP/1.1\r\nHost: api.example\r\n\r\n"
+            caller.transport.write(PIPELINED * request)
+            await eventually(lambda: callers.unsent, "answers wait to be read")
+            await eventually(lambda: not callers._received_before, "given up")
+
+    run(scenario())
