Wait for a port that is in use at a start

What callers saw: a node whose process before it ended late, or whose port an outgoing connection had taken, ended at its start with a traceback; nobody started it again. Cause: each port was opened once, and the first connections to the store were made before the ports were open and could take one themselves.

Change: all ports are opened before the first connection and before the node joins the others; one that can't be opened is tried again for the time of a stop and 2 s (8523), then the process ends with status 71 and 8524. A node that waits is not ready and in no answer of a directory; a SIGTERM meanwhile ends it.

--- a/baobabwing/exceptions.py
+++ b/baobabwing/exceptions.py
@@ -15,6 +15,7 @@
     "PlatformError",
     "PlatformUnavailableError",
     "PlatformUncertainError",
+    "PortUnavailableError",
     "RequestError",
     "SettingsError",
     "UnresponsiveError",
@@ -110,6 +111,10 @@
     """Another node could not be reached or did not answer in time."""
 
 
+class PortUnavailableError(BaobabwingError):
+    """A port of this node could not be opened at its start."""
+
+
 class ConnectionLostError(BaobabwingError):
     """A connection could not be made, or ended before the message on it did."""
 
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -14,6 +14,7 @@
     "COUNTS_LATE",
     "DOCUMENT_TAKEN",
     "ERROR_UNHANDLED",
+    "GATEWAY_FAILED",
     "GATEWAY_LEAVING",
     "GATEWAY_STARTED",
     "GATEWAY_STOPPED",
@@ -31,6 +32,7 @@
     "PART_HELD",
     "PART_TRIAL",
     "PLACED_ALONE",
+    "PORT_AWAITED",
     "PROCESS_LATE",
     "RATE_LIMIT",
     "RATE_LIMIT_INVALID",
@@ -551,6 +553,20 @@
     "The state of a rollout could not be written to the store or read there; retried.",
     level="warning",
 )
+PORT_AWAITED = define(
+    8523,
+    "port_awaited",
+    "A port of this node can't be opened, for example since another process uses it; "
+    "tried again for `longest_s` at most. Nobody is directed here meanwhile.",
+    level="warning",
+)
+GATEWAY_FAILED = define(
+    8524,
+    "gateway_failed",
+    "The process ends by itself with `status`: 71 if a port could not be opened at its "
+    "start.",
+    level="error",
+)
 GATEWAY_STARTED = define(
     8501,
     "gateway_started",
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -34,6 +34,7 @@
 from baobabwing.gateway.placement.gateway_link import GatewayLink
 from baobabwing.gateway.placement.placer import Placer
 from baobabwing.gateway.plain_http import PlainAnswer, PlainServer
+from baobabwing.gateway.ports import PortOpener
 from baobabwing.gateway.refusal_notices import RefusalNotices
 from baobabwing.gateway.request_recorder import RequestRecorder
 from baobabwing.gateway.rollout_exchange import RolloutExchange
@@ -63,6 +64,9 @@
 _STOP_MARGIN_S = 0.4
 _LATE_ANSWERS_S = 0.1
 _FLUSH_S = 0.2
+# Time beyond that of a stop for which a start waits for ports: a process before this
+# one may be ending all the while.
+_PORTS_MARGIN_S = 2.0
 
 
 class Gateway:
@@ -172,16 +176,24 @@
         )
         self._servers: list[PlainServer] = []
         self._leave_requested = asyncio.Event()
+        self._ports = PortOpener(
+            patience_s=settings.stop_s + _PORTS_MARGIN_S,
+            given_up=self._leave_requested,
+        )
+        self._is_open = False
         self._told_to_leave_at: float | None = None
 
-    async def serve(self, address: str, answer: Callable[..., Awaitable]) -> None:
+    async def serve(
+        self, name: str, address: str, answer: Callable[..., Awaitable]
+    ) -> None:
         """Listen on one more address for requests without a body.
 
+        :param name: of the port, for the log.
         :param answer: called with method and target; returns a ``PlainAnswer``.
         """
         server = PlainServer(answer=answer)
-        await server.start(address)
-        self._servers.append(server)
+        if await self._ports.open(name, address, lambda: server.start(address)):
+            self._servers.append(server)
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed settings; addresses stay until the next start."""
@@ -216,17 +228,42 @@
         self.members.leave()
         self._leave_requested.set()
 
+    @property
+    def ready(self) -> bool:
+        """Whether this node accepts new callers."""
+        return self._is_open and self.state.ready
+
+    async def open(self) -> None:
+        """Open all ports, and join the other nodes once they are open.
+
+        Until then no answer names this node, and others do not know that it runs.
+
+        :raises PortUnavailableError: if one can't be opened in time.
+        """
+        cfg = self.settings
+        await self._ports.open("work", cfg.work, lambda: self.link.start(cfg.work))
+        await self._ports.open(
+            "tunnels", cfg.work, lambda: self.tunnels.start(cfg.work)
+        )
+        await self._ports.open("membership", cfg.peers, self._bind_members)
+        if cfg.readiness:
+            await self.serve("readiness", cfg.readiness, self._answer_ready)
+        await self.serve("peers", cfg.peers, self.sharing.answer)
+        if cfg.metrics:
+            await self.serve("metrics", cfg.metrics, self._answer_metrics)
+        self._is_open = await self._ports.open(
+            "callers", cfg.callers, lambda: self.callers.start(cfg.callers)
+        )
+        if self._is_open:
+            self.members.start()
+
     async def run(self) -> None:
         """Serve until :meth:`leave` is called, then drain and stop."""
-        await self.link.start(self.settings.work)
-        await self.tunnels.start(self.settings.work)
-        self.members.start()
-        if self.settings.readiness:
-            await self.serve(self.settings.readiness, self._answer_ready)
-        await self.serve(self.settings.peers, self.sharing.answer)
-        if self.settings.metrics:
-            await self.serve(self.settings.metrics, self._answer_metrics)
-        await self.callers.start(self.settings.callers)
+        if not self._is_open:
+            await self.open()
+        if not self._is_open:
+            self.stop()
+            return
         tasks = start_tasks(
             {
                 "loop delay": self._loop_delay_monitor.run,
@@ -278,7 +315,7 @@
         """Return the addresses that a caller in an availability zone should use."""
         return caller_addresses(
             self.settings,
-            ready=self.state.ready,
+            ready=self.ready,
             others=self.members.others(),
             zone=zone,
             rng=self._rng,
@@ -290,6 +327,9 @@
         self._permits.update_issuers()
         self.origins.list_pool(pool.crc)
 
+    async def _bind_members(self) -> None:
+        self.members.bind()
+
     async def _drain(self) -> None:
         """Keep serving while callers may still use this address, then return.
 
@@ -386,7 +426,7 @@
         return PlainAnswer(status=200, body=body, content_type=b"text/plain")
 
     async def _answer_ready(self, method: str, target: str) -> PlainAnswer:
-        status = 200 if self.state.ready else 503
+        status = 200 if self.ready else 503
         return PlainAnswer(
-            status=status, body=json.dumps({"ready": self.state.ready}).encode()
+            status=status, body=json.dumps({"ready": self.ready}).encode()
         )
--- a/baobabwing/gateway/members.py
+++ b/baobabwing/gateway/members.py
@@ -77,10 +77,21 @@
         self.lost_at = float("-inf")
         self._listeners: list[Callable[[], None]] = []
 
+    def bind(self) -> None:
+        """Bind the socket of the membership protocol.
+
+        :raises PeerError: if its port is in use.
+        """
+        self._loop = asyncio.get_running_loop()
+        self._bind_membership()
+
     def start(self) -> None:
         """Start the membership protocol: probe and join."""
-        self._loop = asyncio.get_running_loop()
-        self._start_membership()
+        if self._membership is None:
+            self.bind()
+        self._membership.start()
+        if self._leaving:
+            self._membership.leave()
 
     async def run(self) -> None:
         """Restart the membership whenever another incarnation supersedes this one."""
@@ -93,7 +104,8 @@
                 self._incarnation += _INCARNATION_STEP_MS
                 log(INCARNATION_RAISED, incarnation=self._incarnation)
                 await asyncio.to_thread(self._membership.stop)
-                self._start_membership()
+                self._bind_membership()
+                self.start()
 
     def leave(self) -> None:
         """Announce to the other members that this node is leaving.
@@ -194,7 +206,7 @@
             return now - self._dead_since.get(member.host.name, now) < _DEAD_COUNTED_S
         return member.state is not MemberState.LEFT
 
-    def _start_membership(self) -> None:
+    def _bind_membership(self) -> None:
         cfg = self.settings
         self._membership = Membership(
             me=Host(
@@ -219,9 +231,6 @@
             on_configuration=lambda version, host: None,
             on_view=self._pass_to_loop,
         )
-        self._membership.start()
-        if self._leaving:
-            self._membership.leave()
 
     def _pass_to_loop(self, view: FleetView) -> None:
         """Pass a view from the membership's thread to the event loop."""
--- a/baobabwing/gateway/placement/gateway_link.py
+++ b/baobabwing/gateway/placement/gateway_link.py
@@ -56,7 +56,11 @@
         host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
-        sock.bind((host, int(port)))
+        try:
+            sock.bind((host, int(port)))
+        except OSError:
+            sock.close()
+            raise
         self._sock = sock
         bound_host, port = sock.getsockname()
         self.address = f"{bound_host}:{port}"
