Wait longer for the settings file at a start, and say so

What callers saw: a node whose settings file was missing or incomplete for more than 2 s ended at its start with a traceback. Cause: the start read the file for 2 s and then raised.

The test of a file that stays incomplete now also states the whole time.

--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -13,6 +13,7 @@
     "CONNECTION_FAULT",
     "COUNTS_LATE",
     "DOCUMENT_TAKEN",
+    "ERROR_TEXT",
     "ERROR_UNHANDLED",
     "GATEWAY_FAILED",
     "GATEWAY_LEAVING",
@@ -51,6 +52,7 @@
     "ROLLOUT_UNREADABLE",
     "ROLLOUT_UNWRITTEN",
     "ROW_UNREADABLE",
+    "SETTINGS_AWAITED",
     "SETTINGS_RELOADED",
     "SETTINGS_UNREADABLE",
     "SHARE_CHANGED",
@@ -58,6 +60,7 @@
     "SOURCE_LOST",
     "SOURCE_PEER_LOST",
     "SOURCE_REGAINED",
+    "STOP_ENDED",
     "STORE_ANSWER_STALE",
     "STORE_ERA_UNREADABLE",
     "STORE_RESTORED",
@@ -564,9 +567,31 @@
     8524,
     "gateway_failed",
     "The process ends by itself with `status`: 71 if a port could not be opened at its "
-    "start.",
+    "start, 78 if the settings file could not be read, 70 after another error, which "
+    "is a fault to report.",
     level="error",
 )
+ERROR_TEXT = define(
+    8525,
+    "error_text",
+    "The interpreter or a library wrote this text to standard error, such as the "
+    "traceback of a thread that ended with an error: report it.",
+    level="error",
+)
+STOP_ENDED = define(
+    8526,
+    "stop_ended",
+    "A graceful shutdown had not ended by itself `after_ms`, and the process ends all "
+    "the same, with status 0: report it as a fault.",
+    level="error",
+)
+SETTINGS_AWAITED = define(
+    4509,
+    "settings_awaited",
+    "The settings file is missing at the start, or can't be read or decoded; tried "
+    "again for `longest_s` at most.",
+    level="warning",
+)
 GATEWAY_STARTED = define(
     8501,
     "gateway_started",
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -82,6 +82,9 @@
 def test_file_that_stays_incomplete_ends_the_start(tmp_path, monkeypatch):
     file = tmp_path / "boot.conf"
     file.write_text("node=front-a-1\n")
+    clock = iter(range(100))
     monkeypatch.setattr(settings_file.time, "sleep", lambda seconds: None)
+    monkeypatch.setattr(settings_file.time, "monotonic", lambda: next(clock))
     with pytest.raises(KeyError):
         settings_file.load_at_start(file)
+    assert next(clock) > settings_file._START_WAIT_S
