End in the time of a stop with a status, whatever fails or isn't read

What callers saw: a node with a closed standard output didn't start; one told to stop could hang past its grace, or cut its answers at once. Causes: the log asked the closed stream for its descriptor (and the number could go to a connection, to which the log would be written); asyncio and the interpreter wait for hanging threads and tasks that ignore a cancellation; an error in the drain ended the process with a traceback, which blocks if nobody reads standard error; SIGTERM and SIGINT before the node had its handlers killed it, and SIGINT always left a traceback.

--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import time
@@ -42,7 +43,7 @@
 from baobabwing.gateway.settings import GatewaySettings
 from baobabwing.gateway.state import GatewayState
 from baobabwing.gateway.stream_origins import StreamOrigins
-from baobabwing.gateway.supervision import start_tasks
+from baobabwing.gateway.supervision import start_tasks, supervise
 from baobabwing.gateway.tunnels import TunnelServer
 from baobabwing.gateway.unreadable_rows import UnreadableRows
 from baobabwing.gateway.upstream_connections import ConnectionPool
@@ -287,7 +288,7 @@
             first_start=self.settings.first_start,
         )
         await self._leave_requested.wait()
-        await self._drain()
+        await self._drain_in_time()
         for task in tasks:
             task.cancel()
         self.stop()
@@ -330,6 +331,13 @@
     async def _bind_members(self) -> None:
         self.members.bind()
 
+    async def _drain_in_time(self) -> None:
+        """Drain; after an error again, while the shutdown lasts."""
+        until = self._told_to_leave_at + self.settings.stop_s - _FLUSH_S
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(until - time.monotonic()):
+                await supervise("drain", self._drain)
+
     async def _drain(self) -> None:
         """Keep serving while callers may still use this address, then return.
 
--- a/baobabwing/reports/outlet.py
+++ b/baobabwing/reports/outlet.py
@@ -52,10 +52,16 @@
         """Start the writer thread."""
         self._thread.start()
 
-    def close(self) -> None:
-        """Flush queued lines and stop, waiting at most ``_CLOSE_TIMEOUT_S``."""
+    def identify(self, *, node: str, bytes_per_s: int) -> None:
+        """Set the name of the node and its byte budget, once they are known."""
+        self._node = node
+        self._bytes_per_s = bytes_per_s
+        self._budget_bytes = bytes_per_s * _BUDGET_BURST_S
+
+    def close(self, timeout_s: float = _CLOSE_TIMEOUT_S) -> None:
+        """Flush queued lines and stop, waiting for some time at most."""
         self._stopping.set()
-        self._thread.join(_CLOSE_TIMEOUT_S)
+        self._thread.join(timeout_s)
 
     def offer(
         self,
--- a/tests/platform_adapter/test_starts.py
+++ b/tests/platform_adapter/test_starts.py
@@ -2,11 +2,19 @@
 
 import asyncio
 import contextlib
+import random
+import signal
 import socket
+from pathlib import Path
+
+import pytest
 
 from tests.platform_adapter import demo
 
 HELD_S = 1.5
+LONGEST_START_S = 0.8
+LATE_SETTINGS_S = 4.0
+ENDING = (signal.SIGTERM, signal.SIGINT)
 TCP, UDP = socket.SOCK_STREAM, socket.SOCK_DGRAM
 # Settings field, kind of socket, and offset of the port.
 PORTS = {
@@ -89,3 +97,88 @@
         async with asyncio.timeout(0.5):
             return await demo.resolve(directory)
     return []
+
+
+class Signalled(demo.Deployment):
+    """Sends each node a signal at a drawn moment of its start."""
+
+    signals = ()
+    rng = random.Random(29)
+
+    async def _launch(self, number):
+        process = await super()._launch(number)
+        self._sending = [*getattr(self, "_sending", ()), self._send(number, process)]
+        return process
+
+    async def _send(self, number, process):
+        while not ignores_hangup(process.pid):
+            await asyncio.sleep(0.002)
+        await asyncio.sleep(self.rng.uniform(0, LONGEST_START_S))
+        self.send_signal(number, self.signals[number])
+        if self.signals[number] is signal.SIGSTOP:
+            await asyncio.sleep(HELD_S)
+            self.send_signal(number, signal.SIGCONT)
+
+    async def start(self):
+        await self.store.start()
+        self._store_address = self.store.address
+        self.store.write("op", "config", demo.configuration(1))
+        for number in range(self._nodes):
+            await self._start_node(number)
+        await asyncio.gather(*self._sending)
+
+
+def ignores_hangup(pid):
+    """Whether the program itself has begun; before that, signals end any process."""
+    with contextlib.suppress(OSError):
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            name, _, mask = line.partition(":")
+            if name in ("SigIgn", "SigCgt") and int(mask, 16) & 1:
+                return True
+    return False
+
+
+@pytest.mark.parametrize("turn", range(4))
+def test_signals_at_any_moment_of_a_start(tmp_path, turn):
+    """A SIGINT ended it with a traceback, a SIGTERM without its status."""
+    signals = [*ENDING * 2, signal.SIGHUP, signal.SIGPIPE, signal.SIGSTOP]
+    deployment = Signalled(nodes=len(signals), folder=tmp_path)
+    deployment.signals = signals
+    deployment.rng = random.Random(turn)
+
+    async def play():
+        try:
+            await deployment.start()
+            await asyncio.sleep(HELD_S)
+            running = [one.returncode is None for one in deployment.processes]
+            assert running[len(ENDING) * 2 :] == [True] * 3
+        finally:
+            await deployment.stop()
+
+    asyncio.run(play())
+    ended = [process.returncode for process in deployment.processes]
+    assert ended == [0] * len(signals)
+
+
+@pytest.mark.parametrize("text", [None, "node=front-z-0\n", "ip=\0\n"])
+def test_settings_that_come_late_end_no_start(tmp_path, text):
+    class Late(demo.Deployment):
+        async def _launch(self, number):
+            file = self._settings_file(number)
+            whole = file.read_text()
+            file.unlink() if text is None else file.write_text(text)
+            process = await super()._launch(number)
+            await asyncio.sleep(LATE_SETTINGS_S)
+            file.write_text(whole)
+            return process
+
+    deployment = Late(nodes=1, folder=tmp_path)
+
+    async def play():
+        try:
+            await deployment.start()
+        finally:
+            await deployment.stop()
+
+    asyncio.run(play())
+    assert deployment.processes[0].returncode == 0
