Treat a start without descriptors as one that has no port yet

What callers saw: a node that got no descriptor for a listening socket ended with an IndexError (status 70 as of the commit before). Cause: the event loop passes over an address for which it gets no socket, and returns a server without any. Change: this is an error of the port, which is tried again and ends with status 71.

--- a/baobabwing/gateway/listener.py
+++ b/baobabwing/gateway/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -41,12 +42,18 @@
         self.address = ""
 
     async def start(self, address: str) -> None:
-        """Start listening on ``ip:port``; port 0 picks a free one."""
+        """Start listening on ``ip:port``; port 0 picks a free one.
+
+        :raises OSError: if the address is in use, or there is no descriptor.
+        """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._create_connection, host, int(port), backlog=_BACKLOG
         )
+        if not self._server.sockets:
+            # The event loop passes over an address for which it gets no descriptor.
+            raise OSError(errno.EMFILE, "no socket")
         bound = self._server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
 
--- a/tests/platform_adapter/faulty_start.py
+++ b/tests/platform_adapter/faulty_start.py
@@ -1,6 +1,7 @@
 """Start one node in which something fails at its end: ``faulty_start.py FAULT``."""
 
 import asyncio
+import resource
 import sys
 import time
 
@@ -42,6 +43,7 @@
     "start": fail,
     "settings": usual_run,
     "port": usual_run,
+    "descriptors": usual_run,
 }
 
 if __name__ == "__main__":
@@ -51,6 +53,8 @@
         Gateway._drain = fail
     if fault == "settings":
         settings_file.load_at_start.__kwdefaults__["wait_s"] = 1.5
+    if fault == "descriptors":
+        resource.setrlimit(resource.RLIMIT_NOFILE, (12, 12))
     if fault == "loop":
         Gateway.stop = stand_still
     main()
--- a/tests/platform_adapter/test_ends.py
+++ b/tests/platform_adapter/test_ends.py
@@ -112,6 +112,7 @@
     "start": (os.EX_SOFTWARE, "MemoryError('drawn')"),
     "settings": (os.EX_CONFIG, "KeyError('ip')"),
     "port": (os.EX_OSERR, "[step=callers]"),
+    "descriptors": (os.EX_OSERR, "no socket"),
 }
 
 
