--- a/tests/platform_adapter/test_starts.py
+++ b/tests/platform_adapter/test_starts.py
@@ -10,6 +10,7 @@
 import pytest
 
 from tests.platform_adapter import demo
+from tests.platform_adapter.standin_store import StoreFault
 
 HELD_S = 1.5
 LONGEST_START_S = 0.8
@@ -182,3 +183,25 @@
 
     asyncio.run(play())
     assert deployment.processes[0].returncode == 0
+
+
+@pytest.mark.parametrize("fault", [*StoreFault][1:])
+def test_all_nodes_start_after_a_kill_while_the_store_has_a_fault(tmp_path, fault):
+    deployment = demo.Deployment(nodes=3, folder=tmp_path)
+
+    async def play():
+        try:
+            await deployment.start()
+            for number, process in enumerate(deployment.processes):
+                deployment.send_signal(number, signal.SIGKILL)
+                await process.wait()
+            deployment.store.fault = fault
+            deployment.processes = [await deployment._launch(n) for n in range(3)]
+            await asyncio.sleep(HELD_S)
+            deployment.store.fault = StoreFault.NONE
+            await deployment._wait_ready()
+        finally:
+            await deployment.stop()
+
+    asyncio.run(play())
+    assert [process.returncode for process in deployment.processes] == [0] * 3
