Keep a node alive under signals during its end, and its process apart from it

What callers saw: nothing after the last answer, but an operator saw nodes ended by a signal: one that came while the interpreter ended killed the process, since it had no handlers any more.

--- a/tests/platform_adapter/faulty_start.py
+++ b/tests/platform_adapter/faulty_start.py
@@ -5,8 +5,8 @@
 import sys
 import time
 
+from baobabwing.gateway import process
 from baobabwing.gateway.gateway import Gateway
-from baobabwing_platform import settings_file
 from baobabwing_platform.node import main
 
 LONG_S = 120.0
@@ -52,7 +52,7 @@
     if fault == "drain":
         Gateway._drain = fail
     if fault == "settings":
-        settings_file.load_at_start.__kwdefaults__["wait_s"] = 1.5
+        process.read_at_start.__kwdefaults__["wait_s"] = 1.5
     if fault == "descriptors":
         resource.setrlimit(resource.RLIMIT_NOFILE, (12, 12))
     if fault == "loop":
--- a/tests/platform_adapter/test_ends.py
+++ b/tests/platform_adapter/test_ends.py
@@ -5,6 +5,7 @@
 import fcntl
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -19,6 +20,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 GRACE_S = 4.0
+NODES = 6
 # For the kernel and the event loop of this process to report an end.
 REPORT_S = 0.5
 
@@ -143,3 +145,26 @@
     last = json.loads(ended.stdout.splitlines()[-1])
     assert (last["number"], last["status"]) == (8524, status)
     assert error in last["error"]
+
+
+def test_signals_at_any_moment_of_an_end(tmp_path):
+    """One that came while the interpreter ended killed the process."""
+    rng = random.Random(29)
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGPIPE)
+    deployment = demo.Deployment(nodes=NODES, folder=tmp_path, grace_s=GRACE_S)
+
+    async def play():
+        try:
+            await deployment.start()
+            for number in range(NODES):
+                deployment.send_signal(number, signal.SIGTERM)
+            until = time.monotonic() + GRACE_S
+            while time.monotonic() < until:
+                for number in range(NODES):
+                    deployment.send_signal(number, rng.choice(signals))
+                await asyncio.sleep(rng.uniform(0, 0.004))
+        finally:
+            await deployment.stop()
+
+    asyncio.run(play())
+    assert [process.returncode for process in deployment.processes] == [0] * NODES
--- a/tests/platform_adapter/test_settings_file.py
+++ b/tests/platform_adapter/test_settings_file.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from baobabwing.gateway import process
 from baobabwing.gateway.settings import RolloutSettings
 from baobabwing_platform import settings_file
 
@@ -73,18 +74,19 @@
     """It ended by itself with KeyError, and callers lost a node."""
     file = tmp_path / "boot.conf"
     file.write_text(first)
-    monkeypatch.setattr(
-        settings_file.time, "sleep", lambda seconds: file.write_text(TEXT)
+    monkeypatch.setattr(process.time, "sleep", lambda seconds: file.write_text(TEXT))
+    assert (
+        process.read_at_start(lambda: settings_file.load(file)).gateway.name
+        == "front-a-1"
     )
-    assert settings_file.load_at_start(file).gateway.name == "front-a-1"
 
 
 def test_file_that_stays_incomplete_ends_the_start(tmp_path, monkeypatch):
     file = tmp_path / "boot.conf"
     file.write_text("node=front-a-1\n")
     clock = iter(range(100))
-    monkeypatch.setattr(settings_file.time, "sleep", lambda seconds: None)
-    monkeypatch.setattr(settings_file.time, "monotonic", lambda: next(clock))
+    monkeypatch.setattr(process.time, "sleep", lambda seconds: None)
+    monkeypatch.setattr(process.time, "monotonic", lambda: next(clock))
     with pytest.raises(KeyError):
-        settings_file.load_at_start(file)
-    assert next(clock) > settings_file._START_WAIT_S
+        process.read_at_start(lambda: settings_file.load(file))
+    assert next(clock) > process.START_WAIT_S
