--- a/baobabwing/exceptions.py
+++ b/baobabwing/exceptions.py
@@ -16,6 +16,7 @@
     "PlatformError",
     "PlatformUnavailableError",
     "PlatformUncertainError",
+    "PortUnavailableError",
     "RequestError",
     "SettingsError",
     "UnresponsiveError",
@@ -111,6 +112,10 @@
     """Another node could not be reached or did not answer in time."""
 
 
+class PortUnavailableError(BaobabwingError):
+    """A port of this node could not be opened at its start."""
+
+
 class ConnectionLostError(BaobabwingError):
     """A connection could not be made, or ended before the message on it did."""
 
--- a/baobabwing/gateway/events.py
+++ b/baobabwing/gateway/events.py
@@ -14,7 +14,9 @@
     "CONNECTION_FAULT",
     "COUNTS_LATE",
     "DOCUMENT_TAKEN",
+    "ERROR_TEXT",
     "ERROR_UNHANDLED",
+    "GATEWAY_FAILED",
     "GATEWAY_LEAVING",
     "GATEWAY_STARTED",
     "GATEWAY_STOPPED",
@@ -32,6 +34,7 @@
     "PART_HELD",
     "PART_TRIAL",
     "PLACED_ALONE",
+    "PORT_AWAITED",
     "PROCESS_LATE",
     "RATE_LIMIT",
     "RATE_LIMIT_INVALID",
@@ -50,6 +53,7 @@
     "ROLLOUT_UNREADABLE",
     "ROLLOUT_UNWRITTEN",
     "ROW_UNREADABLE",
+    "SETTINGS_AWAITED",
     "SETTINGS_RELOADED",
     "SETTINGS_UNREADABLE",
     "SHARE_CHANGED",
@@ -57,6 +61,7 @@
     "SOURCE_LOST",
     "SOURCE_PEER_LOST",
     "SOURCE_REGAINED",
+    "STOP_ENDED",
     "STORE_ANSWER_STALE",
     "STORE_ERA_UNREADABLE",
     "STORE_RESTORED",
@@ -553,6 +558,42 @@
     "The state of a rollout could not be written to the store or read there; retried.",
     level="warning",
 )
+PORT_AWAITED = define(
+    8523,
+    "port_awaited",
+    "A port of this node can't be opened, for example since another process uses it; "
+    "tried again for `longest_s` at most. Nobody is directed here meanwhile.",
+    level="warning",
+)
+GATEWAY_FAILED = define(
+    8524,
+    "gateway_failed",
+    "The process ends by itself with `status`: 71 if a port could not be opened at its "
+    "start, 78 if the settings file could not be read, 70 after another error, which "
+    "is a fault to report.",
+    level="error",
+)
+ERROR_TEXT = define(
+    8525,
+    "error_text",
+    "The interpreter or a library wrote this text to standard error, such as the "
+    "traceback of a thread that ended with an error: report it.",
+    level="error",
+)
+STOP_ENDED = define(
+    8526,
+    "stop_ended",
+    "A graceful shutdown had not ended by itself `after_ms`, and the process ends all "
+    "the same, with status 0: report it as a fault.",
+    level="error",
+)
+SETTINGS_AWAITED = define(
+    4509,
+    "settings_awaited",
+    "The settings file is missing at the start, or can't be read or decoded; tried "
+    "again for `longest_s` at most.",
+    level="warning",
+)
 GATEWAY_STARTED = define(
     8501,
     "gateway_started",
--- a/baobabwing/gateway/listener.py
+++ b/baobabwing/gateway/listener.py
@@ -66,7 +66,10 @@
         self.address = ""
 
     async def start(self, address: str) -> None:
-        """Start listening on ``ip:port``; port 0 picks a free one."""
+        """Start listening on ``ip:port``; port 0 picks a free one.
+
+        :raises OSError: if the address is in use, or there is no descriptor.
+        """
         host, _, port = address.rpartition(":")
         self._socket = socket.create_server((host, int(port)), backlog=_BACKLOG)
         self._socket.setblocking(False)
