Play workers that answer without end and callers that hoard in the soak

New checks: a node's peak resident memory and its descriptors stay below what its machine has (150 MB, 4200; it is killed otherwise, as on the users' platform), and its exit status counts at the end of a run, too. A request that was itself answered without end may be cut; no other may.

Stand-ins: the size and pause of endless pieces may be chosen. A caller leaves an answer of more than 1 MB.

--- a/baobabwing/standins/gateway_upstream.py
+++ b/baobabwing/standins/gateway_upstream.py
@@ -37,7 +37,7 @@
     :param status: status of an answer that is not a stream.
     :param delay_s: time before the answer.
     :param events: number of events to stream; 0 for a plain answer.
-    :param gap_s: time after each event.
+    :param gap_s: time after each event, or each piece of an endless answer.
     :param stall_after: send nothing for ``stall_s`` after this many events.
     :param stall_s: see ``stall_after``.
     :param cut_after: break off within the event after this many events; for a plain
@@ -47,7 +47,8 @@
     :param mute: never answer.
     :param unframed: send neither length nor chunks; closing the connection ends the
         answer.
-    :param padding: bytes added to each event or to a plain answer.
+    :param padding: bytes added to each event or to a plain answer; of an endless
+        answer, the size of its pieces.
     :param sized: state the length of the whole stream in its head.
     :param false_end: after ``cut_after``, send the last chunk, as if complete.
     :param extra: send a second answer after the first.
@@ -323,7 +324,7 @@
         if form in ("event", "comments"):
             headers.append((b"Content-Type", b"text/event-stream"))
         head = _unframed_head(headers, b"%d X" % behaviour.status)
-        chunk = b"x" * _ENDLESS_PIECE_BYTES
+        chunk = b"x" * (behaviour.padding or _ENDLESS_PIECE_BYTES)
         starts = {
             "noise": b"",
             "interim": b"",
@@ -344,7 +345,7 @@
         try:
             while True:
                 await conn.write(pieces.get(form, chunk))
-                await asyncio.sleep(_ENDLESS_PAUSE_S)
+                await asyncio.sleep(behaviour.gap_s or _ENDLESS_PAUSE_S)
         finally:
             self.endless -= 1
 
--- a/tests/platform_adapter/demo.py
+++ b/tests/platform_adapter/demo.py
@@ -560,10 +560,12 @@
 
 def _whole_stream(seen: SeenRequest, *, unframed: bool) -> Behaviour:
     by_close = unframed and int(seen.request_id) % 3 == 0
-    events, gap_ms = _EVENTS, 10
+    events, gap_ms, padding = _EVENTS, 10, 0
     if "/long-" in seen.target:
-        events, gap_ms = map(int, seen.target.split("-")[1:])
-    return Behaviour(events=events, gap_s=gap_ms / 1000, unframed=by_close)
+        events, gap_ms, padding = map(int, seen.target.split("-")[1:])
+    return Behaviour(
+        events=events, gap_s=gap_ms / 1000, unframed=by_close, padding=padding
+    )
 
 
 def _expected(number: int, kind: str) -> bytes:
--- a/tests/platform_adapter/soak/checks.py
+++ b/tests/platform_adapter/soak/checks.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import StrEnum
+from pathlib import Path
 
 import h11
 
@@ -21,6 +22,7 @@
 __all__ = [
     "PATIENCE_S",
     "Kind",
+    "NodeLimits",
     "Outcome",
     "Records",
     "Reply",
@@ -51,6 +53,8 @@
 _FREE_PART_CRASHES = 5
 _PART_HELD_S = 3.0
 _MOST_LATER_CRASHES = 3
+# More than any sound answer has; its caller leaves then.
+_MOST_BODY_BYTES = 1_000_000
 # Time from an answer that says that its worker leaves until nothing more is sent there.
 _DRAIN_S = 2.0
 # The window in which the operator counts, as the nodes' settings have it.
@@ -106,6 +110,19 @@
     until: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class NodeLimits:
+    """What the machine of a node gives it."""
+
+    memory_mb: int
+    max_fds: int
+
+    @property
+    def settings(self) -> list[str]:
+        """Lines of its settings file."""
+        return [f"limits.memory_mb={self.memory_mb}", f"limits.max_fds={self.max_fds}"]
+
+
 class Outcome(StrEnum):
     """What a caller can make of a reply."""
 
@@ -129,6 +146,10 @@
     :param grace_s: how long a node may take to stop, if streams may take longer; 0 if
         a stop excuses no cut.
     :ivar least_timeout_s: shortest timeout that the stream route has had.
+    :ivar endless: requests that a worker has answered with bytes without end, which
+        excuses a cut of these and no others.
+    :ivar most_memory_mb: most resident memory that a node has had, as far as watched.
+    :ivar most_files: most descriptors that a node has had open.
     """
 
     def __init__(self, *, planned_only: bool, grace_s: float = 0.0) -> None:
@@ -147,6 +168,9 @@
         self._told_limit: dict[tuple[int, str], float] = {}
         self._disturbed: dict[int, float] = {}
         self._refused_key: dict[int, float] = {}
+        self.endless: set[str] = set()
+        self.most_memory_mb = 0.0
+        self.most_files = 0
 
     def ended(
         self, number: str, kind: Kind, reply: Reply, events: int, *, after: int = 0
@@ -159,6 +183,9 @@
         self._ended[number] = _Ended(kind=kind, reply=reply, events=events)
         outcome = _outcome(reply)
         self.outcomes[f"{kind} {outcome}"] += 1
+        if number in self.endless:
+            self.outcomes[f"endless {outcome}"] += 1
+            return outcome
         whole = expected(number, kind, events, after=after)
         if outcome is Outcome.SERVED and reply.body != whole:
             self.wrong.append(f"{kind} {number}: a whole answer of other bytes")
@@ -236,6 +263,25 @@
         """Note that a node that had ended is started again."""
         self._starts[node].append(time.monotonic())
 
+    def held(self, number: str, node: int, kind: Kind) -> None:
+        """Note a request whose caller reads nothing, and loses nothing by a cut."""
+        self.sent(number, node, wait_s=0.0)
+        self._ended[number] = _Ended(kind=kind, reply=Reply(), events=0)
+        self.outcomes[f"{kind} held"] += 1
+
+    def used(self, node: int, pid: int, limits: NodeLimits) -> bool:
+        """Note what a node uses; return whether that is less than its limits."""
+        memory_mb, files = _peak_memory_mb(pid), _open_files(pid)
+        self.most_memory_mb = max(self.most_memory_mb, memory_mb)
+        self.most_files = max(self.most_files, files)
+        within = memory_mb < limits.memory_mb and files < limits.max_fds
+        if not within:
+            self.wrong.append(
+                f"node {node}: {memory_mb:.0f} of {limits.memory_mb} MB,"
+                f" {files} of {limits.max_fds} descriptors"
+            )
+        return within
+
     def node_of(self, number: str) -> int:
         """Return the node that a request was sent to; -1 for none."""
         return self._sent.get(number, (-1, 0.0))[0]
@@ -371,7 +417,8 @@
                 self.wrong.append(f"{ended.kind} {number}: ran {runs[number]} times")
             outcome = _outcome(ended.reply)
             refused = outcome is Outcome.REFUSED
-            if self._planned_only and outcome is Outcome.CUT:
+            excused = number in self.endless or not self._planned_only
+            if outcome is Outcome.CUT and not excused:
                 self._judge_cut(number, ended, runs[number], work.get(number, ()))
             if refused and ended.kind is Kind.UNSAFE and runs[number]:
                 status = ended.reply.status
@@ -432,6 +479,24 @@
         return stops[0] if stops else None
 
 
+def _peak_memory_mb(pid: int) -> float:
+    """Return the most resident memory that a process has had; 0 if it has ended."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return 0.0
+    peaks = [line.split()[1] for line in lines if line.startswith("VmHWM:")]
+    return int(peaks[0]) / 1024 if peaks else 0.0
+
+
+def _open_files(pid: int) -> int:
+    """Return how many descriptors a process has open; 0 if it has ended."""
+    try:
+        return sum(1 for _ in Path(f"/proc/{pid}/fd").iterdir())
+    except OSError:
+        return 0
+
+
 def _services_of(kind: Kind) -> tuple[str, ...]:
     """Return the services that requests of a kind may go to."""
     if kind is Kind.STREAM:
@@ -503,6 +568,8 @@
                     limiting = worker if HEADERS.rate_limit in found else ""
                 elif isinstance(event, h11.Data):
                     body += bytes(event.data)
+                    if len(body) > _MOST_BODY_BYTES:
+                        return reply(whole=False)
                 else:
                     return reply(whole=False)
     except (ConnectionLostError, MalformedError, TimeoutError):
--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import time
 from collections.abc import Awaitable, Callable
@@ -10,18 +11,32 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from baobabwing.standins.gateway_upstream import Behaviour, SeenRequest
 from baobabwing.standins.loopback_proxy import PathFault
-from tests.platform_adapter.demo import BAD_PART, CRASH
+from tests.platform_adapter.demo import BAD_PART, CRASH, SPARE_SERVICE
+from tests.platform_adapter.soak.callers import LongStream
 from tests.platform_adapter.soak.checks import Kind, StatedLimit
 from tests.platform_adapter.standin_store import StoreFault
 
 if TYPE_CHECKING:
     from tests.platform_adapter.soak.run import Soak
 
-__all__ = ["LATER", "LATER_PLANNED", "PLANNED", "STOPS_FROM", "UNPLANNED", "Action"]
+__all__ = [
+    "ENDLESS_FROM",
+    "HOARDING",
+    "LATER",
+    "LATER_PLANNED",
+    "PLANNED",
+    "STOPS_FROM",
+    "UNPLANNED",
+    "Action",
+]
 
 # Seeds from here on have streams that may outlive a stop, and much planned work.
 STOPS_FROM = 40_000
+# Seeds from here on have workers and callers that have nodes hold bytes and
+# connections, as every second fault.
+ENDLESS_FROM = 50_000
 
 # First seed whose store may answer reads and refuse writes.
 _READ_ONLY_FROM = 23_000
@@ -39,6 +54,25 @@
 _DRAIN_CHECK_S = 0.05
 _IDLE_TIMEOUTS_MS = (2_000, 5_000, 15_000)
 _ROUTE_TIMEOUTS_MS = (6_000, 8_000, 10_000)
+# Forms of answers without end, each at 3 to 30 MB/s. A stated length is drawn more
+# often: it is sound for any answer that is not endless.
+_FORMS = (
+    *("noise", "interim", "unframed", "chunks", "event", "comments", "extra"),
+    *("length",) * 4,
+)
+_ENDLESS_PIECE_BYTES = 65_536
+_ENDLESS_PAUSES_S = (0.002, 0.004, 0.02)
+_ENDLESS_S = (3.0, 8.0)
+_MOST_ENDLESS = 3
+_ENDLESS_SHARES = (0.2, 0.5, 1.0)
+# Bodies of which the last byte is kept, as long as callers may send them; connections
+# of one crowd, and how long they last.
+_BODY_BYTES = (100_000, 4_000_000)
+_MOST_HELD = 40
+_MOST_UNREAD = 15
+_HOLD_S = (2.0, 7.0)
+# An answer that is larger than what the sockets on its way to its caller hold.
+_WIDE = LongStream(events=300, gap_ms=10, hint=300, deadline_s=8.0, padding=20_000)
 
 Action = Callable[["Soak"], Awaitable[None]]
 UNPLANNED: list[Action] = []
@@ -47,6 +81,8 @@
 # keep the series of faults that they failed with.
 LATER: list[tuple[int, Action]] = []
 LATER_PLANNED: list[tuple[int, Action]] = []
+# Workers and callers that have nodes hold what they send or do not read.
+HOARDING: list[Action] = []
 
 
 def _unplanned(action: Action) -> Action:
@@ -73,6 +109,16 @@
     return action
 
 
+def _hoarding(weight: int) -> Callable[[Action], Action]:
+    """Register a fault of one worker or some callers; others must lose nothing."""
+
+    def register(action: Action) -> Action:
+        HOARDING.extend([action] * weight)
+        return action
+
+    return register
+
+
 @_unplanned
 async def _kill_node(soak: Soak) -> None:
     _signal(soak, soak.node(), signal.SIGKILL)
@@ -319,6 +365,67 @@
     await _silence_workers(soak)
 
 
+@_hoarding(weight=3)
+async def _answer_without_end(soak: Soak) -> None:
+    """Have some workers answer with bytes without end, each in a form of its own."""
+    names = soak.deployment.names
+    if not soak.moved:
+        names = [name for name in names if not name.startswith(SPARE_SERVICE)]
+    lasts_s = soak.rng.uniform(*_ENDLESS_S)
+    for name in soak.rng.sample(names, soak.rng.randint(1, _MOST_ENDLESS)):
+        _answer_meanwhile(soak, name, time.monotonic() + lasts_s)
+    await asyncio.sleep(lasts_s)
+
+
+def _answer_meanwhile(soak: Soak, name: str, until: float) -> None:
+    """Have a worker answer a share of its requests without end until some time."""
+    worker = soak.deployment.worker(name)
+    usual = worker.behave
+    status = soak.rng.choice((200, 500, 503))
+    endless = Behaviour(
+        endless=soak.rng.choice(_FORMS),
+        status=status,
+        refuse=status == 503,
+        gap_s=soak.rng.choice(_ENDLESS_PAUSES_S),
+        padding=_ENDLESS_PIECE_BYTES,
+    )
+    share = soak.rng.choice(_ENDLESS_SHARES)
+    soak.note(f"{worker.instance}: {endless.endless} {status}, {share} of its answers")
+
+    def behave(seen: SeenRequest) -> Behaviour:
+        # Each request is asked for more than once.
+        drawn = random.Random(seen.request_id).random()
+        if not seen.request_id or drawn >= share or time.monotonic() >= until:
+            return usual(seen)
+        soak.records.endless.add(seen.request_id)
+        return endless
+
+    worker.behave = behave
+
+
+@_hoarding(weight=1)
+async def _hold_connections(soak: Soak) -> None:
+    """Have callers open connections and send nothing."""
+    await soak.hold(soak.rng.randint(1, _MOST_HELD), soak.rng.uniform(*_HOLD_S))
+
+
+@_hoarding(weight=1)
+async def _keep_last_byte(soak: Soak) -> None:
+    """Have callers send large bodies but for the last byte."""
+    body_bytes = soak.rng.randint(*_BODY_BYTES)
+    count, hold_s = soak.rng.randint(1, _MOST_HELD), soak.rng.uniform(*_HOLD_S)
+    kind = soak.rng.choice(list(Kind))
+    await soak.hold(count, hold_s, kind, path="x", body_bytes=body_bytes, kept=1)
+
+
+@_hoarding(weight=1)
+async def _read_nothing(soak: Soak) -> None:
+    """Have callers ask for answers, some of them large, and never read them."""
+    count, hold_s = soak.rng.randint(1, _MOST_UNREAD), soak.rng.uniform(*_HOLD_S)
+    kind = soak.rng.choice(list(Kind))
+    await soak.hold(count, hold_s, kind, path=_WIDE.path, headers=_WIDE.headers)
+
+
 async def _after(pause_s: float, action: Callable[[], None]) -> None:
     await asyncio.sleep(pause_s)
     action()
--- a/tests/platform_adapter/soak/run.py
+++ b/tests/platform_adapter/soak/run.py
@@ -12,7 +12,10 @@
 limit. Callers keep their connections until these end, and take up streams that broke
 off, at any node; workers of several versions serve. Some streams are long, so that they
 outlive the stop of their node; sound workers fall silent beside stops, and callers keep
-the addresses of nodes that are stopping.
+the addresses of nodes that are stopping. Workers answer with bytes without end, and
+callers hold connections, the last bytes of large bodies, and answers that they do not
+read; nodes that take more than their machine has are killed, as they are on the users'
+platform, and are a finding.
 Seeds that ever failed are in ``seeds.py``.
 """
 
@@ -40,10 +43,16 @@
     Deployment,
     configuration,
 )
-from tests.platform_adapter.soak.callers import AddressBook, LongStream
+from tests.platform_adapter.soak.callers import (
+    AddressBook,
+    LongStream,
+    hold,
+    request_bytes,
+)
 from tests.platform_adapter.soak.checks import (
     PATIENCE_S,
     Kind,
+    NodeLimits,
     Outcome,
     Records,
     Reply,
@@ -51,6 +60,8 @@
     ask,
 )
 from tests.platform_adapter.soak.faults import (
+    ENDLESS_FROM,
+    HOARDING,
     LATER,
     LATER_PLANNED,
     PLANNED,
@@ -105,6 +116,10 @@
 _LONG_SHARE = 0.4
 _IDLE_SHARE = 0.03
 _MOST_IDLE_S = 1.5
+# What the machine of a node has, and how often what a node uses is read.
+_LIMITS = NodeLimits(memory_mb=150, max_fds=4200)
+_WATCH_S = 0.1
+_HOARDING_SHARE = 0.5
 # Every fifth of these seeds has more nodes and callers.
 _MANY_NODES = (8, 10)
 _MANY_CALLERS = 40
@@ -127,6 +142,7 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.stops = seed >= STOPS_FROM
+        self.hoards = seed >= ENDLESS_FROM
         self.planned_only = seed % 4 == 0 or (self.stops and seed % 4 != 1)
         grace_s = _GRACE_S if self.stops else 0.0
         self.records = Records(planned_only=self.planned_only, grace_s=grace_s)
@@ -142,6 +158,7 @@
             through_proxies=True,
             cut_streams=not self.planned_only,
             unframed=seed >= _UNFRAMED_FROM,
+            settings=_LIMITS.settings if self.hoards else (),
             **(times if self.stops else {}),
         )
         self.idle_timeout_ms = 15_000
@@ -176,6 +193,7 @@
                 ]
             keeper = asyncio.ensure_future(self._keep_running())
             clock = asyncio.ensure_future(self._note_delays())
+            watch = asyncio.ensure_future(self._watch_limits())
             await self._play()
             await self._calm()
             await self._recovers()
@@ -183,8 +201,11 @@
             await asyncio.gather(*callers)
             keeper.cancel()
             clock.cancel()
+            watch.cancel()
         finally:
             await self.deployment.stop()
+        for number, process in enumerate(self.deployment.processes):
+            self.judge_exit(number, process.returncode, stopping=True)
         self.records.judge_crashes(self.deployment.crashed)
         self.records.judge_parts(self.deployment.crashed_at)
         self.records.judge_leaving(self.deployment.received_requests())
@@ -280,7 +301,8 @@
         fault_s = _LONG_FAULT_S if self.stops else _FAULT_S
         per_s = _LONG_FAULTS_PER_S if self.stops else _FAULTS_PER_S
         while time.monotonic() - self._began < fault_s:
-            action = self.rng.choice(actions)
+            hoards = self.hoards and self.rng.random() < _HOARDING_SHARE
+            action = self.rng.choice(HOARDING if hoards else actions)
             self.note(action.__name__.strip("_"))
             running.add(asyncio.ensure_future(action(self)))
             await asyncio.sleep(self.rng.expovariate(per_s))
@@ -306,19 +328,37 @@
             for number, process in enumerate(self.deployment.processes):
                 if process.returncode is None:
                     continue
-                allowed = {-signal.SIGKILL}
-                if number in self._stopping:
-                    # One that does not listen to signals yet just ends.
-                    allowed |= {0, -signal.SIGTERM}
-                if process.returncode not in allowed:
-                    self.records.wrong.append(
-                        f"node {number} ended by itself: {process.returncode}"
-                    )
+                stopping = number in self._stopping
+                self.judge_exit(number, process.returncode, stopping=stopping)
                 self._stopping.discard(number)
                 self.records.started(number)
                 await self.deployment.restart(number)
                 self.records.disturbed(number)
 
+    def judge_exit(self, number: int, returncode: int, *, stopping: bool) -> None:
+        """Compare the exit status of a node with what it was told.
+
+        :param stopping: whether it was told to stop.
+        """
+        allowed = {-signal.SIGKILL}
+        if stopping:
+            # One that does not listen to signals yet just ends.
+            allowed |= {0, -signal.SIGTERM}
+        if returncode not in allowed:
+            self.records.wrong.append(f"node {number} ended by itself: {returncode}")
+
+    async def _watch_limits(self) -> None:
+        """Kill nodes that use more than their machine has, as the platform does."""
+        while self.hoards:
+            await asyncio.sleep(_WATCH_S)
+            for number, process in enumerate(self.deployment.processes):
+                if process.returncode is not None:
+                    continue
+                if not self.records.used(number, process.pid, _LIMITS):
+                    self.note(f"node {number} exceeds its limits")
+                    self.records.disturbed(number)
+                    self.deployment.send_signal(number, signal.SIGKILL)
+
     async def _recovers(self) -> None:
         """Wait until each node serves each kind of request, again and again."""
         until = time.monotonic() + _RECOVERY_S
@@ -417,6 +457,36 @@
         await self._ask(conn, kind, KEY, path=path, text=text, **prompt)
         conn.close()
 
+    async def hold(
+        self,
+        count: int,
+        hold_s: float,
+        kind: Kind | None = None,
+        *,
+        path: str = "",
+        headers: Iterable[tuple[bytes, bytes]] = (),
+        body_bytes: int = 1,
+        kept: int = 0,
+    ) -> None:
+        """Have callers hold connections to a node and read nothing.
+
+        :param kind: kind of request that each sends; ``None`` for none.
+        :param kept: bytes at the end of each request that it does not send.
+        """
+        node = self.node()
+        self.note(f"{count} callers at node {node}: {kind} {path} {body_bytes} bytes")
+        sent = []
+        for _ in range(count if kind else 0):
+            number = str(next(self._numbers))
+            self.records.held(number, node, kind)
+            target = f"/{kind}/{path}"
+            request = request_bytes(number, target, list(headers), body_bytes)
+            sent.append(request[: len(request) - kept])
+        address = self.deployment.callers[node]
+        await asyncio.gather(
+            *(hold(address, one, hold_s) for one in sent or [b""] * count)
+        )
+
     async def _ask_once(self, address: str, kind: Kind, key: str = KEY) -> Reply:
         try:
             conn = await open_connection(address, timeout_s=1.0, head_bytes=_HEAD_BYTES)
@@ -542,7 +612,8 @@
             conn, kind, key, 0, stream=stream
         )
         if outcome is Outcome.CUT:
-            if self.takes_up and kind is Kind.STREAM:
+            taken_up = self.takes_up and number not in self.records.endless
+            if taken_up and kind is Kind.STREAM:
                 seen = reply.body.count(b"id: ")
                 await self._take_up(book, number, key, seen, stream)
             return False
@@ -567,6 +638,9 @@
             f"{name} {count}" for name, count in sorted(soak.records.outcomes.items())
         )
         print(f"seed {seed}: {len(soak.faults)} faults; {counts}; {len(wrong)} wrong")
+        if soak.hoards:
+            most = f"{soak.records.most_memory_mb:.0f} MB"
+            print(f"  at most {most} and {soak.records.most_files} descriptors a node")
         if not wrong:
             return True
         for line in [*wrong[:10], *soak.faults]:
--- a/tests/platform_adapter/test_soak.py
+++ b/tests/platform_adapter/test_soak.py
@@ -1,6 +1,7 @@
 """A short run of the soak, and the seeds that ever failed in it."""
 
 import asyncio
+import os
 import time
 from collections import Counter
 from types import SimpleNamespace
@@ -10,6 +11,7 @@
 from baobabwing.standins.gateway_upstream import StreamRun
 from tests.platform_adapter.soak.checks import (
     Kind,
+    NodeLimits,
     Outcome,
     Records,
     Reply,
@@ -31,6 +33,7 @@
         11_001,
         18_003,
         19_001,
+        50_002,
         *sorted(FAILED_ONCE.keys() - {CRASHES_BESIDE_CUTS}),
     ],
 )
@@ -58,6 +61,24 @@
     assert not soak.stopping
 
 
+@pytest.mark.parametrize(
+    ("memory_mb", "max_fds", "within"),
+    [(10_000, 10_000, True), (1, 10_000, False), (10_000, 1, False)],
+)
+def test_node_that_uses_more_than_its_machine_has_is_found(memory_mb, max_fds, within):
+    records = Records(planned_only=False)
+    limits = NodeLimits(memory_mb=memory_mb, max_fds=max_fds)
+    assert records.used(0, os.getpid(), limits) is within
+    assert len(records.wrong) == (not within)
+
+
+def test_node_that_exits_by_itself_is_found(tmp_path):
+    soak = Soak(seed=1, folder=tmp_path)
+    for code, stopping in ((0, True), (-9, False), (0, False), (1, True), (-6, True)):
+        soak.judge_exit(0, code, stopping=stopping)
+    assert [one.split()[-1] for one in soak.records.wrong] == ["0", "1", "-6"]
+
+
 def test_more_than_a_limit_in_one_window_is_found():
     records = Records(planned_only=False)
     for number in ("a", "b", "c"):
