Refuse late streams of plain services at stopping nodes

What callers saw: in a planned stop, streams of services without slots that were sent 3.1 to 4.6 s after the SIGTERM were passed on and cut at the end of the node, ones that may not be repeated included.

Cause: the longest time of an answer is that to its first event and that of its output. No speed is known of a plain service, and its output counted as 0 s, for streams too.

Change: the longest time of a stream of a plain service is not known, so that it is taken late only if its caller's deadline is before the end.

--- a/baobabwing/gateway/decisions/stopping.py
+++ b/baobabwing/gateway/decisions/stopping.py
@@ -57,12 +57,15 @@
     tracks: Iterable[UpstreamTrack],
     now: float,
     *,
+    streams: bool = True,
     max_output_tokens: int,
 ) -> float:
     """Return how long a whole answer takes at most, at the best of some upstreams.
 
-    Its output may be as long as its caller allows, and the engine silent meanwhile.
+    Its output may be as long as its caller allows, and the engine silent meanwhile. No
+    speed is known of a stream of a plain service.
 
+    :param streams: whether it is answered with a stream.
     :param max_output_tokens: the most that it may generate; 0 if not stated.
     :returns: infinity if that is not known.
     """
@@ -71,7 +74,7 @@
         scheduler.first_event_s(request, track, now) + output_s
         for track in tracks
         if (output_s := scheduler.generation_s(max_output_tokens, track))
-        or scheduler.engine is None
+        or (scheduler.engine is None and not streams)
     ]
     return _TIME_MARGIN * min(answers, default=math.inf) + _MAX_SILENCE_S
 
--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -346,6 +346,7 @@
             request,
             (one for one in pool.scheduler.tracks.values() if one.is_usable(now)),
             now,
+            streams=call.route.streams,
             max_output_tokens=call.request_head.tokens_out,
         )
 
@@ -360,7 +361,12 @@
             pool.scheduler, request, track, now, max_output_tokens=most
         )
         longest_s = longest_answer_s(
-            pool.scheduler, request, [track], now, max_output_tokens=most
+            pool.scheduler,
+            request,
+            [track],
+            now,
+            streams=call.route.streams,
+            max_output_tokens=most,
         )
         return self._state.shutdown.fits(
             call.expected_s, longest_s, now=now, ends_at=call.ends_at
--- a/tests/gateway/decisions/test_stopping.py
+++ b/tests/gateway/decisions/test_stopping.py
@@ -127,3 +127,19 @@
         unknown, request(4), [track], NOW, max_output_tokens=50
     )
     assert longest_s == math.inf
+
+
+@pytest.mark.parametrize(("streams", "known"), [(True, False), (False, True)])
+def test_longest_time_of_a_stream_of_a_plain_service_is_not_known(streams, known):
+    """It was taken for that of the first event, and the stream was cut."""
+    pool, usual = PoolScheduler(engine=None, rng=random.Random(1)), scheduler()
+    pool.set_upstreams([track.entry for track in usual.tracks.values()])
+    longest_s = longest_answer_s(
+        pool,
+        request(4),
+        pool.tracks.values(),
+        NOW,
+        streams=streams,
+        max_output_tokens=50,
+    )
+    assert (longest_s < math.inf) is known
