Count the time of a stop from the last moment before a delay

What callers saw: a node that got no processor as it was told to stop took streams by their estimates that were sent 3.0 to 3.4 s after the SIGTERM, and cut them; its end came after the grace.

Cause: the time ran from when the process handled the signal, which is as late as the process.

Change: a signal that is handled now was sent after the loop last ran in time; the stop counts from then. On a node that is not late that is up to 0.1 s earlier.

--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -207,15 +207,20 @@
     def leave(self, told_at: float | None = None) -> None:
         """Begin a graceful shutdown.
 
-        :param told_at: when this node was told to, by the monotonic clock; now by
-            default. A busy event loop handles a signal late, and the time that the
-            node has runs from the signal.
+        :param told_at: when this node was told to at the earliest, by the monotonic
+            clock; now by default. A busy process handles a signal late, and the time
+            that the node has runs from the signal.
         """
         if self._told_to_leave_at is None:
             self._told_to_leave_at = time.monotonic() if told_at is None else told_at
         self.members.leave()
         self._leave_requested.set()
 
+    @property
+    def ran_at(self) -> float:
+        """When this node's event loop last ran without a delay."""
+        return self._loop_delay_monitor.ran_at
+
     async def run(self) -> None:
         """Serve until :meth:`leave` is called, then drain and stop."""
         await self.link.start(self.settings.work)
--- a/baobabwing/gateway/loop_delay.py
+++ b/baobabwing/gateway/loop_delay.py
@@ -31,13 +31,15 @@
 
     :param busy: returns the processor time in seconds that the process has used, which
         distinguishes an overloaded process from one that did not get a processor.
+    :ivar ran_at: a time at which the loop still ran without a delay. A signal that is
+        handled now was sent later than that.
     """
 
     def __init__(self, *, busy: Callable[[], float] = time.process_time) -> None:
         self._busy = busy
         self._longest_s = 0.0
         self._previous_longest_s = 0.0
-        self._window_started_at = time.monotonic()
+        self._window_started_at = self.ran_at = time.monotonic()
         self._used_before_s = busy()
 
     @property
@@ -58,6 +60,8 @@
         :param due: when it was due.
         :param now: when the loop ran it.
         """
+        # After a delay another thread may take a signal later than the loop wakes up.
+        self.ran_at = now if now - due < _MIN_LOGGED_S else due - _TIMER_S
         self._longest_s = max(self._longest_s, now - due)
         if now - self._window_started_at < _WINDOW_S:
             return
--- a/tests/gateway/test_loop_delay.py
+++ b/tests/gateway/test_loop_delay.py
@@ -32,3 +32,14 @@
     watch.record_wakeup(now + 4.0, now + 4.001)
     assert watch.late_s < 0.01
     assert len(lines) == 1
+
+
+def test_time_before_a_delay_is_known_when_the_loop_runs_again():
+    """The time of a stop ran from a signal that had been handled late."""
+    watch, now = LoopDelayMonitor(), time.monotonic()
+    watch.record_wakeup(now + 0.1, now + 0.101)
+    assert watch.ran_at == now + 0.101
+    watch.record_wakeup(now + 0.201, now + 0.7)
+    assert watch.ran_at <= now + 0.102
+    watch.record_wakeup(now + 0.8, now + 0.801)
+    assert watch.ran_at == now + 0.801
--- a/tests/platform_adapter/test_late_requests.py
+++ b/tests/platform_adapter/test_late_requests.py
@@ -22,6 +22,7 @@
 WAIT_S = 12.0
 CONFIG_S = 1.0
 KEPT = 60
+LATE_S = 0.4
 
 
 def tokens(expected, most):
@@ -244,3 +245,8 @@
 def test_no_request_that_was_passed_on_late_in_a_stop_is_cut(tmp_path, group):
     """Streams of plain services were taken though their lengths are not known."""
     assert asyncio.run(play(tmp_path, group)) == []
+
+
+def test_time_of_a_stop_runs_from_a_signal_that_is_handled_late(tmp_path):
+    """Requests were taken, and the process killed, by the time that was left."""
+    assert asyncio.run(play(tmp_path, "streams", late_s=LATE_S)) == []
