--- a/baobabwing/gateway/forwarding.py
+++ b/baobabwing/gateway/forwarding.py
@@ -178,7 +178,6 @@
         except TimeoutError:
             if not limit.expired():
                 raise
-            answer.closes = True
             retry_after_s = self._retry_after_stop_s()
             return Refusal(status=503, code="stopping", retry_after_s=retry_after_s)
 
@@ -199,7 +198,6 @@
         except TimeoutError:
             if not limit.expired():
                 raise
-            call.answer.closes = True
             await self._refuse_stopping(call)
 
     async def _find_origin(self, call: Call) -> bool:
@@ -347,6 +345,7 @@
             request,
             (one for one in pool.scheduler.tracks.values() if one.is_usable(now)),
             now,
+            streams=call.route.streams,
             max_output_tokens=call.request_head.tokens_out,
         )
 
@@ -361,7 +360,12 @@
             pool.scheduler, request, track, now, max_output_tokens=most
         )
         longest_s = longest_answer_s(
-            pool.scheduler, request, [track], now, max_output_tokens=most
+            pool.scheduler,
+            request,
+            [track],
+            now,
+            streams=call.route.streams,
+            max_output_tokens=most,
         )
         return self._state.shutdown.fits(
             call.expected_s, longest_s, now=now, ends_at=call.ends_at
--- a/baobabwing/gateway/gateway.py
+++ b/baobabwing/gateway/gateway.py
@@ -237,15 +237,20 @@
     def leave(self, told_at: float | None = None) -> None:
         """Begin a graceful shutdown.
 
-        :param told_at: when this node was told to, by the monotonic clock; now by
-            default. A busy event loop handles a signal late, and the time that the
-            node has runs from the signal.
+        :param told_at: when this node was told to at the earliest, by the monotonic
+            clock; now by default. A busy process handles a signal late, and the time
+            that the node has runs from the signal.
         """
         if self._told_to_leave_at is None:
             self._told_to_leave_at = time.monotonic() if told_at is None else told_at
         self.members.leave()
         self._leave_requested.set()
 
+    @property
+    def ran_at(self) -> float:
+        """When this node's event loop last ran without a delay."""
+        return self._loop_delay_monitor.ran_at
+
     @property
     def ready(self) -> bool:
         """Whether this node accepts new callers."""
@@ -390,11 +395,13 @@
         """Wait until requests without an answer have got their failures.
 
         If this process is late, their time limits expire with the shutdown, and some
-        have just been received.
+        have just been received, or arrived behind others on their connections.
         """
         until = time.monotonic() + _LATE_ANSWERS_S
         await asyncio.sleep(_LAST_CHECK_INTERVAL_S)
-        while self.state.shutdown.unanswered and time.monotonic() < until:
+        while time.monotonic() < until and (
+            self.state.shutdown.unanswered or self.callers.reading
+        ):
             await asyncio.sleep(_LAST_CHECK_INTERVAL_S)
 
     def _count_refused_for_in_time(self, pool: str, count: int) -> None:
--- a/baobabwing/gateway/process.py
+++ b/baobabwing/gateway/process.py
@@ -28,6 +28,9 @@
 START_WAIT_S = 30.0
 _START_READ_PAUSE_S = 0.05
 _QUIET_S = 1.0
+# A process that stood still for longer may have been told to stop only at the end of
+# that, and still has the time for what it runs.
+_MAX_SIGNAL_LATE_S = 1.0
 _STDOUT = 1
 _MAX_PORT = 65_535
 _MAX_ERROR_CHARS = 500
@@ -133,7 +136,8 @@
     last_resort.start()
 
     def leave(*_: object) -> None:
-        told_at = time.monotonic()
+        # A process without a processor gets its signals late.
+        told_at = max(node.gateway.ran_at, time.monotonic() - _MAX_SIGNAL_LATE_S)
         last_resort.leave(told_at)
         _post(loop, node.gateway.leave, told_at)
 
