--- a/baobabwing/gateway/document_distribution.py
+++ b/baobabwing/gateway/document_distribution.py
@@ -22,7 +22,12 @@
 
 import h11
 
-from baobabwing.exceptions import BaobabwingError, ConnectionLostError, WireError
+from baobabwing.exceptions import (
+    BaobabwingError,
+    ConnectionLostError,
+    EndlessAnswerError,
+    WireError,
+)
 from baobabwing.fleet.host import Host
 from baobabwing.gateway.connection import HttpConnection, open_connection
 from baobabwing.gateway.events import DOCUMENT_TAKEN, SOURCE_PEER_LOST
@@ -342,9 +347,12 @@
         headers = [(b"Host", source.peer.encode())]
         await conn.send(h11.Request(method="GET", target=target, headers=headers))
         await conn.send(h11.EndOfMessage())
-        response = await read_response(
-            conn, max_bytes=_MAX_ANSWER_BYTES, step="documents"
-        )
+        try:
+            response = await read_response(
+                conn, max_bytes=_MAX_ANSWER_BYTES, step="documents"
+            )
+        except EndlessAnswerError as exc:
+            raise WireError(exc.message, step=exc.step, peer=source.peer) from exc
         if response.status != 200:
             raise ConnectionLostError(
                 f"status {response.status}", step="documents", peer=source.peer
